Read the settings of an instance and check them as a whole

An operator who mends a settings file one error at a time restarts an instance for each. All faults come out together, with line, field path and remedy.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,243 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+)
+
+// Bounds of numeric settings.
+const (
+	maxRatePerSecond    = 2000
+	maxTimeoutMs        = 60_000
+	maxShards           = 1024
+	maxReplicas         = 4
+	maxSkewBoundMs      = 10_000
+	minSilenceBoundMs   = 100
+	maxSilenceBoundMs   = 60_000
+	maxDedupWindowS     = 86_400
+	minDedupMaxBytes    = 16 << 20
+	maxDedupMaxBytes    = 1 << 40
+	minBodyBytes        = 1 << 10
+	minHeaderBytes      = 1 << 10
+	maxJSONDepth        = 1000
+	maxStopBoundS       = 3600
+	tokenDigestHexChars = 64
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	digestPattern = regexp.MustCompile(fmt.Sprintf(`^[0-9a-f]{%d}$`, tokenDigestHexChars))
+	logLevels     = []string{"debug", "info", "warn", "error"}
+)
+
+const nameRemedy = "write up to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
+
+// checker checks decoded settings. Fields that the decoder has already
+// reported are passed over.
+type checker struct {
+	*decoder
+	s *Settings
+}
+
+func (c *checker) check() {
+	c.checkNames()
+	c.checkListen()
+	c.checkPeers()
+	c.checkPlatform()
+	c.checkTLS()
+	c.checkTokens()
+	c.checkShards()
+	c.checkLimits()
+	c.between("stop_bound_s", int64(c.s.StopBoundS), 1, maxStopBoundS)
+	c.checkLogLevel()
+}
+
+func (c *checker) report(path, message, remedy string) {
+	for _, e := range c.errs {
+		if e.Field == path {
+			return
+		}
+	}
+	c.fail(path, message, remedy)
+}
+
+func (c *checker) name(path, value string) {
+	if value == "" {
+		c.report(path, "is missing", nameRemedy)
+		return
+	}
+	if !namePattern.MatchString(value) {
+		c.report(path, fmt.Sprintf("%q is not a name", value), nameRemedy)
+	}
+}
+
+func (c *checker) between(path string, value, low, high int64) {
+	if value < low || value > high {
+		c.report(path, fmt.Sprintf("%d is out of bounds", value), fmt.Sprintf("write a number from %d to %d", low, high))
+	}
+}
+
+func (c *checker) checkNames() {
+	c.name("instance", string(c.s.Instance))
+	c.name("domain", string(c.s.Domain))
+	c.name("backend_service", c.s.BackendService)
+	if len(c.s.Domains) == 0 {
+		c.report("domains", "is missing", "list the names of all failure domains")
+		return
+	}
+	seen := make(map[string]bool)
+	for i, d := range c.s.Domains {
+		path := fmt.Sprintf("domains[%d]", i)
+		c.name(path, string(d))
+		if seen[string(d)] {
+			c.report(path, fmt.Sprintf("%q is given twice", d), "list each failure domain once")
+		}
+		seen[string(d)] = true
+	}
+	if c.s.Domain != "" && !c.s.HasDomain(c.s.Domain) {
+		c.report("domain", fmt.Sprintf("%q is not in domains", c.s.Domain), "add it to domains or correct its spelling")
+	}
+}
+
+// address checks an IP:port and returns it, and whether it is valid.
+func (c *checker) address(path, value string) (netip.AddrPort, bool) {
+	if value == "" {
+		c.report(path, "is missing", "write IP:port, such as 10.0.0.1:7400")
+		return netip.AddrPort{}, false
+	}
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.report(path, fmt.Sprintf("%q is not IP:port", value), "write an IP number and a port, such as 10.0.0.1:7400; host names are not looked up")
+		return netip.AddrPort{}, false
+	}
+	return addr, true
+}
+
+// target checks an IP:port that is connected to.
+func (c *checker) target(path, value string) {
+	addr, ok := c.address(path, value)
+	if ok && (addr.Addr().IsUnspecified() || addr.Port() == 0) {
+		c.report(path, fmt.Sprintf("%q can't be connected to", value), "write the IP number and port that others reach it by")
+	}
+}
+
+func (c *checker) checkListen() {
+	ports := []struct{ path, value string }{
+		{"listen.caller", c.s.Listen.Caller},
+		{"listen.peer", c.s.Listen.Peer},
+		{"listen.operator", c.s.Listen.Operator},
+	}
+	used := make(map[uint16]string)
+	for _, p := range ports {
+		addr, ok := c.address(p.path, p.value)
+		if !ok || addr.Port() == 0 {
+			continue
+		}
+		if other, taken := used[addr.Port()]; taken {
+			c.report(p.path, fmt.Sprintf("port %d is also used by %s", addr.Port(), other), "give each of the three its own port")
+		}
+		used[addr.Port()] = p.path
+	}
+}
+
+func (c *checker) checkPeers() {
+	c.name("peers.service", c.s.Peers.Service)
+	if c.s.Peers.Advertise != "" {
+		c.target("peers.advertise", c.s.Peers.Advertise)
+	} else if addr, err := netip.ParseAddrPort(c.s.Listen.Peer); err == nil && addr.Addr().IsUnspecified() {
+		c.report("peers.advertise", "is missing while listen.peer names no single IP number", "write the IP:port that other instances connect to")
+	}
+	for i, seed := range c.s.Peers.Seeds {
+		c.target(fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+}
+
+func (c *checker) checkPlatform() {
+	p := &c.s.Platform
+	c.target("platform.addr", p.Addr)
+	c.between("platform.reads_per_second", int64(p.ReadsPerSecond), 1, maxRatePerSecond)
+	c.between("platform.writes_per_second", int64(p.WritesPerSecond), 1, maxRatePerSecond)
+	c.between("platform.timeout_ms", int64(p.TimeoutMs), 1, maxTimeoutMs)
+}
+
+func (c *checker) checkTLS() {
+	c.port("tls.caller", &c.s.TLS.Caller, false)
+	c.port("tls.peer", &c.s.TLS.Peer, true)
+	c.port("tls.operator", &c.s.TLS.Operator, false)
+}
+
+// port checks one port. A mutual port needs a CA.
+func (c *checker) port(path string, p *Port, mutual bool) {
+	named := p.Cert != "" || p.Key != "" || p.CA != ""
+	if p.Plain {
+		if named {
+			c.report(path, "plain is true but files are named", "remove plain, or the files")
+		}
+		return
+	}
+	if !named {
+		c.report(path, "is missing", "name cert and key, or write \"plain\": true to go without TLS")
+		return
+	}
+	c.file(path+".cert", p.Cert)
+	c.file(path+".key", p.Key)
+	if mutual {
+		c.file(path+".ca", p.CA)
+	}
+}
+
+func (c *checker) file(path, value string) {
+	if value == "" {
+		c.report(path, "is missing", "name a PEM file")
+	}
+}
+
+func (c *checker) checkTokens() {
+	seen := make(map[string]bool)
+	for i, t := range c.s.OperatorTokens {
+		path := fmt.Sprintf("operator_tokens[%d]", i)
+		c.name(path+".name", t.Name)
+		if seen[t.Name] {
+			c.report(path+".name", fmt.Sprintf("%q is given twice", t.Name), "give each token its own name")
+		}
+		seen[t.Name] = true
+		if t.Role != RoleRead && t.Role != RoleWrite {
+			c.report(path+".role", fmt.Sprintf("%q is not a role", t.Role), "write read or write")
+		}
+		if !digestPattern.MatchString(t.TokenSHA256) {
+			c.report(path+".token_sha256", "is not a SHA-256 digest", "write the digest as 64 lower-case hexadecimal digits; never the token itself")
+		}
+	}
+}
+
+func (c *checker) checkShards() {
+	s := &c.s.Shards
+	c.between("shards.per_domain", int64(s.PerDomain), 1, maxShards)
+	c.between("shards.replicas", int64(s.Replicas), 0, maxReplicas)
+	c.between("shards.skew_bound_ms", int64(s.SkewBoundMs), 1, maxSkewBoundMs)
+	c.between("shards.silence_bound_ms", int64(s.SilenceBoundMs), minSilenceBoundMs, maxSilenceBoundMs)
+	c.between("shards.dedup_window_s", int64(s.DedupWindowS), 1, maxDedupWindowS)
+	c.between("shards.dedup_max_bytes", s.DedupMaxBytes, minDedupMaxBytes, maxDedupMaxBytes)
+}
+
+func (c *checker) checkLimits() {
+	l := &c.s.Limits
+	c.between("limits.body_bytes", l.BodyBytes, minBodyBytes, api.MaxBodyBytes)
+	c.between("limits.payload_bytes", int64(l.PayloadBytes), 1, api.MaxPayloadBytes)
+	c.between("limits.tasks", int64(l.Tasks), 1, api.MaxTasks)
+	c.between("limits.header_bytes", int64(l.HeaderBytes), minHeaderBytes, api.MaxHeaderBytes)
+	c.between("limits.json_depth", int64(l.JSONDepth), 1, maxJSONDepth)
+}
+
+func (c *checker) checkLogLevel() {
+	for _, level := range logLevels {
+		if c.s.LogLevel == level {
+			return
+		}
+	}
+	c.report("log_level", fmt.Sprintf("%q is not a level", c.s.LogLevel), "write one of: "+strings.Join(logLevels, ", "))
+}
--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// FieldError is one fault of a settings file.
+type FieldError struct {
+	File    string // name of the file
+	Line    int    // from 1, 0 if the field is missing
+	Field   string // path such as "listen.caller", empty for the whole file
+	Message string // what is wrong
+	Remedy  string // what to do
+}
+
+// Error returns "file:line: field: message; remedy".
+func (e *FieldError) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	b.WriteString(": ")
+	if e.Field != "" {
+		b.WriteString(e.Field + ": ")
+	}
+	b.WriteString(e.Message + "; " + e.Remedy)
+	return b.String()
+}
+
+// Errors are all faults of a settings file, in the order of its lines.
+type Errors []*FieldError
+
+// Error returns one fault a line.
+func (es Errors) Error() string {
+	lines := make([]string, len(es))
+	for i, e := range es {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// ServerConfig returns the TLS configuration of a listener, or nil when the
+// port is plain. With a CA, clients must present a certificate.
+func (p *Port) ServerConfig() (*tls.Config, error) {
+	if p.Plain {
+		return nil, nil
+	}
+	cert, pool, err := p.load()
+	if err != nil {
+		return nil, err
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
+	if pool != nil {
+		c.ClientCAs = pool
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return c, nil
+}
+
+// ClientConfig returns the TLS configuration of an outgoing connection, or
+// nil when the port is plain. The server's certificate must be valid for the
+// IP number that is connected to.
+func (p *Port) ClientConfig() (*tls.Config, error) {
+	if p.Plain {
+		return nil, nil
+	}
+	cert, pool, err := p.load()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, RootCAs: pool}, nil
+}
+
+func (p *Port) load() (tls.Certificate, *x509.CertPool, error) {
+	cert, err := tls.LoadX509KeyPair(p.Cert, p.Key)
+	if err != nil {
+		return cert, nil, errors.Wrapf(err, "load %s and %s; check that they are a PEM certificate and its key", p.Cert, p.Key)
+	}
+	if p.CA == "" {
+		return cert, nil, nil
+	}
+	pem, err := os.ReadFile(p.CA)
+	if err != nil {
+		return cert, nil, errors.Wrap(err, "load the CA; check the path")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return cert, nil, errors.Errorf("%s holds no certificate; name a PEM file", p.CA)
+	}
+	return cert, pool, nil
+}
