Add the typed problems that callers get

Each kind names its HTTP status, whether the work was run, a remedy and a wait; an error may narrow the last two. Untyped errors become internal with ran unknown, so that a fault of the program never claims that nothing ran.

--- /dev/null
+++ b/internal/problem/document.go
@@ -0,0 +1,60 @@
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+)
+
+// TypePrefix precedes the kind in a problem's type, a URI reference.
+const TypePrefix = "/problems/"
+
+// Document returns the problem document of e.
+func (e *Error) Document() api.Problem {
+	spec := Find(e.Kind)
+	p := api.Problem{
+		Type:         TypePrefix + string(spec.Kind),
+		Title:        spec.Title,
+		Status:       spec.Status,
+		Detail:       e.Detail,
+		Kind:         string(spec.Kind),
+		Ran:          spec.Ran,
+		Remedy:       spec.Remedy,
+		RetryAfterMs: roundUp(spec.RetryAfter, time.Millisecond),
+		Results:      e.Results,
+	}
+	if e.Ran != "" {
+		p.Ran = e.Ran
+	}
+	if e.RetryAfter > 0 {
+		p.RetryAfterMs = roundUp(e.RetryAfter, time.Millisecond)
+	}
+	return p
+}
+
+// Write answers a request with the problem document of err. An error that is
+// no Error is answered as Internal.
+func Write(w http.ResponseWriter, err error) {
+	doc := From(err).Document()
+	h := w.Header()
+	h.Set("Content-Type", api.ContentTypeProblem)
+	h.Set("Cache-Control", "no-store")
+	if doc.RetryAfterMs > 0 {
+		wait := time.Duration(doc.RetryAfterMs) * time.Millisecond
+		h.Set("Retry-After", strconv.FormatInt(roundUp(wait, time.Second), 10))
+	}
+	if doc.Kind == string(Unauthorized) {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(doc.Status)
+	// The client may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(doc)
+}
+
+// roundUp returns d in whole units, rounded up.
+func roundUp(d, unit time.Duration) int64 {
+	return int64((d + unit - 1) / unit)
+}
