--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,58 @@
+// Package eventlog writes numbered log events as JSON lines.
+//
+// Every event has a number that never changes meaning. docs/EVENTS.md lists
+// them for operators.
+package eventlog
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Names of the fields that an event carries.
+const (
+	FieldEvent       = "event" // number
+	FieldName        = "name"
+	FieldInstance    = "instance"
+	FieldDomain      = "domain"
+	FieldIncarnation = "incarnation"
+)
+
+// Log writes events. It may be used by several goroutines.
+type Log struct {
+	logger zerolog.Logger
+}
+
+// New returns a log that writes events of at least the given level to w. The
+// level is one of debug, info, warn and error.
+func New(w io.Writer, level string) (*Log, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level; write debug, info, warn or error")
+	}
+	return &Log{logger: zerolog.New(w).Level(l).With().Timestamp().Logger()}, nil
+}
+
+// Discard returns a log that writes nothing.
+func Discard() *Log { return &Log{logger: zerolog.Nop()} }
+
+// ForInstance returns a log whose events name the instance.
+func (l *Log) ForInstance(i model.Instance, d model.Domain, inc model.Incarnation) *Log {
+	ctx := l.logger.With().
+		Str(FieldInstance, string(i)).
+		Str(FieldDomain, string(d)).
+		Str(FieldIncarnation, string(inc))
+	return &Log{logger: ctx.Logger()}
+}
+
+// Event starts an event. The caller adds fields and ends it with Send.
+func (l *Log) Event(e Event) *zerolog.Event {
+	return l.logger.WithLevel(e.Level).
+		Int(FieldEvent, e.Number).
+		Str(FieldName, e.Name).
+		Str(zerolog.MessageFieldName, e.Text)
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -3,6 +3,7 @@
 package problem
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -135,7 +136,7 @@
 
 // Newf returns an error of kind k with a formatted detail.
 func Newf(k Kind, format string, args ...any) *Error {
-	return &Error{Kind: k, Detail: errors.Errorf(format, args...).Error()}
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
 }
 
 // Wrap returns an error of kind k with a cause, or nil if the cause is nil.
