Serve the caller API

Submit, get, cancel and explain jobs over chi. A body is decoded strictly: encoding/json takes field names in any case and the last of a repeated name, so a small scanner over the syntax refuses both, by name, and bounds the nesting. A complete answer that lacks a result is answered as internal, not passed on.

The Dispatcher's Submit has a wait flag like Lookup: without it a submission with wait=0 would have to look like one whose time has run out.

The new kind no-answer is for a wait that ended before the admission was known.

--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,260 @@
+// Package caller serves the caller API: submit, get, cancel and explain jobs,
+// and single requests, which are jobs of one task.
+//
+// Every refusal and failure is an RFC 9457 problem document that says whether
+// the work was run.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/problem"
+	"github.com/nutmegweir/nutmegweir/internal/settings"
+)
+
+// DefaultWait is how long a submission waits for its answer when the caller
+// does not say.
+const DefaultWait = 30 * time.Second
+
+// Dispatcher does the work behind the caller API. Its errors should be
+// *problem.Error; all others are answered as internal.
+type Dispatcher interface {
+	// Submit admits a job, or finds it if its identity is known. Without
+	// wait it returns once the job is admitted or refused. With wait it
+	// returns the final answer; when ctx ends before, it returns an answer
+	// with STATUS_PENDING if the job is known to be admitted, else ctx's
+	// error.
+	Submit(ctx context.Context, spec *peerpb.JobSpec, wait bool) (*peerpb.Answer, error)
+	// Lookup finds the answer of a job without submitting it. With wait it
+	// treats ctx as Submit does.
+	Lookup(ctx context.Context, id *peerpb.Identity, wait bool) (*peerpb.Answer, error)
+	// Cancel gives up the tasks of a job that have not started, and returns
+	// the state of the job after that.
+	Cancel(ctx context.Context, id *peerpb.Identity) (*peerpb.Answer, error)
+	// Explain says in plain text where a job stands and why.
+	Explain(ctx context.Context, id *peerpb.Identity) (string, error)
+}
+
+// Options are the parameters of a Handler.
+type Options struct {
+	Dispatcher Dispatcher
+	Domains    []model.Domain // all failure domains
+	Limits     settings.Limits
+	Log        *eventlog.Log
+}
+
+// Handler serves the caller API.
+type Handler struct {
+	opts     Options
+	router   chi.Router
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	waits    context.Context // ended by EndWaits
+	endWaits context.CancelFunc
+}
+
+// New returns a handler.
+func New(o Options) *Handler {
+	if o.Log == nil {
+		o.Log = eventlog.Discard()
+	}
+	h := &Handler{opts: o}
+	h.waits, h.endWaits = context.WithCancel(context.Background())
+	h.router = h.routes()
+	return h
+}
+
+func (h *Handler) routes() chi.Router {
+	r := chi.NewRouter()
+	r.Use(h.recoverPanic)
+	r.NotFound(h.notFound)
+	r.MethodNotAllowed(h.methodNotAllowed)
+	r.Post(api.PathJobs, h.submitJob)
+	r.Post(api.PathRequests, h.submitRequest)
+	r.Get(api.PathJob, h.getJob)
+	r.Delete(api.PathJob, h.cancelJob)
+	r.Get(api.PathExplain, h.explainJob)
+	return r
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	h.router.ServeHTTP(w, r)
+}
+
+// Stop refuses submissions from now on. Requests in flight go on.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// InFlight returns the number of requests that are not yet answered.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// EndWaits makes requests that wait for an answer return at once with what is
+// known. It is called shortly before the bound of a graceful stop.
+func (h *Handler) EndWaits() { h.endWaits() }
+
+func (h *Handler) submitJob(w http.ResponseWriter, r *http.Request) {
+	h.submit(w, r, h.decodeJob, writeAnswer)
+}
+
+func (h *Handler) submitRequest(w http.ResponseWriter, r *http.Request) {
+	h.submit(w, r, h.decodeRequest, writeSingle)
+}
+
+func (h *Handler) decodeJob(body []byte) (*peerpb.JobSpec, error) {
+	var job api.Job
+	if err := decodeStrict(body, h.opts.Limits.JSONDepth, &job); err != nil {
+		return nil, err
+	}
+	return h.spec(&job)
+}
+
+func (h *Handler) decodeRequest(body []byte) (*peerpb.JobSpec, error) {
+	var req api.Request
+	if err := decodeStrict(body, h.opts.Limits.JSONDepth, &req); err != nil {
+		return nil, err
+	}
+	return h.requestSpec(&req)
+}
+
+// answerWriter writes a pending or complete answer.
+type answerWriter func(w http.ResponseWriter, id *peerpb.Identity, a *api.Answer)
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, decode func([]byte) (*peerpb.JobSpec, error), write answerWriter) {
+	body, wait, err := h.readSubmission(w, r)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	spec, err := decode(body)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	ctx, cancel := h.waitContext(r, wait)
+	defer cancel()
+	answer, err := h.opts.Dispatcher.Submit(ctx, spec, wait > 0)
+	h.answer(w, spec.Identity, answer, len(spec.Payloads), err, write)
+}
+
+func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
+	id, err := h.identity(r)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	wait, err := waitParam(r, 0)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	ctx, cancel := h.waitContext(r, wait)
+	defer cancel()
+	answer, err := h.opts.Dispatcher.Lookup(ctx, id, wait > 0)
+	h.answer(w, id, answer, anyTasks, err, writeAnswer)
+}
+
+func (h *Handler) cancelJob(w http.ResponseWriter, r *http.Request) {
+	id, err := h.identity(r)
+	if err == nil {
+		err = noParams(r)
+	}
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	ctx, cancel := h.waitContext(r, 0)
+	defer cancel()
+	answer, err := h.opts.Dispatcher.Cancel(ctx, id)
+	h.answer(w, id, answer, anyTasks, err, writeAnswer)
+}
+
+func (h *Handler) explainJob(w http.ResponseWriter, r *http.Request) {
+	id, err := h.identity(r)
+	if err == nil {
+		err = noParams(r)
+	}
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	ctx, cancel := h.waitContext(r, 0)
+	defer cancel()
+	text, err := h.opts.Dispatcher.Explain(ctx, id)
+	if err != nil {
+		h.refuse(w, noAnswer(err))
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	// The client may be gone; there is nobody else to tell.
+	_, _ = w.Write([]byte(text))
+}
+
+// answer writes what the dispatcher has returned. A complete answer must hold
+// the result of every task.
+func (h *Handler) answer(w http.ResponseWriter, id *peerpb.Identity, a *peerpb.Answer, tasks int, err error, write answerWriter) {
+	if err != nil {
+		h.refuse(w, noAnswer(err))
+		return
+	}
+	out, err := convertAnswer(a, tasks)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	write(w, id, out)
+}
+
+// refuse answers with a problem.
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	doc := problem.From(err).Document()
+	event := eventlog.SubmissionRefused
+	switch {
+	case doc.Ran == api.RanUnknown:
+		event = eventlog.AnswerUnknown
+	case len(doc.Results) > 0:
+		event = eventlog.SubmissionFailed
+	}
+	h.opts.Log.Event(event).Str("kind", doc.Kind).Str("ran", string(doc.Ran)).Str("detail", doc.Detail).Send()
+	problem.Write(w, err)
+}
+
+func (h *Handler) recoverPanic(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == http.ErrAbortHandler {
+				panic(v)
+			}
+			if v != nil {
+				h.opts.Log.Event(eventlog.HandlerFailed).Interface("panic", v).Str("path", r.URL.Path).Send()
+				problem.Write(w, problem.New(problem.Internal, "the handler failed"))
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
+	problem.Write(w, problem.Newf(problem.NotFound, "no such path: %s", r.URL.Path))
+}
+
+func (h *Handler) methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		if h.router.Match(chi.NewRouteContext(), method, r.URL.Path) {
+			w.Header().Add("Allow", method)
+		}
+	}
+	problem.Write(w, problem.Newf(problem.MethodNotAllowed, "%s does not take %s", r.URL.Path, r.Method))
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -40,6 +40,7 @@
 	ResultUnknown        Kind = "result-unknown"
 	Stopping             Kind = "stopping"
 	NotFound             Kind = "not-found"
+	NoAnswer             Kind = "no-answer"
 	Internal             Kind = "internal"
 )
 
@@ -102,6 +103,8 @@
 		"Resubmit with the same key; another instance will take it.", time.Second},
 	{NotFound, "There is nothing under this path", http.StatusNotFound, api.RanNo,
 		"Check home, customer and key; a job appears once it has been submitted.", 0},
+	{NoAnswer, "No answer came in time", http.StatusGatewayTimeout, api.RanUnknown,
+		"Resubmit with the same key, or ask for the job; it starts at most once.", time.Second},
 	{Internal, "The instance failed", http.StatusInternalServerError, api.RanUnknown,
 		"Ask for the job with the same key; report the detail to the operators.", time.Second},
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,7 +34,12 @@
 	logLevels     = []string{"debug", "info", "warn", "error"}
 )
 
-const nameRemedy = "write up to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
+// NameRemedy says what a name looks like.
+const NameRemedy = "write up to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
+
+// IsName reports whether s may name an instance, a failure domain, a customer
+// or a kind.
+func IsName(s string) bool { return namePattern.MatchString(s) }
 
 // checker checks decoded settings. Fields that the decoder has already
 // reported are passed over.
@@ -67,11 +72,11 @@
 
 func (c *checker) name(path, value string) {
 	if value == "" {
-		c.report(path, "is missing", nameRemedy)
+		c.report(path, "is missing", NameRemedy)
 		return
 	}
-	if !namePattern.MatchString(value) {
-		c.report(path, fmt.Sprintf("%q is not a name", value), nameRemedy)
+	if !IsName(value) {
+		c.report(path, fmt.Sprintf("%q is not a name", value), NameRemedy)
 	}
 }
 
