Add a client of the caller API that resubmits with the same key

It honours Retry-After with jitter and stops at a final answer. A refusal "not run" that follows an attempt whose outcome is unknown is given on as unknown: that attempt may still be admitted.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,303 @@
+// Package client calls the caller API of nutmegweir.
+//
+// A call that failed or was refused is repeated with the same key, which the
+// service recognises, so that no task starts twice. An answer is whole or an
+// *Error that says whether the work was run.
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/problem"
+)
+
+// Types of the caller API.
+type (
+	Job        = api.Job
+	Request    = api.Request
+	Resources  = api.Resources
+	Answer     = api.Answer
+	TaskResult = api.TaskResult
+	Problem    = api.Problem
+	Ran        = api.Ran
+	Status     = api.Status
+)
+
+// Defaults of Options.
+const (
+	DefaultAttempts    = 10
+	DefaultDialTimeout = 2 * time.Second
+	DefaultPollWait    = 30 * time.Second
+	DefaultBackoff     = 200 * time.Millisecond
+)
+
+// maxAnswerBytes bounds the answer that is read.
+const maxAnswerBytes = 128 << 20
+
+// replyMargin is how long an answer may take beyond the wait asked for.
+const replyMargin = 15 * time.Second
+
+// Options are the parameters of a Client.
+type Options struct {
+	Addr     string        // IP:port of the caller port or of a balancer
+	TLS      *tls.Config   // nil for a plain port
+	Attempts int           // most attempts of a call, 0 takes DefaultAttempts
+	PollWait time.Duration // wait of one call for a pending job, 0 takes DefaultPollWait
+	Backoff  time.Duration // wait after the first attempt that got no answer, doubled each time, 0 takes DefaultBackoff
+}
+
+// Identity names a job.
+type Identity struct {
+	Home     string // home failure domain
+	Customer string
+	Key      string // UUIDv7
+}
+
+// Error says why there is no answer, and whether the work was run.
+type Error struct {
+	Problem Problem
+}
+
+// Error returns kind, detail, whether the work was run, and the remedy.
+func (e *Error) Error() string {
+	p := &e.Problem
+	text := p.Kind
+	if p.Detail != "" {
+		text += ": " + p.Detail
+	}
+	return text + "; ran: " + string(p.Ran) + "; remedy: " + p.Remedy
+}
+
+// Client calls one address. It may be used by several goroutines.
+type Client struct {
+	opts Options
+	http *http.Client
+	base string
+}
+
+// New returns a client.
+func New(o Options) (*Client, error) {
+	addr, err := netip.ParseAddrPort(o.Addr)
+	if err != nil {
+		return nil, errors.Errorf("address %q is not IP:port; write an IP number and a port", o.Addr)
+	}
+	if o.Attempts == 0 {
+		o.Attempts = DefaultAttempts
+	}
+	if o.PollWait == 0 {
+		o.PollWait = DefaultPollWait
+	}
+	if o.Backoff == 0 {
+		o.Backoff = DefaultBackoff
+	}
+	scheme := "http"
+	if o.TLS != nil {
+		scheme = "https"
+	}
+	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
+	transport := &http.Transport{
+		DialContext:           dialer.DialContext,
+		TLSClientConfig:       o.TLS,
+		TLSHandshakeTimeout:   DefaultDialTimeout,
+		MaxIdleConnsPerHost:   64,
+		IdleConnTimeout:       time.Minute,
+		ResponseHeaderTimeout: api.MaxWait + replyMargin,
+	}
+	return &Client{
+		opts: o,
+		http: &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		base: scheme + "://" + addr.String(),
+	}, nil
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// NewKey returns a key for a job that is first submitted now.
+func NewKey() (string, error) {
+	k, err := uuid.NewV7()
+	if err != nil {
+		return "", errors.Wrap(err, "make a key")
+	}
+	return k.String(), nil
+}
+
+// Submit submits a job and returns its complete answer. It repeats the call
+// with the same key while that can help and ctx lasts.
+func (c *Client) Submit(ctx context.Context, j *Job) (*Answer, error) {
+	a, err := c.Start(ctx, j, c.opts.PollWait)
+	if err != nil || a.Status != api.StatusPending {
+		return a, err
+	}
+	return c.Wait(ctx, Identity{Home: j.Home, Customer: j.Customer, Key: j.Key})
+}
+
+// Start submits a job and returns its answer after at most wait, pending if
+// it is not complete.
+func (c *Client) Start(ctx context.Context, j *Job, wait time.Duration) (*Answer, error) {
+	body, err := json.Marshal(j)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the job")
+	}
+	return c.answer(ctx, call{method: http.MethodPost, path: api.PathJobs, body: body, wait: wait, waits: true})
+}
+
+// Request submits a request, a job of one task, and returns its result.
+func (c *Client) Request(ctx context.Context, r *Request) (*TaskResult, error) {
+	a, err := c.Submit(ctx, &Job{
+		Customer:      r.Customer,
+		Home:          r.Home,
+		Key:           r.Key,
+		Kind:          r.Kind,
+		Tasks:         []json.RawMessage{r.Payload},
+		DeadlineMs:    r.DeadlineMs,
+		Repeatable:    r.Repeatable,
+		DeclaredRunMs: r.DeclaredRunMs,
+		Needs:         r.Needs,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &a.Results[0], nil
+}
+
+// Get returns the answer of a job after at most wait.
+func (c *Client) Get(ctx context.Context, id Identity, wait time.Duration) (*Answer, error) {
+	return c.answer(ctx, call{method: http.MethodGet, path: id.path(), wait: wait, waits: true})
+}
+
+// Wait returns the answer of a job once it is complete.
+func (c *Client) Wait(ctx context.Context, id Identity) (*Answer, error) {
+	for {
+		a, err := c.Get(ctx, id, c.opts.PollWait)
+		if err != nil || a.Status != api.StatusPending {
+			return a, err
+		}
+	}
+}
+
+// Cancel gives up the tasks of a job that have not started, and returns the
+// state of the job after that. A cancelled job is an *Error of kind
+// "cancelled".
+func (c *Client) Cancel(ctx context.Context, id Identity) (*Answer, error) {
+	return c.answer(ctx, call{method: http.MethodDelete, path: id.path()})
+}
+
+// Explain returns a text that says where a job stands and why.
+func (c *Client) Explain(ctx context.Context, id Identity) (string, error) {
+	text, err := c.repeat(ctx, call{method: http.MethodGet, path: id.path() + "/explain"})
+	return string(text), err
+}
+
+func (id Identity) path() string {
+	parts := []string{url.PathEscape(id.Home), url.PathEscape(id.Customer), url.PathEscape(id.Key)}
+	return api.PathJobs + "/" + strings.Join(parts, "/")
+}
+
+func (c *Client) answer(ctx context.Context, k call) (*Answer, error) {
+	body, err := c.repeat(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	var a Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return nil, lost(errors.Wrap(err, "the answer can't be decoded"))
+	}
+	if a.Status == api.StatusComplete && len(a.Results) == 0 {
+		return nil, lost(errors.New("the answer holds no results"))
+	}
+	return &a, nil
+}
+
+// call is one call of the API.
+type call struct {
+	method string
+	path   string
+	body   []byte
+	wait   time.Duration
+	waits  bool // wait is sent
+}
+
+func (k *call) url(base string) string {
+	if !k.waits {
+		return base + k.path
+	}
+	return base + k.path + "?wait=" + k.wait.String()
+}
+
+// once makes one attempt. The error is an *Error.
+func (c *Client) once(ctx context.Context, k call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.wait+replyMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, k.method, k.url(c.base), bytes.NewReader(k.body))
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if k.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, lost(err)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, lost(errors.Errorf("the answer is larger than %d bytes", maxAnswerBytes))
+	}
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusAccepted {
+		return body, nil
+	}
+	return nil, refusal(resp, body)
+}
+
+// transportError tells an attempt that never left from one whose answer was
+// lost.
+func transportError(err error) *Error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return notSent(err)
+	}
+	return lost(err)
+}
+
+// notSent is the error of an attempt that never reached the service.
+func notSent(err error) *Error {
+	return noAnswer(err, api.RanNo)
+}
+
+// lost is the error of an attempt whose outcome is not known.
+func lost(err error) *Error {
+	return noAnswer(err, api.RanUnknown)
+}
+
+func noAnswer(err error, ran api.Ran) *Error {
+	p := problem.New(problem.NoAnswer, err.Error()).WithRan(ran).Document()
+	p.RetryAfterMs = 0 // the service did not ask for a wait
+	return &Error{Problem: p}
+}
+
+func refusal(resp *http.Response, body []byte) *Error {
+	var p Problem
+	isProblem := strings.HasPrefix(resp.Header.Get("Content-Type"), api.ContentTypeProblem)
+	if !isProblem || json.Unmarshal(body, &p) != nil || p.Kind == "" {
+		return lost(errors.Errorf("status %d without a problem document", resp.StatusCode))
+	}
+	return &Error{Problem: p}
+}
--- /dev/null
+++ b/client/retry.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/problem"
+)
+
+// maxJitter is the largest part of a wait that is added to it at random, so
+// that callers refused together do not come back together.
+const maxJitter = 0.25
+
+// maxDoublings bounds the backoff.
+const maxDoublings = 5
+
+// repeatable holds the kinds that another call with the same key may mend.
+var repeatable = map[problem.Kind]bool{
+	problem.KeyAheadOfClock: true,
+	problem.HomeUnreachable: true,
+	problem.NoOwner:         true,
+	problem.QueueFull:       true,
+	problem.Shed:            true,
+	problem.RateLimited:     true,
+	problem.Stopping:        true,
+	problem.NoAnswer:        true,
+	problem.Internal:        true,
+}
+
+// repeat makes attempts until one succeeds, none can help any more, or ctx
+// ends. Its error is an *Error.
+func (c *Client) repeat(ctx context.Context, k call) ([]byte, error) {
+	uncertain := false
+	for attempt := 1; ; attempt++ {
+		body, err := c.once(ctx, k)
+		if err == nil {
+			return body, nil
+		}
+		e := asError(err)
+		uncertain = uncertain || e.Problem.Ran == api.RanUnknown
+		if attempt == c.opts.Attempts || !worthRepeating(&e.Problem) || !pause(ctx, c.retryWait(&e.Problem, attempt)) {
+			return nil, combined(e, uncertain)
+		}
+	}
+}
+
+func asError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return lost(err)
+}
+
+// worthRepeating reports whether another call with the same key may get a
+// better answer. A problem with results is the final answer of its job.
+func worthRepeating(p *Problem) bool {
+	return len(p.Results) == 0 && repeatable[problem.Kind(p.Kind)]
+}
+
+// combined is the error of all attempts together: "not run" is only true if
+// no attempt may have got through.
+func combined(last *Error, uncertain bool) *Error {
+	if !uncertain || last.Problem.Ran != api.RanNo || len(last.Problem.Results) > 0 {
+		return last
+	}
+	p := last.Problem
+	p.Ran = api.RanUnknown
+	p.Detail += " (the outcome of an earlier attempt is not known)"
+	return &Error{Problem: p}
+}
+
+// retryWait returns the wait that the service asked for, or an exponential
+// backoff, with jitter.
+func (c *Client) retryWait(p *Problem, attempt int) time.Duration {
+	wait := time.Duration(p.RetryAfterMs) * time.Millisecond
+	if wait <= 0 {
+		wait = c.opts.Backoff << min(attempt-1, maxDoublings)
+	}
+	return wait + time.Duration(rand.Float64()*maxJitter*float64(wait))
+}
+
+// pause waits for d and reports whether ctx still lasts.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
