--- /dev/null
+++ b/internal/ctl/root.go
@@ -0,0 +1,142 @@
+// Package ctl is the command nutmegctl of operators and callers. Each
+// subcommand is a struct with its arguments and a Run method, in a file of
+// its own.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+)
+
+// Program is the name of the command.
+const Program = "nutmegctl"
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the command or the job failed
+	ExitUsage   = 2 // the arguments or the settings file are wrong
+	ExitRefused = 3 // refused, not run
+	ExitUnknown = 4 // it may have run
+	ExitPartial = 5 // a change is in force in some failure domains only
+)
+
+// Root holds the arguments of nutmegctl.
+type Root struct {
+	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
+	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"say whether an instance is alive and ready"`
+	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
+	JSON    bool        `arg:"--json" help:"write the result as JSON"`
+}
+
+// Description says what the command does.
+func (Root) Description() string {
+	return "nutmegctl talks to nutmegweir as a caller or as an operator.\n"
+}
+
+// Epilogue lists the exit codes.
+func (Root) Epilogue() string {
+	return "Exit codes: 0 ok, 1 failed, 2 wrong usage or settings, 3 refused and not run,\n" +
+		"4 may have run, 5 a change is in force in some failure domains only.\n\n" +
+		"Use \"nutmegctl COMMAND --help\" for the arguments of a command."
+}
+
+// Env is what a command may use of its surroundings.
+type Env struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	JSON   bool // write the result as JSON
+}
+
+// Command is a subcommand.
+type Command interface {
+	Run(ctx context.Context, env *Env) error
+}
+
+// ExitError is an error with an exit code.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the text of the inner error.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the inner error.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// usageError is an error of the arguments.
+func usageError(format string, args ...any) error {
+	return &ExitError{Code: ExitUsage, Err: errors.Errorf(format, args...)}
+}
+
+// ExitCode returns the exit code for the outcome of a command.
+func ExitCode(err error) int {
+	var exit *ExitError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &exit):
+		return exit.Code
+	default:
+		return ExitFailed
+	}
+}
+
+// Main runs nutmegctl with the arguments that follow the program's name and
+// returns the exit code.
+func Main(ctx context.Context, args []string, env *Env) int {
+	err := run(ctx, args, env)
+	if err != nil && err.Error() != "" {
+		fmt.Fprintf(env.Stderr, "%s: %v\n", Program, err)
+	}
+	return ExitCode(err)
+}
+
+func run(ctx context.Context, args []string, env *Env) error {
+	var root Root
+	parser, err := arg.NewParser(arg.Config{Program: Program, Out: env.Stderr}, &root)
+	if err != nil {
+		return errors.Wrap(err, "arguments of the command")
+	}
+	err = parser.Parse(args)
+	if errors.Is(err, arg.ErrHelp) {
+		return parser.WriteHelpForSubcommand(env.Stdout, parser.SubcommandNames()...)
+	}
+	if err != nil {
+		return usageError("%v; see %s --help", err, Program)
+	}
+	command, ok := parser.Subcommand().(Command)
+	if !ok {
+		return missingCommand(parser, env)
+	}
+	env.JSON = root.JSON
+	return command.Run(ctx, env)
+}
+
+// missingCommand shows the commands to choose from.
+func missingCommand(parser *arg.Parser, env *Env) error {
+	if err := parser.WriteHelpForSubcommand(env.Stderr, parser.SubcommandNames()...); err != nil {
+		return err
+	}
+	return usageError("a command is missing")
+}
+
+// writeJSON writes v as indented JSON.
+func (e *Env) writeJSON(v any) error {
+	encoder := json.NewEncoder(e.Stdout)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(v), "write the result")
+}
+
+// print writes a line of text.
+func (e *Env) print(format string, args ...any) {
+	fmt.Fprintf(e.Stdout, format+"\n", args...)
+}
