--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,276 @@
+// Package core is the reducer of an entry instance: one function over all
+// events, with effects as data. It has no clock, goroutine or socket; the
+// runtime package turns I/O into events and effects into I/O.
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// Options are the settings of the reducer.
+type Options struct {
+	Self    shard.Member
+	Domain  model.Domain
+	Addr    string // own peer address, IP:port
+	Shards  int    // shards of each home domain
+	Replica bool   // keep a replica of each shard
+	Silence time.Duration
+	Seed    uint64
+	Shard   shard.Options
+	Policy  sched.Policy
+}
+
+// Reducer is the state of one entry instance.
+type Reducer struct {
+	opts  Options
+	out   Effects
+	peers *peers
+	sched *sched.Scheduler
+	env   *shard.Env
+	own   []*shard.Shard                // shards of the home domain
+	views map[model.Domain][]shard.View // views of all domains
+	plan  planner
+	route router
+
+	instances []InstanceInfo
+	lastTick  model.Time
+	lastSlow  model.Time
+	stopping  bool
+}
+
+// slowInterval is the time between calls of what need not happen often.
+const slowInterval = time.Second
+
+// New returns a reducer that knows nobody yet.
+func New(o Options) *Reducer {
+	r := &Reducer{
+		opts:  o,
+		peers: newPeers(o.Self, o.Silence),
+		sched: sched.New(sched.Options{
+			Self:   o.Self.Instance,
+			Domain: o.Domain,
+			Seed:   o.Seed,
+			Policy: o.Policy,
+		}),
+		env:   shard.NewEnv(o.Self, o.Shard),
+		views: make(map[model.Domain][]shard.View),
+		route: newRouter(),
+	}
+	r.env.Queue = r.sched
+	r.env.Peers = r.peers
+	for i := range o.Shards {
+		r.own = append(r.own, shard.New(r.env, shard.ID{Domain: o.Domain, Index: uint32(i)}))
+	}
+	// Nothing is admitted before the views have been read.
+	r.env.Suspended = true
+	return r
+}
+
+// Step takes one event. What has to be done is returned by Ready, which may
+// be called after several steps.
+func (r *Reducer) Step(now model.Time, e Event) {
+	r.watchGap(now)
+	r.peers.now = now
+	switch e := e.(type) {
+	case Tick:
+		r.tick(now)
+	case CallerRequest:
+		r.callerRequest(now, e)
+	case CallerGone:
+		r.callerGone(e.ID)
+	case PeerMessage:
+		r.peerMessage(now, e.From, e.Message)
+	case PeerUp:
+		r.peerUp(now, e)
+	case PeerDown:
+		r.peerDown(now, e.Addr)
+	case PeerRefused:
+		r.peerRefused(now, e.Addr)
+	case PeerUnanswered:
+		r.peers.unanswered(e.Addr, now)
+		r.replan(now)
+	case Instances:
+		r.setInstances(now, e.List)
+	case Views:
+		r.setViews(now, e)
+	case ViewsWritten:
+		r.viewsWritten(now, e)
+	case ReadFailed:
+		r.plan.reading = false
+	case Servers:
+		r.sched.SetServers(now, e.List)
+	case TaskDone:
+		r.env.TaskDone(now, e.TaskDone)
+	case Stop:
+		r.stop(now)
+	}
+	r.settle(now)
+}
+
+// watchGap suspends this instance if it was not running for half of the
+// silence bound, for others may have replaced it. The views it holds count
+// again once they have been read from the platform.
+func (r *Reducer) watchGap(now model.Time) {
+	gap := now.Sub(r.lastTick)
+	if r.lastTick != 0 && gap < r.opts.Silence/2 {
+		return
+	}
+	if r.lastTick != 0 {
+		r.suspend(now)
+	}
+	r.lastTick = now
+}
+
+func (r *Reducer) suspend(now model.Time) {
+	r.peers.restartSilence(now)
+	r.plan.suspendedAt = now
+	if !r.env.Suspended {
+		r.note(Note{Kind: NoteSuspended})
+	}
+	r.env.Suspended = true
+	r.readViews()
+}
+
+func (r *Reducer) tick(now model.Time) {
+	r.lastTick = now
+	r.sched.Tick(now)
+	for _, s := range r.own {
+		s.Tick(now)
+	}
+	r.routeTick(now)
+	r.replan(now)
+	if now.Sub(r.lastSlow) < slowInterval {
+		return
+	}
+	r.lastSlow = now
+	for _, s := range r.own {
+		s.TickSlow(now)
+	}
+}
+
+// settle passes between scheduler, shards and router until nothing is left.
+func (r *Reducer) settle(now model.Time) {
+	for {
+		busy := r.settleSched(now)
+		r.env.Flush(now)
+		if !r.settleShards(now) && !busy {
+			return
+		}
+	}
+}
+
+func (r *Reducer) settleSched(now model.Time) bool {
+	out := r.sched.Ready()
+	for _, st := range out.Starts {
+		r.env.Bind(now, st)
+	}
+	for _, d := range out.Drops {
+		r.env.Drop(now, d)
+	}
+	for _, s := range out.Sends {
+		r.send(s.To, &peerpb.Message{Body: &peerpb.Message_Sched{Sched: s.Message}})
+	}
+	return len(out.Starts)+len(out.Drops)+len(out.Sends) > 0
+}
+
+func (r *Reducer) settleShards(now model.Time) bool {
+	out := r.env.TakeEffects()
+	for _, s := range out.Sends {
+		r.send(s.To, s.Message)
+	}
+	r.out.Starts = append(r.out.Starts, out.Starts...)
+	for _, rep := range out.Replies {
+		r.replyTo(now, rep)
+	}
+	return len(out.Sends)+len(out.Starts)+len(out.Replies) > 0
+}
+
+func (r *Reducer) send(to model.Instance, m *peerpb.Message) {
+	r.out.Sends = append(r.out.Sends, Send{To: to, Message: m})
+}
+
+func (r *Reducer) note(n Note) { r.out.Notes = append(r.out.Notes, n) }
+
+// Ready returns and clears the effects.
+func (r *Reducer) Ready() Effects {
+	if r.peers.changed {
+		r.peers.changed = false
+		r.out.Dial = r.peers.dial()
+	}
+	out := r.out
+	r.out = Effects{}
+	return out
+}
+
+// ShardOf returns the shard of an identity.
+func (r *Reducer) ShardOf(id *peerpb.Identity) shard.ID {
+	h := xxhash.New()
+	_, _ = h.WriteString(id.GetCustomer())
+	_, _ = h.Write(id.GetKey())
+	return shard.ID{
+		Domain: model.Domain(id.GetHome()),
+		Index:  uint32(h.Sum64() % uint64(r.opts.Shards)),
+	}
+}
+
+func (r *Reducer) shard(domain string, index uint32) *shard.Shard {
+	if model.Domain(domain) != r.opts.Domain || int(index) >= len(r.own) {
+		return nil
+	}
+	return r.own[index]
+}
+
+func (r *Reducer) peerMessage(now model.Time, from shard.Member, m *peerpb.Message) {
+	switch b := m.Body.(type) {
+	case *peerpb.Message_Submit:
+		r.remoteSubmit(now, from, b.Submit)
+	case *peerpb.Message_Answer:
+		r.answered(now, b.Answer)
+	case *peerpb.Message_Lookup:
+		r.remoteLookup(now, from, b.Lookup)
+	case *peerpb.Message_Cancel:
+		r.remoteCancel(now, from, b.Cancel)
+	case *peerpb.Message_Sched:
+		r.sched.Receive(now, from.Instance, b.Sched)
+	default:
+		r.shardMessage(now, from, m)
+	}
+}
+
+func (r *Reducer) shardMessage(now model.Time, from shard.Member, m *peerpb.Message) {
+	switch b := m.Body.(type) {
+	case *peerpb.Message_Append:
+		if s := r.shard(b.Append.Domain, b.Append.Shard); s != nil {
+			s.HandleAppend(now, from, b.Append)
+		}
+	case *peerpb.Message_AppendAck:
+		if s := r.shard(b.AppendAck.Domain, b.AppendAck.Shard); s != nil {
+			s.HandleAck(now, from, b.AppendAck)
+		}
+	case *peerpb.Message_Snapshot:
+		if s := r.shard(b.Snapshot.Domain, b.Snapshot.Shard); s != nil {
+			s.HandleSnapshot(now, from, b.Snapshot)
+		}
+	case *peerpb.Message_SnapshotAck:
+		if s := r.shard(b.SnapshotAck.Domain, b.SnapshotAck.Shard); s != nil {
+			s.HandleSnapshotAck(now, from, b.SnapshotAck)
+		}
+	case *peerpb.Message_View:
+		r.viewFromOwner(now, b.View)
+	case *peerpb.Message_HandOver:
+		if s := r.shard(b.HandOver.Domain, b.HandOver.Shard); s != nil {
+			s.HandleHandOver(from, b.HandOver)
+		}
+	case *peerpb.Message_RemoteResult:
+		if s := r.shard(b.RemoteResult.Domain, b.RemoteResult.Shard); s != nil {
+			s.HandleRemoteResult(now, b.RemoteResult)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,368 @@
+package core
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// routeTimeout is how long a request waits for an owner that answers, enough
+// for a takeover. After it the caller gets an answer at once.
+const routeTimeout = 3 * time.Second
+
+// retryAfter tells callers when to come back after routeTimeout has passed.
+const retryAfter = 2 * time.Second
+
+// request is a caller's request on its way to the owner of its shard.
+type request struct {
+	CallerRequest
+	shard   shard.ID
+	attempt uint64       // number of the present attempt
+	to      shard.Member // whom the attempt went to, zero if nobody
+	lost    model.Time   // since when nobody can be asked, 0 if somebody was
+	maybe   bool         // a forwarded attempt may have been admitted
+	before  bool         // maybe, as it was before the present attempt
+	entry   *list.Element
+}
+
+// router holds the requests of this instance's callers.
+type router struct {
+	byID      map[uint64]*request
+	byAttempt map[uint64]*request
+	order     *list.List // of *request, by arrival
+	next      uint64
+}
+
+func newRouter() router {
+	return router{
+		byID:      make(map[uint64]*request),
+		byAttempt: make(map[uint64]*request),
+		order:     list.New(),
+	}
+}
+
+func (r *Reducer) callerRequest(now model.Time, c CallerRequest) {
+	id := c.Identity
+	if c.Op == OpSubmit {
+		id = c.Spec.Identity
+	}
+	q := &request{CallerRequest: c, shard: r.ShardOf(id)}
+	q.entry = r.route.order.PushBack(q)
+	r.route.byID[c.ID] = q
+	r.forward(now, q)
+}
+
+func (r *Reducer) callerGone(id uint64) {
+	if q := r.route.byID[id]; q != nil {
+		r.route.drop(q)
+	}
+}
+
+func (rt *router) drop(q *request) {
+	delete(rt.byID, q.ID)
+	delete(rt.byAttempt, q.attempt)
+	rt.order.Remove(q.entry)
+}
+
+// attemptOf gives the request a new attempt number. Answers to earlier
+// attempts are ignored from here on, so that a refusal by one owner is never
+// passed on while another may have admitted the job.
+func (rt *router) attemptOf(q *request) {
+	delete(rt.byAttempt, q.attempt)
+	rt.next++
+	q.attempt = rt.next
+	rt.byAttempt[q.attempt] = q
+}
+
+// owner returns who acts for a shard: the first member of the view that is
+// not dead.
+func (r *Reducer) owner(id shard.ID) (shard.Member, bool) {
+	v := r.viewOf(id)
+	for _, m := range v.Members {
+		if r.peers.Liveness(m) != shard.Dead {
+			return m, true
+		}
+	}
+	return shard.Member{}, false
+}
+
+func (r *Reducer) viewOf(id shard.ID) shard.View {
+	if id.Domain == r.opts.Domain {
+		return r.own[id.Index].View()
+	}
+	views := r.views[id.Domain]
+	if int(id.Index) >= len(views) {
+		return shard.View{}
+	}
+	return views[id.Index]
+}
+
+// forward sends a request to the owner of its shard, or leaves it for the
+// next tick.
+func (r *Reducer) forward(now model.Time, q *request) {
+	to, ok := r.owner(q.shard)
+	switch {
+	case !ok:
+		r.park(now, q)
+	case to == r.opts.Self:
+		r.local(now, q)
+	case r.peers.connected(to):
+		r.remote(q, to)
+	default:
+		r.park(now, q)
+	}
+}
+
+func (r *Reducer) park(now model.Time, q *request) {
+	q.to = shard.Member{}
+	if q.lost == 0 {
+		q.lost = now
+	}
+}
+
+func (r *Reducer) begin(q *request, to shard.Member) {
+	r.route.attemptOf(q)
+	q.to = to
+	q.before = q.maybe
+}
+
+func (r *Reducer) local(now model.Time, q *request) {
+	s := r.own[q.shard.Index]
+	if !s.Serves() {
+		r.park(now, q)
+		return
+	}
+	r.begin(q, r.opts.Self)
+	q.lost = 0
+	w := shard.Waiter{Instance: r.opts.Self.Instance, Request: q.attempt}
+	switch q.Op {
+	case OpSubmit:
+		q.maybe = true
+		s.Submit(now, q.Spec, w, q.Report)
+	case OpLookup:
+		s.Lookup(now, q.Identity, w, q.Wait)
+	case OpCancel:
+		s.Cancel(now, q.Identity, w)
+	}
+}
+
+func (r *Reducer) remote(q *request, to shard.Member) {
+	r.begin(q, to)
+	q.lost = 0
+	m := &peerpb.Message{}
+	switch q.Op {
+	case OpSubmit:
+		q.maybe = true
+		m.Body = &peerpb.Message_Submit{Submit: &peerpb.Submit{
+			Request:         q.attempt,
+			Spec:            q.Spec,
+			ReportAdmission: q.Report,
+		}}
+	case OpLookup:
+		m.Body = &peerpb.Message_Lookup{Lookup: &peerpb.Lookup{
+			Request:  q.attempt,
+			Identity: q.Identity,
+			Wait:     q.Wait,
+		}}
+	case OpCancel:
+		m.Body = &peerpb.Message_Cancel{Cancel: &peerpb.Cancel{
+			Request:  q.attempt,
+			Identity: q.Identity,
+		}}
+	}
+	r.send(to.Instance, m)
+}
+
+// replyTo passes an answer of a shard at this instance to whoever waits.
+func (r *Reducer) replyTo(now model.Time, rep shard.Reply) {
+	if rep.To.Instance == r.opts.Self.Instance {
+		r.deliver(now, rep.To.Request, rep.Answer)
+		return
+	}
+	a := &peerpb.Answer{
+		Request:      rep.To.Request,
+		Status:       rep.Answer.Status,
+		Ran:          rep.Answer.Ran,
+		Problem:      rep.Answer.Problem,
+		Detail:       rep.Answer.Detail,
+		RetryAfterMs: rep.Answer.RetryAfterMs,
+		Results:      rep.Answer.Results,
+	}
+	r.send(rep.To.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: a}})
+}
+
+func (r *Reducer) answered(now model.Time, a *peerpb.Answer) {
+	r.deliver(now, a.Request, a)
+}
+
+// deliver gives an answer to the caller. Answers to attempts that were given
+// up, and second answers to one attempt, find no request.
+func (r *Reducer) deliver(now model.Time, attempt uint64, a *peerpb.Answer) {
+	q := r.route.byAttempt[attempt]
+	if q == nil {
+		return
+	}
+	if a.Problem == shard.ProblemNotOwner {
+		// This attempt was certainly not admitted.
+		q.maybe = q.before
+		r.park(now, q)
+		return
+	}
+	r.reply(q, r.truthful(q, a))
+}
+
+// truthful keeps a refusal from saying "not run" while an earlier attempt of
+// the request may have been admitted elsewhere.
+func (r *Reducer) truthful(q *request, a *peerpb.Answer) *peerpb.Answer {
+	refused := a.Status == peerpb.Status_STATUS_REFUSED && a.Ran == peerpb.Ran_RAN_NO
+	if !refused || !q.before || q.Op != OpSubmit {
+		return a
+	}
+	return &peerpb.Answer{
+		Status:       a.Status,
+		Ran:          peerpb.Ran_RAN_UNKNOWN,
+		Problem:      shard.ProblemUnknown,
+		Detail:       a.Problem,
+		RetryAfterMs: a.RetryAfterMs,
+	}
+}
+
+func (r *Reducer) reply(q *request, a *peerpb.Answer) {
+	r.out.Replies = append(r.out.Replies, Reply{ID: q.ID, Answer: a})
+	if a.Status == peerpb.Status_STATUS_PENDING && q.Op == OpSubmit {
+		return
+	}
+	r.route.drop(q)
+}
+
+// routeTick asks again for requests that have nobody to ask, and answers
+// those that have waited long enough.
+func (r *Reducer) routeTick(now model.Time) {
+	var following *list.Element
+	for e := r.route.order.Front(); e != nil; e = following {
+		following = e.Next()
+		q := e.Value.(*request)
+		r.noticeLoss(now, q)
+		if q.lost == 0 {
+			continue
+		}
+		if q.to == (shard.Member{}) {
+			r.forward(now, q)
+		}
+		if q.lost != 0 && now.Sub(q.lost) >= routeTimeout {
+			r.giveUp(q)
+		}
+	}
+}
+
+// noticeLoss notes since when the instance that was asked cannot be reached.
+// Its answer still counts if it comes.
+func (r *Reducer) noticeLoss(now model.Time, q *request) {
+	if q.to == (shard.Member{}) || q.to == r.opts.Self {
+		return
+	}
+	if r.peers.connected(q.to) {
+		q.lost = 0
+		return
+	}
+	if q.lost == 0 {
+		q.lost = now
+	}
+}
+
+func (r *Reducer) giveUp(q *request) {
+	a := &peerpb.Answer{
+		Status:       peerpb.Status_STATUS_REFUSED,
+		Ran:          peerpb.Ran_RAN_NO,
+		Problem:      shard.ProblemNoOwner,
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}
+	if q.shard.Domain != r.opts.Domain {
+		a.Problem = ProblemHomeUnreachable
+	}
+	if q.maybe || q.Op != OpSubmit {
+		a.Ran = peerpb.Ran_RAN_UNKNOWN
+	}
+	r.reply(q, a)
+}
+
+// ProblemHomeUnreachable is the kind of a refusal for want of a link to the
+// home domain.
+const ProblemHomeUnreachable = "home-unreachable"
+
+// reroute asks the owner of a new view, if it is another one.
+func (r *Reducer) reroute(now model.Time, id shard.ID) {
+	owner, _ := r.owner(id)
+	r.rerouteIf(now, func(q *request) bool { return q.shard == id && q.to != owner })
+}
+
+// rerouteFrom asks again for what was under way on a link that began anew.
+func (r *Reducer) rerouteFrom(now model.Time, m shard.Member) {
+	r.rerouteIf(now, func(q *request) bool { return q.to == m })
+}
+
+// rerouteDead asks again for what went to a process that is gone.
+func (r *Reducer) rerouteDead(now model.Time) {
+	r.rerouteIf(now, func(q *request) bool {
+		return q.to != (shard.Member{}) && r.peers.Liveness(q.to) == shard.Dead
+	})
+}
+
+func (r *Reducer) rerouteIf(now model.Time, match func(*request) bool) {
+	var following *list.Element
+	for e := r.route.order.Front(); e != nil; e = following {
+		following = e.Next()
+		q := e.Value.(*request)
+		if match(q) {
+			r.forward(now, q)
+		}
+	}
+}
+
+func (r *Reducer) remoteSubmit(now model.Time, from shard.Member, m *peerpb.Submit) {
+	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
+	s := r.serving(m.Spec.GetIdentity())
+	if s == nil {
+		r.notOwner(w)
+		return
+	}
+	s.Submit(now, m.Spec, w, m.ReportAdmission)
+}
+
+func (r *Reducer) remoteLookup(now model.Time, from shard.Member, m *peerpb.Lookup) {
+	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
+	s := r.serving(m.Identity)
+	if s == nil {
+		r.notOwner(w)
+		return
+	}
+	s.Lookup(now, m.Identity, w, m.Wait)
+}
+
+func (r *Reducer) remoteCancel(now model.Time, from shard.Member, m *peerpb.Cancel) {
+	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
+	s := r.serving(m.Identity)
+	if s == nil {
+		r.notOwner(w)
+		return
+	}
+	s.Cancel(now, m.Identity, w)
+}
+
+func (r *Reducer) serving(id *peerpb.Identity) *shard.Shard {
+	if model.Domain(id.GetHome()) != r.opts.Domain {
+		return nil
+	}
+	return r.own[r.ShardOf(id).Index]
+}
+
+func (r *Reducer) notOwner(w shard.Waiter) {
+	r.send(w.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: &peerpb.Answer{
+		Request: w.Request,
+		Status:  peerpb.Status_STATUS_REFUSED,
+		Problem: shard.ProblemNotOwner,
+	}}})
+}
--- /dev/null
+++ b/internal/shard/learner.go
@@ -0,0 +1,151 @@
+package shard
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// AddLearner begins to copy the shard to an instance. Operations go on
+// streaming to it meanwhile, so that it has caught up with the last chunk.
+func (s *Shard) AddLearner(now model.Time, m Member) {
+	if s.role != RoleOwner || s.sealed || s.follower(m.Instance) != nil {
+		return
+	}
+	s.followers = append(s.followers, &follower{member: m, acked: s.seq, sent: s.seq})
+	s.env.send(m.Instance, &peerpb.Message{Body: &peerpb.Message_View{View: s.view.Proto(s.id)}})
+	s.sendChunk(now, s.followers[len(s.followers)-1])
+}
+
+// sendChunk sends the next chunk of the snapshot. What it contains includes every operation sent before it on the same link.
+func (s *Shard) sendChunk(now model.Time, f *follower) {
+	f.chunkAt = now
+	c := &peerpb.Snapshot{
+		Domain:      string(s.id.Domain),
+		Shard:       s.id.Index,
+		Epoch:       s.view.Epoch,
+		Seq:         s.seq,
+		FloorUnixNs: int64(s.floor),
+		Chunk:       f.chunk,
+	}
+	size := 0
+	for f.next < len(s.order) && size < s.env.Opts.ChunkBytes {
+		r := s.order[f.next]
+		f.next++
+		if s.records[r.key] != r {
+			continue
+		}
+		p := s.recordProto(r)
+		size += proto.Size(p)
+		c.Records = append(c.Records, p)
+	}
+	c.Last = f.next >= len(s.order)
+	s.env.send(f.member.Instance, &peerpb.Message{Body: &peerpb.Message_Snapshot{Snapshot: c}})
+}
+
+func (s *Shard) recordProto(r *record) *peerpb.JobRecord {
+	p := &peerpb.JobRecord{Digest: append([]byte(nil), r.digest[:]...)}
+	if r.job == nil {
+		p.Spec = &peerpb.JobSpec{Identity: r.key.identity(s.id.Domain)}
+		p.Final = r.final
+		return p
+	}
+	p.Spec = r.job.spec
+	p.IntentUpto = r.job.intent
+	for _, res := range r.job.results {
+		if res != nil {
+			p.Results = append(p.Results, res)
+		}
+	}
+	return p
+}
+
+// HandleSnapshot applies a chunk at the learner.
+func (s *Shard) HandleSnapshot(now model.Time, from Member, m *peerpb.Snapshot) {
+	if m.Chunk == 0 {
+		s.beginLearning(from, m)
+	}
+	if s.role != RoleLearner || from != s.from || m.Chunk != s.chunk {
+		return
+	}
+	s.chunk++
+	s.floor = max(s.floor, model.Time(m.FloorUnixNs))
+	for _, p := range m.Records {
+		s.learn(p)
+	}
+	s.env.send(from.Instance, &peerpb.Message{Body: &peerpb.Message_SnapshotAck{
+		SnapshotAck: &peerpb.SnapshotAck{
+			Domain: m.Domain,
+			Shard:  m.Shard,
+			Epoch:  m.Epoch,
+			Chunk:  m.Chunk,
+		},
+	}})
+}
+
+// beginLearning starts from nothing. A member never does: its copy is the one
+// that the view counts on.
+func (s *Shard) beginLearning(from Member, m *peerpb.Snapshot) {
+	if s.view.Has(s.env.Self) || m.Epoch != s.view.Epoch || from != s.from {
+		return
+	}
+	s.reset()
+	s.role = RoleLearner
+	s.seq = m.Seq
+	s.chunk = 0
+}
+
+func (s *Shard) learn(p *peerpb.JobRecord) {
+	k := keyOf(p.Spec.Identity)
+	r := s.records[k]
+	if r == nil {
+		r = &record{key: k}
+		copy(r.digest[:], p.Digest)
+		s.addRecord(r)
+	}
+	if r.final != nil {
+		return
+	}
+	if p.Final != nil {
+		s.setFinal(r, p.Final)
+		return
+	}
+	r.job = newJob(p.Spec)
+	r.job.intent = p.IntentUpto
+	for _, res := range p.Results {
+		r.job.record(res)
+	}
+}
+
+// HandleSnapshotAck sends the next chunk, or notes that the learner has all.
+func (s *Shard) HandleSnapshotAck(now model.Time, from Member, m *peerpb.SnapshotAck) {
+	f := s.follower(from.Instance)
+	if s.role != RoleOwner || f == nil || f.member != from || f.synced || m.Chunk != f.chunk {
+		return
+	}
+	f.chunk++
+	if f.next >= len(s.order) {
+		f.synced = true
+		return
+	}
+	s.sendLog(now, f)
+	s.sendChunk(now, f)
+}
+
+// PeerReset takes that the link to an instance began anew, so that messages
+// under way were lost.
+func (s *Shard) PeerReset(now model.Time, m Member) {
+	f := s.follower(m.Instance)
+	if s.role != RoleOwner || f == nil || f.member != m {
+		return
+	}
+	f.sent = f.acked
+	s.markUrgent()
+	if s.sealed && s.target == m {
+		s.sendSealNote()
+	}
+	if !f.synced {
+		s.dropFollower(now, m)
+	}
+}
--- /dev/null
+++ b/internal/shard/owner.go
@@ -0,0 +1,384 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// Submit takes a submission. The waiter gets the final answer, and before it
+// a pending one if report is set.
+func (s *Shard) Submit(now model.Time, spec *peerpb.JobSpec, w Waiter, report bool) {
+	if s.role != RoleOwner {
+		s.refuse(w, ProblemNotOwner, peerpb.Ran_RAN_NO, 0)
+		return
+	}
+	k := keyOf(spec.Identity)
+	if r, ok := s.records[k]; ok {
+		s.resubmit(now, r, spec, w, report)
+		return
+	}
+	if s.sealed {
+		s.parked = append(s.parked, parked{spec: spec, waiter: w, report: report})
+		return
+	}
+	if s.env.Suspended {
+		s.refuse(w, ProblemNotOwner, peerpb.Ran_RAN_NO, 0)
+		return
+	}
+	t := k.key.Submitted()
+	// The disjoint admission ranges of successive owners depend on these two
+	// checks (docs/design/01-replication.md, "View change").
+	if t > now.Add(s.env.Opts.Skew) {
+		s.refuse(w, ProblemAhead, peerpb.Ran_RAN_NO, t.Sub(now))
+		return
+	}
+	if t < s.floor {
+		s.refuse(w, ProblemTooOld, peerpb.Ran_RAN_UNKNOWN, 0)
+		return
+	}
+	s.admit(now, k, spec, w, report)
+}
+
+func (s *Shard) admit(now model.Time, k key, spec *peerpb.JobSpec, w Waiter, report bool) {
+	if s.blocked() {
+		s.refuse(w, ProblemNoOwner, peerpb.Ran_RAN_NO, blockedRetryAfter)
+		return
+	}
+	r := &record{key: k, digest: digestOf(spec), job: newJob(spec)}
+	r.job.own()
+	h := s.env.register(s, r)
+	v := s.env.Queue.Submit(now, queueJob(h, spec, 0, false))
+	if v.Reason != sched.ReasonNone {
+		delete(s.env.jobs, h)
+		s.refuse(w, problemOf(v.Reason), peerpb.Ran_RAN_NO, v.RetryAfter)
+		return
+	}
+	r.job.handles = append(r.job.handles, h)
+	r.job.waiters = append(r.job.waiters, w)
+	s.addRecord(r)
+	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Claim{Claim: spec}})
+	if report {
+		s.answerAfter(s.seq, pending(), w)
+	}
+}
+
+func pending() *peerpb.Answer {
+	return &peerpb.Answer{Status: peerpb.Status_STATUS_PENDING}
+}
+
+// blockedRetryAfter is when a caller should come back to a shard whose
+// replica does not answer.
+const blockedRetryAfter = 2 * time.Second
+
+// blocked reports whether a required follower is silent, so that nothing can
+// be committed until the view changes.
+func (s *Shard) blocked() bool {
+	for _, f := range s.followers {
+		if f.required && s.env.Peers.Liveness(f.member) == Silent {
+			return true
+		}
+	}
+	return false
+}
+
+func queueJob(h model.JobHandle, spec *peerpb.JobSpec, first int, accepted bool) sched.Job {
+	return sched.Job{
+		Handle:     h,
+		Customer:   model.Customer(spec.Identity.Customer),
+		Kind:       model.Kind(spec.Kind),
+		Tasks:      len(spec.Payloads),
+		Declared:   time.Duration(spec.DeclaredRunMs) * time.Millisecond,
+		Deadline:   model.Time(spec.DeadlineUnixMs * int64(time.Millisecond)),
+		Needs:      needsOf(spec),
+		Repeatable: spec.Repeatable,
+		Accepted:   accepted,
+		FirstIndex: first,
+	}
+}
+
+func needsOf(spec *peerpb.JobSpec) model.Resources {
+	return model.Resources{
+		CPUMilli:     spec.GetResources().GetCpuMilli(),
+		MemoryMB:     spec.GetResources().GetMemoryMb(),
+		Accelerators: spec.GetResources().GetAccelerators(),
+	}
+}
+
+// resubmit answers a submission whose identity is known.
+func (s *Shard) resubmit(now model.Time, r *record, spec *peerpb.JobSpec, w Waiter, report bool) {
+	if digestOf(spec) != r.digest {
+		s.refuse(w, ProblemMismatch, peerpb.Ran_RAN_NO, 0)
+		return
+	}
+	s.attach(r, w)
+	if report && r.job != nil {
+		s.env.reply(w, pending())
+	}
+}
+
+// attach gives w the final answer of r, once it is committed.
+func (s *Shard) attach(r *record, w Waiter) {
+	if r.final == nil {
+		r.job.waiters = append(r.job.waiters, w)
+		return
+	}
+	s.answerAfter(r.seq, r.final, w)
+}
+
+func (s *Shard) refuse(w Waiter, problem string, ran peerpb.Ran, retry time.Duration) {
+	a := &peerpb.Answer{
+		Status:       peerpb.Status_STATUS_REFUSED,
+		Ran:          ran,
+		Problem:      problem,
+		RetryAfterMs: retry.Milliseconds(),
+	}
+	s.env.reply(w, a)
+}
+
+// Lookup answers with the state of a job, or with its final answer if wait
+// is set.
+func (s *Shard) Lookup(now model.Time, id *peerpb.Identity, w Waiter, wait bool) {
+	r, ok := s.find(now, id, w)
+	if !ok {
+		return
+	}
+	if r.final == nil && !wait {
+		s.env.reply(w, pending())
+		return
+	}
+	s.attach(r, w)
+}
+
+// Cancel closes a job. Its unstarted tasks never start.
+func (s *Shard) Cancel(now model.Time, id *peerpb.Identity, w Waiter) {
+	r, ok := s.find(now, id, w)
+	if !ok {
+		return
+	}
+	if r.final == nil && s.sealed {
+		s.refuse(w, ProblemNotOwner, peerpb.Ran_RAN_UNKNOWN, 0)
+		return
+	}
+	s.attach(r, w)
+	s.giveUp(now, r, ProblemCancelled)
+}
+
+func (s *Shard) find(now model.Time, id *peerpb.Identity, w Waiter) (*record, bool) {
+	if s.role != RoleOwner || s.env.Suspended {
+		s.refuse(w, ProblemNotOwner, peerpb.Ran_RAN_UNKNOWN, 0)
+		return nil, false
+	}
+	k := keyOf(id)
+	r, ok := s.records[k]
+	if ok {
+		return r, true
+	}
+	if k.key.Submitted() < s.floor {
+		s.refuse(w, ProblemTooOld, peerpb.Ran_RAN_UNKNOWN, 0)
+		return nil, false
+	}
+	s.refuse(w, ProblemNotFound, peerpb.Ran_RAN_NO, 0)
+	return nil, false
+}
+
+// bind takes a task that got a slot. Its start leaves at once if a committed
+// intent covers it, otherwise after the commit of one that does.
+func (s *Shard) bind(now model.Time, r *record, st sched.Start) {
+	if !s.mayStart(r) || r.job.states[st.Index] != taskQueued {
+		s.env.Queue.Done(now, st, sched.OutcomeNotStarted, 0)
+		return
+	}
+	j := r.job
+	j.states[st.Index] = taskBound
+	if uint32(st.Index) >= j.intent {
+		s.extendIntent(now, r, st.Index)
+	}
+	s.startAfter(now, j.intentAt, r, st)
+}
+
+func (s *Shard) mayStart(r *record) bool {
+	return s.role == RoleOwner && !s.sealed && !s.env.Suspended && r.job != nil
+}
+
+// extendIntent covers the task and some that follow. The further tasks save
+// a round trip each; were the owner lost, the job would be failed for its
+// tasks in flight all the same.
+func (s *Shard) extendIntent(now model.Time, r *record, index int) {
+	j := r.job
+	ahead := min(j.started, s.env.Opts.IntentAhead)
+	j.intent = uint32(min(index+1+ahead, len(j.results)))
+	s.appendUrgent(now, &peerpb.Operation{
+		Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{
+			Identity: j.spec.Identity,
+			Upto:     j.intent,
+		}},
+	})
+	j.intentAt = s.seq
+}
+
+// start lets a task go to its server. Everything is checked again, for the
+// wait for the commit may have been long.
+func (s *Shard) start(now model.Time, r *record, st sched.Start) {
+	if !s.mayStart(r) {
+		if r.job != nil && r.job.states[st.Index] == taskBound {
+			r.job.states[st.Index] = taskQueued
+		}
+		s.env.Queue.Done(now, st, sched.OutcomeNotStarted, 0)
+		return
+	}
+	j := r.job
+	j.states[st.Index] = taskStarted
+	j.attempts[st.Index]++
+	j.started++
+	s.env.earnRetry()
+	s.env.Out.Starts = append(s.env.Out.Starts, StartTask{
+		Start:   st,
+		Spec:    j.spec,
+		Attempt: int(j.attempts[st.Index]),
+	})
+}
+
+// taskDone takes the outcome of a start that has left.
+func (s *Shard) taskDone(now model.Time, r *record, d TaskDone) {
+	j := r.job
+	if j == nil {
+		return
+	}
+	i := d.Start.Index
+	if j.states[i] != taskStarted {
+		return
+	}
+	j.started--
+	switch d.Outcome {
+	case sched.OutcomeNotStarted, sched.OutcomeUnreachable:
+		// The scheduler has queued the task again.
+		j.states[i] = taskQueued
+		return
+	case sched.OutcomeFailed, sched.OutcomeLost:
+		if j.spec.Repeatable && s.role == RoleOwner && s.retry(now, r, i) {
+			return
+		}
+	}
+	s.result(now, r, resultOf(d))
+	s.releaseHandles(r)
+}
+
+// releaseHandles forgets the handles of a job that is owned elsewhere once
+// its last task in flight has ended.
+func (s *Shard) releaseHandles(r *record) {
+	if s.role == RoleOwner || r.job == nil || r.job.started > 0 {
+		return
+	}
+	for _, h := range r.job.handles {
+		delete(s.env.jobs, h)
+	}
+	r.job.handles = nil
+}
+
+func resultOf(d TaskDone) *peerpb.TaskResult {
+	t := &peerpb.TaskResult{
+		Index:  uint32(d.Start.Index),
+		Ran:    peerpb.Ran_RAN_YES,
+		Ok:     d.Outcome == sched.OutcomeOK,
+		Output: d.Output,
+		Error:  d.Error,
+	}
+	if d.Outcome == sched.OutcomeLost {
+		t.Ran = peerpb.Ran_RAN_UNKNOWN
+	}
+	return t
+}
+
+// maxAttempts bounds the starts of one repeatable task.
+const maxAttempts = 3
+
+// retry queues a repeatable task again, as a job of its own in the queue.
+func (s *Shard) retry(now model.Time, r *record, index int) bool {
+	j := r.job
+	if s.sealed || j.attempts[index] >= maxAttempts || !s.env.takeRetry() {
+		return false
+	}
+	h := s.env.register(s, r)
+	q := queueJob(h, j.spec, index, true)
+	q.Tasks = index + 1
+	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
+		delete(s.env.jobs, h)
+		return false
+	}
+	j.handles = append(j.handles, h)
+	j.states[index] = taskQueued
+	return true
+}
+
+// result records the result of a task and closes the job if it was the last
+// one or a failure.
+func (s *Shard) result(now model.Time, r *record, res *peerpb.TaskResult) {
+	if s.role != RoleOwner {
+		s.forwardResult(r, res)
+		return
+	}
+	// The successor begins at the last operation before the hand-over.
+	if s.sealed {
+		s.held = append(s.held, heldResult{rec: r, res: res})
+		return
+	}
+	j := r.job
+	if !j.record(res) {
+		return
+	}
+	j.states[res.Index] = taskClosed
+	op := &peerpb.Operation{Body: &peerpb.Operation_Result{Result: &peerpb.Result{
+		Identity: j.spec.Identity,
+		Result:   res,
+	}}}
+	if a := j.complete(); a != nil {
+		s.appendUrgent(now, op)
+		s.finish(now, r, a)
+		return
+	}
+	s.append(now, op)
+	if !res.Ok {
+		s.giveUp(now, r, failureOf(res))
+	}
+}
+
+func failureOf(res *peerpb.TaskResult) string {
+	if res.Ran == peerpb.Ran_RAN_UNKNOWN {
+		return ProblemUnknown
+	}
+	return ProblemJobFailed
+}
+
+// giveUp closes a job as failed. Tasks in flight go on, but the answer does
+// not wait for them.
+func (s *Shard) giveUp(now model.Time, r *record, problem string) {
+	if r.job == nil || s.role != RoleOwner || s.sealed {
+		return
+	}
+	a := r.job.fail(problem)
+	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
+		Identity: r.job.spec.Identity,
+		Answer:   a,
+	}}})
+	s.finish(now, r, a)
+}
+
+// finish makes an answer final and gives it to the waiters once it is
+// committed.
+func (s *Shard) finish(now model.Time, r *record, a *peerpb.Answer) {
+	j := r.job
+	s.unqueue(now, j)
+	s.setFinal(r, a)
+	s.answerAfter(s.seq, a, j.waiters...)
+}
+
+func (s *Shard) unqueue(now model.Time, j *job) {
+	for _, h := range j.handles {
+		s.env.Queue.Cancel(now, h)
+		delete(s.env.jobs, h)
+	}
+	j.handles = nil
+}
--- /dev/null
+++ b/internal/shard/propose.go
@@ -0,0 +1,171 @@
+package shard
+
+import "github.com/nutmegweir/nutmegweir/internal/model"
+
+// Targets are the members that a shard should have, by rendezvous hashing
+// over the live instances of its domain.
+type Targets struct {
+	Owner   Member
+	Replica Member // the zero Member if there is none
+}
+
+// Proposal is a view that an instance wants the platform to hold next.
+type Proposal struct {
+	View View
+	// Fresh is set if the view may be proposed only after the present one
+	// was read from the platform, so that the platform is known to answer.
+	Fresh bool
+}
+
+// Propose returns the next view that this instance should write, if any. It
+// may begin the copy to a learner or a hand-over, which lead to a proposal
+// later.
+func (s *Shard) Propose(now model.Time, t Targets) (Proposal, bool) {
+	if s.env.Suspended {
+		return Proposal{}, false
+	}
+	switch {
+	case s.view.Epoch == 0:
+		return s.proposeFirst(now, t)
+	case s.role == RoleOwner:
+		return s.proposeOwner(now, t)
+	case s.role == RoleReplica:
+		return s.proposeReplica()
+	}
+	return s.proposeLost(now, t)
+}
+
+// proposeFirst makes the first view of a new shard. Nothing was admitted
+// before it, but a caller's clock may be ahead of this one.
+func (s *Shard) proposeFirst(now model.Time, t Targets) (Proposal, bool) {
+	if t.Owner != s.env.Self {
+		return Proposal{}, false
+	}
+	return s.next(now.Add(-s.env.Opts.Skew), s.env.Self), true
+}
+
+func (s *Shard) next(floor model.Time, members ...Member) Proposal {
+	return Proposal{View: View{
+		Epoch:   s.view.Epoch + 1,
+		Members: members,
+		Floor:   max(s.floor, floor),
+	}}
+}
+
+func (s *Shard) proposeOwner(now model.Time, t Targets) (Proposal, bool) {
+	if s.sealed {
+		return s.proposeHandOver()
+	}
+	if s.membersChanged() {
+		return s.next(0, s.membership()...), true
+	}
+	if f := s.syncedLearner(); f != nil {
+		// Commits wait for the new member from before the change is written,
+		// for it may take over as soon as the change has taken effect.
+		f.required = true
+		return s.next(0, s.env.Self, f.member), true
+	}
+	s.moveToward(now, t)
+	return Proposal{}, false
+}
+
+// proposeHandOver makes the successor the owner once it holds everything.
+func (s *Shard) proposeHandOver() (Proposal, bool) {
+	f := s.follower(s.target.Instance)
+	if f == nil || !f.required || f.acked < s.seq {
+		return Proposal{}, false
+	}
+	return s.next(0, s.target, s.env.Self), true
+}
+
+// membersChanged reports whether the view names another owner or a member
+// that is gone or silent.
+func (s *Shard) membersChanged() bool {
+	if s.view.Owner() != s.env.Self {
+		return true
+	}
+	for _, m := range s.view.Members[1:] {
+		if s.env.Peers.Liveness(m) != Alive || s.follower(m.Instance) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// membership returns this instance and the member that is left.
+func (s *Shard) membership() []Member {
+	members := []Member{s.env.Self}
+	for _, f := range s.followers {
+		if f.required && s.env.Peers.Liveness(f.member) == Alive {
+			members = append(members, f.member)
+		}
+	}
+	return members
+}
+
+func (s *Shard) syncedLearner() *follower {
+	for _, f := range s.followers {
+		if f.synced && !s.view.Has(f.member) && s.env.Peers.Liveness(f.member) == Alive {
+			return f
+		}
+	}
+	return nil
+}
+
+// moveToward begins the next step from the present members to the targets.
+func (s *Shard) moveToward(now model.Time, t Targets) {
+	if t.Owner != s.env.Self && s.view.Has(t.Owner) {
+		s.Seal(now, t.Owner)
+		return
+	}
+	want := t.Replica
+	if t.Owner != s.env.Self {
+		want = t.Owner
+	}
+	none := Member{}
+	if want == none || want == s.env.Self || s.view.Has(want) {
+		return
+	}
+	if s.env.Peers.Liveness(want) == Alive {
+		s.AddLearner(now, want)
+	}
+}
+
+// proposeReplica takes over from a silent owner. The promise not to
+// acknowledge its operations comes before the change is written.
+func (s *Shard) proposeReplica() (Proposal, bool) {
+	if s.env.Peers.Liveness(s.view.Owner()) != Silent {
+		return Proposal{}, false
+	}
+	p := s.next(0, s.env.Self)
+	p.Fresh = true
+	return p, true
+}
+
+// Promise refuses operations of epochs before the one given, for ever.
+func (s *Shard) Promise(epoch uint64) { s.fence = max(s.fence, epoch) }
+
+// proposeLost replaces members that are all gone. Their records are lost, so
+// the floor passes every submission time that they can have admitted: they
+// admitted none ahead of their clock by more than the skew bound, and their
+// clock was ahead of this one by no more than that.
+func (s *Shard) proposeLost(now model.Time, t Targets) (Proposal, bool) {
+	if t.Owner != s.env.Self {
+		return Proposal{}, false
+	}
+	for _, m := range s.view.Members {
+		if s.env.Peers.Liveness(m) == Alive {
+			return Proposal{}, false
+		}
+	}
+	p := s.next(now.Add(2*s.env.Opts.Skew), s.env.Self)
+	p.Fresh = true
+	return p, true
+}
+
+// Abandon takes that a proposed hand-over was certainly not written.
+func (s *Shard) Abandon(now model.Time) {
+	if s.role == RoleOwner {
+		s.unseal(now)
+	}
+}
--- /dev/null
+++ b/internal/shard/record.go
@@ -0,0 +1,222 @@
+package shard
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// digestSize is the length of a content digest in bytes.
+const digestSize = 16
+
+type digest [digestSize]byte
+
+// key names a record within its shard.
+type key struct {
+	customer string
+	key      model.Key
+}
+
+// record is what is remembered of one job.
+type record struct {
+	key    key
+	digest digest
+	job    *job           // nil once the answer is final
+	final  *peerpb.Answer // nil until the answer is final
+	seq    uint64         // operation that made the answer final
+}
+
+func (r *record) submitted() model.Time { return r.key.key.Submitted() }
+
+// taskState is the state of a task at the owner.
+type taskState uint8
+
+const (
+	taskQueued  taskState = iota
+	taskBound             // bound to a slot, its intent not yet committed
+	taskStarted           // the start has left
+	taskRemote            // started by the previous owner, which will report it
+	taskClosed            // its result is recorded
+)
+
+// job is the part of a record that goes once the answer is final.
+type job struct {
+	spec     *peerpb.JobSpec
+	results  []*peerpb.TaskResult // by index, nil while open
+	closed   int                  // results recorded
+	failed   bool                 // a result is a failure
+	intent   uint32               // tasks with lower index may be started
+	intentAt uint64               // operation of the latest intent
+	handles  []model.JobHandle    // owner: the job and its retries in the queue
+	states   []taskState          // owner
+	attempts []uint8              // owner
+	started  int                  // owner: tasks in flight
+	waiters  []Waiter             // owner
+	remote   Member               // owner: reports tasks in state taskRemote
+}
+
+func newJob(spec *peerpb.JobSpec) *job {
+	return &job{
+		spec:    spec,
+		results: make([]*peerpb.TaskResult, len(spec.Payloads)),
+	}
+}
+
+// own prepares the owner's part.
+func (j *job) own() {
+	n := len(j.results)
+	j.states = make([]taskState, n)
+	j.attempts = make([]uint8, n)
+	j.started = 0
+	for i, r := range j.results {
+		if r != nil {
+			j.states[i] = taskClosed
+		}
+	}
+}
+
+// record keeps the first result of a task and reports whether it was open.
+func (j *job) record(res *peerpb.TaskResult) bool {
+	i := int(res.Index)
+	if i >= len(j.results) || j.results[i] != nil {
+		return false
+	}
+	j.results[i] = res
+	j.closed++
+	if !res.Ok {
+		j.failed = true
+	}
+	return true
+}
+
+// complete returns the whole answer, or nil while tasks are open or failed.
+func (j *job) complete() *peerpb.Answer {
+	if j.closed < len(j.results) || j.failed {
+		return nil
+	}
+	return &peerpb.Answer{
+		Status:  peerpb.Status_STATUS_COMPLETE,
+		Ran:     peerpb.Ran_RAN_YES,
+		Results: j.results,
+	}
+}
+
+// fail returns the failed answer. A task without a result that an intent
+// covers may have run unless the owner knows that its start never left.
+func (j *job) fail(problem string) *peerpb.Answer {
+	a := &peerpb.Answer{Status: peerpb.Status_STATUS_FAILED, Problem: problem}
+	for i := range j.results {
+		a.Results = append(a.Results, j.outcome(i))
+	}
+	a.Ran = ranOf(a.Results)
+	return a
+}
+
+func (j *job) outcome(i int) *peerpb.TaskResult {
+	t := &peerpb.TaskResult{Index: uint32(i), Ran: peerpb.Ran_RAN_NO}
+	if r := j.results[i]; r != nil {
+		t.Ran, t.Ok, t.Error = r.Ran, r.Ok, r.Error
+		return t
+	}
+	if uint32(i) < j.intent && (j.states == nil || j.mayHaveRun(i)) {
+		t.Ran = peerpb.Ran_RAN_UNKNOWN
+	}
+	return t
+}
+
+func (j *job) mayHaveRun(i int) bool {
+	return j.states[i] == taskStarted || j.states[i] == taskRemote
+}
+
+// openIntents counts tasks that an intent covers and no result closes, apart
+// from those that the previous owner reports.
+func (j *job) openIntents() int {
+	n := 0
+	for i := uint32(0); i < j.intent; i++ {
+		if j.results[i] != nil {
+			continue
+		}
+		if j.states != nil && j.states[i] == taskRemote {
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+func ranOf(results []*peerpb.TaskResult) peerpb.Ran {
+	var no, yes int
+	for _, r := range results {
+		switch r.Ran {
+		case peerpb.Ran_RAN_NO:
+			no++
+		case peerpb.Ran_RAN_YES:
+			yes++
+		}
+	}
+	switch len(results) {
+	case no:
+		return peerpb.Ran_RAN_NO
+	case yes:
+		return peerpb.Ran_RAN_YES
+	}
+	return peerpb.Ran_RAN_UNKNOWN
+}
+
+// digestOf covers everything in a submission but its identity.
+func digestOf(s *peerpb.JobSpec) digest {
+	h := sha256.New()
+	var n [8]byte
+	put := func(v uint64) {
+		binary.BigEndian.PutUint64(n[:], v)
+		h.Write(n[:])
+	}
+	putBytes := func(b []byte) {
+		put(uint64(len(b)))
+		h.Write(b)
+	}
+	putBytes([]byte(s.Kind))
+	put(uint64(s.DeadlineUnixMs))
+	put(uint64(s.DeclaredRunMs))
+	if s.Repeatable {
+		put(1)
+	} else {
+		put(0)
+	}
+	put(uint64(s.GetResources().GetCpuMilli()))
+	put(uint64(s.GetResources().GetMemoryMb()))
+	put(uint64(s.GetResources().GetAccelerators()))
+	put(uint64(len(s.Payloads)))
+	for _, p := range s.Payloads {
+		putBytes(p)
+	}
+	var d digest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+func keyOf(id *peerpb.Identity) key {
+	k := key{customer: id.GetCustomer()}
+	copy(k.key[:], id.GetKey())
+	return k
+}
+
+func (k key) identity(home model.Domain) *peerpb.Identity {
+	return &peerpb.Identity{
+		Customer: k.customer,
+		Home:     string(home),
+		Key:      append([]byte(nil), k.key[:]...),
+	}
+}
+
+// answerBytes estimates the memory of a kept answer.
+func answerBytes(a *peerpb.Answer) int64 {
+	const perResult, perAnswer = 64, 96
+	n := int64(perAnswer)
+	for _, r := range a.Results {
+		n += perResult + int64(len(r.Output)+len(r.Error))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/shard/replica.go
@@ -0,0 +1,90 @@
+package shard
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// HandleAppend applies operations of the owner and acknowledges them.
+func (s *Shard) HandleAppend(now model.Time, from Member, m *peerpb.Append) {
+	if !s.follows(from, m.Epoch) || m.FirstSeq > s.seq+1 {
+		s.ack(from, m.Epoch, true)
+		return
+	}
+	for i, op := range m.Operations {
+		if m.FirstSeq+uint64(i) == s.seq+1 {
+			s.seq++
+			s.apply(op)
+		}
+	}
+	s.ack(from, m.Epoch, false)
+}
+
+// follows reports whether this instance takes operations from an owner. After
+// the promise for a takeover no operation of an older epoch is taken, for the
+// old owner may start what is acknowledged.
+func (s *Shard) follows(from Member, epoch uint64) bool {
+	if s.role != RoleReplica && s.role != RoleLearner {
+		return false
+	}
+	return from == s.from && epoch == s.view.Epoch && epoch >= s.fence
+}
+
+func (s *Shard) ack(to Member, epoch uint64, refused bool) {
+	s.env.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_AppendAck{
+		AppendAck: &peerpb.AppendAck{
+			Domain:  string(s.id.Domain),
+			Shard:   s.id.Index,
+			Epoch:   epoch,
+			Seq:     s.seq,
+			Refused: refused,
+		},
+	}})
+}
+
+// apply applies one operation. A learner may lack the record it names; the
+// chunk that brings the record is made later and includes the operation.
+func (s *Shard) apply(op *peerpb.Operation) {
+	switch b := op.Body.(type) {
+	case *peerpb.Operation_Claim:
+		s.applyClaim(b.Claim)
+	case *peerpb.Operation_Intent:
+		if r := s.open(b.Intent.Identity); r != nil {
+			r.job.intent = b.Intent.Upto
+		}
+	case *peerpb.Operation_Result:
+		if r := s.open(b.Result.Identity); r != nil {
+			s.applyResult(r, b.Result.Result)
+		}
+	case *peerpb.Operation_Final:
+		if r := s.open(b.Final.Identity); r != nil {
+			s.setFinal(r, b.Final.Answer)
+		}
+	case *peerpb.Operation_FloorUnixNs:
+		s.floor = max(s.floor, model.Time(b.FloorUnixNs))
+	}
+}
+
+func (s *Shard) applyClaim(spec *peerpb.JobSpec) {
+	k := keyOf(spec.Identity)
+	if _, ok := s.records[k]; ok {
+		return
+	}
+	s.addRecord(&record{key: k, digest: digestOf(spec), job: newJob(spec)})
+}
+
+func (s *Shard) applyResult(r *record, res *peerpb.TaskResult) {
+	r.job.record(res)
+	if a := r.job.complete(); a != nil {
+		s.setFinal(r, a)
+	}
+}
+
+// open returns the record of a job that has no final answer, or nil.
+func (s *Shard) open(id *peerpb.Identity) *record {
+	r := s.records[keyOf(id)]
+	if r == nil || r.job == nil {
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/shard/takeover.go
@@ -0,0 +1,451 @@
+package shard
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// InstallView takes a view that the platform holds. Older views are ignored.
+func (s *Shard) InstallView(now model.Time, v View) {
+	if v.Epoch <= s.view.Epoch {
+		return
+	}
+	old := s.view
+	s.view = v
+	s.floor = max(s.floor, v.Floor)
+	s.fence = max(s.fence, v.Epoch)
+	switch {
+	case v.Owner() == s.env.Self:
+		s.installOwner(now, old)
+	case v.Has(s.env.Self):
+		s.installReplica(now, old)
+	case s.role == RoleLearner && v.Owner() == s.from:
+		// The owner has lost a replica while this instance learns.
+	default:
+		s.leave(now)
+	}
+}
+
+func (s *Shard) installOwner(now model.Time, old View) {
+	if s.role != RoleOwner {
+		if !old.Has(s.env.Self) {
+			s.reset()
+		}
+		s.takeOver(now)
+	}
+	s.keepMembers()
+	s.unseal(now)
+	s.notifyView()
+	s.advance(now)
+}
+
+// keepMembers makes the followers match the view. A learner that the view
+// does not name yet stays.
+func (s *Shard) keepMembers() {
+	kept := s.followers[:0]
+	for _, f := range s.followers {
+		inView := s.view.Has(f.member)
+		if !inView && (f.required || !f.synced) {
+			continue
+		}
+		f.required = inView
+		kept = append(kept, f)
+	}
+	s.followers = kept
+	for _, m := range s.view.Members {
+		if m != s.env.Self && s.follower(m.Instance) == nil {
+			s.addFollower(m)
+		}
+	}
+}
+
+// addFollower adds the replica that the view names. It holds what this
+// instance held when the view changed hands.
+func (s *Shard) addFollower(m Member) {
+	s.followers = append(s.followers, &follower{
+		member:   m,
+		required: true,
+		synced:   true,
+		acked:    s.logBase,
+		sent:     s.logBase,
+	})
+}
+
+func (s *Shard) notifyView() {
+	for _, f := range s.followers {
+		s.env.send(f.member.Instance, &peerpb.Message{
+			Body: &peerpb.Message_View{View: s.view.Proto(s.id)},
+		})
+		f.sent = f.acked
+	}
+	s.markUrgent()
+}
+
+// takeOver makes a replica, or an instance without records, the owner. Only
+// tasks that no intent covers may start from here on; those that an intent
+// covers and no result closes may have run.
+func (s *Shard) takeOver(now model.Time) {
+	previous := s.from
+	s.role = RoleOwner
+	s.followers = nil
+	s.log = nil
+	s.logBase = s.seq
+	s.waits = nil
+	s.sealed = false
+	open := s.remoteTasks()
+	s.handOver = nil
+	for _, r := range s.order {
+		if r.job != nil && s.records[r.key] == r {
+			s.resume(now, r, open[r.key], previous)
+		}
+	}
+}
+
+// remoteTasks returns the tasks that the previous owner has announced to be
+// in flight, if the view changed hands by its hand-over.
+func (s *Shard) remoteTasks() map[key][]uint32 {
+	tasks := make(map[key][]uint32)
+	h := s.handOver
+	if h == nil || h.Epoch+1 != s.view.Epoch || s.env.Peers.Liveness(s.from) == Dead {
+		return tasks
+	}
+	for _, o := range h.Open {
+		tasks[keyOf(o.Identity)] = o.Indexes
+	}
+	return tasks
+}
+
+func (s *Shard) resume(now model.Time, r *record, remote []uint32, previous Member) {
+	j := r.job
+	j.own()
+	j.remote = previous
+	for _, i := range remote {
+		if j.results[i] == nil {
+			j.states[i] = taskRemote
+		}
+	}
+	if j.failed {
+		s.giveUpResumed(now, r, ProblemJobFailed)
+		return
+	}
+	if j.openIntents() > 0 {
+		s.giveUpResumed(now, r, ProblemUnknown)
+		return
+	}
+	s.requeue(now, r)
+}
+
+// giveUpResumed fails a job whose covered tasks may have run under the
+// previous owner.
+func (s *Shard) giveUpResumed(now model.Time, r *record, problem string) {
+	r.job.states = nil
+	s.giveUp(now, r, problem)
+}
+
+func (s *Shard) requeue(now model.Time, r *record) {
+	j := r.job
+	if int(j.intent) >= len(j.results) {
+		return
+	}
+	h := s.env.register(s, r)
+	j.handles = append(j.handles, h)
+	s.env.Queue.Submit(now, queueJob(h, j.spec, int(j.intent), true))
+}
+
+// installReplica follows the view's owner with the records at hand.
+func (s *Shard) installReplica(now model.Time, old View) {
+	if s.role == RoleOwner {
+		s.demote(now)
+	}
+	s.role = RoleReplica
+	s.from = s.view.Owner()
+}
+
+// demote turns an owner into a replica. Tasks in flight are reported to the
+// new owner as they end. The entry instances are told to ask the new owner.
+func (s *Shard) demote(now model.Time) {
+	s.releaseWaits(now)
+	for _, r := range s.order {
+		if r.job != nil {
+			s.unqueueKeepFlight(now, r)
+		}
+	}
+	s.followers = nil
+	s.log = nil
+	for _, p := range s.parked {
+		s.sendAway([]Waiter{p.waiter})
+	}
+	s.parked = nil
+	s.sealed = false
+	for _, h := range s.held {
+		s.forwardResult(h.rec, h.res)
+	}
+	s.held = nil
+}
+
+// releaseWaits gives back the slots of starts that will not leave.
+func (s *Shard) releaseWaits(now model.Time) {
+	for _, w := range s.waits {
+		if w.rec != nil {
+			s.env.Queue.Done(now, w.start, sched.OutcomeNotStarted, 0)
+		}
+		s.sendAway(w.waiters)
+	}
+	s.waits = nil
+}
+
+// sendAway tells waiters to ask the new owner.
+func (s *Shard) sendAway(waiters []Waiter) {
+	for _, w := range waiters {
+		s.refuse(w, ProblemNotOwner, peerpb.Ran_RAN_UNKNOWN, 0)
+	}
+}
+
+// unqueueKeepFlight removes a job from the queue. Its handles stay known while
+// tasks are in flight, so that their results find the record.
+func (s *Shard) unqueueKeepFlight(now model.Time, r *record) {
+	j := r.job
+	for _, h := range j.handles {
+		s.env.Queue.Cancel(now, h)
+		if j.started == 0 {
+			delete(s.env.jobs, h)
+		}
+	}
+	s.sendAway(j.waiters)
+	j.waiters = nil
+}
+
+// leave forgets a shard that is held elsewhere.
+func (s *Shard) leave(now model.Time) {
+	if s.role == RoleOwner {
+		s.demote(now)
+	}
+	s.role = RoleNone
+	s.from = s.view.Owner()
+	s.reset()
+}
+
+// Seal stops new claims and starts, so that the shard can be handed over to
+// its replica. Intents beyond the started tasks are taken back, which only
+// the owner can do.
+func (s *Shard) Seal(now model.Time, target Member) {
+	if s.sealed || s.role != RoleOwner {
+		return
+	}
+	s.sealed = true
+	s.target = target
+	s.releaseStarts(now)
+	h := &peerpb.HandOver{
+		Domain: string(s.id.Domain),
+		Shard:  s.id.Index,
+		Epoch:  s.view.Epoch,
+	}
+	for _, r := range s.order {
+		if r.job != nil && s.records[r.key] == r {
+			s.sealJob(now, r, h)
+		}
+	}
+	// The acknowledgement of an operation that is sent after the note shows
+	// that the successor has the note.
+	s.sealNote = h
+	s.sendSealNote()
+	s.appendFloor(now)
+	s.markUrgent()
+}
+
+func (s *Shard) sendSealNote() {
+	s.env.send(s.target.Instance, &peerpb.Message{
+		Body: &peerpb.Message_HandOver{HandOver: s.sealNote},
+	})
+}
+
+func (s *Shard) releaseStarts(now model.Time) {
+	kept := s.waits[:0]
+	for _, w := range s.waits {
+		if w.rec == nil {
+			kept = append(kept, w)
+			continue
+		}
+		s.start(now, w.rec, w.start)
+	}
+	s.waits = kept
+}
+
+// sealJob takes back the intents of tasks that have not started. Tasks in
+// flight are listed for the successor.
+func (s *Shard) sealJob(now model.Time, r *record, h *peerpb.HandOver) {
+	j := r.job
+	for _, hd := range j.handles {
+		s.env.Queue.Cancel(now, hd)
+	}
+	upto := uint32(0)
+	var flight []uint32
+	for i, st := range j.states {
+		if st == taskStarted || st == taskRemote {
+			flight = append(flight, uint32(i))
+		}
+		if st != taskQueued && st != taskBound {
+			upto = uint32(i) + 1
+		}
+	}
+	if upto < j.intent {
+		j.intent = upto
+		s.append(now, &peerpb.Operation{Body: &peerpb.Operation_Intent{
+			Intent: &peerpb.Intent{Identity: j.spec.Identity, Upto: upto},
+		}})
+	}
+	if len(flight) > 0 {
+		h.Open = append(h.Open, &peerpb.OpenTasks{Identity: j.spec.Identity, Indexes: flight})
+	}
+}
+
+// unseal goes on as owner after a hand-over that did not take place.
+func (s *Shard) unseal(now model.Time) {
+	if !s.sealed {
+		return
+	}
+	s.sealed = false
+	held := s.held
+	s.held = nil
+	for _, h := range held {
+		if h.rec.job != nil {
+			s.result(now, h.rec, h.res)
+		}
+	}
+	for _, r := range s.order {
+		if r.job != nil && s.records[r.key] == r {
+			s.requeueOpen(now, r)
+		}
+	}
+	s.unpark(now)
+}
+
+// requeueOpen queues the tasks of a job that are neither in flight nor closed.
+func (s *Shard) requeueOpen(now model.Time, r *record) {
+	j := r.job
+	first := len(j.states)
+	for i := len(j.states) - 1; i >= 0 && (j.states[i] == taskQueued || j.states[i] == taskBound); i-- {
+		j.states[i] = taskQueued
+		first = i
+	}
+	if first < len(j.states) {
+		h := s.env.register(s, r)
+		j.handles = append(j.handles, h)
+		s.env.Queue.Submit(now, queueJob(h, j.spec, first, true))
+	}
+	for i := range first {
+		if j.states[i] == taskQueued || j.states[i] == taskBound {
+			s.requeueOne(now, r, i)
+		}
+	}
+}
+
+func (s *Shard) requeueOne(now model.Time, r *record, i int) {
+	j := r.job
+	j.states[i] = taskQueued
+	h := s.env.register(s, r)
+	j.handles = append(j.handles, h)
+	q := queueJob(h, j.spec, i, true)
+	q.Tasks = i + 1
+	s.env.Queue.Submit(now, q)
+}
+
+func (s *Shard) unpark(now model.Time) {
+	parked := s.parked
+	s.parked = nil
+	for _, p := range parked {
+		s.Submit(now, p.spec, p.waiter, p.report)
+	}
+}
+
+// HandleHandOver keeps the list of tasks that the owner has in flight.
+func (s *Shard) HandleHandOver(from Member, m *peerpb.HandOver) {
+	if s.role == RoleReplica && from == s.from && m.Epoch == s.view.Epoch {
+		s.handOver = m
+	}
+}
+
+// forwardResult sends the result of a task that this instance started as
+// owner to the present owner.
+func (s *Shard) forwardResult(r *record, res *peerpb.TaskResult) {
+	owner := s.view.Owner()
+	s.env.send(owner.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteResult{
+		RemoteResult: &peerpb.RemoteResult{
+			Domain:   string(s.id.Domain),
+			Shard:    s.id.Index,
+			Identity: r.key.identity(s.id.Domain),
+			Result:   res,
+		},
+	}})
+}
+
+// HandleRemoteResult takes the result of a task that an earlier owner started.
+func (s *Shard) HandleRemoteResult(now model.Time, m *peerpb.RemoteResult) {
+	if s.role != RoleOwner {
+		return
+	}
+	r := s.open(m.Identity)
+	if r == nil || r.job.states[m.Result.Index] != taskRemote {
+		return
+	}
+	s.result(now, r, m.Result)
+}
+
+// MemberDead takes the proof that a process is gone for ever. The owner leaves
+// it out at once; a replica whose owner it was acts as owner. Neither needs
+// the platform: the dead process held the only other copy, so nobody else can
+// act for the shard with records, and without records only above a floor.
+func (s *Shard) MemberDead(now model.Time, m Member) {
+	if s.env.Suspended {
+		return
+	}
+	switch s.role {
+	case RoleOwner:
+		s.dropFollower(now, m)
+		s.loseRemote(now, m)
+	case RoleReplica:
+		if m == s.view.Owner() {
+			s.takeOver(now)
+		}
+	}
+}
+
+// CheckMembers applies what is known of the members of the view.
+func (s *Shard) CheckMembers(now model.Time) {
+	for _, m := range s.view.Members {
+		if m != s.env.Self && s.env.Peers.Liveness(m) == Dead {
+			s.MemberDead(now, m)
+		}
+	}
+}
+
+func (s *Shard) dropFollower(now model.Time, m Member) {
+	kept := s.followers[:0]
+	for _, f := range s.followers {
+		if f.member != m {
+			kept = append(kept, f)
+		}
+	}
+	s.followers = kept
+	s.advance(now)
+	if s.sealed && s.target == m {
+		s.unseal(now)
+	}
+}
+
+// loseRemote fails the jobs with tasks that a dead instance would have
+// reported.
+func (s *Shard) loseRemote(now model.Time, m Member) {
+	for _, r := range s.order {
+		if r.job == nil || r.job.remote != m {
+			continue
+		}
+		for _, st := range r.job.states {
+			if st == taskRemote {
+				s.giveUp(now, r, ProblemUnknown)
+				break
+			}
+		}
+	}
+}
