--- a/cmd/nutmegweir/main.go
+++ b/cmd/nutmegweir/main.go
@@ -1,4 +1,11 @@
-// Command nutmegweir runs one entry instance.
+// Command nutmegweir runs an entry instance, the stand-ins, or the whole path
+// in one process.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/nutmegweir/nutmegweir/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,284 @@
+// Package entry assembles an entry instance from its settings. Programs that
+// embed nutmegweir use it; the daemon is a thin main around it.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/backend"
+	"github.com/nutmegweir/nutmegweir/internal/caller"
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/metrics"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peer"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/runtime"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/settings"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// Options are the parts of an Instance.
+type Options struct {
+	Settings *settings.Settings
+	Log      *eventlog.Log     // nil discards events
+	Platform platform.Platform // nil takes the HTTP adapter of the settings
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	set     *settings.Settings
+	log     *eventlog.Log
+	metrics *metrics.Metrics
+	self    shard.Member
+
+	runtime *runtime.Runtime
+	peers   *peer.Manager
+	pool    *backend.Pool
+	handler *caller.Handler
+
+	callerListener   net.Listener
+	peerListener     net.Listener
+	operatorListener net.Listener
+	callerServer     *http.Server
+	operatorServer   *http.Server
+}
+
+// maxRun bounds a single start. A backend server that has not answered by
+// then is taken to be lost.
+const maxRun = 10 * time.Minute
+
+// New opens the listeners of an instance. Start makes it serve.
+func New(o Options) (*Instance, error) {
+	if o.Log == nil {
+		o.Log = eventlog.Discard()
+	}
+	id, err := uuid.NewRandom()
+	if err != nil {
+		return nil, errors.Wrap(err, "make an incarnation; the system's random source must be readable")
+	}
+	i := &Instance{
+		set:     o.Settings,
+		metrics: metrics.New(),
+		self: shard.Member{
+			Instance:    o.Settings.Instance,
+			Incarnation: model.Incarnation(id.String()),
+		},
+	}
+	i.log = o.Log.ForInstance(i.self.Instance, o.Settings.Domain, i.self.Incarnation)
+	if err := i.listen(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	if err := i.assemble(o.Platform); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) listen() error {
+	var err error
+	if i.callerListener, err = listen("listen.caller", i.set.Listen.Caller); err != nil {
+		return err
+	}
+	if i.operatorListener, err = listen("listen.operator", i.set.Listen.Operator); err != nil {
+		return err
+	}
+	i.peerListener, err = listen("listen.peer", i.set.Listen.Peer)
+	return err
+}
+
+func listen(field, addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s; choose an address of this machine that is free", field)
+	}
+	return l, nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range []net.Listener{i.callerListener, i.operatorListener, i.peerListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (i *Instance) assemble(p platform.Platform) error {
+	serverTLS, err := i.set.TLS.Peer.ServerConfig()
+	if err != nil {
+		return err
+	}
+	if serverTLS != nil {
+		i.peerListener = newTLSListener(i.peerListener, serverTLS)
+	}
+	clientTLS, err := i.set.TLS.Peer.ClientConfig()
+	if err != nil {
+		return err
+	}
+	if p == nil {
+		p = i.httpPlatform()
+	}
+	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns})
+	i.runtime = runtime.New(runtime.Options{
+		Core:           i.coreOptions(),
+		Domains:        i.set.Domains,
+		Platform:       p,
+		BackendService: i.set.BackendService,
+		Backends:       i.pool,
+		Observer:       newObserver(i.log, i.metrics),
+	})
+	i.peers = peer.New(peer.Options{
+		Self:   i.self,
+		Domain: i.set.Domain,
+		Client: clientTLS,
+		Events: i.runtime.Post,
+	})
+	i.runtime.SetPeers(i.peers)
+	return i.assembleServers()
+}
+
+// maxIdleConns is the number of idle connections kept for each backend server.
+const maxIdleConns = 4
+
+func (i *Instance) httpPlatform() platform.Platform {
+	return platform.NewHTTP(platform.HTTPOptions{
+		URL:             "http://" + i.set.Platform.Addr,
+		CallTimeout:     time.Duration(i.set.Platform.TimeoutMs) * time.Millisecond,
+		ReadsPerSecond:  float64(i.set.Platform.ReadsPerSecond),
+		WritesPerSecond: float64(i.set.Platform.WritesPerSecond),
+	})
+}
+
+func (i *Instance) coreOptions() core.Options {
+	so := shard.DefaultOptions()
+	so.Skew = time.Duration(i.set.Shards.SkewBoundMs) * time.Millisecond
+	so.Window = time.Duration(i.set.Shards.DedupWindowS) * time.Second
+	so.MaxBytes = i.set.Shards.DedupMaxBytes
+	return core.Options{
+		Self:    i.self,
+		Domain:  i.set.Domain,
+		Addr:    i.advertised(),
+		Shards:  i.set.Shards.PerDomain,
+		Replica: i.set.Shards.Replicas > 0,
+		Silence: time.Duration(i.set.Shards.SilenceBoundMs) * time.Millisecond,
+		Seed:    i.set.Scheduler.Seed,
+		Shard:   so,
+		Policy:  defaultPolicy{},
+	}
+}
+
+// advertised is the peer address that other instances connect to. A listen
+// address with port 0 is known only now.
+func (i *Instance) advertised() string {
+	if i.set.Peers.Advertise != "" {
+		return i.set.Peers.Advertise
+	}
+	return i.peerListener.Addr().String()
+}
+
+func (i *Instance) assembleServers() error {
+	callerTLS, err := i.set.TLS.Caller.ServerConfig()
+	if err != nil {
+		return err
+	}
+	i.handler = caller.New(caller.Options{
+		Dispatcher: dispatcher{i.runtime},
+		Domains:    i.set.Domains,
+		Limits:     i.set.Limits,
+		Log:        i.log,
+	})
+	i.callerServer = caller.NewServer(i.handler, i.set.Limits, callerTLS, i.log)
+	operatorTLS, err := i.set.TLS.Operator.ServerConfig()
+	if err != nil {
+		return err
+	}
+	i.operatorServer = &http.Server{
+		Handler:           i.operatorRoutes(),
+		TLSConfig:         operatorTLS,
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	return nil
+}
+
+// CallerAddr returns the address of the caller port.
+func (i *Instance) CallerAddr() string { return i.callerListener.Addr().String() }
+
+// OperatorAddr returns the address of the operator port.
+func (i *Instance) OperatorAddr() string { return i.operatorListener.Addr().String() }
+
+// Start makes the instance serve.
+func (i *Instance) Start() {
+	go func() { _ = i.peers.Serve(i.peerListener) }()
+	i.runtime.Start()
+	go i.serve(i.callerServer, i.callerListener)
+	go i.serve(i.operatorServer, i.operatorListener)
+	i.log.Event(eventlog.InstanceStarted).
+		Str("caller", i.CallerAddr()).
+		Str("operator", i.OperatorAddr()).
+		Str("peer", i.advertised()).
+		Send()
+}
+
+func (i *Instance) serve(s *http.Server, l net.Listener) {
+	if s.TLSConfig != nil {
+		_ = s.ServeTLS(l, "", "")
+		return
+	}
+	_ = s.Serve(l)
+}
+
+// Shutdown stops gracefully: no new submissions, shards handed over, requests
+// in flight answered. What is not done when ctx ends is cut. The peer
+// listener stays open to the end, for a refused connection is taken by the
+// other instances as proof that the process is gone.
+func (i *Instance) Shutdown(ctx context.Context) error {
+	i.log.Event(eventlog.InstanceStopping).Send()
+	i.handler.Stop()
+	i.runtime.Drain(ctx)
+	err := i.callerServer.Shutdown(ctx)
+	_ = i.operatorServer.Close()
+	i.Close()
+	i.log.Event(eventlog.InstanceStopped).Send()
+	return errors.Wrap(err, "requests were in flight at the bound of the stop; raise stop_bound_s")
+}
+
+// Close stops at once.
+func (i *Instance) Close() {
+	_ = i.callerServer.Close()
+	_ = i.operatorServer.Close()
+	i.runtime.Close()
+	i.peers.Close()
+	_ = i.peerListener.Close()
+	i.pool.Close()
+}
+
+// defaultPolicy gives every customer and kind the same row.
+type defaultPolicy struct{}
+
+// Row implements sched.Policy.
+func (defaultPolicy) Row(model.Customer, model.Kind) sched.PolicyRow {
+	return sched.PolicyRow{Weight: 1}
+}
+
+// WaitReady waits until submissions can be routed.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for !i.runtime.Ready() {
+		select {
+		case <-ctx.Done():
+			return errors.New("the instance did not become ready; check that the platform answers")
+		case <-t.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/runtime"
+)
+
+// dispatcher is the runtime as the caller port uses it.
+type dispatcher struct{ *runtime.Runtime }
+
+// Explain says where a job stands.
+func (d dispatcher) Explain(ctx context.Context, id *peerpb.Identity) (string, error) {
+	return d.Runtime.Explain(ctx, id)
+}
+
+func (i *Instance) operatorRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	r.Get("/readyz", i.readyz)
+	r.Get(api.PathStatus, i.status)
+	r.Handle("/metrics", promhttp.HandlerFor(i.metrics.Registry, promhttp.HandlerOpts{}))
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
+	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return r
+}
+
+// readyz answers 200 while the instance can route submissions.
+func (i *Instance) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !i.runtime.Ready() {
+		http.Error(w, "views of the home domain are not known yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (i *Instance) status(w http.ResponseWriter, r *http.Request) {
+	s := i.runtime.Status(r.Context())
+	if s == nil {
+		http.Error(w, "the instance is closing", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+func newTLSListener(l net.Listener, c *tls.Config) net.Listener { return tls.NewListener(l, c) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -274,3 +274,31 @@
 		}
 	}
 }
+
+// Routable reports whether every shard of the home domain has an owner that
+// this instance can reach.
+func (r *Reducer) Routable() bool {
+	for i := range r.own {
+		to, ok := r.owner(shard.ID{Domain: r.opts.Domain, Index: uint32(i)})
+		if !ok {
+			return false
+		}
+		if to != r.opts.Self && !r.peers.connected(to) {
+			return false
+		}
+	}
+	return !r.env.Suspended
+}
+
+// Explain says where a job stands at this instance.
+func (r *Reducer) Explain(id *peerpb.Identity) string {
+	sid := r.ShardOf(id)
+	owner, ok := r.owner(sid)
+	if !ok {
+		return "The job's shard has no owner that is known here."
+	}
+	if owner != r.opts.Self {
+		return "The job's shard is owned by instance " + string(owner.Instance) + "; ask there."
+	}
+	return r.own[sid.Index].Explain(id)
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// Status returns what the instance knows of itself and its domain.
+func (r *Reducer) Status() *api.InstanceStatus {
+	s := &api.InstanceStatus{
+		Instance:    string(r.opts.Self.Instance),
+		Incarnation: string(r.opts.Self.Incarnation),
+		Domain:      string(r.opts.Domain),
+		Suspended:   r.env.Suspended,
+		Stopping:    r.stopping,
+		OpenJobs:    r.env.OpenJobs(),
+	}
+	for _, a := range r.peers.order {
+		s.Peers = append(s.Peers, r.peerStatus(r.peers.links[a]))
+	}
+	for i, sh := range r.own {
+		s.Shards = append(s.Shards, shardStatus(i, sh))
+		s.Jobs += sh.Jobs()
+	}
+	return s
+}
+
+func (r *Reducer) peerStatus(l *link) api.PeerStatus {
+	p := api.PeerStatus{
+		Instance: string(l.info.Member.Instance),
+		Domain:   string(l.info.Domain),
+		Addr:     l.info.Addr,
+		State:    "connecting",
+	}
+	switch {
+	case l.up:
+		p.State = "up"
+	case r.peers.Liveness(l.info.Member) == shard.Silent:
+		p.State = "silent"
+	}
+	return p
+}
+
+func shardStatus(i int, s *shard.Shard) api.ShardStatus {
+	v := s.View()
+	st := api.ShardStatus{
+		Shard: i,
+		Epoch: v.Epoch,
+		Owner: string(v.Owner().Instance),
+		Role:  s.Role().String(),
+		Jobs:  s.Jobs(),
+	}
+	if len(v.Members) > 1 {
+		st.Replica = string(v.Members[1].Instance)
+	}
+	return st
+}
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -326,9 +326,13 @@
 	r.replanNow(now)
 }
 
-// Holds returns the number of shards that this instance owns or replicates.
-func (r *Reducer) Holds() int {
-	n := 0
+// Undone returns how much a stopping instance has still to do: open jobs, and
+// shards that another instance could own.
+func (r *Reducer) Undone() int {
+	n := r.env.OpenJobs()
+	if len(r.candidates()) == 0 {
+		return n
+	}
 	for _, s := range r.own {
 		if s.Role() == shard.RoleOwner {
 			n++
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,103 @@
+// Package daemon is the nutmegweir command: it serves as an entry instance,
+// runs the stand-ins, or runs the whole path in one process.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/nutmegweir/nutmegweir/entry"
+	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/settings"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+type args struct {
+	Serve   *serveArgs   `arg:"subcommand:serve" help:"serve as an entry instance"`
+	Dev     *devArgs     `arg:"subcommand:dev" help:"run the whole path in one process"`
+	Standin *standinArgs `arg:"subcommand:standin" help:"run a stand-in for tests"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "nutmegweir dispatches sub-second tasks to backend servers."
+}
+
+type serveArgs struct {
+	Config string `arg:"--config,required" help:"settings file, JSON with comments" placeholder:"FILE"`
+}
+
+// Main runs the command and returns its exit code.
+func Main(argv []string, stdout, stderr io.Writer) int {
+	var a args
+	p, err := arg.NewParser(arg.Config{Program: "nutmegweir"}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	switch err := p.Parse(argv); {
+	case err == arg.ErrHelp:
+		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
+		return ExitOK
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+		p.WriteUsage(stderr)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, a, stdout, stderr); err != nil {
+		fmt.Fprintln(stderr, "nutmegweir:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func run(ctx context.Context, a args, stdout, stderr io.Writer) error {
+	switch {
+	case a.Serve != nil:
+		return serve(ctx, a.Serve, stderr)
+	case a.Dev != nil:
+		return dev(ctx, a.Dev, stdout, stderr)
+	case a.Standin != nil:
+		return standin(ctx, a.Standin, stdout)
+	}
+	return errNoCommand
+}
+
+func serve(ctx context.Context, a *serveArgs, stderr io.Writer) error {
+	set, err := settings.Load(a.Config)
+	if err != nil {
+		return err
+	}
+	log, err := eventlog.New(stderr, set.LogLevel)
+	if err != nil {
+		return err
+	}
+	i, err := entry.New(entry.Options{Settings: set, Log: log})
+	if err != nil {
+		return err
+	}
+	i.Start()
+	<-ctx.Done()
+	return shutdown(i, time.Duration(set.StopBoundS)*time.Second)
+}
+
+func shutdown(i *entry.Instance, bound time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	return i.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/daemon/script_test.go
@@ -0,0 +1,225 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"nutmegweir": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the scripts with each instance, the platform and the
+// backend servers as processes of their own. Each script has a loopback
+// address of its own, so that its ports are free.
+func TestScripts(t *testing.T) {
+	n := 0
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			n++
+			e.Setenv("IP", fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()>>8%200, os.Getpid()%256, n))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"settings": writeSettings,
+			"ready":    waitReady,
+			"members":  waitMembers,
+			"pause":    pauseProcess,
+			"job":      submitJob,
+			"starts":   checkStarts,
+		},
+	})
+}
+
+// writeSettings writes NAME.hujson: settings NAME DOMAIN PORT DOMAIN...
+func writeSettings(ts *testscript.TestScript, neg bool, args []string) {
+	name, domain, port := args[0], args[1], args[2]
+	ip := ts.Getenv("IP")
+	domains, _ := json.Marshal(args[3:])
+	text := fmt.Sprintf(`{
+	// Settings of one instance in a test.
+	"instance": %q, "domain": %q, "domains": %s,
+	"listen": {"caller": "%[4]s:%[5]s1", "peer": "%[4]s:%[5]s2", "operator": "%[4]s:%[5]s3"},
+	"platform": {"addr": "%[4]s:9000"},
+	"tls": {"caller": {"plain": true}, "peer": {"plain": true}, "operator": {"plain": true}},
+	"shards": {"per_domain": 8},
+}`, name, domain, domains, ip, port)
+	file := filepath.Join(ts.Getenv("WORK"), name+".hujson")
+	ts.Check(os.WriteFile(file, []byte(text), 0o644))
+}
+
+const scriptTimeout = 30 * time.Second
+
+// waitReady polls until an operator port reports readiness: ready PORT...
+func waitReady(ts *testscript.TestScript, neg bool, args []string) {
+	for _, port := range args {
+		url := "http://" + ts.Getenv("IP") + ":" + port + "3/readyz"
+		deadline := time.Now().Add(scriptTimeout)
+		for !answersOK(url) {
+			if time.Now().After(deadline) {
+				ts.Fatalf("instance at %s is not ready", url)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// waitMembers polls until the instance at the port sees every shard of its
+// domain with so many members: members PORT N.
+func waitMembers(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "3" + api.PathStatus
+	deadline := time.Now().Add(scriptTimeout)
+	for !allHaveMembers(url, want) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("shards at %s do not have %d members", url, want)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func allHaveMembers(url string, want int) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var s api.InstanceStatus
+	if json.NewDecoder(resp.Body).Decode(&s) != nil {
+		return false
+	}
+	for _, sh := range s.Shards {
+		n := 0
+		if sh.Owner != "" {
+			n++
+		}
+		if sh.Replica != "" {
+			n++
+		}
+		if n != want {
+			return false
+		}
+	}
+	return len(s.Shards) > 0
+}
+
+// pauseProcess stops or continues a process: pause PIDFILE stop|cont.
+func pauseProcess(ts *testscript.TestScript, neg bool, args []string) {
+	text := ts.ReadFile(args[0])
+	pid, err := strconv.Atoi(strings.TrimSpace(text))
+	ts.Check(err)
+	sig := syscall.SIGSTOP
+	if args[1] == "cont" {
+		sig = syscall.SIGCONT
+	}
+	ts.Check(syscall.Kill(pid, sig))
+}
+
+func answersOK(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// submitJob submits a job and checks that the answer is whole and its own:
+// job PORT HOME TASKS [KEYFILE]. With a key file the key is kept in it, or
+// taken from it if it exists.
+func submitJob(ts *testscript.TestScript, neg bool, args []string) {
+	tasks, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	job := &api.Job{Customer: "rosehill", Home: args[1], Kind: "route-plan", Key: jobKey(ts, args[3:])}
+	for i := range tasks {
+		payload := fmt.Sprintf(`{"run_ms":20,"echo":{"task":%d}}`, i)
+		job.Tasks = append(job.Tasks, json.RawMessage(payload))
+	}
+	body, err := json.Marshal(job)
+	ts.Check(err)
+	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "1" + api.PathJobs
+	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	ts.Check(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("answered %s: %s", resp.Status, text)
+	}
+	var a api.Answer
+	ts.Check(json.Unmarshal(text, &a))
+	checkAnswer(ts, job, &a)
+}
+
+func jobKey(ts *testscript.TestScript, file []string) string {
+	if len(file) == 0 {
+		return uuid.Must(uuid.NewV7()).String()
+	}
+	path := ts.MkAbs(file[0])
+	if kept, err := os.ReadFile(path); err == nil {
+		return string(kept)
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	ts.Check(os.WriteFile(path, []byte(key), 0o644))
+	return key
+}
+
+func checkAnswer(ts *testscript.TestScript, job *api.Job, a *api.Answer) {
+	if a.Status != api.StatusComplete || len(a.Results) != len(job.Tasks) {
+		ts.Fatalf("answer has status %s and %d results, want complete and %d", a.Status, len(a.Results), len(job.Tasks))
+	}
+	for i, r := range a.Results {
+		var out backend.Output
+		ts.Check(json.Unmarshal(r.Output, &out))
+		want := fmt.Sprintf(`{"task":%d}`, i)
+		if r.Index != i || string(out.Echo) != want {
+			ts.Fatalf("result %d is of task %d with echo %s, want %s", i, r.Index, out.Echo, want)
+		}
+	}
+}
+
+// checkStarts checks how many task identities the backend servers have
+// started, each of them once: starts TOTAL PORT...
+func checkStarts(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	counts := make(map[string]int)
+	for _, port := range args[1:] {
+		resp, err := http.Get("http://" + ts.Getenv("IP") + ":" + port + backend.PathStarts)
+		ts.Check(err)
+		var starts []backend.Start
+		ts.Check(json.NewDecoder(resp.Body).Decode(&starts))
+		_ = resp.Body.Close()
+		for _, s := range starts {
+			counts[s.Task] += s.Count
+		}
+	}
+	for task, n := range counts {
+		if n != 1 {
+			ts.Fatalf("task %s was started %d times", task, n)
+		}
+	}
+	if len(counts) != want {
+		ts.Fatalf("%d tasks were started, want %d", len(counts), want)
+	}
+}
--- /dev/null
+++ b/internal/peer/inbox.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"bufio"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+type protoMessage = proto.Message
+
+// inbox is the receiving end of a session with one process. It lets every
+// frame through once.
+type inbox struct {
+	mu      sync.Mutex
+	session uint64
+	seq     uint64 // latest frame received
+	current *conn  // frames of earlier connections are dropped
+}
+
+// begin makes c the connection of the session and returns the number of the
+// latest frame received in it.
+func (b *inbox) begin(c *conn, session uint64) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.session != session {
+		b.session = session
+		b.seq = 0
+	}
+	b.current = c
+	return b.seq
+}
+
+// take runs deliver if the frame is the next one of the current connection.
+// It reports whether the connection is still the current one.
+func (b *inbox) take(c *conn, seq uint64, deliver func()) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != c {
+		return false
+	}
+	if seq == b.seq+1 {
+		b.seq = seq
+		deliver()
+	}
+	return true
+}
+
+func (m *Manager) inboxOf(i model.Incarnation) *inbox {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.inbox[i]
+	if b == nil {
+		b = &inbox{}
+		m.inbox[i] = b
+	}
+	return b
+}
+
+// receive answers the hello and delivers frames until the connection ends.
+func (m *Manager) receive(c *conn) {
+	hello := &peerpb.Hello{}
+	if err := c.read(hello); err != nil || hello.Version != Version {
+		return
+	}
+	from := memberOf(hello)
+	b := m.inboxOf(from.Incarnation)
+	answer := m.hello()
+	answer.Received = b.begin(c, hello.Session)
+	answer.Session = hello.Session
+	if _, err := protodelim.MarshalTo(c, answer); err != nil {
+		return
+	}
+	w := bufio.NewWriter(c)
+	for {
+		f := &peerpb.Frame{}
+		if err := c.read(f); err != nil {
+			return
+		}
+		m.countReceived(f)
+		ok := b.take(c, f.Seq, func() {
+			for _, msg := range f.Messages {
+				m.opts.Events(core.PeerMessage{From: from, Message: msg})
+			}
+		})
+		if !ok {
+			return
+		}
+		// One acknowledgement serves all frames that have come meanwhile.
+		if c.r.Buffered() > 0 {
+			continue
+		}
+		if _, err := protodelim.MarshalTo(w, &peerpb.FrameAck{Seq: f.Seq}); err != nil {
+			return
+		}
+		if err := w.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func (m *Manager) countReceived(f *peerpb.Frame) {
+	if m.opts.Stats != nil {
+		m.opts.Stats.FrameReceived(len(f.Messages), proto.Size(f))
+	}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,269 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// link is the sending end of a session with the process at one address.
+type link struct {
+	m      *Manager
+	addr   string
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	wake    chan struct{}
+	queue   []*peerpb.Message // not yet in a frame
+	frames  []*peerpb.Frame   // not yet acknowledged
+	unacked int               // messages in frames
+	seq     uint64            // latest frame made
+	session uint64
+	member  shard.Member // process of the session
+	reset   bool         // the session is to begin anew
+}
+
+func newLink(m *Manager, addr string, cancel context.CancelFunc) *link {
+	return &link{m: m, addr: addr, cancel: cancel, wake: make(chan struct{}, 1)}
+}
+
+// enqueue adds messages. A link whose queue is full resets its session, which
+// the receiver of events learns when the link is up again.
+func (l *link) enqueue(msgs []*peerpb.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reset {
+		return
+	}
+	if len(l.queue)+l.unacked+len(msgs) > maxQueueMsgs {
+		l.reset = true
+		l.clear()
+		return
+	}
+	l.queue = append(l.queue, msgs...)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) clear() {
+	l.queue = nil
+	l.frames = nil
+	l.unacked = 0
+	l.seq = 0
+}
+
+// run dials until the link is closed. Every attempt is a fresh connection, so
+// its outcome is evidence of whether the process lives.
+func (l *link) run(ctx context.Context) {
+	delay := retryMin
+	for ctx.Err() == nil {
+		began := time.Now()
+		c, err := l.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.m.opts.Events(failure(l.addr, err))
+			sleep(ctx, delay)
+			delay = min(2*delay, retryMax)
+			continue
+		}
+		l.transfer(ctx, c)
+		l.m.opts.Events(core.PeerDown{Addr: l.addr})
+		if time.Since(began) > retryMax {
+			delay = retryMin
+		}
+	}
+}
+
+func failure(addr string, err error) core.Event {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return core.PeerRefused{Addr: addr}
+	}
+	return core.PeerUnanswered{Addr: addr}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// connect opens a connection and exchanges hellos.
+func (l *link) connect(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout+helloTimeout)
+	defer cancel()
+	raw, err := l.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	session, err := yamux.Client(raw, muxConfig())
+	if err != nil {
+		raw.Close()
+		return nil, errors.Wrap(err, "open yamux session")
+	}
+	stream, err := session.Open()
+	if err != nil {
+		session.Close()
+		return nil, errors.Wrap(err, "open yamux stream")
+	}
+	c := newConn(session, stream)
+	if err := l.greet(c); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if l.m.opts.Client == nil {
+		return d.DialContext(ctx, "tcp", l.addr)
+	}
+	return (&tls.Dialer{NetDialer: d, Config: l.m.opts.Client}).DialContext(ctx, "tcp", l.addr)
+}
+
+// greet exchanges hellos and goes on with the session, or begins a new one if
+// another process answers or frames were lost.
+func (l *link) greet(c *conn) error {
+	_ = c.stream.SetDeadline(time.Now().Add(helloTimeout))
+	defer c.stream.SetDeadline(time.Time{})
+	l.mu.Lock()
+	if l.reset || l.session == 0 {
+		l.session++
+		l.clear()
+	}
+	hello := l.m.hello()
+	hello.Session = l.session
+	l.mu.Unlock()
+	if _, err := protodelim.MarshalTo(c, hello); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	answer := &peerpb.Hello{}
+	if err := c.read(answer); err != nil {
+		return errors.Wrap(err, "read hello")
+	}
+	if answer.Version != Version {
+		return errors.Errorf("peer %s speaks version %d of the protocol, want %d; upgrade it", l.addr, answer.Version, Version)
+	}
+	l.began(answer)
+	return nil
+}
+
+func (l *link) began(answer *peerpb.Hello) {
+	member := memberOf(answer)
+	l.mu.Lock()
+	fresh := l.reset || l.member != member
+	if l.member != member {
+		// What was queued was meant for a process that is gone.
+		l.clear()
+	}
+	l.member = member
+	l.reset = false
+	l.drop(answer.Received)
+	l.mu.Unlock()
+	l.m.named(member.Instance, l)
+	l.m.opts.Events(core.PeerUp{
+		Addr:   l.addr,
+		Member: member,
+		Domain: model.Domain(answer.Domain),
+		Reset:  fresh,
+	})
+}
+
+// drop forgets frames up to seq.
+func (l *link) drop(seq uint64) {
+	for len(l.frames) > 0 && l.frames[0].Seq <= seq {
+		l.unacked -= len(l.frames[0].Messages)
+		l.frames = l.frames[1:]
+	}
+}
+
+// transfer sends frames until the connection fails.
+func (l *link) transfer(ctx context.Context, c *conn) {
+	defer c.close()
+	stop := context.AfterFunc(ctx, c.close)
+	defer stop()
+	go l.readAcks(c)
+	w := bufio.NewWriterSize(c, 64<<10)
+	l.mu.Lock()
+	again := append([]*peerpb.Frame(nil), l.frames...)
+	l.mu.Unlock()
+	for _, f := range again {
+		if l.write(w, f) != nil {
+			return
+		}
+	}
+	for {
+		for f := l.nextFrame(); f != nil; f = l.nextFrame() {
+			if l.write(w, f) != nil {
+				return
+			}
+		}
+		if w.Flush() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.session.CloseChan():
+			return
+		case <-l.wake:
+		}
+	}
+}
+
+func (l *link) readAcks(c *conn) {
+	for {
+		a := &peerpb.FrameAck{}
+		if err := c.read(a); err != nil {
+			c.close()
+			return
+		}
+		l.mu.Lock()
+		l.drop(a.Seq)
+		l.mu.Unlock()
+	}
+}
+
+// nextFrame puts the queued messages into a frame, or returns nil.
+func (l *link) nextFrame() *peerpb.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) == 0 {
+		return nil
+	}
+	n := min(len(l.queue), maxFrameMsgs)
+	l.seq++
+	f := &peerpb.Frame{Seq: l.seq, Messages: l.queue[:n:n]}
+	l.queue = l.queue[n:]
+	l.frames = append(l.frames, f)
+	l.unacked += n
+	return f
+}
+
+func (l *link) write(w *bufio.Writer, f *peerpb.Frame) error {
+	n, err := protodelim.MarshalTo(w, f)
+	if err == nil && l.m.opts.Stats != nil {
+		l.m.opts.Stats.FrameSent(len(f.Messages), n)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,213 @@
+// Package peer keeps links between entry instances: yamux over TCP or mutual
+// TLS, with frames of protobuf messages.
+//
+// Each instance sends on the connection that it dialed and receives on those
+// that it accepted. Messages between two processes arrive once and in order,
+// also over reconnects, unless a session is reset; the receiver of an Event
+// with Reset set knows that messages under way may be lost.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// Version is the version of the peer protocol.
+const Version = 1
+
+const (
+	dialTimeout    = 500 * time.Millisecond
+	helloTimeout   = 500 * time.Millisecond
+	retryMin       = 50 * time.Millisecond
+	retryMax       = time.Second
+	keepAlive      = time.Second
+	writeTimeout   = time.Second
+	streamWindow   = 1 << 20
+	maxFrameBytes  = 16 << 20
+	maxFrameMsgs   = 1024
+	maxQueueMsgs   = 1 << 17 // unacknowledged messages of one link
+	acceptDeadline = 2 * time.Second
+)
+
+// Options are the settings of a Manager.
+type Options struct {
+	Self   shard.Member
+	Domain model.Domain
+	Client *tls.Config      // nil for plain TCP
+	Events func(core.Event) // takes events; may block
+	Stats  Stats            // may be nil
+}
+
+// Stats counts what goes over the links.
+type Stats interface {
+	FrameSent(messages, bytes int)
+	FrameReceived(messages, bytes int)
+}
+
+// Manager keeps the links of one instance.
+type Manager struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	links  map[string]*link         // by address
+	byName map[model.Instance]*link // by the process that answered last
+	inbox  map[model.Incarnation]*inbox
+}
+
+// New returns a manager without links.
+func New(o Options) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{
+		opts:   o,
+		ctx:    ctx,
+		cancel: cancel,
+		links:  make(map[string]*link),
+		byName: make(map[model.Instance]*link),
+		inbox:  make(map[model.Incarnation]*inbox),
+	}
+}
+
+// Close ends all links and waits for their goroutines.
+func (m *Manager) Close() {
+	m.cancel()
+	m.wg.Wait()
+}
+
+// Dial keeps links to exactly these addresses.
+func (m *Manager) Dial(list []core.InstanceInfo) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	keep := make(map[string]bool, len(list))
+	for _, i := range list {
+		keep[i.Addr] = true
+		if m.links[i.Addr] == nil {
+			m.startLink(i.Addr)
+		}
+	}
+	for addr, l := range m.links {
+		if !keep[addr] {
+			l.cancel()
+			delete(m.links, addr)
+		}
+	}
+}
+
+func (m *Manager) startLink(addr string) {
+	ctx, cancel := context.WithCancel(m.ctx)
+	l := newLink(m, addr, cancel)
+	m.links[addr] = l
+	m.wg.Go(func() { l.run(ctx) })
+}
+
+// Send queues messages to an instance. Messages to an instance that was never
+// reached are dropped.
+func (m *Manager) Send(to model.Instance, msgs ...*peerpb.Message) {
+	m.mu.Lock()
+	l := m.byName[to]
+	m.mu.Unlock()
+	if l != nil {
+		l.enqueue(msgs)
+	}
+}
+
+func (m *Manager) named(i model.Instance, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.byName[i] = l
+}
+
+func (m *Manager) hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		Version:     Version,
+		Instance:    string(m.opts.Self.Instance),
+		Incarnation: string(m.opts.Self.Incarnation),
+		Domain:      string(m.opts.Domain),
+	}
+}
+
+func memberOf(h *peerpb.Hello) shard.Member {
+	return shard.Member{
+		Instance:    model.Instance(h.Instance),
+		Incarnation: model.Incarnation(h.Incarnation),
+	}
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = streamWindow
+	c.StreamOpenTimeout = helloTimeout
+	c.LogOutput = io.Discard
+	return c
+}
+
+// conn is a stream with its framing.
+type conn struct {
+	io.Writer
+	r       *bufio.Reader
+	session *yamux.Session
+	stream  net.Conn
+}
+
+func newConn(s *yamux.Session, stream net.Conn) *conn {
+	return &conn{Writer: stream, r: bufio.NewReader(stream), session: s, stream: stream}
+}
+
+func (c *conn) read(m protoMessage) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(c.r, m)
+}
+
+func (c *conn) close() {
+	_ = c.stream.Close()
+	_ = c.session.Close()
+}
+
+// Serve accepts connections from other instances until the listener closes.
+func (m *Manager) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if m.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "peer listener; check that its address is free")
+		}
+		m.wg.Go(func() { m.accept(c) })
+	}
+}
+
+func (m *Manager) accept(c net.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(m.ctx, func() { c.Close() })
+	defer stop()
+	session, err := yamux.Server(c, muxConfig())
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	ctx, cancel := context.WithTimeout(m.ctx, acceptDeadline)
+	defer cancel()
+	stream, err := session.AcceptStreamWithContext(ctx)
+	if err != nil {
+		return
+	}
+	m.receive(newConn(session, stream))
+}
--- /dev/null
+++ b/internal/runtime/cluster.go
@@ -0,0 +1,306 @@
+package runtime
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// Keys in the platform's service.
+const (
+	clusterPrefix  = "nutmegweir/cluster/"
+	instancePrefix = clusterPrefix + "instances/"
+	viewsPrefix    = clusterPrefix + "views/"
+)
+
+const (
+	sessionTTL   = 15 * time.Second
+	renewEvery   = 5 * time.Second
+	watchWait    = 30 * time.Second
+	retryDelay   = 300 * time.Millisecond
+	callTimeout  = 2 * time.Second
+	leaveTimeout = time.Second
+)
+
+// platformSession is the instance's session and what it announces.
+type platformSession struct {
+	mu      sync.Mutex
+	id      platform.SessionID
+	leaving bool
+}
+
+func (r *Runtime) info() core.InstanceInfo {
+	r.session.mu.Lock()
+	defer r.session.mu.Unlock()
+	return core.InstanceInfo{
+		Member:  r.opts.Core.Self,
+		Domain:  r.opts.Core.Domain,
+		Addr:    r.opts.Core.Addr,
+		Leaving: r.session.leaving,
+	}
+}
+
+// instanceKey names the incarnation too, so that a replacement need not wait
+// for the lease of the process that it replaces.
+func (r *Runtime) instanceKey() string {
+	self := r.opts.Core.Self
+	return instancePrefix + string(self.Instance) + "/" + string(self.Incarnation)
+}
+
+// runSession keeps this instance in the list of instances.
+func (r *Runtime) runSession() {
+	for r.ctx.Err() == nil {
+		if err := r.keepSession(); err != nil {
+			r.platformError("session", err)
+		}
+		r.pause(retryDelay)
+	}
+	r.endSession()
+}
+
+// keepSession announces the instance and renews the session until that fails.
+func (r *Runtime) keepSession() error {
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	id, err := r.opts.Platform.CreateSession(ctx, string(r.opts.Core.Self.Instance), sessionTTL)
+	if err != nil {
+		return err
+	}
+	r.session.mu.Lock()
+	r.session.id = id
+	r.session.mu.Unlock()
+	if err := r.announce(ctx); err != nil {
+		_ = r.opts.Platform.DestroySession(ctx, id)
+		return err
+	}
+	for {
+		r.pause(renewEvery)
+		if r.ctx.Err() != nil {
+			return nil
+		}
+		if err := r.renew(id); platform.KindOf(err) == platform.KindNoSession {
+			return err
+		}
+	}
+}
+
+func (r *Runtime) announce(ctx context.Context) error {
+	value, err := json.Marshal(r.info())
+	if err != nil {
+		return err
+	}
+	r.session.mu.Lock()
+	id := r.session.id
+	r.session.mu.Unlock()
+	return r.opts.Platform.Acquire(ctx, r.instanceKey(), value, id)
+}
+
+func (r *Runtime) renew(id platform.SessionID) error {
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	err := r.opts.Platform.RenewSession(ctx, id)
+	if err != nil {
+		r.platformError("renew", err)
+	}
+	return err
+}
+
+func (r *Runtime) endSession() {
+	r.session.mu.Lock()
+	id := r.session.id
+	r.session.mu.Unlock()
+	if id == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := r.opts.Platform.DestroySession(ctx, id); err != nil {
+		r.platformError("end session", err)
+	}
+}
+
+func (r *Runtime) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// watchCluster follows the list of instances and the views of all domains.
+func (r *Runtime) watchCluster() {
+	var index uint64
+	for r.ctx.Err() == nil {
+		l, err := r.opts.Platform.List(r.ctx, clusterPrefix, index, watchWait)
+		if err != nil {
+			r.platformError("watch", err)
+			index = 0
+			r.pause(retryDelay)
+			continue
+		}
+		if l.Index != index {
+			r.postListing(l)
+		}
+		index = l.Index
+	}
+}
+
+func (r *Runtime) postListing(l platform.Listing) {
+	var instances []core.InstanceInfo
+	for _, e := range l.Entries {
+		name, isInstance := strings.CutPrefix(e.Key, instancePrefix)
+		if isInstance {
+			var i core.InstanceInfo
+			if r.decode(name, e.Value, &i) {
+				instances = append(instances, i)
+			}
+			continue
+		}
+		if domain, ok := strings.CutPrefix(e.Key, viewsPrefix); ok {
+			r.postViews(model.Domain(domain), e, 0)
+		}
+	}
+	r.Post(core.Instances{List: instances})
+}
+
+func (r *Runtime) decode(name string, value []byte, v any) bool {
+	if err := json.Unmarshal(value, v); err != nil {
+		r.platformError("decode "+name, err)
+		return false
+	}
+	return true
+}
+
+func (r *Runtime) postViews(d model.Domain, e platform.Entry, readAt model.Time) {
+	var doc core.Doc
+	if e.Exists() && !r.decode(e.Key, e.Value, &doc) {
+		return
+	}
+	r.Post(core.Views{Domain: d, Index: e.Index, Doc: doc, ReadAt: readAt})
+}
+
+func (r *Runtime) viewsKey() string { return viewsPrefix + string(r.opts.Core.Domain) }
+
+// readViews reads the home domain's views for an effect.
+func (r *Runtime) readViews(began model.Time) {
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	e, err := r.opts.Platform.Get(ctx, r.viewsKey())
+	if err != nil {
+		r.platformError("read views", err)
+		r.pause(retryDelay)
+		r.Post(core.ReadFailed{})
+		return
+	}
+	r.postViews(r.opts.Core.Domain, e, began)
+}
+
+func (r *Runtime) writeViews(w core.WriteViews) {
+	value, err := json.Marshal(w.Doc)
+	if err != nil {
+		r.Post(core.ViewsWritten{Outcome: core.WriteFailed})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	index, err := r.opts.Platform.CAS(ctx, r.viewsKey(), value, w.Index)
+	if err != nil {
+		r.platformError("write views", err)
+	}
+	r.Post(core.ViewsWritten{Outcome: outcomeOf(index, err), Index: index, Doc: w.Doc})
+}
+
+func outcomeOf(index uint64, err error) core.WriteOutcome {
+	switch {
+	case err == nil && index != 0:
+		return core.WriteApplied
+	case err == nil:
+		return core.WriteConflict // the read that follows tells the index
+	}
+	switch platform.KindOf(err) {
+	case platform.KindConflict:
+		return core.WriteConflict
+	case platform.KindRateLimited, platform.KindUnavailable:
+		return core.WriteFailed
+	}
+	return core.WriteUnknown
+}
+
+// watchServers follows the lagging list of backend servers.
+func (r *Runtime) watchServers() {
+	var index uint64
+	for r.ctx.Err() == nil {
+		l, err := r.opts.Platform.Services(r.ctx, r.opts.BackendService, index, watchWait)
+		if err != nil {
+			r.platformError("watch services", err)
+			r.pause(retryDelay)
+			continue
+		}
+		if l.Index != index {
+			r.setServers(l.Instances)
+		}
+		index = l.Index
+	}
+}
+
+func (r *Runtime) setServers(list []platform.ServiceInstance) {
+	servers := make([]sched.Server, 0, len(list))
+	for _, i := range list {
+		servers = append(servers, serverOf(i))
+	}
+	r.opts.Backends.SetServers(servers)
+	r.opts.Observer.Servers(servers)
+	r.Post(core.Servers{List: servers})
+}
+
+func serverOf(i platform.ServiceInstance) sched.Server {
+	s := sched.Server{
+		ID:     model.ServerID(i.ID),
+		Domain: i.Domain,
+		Addr:   i.Addr.String(),
+		Slots:  i.Slots,
+		Has:    i.Has,
+	}
+	if i.State == platform.StateLeaving {
+		s.State = sched.ServerLeaving
+	}
+	return s
+}
+
+// Drain announces that the instance leaves, hands its shards over and waits
+// until no task is in flight, or until ctx ends.
+func (r *Runtime) Drain(ctx context.Context) {
+	r.session.mu.Lock()
+	r.session.leaving = true
+	r.session.mu.Unlock()
+	if err := r.announce(ctx); err != nil {
+		r.platformError("announce leaving", err)
+	}
+	r.undone.Store(1)
+	r.stopping.Store(true)
+	r.Post(core.Stop{})
+	for ctx.Err() == nil {
+		if r.undone.Load() == 0 && r.inFlight.Load() == 0 {
+			return
+		}
+		r.pause(drainPoll)
+	}
+}
+
+// drainPoll is how often Drain looks whether it is done.
+const drainPoll = 20 * time.Millisecond
+
+// platformError reports a failed call, unless the instance is closing.
+func (r *Runtime) platformError(op string, err error) {
+	if r.ctx.Err() == nil {
+		r.opts.Observer.PlatformError(op, err)
+	}
+}
--- /dev/null
+++ b/internal/runtime/dispatch.go
@@ -0,0 +1,111 @@
+package runtime
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// stateTimeout bounds the question where a job stands once its caller's wait
+// has ended.
+const stateTimeout = 500 * time.Millisecond
+
+// Submit admits a job or finds it. With wait it returns the final answer, or
+// a pending one when ctx ends before and the job is known to be admitted.
+func (r *Runtime) Submit(ctx context.Context, spec *peerpb.JobSpec, wait bool) (*peerpb.Answer, error) {
+	a, err := r.ask(ctx, core.CallerRequest{Op: core.OpSubmit, Spec: spec, Report: !wait}, wait)
+	if err == nil {
+		return a, nil
+	}
+	return r.state(ctx, spec.Identity, err)
+}
+
+// Lookup finds the answer of a job without submitting it.
+func (r *Runtime) Lookup(ctx context.Context, id *peerpb.Identity, wait bool) (*peerpb.Answer, error) {
+	a, err := r.ask(ctx, core.CallerRequest{Op: core.OpLookup, Identity: id, Wait: wait}, wait)
+	if err == nil || !wait {
+		return a, err
+	}
+	return r.state(ctx, id, err)
+}
+
+// Cancel gives up the unstarted tasks of a job.
+func (r *Runtime) Cancel(ctx context.Context, id *peerpb.Identity) (*peerpb.Answer, error) {
+	return r.ask(ctx, core.CallerRequest{Op: core.OpCancel, Identity: id}, true)
+}
+
+// state tells whether a job is pending after the caller's wait has ended.
+func (r *Runtime) state(ctx context.Context, id *peerpb.Identity, ended error) (*peerpb.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stateTimeout)
+	defer cancel()
+	a, err := r.ask(ctx, core.CallerRequest{Op: core.OpLookup, Identity: id}, false)
+	if err != nil || a.Status == peerpb.Status_STATUS_REFUSED {
+		return nil, ended
+	}
+	return a, nil
+}
+
+// ask passes a request to the reducer and waits for its reply. Unless final
+// is set a pending answer is a reply too.
+func (r *Runtime) ask(ctx context.Context, c core.CallerRequest, final bool) (*peerpb.Answer, error) {
+	c.ID = r.requests.Add(1)
+	replies := make(chan *peerpb.Answer, 2)
+	r.mu.Lock()
+	r.waiting[c.ID] = replies
+	r.mu.Unlock()
+	defer r.forget(c.ID)
+	r.Post(c)
+	for {
+		select {
+		case a := <-replies:
+			if final && c.Op == core.OpSubmit && a.Status == peerpb.Status_STATUS_PENDING {
+				continue
+			}
+			return a, nil
+		case <-ctx.Done():
+			r.Post(core.CallerGone{ID: c.ID})
+			return nil, ctx.Err()
+		case <-r.ctx.Done():
+			return nil, context.Canceled
+		}
+	}
+}
+
+func (r *Runtime) forget(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, id)
+}
+
+func (r *Runtime) deliver(rep core.Reply) {
+	r.mu.Lock()
+	c := r.waiting[rep.ID]
+	r.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c <- rep.Answer:
+	default:
+	}
+}
+
+// Explain says in plain text where a job stands.
+func (r *Runtime) Explain(ctx context.Context, id *peerpb.Identity) (string, error) {
+	var text string
+	err := r.query(ctx, func() { text = r.core.Explain(id) })
+	return text, err
+}
+
+// Status returns what the instance knows of itself and its domain, or nil
+// when it is closing.
+func (r *Runtime) Status(ctx context.Context) *api.InstanceStatus {
+	var s *api.InstanceStatus
+	if r.query(ctx, func() { s = r.core.Status() }) != nil {
+		return nil
+	}
+	return s
+}
--- /dev/null
+++ b/internal/runtime/runtime.go
@@ -0,0 +1,247 @@
+// Package runtime turns I/O into events of the reducer, and the reducer's
+// effects into I/O.
+package runtime
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/backend"
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peer"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+const (
+	eventQueue = 4096
+	maxBatch   = 256 // events taken before their effects are carried out
+)
+
+// Options are the parts of a Runtime.
+type Options struct {
+	Core           core.Options
+	Domains        []model.Domain
+	Platform       platform.Platform
+	BackendService string
+	Peers          *peer.Manager
+	Backends       *backend.Pool
+	Observer       Observer
+}
+
+// Observer is told what operators want to know.
+type Observer interface {
+	Step(d time.Duration, events int)
+	Note(n core.Note)
+	PlatformError(op string, err error)
+	TaskDone(server model.ServerID, res backend.Result)
+	Servers(list []sched.Server)
+}
+
+// Runtime runs the reducer of one instance.
+type Runtime struct {
+	opts   Options
+	core   *core.Reducer
+	events chan core.Event
+	calls  chan func()
+	clock  clock
+	wg     sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	requests atomic.Uint64
+	inFlight atomic.Int64 // tasks started and not yet answered
+	stopping atomic.Bool
+	undone   atomic.Int64 // what a graceful stop waits for
+
+	mu      sync.Mutex
+	waiting map[uint64]chan *peerpb.Answer
+
+	session platformSession
+}
+
+// New returns a runtime that does nothing yet.
+func New(o Options) *Runtime {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Runtime{
+		opts:    o,
+		core:    core.New(o.Core),
+		events:  make(chan core.Event, eventQueue),
+		calls:   make(chan func()),
+		waiting: make(map[uint64]chan *peerpb.Answer),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// SetPeers sets the peer manager, which needs the runtime's Post.
+func (r *Runtime) SetPeers(m *peer.Manager) { r.opts.Peers = m }
+
+// Post hands an event to the reducer. It blocks while the queue is full.
+func (r *Runtime) Post(e core.Event) {
+	select {
+	case r.events <- e:
+	case <-r.ctx.Done():
+	}
+}
+
+// Start begins to run.
+func (r *Runtime) Start() {
+	r.wg.Go(r.loop)
+	r.wg.Go(r.runSession)
+	r.wg.Go(r.watchCluster)
+	r.wg.Go(r.watchServers)
+}
+
+// Close stops at once and waits for all goroutines.
+func (r *Runtime) Close() {
+	r.cancel()
+	r.wg.Wait()
+}
+
+// loop is the only goroutine that touches the reducer.
+func (r *Runtime) loop() {
+	ticker := time.NewTicker(sched.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case e := <-r.events:
+			r.batch(e)
+		case f := <-r.calls:
+			f()
+		case <-ticker.C:
+			r.batch(core.Tick{})
+		}
+		r.apply(r.core.Ready())
+	}
+}
+
+// batch takes the event and those that wait behind it.
+func (r *Runtime) batch(e core.Event) {
+	began := time.Now()
+	n := 0
+	for {
+		r.core.Step(r.clock.now(), e)
+		n++
+		if n == maxBatch {
+			break
+		}
+		select {
+		case e = <-r.events:
+			continue
+		default:
+		}
+		break
+	}
+	r.opts.Observer.Step(time.Since(began), n)
+}
+
+// query runs f on the reducer's goroutine.
+func (r *Runtime) query(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	call := func() {
+		f()
+		close(done)
+	}
+	select {
+	case r.calls <- call:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.ctx.Done():
+		return context.Canceled
+	}
+}
+
+func (r *Runtime) apply(e core.Effects) {
+	if e.Dial != nil {
+		r.opts.Peers.Dial(e.Dial)
+	}
+	for _, s := range e.Sends {
+		r.opts.Peers.Send(s.To, s.Message)
+	}
+	for _, st := range e.Starts {
+		r.start(st)
+	}
+	for _, rep := range e.Replies {
+		r.deliver(rep)
+	}
+	if e.WriteViews != nil {
+		w := *e.WriteViews
+		r.wg.Go(func() { r.writeViews(w) })
+	}
+	if e.ReadViews {
+		began := r.clock.now()
+		r.wg.Go(func() { r.readViews(began) })
+	}
+	for _, n := range e.Notes {
+		r.opts.Observer.Note(n)
+	}
+	if r.stopping.Load() {
+		r.undone.Store(int64(r.core.Undone()))
+	}
+}
+
+func (r *Runtime) start(st shard.StartTask) {
+	r.inFlight.Add(1)
+	r.wg.Go(func() {
+		defer r.inFlight.Add(-1)
+		res := r.opts.Backends.Run(r.ctx, st.Start.Server, taskOf(st))
+		r.opts.Observer.TaskDone(st.Start.Server, res)
+		r.Post(core.TaskDone{TaskDone: shard.TaskDone{
+			Start:   st.Start,
+			Outcome: res.Outcome,
+			Ran:     res.Ran,
+			Output:  res.Output,
+			Error:   res.Error,
+		}})
+	})
+}
+
+func taskOf(st shard.StartTask) backend.Task {
+	id := st.Spec.Identity
+	var key model.Key
+	copy(key[:], id.Key)
+	name := id.Home + "/" + id.Customer + "/" + key.String() + "/" + strconv.Itoa(st.Start.Index)
+	return backend.Task{
+		Identity: name,
+		Attempt:  st.Attempt,
+		Kind:     model.Kind(st.Spec.Kind),
+		Deadline: model.Time(st.Spec.DeadlineUnixMs * int64(time.Millisecond)),
+		Payload:  st.Spec.Payloads[st.Start.Index],
+	}
+}
+
+// clock gives the wall time, but never goes back and never stands still while
+// the monotonic clock goes on.
+type clock struct {
+	last model.Time
+	at   time.Time
+}
+
+func (c *clock) now() model.Time {
+	t := time.Now()
+	wall := model.Time(t.UnixNano())
+	if c.last != 0 {
+		wall = max(wall, c.last.Add(t.Sub(c.at)))
+	}
+	c.last = wall
+	c.at = t
+	return wall
+}
+
+// Ready reports whether submissions can be routed.
+func (r *Runtime) Ready() bool {
+	ready := false
+	err := r.query(r.ctx, func() { ready = r.core.Routable() })
+	return err == nil && ready
+}
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -117,6 +117,9 @@
 	e.dirty = e.dirty[:0]
 }
 
+// OpenJobs returns the number of queued jobs and of jobs with tasks in flight.
+func (e *Env) OpenJobs() int { return len(e.jobs) }
+
 // TakeEffects returns and clears what the shards want done.
 func (e *Env) TakeEffects() Effects {
 	out := e.Out
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -91,3 +91,8 @@
 type Peers interface {
 	Liveness(m Member) Liveness
 }
+
+// String returns the name of the role.
+func (r Role) String() string {
+	return [...]string{"none", "learner", "replica", "owner"}[r]
+}
