Schedule with lent slots, weighted queues and learned run times

Cause: the first version ran tasks in order of submission on any free slot of any server and knew neither other instances nor failures. Change: slots belong to one instance by rendezvous hashing and are lent on demand; customers and kinds share by weight; jobs are ordered by size and deadline; run times and server speeds are learned; broken servers are quarantined and probed; jobs that cannot meet their deadline are refused.

--- /dev/null
+++ b/internal/sched/dispatch.go
@@ -0,0 +1,363 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+const (
+	slowMargin     = 1.5             // a free server is taken without thought up to this multiple of the usual slowness
+	loadMemory     = 5 * time.Second // time constant of the load of short and long work
+	reserveSpread  = 2.0             // slots kept for short work above its mean load, in square roots of that load
+	firstRunsSpace = 1024
+)
+
+type runKey struct {
+	job   model.JobHandle
+	index int
+}
+
+// run is a start that has not ended.
+type run struct {
+	job     *job
+	server  *server
+	started model.Time
+	charged float64 // service charged so far, seconds
+	long    bool    // counted as long work
+	probe   bool
+}
+
+// runs are the starts that have not ended, with those first that started
+// first.
+type runs struct {
+	byKey      map[runKey]run
+	order      []runKey // by start time
+	first      int      // index of the first one in order
+	stragglers []runKey
+	long       int // running starts that count as long work
+	longCap    int // bound of long
+	shortLoad  float64
+	longLoad   float64
+	shortNew   float64 // work submitted since the last tick, seconds
+	longNew    float64
+	ticked     model.Time
+}
+
+// bind starts tasks while there are free slots and flows that may use them.
+func (s *Scheduler) bind(now model.Time) {
+	if len(s.quarantined) > 0 {
+		s.probe(now)
+	}
+	for s.index.total > 0 || s.opts.Mode.QueueAtServer {
+		f := s.nextFlow()
+		if f == nil {
+			return
+		}
+		s.tryStart(now, f)
+	}
+}
+
+// tryStart starts the flow's next task or parks the flow.
+func (s *Scheduler) tryStart(now model.Time, f *flow) {
+	j := s.head(now, f)
+	if j == nil {
+		s.deactivate(f)
+		return
+	}
+	if f.limit != nil && !f.limit.admits(now) {
+		s.park(f, &f.limit.parked, WaitLimit)
+		return
+	}
+	if s.reserved(f) {
+		s.park(f, &s.parkedLong, WaitShortWork)
+		return
+	}
+	v, cause := s.choose(f)
+	if v == nil {
+		s.park(f, &s.parkedSlot, cause)
+		return
+	}
+	s.start(now, j, v, false)
+}
+
+func (s *Scheduler) reserved(f *flow) bool {
+	return f.kindState.long && !s.opts.Mode.NoReserve && s.runs.long >= s.runs.longCap
+}
+
+// choose finds the server for the flow's next task: the fastest free one,
+// unless waiting for a faster one is expected to end sooner.
+func (s *Scheduler) choose(f *flow) (*server, Wait) {
+	if s.opts.Mode.QueueAtServer {
+		return s.randomServer(f, func(*server) bool { return true })
+	}
+	if s.opts.Mode.RandomServer {
+		return s.randomServer(f, func(v *server) bool { return v.free() > 0 })
+	}
+	list, ok := s.index.fastest(f.needs)
+	if !ok {
+		return nil, WaitNeeds
+	}
+	v := list[s.rng.IntN(len(list))]
+	if s.tooSlow(f, v) {
+		return nil, WaitFaster
+	}
+	return v, WaitNone
+}
+
+// tooSlow compares the expected end on a free slow server with that on one
+// of the usual slowness after the queue.
+func (s *Scheduler) tooSlow(f *flow, v *server) bool {
+	usual := s.usualSlowness()
+	slow := v.speed.factor()
+	if v.speed.samples < minSlowSample || slow <= slowMargin*usual {
+		return false
+	}
+	wait := (s.queue.work + f.kindState.run.mean) / math.Max(1, float64(s.index.held)) * usual
+	return f.kindState.run.mean*(slow-usual) > wait
+}
+
+// usualSlowness is the mean slowness of the work done lately.
+func (s *Scheduler) usualSlowness() float64 { return s.usual }
+
+func (s *Scheduler) randomServer(f *flow, ok func(*server) bool) (*server, Wait) {
+	n := len(s.list)
+	if n == 0 {
+		return nil, WaitSlot
+	}
+	first := s.rng.IntN(n)
+	for i := range n {
+		v := s.list[(first+i)%n]
+		if v.usable() && ok(v) && f.needs.Fits(v.Has) {
+			return v, WaitNone
+		}
+	}
+	return nil, WaitSlot
+}
+
+func (s *Scheduler) start(now model.Time, j *job, v *server, probe bool) {
+	f := j.flow
+	i := j.take()
+	cost := f.kindState.run.mean * v.speed.factor()
+	s.queue.floor = math.Max(s.queue.floor, f.cust.virtual)
+	f.cust.floor = math.Max(f.cust.floor, f.virtual)
+	v.busy++
+	s.index.update(v)
+	r := run{job: j, server: v, started: now, charged: cost, long: f.kindState.long, probe: probe}
+	if r.long {
+		s.runs.long++
+	}
+	if f.limit != nil {
+		f.limit.take()
+	}
+	k := runKey{j.Handle, i}
+	s.runs.byKey[k] = r
+	s.runs.order = append(s.runs.order, k)
+	j.running++
+	j.trace.started(now, v)
+	s.charge(f, cost)
+	s.count(f, -1, j.class)
+	if j.waiting() == 0 && j.queued {
+		f.jobs.remove(j)
+		j.queued = false
+	}
+	if f.waiting == 0 {
+		s.empty(now, f)
+	}
+	s.starts++
+	s.out.Starts = append(s.out.Starts, Start{Job: j.Handle, Index: i, Server: v.ID})
+}
+
+// probe starts real, repeatable work on quarantined servers that are due.
+func (s *Scheduler) probe(now model.Time) {
+	for s.nextProbe(now) {
+	}
+}
+
+func (s *Scheduler) nextProbe(now model.Time) bool {
+	f := s.nextFlow()
+	if f == nil {
+		return false
+	}
+	v := s.probeServer(now, f)
+	if v == nil {
+		return false
+	}
+	j := s.head(now, f)
+	if j == nil || !j.Repeatable || (f.limit != nil && !f.limit.admits(now)) {
+		return false
+	}
+	v.health.probing = true
+	s.start(now, j, v, true)
+	return true
+}
+
+// Done reports how a start ended. ran is the time from start to answer.
+func (s *Scheduler) Done(now model.Time, st Start, o Outcome, ran time.Duration) {
+	s.now = now
+	k := runKey{st.Job, st.Index}
+	r, ok := s.runs.byKey[k]
+	if !ok {
+		return
+	}
+	delete(s.runs.byKey, k)
+	j, v, f := r.job, r.server, r.job.flow
+	j.running--
+	v.busy--
+	if r.long {
+		s.runs.long--
+		s.wake(&s.parkedLong)
+	}
+	if f.limit != nil {
+		f.limit.release()
+		s.wake(&f.limit.parked)
+	}
+	s.learn(f, v, o, ran)
+	s.settle(f, r, o, ran)
+	s.observeHealth(now, v, f, o, r.probe)
+	if o == OutcomeNotStarted || o == OutcomeUnreachable {
+		s.pause(now, v)
+		s.requeue(j, st.Index)
+	}
+	s.slotFreed(v)
+	s.retire(j)
+	s.wake(&s.parkedSlot)
+	s.bind(now)
+	s.flush(now)
+}
+
+// requeue queues a task again that was not started.
+func (s *Scheduler) requeue(j *job, index int) {
+	j.trace.refusals++
+	if j.ended {
+		return
+	}
+	j.retry = append(j.retry, index)
+	s.enqueue(j, 1)
+}
+
+// settle replaces the expected service of a start by the measured one.
+func (s *Scheduler) settle(f *flow, r run, o Outcome, ran time.Duration) {
+	actual := ran.Seconds()
+	if o == OutcomeNotStarted || o == OutcomeUnreachable {
+		actual = 0
+	}
+	s.charge(f, actual-r.charged)
+}
+
+// learn takes a measured run time into account.
+func (s *Scheduler) learn(f *flow, v *server, o Outcome, ran time.Duration) {
+	if o != OutcomeOK || ran <= 0 {
+		return
+	}
+	v.health.refusals = 0
+	t := ran.Seconds()
+	ks := f.kindState
+	factor := v.speed.factor()
+	if ks.run.samples >= minKindSamples {
+		v.speed.observe(t / ks.run.mean)
+	}
+	ks.run.observe(t / factor)
+	s.typical.observe(t / factor)
+	const usualGain = 1.0 / 256
+	s.usual += usualGain * (factor - s.usual)
+	s.rank(v)
+	s.classify(ks)
+}
+
+// rank moves a server to another level of slowness when it has left its own
+// clearly.
+func (s *Scheduler) rank(v *server) {
+	const stay = 0.75 * speedStep
+	centre := float64(v.speedRank-middleLevel) * speedStep
+	if math.Abs(v.speed.log-centre) > stay {
+		v.speedRank = rankOf(v.speed.log)
+	}
+}
+
+func (s *Scheduler) classify(ks *kindState) {
+	const leave = 0.75
+	bound := longFactor * s.typical.seconds()
+	if ks.run.mean > bound {
+		ks.long = true
+	}
+	if ks.run.mean < leave*bound {
+		ks.long = false
+	}
+}
+
+// watchRuns counts starts that outlast the bound of long work as long, and
+// charges their flows for the time they take beyond what was expected.
+func (s *Scheduler) watchRuns(now model.Time) {
+	bound := time.Duration(longFactor * s.typical.seconds() * float64(time.Second))
+	r := &s.runs
+	for r.first < len(r.order) {
+		k := r.order[r.first]
+		x, ok := r.byKey[k]
+		if ok && now.Sub(x.started) < bound {
+			break
+		}
+		r.first++
+		if ok {
+			r.stragglers = append(r.stragglers, k)
+		}
+	}
+	if r.first > firstRunsSpace && 2*r.first > len(r.order) {
+		r.order = append(r.order[:0], r.order[r.first:]...)
+		r.first = 0
+	}
+	s.chargeStragglers(now)
+}
+
+func (s *Scheduler) chargeStragglers(now model.Time) {
+	keep := s.runs.stragglers[:0]
+	for _, k := range s.runs.stragglers {
+		x, ok := s.runs.byKey[k]
+		if !ok {
+			continue
+		}
+		if !x.long {
+			x.long = true
+			s.runs.long++
+		}
+		if over := now.Sub(x.started).Seconds() - x.charged; over > 0 {
+			s.charge(x.job.flow, over)
+			x.charged += over
+		}
+		s.runs.byKey[k] = x
+		keep = append(keep, k)
+	}
+	s.runs.stragglers = keep
+}
+
+// updateReserve sets how many slots long work may hold: what the load of
+// short work and its variation leave, but never less than long work's part
+// of the load.
+func (s *Scheduler) updateReserve(now model.Time) {
+	r := &s.runs
+	dt := now.Sub(r.ticked).Seconds()
+	r.ticked = now
+	if dt <= 0 {
+		return
+	}
+	gain := 1 - math.Exp(-dt/loadMemory.Seconds())
+	r.shortLoad += gain * (r.shortNew/dt - r.shortLoad)
+	r.longLoad += gain * (r.longNew/dt - r.longLoad)
+	r.shortNew, r.longNew = 0, 0
+	held := float64(s.index.held)
+	left := held - r.shortLoad - reserveSpread*math.Sqrt(r.shortLoad)
+	part := held
+	if sum := r.shortLoad + r.longLoad; sum > 0 {
+		part = held * r.longLoad / sum
+	}
+	r.longCap = max(1, int(math.Ceil(math.Max(left, part))))
+}
+
+func (s *Scheduler) offered(f *flow, work float64) {
+	if f.kindState.long {
+		s.runs.longNew += work
+		return
+	}
+	s.runs.shortNew += work
+}
--- /dev/null
+++ b/internal/sched/explain.go
@@ -0,0 +1,187 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Wait says why a flow's next task is not started.
+type Wait uint8
+
+// Causes of waiting.
+const (
+	WaitNone      Wait = iota
+	WaitTurn           // other customers and kinds are served first, by weight
+	WaitSlot           // every slot that this instance may use is taken
+	WaitFaster         // the free servers are so slow that waiting ends sooner
+	WaitShortWork      // the free slots are kept for short work
+	WaitLimit          // this instance's share of the row's limit is used up
+	WaitNeeds          // no free server has the resources
+)
+
+// Progress is where a job stands.
+type Progress uint8
+
+// Progress of a job.
+const (
+	ProgressUnknown Progress = iota
+	ProgressWaiting
+	ProgressRunning
+	ProgressEnded
+	ProgressRefused
+)
+
+// trace is what Explain reports about a job's past.
+type trace struct {
+	submitted  model.Time
+	firstStart model.Time
+	ended      model.Time
+	estimate   time.Duration
+	retryAfter time.Duration
+	reason     Reason
+	last       *server
+	local      int
+	borrowed   int
+	spilled    int
+	refusals   int
+}
+
+func (t *trace) started(now model.Time, v *server) {
+	if t.firstStart == 0 {
+		t.firstStart = now
+	}
+	t.last = v
+	switch {
+	case v.remote:
+		t.spilled++
+	case v.owned:
+		t.local++
+	default:
+		t.borrowed++
+	}
+}
+
+// Explanation says why a job waits, where its tasks went, or why it was
+// refused.
+type Explanation struct {
+	Progress       Progress
+	Customer       model.Customer
+	Kind           model.Kind
+	Wait           Wait
+	Waited         time.Duration // from submission to the first start, or until now
+	Waiting        int           // tasks not started
+	Running        int
+	AheadTasks     int           // waiting tasks of all jobs at this instance
+	EstimatedDelay time.Duration // at submission
+	ExpectedRun    time.Duration // learned run time of a task
+	LongWork       bool          // counted as long work
+	Server         model.ServerID
+	ServerSlowness float64 // run time relative to the fleet's mean
+	StartsOwn      int     // on slots of this instance
+	StartsBorrowed int     // on slots borrowed inside the domain
+	StartsSpilled  int     // in other failure domains
+	NotStarted     int     // starts that were refused or found no server
+	Reason         Reason  // of a refusal or drop
+	RetryAfter     time.Duration
+}
+
+// Explain reports on a job that waits, runs, or ended a short while ago.
+func (s *Scheduler) Explain(now model.Time, h model.JobHandle) Explanation {
+	j := s.queue.jobs[h]
+	if j == nil {
+		j = s.history.find(h)
+	}
+	if j == nil {
+		return Explanation{}
+	}
+	return s.explain(now, j)
+}
+
+func (s *Scheduler) explain(now model.Time, j *job) Explanation {
+	t := &j.trace
+	e := Explanation{
+		Customer: j.Customer, Kind: j.Kind,
+		Waiting: j.waiting(), Running: j.running,
+		AheadTasks:     s.queue.waiting,
+		EstimatedDelay: t.estimate,
+		ExpectedRun:    time.Duration(j.flow.kindState.run.mean * float64(time.Second)),
+		LongWork:       j.flow.kindState.long,
+		StartsOwn:      t.local, StartsBorrowed: t.borrowed, StartsSpilled: t.spilled,
+		NotStarted: t.refusals, Reason: t.reason, RetryAfter: t.retryAfter,
+	}
+	if t.last != nil {
+		e.Server = t.last.ID
+		e.ServerSlowness = t.last.speed.factor()
+	}
+	e.Progress = j.progress()
+	e.Waited = j.waited(now)
+	if e.Waiting > 0 {
+		e.Wait = s.waitOf(j)
+	}
+	return e
+}
+
+func (j *job) progress() Progress {
+	switch {
+	case j.trace.reason != ReasonNone && j.trace.firstStart == 0:
+		return ProgressRefused
+	case j.running > 0:
+		return ProgressRunning
+	case j.waiting() > 0:
+		return ProgressWaiting
+	}
+	return ProgressEnded
+}
+
+func (j *job) waited(now model.Time) time.Duration {
+	until := now
+	if j.trace.ended != 0 {
+		until = j.trace.ended
+	}
+	if j.trace.firstStart != 0 {
+		until = j.trace.firstStart
+	}
+	return until.Sub(j.trace.submitted)
+}
+
+func (s *Scheduler) waitOf(j *job) Wait {
+	switch {
+	case j.flow.cause != WaitNone:
+		return j.flow.cause
+	case s.index.total == 0:
+		return WaitSlot
+	}
+	return WaitTurn
+}
+
+// history keeps jobs that ended, for Explain, and reuses their memory.
+type history struct {
+	ring   []*job
+	next   int
+	byName map[model.JobHandle]*job
+}
+
+func newHistory() history {
+	return history{byName: make(map[model.JobHandle]*job, historySize)}
+}
+
+func (h *history) find(id model.JobHandle) *job { return h.byName[id] }
+
+func (h *history) add(s *Scheduler, j *job) {
+	if j.trace.ended == 0 {
+		j.trace.ended = s.now
+	}
+	h.byName[j.Handle] = j
+	if len(h.ring) < historySize {
+		h.ring = append(h.ring, j)
+		return
+	}
+	old := h.ring[h.next]
+	h.ring[h.next] = j
+	h.next = (h.next + 1) % historySize
+	if h.byName[old.Handle] == old {
+		delete(h.byName, old.Handle)
+	}
+	s.queue.spare = append(s.queue.spare, old)
+}
--- /dev/null
+++ b/internal/sched/health.go
@@ -0,0 +1,188 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+const (
+	brokenRate       = 0.9  // failure rate of a server that is taken for broken
+	minPeerRate      = 0.01 // failure rate that is always expected of a healthy server
+	maxPeerRate      = 0.88
+	quarantineScore  = 17.0 // log likelihood ratio at which a server is quarantined
+	probeAfter       = 8 * time.Second
+	maxProbeAfter    = 64 * time.Second
+	probesToReturn   = 2
+	refusalPause     = 20 * time.Millisecond
+	maxRefusalPause  = time.Second
+	failureMemory    = 256 // starts that the failure rate of a kind remembers
+	maxQuarantinePct = 50  // share of servers that may be in quarantine at once
+)
+
+// health is what the outcomes of starts say about a server.
+type health struct {
+	score       float64 // log likelihood ratio of broken to healthy
+	quarantined bool
+	probeAt     model.Time
+	wait        time.Duration
+	probing     bool
+	passed      int
+	paused      bool // refused a start a moment ago
+	pausedUntil model.Time
+	refusals    int
+	starts      uint64
+	failures    uint64
+}
+
+// open reports whether ordinary starts may go to the server.
+func (h *health) open() bool { return !h.quarantined && !h.paused }
+
+// failureRate is the decayed failure rate of a customer's kind over all
+// servers.
+type failureRate struct {
+	rate    float64
+	samples float64
+}
+
+func (f *failureRate) observe(failed bool) {
+	f.samples = math.Min(f.samples+1, failureMemory)
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	f.rate += (x - f.rate) / f.samples
+}
+
+func (f *failureRate) expected() float64 {
+	return math.Min(maxPeerRate, math.Max(minPeerRate, f.rate))
+}
+
+// judge updates a server's score by one outcome against what its peers show
+// for the same kind of work.
+func (h *health) judge(failed bool, peers float64) {
+	if failed {
+		h.score += math.Log(brokenRate / peers)
+		return
+	}
+	h.score += math.Log((1 - brokenRate) / (1 - peers))
+	h.score = math.Max(0, h.score)
+}
+
+// observeHealth takes the outcome of a start into account.
+func (s *Scheduler) observeHealth(now model.Time, v *server, f *flow, o Outcome, probe bool) {
+	h := &v.health
+	if probe {
+		h.probing = false
+	}
+	if s.opts.Mode.NoHealth || o == OutcomeNotStarted {
+		return
+	}
+	failed := o != OutcomeOK
+	h.starts++
+	if failed {
+		h.failures++
+	}
+	if h.quarantined {
+		if probe {
+			s.judgeProbe(now, v, failed)
+		}
+		return
+	}
+	h.judge(failed, f.failures.expected())
+	f.failures.observe(failed)
+	if h.score >= quarantineScore && s.mayQuarantine() {
+		s.quarantine(now, v)
+	}
+}
+
+func (s *Scheduler) judgeProbe(now model.Time, v *server, failed bool) {
+	h := &v.health
+	if failed {
+		h.passed = 0
+		h.wait = min(2*h.wait, maxProbeAfter)
+		h.probeAt = now.Add(h.wait)
+		return
+	}
+	h.passed++
+	h.probeAt = now
+	if h.passed >= probesToReturn {
+		s.release(v)
+	}
+}
+
+func (s *Scheduler) mayQuarantine() bool {
+	return (len(s.quarantined)+1)*100 <= len(s.servers)*maxQuarantinePct
+}
+
+func (s *Scheduler) quarantine(now model.Time, v *server) {
+	h := &v.health
+	h.quarantined = true
+	h.wait = max(probeAfter, h.wait)
+	h.probeAt = now.Add(h.wait)
+	h.passed = 0
+	s.quarantined = append(s.quarantined, v)
+	s.index.update(v)
+}
+
+func (s *Scheduler) release(v *server) {
+	wait := v.health.wait
+	v.health = health{wait: wait / 2, starts: v.health.starts, failures: v.health.failures}
+	for i, q := range s.quarantined {
+		if q == v {
+			s.quarantined = append(s.quarantined[:i], s.quarantined[i+1:]...)
+			break
+		}
+	}
+	s.index.update(v)
+}
+
+// pause keeps starts from a server that has just refused one.
+func (s *Scheduler) pause(now model.Time, v *server) {
+	h := &v.health
+	d := min(refusalPause<<min(h.refusals, 10), maxRefusalPause)
+	h.refusals++
+	h.pausedUntil = now.Add(d)
+	if !h.paused {
+		h.paused = true
+		s.paused = append(s.paused, v)
+	}
+	s.index.update(v)
+}
+
+func (s *Scheduler) endPauses(now model.Time) {
+	keep := s.paused[:0]
+	for _, v := range s.paused {
+		if now < v.health.pausedUntil {
+			keep = append(keep, v)
+			continue
+		}
+		v.health.paused = false
+		s.index.update(v)
+	}
+	s.paused = keep
+}
+
+// probeServer returns a quarantined server that is due for a probe.
+func (s *Scheduler) probeServer(now model.Time, f *flow) *server {
+	for _, v := range s.quarantined {
+		h := &v.health
+		due := now >= h.probeAt && !h.probing && !h.paused
+		if due && v.known && v.State == ServerActive && v.held() > v.busy && f.needs.Fits(v.Has) {
+			return v
+		}
+	}
+	return nil
+}
+
+// ServerHealthy tells that a check of a quarantined server's health endpoint
+// succeeded. It counts like a probe.
+func (s *Scheduler) ServerHealthy(now model.Time, id model.ServerID) {
+	v := s.servers[id]
+	if v == nil || !v.health.quarantined || now < v.health.probeAt {
+		return
+	}
+	s.judgeProbe(now, v, false)
+	s.bind(now)
+}
--- /dev/null
+++ b/internal/sched/runtimes.go
@@ -0,0 +1,73 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	defaultRun       = 300 * time.Millisecond // prior of a kind without declared run time
+	priorSamples     = 1                      // samples that a declared run time stands for
+	maxKindSamples   = 64                     // weight of the past in a kind's mean
+	minKindSamples   = 8                      // run times seen before a kind tells something of a server
+	maxServerSamples = 32                     // weight of the past in a server's slowness
+	longFactor       = 4                      // a kind is long when its mean exceeds the typical run by this factor
+)
+
+// runTime is the learned run time of a customer's kind, in seconds on a
+// server of slowness 1.
+type runTime struct {
+	mean    float64
+	dev     float64 // mean absolute deviation
+	samples float64
+}
+
+func newRunTime(declared time.Duration) runTime {
+	if declared <= 0 {
+		declared = defaultRun
+	}
+	return runTime{mean: declared.Seconds(), dev: declared.Seconds() / 2, samples: priorSamples}
+}
+
+func (r *runTime) observe(seconds float64) {
+	r.samples = math.Min(r.samples+1, maxKindSamples)
+	gain := 1 / r.samples
+	diff := seconds - r.mean
+	r.mean += gain * diff
+	r.dev += gain * (math.Abs(diff) - r.dev)
+}
+
+// high is a run time that most tasks of the kind stay below.
+func (r *runTime) high() float64 { return r.mean + r.dev }
+
+// typicalRun is the geometric mean of all run times of the instance.
+type typicalRun struct {
+	logMean float64
+	samples float64
+}
+
+func (t *typicalRun) observe(seconds float64) {
+	const maxSamples = 1024
+	t.samples = math.Min(t.samples+1, maxSamples)
+	t.logMean += (math.Log(seconds) - t.logMean) / t.samples
+}
+
+func (t *typicalRun) seconds() float64 {
+	if t.samples == 0 {
+		return defaultRun.Seconds()
+	}
+	return math.Exp(t.logMean)
+}
+
+// slowness is the learned run time of a server relative to the fleet's mean.
+type slowness struct {
+	log     float64
+	samples float64
+}
+
+func (s *slowness) factor() float64 { return math.Exp(s.log) }
+
+func (s *slowness) observe(ratio float64) {
+	s.samples = math.Min(s.samples+1, maxServerSamples)
+	s.log += (math.Log(ratio) - s.log) / (s.samples + 1)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1,239 +1,196 @@
-// Package sched decides which task starts next and on which backend server.
-// It is a pure state machine: time and seeds arrive in its inputs, and what
-// is to be done is returned by Ready.
 package sched
 
 import (
-	"time"
+	"math/rand/v2"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
-	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
 
-// Job is a job as the scheduler sees it. Its tasks start in index order.
-type Job struct {
-	Handle     model.JobHandle
-	Customer   model.Customer
-	Kind       model.Kind
-	Tasks      int
-	Declared   time.Duration // declared run time of a task, 0 if unknown
-	Deadline   model.Time    // 0 if none
-	Needs      model.Resources
-	Repeatable bool
-	Accepted   bool // an earlier owner admitted it; admission must not refuse it
-	FirstIndex int  // tasks below it are already started or closed
-}
-
-// ServerState says whether a backend server may get new work.
-type ServerState uint8
-
-// States of a backend server.
 const (
-	ServerActive ServerState = iota
-	ServerLeaving
-	ServerGone
+	secondStream  = 0x9e3779b97f4a7c15
+	rowsEvery     = 5  // ticks between looks at the table
+	balanceEvery  = 50 // ticks between corrections of the speed scale
+	minSlowSample = 4
 )
 
-// Server is a backend server as its failure domain announces it.
-type Server struct {
-	ID     model.ServerID
-	Domain model.Domain
-	Addr   string // host:port, the host an IP number
-	Slots  int
-	Has    model.Resources
-	State  ServerState
-}
-
-// Peer is another live entry instance.
-type Peer struct {
-	ID     model.Instance
-	Domain model.Domain
-}
-
-// Reason says why a job was refused or a task dropped.
-type Reason uint8
-
-// Reasons of refusals and drops.
-const (
-	ReasonNone       Reason = iota
-	ReasonImpossible        // no backend server could hold it
-	ReasonDeadline          // cannot meet its deadline
-	ReasonQueueFull         // the row's queue bound is reached
-	ReasonShed              // shed by weight under overload
-	ReasonExpired           // its deadline passed while it was queued
-	ReasonRate              // the row's rate limit is reached
-)
-
-// Verdict is the answer to Submit.
-type Verdict struct {
-	Reason     Reason // ReasonNone when admitted
-	RetryAfter time.Duration
-}
-
-// Outcome is how a start ended.
-type Outcome uint8
-
-// Outcomes of a start.
-const (
-	OutcomeOK          Outcome = iota // the task ran and succeeded
-	OutcomeFailed                     // the task ran and failed
-	OutcomeNotStarted                 // the server refused before the start; the task is queued again
-	OutcomeUnreachable                // no connection was made; the task is queued again
-	OutcomeLost                       // the connection broke after the first byte
-)
-
-// Start asks for one task to be started on a server.
-type Start struct {
-	Job    model.JobHandle
-	Index  int
-	Server model.ServerID
-}
-
-// Send is a message to another instance.
-type Send struct {
-	To      model.Instance
-	Message *peerpb.SchedMessage
-}
-
-// Drop is a queued task that will not be started.
-type Drop struct {
-	Job    model.JobHandle
-	Reason Reason
-}
-
-// Output is what the caller has to do since the last call of Ready.
-type Output struct {
-	Starts []Start
-	Sends  []Send
-	Drops  []Drop // all unstarted tasks of these jobs are given up
-}
-
-// PolicyRow is the effective row of the table for a customer and kind in
-// this failure domain.
-type PolicyRow struct {
-	Weight      float64
-	Concurrency int     // tasks running at once over all instances, 0 = unlimited
-	Rate        float64 // task starts a second over all instances, 0 = unlimited
-	QueueBound  int     // queued tasks an instance, 0 = unlimited
-}
-
-// Policy finds the effective row.
-type Policy interface {
-	Row(c model.Customer, k model.Kind) PolicyRow
-}
-
-// Options are the scheduler's settings.
-type Options struct {
-	Self   model.Instance
-	Domain model.Domain
-	Seed   uint64
-	Policy Policy
-}
-
-// Scheduler queues tasks and binds them to slots.
+// Scheduler queues tasks and binds them to slots. It is not safe for
+// concurrent use.
 type Scheduler struct {
-	opts    Options
-	servers []Server
-	busy    map[model.ServerID]int
-	queue   []queued
-	out     Output
-}
-
-type queued struct {
-	job   Job
-	next  int
-	retry []int
+	opts Options
+	rng  *rand.Rand
+	now  model.Time
+	boot model.Time
+
+	servers     map[model.ServerID]*server
+	list        []*server // known servers, in the order of SetServers
+	leftover    []*server // servers that left the list and still have runs or a record of health
+	index       freeIndex
+	quarantined []*server
+	paused      []*server
+	usual       float64 // mean slowness of the work done lately
+
+	queue      queue
+	parkedLong heap[*flow]
+	parkedSlot heap[*flow]
+	runs       runs
+	typical    typicalRun
+	promises   promises
+	history    history
+
+	peers  map[model.Instance]*peer
+	live   []*peer // by name
+	lend   lending
+	limits limits
+
+	out    Output
+	starts uint64
+	ticks  uint64
 }
 
 // New returns a scheduler without servers and peers.
 func New(o Options) *Scheduler {
-	return &Scheduler{opts: o, busy: make(map[model.ServerID]int)}
-}
-
-// Submit queues a job, or refuses it.
-func (s *Scheduler) Submit(now model.Time, j Job) Verdict {
-	s.queue = append(s.queue, queued{job: j, next: j.FirstIndex})
-	s.bind(now)
-	return Verdict{}
+	return &Scheduler{
+		opts:     o,
+		rng:      rand.New(rand.NewPCG(o.Seed, secondStream)),
+		servers:  make(map[model.ServerID]*server),
+		usual:    1,
+		queue:    newQueue(),
+		runs:     runs{byKey: make(map[runKey]run)},
+		promises: newPromises(),
+		history:  newHistory(),
+		peers:    make(map[model.Instance]*peer),
+		limits:   newLimits(),
+	}
 }
 
 // Cancel gives up the unstarted tasks of a job. Tasks already started go on
 // and are reported by Done.
 func (s *Scheduler) Cancel(now model.Time, h model.JobHandle) {
-	for i := range s.queue {
-		if s.queue[i].job.Handle == h {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return
-		}
+	s.now = now
+	j := s.queue.jobs[h]
+	if j == nil || j.ended {
+		return
 	}
-}
-
-// Done reports how a start ended. ran is the time from start to answer.
-func (s *Scheduler) Done(now model.Time, st Start, o Outcome, ran time.Duration) {
-	s.busy[st.Server]--
-	if o == OutcomeNotStarted || o == OutcomeUnreachable {
-		for i := range s.queue {
-			if s.queue[i].job.Handle == st.Job {
-				s.queue[i].retry = append(s.queue[i].retry, st.Index)
-			}
-		}
-	}
-	s.bind(now)
+	s.end(now, j)
+	s.retire(j)
 }
 
 // SetServers replaces the list of backend servers.
 func (s *Scheduler) SetServers(now model.Time, list []Server) {
-	s.servers = list
+	s.now = now
+	old := append(s.leftover, s.list...)
+	for _, v := range old {
+		v.known = false
+	}
+	for i := range s.index.classes {
+		s.index.classes[i].servers = 0
+	}
+	s.list = nil
+	for i := range list {
+		s.setServer(&list[i])
+	}
+	s.forgetServers(old)
+	s.assign(now)
+	s.wakeAll(&s.parkedSlot)
 	s.bind(now)
+	s.flush(now)
 }
 
-// SetPeers replaces the list of live instances, this one left out.
-func (s *Scheduler) SetPeers(now model.Time, list []Peer) {}
+func (s *Scheduler) setServer(in *Server) {
+	v := s.servers[in.ID]
+	if v == nil {
+		v = &server{bucket: absent, speedRank: middleLevel}
+		s.servers[in.ID] = v
+	}
+	s.index.take(v)
+	v.Server = *in
+	v.known = in.State != ServerGone
+	v.remote = in.Domain != s.opts.Domain
+	v.class = s.index.class(in.Has)
+	if v.known {
+		s.index.classes[v.class].servers++
+		s.list = append(s.list, v)
+	}
+}
 
-// Receive takes a message from another instance.
-func (s *Scheduler) Receive(now model.Time, from model.Instance, m *peerpb.SchedMessage) {}
+// forgetServers drops servers that left the list, once no run is in flight.
+func (s *Scheduler) forgetServers(old []*server) {
+	s.leftover = nil
+	for _, v := range old {
+		if v.known {
+			continue
+		}
+		s.index.update(v)
+		s.dropLoan(v)
+		s.forgetLoans(v)
+		if v.busy > 0 || v.health.quarantined || v.health.paused {
+			s.leftover = append(s.leftover, v)
+			continue
+		}
+		delete(s.servers, v.ID)
+	}
+}
 
 // Tick advances timers; it is called every TickInterval.
-func (s *Scheduler) Tick(now model.Time) { s.bind(now) }
-
-// TickInterval is the time between calls of Tick.
-const TickInterval = 20 * time.Millisecond
-
-// Ready returns and clears what is to be done. The slices are valid until
-// the next call of any method.
-func (s *Scheduler) Ready() Output {
-	out := s.out
-	s.out = Output{}
-	return out
+func (s *Scheduler) Tick(now model.Time) {
+	s.now = now
+	s.ticks++
+	s.endPauses(now)
+	s.watchRuns(now)
+	s.updateReserve(now)
+	s.endPromises(now)
+	if s.ticks%rowsEvery == 0 {
+		s.applyRows(now)
+	}
+	if s.ticks%balanceEvery == 0 {
+		s.balanceSpeeds()
+	}
+	s.dropExpired(now)
+	s.wakeAll(&s.parkedLong)
+	s.wakeAll(&s.parkedSlot)
+	s.tickLimits(now)
+	s.bind(now)
+	s.tickLending(now)
+	s.flush(now)
 }
 
-func (s *Scheduler) bind(now model.Time) {
-	for len(s.queue) > 0 {
-		srv, ok := s.free()
-		if !ok {
-			return
-		}
-		q := &s.queue[0]
-		idx := q.next
-		if n := len(q.retry); n > 0 {
-			idx = q.retry[n-1]
-			q.retry = q.retry[:n-1]
-		} else {
-			q.next++
-		}
-		s.busy[srv]++
-		s.out.Starts = append(s.out.Starts, Start{Job: q.job.Handle, Index: idx, Server: srv})
-		if q.next >= q.job.Tasks && len(q.retry) == 0 {
-			s.queue = s.queue[1:]
+// dropExpired answers jobs whose deadline passed while they were queued.
+func (s *Scheduler) dropExpired(now model.Time) {
+	for _, f := range s.queue.flowList {
+		if f.waiting > 0 {
+			s.head(now, f)
 		}
 	}
 }
 
-func (s *Scheduler) free() (model.ServerID, bool) {
-	for _, srv := range s.servers {
-		if srv.State == ServerActive && s.busy[srv.ID] < srv.Slots {
-			return srv.ID, true
+// balanceSpeeds keeps the mean of the learned slowness at one, so that run
+// times and slowness cannot drift against each other.
+func (s *Scheduler) balanceSpeeds() {
+	sum, n := 0.0, 0.0
+	for _, v := range s.list {
+		if v.speed.samples >= minSlowSample {
+			sum += v.speed.log
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	for _, v := range s.list {
+		if v.speed.samples >= minSlowSample {
+			v.speed.log -= sum / n
+			s.rank(v)
+			s.index.update(v)
 		}
 	}
-	return "", false
+}
+
+// Ready returns and clears what is to be done. The slices are valid until
+// the next call of any method.
+func (s *Scheduler) Ready() Output {
+	out := s.out
+	s.out.Starts = s.out.Starts[:0]
+	s.out.Sends = s.out.Sends[:0]
+	s.out.Drops = s.out.Drops[:0]
+	return out
 }
--- /dev/null
+++ b/internal/sched/servers.go
@@ -0,0 +1,182 @@
+package sched
+
+import (
+	"math/bits"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+const (
+	speedLevels   = 32         // levels of slowness in the index of free slots
+	speedStep     = 0.22314355 // width of a level, ln 1.25
+	middleLevel   = speedLevels / 2
+	levelsPerRank = 2 // own domain, other domains
+	absent        = -1
+)
+
+// server is a backend server with this instance's view of its slots.
+type server struct {
+	Server
+	known     bool // in the current list
+	class     int  // resource class
+	remote    bool // in another failure domain
+	owner     model.Instance
+	owned     bool
+	share     int // slots owned by this instance
+	lent      int // of these, lent to others
+	lender    *peer
+	borrowed  int
+	busy      int // running starts of this instance
+	speed     slowness
+	speedRank int
+	health    health
+	counted   int // its part of freeIndex.total
+	heldCount int // its part of heldSlots
+	bucket    int // place in the free index, absent if none
+	slot      int
+}
+
+// held is the number of slots that this instance may use.
+func (v *server) held() int {
+	if v.owned {
+		return v.share - v.lent
+	}
+	return v.borrowed
+}
+
+// free is the number of slots that could take a start now.
+func (v *server) free() int {
+	if !v.usable() {
+		return 0
+	}
+	return max(0, v.held()-v.busy)
+}
+
+func (v *server) usable() bool {
+	return v.known && v.State == ServerActive && v.health.open()
+}
+
+// resourceClass groups the servers with the same resources.
+type resourceClass struct {
+	has     model.Resources
+	mask    uint64
+	buckets [speedLevels * levelsPerRank][]*server
+	servers int // known servers that are not gone
+}
+
+// freeIndex finds a free slot on the fastest server in constant time.
+type freeIndex struct {
+	classes []resourceClass
+	total   int // free slots
+	held    int // slots of usable servers that this instance may use
+	minimum int // smallest total since the last reset
+}
+
+func (x *freeIndex) class(has model.Resources) int {
+	for i := range x.classes {
+		if x.classes[i].has == has {
+			return i
+		}
+	}
+	x.classes = append(x.classes, resourceClass{has: has})
+	return len(x.classes) - 1
+}
+
+// update puts a server where its state says it belongs.
+func (x *freeIndex) update(v *server) {
+	free := v.free()
+	x.total += free - v.counted
+	v.counted = free
+	x.minimum = min(x.minimum, x.total)
+	held := 0
+	if v.usable() {
+		held = max(0, v.held())
+	}
+	x.held += held - v.heldCount
+	v.heldCount = held
+	want := absent
+	if free > 0 {
+		want = v.speedRank * levelsPerRank
+		if v.remote {
+			want++
+		}
+	}
+	if want == v.bucket {
+		return
+	}
+	x.take(v)
+	if want != absent {
+		x.put(v, want)
+	}
+}
+
+func (x *freeIndex) put(v *server, bucket int) {
+	c := &x.classes[v.class]
+	v.bucket = bucket
+	v.slot = len(c.buckets[bucket])
+	c.buckets[bucket] = append(c.buckets[bucket], v)
+	c.mask |= 1 << bucket
+}
+
+func (x *freeIndex) take(v *server) {
+	if v.bucket == absent {
+		return
+	}
+	c := &x.classes[v.class]
+	list := c.buckets[v.bucket]
+	last := len(list) - 1
+	list[v.slot] = list[last]
+	list[v.slot].slot = v.slot
+	list[last] = nil
+	c.buckets[v.bucket] = list[:last]
+	if last == 0 {
+		c.mask &^= 1 << v.bucket
+	}
+	v.bucket = absent
+}
+
+// fastest returns the lowest filled bucket among the classes that hold the
+// needs; ok is false when there is none.
+func (x *freeIndex) fastest(needs model.Resources) (list []*server, ok bool) {
+	best := speedLevels * levelsPerRank
+	for i := range x.classes {
+		c := &x.classes[i]
+		if c.mask == 0 || !needs.Fits(c.has) {
+			continue
+		}
+		if b := bits.TrailingZeros64(c.mask); b < best {
+			best = b
+			list = c.buckets[b]
+		}
+	}
+	return list, list != nil
+}
+
+// possible reports whether a known server could hold the needs. It is true
+// while no server is known.
+func (x *freeIndex) possible(needs model.Resources) bool {
+	any := false
+	for i := range x.classes {
+		c := &x.classes[i]
+		if c.servers == 0 {
+			continue
+		}
+		any = true
+		if needs.Fits(c.has) {
+			return true
+		}
+	}
+	return !any
+}
+
+func rankOf(log float64) int {
+	return min(speedLevels-1, max(0, middleLevel+int(floor(log/speedStep+0.5))))
+}
+
+func floor(x float64) float64 {
+	i := float64(int(x))
+	if x < i {
+		return i - 1
+	}
+	return i
+}
