--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -11,6 +11,7 @@
 	slowMargin     = 1.5             // a free server is taken without thought up to this multiple of the usual slowness
 	loadMemory     = 5 * time.Second // time constant of the load of short and long work
 	reserveSpread  = 2.0             // slots kept for short work above its mean load, in square roots of that load
+	longSpread     = 0.5             // slots that long work may always hold above its mean load, in square roots of that load
 	firstRunsSpace = 1024
 )
 
@@ -332,8 +333,8 @@
 }
 
 // updateReserve sets how many slots long work may hold: what the load of
-// short work and its variation leave, but never less than long work's part
-// of the load.
+// short work and its variation leave, but never less than its own load, or
+// its part of the slots when they are too few for all.
 func (s *Scheduler) updateReserve(now model.Time) {
 	r := &s.runs
 	dt := now.Sub(r.ticked).Seconds()
@@ -345,13 +346,17 @@
 	r.shortLoad += gain * (r.shortNew/dt - r.shortLoad)
 	r.longLoad += gain * (r.longNew/dt - r.longLoad)
 	r.shortNew, r.longNew = 0, 0
-	held := float64(s.index.held)
+	r.longCap = s.longBound(float64(s.index.held))
+}
+
+func (s *Scheduler) longBound(held float64) int {
+	r := &s.runs
 	left := held - r.shortLoad - reserveSpread*math.Sqrt(r.shortLoad)
-	part := held
+	least := r.longLoad + longSpread*math.Sqrt(r.longLoad)
 	if sum := r.shortLoad + r.longLoad; sum > 0 {
-		part = held * r.longLoad / sum
+		least = math.Min(least, held*r.longLoad/sum)
 	}
-	r.longCap = max(1, int(math.Ceil(math.Max(left, part))))
+	return max(1, int(math.Ceil(math.Max(left, least))))
 }
 
 func (s *Scheduler) offered(f *flow, work float64) {
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -12,24 +12,25 @@
 )
 
 const (
-	loanIdle      = 100 * time.Millisecond // a borrowed slot that was not needed for so long goes back
-	loanRenewal   = time.Second            // interval of the messages that renew loans
-	loanLost      = 4 * time.Second        // a lender takes slots back from a borrower silent for so long
-	grantLost     = 500 * time.Millisecond // a grant without an acknowledgement is taken for lost
-	askStands     = 400 * time.Millisecond // an ask that was not met stands for so long
-	reclaimGone   = time.Second            // a lender takes slots back from a borrower that left the list
-	beliefAge     = time.Second            // what a peer said about its free slots counts for so long
-	queuePatience = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
-	recallEvery   = 200 * time.Millisecond
-	shareEvery    = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
-	grantEvery    = 100 * time.Millisecond // interval of small grants to one asker
-	largeGrant    = 4                      // slots that are granted without waiting for the interval
-	maxAsk        = 64                     // slots asked of one peer at a time
-	shareSlack    = 0.05                   // part above its share that an instance keeps before it gives way
-	askBudget     = 0.06                   // asks a start, on average
-	askBurst      = 24.0
-	askFloor      = 1.0 // asks a second without any start
-	unknownFree   = 4   // free slots expected of a peer that said nothing
+	loanIdle       = 100 * time.Millisecond // a borrowed slot that was not needed for so long goes back
+	loanRenewal    = time.Second            // interval of the messages that renew loans
+	loanLost       = 4 * time.Second        // a lender takes slots back from a borrower silent for so long
+	grantLost      = 500 * time.Millisecond // a grant without an acknowledgement is taken for lost
+	askStands      = 400 * time.Millisecond // an ask that was not met stands for so long
+	reclaimGone    = time.Second            // a lender takes slots back from a borrower that left the list
+	beliefAge      = time.Second            // what a peer said about its free slots counts for so long
+	queuePatience  = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
+	recallEvery    = 200 * time.Millisecond
+	shareEvery     = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
+	grantEvery     = 100 * time.Millisecond // interval of small grants to one asker
+	largeGrant     = 4                      // slots that are granted without waiting for the interval
+	maxAsk         = 64                     // slots asked of one peer at a time
+	headroomSpread = 0.5                    // free slots kept for the next tasks, in square roots of the load
+	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
+	askBudget      = 0.06                   // asks a start, on average
+	askBurst       = 24.0
+	askFloor       = 1.0 // asks a second without any start
+	unknownFree    = 4   // free slots expected of a peer that said nothing
 )
 
 // peer is another instance, live or lately gone.
@@ -430,8 +431,13 @@
 	if s.noLending() || s.unmet() > 0 {
 		return 0
 	}
-	keep := int(math.Ceil(0.5 * math.Sqrt(s.runs.shortLoad+s.runs.longLoad)))
-	return max(0, s.index.total-keep)
+	return max(0, s.index.total-s.headroom())
+}
+
+// headroom is the number of free slots that this instance keeps for its own
+// next tasks.
+func (s *Scheduler) headroom() int {
+	return int(math.Ceil(headroomSpread * math.Sqrt(s.runs.shortLoad+s.runs.longLoad)))
 }
 
 func (s *Scheduler) noLending() bool {
@@ -442,6 +448,9 @@
 // unmet is the number of waiting tasks that only lack a slot.
 func (s *Scheduler) unmet() int {
 	n := s.queue.waiting
+	for _, f := range s.parkedLong.items {
+		n -= f.waiting
+	}
 	for _, l := range s.limits.blocked {
 		for _, f := range l.parked.items {
 			n -= f.waiting
@@ -475,7 +484,7 @@
 		return
 	}
 	need := s.unmet()
-	if need == 0 || (s.index.total > 0 && s.parkedSlot.len() == 0 && s.parkedLong.len() == 0) {
+	if need == 0 || (s.index.total > 0 && s.parkedSlot.len() == 0) {
 		s.lend.queuedAt = 0
 		return
 	}
@@ -744,7 +753,7 @@
 		return
 	}
 	s.lend.window = now
-	idle := s.index.minimum
+	idle := s.index.minimum - s.headroom()
 	s.index.minimum = s.index.total
 	for i := len(s.live) - 1; i >= 0 && idle > 0; i-- {
 		s.returnFree(s.live[i], &idle)
--- /dev/null
+++ b/internal/sched/schedbench/result.go
@@ -0,0 +1,143 @@
+package schedbench
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+const roundTrip = time.Millisecond // part of the ideal response time
+
+// Result is what a run gave.
+type Result struct {
+	From              model.Time // what was submitted earlier is not counted
+	Until             model.Time // what was submitted later is not counted, if set
+	Short             []float64  // slowdown of short tasks: response time over the ideal
+	Long              []float64  // slowdown of long tasks
+	Starts            int
+	Messages          int // between instances
+	Asks              int
+	Grants            int
+	Recalls           int
+	Refused503        int
+	DoubleStarts      int
+	StartsAfterCancel int
+	Dropped           int
+	Submitted         int
+	Admitted          int
+	Refused           map[sched.Reason]int
+	Retries           int // submissions after a Retry-After
+	RetriesAdmitted   int
+	JobsDone          int
+	InTime            int
+	Late              int
+	GoodWork          float64 // work answered within its deadline, seconds at slowness 1
+	Failed            int
+	Service           map[model.Customer]float64 // work done, seconds at slowness 1
+}
+
+func (r *Result) init() {
+	r.Refused = make(map[sched.Reason]int)
+	r.Service = make(map[model.Customer]float64)
+}
+
+func (r *Result) message(m *peerpb.SchedMessage) {
+	r.Messages++
+	if m.Ask != nil {
+		r.Asks++
+	}
+	if m.Grant != nil {
+		r.Grants++
+	}
+	if m.Recall != nil {
+		r.Recalls++
+	}
+}
+
+func (r *Result) counts(t model.Time) bool {
+	return t >= r.From && (r.Until == 0 || t < r.Until)
+}
+
+func (r *Result) task(now model.Time, j *job, t *task, o sched.Outcome) {
+	if o != sched.OutcomeOK {
+		r.Failed++
+		return
+	}
+	if r.counts(now) {
+		r.Service[j.Customer] += t.work.Seconds()
+	}
+	if !r.counts(j.submitted) {
+		return
+	}
+	x := now.Sub(j.submitted).Seconds() / (t.work + roundTrip).Seconds()
+	if j.long {
+		r.Long = append(r.Long, x)
+		return
+	}
+	r.Short = append(r.Short, x)
+}
+
+func (r *Result) job(now model.Time, j *job) {
+	r.JobsDone++
+	if j.Deadline == 0 {
+		return
+	}
+	if now > j.Deadline {
+		r.Late++
+		return
+	}
+	if !r.counts(now) {
+		return
+	}
+	r.InTime++
+	for i := range j.tasks {
+		r.GoodWork += j.tasks[i].work.Seconds()
+	}
+}
+
+func (r *Result) submitted(j *job, v sched.Verdict) {
+	r.Submitted++
+	if j.attempt > 0 {
+		r.Retries++
+	}
+	if v.Reason != sched.ReasonNone {
+		r.Refused[v.Reason]++
+		return
+	}
+	r.Admitted++
+	if j.attempt > 0 {
+		r.RetriesAdmitted++
+	}
+}
+
+// All returns the slowdowns of short and long tasks.
+func (r *Result) All() []float64 { return append(append([]float64(nil), r.Short...), r.Long...) }
+
+// Mean returns the arithmetic mean.
+func Mean(x []float64) float64 {
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return sum / float64(len(x))
+}
+
+// Quantile returns the q-quantile.
+func Quantile(x []float64, q float64) float64 {
+	if len(x) == 0 {
+		return math.NaN()
+	}
+	y := append([]float64(nil), x...)
+	sort.Float64s(y)
+	return y[min(len(y)-1, int(q*float64(len(y))))]
+}
+
+// MessagesPerTask returns the messages between instances for each start.
+func (r *Result) MessagesPerTask() float64 { return float64(r.Messages) / float64(r.Starts) }
+
+// RefusalRate returns the part of the starts that a full server refused.
+func (r *Result) RefusalRate() float64 { return float64(r.Refused503) / float64(r.Starts) }
--- /dev/null
+++ b/internal/sched/schedbench/scenarios.go
@@ -0,0 +1,146 @@
+package schedbench
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// Today is the size of one of today's deployments.
+var Today = Fleet{Domains: 4, Instances: 8, Servers: 50, Slots: 8, SpeedRange: 1}
+
+const (
+	warmUp  = 5 * time.Second
+	measure = 25 * time.Second
+	settle  = 30 * time.Second
+)
+
+// Figure is one measured quantity of a run.
+type Figure struct {
+	Name  string
+	Value float64
+}
+
+// Scenario is a run that gives figures.
+type Scenario struct {
+	Name string
+	Run  func(mode sched.Mode, seed uint64) []Figure
+}
+
+// Baseline is a way of scheduling to compare with.
+type Baseline struct {
+	Name string
+	Mode sched.Mode
+}
+
+// Baselines are the ways of scheduling that can be selected; the first is
+// what ships.
+var Baselines = []Baseline{
+	{"chosen", sched.Mode{}},
+	{"fifo", sched.Mode{FIFO: true, NoReserve: true, NoAdmission: true}},
+	{"random", sched.Mode{RandomServer: true}},
+	{"queue-at-server", sched.Mode{QueueAtServer: true}},
+	{"no-reserve", sched.Mode{NoReserve: true}},
+	{"no-spill", sched.Mode{NoLending: true}},
+	{"even-split", sched.Mode{EvenSplit: true}},
+}
+
+// Scenarios are all runs.
+var Scenarios = []Scenario{
+	{"load60", loadRun(0.6, Today, nil)},
+	{"load90", loadRun(0.9, Today, nil)},
+	{"load90-skew", loadRun(0.9, Today, []float64{4, 3, 2, 1})},
+	{"load60-speeds", loadRun(0.6, heterogeneous(), nil)},
+	{"load90-speeds", loadRun(0.9, heterogeneous(), nil)},
+	{"short-behind-long", headOfLine},
+	{"big-jobs", bigJobs},
+}
+
+func heterogeneous() Fleet {
+	f := Today
+	f.SpeedRange = 10
+	return f
+}
+
+// mixed is the usual mix: short kinds, 2% of several seconds, a few
+// stragglers.
+func mixed(load float64) *Workload {
+	return &Workload{
+		Kinds: withLong(shortKinds(), 4*time.Second, 0.02), Customers: 12, Load: load,
+		Straggler: 0.002, StraggleBy: 20, WrongBy: 10, Until: warmUp + measure,
+	}
+}
+
+func loadRun(load float64, f Fleet, skew []float64) func(sched.Mode, uint64) []Figure {
+	return func(mode sched.Mode, seed uint64) []Figure {
+		m := NewSim(f, mode, Weights{}, seed)
+		w := mixed(load)
+		w.Skew = skew
+		m.R.From = virtualZero.Add(warmUp)
+		m.Drive(w)
+		m.Run(w.Until + settle)
+		return []Figure{
+			{"mean", Mean(m.R.All())},
+			{"p50", Quantile(m.R.All(), 0.5)},
+			{"p99", Quantile(m.R.All(), 0.99)},
+			{"short-p99", Quantile(m.R.Short, 0.99)},
+			{"msg/task", m.R.MessagesPerTask()},
+			{"asks", float64(m.R.Asks) / float64(m.R.Starts)},
+			{"grants", float64(m.R.Grants) / float64(m.R.Starts)},
+			{"recalls", float64(m.R.Recalls) / float64(m.R.Starts)},
+			{"503", m.R.RefusalRate()},
+		}
+	}
+}
+
+// headOfLine gives the p99 slowdown of short work with and without long work
+// beside it: the short work is the same, the long jobs are a tenth of all.
+func headOfLine(mode sched.Mode, seed uint64) []Figure {
+	with := shortRun(mode, seed, true)
+	without := shortRun(mode, seed, false)
+	a, b := Quantile(with.Short, 0.99), Quantile(without.Short, 0.99)
+	return []Figure{
+		{"short-p99", a},
+		{"alone-p99", b},
+		{"ratio", a / b},
+		{"long-mean", Mean(with.Long)},
+		{"msg/task", with.MessagesPerTask()},
+	}
+}
+
+func shortRun(mode sched.Mode, seed uint64, long bool) *Result {
+	const load = 0.85
+	m := NewSim(Today, mode, Weights{}, seed)
+	all := &Workload{Kinds: withLong(shortKinds(), 4*time.Second, 0.1)}
+	short := &Workload{Kinds: shortKinds(), Customers: 12, Until: warmUp + measure}
+	shortPart := 0.9 * short.meanWork() / all.meanWork()
+	short.Load = load * shortPart
+	m.Drive(short)
+	if long {
+		m.Drive(&Workload{Kinds: all.Kinds[len(all.Kinds)-1:], Customers: 12, Load: load * (1 - shortPart), Until: warmUp + measure})
+	}
+	m.R.From = virtualZero.Add(warmUp)
+	m.Run(warmUp + measure + settle)
+	return &m.R
+}
+
+// bigJobs submits jobs of 630 tasks beside single requests.
+func bigJobs(mode sched.Mode, seed uint64) []Figure {
+	m := NewSim(Today, mode, Weights{}, seed)
+	w := mixed(0.5)
+	w.Single = true
+	m.R.From = virtualZero.Add(warmUp)
+	m.Drive(w)
+	k := Kind{Name: "k350", Mean: 350 * time.Millisecond, Long: true, Sigma: 0.5}
+	for i := range 10 {
+		m.At(warmUp+time.Duration(i)*2*time.Second, func() { m.Submit(m.newJob(w, "c0", &k, 630)) })
+	}
+	m.Run(w.Until + settle)
+	return []Figure{
+		{"single-mean", Mean(m.R.Short)},
+		{"single-p99", Quantile(m.R.Short, 0.99)},
+		{"big-task-mean", Mean(m.R.Long)},
+		{"msg/task", m.R.MessagesPerTask()},
+		{"503", m.R.RefusalRate()},
+	}
+}
--- /dev/null
+++ b/internal/sched/schedbench/summary.go
@@ -0,0 +1,45 @@
+package schedbench
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// Spread is a figure over several seeds.
+type Spread struct {
+	Name   string
+	Median float64
+	Least  float64
+	Most   float64
+}
+
+// Measure runs a scenario with several seeds.
+func Measure(sc Scenario, mode sched.Mode, seeds int) []Spread {
+	var values [][]float64
+	var names []string
+	for seed := range seeds {
+		for i, f := range sc.Run(mode, uint64(seed)+1) {
+			if seed == 0 {
+				values = append(values, nil)
+				names = append(names, f.Name)
+			}
+			values[i] = append(values[i], f.Value)
+		}
+	}
+	out := make([]Spread, len(names))
+	for i, v := range values {
+		out[i] = Spread{names[i], Quantile(v, 0.5), Quantile(v, 0), Quantile(v, 1)}
+	}
+	return out
+}
+
+// Summary prints the figures of a scenario on one line.
+func Summary(sc Scenario, mode sched.Mode, seeds int) string {
+	var b strings.Builder
+	for _, s := range Measure(sc, mode, seeds) {
+		fmt.Fprintf(&b, "%s %.3f [%.3f, %.3f]  ", s.Name, s.Median, s.Least, s.Most)
+	}
+	return b.String()
+}
