--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -111,7 +111,7 @@
 // of the usual slowness after the queue.
 func (s *Scheduler) tooSlow(f *flow, v *server) bool {
 	usual := s.usualSlowness()
-	slow := v.speed.factor()
+	slow := v.speed.likelyFactor()
 	if v.speed.samples < minSlowSample || slow <= slowMargin*usual {
 		return false
 	}
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -12,22 +12,25 @@
 )
 
 const (
-	loanIdle       = 100 * time.Millisecond // a borrowed slot that was not needed for so long goes back
-	loanRenewal    = time.Second            // interval of the messages that renew loans
-	loanLost       = 4 * time.Second        // a lender takes slots back from a borrower silent for so long
+	loanIdle       = 150 * time.Millisecond // a borrowed slot that was not needed for so long goes back
+	loanRenewal    = 3 * time.Second        // interval of the messages that renew loans
+	loanLost       = 8 * time.Second        // a lender takes slots back from a borrower silent for so long
 	grantLost      = 500 * time.Millisecond // a grant without an acknowledgement is taken for lost
+	askAnswer      = 5 * time.Millisecond   // an ask that is not answered within this time counts as unmet for now
 	askStands      = 400 * time.Millisecond // an ask that was not met stands for so long
 	reclaimGone    = time.Second            // a lender takes slots back from a borrower that left the list
 	beliefAge      = time.Second            // what a peer said about its free slots counts for so long
 	queuePatience  = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
 	recallEvery    = 200 * time.Millisecond
+	returnEvery    = 60 * time.Millisecond  // interval of the messages that return recalled slots
 	shareEvery     = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
-	grantEvery     = 100 * time.Millisecond // interval of small grants to one asker
+	sharePatience  = 100 * time.Millisecond // own queue older than this makes an instance compare and recall
+	grantEvery     = 40 * time.Millisecond  // interval of small grants to one asker
 	largeGrant     = 4                      // slots that are granted without waiting for the interval
 	maxAsk         = 64                     // slots asked of one peer at a time
-	headroomSpread = 0.5                    // free slots kept for the next tasks, in square roots of the load
+	headroomSpread = 0.25                   // free slots kept for the next tasks, in square roots of the load
 	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
-	askBudget      = 0.06                   // asks a start, on average
+	askBudget      = 0.07                   // asks a start, on average
 	askBurst       = 24.0
 	askFloor       = 1.0 // asks a second without any start
 	unknownFree    = 4   // free slots expected of a peer that said nothing
@@ -388,7 +391,7 @@
 
 func (s *Scheduler) load(now model.Time, p *peer) *peerpb.Load {
 	l := &peerpb.Load{
-		Free:   uint32(s.lendable()),
+		Free:   uint32(s.available(p)),
 		Held:   uint32(s.index.held),
 		Queued: uint32(s.queue.waiting),
 	}
@@ -431,7 +434,26 @@
 	if s.noLending() || s.unmet() > 0 {
 		return 0
 	}
-	return max(0, s.index.total-s.headroom())
+	return max(0, min(s.index.own, s.index.total-s.headroom()))
+}
+
+// available is the number of slots that a peer would get if it asked: own
+// ones, and idle ones that are its own.
+func (s *Scheduler) available(p *peer) int {
+	spare := s.index.total - s.headroom()
+	if s.noLending() || s.unmet() > 0 || spare <= 0 {
+		return 0
+	}
+	return min(spare, s.index.own+p.idleBorrowed())
+}
+
+// idleBorrowed is the number of slots borrowed from the peer that are free.
+func (p *peer) idleBorrowed() int {
+	n := 0
+	for _, v := range p.borrows {
+		n += max(0, v.borrowed-v.busy)
+	}
+	return n
 }
 
 // headroom is the number of free slots that this instance keeps for its own
@@ -483,20 +505,16 @@
 	if s.noLending() || len(s.live) == 0 {
 		return
 	}
-	need := s.unmet()
-	if need == 0 || (s.index.total > 0 && s.parkedSlot.len() == 0) {
-		s.lend.queuedAt = 0
+	need := s.need(now)
+	if need == 0 {
 		return
 	}
-	if s.lend.queuedAt == 0 {
-		s.lend.queuedAt = now
-	}
 	for _, p := range s.live {
-		if now.Sub(p.askedAt) < askStands {
+		if now.Sub(p.askedAt) < askAnswer {
 			need -= p.askedFor
 		}
 	}
-	patient := now.Sub(s.lend.queuedAt) < queuePatience
+	patient := s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < queuePatience
 	for need > 0 && s.lend.tokens >= 1 {
 		p := s.bestLender(now, patient)
 		if p == nil {
@@ -511,6 +529,26 @@
 	}
 }
 
+// need is the number of slots that this instance lacks: for the tasks that
+// wait, and some more for those that come next.
+func (s *Scheduler) need(now model.Time) int {
+	n := s.unmet()
+	room := s.headroom()
+	waits := n > 0 && s.index.total == 0
+	if !waits {
+		s.lend.queuedAt = 0
+	} else if s.lend.queuedAt == 0 {
+		s.lend.queuedAt = now
+	}
+	switch {
+	case waits:
+		return n + room
+	case s.index.total < room/2:
+		return room - s.index.total
+	}
+	return 0
+}
+
 // bestLender returns the peer with the most slots to lend, of the own domain
 // if it has any, that has no standing ask of this instance.
 func (s *Scheduler) bestLender(now model.Time, patient bool) *peer {
@@ -566,6 +604,9 @@
 	if m.Ask != nil {
 		p.ask = ask{id: m.Ask.Id, want: int(m.Ask.Want), until: now.Add(askStands)}
 		s.serve(now, p, 1)
+		if p.changed {
+			s.message(p)
+		}
 	}
 	s.bind(now)
 	s.seekSlots(now)
@@ -654,7 +695,6 @@
 		return
 	}
 	p.grantIn = g.Id
-	p.changed = true
 	for _, c := range g.Slots {
 		s.borrow(p, c)
 	}
@@ -702,10 +742,14 @@
 	if p.ask.want <= 0 || now >= p.ask.until {
 		return
 	}
-	n := min(p.ask.want, s.lendable())
+	n := min(p.ask.want, s.available(p))
 	if n < least {
 		return
 	}
+	back := n
+	s.returnFree(p, &back)
+	p.ask.want -= n - back
+	n = min(back, s.lendable())
 	for _, v := range s.list {
 		if n <= 0 {
 			return
@@ -777,7 +821,7 @@
 // back what borrowers that are gone or silent held.
 func (s *Scheduler) keepLoans(now model.Time) {
 	for _, p := range s.live {
-		if p.changed || (p.borrowed > 0 && now.Sub(p.heldAt) >= loanRenewal) {
+		if s.heldDue(now, p) {
 			s.message(p)
 		}
 		if p.lent > 0 && now.Sub(p.heard) > loanLost {
@@ -794,11 +838,20 @@
 	}
 }
 
+// heldDue reports whether the lender has to hear what this instance holds.
+func (s *Scheduler) heldDue(now model.Time, p *peer) bool {
+	since := now.Sub(p.heldAt)
+	if p.changed && (p.recall == 0 || since >= returnEvery) {
+		return true
+	}
+	return p.borrowed > 0 && since >= loanRenewal
+}
+
 // balance compares the slots of the instances with their weighted demand,
 // recalls slots when this instance is short, and marks slots for peers that
 // are short while it has more than its share.
 func (s *Scheduler) balance(now model.Time) {
-	if s.unmet() == 0 || s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < queuePatience {
+	if s.unmet() == 0 || s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < sharePatience {
 		s.clearYields()
 		return
 	}
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -11,7 +11,8 @@
 	maxKindSamples   = 64                     // weight of the past in a kind's mean
 	minKindSamples   = 8                      // run times seen before a kind tells something of a server
 	maxServerSamples = 32                     // weight of the past in a server's slowness
-	longFactor       = 4                      // a kind is long when its mean exceeds the typical run by this factor
+	maxSlowStep      = 1.0                    // logarithm of the most that one run time may differ from the expected
+	longFactor       = 6                      // a kind is long when its mean exceeds the typical run by this factor
 )
 
 // runTime is the learned run time of a customer's kind, in seconds on a
@@ -67,7 +68,14 @@
 
 func (s *slowness) factor() float64 { return math.Exp(s.log) }
 
+// likelyFactor is a factor that the server's slowness is most likely above.
+func (s *slowness) likelyFactor() float64 {
+	return math.Exp(s.log - 1/math.Sqrt(s.samples+1))
+}
+
 func (s *slowness) observe(ratio float64) {
 	s.samples = math.Min(s.samples+1, maxServerSamples)
-	s.log += (math.Log(ratio) - s.log) / (s.samples + 1)
+	diff := math.Log(ratio) - s.log
+	diff = math.Max(-maxSlowStep, math.Min(maxSlowStep, diff))
+	s.log += diff / (s.samples + 1)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -10,7 +10,7 @@
 	secondStream  = 0x9e3779b97f4a7c15
 	rowsEvery     = 5  // ticks between looks at the table
 	balanceEvery  = 50 // ticks between corrections of the speed scale
-	minSlowSample = 4
+	minSlowSample = 8
 )
 
 // Scheduler queues tasks and binds them to slots. It is not safe for
--- a/internal/sched/schedbench/result.go
+++ b/internal/sched/schedbench/result.go
@@ -23,6 +23,8 @@
 	Asks              int
 	Grants            int
 	Recalls           int
+	Asked             int // slots
+	Lent              int // slots
 	Refused503        int
 	DoubleStarts      int
 	StartsAfterCancel int
@@ -49,9 +51,13 @@
 	r.Messages++
 	if m.Ask != nil {
 		r.Asks++
+		r.Asked += int(m.Ask.Want)
 	}
 	if m.Grant != nil {
 		r.Grants++
+		for _, c := range m.Grant.Slots {
+			r.Lent += int(c.Count)
+		}
 	}
 	if m.Recall != nil {
 		r.Recalls++
--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -88,6 +88,8 @@
 			{"asks", float64(m.R.Asks) / float64(m.R.Starts)},
 			{"grants", float64(m.R.Grants) / float64(m.R.Starts)},
 			{"recalls", float64(m.R.Recalls) / float64(m.R.Starts)},
+			{"per-ask", float64(m.R.Asked) / float64(m.R.Asks)},
+			{"per-grant", float64(m.R.Lent) / float64(m.R.Grants)},
 			{"503", m.R.RefusalRate()},
 		}
 	}
--- a/internal/sched/servers.go
+++ b/internal/sched/servers.go
@@ -10,7 +10,7 @@
 	speedLevels   = 32         // levels of slowness in the index of free slots
 	speedStep     = 0.22314355 // width of a level, ln 1.25
 	middleLevel   = speedLevels / 2
-	levelsPerRank = 2 // own domain, other domains
+	levelsPerRank = 2 // own slots, borrowed slots
 	absent        = -1
 )
 
@@ -31,6 +31,7 @@
 	speedRank int
 	health    health
 	counted   int // its part of freeIndex.total
+	countOwn  int // its part of freeIndex.own
 	heldCount int // its part of heldSlots
 	bucket    int // place in the free index, absent if none
 	slot      int
@@ -68,6 +69,7 @@
 type freeIndex struct {
 	classes []resourceClass
 	total   int // free slots
+	own     int // of these, slots that this instance owns
 	held    int // slots of usable servers that this instance may use
 	minimum int // smallest total since the last reset
 }
@@ -88,6 +90,12 @@
 	x.total += free - v.counted
 	v.counted = free
 	x.minimum = min(x.minimum, x.total)
+	own := 0
+	if v.owned {
+		own = free
+	}
+	x.own += own - v.countOwn
+	v.countOwn = own
 	held := 0
 	if v.usable() {
 		held = max(0, v.held())
@@ -97,7 +105,7 @@
 	want := absent
 	if free > 0 {
 		want = v.speedRank * levelsPerRank
-		if v.remote {
+		if !v.owned {
 			want++
 		}
 	}
--- /dev/null
+++ b/internal/sched/stats.go
@@ -0,0 +1,34 @@
+package sched
+
+// Stats are gauges of one scheduler.
+type Stats struct {
+	Slots        int // slots that this instance may use
+	Free         int // of these, free
+	Lendable     int // of these, what peers may get
+	Lent         int // own slots that peers use
+	Borrowed     int // slots of peers that this instance may use
+	Waiting      int // tasks that are not started
+	Unmet        int // of these, tasks that only lack a slot
+	Running      int // starts without an outcome
+	RunningLong  int // of these, long work
+	LongBound    int // most starts of long work at once
+	Quarantined  int // servers in quarantine
+	Flows        int // customers and kinds known
+	PromisedJobs int // refused jobs that are expected back
+}
+
+// Stats returns the gauges.
+func (s *Scheduler) Stats() Stats {
+	borrowed := 0
+	for _, p := range s.live {
+		borrowed += p.borrowed
+	}
+	return Stats{
+		Slots: s.index.held, Free: s.index.total, Lendable: s.lendable(),
+		Lent: s.lend.lentTotal, Borrowed: borrowed,
+		Waiting: s.queue.waiting, Unmet: s.unmet(),
+		Running: len(s.runs.byKey), RunningLong: s.runs.long, LongBound: s.runs.longCap,
+		Quarantined: len(s.quarantined), Flows: len(s.queue.flowList),
+		PromisedJobs: len(s.promises.byToken),
+	}
+}
