--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,300 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+)
+
+// Bounds of a call.
+const (
+	callGrace      = 10 * time.Second // beyond the wait that was asked for
+	dialTimeout    = 2 * time.Second
+	maxAnswerBytes = 64 << 20
+	maxPolls       = 20
+	idlePerEntry   = 4096
+)
+
+// Entry is an entry instance that load is offered to.
+type Entry struct {
+	Domain string // empty when not known
+	Addr   netip.AddrPort
+}
+
+// AddressError is an address that load may not go to.
+type AddressError struct {
+	Address string
+	Why     string
+}
+
+// Error returns the address, the reason and the remedy.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("load: address %q %s; give IP:port of a loopback address, such as 127.0.0.1:8080", e.Address, e.Why)
+}
+
+// ParseEntry reads "[DOMAIN=]IP:PORT" and refuses every address that is not
+// on loopback.
+func ParseEntry(s string) (Entry, error) {
+	domain, addr, found := strings.Cut(s, "=")
+	if !found {
+		domain, addr = "", s
+	}
+	ap, err := ParseLoopback(addr)
+	return Entry{Domain: domain, Addr: ap}, err
+}
+
+// ParseLoopback reads IP:PORT and refuses every address that is not on
+// loopback.
+func ParseLoopback(s string) (netip.AddrPort, error) {
+	ap, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return netip.AddrPort{}, &AddressError{s, "is not IP:port"}
+	}
+	if !ap.Addr().Unmap().IsLoopback() {
+		return netip.AddrPort{}, &AddressError{s, "is not on loopback"}
+	}
+	return ap, nil
+}
+
+// Class is how a submission ended.
+type Class uint8
+
+// Classes of answers.
+const (
+	Complete Class = iota
+	Failed         // ended, with an outcome for each task
+	Refused        // said to be not run
+	Unknown        // may have run, or no answer
+	Pending        // not final when the last wait ended
+	numClasses
+)
+
+var classNames = [numClasses]string{"complete", "failed", "refused", "unknown", "pending"}
+
+// String returns the name of the class.
+func (c Class) String() string { return classNames[c] }
+
+// Reply is one classified answer.
+type Reply struct {
+	Class      Class
+	Broken     bool   // the call broke without an answer
+	Problem    string // kind of the problem, or of the break
+	Ran        api.Ran
+	RetryAfter time.Duration
+	Results    []api.TaskResult
+	Malformed  string // why the answer doesn't fit the contract, empty if it does
+}
+
+// client makes calls of the caller API.
+type client struct {
+	http *http.Client
+	wait time.Duration
+}
+
+func newClient(wait time.Duration) *client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	tr := &http.Transport{
+		Proxy:               nil,
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerEntry,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &client{http: &http.Client{Transport: tr, CheckRedirect: refuse}, wait: wait}
+}
+
+// payload tells the backend stand-in what to do; it is echoed as output.
+type payload struct {
+	RunMs int64  `json:"run_ms"`
+	Fail  bool   `json:"fail"`
+	ID    string `json:"id"`
+}
+
+func taskID(key uuid.UUID, index int) string { return fmt.Sprintf("%s/%d", key, index) }
+
+func jobBody(j *Job, key uuid.UUID) ([]byte, error) {
+	body := api.Job{
+		Customer:      j.Customer,
+		Home:          j.Home,
+		Key:           key.String(),
+		Kind:          j.Kind.Name,
+		DeadlineMs:    j.Kind.DeadlineMs,
+		Repeatable:    j.Kind.Repeatable,
+		DeclaredRunMs: j.Declared.Milliseconds(),
+		Needs:         j.Kind.Needs,
+	}
+	for i, t := range j.Tasks {
+		raw, err := json.Marshal(payload{RunMs: t.Run.Milliseconds(), Fail: t.Fail, ID: taskID(key, i)})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode a payload")
+		}
+		body.Tasks = append(body.Tasks, raw)
+	}
+	return json.Marshal(body)
+}
+
+// submit posts the job and polls until the answer is final or the polls are
+// used up.
+func (c *client) submit(ctx context.Context, e Entry, j *Job, key uuid.UUID) Reply {
+	body, err := jobBody(j, key)
+	if err != nil {
+		return Reply{Class: Unknown, Malformed: err.Error()}
+	}
+	r := c.call(ctx, http.MethodPost, c.url(e, api.PathJobs, true), body)
+	for i := 0; r.Class == Pending && r.Malformed == "" && i < maxPolls && ctx.Err() == nil; i++ {
+		r = c.call(ctx, http.MethodGet, c.url(e, jobPath(j, key), true), nil)
+	}
+	return r
+}
+
+// cancel asks for the cancel of a job; its effect shows in the job's answer.
+func (c *client) cancel(ctx context.Context, e Entry, j *Job, key uuid.UUID) Reply {
+	return c.call(ctx, http.MethodDelete, c.url(e, jobPath(j, key), false), nil)
+}
+
+func jobPath(j *Job, key uuid.UUID) string {
+	return strings.NewReplacer("{home}", j.Home, "{customer}", j.Customer, "{key}", key.String()).Replace(api.PathJob)
+}
+
+func (c *client) url(e Entry, path string, wait bool) string {
+	u := "http://" + e.Addr.String() + path
+	if wait && c.wait > 0 {
+		u += "?wait=" + c.wait.String()
+	}
+	return u
+}
+
+func (c *client) call(ctx context.Context, method, url string, body []byte) Reply {
+	ctx, stop := context.WithTimeout(ctx, c.wait+callGrace)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return Reply{Class: Unknown, Malformed: err.Error()}
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	// Without GetBody and with a POST the transport never repeats a call by itself.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Reply{Class: Unknown, Broken: true, Problem: "call-broken"}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Reply{Class: Unknown, Broken: true, Problem: "answer-broken"}
+	}
+	return classify(resp.StatusCode, resp.Header.Get("Content-Type"), data)
+}
+
+// classify turns an HTTP answer into a Reply.
+func classify(status int, contentType string, data []byte) Reply {
+	media, _, _ := mime.ParseMediaType(contentType)
+	if media == api.ContentTypeProblem {
+		return classifyProblem(status, data)
+	}
+	if status >= http.StatusMultipleChoices {
+		return Reply{Class: Unknown, Malformed: fmt.Sprintf("status %d is not a problem document", status)}
+	}
+	var a api.Answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		return Reply{Class: Unknown, Malformed: "the answer is not JSON"}
+	}
+	switch a.Status {
+	case api.StatusComplete:
+		return Reply{Class: Complete, Ran: api.RanYes, Results: a.Results}
+	case api.StatusPending:
+		return Reply{Class: Pending, Ran: api.RanUnknown}
+	}
+	return Reply{Class: Unknown, Malformed: fmt.Sprintf("status %q with HTTP status %d", a.Status, status)}
+}
+
+func classifyProblem(status int, data []byte) Reply {
+	var p api.Problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Reply{Class: Unknown, Malformed: "the problem document is not JSON"}
+	}
+	r := Reply{
+		Problem:    p.Kind,
+		Ran:        p.Ran,
+		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond,
+		Results:    p.Results,
+	}
+	switch {
+	case len(p.Results) > 0:
+		r.Class = Failed
+	case p.Ran == api.RanNo:
+		r.Class = Refused
+	case p.Ran == api.RanYes:
+		r.Class = Failed
+	default:
+		r.Class = Unknown
+	}
+	if p.Status != status {
+		r.Malformed = fmt.Sprintf("problem status %d under HTTP status %d", p.Status, status)
+	}
+	if p.Kind == "" || p.Remedy == "" || p.Ran == "" {
+		r.Malformed = "the problem lacks kind, remedy or ran"
+	}
+	return r
+}
+
+// PathStarts is where a backend stand-in reports its starts as a JSON object
+// of task identity to count.
+const PathStarts = "/standin/starts"
+
+// fetchStarts adds up the starts of every task identity over the backend
+// stand-ins.
+func fetchStarts(ctx context.Context, addrs []netip.AddrPort) (map[string]int, error) {
+	c := newClient(callGrace)
+	sum := make(map[string]int)
+	for _, a := range addrs {
+		one, err := c.starts(ctx, a)
+		if err != nil {
+			return nil, errors.Wrapf(err, "starts of %s; check that it is a backend stand-in and still runs", a)
+		}
+		for id, n := range one {
+			sum[id] += n
+		}
+	}
+	return sum, nil
+}
+
+func (c *client) starts(ctx context.Context, a netip.AddrPort) (map[string]int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+PathStarts, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", resp.StatusCode)
+	}
+	one := make(map[string]int)
+	err = json.NewDecoder(resp.Body).Decode(&one)
+	return one, err
+}
+
+// identity is the task identity that a backend server sees in
+// backendapi.HeaderTask.
+func identity(j *Job, key uuid.UUID, index int) string {
+	return fmt.Sprintf("%s/%s/%s/%d", j.Home, j.Customer, key, index)
+}
--- /dev/null
+++ b/internal/load/generator.go
@@ -0,0 +1,302 @@
+package load
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Op is what an event asks the runner to do.
+type Op uint8
+
+// Operations of an event.
+const (
+	OpSubmit   Op = iota
+	OpResubmit    // the same key through another instance
+	OpCancel
+)
+
+// Event is one call to the caller API at a time after the start of the run.
+type Event struct {
+	At  time.Duration
+	Op  Op
+	Job *Job
+}
+
+// Job is a generated job.
+type Job struct {
+	Seq      int           // position in the run, from 0
+	At       time.Duration // planned arrival after the start of the run
+	Phase    int
+	Customer string
+	Home     string
+	Kind     *Kind
+	Tasks    []Task
+	Declared time.Duration // 0 when nothing is declared
+	Local    bool          // enters in its home domain
+	Entry    uint64        // chooses the entry instance, modulo the candidates
+	Random   [10]byte      // random part of the key
+}
+
+// Task is one task of a generated job.
+type Task struct {
+	Run  time.Duration // run time at speed 1
+	Fail bool
+}
+
+// Longest is the run time of the longest task.
+func (j *Job) Longest() time.Duration {
+	var d time.Duration
+	for _, t := range j.Tasks {
+		d = max(d, t.Run)
+	}
+	return d
+}
+
+// Work is the run time of all tasks together.
+func (j *Job) Work() time.Duration {
+	var d time.Duration
+	for _, t := range j.Tasks {
+		d += t.Run
+	}
+	return d
+}
+
+// Ideal is the response time on an idle fleet without any delay between
+// processes.
+func (j *Job) Ideal(f Fleet) time.Duration {
+	spread := j.Work() / time.Duration(f.Slots)
+	return time.Duration(float64(max(j.Longest(), spread)) / f.Speed)
+}
+
+// Key returns the UUIDv7 of a job that is first submitted at t.
+func (j *Job) Key(t time.Time) uuid.UUID {
+	var u uuid.UUID
+	binary.BigEndian.PutUint64(u[:8], uint64(t.UnixMilli())<<16)
+	copy(u[6:], j.Random[:])
+	u[6] = u[6]&0x0f | 0x70
+	u[8] = u[8]&0x3f | 0x80
+	return u
+}
+
+// Generator yields the events of a workload in order of time. It reads no
+// clock; two generators of the same workload yield the same events.
+type Generator struct {
+	w        *Workload
+	arrivals *rand.Rand
+	at       time.Duration // time of the last arrival
+	phase    int
+	phaseEnd time.Duration
+	seq      int
+	ended    bool
+	next     *Event // the next arrival, when known
+	later    eventHeap
+	order    uint64
+}
+
+// NewGenerator returns a generator at the start of the workload.
+func NewGenerator(w *Workload) *Generator {
+	return &Generator{
+		w:        w,
+		arrivals: rand.New(rand.NewPCG(w.Seed, math.MaxUint64)),
+		phaseEnd: time.Duration(w.Phases[0].DurationMs) * time.Millisecond,
+	}
+}
+
+// Next returns the next event, and false after the last.
+func (g *Generator) Next() (Event, bool) {
+	if g.next == nil && !g.ended {
+		g.arrive()
+	}
+	if len(g.later) > 0 && (g.next == nil || g.later[0].At <= g.next.At) {
+		return heap.Pop(&g.later).(timed).Event, true
+	}
+	if g.next == nil {
+		return Event{}, false
+	}
+	ev := *g.next
+	g.next = nil
+	return ev, true
+}
+
+// arrive generates the next arrival and what follows from it.
+func (g *Generator) arrive() {
+	if g.seq >= g.w.MaxJobs || !g.advance() {
+		g.ended = true
+		return
+	}
+	rng := rand.New(rand.NewPCG(g.w.Seed, uint64(g.seq)))
+	j := g.job(rng)
+	g.seq++
+	g.next = &Event{At: j.At, Op: OpSubmit, Job: j}
+	g.followUps(rng, j)
+}
+
+// advance moves to the time of the next arrival of an inhomogeneous Poisson
+// process, by thinning against the highest rate of the phase.
+func (g *Generator) advance() bool {
+	for {
+		p := g.w.Phases[g.phase]
+		peak := p.peak()
+		if peak > 0 {
+			step := g.arrivals.ExpFloat64() / peak
+			g.at += time.Duration(step * float64(time.Second))
+		} else {
+			g.at = g.phaseEnd
+		}
+		if g.at >= g.phaseEnd {
+			if !g.nextPhase() {
+				return false
+			}
+			continue
+		}
+		if g.arrivals.Float64()*peak < p.rate(g.at-g.phaseStart()) {
+			return true
+		}
+	}
+}
+
+func (g *Generator) phaseStart() time.Duration {
+	return g.phaseEnd - time.Duration(g.w.Phases[g.phase].DurationMs)*time.Millisecond
+}
+
+func (g *Generator) nextPhase() bool {
+	if g.phase+1 >= len(g.w.Phases) {
+		return false
+	}
+	g.at = g.phaseEnd
+	g.phase++
+	g.phaseEnd += time.Duration(g.w.Phases[g.phase].DurationMs) * time.Millisecond
+	return true
+}
+
+func (p Phase) peak() float64 {
+	if p.ToPerSecond == nil {
+		return p.JobsPerSecond
+	}
+	return max(p.JobsPerSecond, *p.ToPerSecond)
+}
+
+func (p Phase) rate(since time.Duration) float64 {
+	if p.ToPerSecond == nil {
+		return p.JobsPerSecond
+	}
+	part := since.Seconds() * 1000 / float64(p.DurationMs)
+	return p.JobsPerSecond + (*p.ToPerSecond-p.JobsPerSecond)*part
+}
+
+func (g *Generator) job(rng *rand.Rand) *Job {
+	c := &g.w.Customers[pick(rng, len(g.w.Customers), func(i int) float64 { return g.w.Customers[i].Share })]
+	k := &c.Kinds[pick(rng, len(c.Kinds), func(i int) float64 { return c.Kinds[i].Share })]
+	h := g.w.Homes[pick(rng, len(g.w.Homes), func(i int) float64 { return g.w.Homes[i].Share })]
+	j := &Job{Seq: g.seq, At: g.at, Phase: g.phase, Customer: c.Name, Home: h.Domain, Kind: k}
+	j.Tasks = k.tasks(rng)
+	j.Declared = k.declared(rng, j)
+	j.Local = rng.Float64() < g.w.LocalShare
+	j.Entry = rng.Uint64()
+	binary.BigEndian.PutUint64(j.Random[:8], rng.Uint64())
+	binary.BigEndian.PutUint16(j.Random[8:], uint16(rng.Uint32()))
+	return j
+}
+
+func (k *Kind) tasks(rng *rand.Rand) []Task {
+	size := k.Sizes[pick(rng, len(k.Sizes), func(i int) float64 { return k.Sizes[i].Share })].Tasks
+	class := k.runClass(rng)
+	tasks := make([]Task, size)
+	for i := range tasks {
+		r := class
+		if class.PerTask {
+			r = k.runClass(rng)
+		}
+		tasks[i] = Task{Run: r.draw(rng), Fail: rng.Float64() < k.FailShare}
+	}
+	return tasks
+}
+
+func (k *Kind) runClass(rng *rand.Rand) RunClass {
+	return k.Runs[pick(rng, len(k.Runs), func(i int) float64 { return k.Runs[i].Share })]
+}
+
+// draw returns a log-uniform run time in whole milliseconds.
+func (r RunClass) draw(rng *rand.Rand) time.Duration {
+	lo, hi := math.Log(float64(r.MinMs)), math.Log(float64(r.MaxMs))
+	ms := math.Exp(lo + rng.Float64()*(hi-lo))
+	return time.Duration(math.Round(ms)) * time.Millisecond
+}
+
+func (k *Kind) declared(rng *rand.Rand, j *Job) time.Duration {
+	d := k.Declared[pick(rng, len(k.Declared), func(i int) float64 { return k.Declared[i].Share })]
+	mean := j.Work() / time.Duration(len(j.Tasks))
+	return time.Duration(d.Factor * float64(mean)).Round(time.Millisecond)
+}
+
+func (g *Generator) followUps(rng *rand.Rand, j *Job) {
+	if rng.Float64() < j.Kind.ResubmitShare {
+		g.push(Event{At: j.At + within(rng, j.Kind.ResubmitMs), Op: OpResubmit, Job: j})
+	}
+	if rng.Float64() < j.Kind.CancelShare {
+		g.push(Event{At: j.At + within(rng, j.Kind.CancelMs), Op: OpCancel, Job: j})
+	}
+	for _, c := range g.w.CancelWaves {
+		at := time.Duration(c.AtMs) * time.Millisecond
+		window := time.Duration(c.WindowMs) * time.Millisecond
+		hit := rng.Float64() < c.Share
+		delay := within(rng, c.OverMs)
+		if hit && j.At <= at && j.At > at-window && (c.Customer == "" || c.Customer == j.Customer) {
+			g.push(Event{At: at + delay, Op: OpCancel, Job: j})
+		}
+	}
+}
+
+func within(rng *rand.Rand, ms int64) time.Duration {
+	return time.Duration(rng.Float64() * float64(ms) * float64(time.Millisecond))
+}
+
+func (g *Generator) push(ev Event) {
+	g.order++
+	heap.Push(&g.later, timed{ev, g.order})
+}
+
+// pick returns an index with a chance in proportion to its share.
+func pick(rng *rand.Rand, n int, share func(int) float64) int {
+	var sum float64
+	for i := range n {
+		sum += share(i)
+	}
+	x := rng.Float64() * sum
+	for i := range n {
+		x -= share(i)
+		if x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+type timed struct {
+	Event
+	order uint64
+}
+
+// eventHeap orders events by time, then by the order of generation.
+type eventHeap []timed
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].At != h[j].At {
+		return h[i].At < h[j].At
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(v any)   { *h = append(*h, v.(timed)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	v := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return v
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histograms.
+const (
+	maxResponse  = time.Hour
+	ratioUnit    = 1000 // ratios are recorded in thousandths
+	maxRatio     = 1_000_000 * ratioUnit
+	sigFigures   = 3
+	bucketLength = 250 * time.Millisecond
+)
+
+// Counts are the numbers of answers by class.
+type Counts struct {
+	Complete int `json:"complete"`
+	Failed   int `json:"failed"`
+	Refused  int `json:"refused"`
+	Unknown  int `json:"unknown"`
+	Pending  int `json:"pending"`
+}
+
+func (c *Counts) add(class Class) {
+	switch class {
+	case Complete:
+		c.Complete++
+	case Failed:
+		c.Failed++
+	case Refused:
+		c.Refused++
+	case Unknown:
+		c.Unknown++
+	case Pending:
+		c.Pending++
+	}
+}
+
+func (c Counts) total() int { return c.Complete + c.Failed + c.Refused + c.Unknown + c.Pending }
+
+// group gathers the measures of some of the jobs.
+type group struct {
+	counts   Counts
+	inTime   int // complete within the deadline, or complete when there is none
+	response *hdrhistogram.Histogram
+	ratio    *hdrhistogram.Histogram
+	ratioSum float64
+	refusal  *hdrhistogram.Histogram // time until a refusal
+}
+
+func newGroup() *group {
+	return &group{
+		response: hdrhistogram.New(1, maxResponse.Microseconds(), sigFigures),
+		ratio:    hdrhistogram.New(1, maxRatio, sigFigures),
+		refusal:  hdrhistogram.New(1, maxResponse.Microseconds(), sigFigures),
+	}
+}
+
+func (g *group) record(s sample) {
+	g.counts.add(s.class)
+	switch s.class {
+	case Complete:
+		r := float64(s.response) / float64(s.ideal)
+		recordClamped(g.response, s.response.Microseconds())
+		recordClamped(g.ratio, int64(r*ratioUnit))
+		g.ratioSum += r
+		if s.deadline == 0 || s.response <= s.deadline {
+			g.inTime++
+		}
+	case Refused:
+		recordClamped(g.refusal, s.response.Microseconds())
+	}
+}
+
+func recordClamped(h *hdrhistogram.Histogram, v int64) {
+	v = min(max(v, h.LowestTrackableValue()), h.HighestTrackableValue())
+	if err := h.RecordValue(v); err != nil {
+		panic(err) // the value was clamped to the bounds
+	}
+}
+
+// sample is one finished submission.
+type sample struct {
+	at       time.Duration // planned time of the call
+	response time.Duration // from the planned time to the answer
+	ideal    time.Duration
+	deadline time.Duration
+	class    Class
+	problem  string
+	customer string
+	kind     string
+	phase    string
+	short    bool
+}
+
+// bucket is a span of the run.
+type bucket struct {
+	counts   Counts
+	response *hdrhistogram.Histogram
+	short    *hdrhistogram.Histogram
+}
+
+// recorder gathers samples. It is safe for use by several goroutines.
+type recorder struct {
+	mu         sync.Mutex
+	all        *group
+	short      *group
+	long       *group
+	byCustomer map[string]*group
+	byKind     map[string]*group
+	byPhase    map[string]*group
+	problems   map[string]int
+	buckets    []*bucket
+	resubmits  Counts
+	cancels    Counts
+	retries    Counts
+	notSent    int
+	lag        *hdrhistogram.Histogram // how late calls were sent
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		all:        newGroup(),
+		short:      newGroup(),
+		long:       newGroup(),
+		byCustomer: make(map[string]*group),
+		byKind:     make(map[string]*group),
+		byPhase:    make(map[string]*group),
+		problems:   make(map[string]int),
+		lag:        hdrhistogram.New(1, maxResponse.Microseconds(), sigFigures),
+	}
+}
+
+func (r *recorder) job(s sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all.record(s)
+	if s.short {
+		r.short.record(s)
+	} else {
+		r.long.record(s)
+	}
+	named(r.byCustomer, s.customer).record(s)
+	named(r.byKind, s.kind).record(s)
+	named(r.byPhase, s.phase).record(s)
+	if s.problem != "" {
+		r.problems[s.problem]++
+	}
+	r.bucket(s)
+}
+
+func named(m map[string]*group, name string) *group {
+	g := m[name]
+	if g == nil {
+		g = newGroup()
+		m[name] = g
+	}
+	return g
+}
+
+func (r *recorder) bucket(s sample) {
+	i := int(s.at / bucketLength)
+	for len(r.buckets) <= i {
+		r.buckets = append(r.buckets, &bucket{
+			response: hdrhistogram.New(1, maxResponse.Microseconds(), 2),
+			short:    hdrhistogram.New(1, maxResponse.Microseconds(), 2),
+		})
+	}
+	b := r.buckets[i]
+	b.counts.add(s.class)
+	if s.class != Complete {
+		return
+	}
+	recordClamped(b.response, s.response.Microseconds())
+	if s.short {
+		recordClamped(b.short, s.response.Microseconds())
+	}
+}
+
+func (r *recorder) sent(late time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recordClamped(r.lag, late.Microseconds())
+}
+
+func (r *recorder) with(f func(r *recorder)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,288 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Workload    string         `json:"workload"`
+	Seed        uint64         `json:"seed"`
+	Entries     int            `json:"entries"`
+	TookMs      int64          `json:"took_ms"`
+	OfferedLoad float64        `json:"offered_load_peak"` // busy share of the slots that the highest rate asks for
+	NotSent     int            `json:"not_sent"`          // over the generator's bound of calls in flight
+	SendLag     Quantiles      `json:"send_lag_ms"`       // how late the generator sent
+	All         Measures       `json:"all"`
+	Short       Measures       `json:"short"`
+	Long        Measures       `json:"long"`
+	Customers   []Measures     `json:"customers"`
+	Kinds       []Measures     `json:"kinds"`
+	Phases      []Measures     `json:"phases"`
+	Problems    []ProblemCount `json:"problems"`
+	Resubmits   Counts         `json:"resubmits"`
+	Cancels     Counts         `json:"cancels"`
+	Retries     Counts         `json:"retries"` // refused jobs offered again after Retry-After
+	Findings    []Finding      `json:"findings"`
+	StartsRead  bool           `json:"starts_read"` // the claims were compared with the backend servers' counts
+	StartsError string         `json:"starts_error,omitempty"`
+	Series      []Point        `json:"series"`
+
+	responseCDF, ratioCDF, shortRatioCDF []hdrhistogram.Bracket
+}
+
+// Measures are the figures of a group of jobs. Ratios are response time by
+// ideal response time; they and Response cover complete jobs only.
+type Measures struct {
+	Name      string    `json:"name"`
+	Jobs      int       `json:"jobs"`
+	Counts    Counts    `json:"counts"`
+	InTime    int       `json:"in_time"`
+	Response  Quantiles `json:"response_ms"`
+	Ratio     Quantiles `json:"ratio"`
+	RefusedIn Quantiles `json:"refused_in_ms"`
+}
+
+// Quantiles of a distribution, in the unit of the field's name.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+// ProblemCount is how often a kind of problem ended a job.
+type ProblemCount struct {
+	Kind  string `json:"kind"`
+	Count int    `json:"count"`
+}
+
+// Point is one span of the run, by planned arrival.
+type Point struct {
+	AtMs     int64   `json:"at_ms"`
+	Counts   Counts  `json:"counts"`
+	P50Ms    float64 `json:"p50_ms"`
+	P99Ms    float64 `json:"p99_ms"`
+	ShortP99 float64 `json:"short_p99_ms"`
+}
+
+// Untrue is the number of violations found.
+func (r *Report) Untrue() int {
+	n := 0
+	for _, f := range r.Findings {
+		n += f.Count
+	}
+	return n
+}
+
+func quantiles(h *hdrhistogram.Histogram, unit float64) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / unit }
+	return Quantiles{
+		Count: h.TotalCount(),
+		Mean:  h.Mean() / unit,
+		P50:   at(50),
+		P90:   at(90),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   float64(h.Max()) / unit,
+	}
+}
+
+const microsPerMilli = 1000
+
+func (g *group) measures(name string) Measures {
+	m := Measures{
+		Name:      name,
+		Jobs:      g.counts.total(),
+		Counts:    g.counts,
+		InTime:    g.inTime,
+		Response:  quantiles(g.response, microsPerMilli),
+		Ratio:     quantiles(g.ratio, ratioUnit),
+		RefusedIn: quantiles(g.refusal, microsPerMilli),
+	}
+	if g.counts.Complete > 0 {
+		m.Ratio.Mean = g.ratioSum / float64(g.counts.Complete)
+	}
+	return m
+}
+
+func measuresOf(groups map[string]*group) []Measures {
+	var list []Measures
+	for name, g := range groups {
+		list = append(list, g.measures(name))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (r *runner) report(startsErr error) *Report {
+	rec := r.recorder
+	rep := &Report{
+		Workload:    r.w.Name,
+		Seed:        r.w.Seed,
+		Entries:     len(r.target.Entries),
+		TookMs:      r.took.Milliseconds(),
+		OfferedLoad: r.w.peakLoad(),
+		NotSent:     rec.notSent,
+		SendLag:     quantiles(rec.lag, microsPerMilli),
+		All:         rec.all.measures("all"),
+		Short:       rec.short.measures("short"),
+		Long:        rec.long.measures("long"),
+		Customers:   measuresOf(rec.byCustomer),
+		Kinds:       measuresOf(rec.byKind),
+		Phases:      r.phaseMeasures(),
+		Problems:    problemCounts(rec.problems),
+		Resubmits:   rec.resubmits,
+		Cancels:     rec.cancels,
+		Retries:     rec.retries,
+		Findings:    r.truth.findings(),
+		StartsRead:  len(r.target.Starts) > 0 && startsErr == nil,
+		Series:      rec.series(),
+
+		responseCDF:   rec.all.response.CumulativeDistribution(),
+		ratioCDF:      rec.all.ratio.CumulativeDistribution(),
+		shortRatioCDF: rec.short.ratio.CumulativeDistribution(),
+	}
+	if startsErr != nil {
+		rep.StartsError = startsErr.Error()
+	}
+	return rep
+}
+
+func (w *Workload) peakLoad() float64 {
+	var peak float64
+	for _, p := range w.Phases {
+		peak = max(peak, p.peak())
+	}
+	return w.OfferedLoad(peak)
+}
+
+func (r *runner) phaseMeasures() []Measures {
+	var list []Measures
+	seen := make(map[string]bool)
+	for _, p := range r.w.Phases {
+		g := r.recorder.byPhase[p.Name]
+		if g != nil && !seen[p.Name] {
+			list = append(list, g.measures(p.Name))
+		}
+		seen[p.Name] = true
+	}
+	return list
+}
+
+func problemCounts(problems map[string]int) []ProblemCount {
+	var list []ProblemCount
+	for kind, n := range problems {
+		list = append(list, ProblemCount{kind, n})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Kind < list[j].Kind })
+	return list
+}
+
+func (r *recorder) series() []Point {
+	var list []Point
+	for i, b := range r.buckets {
+		list = append(list, Point{
+			AtMs:     (time.Duration(i) * bucketLength).Milliseconds(),
+			Counts:   b.counts,
+			P50Ms:    float64(b.response.ValueAtQuantile(50)) / microsPerMilli,
+			P99Ms:    float64(b.response.ValueAtQuantile(99)) / microsPerMilli,
+			ShortP99: float64(b.short.ValueAtQuantile(99)) / microsPerMilli,
+		})
+	}
+	return list
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(out io.Writer) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(out, "workload %s, seed %d, %d entry instances, %.1f s, offered load at the highest rate %.2f\n",
+		r.Workload, r.Seed, r.Entries, float64(r.TookMs)/1000, r.OfferedLoad)
+	fmt.Fprintf(out, "sent late by p99 %.1f ms, max %.1f ms; not sent %d\n\n", r.SendLag.P99, r.SendLag.Max, r.NotSent)
+	fmt.Fprintln(tw, "group\tjobs\tcomplete\tin time\tfailed\trefused\tunknown\tpending\tmean ms\tp50\tp99\tratio mean\tp50\tp99\trefused in p99 ms\t")
+	r.All.row(tw, "")
+	r.Short.row(tw, "")
+	r.Long.row(tw, "")
+	rows(tw, "phase ", r.Phases)
+	rows(tw, "kind ", r.Kinds)
+	rows(tw, "customer ", r.Customers)
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	r.writeCounts(out)
+	return r.writeFindings(out)
+}
+
+func rows(w io.Writer, prefix string, list []Measures) {
+	for _, m := range list {
+		m.row(w, prefix)
+	}
+}
+
+func (m Measures) row(w io.Writer, prefix string) {
+	c := m.Counts
+	fmt.Fprintf(w, "%s%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.1f\t\n",
+		prefix, m.Name, m.Jobs, c.Complete, m.InTime, c.Failed, c.Refused, c.Unknown, c.Pending,
+		m.Response.Mean, m.Response.P50, m.Response.P99, m.Ratio.Mean, m.Ratio.P50, m.Ratio.P99, m.RefusedIn.P99)
+}
+
+func (r *Report) writeCounts(out io.Writer) {
+	fmt.Fprintln(out)
+	for _, p := range r.Problems {
+		fmt.Fprintf(out, "problem %s: %d\n", p.Kind, p.Count)
+	}
+	fmt.Fprintf(out, "resubmitted: %s\n", r.Resubmits)
+	fmt.Fprintf(out, "cancels: %s\n", r.Cancels)
+	fmt.Fprintf(out, "offered again after Retry-After: %s\n", r.Retries)
+}
+
+// String lists the counts of all classes.
+func (c Counts) String() string {
+	return fmt.Sprintf("%d complete, %d failed, %d refused, %d unknown, %d pending",
+		c.Complete, c.Failed, c.Refused, c.Unknown, c.Pending)
+}
+
+func (r *Report) writeFindings(out io.Writer) error {
+	if !r.StartsRead {
+		fmt.Fprintln(out, "starts were not read: claims of run and not run are unchecked", r.StartsError)
+	}
+	fmt.Fprintf(out, "untrue answers: %d\n", r.Untrue())
+	for _, f := range r.Findings {
+		if f.Count == 0 {
+			continue
+		}
+		fmt.Fprintf(out, "  %s: %d\n", f.Violation, f.Count)
+		for _, e := range f.Examples {
+			fmt.Fprintf(out, "    %s\n", e)
+		}
+	}
+	return nil
+}
+
+// WriteFiles writes report.json and the plots into a directory.
+func (r *Report) WriteFiles(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Wrap(err, "make the output directory; give a writable one")
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode the report")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(data, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "write the report; give a writable output directory")
+	}
+	return r.writePlots(dir)
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,231 @@
+package load
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// maxRetryAfter bounds how long a refused job waits before it is offered
+// again.
+const maxRetryAfter = 30 * time.Second
+
+// Target is what a run goes to. All addresses are on loopback.
+type Target struct {
+	Entries []Entry
+	Starts  []netip.AddrPort // backend stand-ins that count starts, none when empty
+}
+
+// Run offers the workload to the entry instances and returns the report. It
+// ends after the workload's duration and drain time, or with the context.
+func Run(ctx context.Context, w *Workload, t Target) (*Report, error) {
+	if len(t.Entries) == 0 {
+		return nil, &AddressError{"", "is missing"}
+	}
+	for _, e := range t.Entries {
+		if _, err := ParseLoopback(e.Addr.String()); err != nil {
+			return nil, err
+		}
+	}
+	for _, a := range t.Starts {
+		if _, err := ParseLoopback(a.String()); err != nil {
+			return nil, err
+		}
+	}
+	r := newRunner(w, t)
+	r.drive(ctx)
+	startsErr := r.compareStarts(ctx)
+	return r.report(startsErr), nil
+}
+
+type runner struct {
+	w        *Workload
+	target   Target
+	client   *client
+	recorder *recorder
+	truth    *truth
+	begin    time.Time
+	took     time.Duration
+	slots    chan struct{} // bounds the calls in flight
+	calls    sync.WaitGroup
+}
+
+func newRunner(w *Workload, t Target) *runner {
+	return &runner{
+		w:        w,
+		target:   t,
+		client:   newClient(time.Duration(w.WaitMs) * time.Millisecond),
+		recorder: newRecorder(),
+		truth:    newTruth(),
+		slots:    make(chan struct{}, w.MaxInFlight),
+	}
+}
+
+// drive sends every event at its planned time, whether or not earlier calls
+// are answered, and waits for the answers.
+func (r *runner) drive(ctx context.Context) {
+	drain := time.Duration(r.w.DrainMs) * time.Millisecond
+	calls, stop := context.WithTimeout(ctx, r.w.Duration()+drain)
+	defer stop()
+	r.begin = time.Now()
+	gen := NewGenerator(r.w)
+	for {
+		ev, ok := gen.Next()
+		if !ok || !sleepUntil(calls, r.begin.Add(ev.At)) {
+			break
+		}
+		r.send(calls, ev)
+	}
+	r.calls.Wait()
+	r.took = time.Since(r.begin)
+	r.client.http.CloseIdleConnections()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) send(ctx context.Context, ev Event) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.recorder.with(func(rec *recorder) { rec.notSent++ })
+		return
+	}
+	r.recorder.sent(time.Since(r.begin.Add(ev.At)))
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		defer func() { <-r.slots }()
+		r.perform(ctx, ev)
+	}()
+}
+
+func (r *runner) perform(ctx context.Context, ev Event) {
+	planned := r.begin.Add(ev.Job.At)
+	key := ev.Job.Key(planned)
+	switch ev.Op {
+	case OpSubmit:
+		reply := r.submitAnywhere(ctx, ev.Job, key)
+		r.recordJob(ev.Job, time.Since(planned), reply)
+		r.retryRefused(ctx, ev.Job, reply)
+	case OpResubmit:
+		reply := r.submit(ctx, ev.Job, key, 1)
+		r.recorder.with(func(rec *recorder) { rec.resubmits.add(reply.Class) })
+	case OpCancel:
+		reply := r.client.cancel(ctx, r.entry(ev.Job, 1), ev.Job, key)
+		r.recorder.with(func(rec *recorder) { rec.cancels.add(reply.Class) })
+	}
+}
+
+// submitAnywhere repeats a broken call with the same key at other instances.
+func (r *runner) submitAnywhere(ctx context.Context, j *Job, key uuid.UUID) Reply {
+	reply := r.submit(ctx, j, key, 0)
+	for i := 1; i <= r.w.LostResubmits && reply.Broken && ctx.Err() == nil; i++ {
+		reply = r.submit(ctx, j, key, i)
+	}
+	return reply
+}
+
+func (r *runner) submit(ctx context.Context, j *Job, key uuid.UUID, offset int) Reply {
+	r.truth.sent(j, key)
+	reply := r.client.submit(ctx, r.entry(j, offset), j, key)
+	r.truth.answered(j, key, reply)
+	return reply
+}
+
+// retryRefused offers a refused job again, as a new one with a new key, at
+// the time that the refusal named.
+func (r *runner) retryRefused(ctx context.Context, j *Job, reply Reply) {
+	for i := 0; i < r.w.RefusedRetries && reply.Class == Refused && reply.RetryAfter > 0; i++ {
+		at := time.Now().Add(min(reply.RetryAfter, maxRetryAfter))
+		if !sleepUntil(ctx, at) {
+			return
+		}
+		again := *j
+		again.Random[9] += byte(i) + 1
+		reply = r.submit(ctx, &again, again.Key(at), i+1)
+		r.recorder.with(func(rec *recorder) { rec.retries.add(reply.Class) })
+	}
+}
+
+// entry chooses an instance: of the home domain for local jobs, where known,
+// else any. The offset moves on to another one.
+func (r *runner) entry(j *Job, offset int) Entry {
+	list := r.target.Entries
+	if j.Local {
+		if local := r.inDomain(j.Home); len(local) > 0 {
+			list = local
+		}
+	}
+	first := int(j.Entry % uint64(len(list)))
+	if offset == 0 {
+		return list[first]
+	}
+	return r.otherThan(list[first], j, offset)
+}
+
+func (r *runner) otherThan(e Entry, j *Job, offset int) Entry {
+	all := r.target.Entries
+	if len(all) == 1 {
+		return e
+	}
+	i := int((j.Entry>>16 + uint64(offset)) % uint64(len(all)))
+	if all[i] == e {
+		i = (i + 1) % len(all)
+	}
+	return all[i]
+}
+
+func (r *runner) inDomain(domain string) []Entry {
+	var list []Entry
+	for _, e := range r.target.Entries {
+		if e.Domain == domain {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (r *runner) recordJob(j *Job, response time.Duration, reply Reply) {
+	r.recorder.job(sample{
+		at:       j.At,
+		response: response,
+		ideal:    j.Ideal(r.w.Fleet),
+		deadline: time.Duration(j.Kind.DeadlineMs) * time.Millisecond,
+		class:    reply.Class,
+		problem:  reply.Problem,
+		customer: j.Customer,
+		kind:     j.Kind.Name,
+		phase:    r.w.Phases[j.Phase].Name,
+		short:    j.Longest().Milliseconds() <= r.w.ShortMs,
+	})
+}
+
+// compareStarts checks the answers against the starts that the backend
+// stand-ins counted.
+func (r *runner) compareStarts(ctx context.Context) error {
+	if len(r.target.Starts) == 0 {
+		return nil
+	}
+	starts, err := fetchStarts(ctx, r.target.Starts)
+	if err != nil {
+		return err
+	}
+	r.truth.compare(starts)
+	return nil
+}
--- /dev/null
+++ b/internal/load/truth.go
@@ -0,0 +1,230 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+)
+
+// Violation is a kind of untrue answer.
+type Violation string
+
+// Kinds of violations.
+const (
+	StartedTwice      Violation = "task started twice"
+	RefusedButStarted Violation = "refused as not run, but started"
+	// RefusedButOther is a call that was refused as not run while another call
+	// with the same key was run.
+	RefusedButOther  Violation = "refused as not run, run by another call of the same key"
+	NotRunButStarted Violation = "task answered as not run, but started"
+	RanButNotStarted Violation = "task answered as run, but not started"
+	Partial          Violation = "complete answer is not whole"
+	ForeignResult    Violation = "result belongs to another request"
+	TwoAnswers       Violation = "two final answers of one key differ"
+	Malformed        Violation = "answer does not fit the contract"
+)
+
+// maxExamples bounds the examples kept of each violation.
+const maxExamples = 5
+
+// Finding counts one kind of violation.
+type Finding struct {
+	Violation Violation `json:"violation"`
+	Count     int       `json:"count"`
+	Examples  []string  `json:"examples"`
+}
+
+// jobTruth is what the answers to one key have claimed.
+type jobTruth struct {
+	job      *Job
+	key      uuid.UUID
+	calls    int    // submissions of this key
+	refused  int    // of them answered as refused, not run
+	final    uint64 // digest of the first complete or failed answer
+	hasFinal bool
+	ran      []api.Ran // per task, from the final answer
+}
+
+// truth checks answers and, at the end, compares them with the starts that
+// the backend servers counted. It is safe for use by several goroutines.
+type truth struct {
+	mu    sync.Mutex
+	jobs  map[uuid.UUID]*jobTruth
+	found map[Violation]*Finding
+}
+
+func newTruth() *truth {
+	return &truth{jobs: make(map[uuid.UUID]*jobTruth), found: make(map[Violation]*Finding)}
+}
+
+// sent notes that the key is about to be submitted.
+func (t *truth) sent(j *Job, key uuid.UUID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	jt := t.jobs[key]
+	if jt == nil {
+		jt = &jobTruth{job: j, key: key}
+		t.jobs[key] = jt
+	}
+	jt.calls++
+}
+
+// answered checks an answer by itself and against earlier ones of its key.
+func (t *truth) answered(j *Job, key uuid.UUID, r Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Malformed != "" {
+		t.add(Malformed, key, r.Malformed)
+	}
+	jt := t.jobs[key]
+	switch r.Class {
+	case Refused:
+		jt.refused++
+	case Complete:
+		t.checkComplete(jt, r.Results)
+		t.checkFinal(jt, r)
+	case Failed:
+		t.checkFailed(jt, r.Results)
+		t.checkFinal(jt, r)
+	}
+}
+
+func (t *truth) checkComplete(jt *jobTruth, results []api.TaskResult) {
+	if len(results) != len(jt.job.Tasks) {
+		t.add(Partial, jt.key, fmt.Sprintf("%d results of %d", len(results), len(jt.job.Tasks)))
+		return
+	}
+	for i, r := range results {
+		if r.Index != i || !r.OK || r.Ran != api.RanYes {
+			t.add(Partial, jt.key, fmt.Sprintf("position %d has index %d, ok %t, ran %q", i, r.Index, r.OK, r.Ran))
+			return
+		}
+		t.checkOutput(jt, r)
+	}
+}
+
+func (t *truth) checkFailed(jt *jobTruth, results []api.TaskResult) {
+	if len(results) != len(jt.job.Tasks) {
+		t.add(Malformed, jt.key, fmt.Sprintf("failed with the outcome of %d tasks of %d", len(results), len(jt.job.Tasks)))
+		return
+	}
+	for i, r := range results {
+		if r.Index != i {
+			t.add(Malformed, jt.key, fmt.Sprintf("position %d has index %d", i, r.Index))
+			return
+		}
+		if r.OK {
+			t.checkOutput(jt, r)
+		}
+	}
+}
+
+// checkOutput compares the echoed identity with the task's own.
+func (t *truth) checkOutput(jt *jobTruth, r api.TaskResult) {
+	var echo payload
+	want := taskID(jt.key, r.Index)
+	if err := json.Unmarshal(r.Output, &echo); err != nil || echo.ID != want {
+		t.add(ForeignResult, jt.key, fmt.Sprintf("task %d returned id %q", r.Index, echo.ID))
+	}
+}
+
+func (t *truth) checkFinal(jt *jobTruth, r Reply) {
+	d := digest(r)
+	if jt.hasFinal {
+		if jt.final != d {
+			t.add(TwoAnswers, jt.key, fmt.Sprintf("the later one is %s", r.Class))
+		}
+		return
+	}
+	jt.hasFinal = true
+	jt.final = d
+	if len(r.Results) != len(jt.job.Tasks) {
+		return
+	}
+	jt.ran = make([]api.Ran, len(r.Results))
+	for i, res := range r.Results {
+		jt.ran[i] = res.Ran
+	}
+}
+
+// digest covers what must be equal in two answers of one key.
+func digest(r Reply) uint64 {
+	h := xxhash.New()
+	fmt.Fprintf(h, "%d;", r.Class)
+	for _, res := range r.Results {
+		fmt.Fprintf(h, "%d,%s,%t,%s;", res.Index, res.Ran, res.OK, res.Output)
+	}
+	return h.Sum64()
+}
+
+// compare checks every claim against the counted starts.
+func (t *truth) compare(starts map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, jt := range t.jobs {
+		t.compareJob(jt, starts)
+	}
+}
+
+func (t *truth) compareJob(jt *jobTruth, starts map[string]int) {
+	total := 0
+	for i := range jt.job.Tasks {
+		n := starts[identity(jt.job, jt.key, i)]
+		total += n
+		if n > 1 {
+			t.add(StartedTwice, jt.key, fmt.Sprintf("task %d: %d starts", i, n))
+		}
+		if jt.ran == nil {
+			continue
+		}
+		if jt.ran[i] == api.RanNo && n > 0 {
+			t.add(NotRunButStarted, jt.key, fmt.Sprintf("task %d", i))
+		}
+		if jt.ran[i] == api.RanYes && n == 0 {
+			t.add(RanButNotStarted, jt.key, fmt.Sprintf("task %d", i))
+		}
+	}
+	switch {
+	case jt.refused == 0 || total == 0:
+	case jt.refused == jt.calls:
+		t.add(RefusedButStarted, jt.key, fmt.Sprintf("%d starts", total))
+	default:
+		t.add(RefusedButOther, jt.key, fmt.Sprintf("%d starts, %d of %d calls refused", total, jt.refused, jt.calls))
+	}
+}
+
+func (t *truth) add(v Violation, key uuid.UUID, detail string) {
+	f := t.found[v]
+	if f == nil {
+		f = &Finding{Violation: v}
+		t.found[v] = f
+	}
+	f.Count++
+	if len(f.Examples) < maxExamples {
+		f.Examples = append(f.Examples, key.String()+": "+detail)
+	}
+}
+
+// findings returns every kind of violation, those not found with count 0.
+func (t *truth) findings() []Finding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kinds := []Violation{
+		StartedTwice, RefusedButStarted, RefusedButOther, NotRunButStarted,
+		RanButNotStarted, Partial, ForeignResult, TwoAnswers, Malformed,
+	}
+	var list []Finding
+	for _, v := range kinds {
+		f := Finding{Violation: v}
+		if got := t.found[v]; got != nil {
+			f = *got
+		}
+		list = append(list, f)
+	}
+	return list
+}
