Match the load tool to the backend stand-in; add the scheduler's capacity benchmark

Cause: the stand-in returns its starts as a list and echoes one field; a refusal that is followed by a proper retry with the same key was counted as untrue.

Ruled out: counting every refusal of a key that ran (a retry after the refusal is what the remedy asks for); not counting any of them (a refusal during another call of the key is a false claim).

Change: outputs are checked for the task's identity and the echo; a refusal counts only if another call of its key had been sent before it was answered. internal/capacity drives the scheduler cores in virtual time and writes CSV and JSON with make capacity.

Conclusion: go test -race ./internal/load ./internal/capacity passes.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 	bash spec/check.sh
 
 check: fmt vet lint generated test spec
+
+.PHONY: capacity
+# capacity measures the pure cores and writes the raw figures of docs/CAPACITY.md.
+capacity:
+	$(GO) run ./internal/capacity/cmd/capacity --out docs/capacity
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestMeasureSchedRepeats(t *testing.T) {
+	f := Fleet{Workers: 4, Customers: 3, Instances: 2, Domains: 2, JobTasks: 2}
+	a, b := MeasureSched("test", f), MeasureSched("test", f)
+	if a.Starts == 0 || a.Steps == 0 {
+		t.Fatalf("nothing was started: %+v", a)
+	}
+	if a.Starts != b.Starts || a.Steps != b.Steps || a.Refusals != b.Refusals || a.MessagesPerStart != b.MessagesPerStart {
+		t.Fatalf("two runs of one seed differ:\n%+v\n%+v", a, b)
+	}
+}
+
+func TestSweepsCoverTheAskedSizes(t *testing.T) {
+	seen := map[string]int{}
+	for _, s := range Sweeps() {
+		for _, f := range s.Fleets {
+			if f.Instances < f.Domains {
+				t.Errorf("%s: %+v has a domain without an instance", s.Name, f)
+			}
+			seen[s.Name]++
+		}
+	}
+	for _, name := range []string{"workers", "customers", "instances", "domains", "job-tasks", "target"} {
+		if seen[name] == 0 {
+			t.Errorf("sweep %s is missing", name)
+		}
+	}
+}
+
+func TestWrite(t *testing.T) {
+	dir := t.TempDir()
+	if err := Write(dir, "sched", []SchedFigure{{Sweep: "x", Fleet: Base, StepNs: 1.5}}); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(filepath.Join(dir, "sched.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	if len(lines) != 2 || !strings.HasPrefix(lines[0], "sweep,workers,customers,") || !strings.HasPrefix(lines[1], "x,50,10,8,4,1,0,1.5,") {
+		t.Fatalf("csv is %q", lines)
+	}
+}
--- /dev/null
+++ b/internal/capacity/cmd/capacity/main.go
@@ -0,0 +1,37 @@
+// Command capacity measures the pure cores over the sizes of
+// docs/CAPACITY.md and writes the raw figures.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/nutmegweir/nutmegweir/internal/capacity"
+)
+
+type options struct {
+	Out string `arg:"--out" default:"docs/capacity" help:"directory of the raw figures"`
+}
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	var figures []capacity.SchedFigure
+	for _, s := range capacity.Sweeps() {
+		for _, f := range s.Fleets {
+			fig := capacity.MeasureSched(s.Name, f)
+			fmt.Printf("sched %s: %+v\n", s.Name, fig)
+			figures = append(figures, fig)
+		}
+	}
+	return capacity.Write(o.Out, "sched", figures)
+}
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,99 @@
+// Package capacity measures how the cost of the pure cores grows with the
+// size of the fleet. It drives the cores in virtual time with fakes at their
+// interfaces and writes the raw figures that docs/CAPACITY.md works from.
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Fleet is the size that one measurement is made at.
+type Fleet struct {
+	Workers   int `json:"workers"`
+	Customers int `json:"customers"`
+	Instances int `json:"instances"`
+	Domains   int `json:"domains"`
+	JobTasks  int `json:"job_tasks"`
+}
+
+// Base is the size of today: the point that the sweeps start from.
+var Base = Fleet{Workers: 50, Customers: 10, Instances: 8, Domains: 4, JobTasks: 1}
+
+// Target is the size of letter 1 as far as one process can hold it.
+var Target = Fleet{Workers: 1200, Customers: 120, Instances: 48, Domains: 6, JobTasks: 10}
+
+// Sweep is a list of sizes that differ in one dimension.
+type Sweep struct {
+	Name   string
+	Fleets []Fleet
+}
+
+// Sweeps returns the sizes to measure: one dimension at a time from Base,
+// then Target.
+func Sweeps() []Sweep {
+	vary := func(name string, set func(*Fleet, int), values ...int) Sweep {
+		s := Sweep{Name: name}
+		for _, v := range values {
+			f := Base
+			set(&f, v)
+			s.Fleets = append(s.Fleets, f)
+		}
+		return s
+	}
+	return []Sweep{
+		vary("workers", func(f *Fleet, v int) { f.Workers = v }, 50, 200, 400, 1200),
+		vary("customers", func(f *Fleet, v int) { f.Customers = v }, 10, 40, 120),
+		vary("instances", func(f *Fleet, v int) { f.Instances, f.Domains = v, min(v, Base.Domains) }, 2, 4, 8, 16, 32, 48),
+		vary("domains", func(f *Fleet, v int) { f.Domains, f.Instances = v, 12 }, 1, 2, 3, 4, 6),
+		vary("job-tasks", func(f *Fleet, v int) { f.JobTasks = v }, 1, 10, 100, 630),
+		{Name: "target", Fleets: []Fleet{Target}},
+	}
+}
+
+func domainName(i int) model.Domain { return model.Domain(fmt.Sprintf("d%d", i)) }
+
+func instanceName(i int) model.Instance { return model.Instance(fmt.Sprintf("i%02d", i)) }
+
+func customerName(i int) model.Customer { return model.Customer(fmt.Sprintf("c%03d", i)) }
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// stopwatch adds up the time spent in calls of a core, without the cost of
+// reading the clock.
+type stopwatch struct {
+	steps int64
+	total time.Duration
+}
+
+func (s *stopwatch) run(f func()) {
+	begin := time.Now()
+	f()
+	s.total += time.Since(begin)
+	s.steps++
+}
+
+// clockCost is the time that an empty call appears to take.
+func clockCost() time.Duration {
+	const calls = 100_000
+	var s stopwatch
+	for range calls {
+		s.run(func() {})
+	}
+	return s.total / calls
+}
+
+// net returns the time spent in the core.
+func (s *stopwatch) net(cost time.Duration) time.Duration {
+	return max(0, s.total-time.Duration(s.steps)*cost)
+}
--- /dev/null
+++ b/internal/capacity/sched.go
@@ -0,0 +1,275 @@
+package capacity
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// Fixed conditions of a scheduler measurement.
+const (
+	slotsPerServer = 8
+	offeredLoad    = 0.85
+	minRun         = 50 * time.Millisecond
+	maxRun         = 600 * time.Millisecond
+	oneWayDelay    = time.Millisecond
+	warmUp         = time.Second
+	measured       = 2 * time.Second
+	idleMeasured   = 5 * time.Second
+	kindsPerFleet  = 4
+	measureSeed    = 1
+)
+
+// SchedFigure is what one size cost.
+type SchedFigure struct {
+	Sweep string `json:"sweep"`
+	Fleet
+	Steps            int64   `json:"steps"`
+	StepNs           float64 `json:"step_ns"`
+	StartNs          float64 `json:"start_ns"`   // core time of all steps by starts
+	CoreShare        float64 `json:"core_share"` // share of a core an instance, at the offered load
+	IdleShare        float64 `json:"idle_share"` // the same without jobs
+	Starts           int64   `json:"starts"`
+	StartsASecond    float64 `json:"starts_a_second"`
+	Refusals         int64   `json:"refusals"` // starts that met a full server
+	Rejected         int64   `json:"rejected"` // jobs not admitted
+	MessagesPerStart float64 `json:"messages_per_start"`
+	BytesPerStart    float64 `json:"bytes_per_start"`
+	BytesASecond     float64 `json:"bytes_a_second"`      // an instance sends, at the offered load
+	IdleBytesASecond float64 `json:"idle_bytes_a_second"` // an instance sends, without jobs
+	HeapBytes        int64   `json:"heap_bytes"`          // an instance
+}
+
+// MeasureSched drives one scheduler for each instance at 85% of the slots.
+func MeasureSched(sweep string, f Fleet) SchedFigure {
+	cost := clockCost()
+	idle := newSchedBench(f)
+	idle.start()
+	idle.run(0, idleMeasured)
+	b := newSchedBench(f)
+	b.start()
+	b.offer(warmUp + measured)
+	b.run(warmUp, warmUp+measured)
+	fig := b.figure(sweep, cost)
+	seconds := idleMeasured.Seconds() * float64(f.Instances)
+	fig.IdleShare = idle.watch.net(cost).Seconds() / seconds
+	fig.IdleBytesASecond = float64(idle.bytes) / seconds
+	fig.HeapBytes = b.heap()
+	return fig
+}
+
+// schedBench holds schedulers, fake backend servers and a fake network.
+type schedBench struct {
+	fleet    Fleet
+	agenda   agenda
+	rng      *rand.Rand
+	nodes    []*sched.Scheduler
+	domains  []model.Domain // of each node
+	index    map[model.Instance]int
+	busy     map[model.ServerID]int
+	handle   model.JobHandle
+	watch    stopwatch
+	starts   int64
+	refusals int64
+	rejected int64
+	messages int64
+	bytes    int64
+}
+
+type flatPolicy struct{}
+
+func (flatPolicy) Row(model.Customer, model.Kind) sched.PolicyRow { return sched.PolicyRow{Weight: 1} }
+
+func newSchedBench(f Fleet) *schedBench {
+	b := &schedBench{
+		fleet: f,
+		rng:   rand.New(rand.NewPCG(measureSeed, uint64(f.Workers))),
+		index: make(map[model.Instance]int),
+		busy:  make(map[model.ServerID]int),
+	}
+	b.agenda.now = model.Time(time.Hour)
+	for i := range f.Instances {
+		d := domainName(i % f.Domains)
+		b.domains = append(b.domains, d)
+		b.index[instanceName(i)] = i
+		b.nodes = append(b.nodes, sched.New(sched.Options{
+			Self: instanceName(i), Domain: d, Seed: uint64(i), Policy: flatPolicy{},
+		}))
+	}
+	return b
+}
+
+func (b *schedBench) servers() []sched.Server {
+	var list []sched.Server
+	for i := range b.fleet.Workers {
+		list = append(list, sched.Server{
+			ID:     model.ServerID("s" + instanceName(i)),
+			Domain: domainName(i % b.fleet.Domains),
+			Addr:   "127.0.0.1:1",
+			Slots:  slotsPerServer,
+			Has:    model.Resources{CPUMilli: 32_000, MemoryMB: 64_000},
+		})
+	}
+	return list
+}
+
+func (b *schedBench) start() {
+	servers := b.servers()
+	for i, n := range b.nodes {
+		n.SetPeers(b.agenda.now, b.peersOf(i))
+		n.SetServers(b.agenda.now, servers)
+		b.flush(i)
+		// Ticks of the instances are spread over the interval.
+		phase := sched.TickInterval * time.Duration(i) / time.Duration(len(b.nodes))
+		b.agenda.add(b.agenda.now.Add(phase), func() { b.tick(i) })
+	}
+}
+
+func (b *schedBench) peersOf(self int) []sched.Peer {
+	var list []sched.Peer
+	for i := range b.nodes {
+		if i != self {
+			list = append(list, sched.Peer{ID: instanceName(i), Domain: b.domains[i]})
+		}
+	}
+	return list
+}
+
+func (b *schedBench) tick(i int) {
+	b.step(i, func(n *sched.Scheduler) { n.Tick(b.agenda.now) })
+	b.agenda.add(b.agenda.now.Add(sched.TickInterval), func() { b.tick(i) })
+}
+
+// offer adds Poisson arrivals of jobs over the instances.
+func (b *schedBench) offer(length time.Duration) {
+	mean := (maxRun - minRun).Seconds() / math.Log(maxRun.Seconds()/minRun.Seconds())
+	slots := float64(b.fleet.Workers * slotsPerServer)
+	rate := offeredLoad * slots / mean / float64(b.fleet.JobTasks)
+	end := b.agenda.now.Add(length)
+	var next func()
+	next = func() {
+		b.submit(b.rng.IntN(len(b.nodes)))
+		gap := time.Duration(b.rng.ExpFloat64() / rate * float64(time.Second))
+		if at := b.agenda.now.Add(gap); at < end {
+			b.agenda.add(at, next)
+		}
+	}
+	b.agenda.add(b.agenda.now, next)
+}
+
+func (b *schedBench) submit(i int) {
+	b.handle++
+	j := sched.Job{
+		Handle:   b.handle,
+		Customer: customerName(b.rng.IntN(b.fleet.Customers)),
+		Kind:     model.Kind([]string{"k0", "k1", "k2", "k3"}[b.rng.IntN(kindsPerFleet)]),
+		Tasks:    b.fleet.JobTasks,
+		Needs:    model.Resources{CPUMilli: 1000, MemoryMB: 1000},
+	}
+	b.step(i, func(n *sched.Scheduler) {
+		if n.Submit(b.agenda.now, j).Reason != sched.ReasonNone {
+			b.rejected++
+		}
+	})
+}
+
+// step makes one timed call and carries out what the core asks for.
+func (b *schedBench) step(i int, f func(*sched.Scheduler)) {
+	n := b.nodes[i]
+	var out sched.Output
+	b.watch.run(func() {
+		f(n)
+		out = n.Ready()
+	})
+	b.perform(i, out)
+}
+
+func (b *schedBench) flush(i int) { b.perform(i, b.nodes[i].Ready()) }
+
+func (b *schedBench) perform(i int, out sched.Output) {
+	for _, st := range out.Starts {
+		b.begin(i, st)
+	}
+	for _, s := range out.Sends {
+		b.send(i, s)
+	}
+}
+
+func (b *schedBench) begin(i int, st sched.Start) {
+	if b.busy[st.Server] >= slotsPerServer {
+		b.refusals++
+		b.done(i, st, sched.OutcomeNotStarted, 2*oneWayDelay)
+		return
+	}
+	b.busy[st.Server]++
+	b.starts++
+	run := time.Duration(float64(minRun) * math.Exp(b.rng.Float64()*math.Log(float64(maxRun)/float64(minRun))))
+	b.agenda.add(b.agenda.now.Add(oneWayDelay+run), func() { b.busy[st.Server]-- })
+	b.done(i, st, sched.OutcomeOK, 2*oneWayDelay+run)
+}
+
+func (b *schedBench) done(i int, st sched.Start, o sched.Outcome, after time.Duration) {
+	b.agenda.add(b.agenda.now.Add(after), func() {
+		b.step(i, func(n *sched.Scheduler) { n.Done(b.agenda.now, st, o, after) })
+	})
+}
+
+func (b *schedBench) send(from int, s sched.Send) {
+	b.messages++
+	b.bytes += int64(proto.Size(frameOf(s.Message)))
+	to := b.index[s.To]
+	message := proto.Clone(s.Message).(*peerpb.SchedMessage)
+	b.agenda.add(b.agenda.now.Add(oneWayDelay), func() {
+		b.step(to, func(n *sched.Scheduler) { n.Receive(b.agenda.now, instanceName(from), message) })
+	})
+}
+
+// frameOf wraps a message as it goes over a link by itself.
+func frameOf(m *peerpb.SchedMessage) *peerpb.Frame {
+	return &peerpb.Frame{Messages: []*peerpb.Message{{Body: &peerpb.Message_Sched{Sched: m}}}}
+}
+
+// run goes to the end and counts from the warm-up's end on.
+func (b *schedBench) run(from, to time.Duration) {
+	begin := b.agenda.now
+	b.agenda.runUntil(begin.Add(from))
+	b.watch = stopwatch{}
+	b.starts, b.refusals, b.rejected, b.messages, b.bytes = 0, 0, 0, 0, 0
+	b.agenda.runUntil(begin.Add(to))
+}
+
+func (b *schedBench) figure(sweep string, cost time.Duration) SchedFigure {
+	core := b.watch.net(cost)
+	perNode := measured.Seconds() * float64(len(b.nodes))
+	starts := math.Max(1, float64(b.starts))
+	return SchedFigure{
+		Sweep:            sweep,
+		Fleet:            b.fleet,
+		Steps:            b.watch.steps,
+		StepNs:           float64(core.Nanoseconds()) / float64(b.watch.steps),
+		StartNs:          float64(core.Nanoseconds()) / starts,
+		CoreShare:        core.Seconds() / perNode,
+		Starts:           b.starts,
+		StartsASecond:    float64(b.starts) / measured.Seconds(),
+		Refusals:         b.refusals,
+		Rejected:         b.rejected,
+		MessagesPerStart: float64(b.messages) / starts,
+		BytesPerStart:    float64(b.bytes) / starts,
+		BytesASecond:     float64(b.bytes) / perNode,
+	}
+}
+
+// heap returns the memory of one scheduler at the end of the run.
+func (b *schedBench) heap() int64 {
+	b.agenda.items = nil
+	with := heapBytes()
+	n := int64(len(b.nodes))
+	b.nodes = nil
+	return (with - heapBytes()) / n
+}
--- /dev/null
+++ b/internal/capacity/write.go
@@ -0,0 +1,89 @@
+package capacity
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Write writes figures of one type as NAME.json and NAME.csv into a
+// directory.
+func Write[F any](dir, name string, figures []F) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Wrap(err, "make the output directory; give a writable one")
+	}
+	data, err := json.MarshalIndent(figures, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode the figures")
+	}
+	if err := os.WriteFile(filepath.Join(dir, name+".json"), append(data, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "write the figures; give a writable directory")
+	}
+	return writeCSV(filepath.Join(dir, name+".csv"), figures)
+}
+
+func writeCSV[F any](path string, figures []F) (err error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "write the figures; give a writable directory")
+	}
+	defer func() { err = firstError(err, file.Close()) }()
+	w := csv.NewWriter(file)
+	var zero F
+	if err := w.Write(columns(reflect.TypeOf(zero))); err != nil {
+		return err
+	}
+	for _, f := range figures {
+		if err := w.Write(values(reflect.ValueOf(f))); err != nil {
+			return err
+		}
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// columns returns the JSON names of a struct's fields, embedded ones inlined.
+func columns(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Anonymous {
+			names = append(names, columns(f.Type)...)
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		names = append(names, name)
+	}
+	return names
+}
+
+func values(v reflect.Value) []string {
+	var list []string
+	for i := range v.NumField() {
+		if v.Type().Field(i).Anonymous {
+			list = append(list, values(v.Field(i))...)
+			continue
+		}
+		if f, ok := v.Field(i).Interface().(float64); ok {
+			list = append(list, fmt.Sprintf("%.4g", f))
+			continue
+		}
+		list = append(list, fmt.Sprint(v.Field(i).Interface()))
+	}
+	return list
+}
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -18,8 +18,8 @@
 const (
 	StartedTwice      Violation = "task started twice"
 	RefusedButStarted Violation = "refused as not run, but started"
-	// RefusedButOther is a call that was refused as not run while another call
-	// with the same key was run.
+	// RefusedButOther is a call that was refused as not run although another
+	// call with the same key, sent before that answer, was run.
 	RefusedButOther  Violation = "refused as not run, run by another call of the same key"
 	NotRunButStarted Violation = "task answered as not run, but started"
 	RanButNotStarted Violation = "task answered as run, but not started"
@@ -45,6 +45,9 @@
 	key      uuid.UUID
 	calls    int    // submissions of this key
 	refused  int    // of them answered as refused, not run
+	overlap  bool   // a refusal was answered after another call had been sent
+	open     int    // calls without an answer
+	ended    int    // calls answered otherwise than refused
 	final    uint64 // digest of the first complete or failed answer
 	hasFinal bool
 	ran      []api.Ran // per task, from the final answer
@@ -72,6 +75,7 @@
 		t.jobs[key] = jt
 	}
 	jt.calls++
+	jt.open++
 }
 
 // answered checks an answer by itself and against earlier ones of its key.
@@ -82,18 +86,30 @@
 		t.add(Malformed, key, r.Malformed)
 	}
 	jt := t.jobs[key]
-	switch r.Class {
-	case Refused:
-		jt.refused++
-	case Complete:
+	jt.note(r.Class)
+	switch {
+	case r.Class == Complete:
 		t.checkComplete(jt, r.Results)
 		t.checkFinal(jt, r)
-	case Failed:
+	case r.Class == Failed || len(r.Results) > 0:
 		t.checkFailed(jt, r.Results)
 		t.checkFinal(jt, r)
 	}
 }
 
+// note keeps what a refusal is judged by at the end.
+func (jt *jobTruth) note(class Class) {
+	jt.open--
+	if class != Refused {
+		jt.ended++
+		return
+	}
+	jt.refused++
+	if jt.open > 0 || jt.ended > 0 {
+		jt.overlap = true
+	}
+}
+
 func (t *truth) checkComplete(jt *jobTruth, results []api.TaskResult) {
 	if len(results) != len(jt.job.Tasks) {
 		t.add(Partial, jt.key, fmt.Sprintf("%d results of %d", len(results), len(jt.job.Tasks)))
@@ -126,10 +142,10 @@
 
 // checkOutput compares the echoed identity with the task's own.
 func (t *truth) checkOutput(jt *jobTruth, r api.TaskResult) {
-	var echo payload
-	want := taskID(jt.key, r.Index)
-	if err := json.Unmarshal(r.Output, &echo); err != nil || echo.ID != want {
-		t.add(ForeignResult, jt.key, fmt.Sprintf("task %d returned id %q", r.Index, echo.ID))
+	var out output
+	err := json.Unmarshal(r.Output, &out)
+	if err != nil || out.Echo != taskID(jt.key, r.Index) || out.Task != identity(jt.job, jt.key, r.Index) {
+		t.add(ForeignResult, jt.key, fmt.Sprintf("task %d returned the output of task %q, echo %q", r.Index, out.Task, out.Echo))
 	}
 }
 
@@ -193,7 +209,7 @@
 	case jt.refused == 0 || total == 0:
 	case jt.refused == jt.calls:
 		t.add(RefusedButStarted, jt.key, fmt.Sprintf("%d starts", total))
-	default:
+	case jt.overlap:
 		t.add(RefusedButOther, jt.key, fmt.Sprintf("%d starts, %d of %d calls refused", total, jt.refused, jt.calls))
 	}
 }
