Add the metrics of an instance with a checked list

All collectors stand in one struct with a registry of its own, so that several instances fit in one process.

--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,168 @@
+// Package metrics holds the Prometheus collectors of one instance, in their
+// own registry. docs/METRICS.md lists them for operators.
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Namespace precedes every metric of this project.
+const Namespace = "nutmegweir"
+
+// Values of the label "call" of PlatformCalls.
+const (
+	CallRead   = "read"
+	CallWrite  = "write"
+	CallWatch  = "watch"
+	CallLease  = "lease"
+	CallList   = "list"
+	CallHealth = "health"
+)
+
+// Values of the label "outcome" of PlatformCalls.
+const (
+	OutcomeOK        = "ok"
+	OutcomeConflict  = "conflict"
+	OutcomeUnknown   = "unknown" // the answer was lost
+	OutcomeFailed    = "failed"
+	OutcomeThrottled = "throttled"
+)
+
+// Values of the label "direction".
+const (
+	DirectionIn  = "in"
+	DirectionOut = "out"
+)
+
+// Metrics are the collectors of one instance.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	// Callers.
+	Submissions    *prometheus.CounterVec // by kind
+	Resubmissions  prometheus.Counter
+	Answers        *prometheus.CounterVec // by status, kind
+	Refusals       *prometheus.CounterVec // by problem, ran
+	AnswerDuration *prometheus.HistogramVec
+	InFlight       prometheus.Gauge
+	CancelledTasks prometheus.Counter
+	DroppedTasks   *prometheus.CounterVec // by reason
+
+	// Scheduling.
+	Starts             *prometheus.CounterVec   // by server_domain, outcome
+	TaskDuration       *prometheus.HistogramVec // by kind
+	QueueWait          *prometheus.HistogramVec // by kind
+	QueuedTasks        prometheus.Gauge
+	SlotsHeld          prometheus.Gauge
+	SlotsLent          prometheus.Gauge
+	SlotsBusy          prometheus.Gauge
+	Servers            *prometheus.GaugeVec // by state
+	SilentConnections  prometheus.Counter
+	BackendConnections prometheus.Gauge
+
+	// Shards.
+	ReplicationAppends *prometheus.CounterVec // by role
+	ReplicationAcks    *prometheus.CounterVec // by result
+	CommitDuration     prometheus.Histogram
+	ViewChanges        *prometheus.CounterVec // by cause
+	Takeovers          *prometheus.CounterVec // by records
+	FloorsRaised       prometheus.Counter
+	ShardsOwned        prometheus.Gauge
+	RecordBytes        prometheus.Gauge
+
+	// Peers.
+	PeerLinks    prometheus.Gauge
+	PeerFrames   *prometheus.CounterVec // by direction
+	PeerBytes    *prometheus.CounterVec // by direction
+	PeerMessages *prometheus.CounterVec // by direction, type
+	PeerDropped  *prometheus.CounterVec // by type
+
+	// Platform and table.
+	PlatformCalls    *prometheus.CounterVec   // by call, outcome
+	PlatformDuration *prometheus.HistogramVec // by call
+	PlatformUp       prometheus.Gauge
+	TableVersion     prometheus.Gauge
+	Edits            *prometheus.CounterVec // by result
+
+	// The reducer.
+	StepDuration prometheus.Histogram
+	EventQueue   prometheus.Gauge
+}
+
+// New returns collectors that are registered in a new registry, together with
+// those of the Go runtime and of the process.
+func New() *Metrics {
+	m, b := build()
+	b.registry.MustRegister(collectors.NewGoCollector())
+	b.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func build() (*Metrics, *builder) {
+	b := newBuilder()
+	m := &Metrics{Registry: b.registry}
+	m.addCallers(b)
+	m.addScheduling(b)
+	m.addShards(b)
+	m.addPeers(b)
+	m.addPlatform(b)
+	m.addReducer(b)
+	return m, b
+}
+
+func (m *Metrics) addCallers(b *builder) {
+	m.Submissions = b.counterVec("submissions_total", "Valid submissions of jobs and requests.", "kind")
+	m.Resubmissions = b.counter("resubmissions_total", "Submissions whose key was already known.")
+	m.Answers = b.counterVec("answers_total", "Answers to callers: pending, complete, failed or refused.", "status", "kind")
+	m.Refusals = b.counterVec("refusals_total", "Problems answered to callers, and whether the work was run.", "problem", "ran")
+	m.AnswerDuration = b.histogramVec("answer_duration_seconds", "Time from request to answer at the caller port.", taskBuckets, "status")
+	m.InFlight = b.gauge("requests_in_flight", "Requests at the caller port that are not yet answered.")
+	m.CancelledTasks = b.counter("cancelled_tasks_total", "Tasks that were cancelled before their start.")
+	m.DroppedTasks = b.counterVec("dropped_tasks_total", "Queued tasks that were given up.", "reason")
+}
+
+func (m *Metrics) addScheduling(b *builder) {
+	m.Starts = b.counterVec("starts_total", "Starts sent to backend servers, by the server's failure domain.", "server_domain", "outcome")
+	m.TaskDuration = b.histogramVec("task_duration_seconds", "Time from start to answer of a task.", taskBuckets, "kind")
+	m.QueueWait = b.histogramVec("queue_wait_seconds", "Time from admission to start of a task.", taskBuckets, "kind")
+	m.QueuedTasks = b.gauge("queued_tasks", "Tasks that wait for a slot.")
+	m.SlotsHeld = b.gauge("slots_held", "Slots that this instance may use.")
+	m.SlotsLent = b.gauge("slots_lent", "Slots that this instance has lent to others.")
+	m.SlotsBusy = b.gauge("slots_busy", "Slots in which a task of this instance runs.")
+	m.Servers = b.gaugeVec("servers", "Backend servers by state: active, leaving or quarantined.", "state")
+	m.SilentConnections = b.counter("silent_connections_total", "Connections to backend servers that went silent and were replaced.")
+	m.BackendConnections = b.gauge("backend_connections", "Open connections to backend servers.")
+}
+
+func (m *Metrics) addShards(b *builder) {
+	m.ReplicationAppends = b.counterVec("replication_appends_total", "Appends sent as owner or taken as replica.", "role")
+	m.ReplicationAcks = b.counterVec("replication_acks_total", "Acknowledgements received: ok or refused.", "result")
+	m.CommitDuration = b.histogram("commit_duration_seconds", "Time from append to commit.", stepBuckets)
+	m.ViewChanges = b.counterVec("view_changes_total", "View changes made by this instance.", "cause")
+	m.Takeovers = b.counterVec("takeovers_total", "Shards taken over, with or without their records.", "records")
+	m.FloorsRaised = b.counter("floors_raised_total", "Admission floors raised because records were lost or dropped.")
+	m.ShardsOwned = b.gauge("shards_owned", "Shards of which this instance is the acting owner.")
+	m.RecordBytes = b.gauge("record_bytes", "Memory held by job records.")
+}
+
+func (m *Metrics) addPeers(b *builder) {
+	m.PeerLinks = b.gauge("peer_links", "Links to other instances that are up.")
+	m.PeerFrames = b.counterVec("peer_frames_total", "Frames on links to other instances.", "direction")
+	m.PeerBytes = b.counterVec("peer_bytes_total", "Bytes of frames on links to other instances.", "direction")
+	m.PeerMessages = b.counterVec("peer_messages_total", "Messages on links to other instances.", "direction", "type")
+	m.PeerDropped = b.counterVec("peer_dropped_total", "Messages to other instances that were dropped.", "type")
+}
+
+func (m *Metrics) addPlatform(b *builder) {
+	m.PlatformCalls = b.counterVec("platform_calls_total", "Calls to the platform.", "call", "outcome")
+	m.PlatformDuration = b.histogramVec("platform_call_duration_seconds", "Time of calls to the platform other than watches.", taskBuckets, "call")
+	m.PlatformUp = b.gauge("platform_up", "1 while the platform answers, else 0.")
+	m.TableVersion = b.gauge("table_version", "Version of the table in force on this instance.")
+	m.Edits = b.counterVec("edits_total", "Edits of the table: accepted, refused or conflict.", "result")
+}
+
+func (m *Metrics) addReducer(b *builder) {
+	m.StepDuration = b.histogram("step_duration_seconds", "Time of one step of the reducer.", stepBuckets)
+	m.EventQueue = b.gauge("event_queue", "Events that wait for the reducer.")
+}
