--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/problem"
@@ -49,7 +50,8 @@
 	Dispatcher Dispatcher
 	Domains    []model.Domain // all failure domains
 	Limits     settings.Limits
-	Log        *eventlog.Log
+	Log        *eventlog.Log    // nil discards events
+	Metrics    *metrics.Metrics // nil counts for nobody
 }
 
 // Handler serves the caller API.
@@ -67,6 +69,9 @@
 	if o.Log == nil {
 		o.Log = eventlog.Discard()
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
 	h := &Handler{opts: o}
 	h.waits, h.endWaits = context.WithCancel(context.Background())
 	h.router = h.routes()
@@ -89,6 +94,8 @@
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
+	h.opts.Metrics.InFlight.Inc()
+	defer h.opts.Metrics.InFlight.Dec()
 	defer h.inFlight.Add(-1)
 	h.router.ServeHTTP(w, r)
 }
@@ -143,10 +150,43 @@
 	}
 	ctx, cancel := h.waitContext(r, wait)
 	defer cancel()
+	start := time.Now()
 	answer, err := h.opts.Dispatcher.Submit(ctx, spec, wait > 0)
+	h.count(spec.Kind, answer, err, time.Since(start))
 	h.answer(w, spec.Identity, answer, len(spec.Payloads), err, write)
 }
 
+// count records a valid submission and its answer.
+func (h *Handler) count(kind string, a *peerpb.Answer, err error, d time.Duration) {
+	status := statusError
+	if err == nil {
+		status = statusLabel(a.GetStatus())
+	}
+	m := h.opts.Metrics
+	kind = m.Kinds.Value(kind)
+	m.Submissions.WithLabelValues(kind).Inc()
+	m.Answers.WithLabelValues(status, kind).Inc()
+	m.AnswerDuration.WithLabelValues(status).Observe(d.Seconds())
+}
+
+// statusError is the status label of a submission that got no answer.
+const statusError = "error"
+
+func statusLabel(s peerpb.Status) string {
+	switch s {
+	case peerpb.Status_STATUS_PENDING:
+		return "pending"
+	case peerpb.Status_STATUS_COMPLETE:
+		return "complete"
+	case peerpb.Status_STATUS_FAILED:
+		return "failed"
+	case peerpb.Status_STATUS_REFUSED:
+		return "refused"
+	default:
+		return statusError
+	}
+}
+
 func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
 	id, err := h.identity(r)
 	if err != nil {
@@ -226,6 +266,7 @@
 	case len(doc.Results) > 0:
 		event = eventlog.SubmissionFailed
 	}
+	h.opts.Metrics.Refusals.WithLabelValues(doc.Kind, string(doc.Ran)).Inc()
 	h.opts.Log.Event(event).Str("kind", doc.Kind).Str("ran", string(doc.Ran)).Str("detail", doc.Detail).Send()
 	problem.Write(w, err)
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -11,6 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -365,3 +368,20 @@
 		t.Errorf("got %+v", p)
 	}
 }
+
+func TestMetricsCountAnswers(t *testing.T) {
+	h := newTestHandler(&fakeDispatcher{answer: complete("1", "2")})
+	send(h, "POST", api.PathJobs, testBody)
+	send(h, "POST", api.PathJobs, "{}")
+	m := h.opts.Metrics
+	for name, c := range map[string]prometheus.Counter{
+		"submission": m.Submissions.WithLabelValues("route"),
+		"answer":     m.Answers.WithLabelValues("complete", "route"),
+		"refusal":    m.Refusals.WithLabelValues(string(problem.InvalidRequest), string(api.RanNo)),
+	} {
+		var out dto.Metric
+		if err := c.Write(&out); err != nil || out.GetCounter().GetValue() != 1 {
+			t.Errorf("%s: counted %v, %v", name, out.GetCounter().GetValue(), err)
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 // Metrics are the collectors of one instance.
 type Metrics struct {
 	Registry *prometheus.Registry
+	Kinds    *LabelLimit // values of the label "kind"
 
 	// Callers.
 	Submissions    *prometheus.CounterVec // by kind
@@ -101,7 +102,7 @@
 
 func build() (*Metrics, *builder) {
 	b := newBuilder()
-	m := &Metrics{Registry: b.registry}
+	m := &Metrics{Registry: b.registry, Kinds: &LabelLimit{}}
 	m.addCallers(b)
 	m.addScheduling(b)
 	m.addShards(b)
@@ -114,9 +115,9 @@
 func (m *Metrics) addCallers(b *builder) {
 	m.Submissions = b.counterVec("submissions_total", "Valid submissions of jobs and requests.", "kind")
 	m.Resubmissions = b.counter("resubmissions_total", "Submissions whose key was already known.")
-	m.Answers = b.counterVec("answers_total", "Answers to callers: pending, complete, failed or refused.", "status", "kind")
+	m.Answers = b.counterVec("answers_total", "Answers to valid submissions: pending, complete, failed, refused or error.", "status", "kind")
 	m.Refusals = b.counterVec("refusals_total", "Problems answered to callers, and whether the work was run.", "problem", "ran")
-	m.AnswerDuration = b.histogramVec("answer_duration_seconds", "Time from request to answer at the caller port.", taskBuckets, "status")
+	m.AnswerDuration = b.histogramVec("answer_duration_seconds", "Time from a valid submission to its answer at the caller port.", taskBuckets, "status")
 	m.InFlight = b.gauge("requests_in_flight", "Requests at the caller port that are not yet answered.")
 	m.CancelledTasks = b.counter("cancelled_tasks_total", "Tasks that were cancelled before their start.")
 	m.DroppedTasks = b.counterVec("dropped_tasks_total", "Queued tasks that were given up.", "reason")
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -49,3 +49,18 @@
 	}
 	t.Error("the counter of starts is not gathered")
 }
+
+func TestLabelLimit(t *testing.T) {
+	var l LabelLimit
+	for i := range MaxLabelValues {
+		if s := fmt.Sprint(i); l.Value(s) != s {
+			t.Fatalf("value %s is not kept", s)
+		}
+	}
+	if got := l.Value("one more"); got != OtherLabel {
+		t.Errorf("got %q", got)
+	}
+	if got := l.Value("0"); got != "0" {
+		t.Errorf("a known value became %q", got)
+	}
+}
