--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -156,37 +156,6 @@
 	h.answer(w, spec.Identity, answer, len(spec.Payloads), err, write)
 }
 
-// count records a valid submission and its answer.
-func (h *Handler) count(kind string, a *peerpb.Answer, err error, d time.Duration) {
-	status := statusError
-	if err == nil {
-		status = statusLabel(a.GetStatus())
-	}
-	m := h.opts.Metrics
-	kind = m.Kinds.Value(kind)
-	m.Submissions.WithLabelValues(kind).Inc()
-	m.Answers.WithLabelValues(status, kind).Inc()
-	m.AnswerDuration.WithLabelValues(status).Observe(d.Seconds())
-}
-
-// statusError is the status label of a submission that got no answer.
-const statusError = "error"
-
-func statusLabel(s peerpb.Status) string {
-	switch s {
-	case peerpb.Status_STATUS_PENDING:
-		return "pending"
-	case peerpb.Status_STATUS_COMPLETE:
-		return "complete"
-	case peerpb.Status_STATUS_FAILED:
-		return "failed"
-	case peerpb.Status_STATUS_REFUSED:
-		return "refused"
-	default:
-		return statusError
-	}
-}
-
 func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
 	id, err := h.identity(r)
 	if err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/caller"
 	"github.com/nutmegweir/nutmegweir/internal/ctl"
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -80,6 +83,24 @@
 	return fmt.Sprintf("%s: queued\n", id.Customer), nil
 }
 
+// operatorPort is a fake of an operator port.
+func operatorPort(ready bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready {
+			http.Error(w, "views are not known", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(api.InstanceStatus{
+			Instance: "tayside-1", Incarnation: "i1", Domain: "tayside", Jobs: 7, OpenJobs: 2,
+			Peers:  []api.PeerStatus{{Instance: "tayside-2", Domain: "tayside", Addr: "10.0.0.2:7401", State: "up"}},
+			Shards: []api.ShardStatus{{Shard: 3, Epoch: 5, Owner: "tayside-1", Replica: "tayside-2", Role: "owner", Jobs: 7}},
+		})
+	})
+	return mux
+}
+
 func TestScripts(t *testing.T) {
 	handler := caller.New(caller.Options{
 		Dispatcher: fakeDispatcher{},
@@ -88,6 +109,10 @@
 	})
 	server := httptest.NewServer(handler)
 	defer server.Close()
+	ready := httptest.NewServer(operatorPort(true))
+	defer ready.Close()
+	notReady := httptest.NewServer(operatorPort(false))
+	defer notReady.Close()
 	deploy, err := filepath.Abs(deployDir)
 	if err != nil {
 		t.Fatal(err)
@@ -98,6 +123,8 @@
 			Dir: "testdata/script",
 			Setup: func(env *testscript.Env) error {
 				env.Setenv("API", server.Listener.Addr().String())
+				env.Setenv("READY", ready.Listener.Addr().String())
+				env.Setenv("NOTREADY", notReady.Listener.Addr().String())
 				env.Setenv("DEPLOY", deploy)
 				return nil
 			},
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -30,7 +30,7 @@
 type Root struct {
 	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
-	Status  *StatusCmd  `arg:"subcommand:status" help:"say whether an instance is alive and ready"`
+	Status  *StatusCmd  `arg:"subcommand:status" help:"say what an instance knows of itself, its peers and shards"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 	JSON    bool        `arg:"--json" help:"write the result as JSON"`
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -2,75 +2,120 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
 )
 
+// pathReady answers 200 while an instance takes submissions.
+const pathReady = "/readyz"
+
 // maxStatusBytes bounds an answer that StatusCmd reads.
-const maxStatusBytes = 64 << 10
+const maxStatusBytes = 16 << 20
 
-// StatusCmd says whether an instance is alive and ready.
+// StatusCmd says what an instance knows of itself, its peers and its shards.
 type StatusCmd struct {
 	OperatorPort
+	Shards bool `arg:"--shards" help:"also list the shards of the home domain"`
 }
 
 // statusResult is the JSON result of StatusCmd.
 type statusResult struct {
-	Alive  bool   `json:"alive"`
-	Ready  bool   `json:"ready"`
-	Detail string `json:"detail,omitempty"`
+	Ready  bool               `json:"ready"`
+	Detail string             `json:"detail,omitempty"` // why it is not ready
+	Status api.InstanceStatus `json:"status"`
 }
 
-// Run asks the instance. An instance that is not ready ends it with
-// ExitFailed.
+// Run asks the instance. One that is not ready ends it with ExitFailed.
 func (c *StatusCmd) Run(ctx context.Context, env *Env) error {
 	httpClient, base, err := c.connect()
 	if err != nil {
 		return err
 	}
 	var result statusResult
-	result.Alive, result.Detail, err = probe(ctx, httpClient, base+"/healthz")
+	code, text, err := c.get(ctx, httpClient, base+pathReady)
 	if err != nil {
-		return errors.WithMessage(err, "the instance does not answer; check the address and the process")
+		return err
 	}
-	result.Ready, result.Detail, err = probe(ctx, httpClient, base+"/readyz")
+	result.Ready = code == http.StatusOK
+	result.Detail = strings.TrimSpace(string(text))
+	code, text, err = c.get(ctx, httpClient, base+api.PathStatus)
 	if err != nil {
-		return errors.WithMessage(err, "the instance does not answer; check the address and the process")
+		return err
+	}
+	if code != http.StatusOK {
+		return errors.Errorf("%s answered status %d: %s", api.PathStatus, code, text)
+	}
+	if err := json.Unmarshal(text, &result.Status); err != nil {
+		return errors.Wrapf(err, "%s; check that the address is an operator port", api.PathStatus)
 	}
-	return result.report(env)
+	return c.report(env, &result)
 }
 
-// probe reports whether a path answers 200, and the text of the answer.
-func probe(ctx context.Context, c *http.Client, url string) (bool, string, error) {
+// get returns status code and body of a path.
+func (c *StatusCmd) get(ctx context.Context, h *http.Client, url string) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false, "", err
+		return 0, nil, err
 	}
-	resp, err := c.Do(req)
+	token, err := c.Token()
 	if err != nil {
-		return false, "", err
+		return 0, nil, err
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := h.Do(req)
+	if err != nil {
+		return 0, nil, errors.WithMessage(err, "the instance does not answer; check the address, --plain and the process")
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
-	return resp.StatusCode == http.StatusOK, strings.TrimSpace(string(text)), err
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	return resp.StatusCode, body, err
 }
 
-func (r *statusResult) report(env *Env) error {
-	if env.JSON {
-		if err := env.writeJSON(r); err != nil {
-			return err
-		}
-	} else {
-		env.print("alive: %v\nready: %v", r.Alive, r.Ready)
-		if r.Detail != "" {
-			env.print("%s", r.Detail)
-		}
-	}
-	if !r.Alive || !r.Ready {
+func (c *StatusCmd) report(env *Env, r *statusResult) error {
+	if err := c.print(env, r); err != nil {
+		return err
+	}
+	if !r.Ready {
 		return &ExitError{Code: ExitFailed, Err: errors.New("the instance is not ready")}
 	}
 	return nil
 }
+
+func (c *StatusCmd) print(env *Env, r *statusResult) error {
+	if env.JSON {
+		return env.writeJSON(r)
+	}
+	s := &r.Status
+	env.print("instance: %s in %s (incarnation %s)", s.Instance, s.Domain, s.Incarnation)
+	env.print("ready: %v, suspended: %v, stopping: %v", r.Ready, s.Suspended, s.Stopping)
+	if r.Detail != "" {
+		env.print("detail: %s", r.Detail)
+	}
+	env.print("jobs: %d remembered, %d open", s.Jobs, s.OpenJobs)
+	for _, p := range s.Peers {
+		env.print("peer: %s in %s at %s, %s", p.Instance, p.Domain, p.Addr, p.State)
+	}
+	if c.Shards {
+		return printShards(env, s.Shards)
+	}
+	return nil
+}
+
+func printShards(env *Env, shards []api.ShardStatus) error {
+	w := tabwriter.NewWriter(env.Stdout, 0, 0, 2, ' ', 0)
+	table := &Env{Stdout: w}
+	table.print("SHARD\tEPOCH\tOWNER\tREPLICA\tROLE\tJOBS")
+	for _, s := range shards {
+		table.print("%d\t%d\t%s\t%s\t%s\t%d", s.Shard, s.Epoch, s.Owner, s.Replica, s.Role, s.Jobs)
+	}
+	return w.Flush()
+}
