--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -31,6 +31,7 @@
 	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"say what an instance knows of itself, its peers and shards"`
+	Load    *loadCmd    `arg:"subcommand:load" help:"offer a workload to instances on loopback and report"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 	JSON    bool        `arg:"--json" help:"write the result as JSON"`
 }
@@ -60,6 +61,14 @@
 	Run(ctx context.Context, env *Env) error
 }
 
+// loadCmd is Load as a subcommand of nutmegctl.
+type loadCmd struct {
+	Load
+}
+
+// Run performs the command.
+func (c *loadCmd) Run(ctx context.Context, env *Env) error { return c.run(ctx, env.Stdout) }
+
 // ExitError is an error with an exit code.
 type ExitError struct {
 	Code int
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,7 +14,7 @@
 	maxRatePerSecond    = 2000
 	maxTimeoutMs        = 60_000
 	maxShards           = 1024
-	maxReplicas         = 4
+	maxReplicas         = 1
 	maxSkewBoundMs      = 10_000
 	minSilenceBoundMs   = 100
 	maxSilenceBoundMs   = 60_000
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,7 +49,7 @@
 		{"plain with files", `"peer": {"plain": true}`, `"peer": {"plain": true, "ca": "c"}`, "f:8: tls.peer: plain is true but files are named"},
 		{"token in clear", `"domains":`, `"operator_tokens": [{"name": "a", "role": "write", "token_sha256": "secret"}], "domains":`, "f:5: operator_tokens[0].token_sha256: is not a SHA-256 digest"},
 		{"bad role", `"domains":`, `"operator_tokens": [{"name": "a", "role": "root"}], "domains":`, `operator_tokens[0].role: "root" is not a role`},
-		{"out of bounds", `"domains":`, `"shards": {"replicas": 9}, "domains":`, "f:5: shards.replicas: 9 is out of bounds; write a number from 0 to 4"},
+		{"out of bounds", `"domains":`, `"shards": {"replicas": 9}, "domains":`, "f:5: shards.replicas: 9 is out of bounds; write a number from 0 to 1"},
 		{"body above the API's limit", `"domains":`, `"limits": {"body_bytes": 99999999}, "domains":`, "f:5: limits.body_bytes: 99999999 is out of bounds"},
 		{"log level", `"domains":`, `"log_level": "loud", "domains":`, "f:5: log_level: \"loud\" is not a level; write one of: debug, info, warn, error"},
 	}
