Ask for a new key only where a final answer makes that safe

Cause: a trial of nutmegctl against nutmegweir dev got job-failed with ran unknown and the remedy to submit with a new key, which could run a task twice. A problem with results is the final answer of its job, so its remedy now follows from ran and not from the kind alone.

--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -189,8 +190,8 @@
 	if env.JSON {
 		return env.writeJSON(explanation{Text: text})
 	}
-	_, err = io.WriteString(env.Stdout, text)
-	return err
+	env.print("%s", strings.TrimSuffix(text, "\n"))
+	return nil
 }
 
 // explanation is the JSON result of JobExplainCmd.
--- a/internal/problem/document.go
+++ b/internal/problem/document.go
@@ -32,9 +32,28 @@
 	if e.RetryAfter > 0 {
 		p.RetryAfterMs = roundUp(e.RetryAfter, time.Millisecond)
 	}
+	if len(e.Results) > 0 {
+		makeFinal(&p)
+	}
 	return p
 }
 
+// remedyFinal is the remedy of a job that was given up before any start.
+const remedyFinal = "This answer is final. If the work is still wanted, submit it with a new key, after the wait if one is given."
+
+// makeFinal sets the remedy of a problem with results. It is the final answer
+// of a job: the same key would get it again, so only a new one can help, and
+// that is not safe where tasks may have run.
+func makeFinal(p *api.Problem) {
+	switch p.Ran {
+	case api.RanNo:
+		p.Remedy = remedyFinal
+	case api.RanUnknown:
+		p.Remedy = Find(ResultUnknown).Remedy
+		p.RetryAfterMs = 0
+	}
+}
+
 // Write answers a request with the problem document of err. An error that is
 // no Error is answered as Internal.
 func Write(w http.ResponseWriter, err error) {
--- a/internal/problem/problem_test.go
+++ b/internal/problem/problem_test.go
@@ -79,3 +79,24 @@
 		t.Error("no cause must give no error")
 	}
 }
+
+func TestFinalAnswerNeverAsksForTheSameKey(t *testing.T) {
+	cases := []struct {
+		kind   Kind
+		ran    api.Ran
+		remedy string
+		wait   int64
+	}{
+		{Shed, api.RanNo, remedyFinal, 1000},
+		{Cancelled, api.RanUnknown, Find(ResultUnknown).Remedy, 0},
+		{JobFailed, api.RanUnknown, Find(ResultUnknown).Remedy, 0},
+		{JobFailed, api.RanYes, Find(JobFailed).Remedy, 0},
+	}
+	for _, c := range cases {
+		e := New(c.kind, "").WithRan(c.ran)
+		e.Results = []api.TaskResult{{Ran: c.ran}}
+		if doc := e.Document(); doc.Remedy != c.remedy || doc.RetryAfterMs != c.wait {
+			t.Errorf("%s, ran %s: got %+v", c.kind, c.ran, doc)
+		}
+	}
+}
