Scan bodies without an allocation a name

Change: names stay slices of the body, paths are joined for the fields of the API and for errors only.

--- a/internal/caller/strict.go
+++ b/internal/caller/strict.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 	"strconv"
@@ -104,21 +105,29 @@
 			s.pos++
 			continue
 		}
-		name := s.name()
-		sub := join(path, name)
-		if !names.add(name) {
-			return problem.Newf(problem.InvalidRequest, "%s is given twice", sub)
-		}
-		field, err := fieldType(t, name, sub)
-		if err != nil {
+		if err := s.member(path, t, &names, depth); err != nil {
 			return err
 		}
-		s.space()
-		s.pos++ // the colon
-		if err := s.value(sub, field, depth); err != nil {
+	}
+}
+
+// member walks over a name and its value.
+func (s *scanner) member(path string, t reflect.Type, names *nameSet, depth int) error {
+	name := s.name()
+	if !names.add(name) {
+		return problem.Newf(problem.InvalidRequest, "%s is given twice", join(path, string(name)))
+	}
+	var field reflect.Type
+	if t != nil && t.Kind() == reflect.Struct {
+		path = join(path, string(name))
+		var err error
+		if field, err = fieldType(t, string(name), path); err != nil {
 			return err
 		}
 	}
+	s.space()
+	s.pos++ // the colon
+	return s.value(path, field, depth)
 }
 
 func (s *scanner) array(path string, depth int) error {
@@ -170,12 +179,15 @@
 }
 
 // name walks over a field name and returns it unescaped.
-func (s *scanner) name() string {
+func (s *scanner) name() []byte {
 	raw := s.str()
+	if bytes.IndexByte(raw, '\\') < 0 {
+		return raw[1 : len(raw)-1]
+	}
 	var name string
 	// The document is valid, so the string can be decoded.
 	_ = json.Unmarshal(raw, &name)
-	return name
+	return []byte(name)
 }
 
 func (s *scanner) literal() {
@@ -188,11 +200,8 @@
 	}
 }
 
-// fieldType returns the type of a field, nil for opaque content.
+// fieldType returns the type of a struct's field.
 func fieldType(t reflect.Type, name, path string) (reflect.Type, error) {
-	if t == nil || t.Kind() != reflect.Struct {
-		return nil, nil
-	}
 	for i := range t.NumField() {
 		tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		if tag == name {
@@ -209,33 +218,34 @@
 	return path + "." + name
 }
 
-// smallObject is the number of names up to which a linear search is used.
+// smallObject is the number of names that are searched one by one.
 const smallObject = 16
 
 // nameSet holds the field names of one object.
 type nameSet struct {
-	few  []string
-	many map[string]struct{}
+	few  [smallObject][]byte
+	n    int                 // names in few
+	many map[string]struct{} // the others
 }
 
 // add reports whether the name is new.
-func (n *nameSet) add(name string) bool {
-	if n.many != nil {
-		_, known := n.many[name]
-		n.many[name] = struct{}{}
-		return !known
-	}
-	for _, f := range n.few {
-		if f == name {
+func (s *nameSet) add(name []byte) bool {
+	for _, f := range s.few[:s.n] {
+		if bytes.Equal(f, name) {
 			return false
 		}
 	}
-	n.few = append(n.few, name)
-	if len(n.few) > smallObject {
-		n.many = make(map[string]struct{}, 2*len(n.few))
-		for _, f := range n.few {
-			n.many[f] = struct{}{}
-		}
+	if s.n < smallObject {
+		s.few[s.n] = name
+		s.n++
+		return true
+	}
+	if _, known := s.many[string(name)]; known {
+		return false
+	}
+	if s.many == nil {
+		s.many = make(map[string]struct{})
 	}
+	s.many[string(name)] = struct{}{}
 	return true
 }
