--- /dev/null
+++ b/internal/platform/count.go
@@ -0,0 +1,91 @@
+package platform
+
+import "sync"
+
+// Op is an operation of the port.
+type Op uint8
+
+// Operations of the port.
+const (
+	OpGet Op = iota
+	OpList
+	OpCAS
+	OpDelete
+	OpCreateSession
+	OpRenewSession
+	OpDestroySession
+	OpAcquire
+	OpServices
+	numOps
+)
+
+var opNames = [numOps]string{
+	"get", "list", "cas", "delete", "create-session", "renew-session",
+	"destroy-session", "acquire", "services",
+}
+
+// String returns the name of the operation.
+func (o Op) String() string { return opNames[o] }
+
+// IsWrite reports whether the operation changes the service's state.
+func (o Op) IsWrite() bool {
+	return o != OpGet && o != OpList && o != OpServices
+}
+
+// Call is one finished call. A blocking query is one call.
+type Call struct {
+	Op       Op
+	Kind     Kind // KindNone on success
+	Sent     int  // body bytes
+	Received int  // body bytes
+}
+
+// Counter is told of every call. Methods are called from many goroutines.
+type Counter interface {
+	Count(Call)
+}
+
+// Counts is a Counter that keeps totals.
+type Counts struct {
+	mu     sync.Mutex
+	totals Totals
+}
+
+// Totals are the sums that Counts keeps.
+type Totals struct {
+	Calls    [numOps]int
+	Failed   int
+	Sent     int // bytes
+	Received int // bytes
+}
+
+// All returns the number of calls.
+func (t Totals) All() int {
+	n := 0
+	for _, c := range t.Calls {
+		n += c
+	}
+	return n
+}
+
+// Of returns the number of calls of one operation.
+func (t Totals) Of(op Op) int { return t.Calls[op] }
+
+// Count adds one call.
+func (c *Counts) Count(call Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.totals.Calls[call.Op]++
+	c.totals.Sent += call.Sent
+	c.totals.Received += call.Received
+	if call.Kind != KindNone {
+		c.totals.Failed++
+	}
+}
+
+// Totals returns the sums so far.
+func (c *Counts) Totals() Totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.totals
+}
--- /dev/null
+++ b/internal/platform/resolve.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// Delays between attempts to resolve an unknown outcome.
+const (
+	resolveMinDelay = 50 * time.Millisecond
+	resolveMaxDelay = 2 * time.Second
+)
+
+// CASResolve is CAS that resolves an unknown outcome by reading the key back
+// until it is known or ctx ends. carries reports whether a value that was
+// read carries this write's unique id; a value that is overwritten often
+// must keep the ids of recent writes. Writing again is safe, because both
+// attempts name the same index and at most one of them can take effect.
+func CASResolve(ctx context.Context, p Platform, key string, value []byte, index uint64, carries func([]byte) bool) (uint64, error) {
+	delay := resolveMinDelay
+	var unknown error // set once an attempt may have taken effect
+	for {
+		next, err := p.CAS(ctx, key, value, index)
+		if KindOf(err) == KindUnknown {
+			unknown = err
+		}
+		if err == nil || unknown == nil {
+			return next, err
+		}
+		current, err := readBack(ctx, p, key, &delay)
+		if err != nil {
+			return 0, unknown
+		}
+		if current.Exists() && carries(current.Value) {
+			return current.Index, nil
+		}
+		if current.Index != index {
+			return 0, &Error{Kind: KindConflict, Op: OpCAS, Key: key}
+		}
+		if !sleep(ctx, &delay) {
+			return 0, unknown
+		}
+	}
+}
+
+func readBack(ctx context.Context, p Platform, key string, delay *time.Duration) (Entry, error) {
+	for {
+		e, err := p.Get(ctx, key)
+		if err == nil {
+			return e, nil
+		}
+		if !sleep(ctx, delay) {
+			return Entry{}, err
+		}
+	}
+}
+
+func sleep(ctx context.Context, delay *time.Duration) bool {
+	t := time.NewTimer(*delay)
+	defer t.Stop()
+	*delay = min(*delay*2, resolveMaxDelay)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/faults.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Faults are the faults that the stand-in shows.
+type Faults struct {
+	LatencyMs       int64   `json:"latency_ms"`        // added to every call
+	Refuse          bool    `json:"refuse"`            // every call is refused and has no effect
+	Hang            bool    `json:"hang"`              // every call stays unanswered and has no effect
+	LoseAnswers     int     `json:"lose_answers"`      // answers to this many coming writes are lost after the effect
+	ReadsPerSecond  float64 `json:"reads_per_second"`  // 0 means unlimited
+	WritesPerSecond float64 `json:"writes_per_second"` // 0 means unlimited
+}
+
+// Fate says what becomes of one call.
+type Fate uint8
+
+// Fates of a call.
+const (
+	FateServed      Fate = iota
+	FateRefused          // refused without an effect
+	FateHung             // never answered, without an effect
+	FateLost             // takes effect, the answer is lost
+	FateRateLimited      // refused because of the rate limit
+)
+
+// Injector decides the fate of each call by the faults that are set.
+type Injector struct {
+	mu     sync.Mutex
+	faults Faults
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	calls  uint64
+}
+
+// NewInjector returns an injector that shows f.
+func NewInjector(f Faults) *Injector {
+	i := &Injector{}
+	i.Set(f)
+	return i
+}
+
+// Set replaces the faults.
+func (i *Injector) Set(f Faults) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.faults = f
+	i.reads = limiter(f.ReadsPerSecond)
+	i.writes = limiter(f.WritesPerSecond)
+}
+
+// Faults returns the faults that are set.
+func (i *Injector) Faults() Faults {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.faults
+}
+
+// Calls returns the number of calls so far.
+func (i *Injector) Calls() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.calls
+}
+
+// Next returns the fate of the next call and the latency to add to it.
+func (i *Injector) Next(write bool) (Fate, time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.calls++
+	latency := time.Duration(i.faults.LatencyMs) * time.Millisecond
+	return i.fate(write), latency
+}
+
+func (i *Injector) fate(write bool) Fate {
+	if i.faults.Hang {
+		return FateHung
+	}
+	if i.faults.Refuse {
+		return FateRefused
+	}
+	l := i.reads
+	if write {
+		l = i.writes
+	}
+	if !l.Allow() {
+		return FateRateLimited
+	}
+	if write && i.faults.LoseAnswers > 0 {
+		i.faults.LoseAnswers--
+		return FateLost
+	}
+	return FateServed
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,275 @@
+// Package platform is an in-memory stand-in for the platform's key-value
+// service, for tests and for the embedded deployment. Store holds the state;
+// Handler serves it over HTTP.
+package platform
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	port "github.com/nutmegweir/nutmegweir/internal/platform"
+)
+
+// defaultWait bounds a blocking query that names no wait.
+const defaultWait = 5 * time.Minute
+
+// Store is the state of the service. It reads the time package's clock, so
+// that tests can run it in a synctest bubble.
+type Store struct {
+	mu       sync.Mutex
+	index    uint64
+	keys     map[string]port.Entry
+	deleted  map[string]uint64 // key to the index of its removal
+	sessions map[port.SessionID]*session
+	services map[string]*service
+	changed  chan struct{} // closed at each change
+	lag      time.Duration
+}
+
+type session struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+type service struct {
+	index     uint64
+	instances map[string]port.ServiceInstance
+	latest    map[string]uint64 // instance ID to the number of its last update
+}
+
+// NewStore returns an empty store. Changes of the service lists show after
+// lag.
+func NewStore(lag time.Duration) *Store {
+	return &Store{
+		index:    1,
+		keys:     make(map[string]port.Entry),
+		deleted:  make(map[string]uint64),
+		sessions: make(map[port.SessionID]*session),
+		services: make(map[string]*service),
+		changed:  make(chan struct{}),
+		lag:      lag,
+	}
+}
+
+// bump starts a change and wakes the waiting reads. The caller holds mu.
+func (s *Store) bump() uint64 {
+	s.index++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.index
+}
+
+// Get reads one key.
+func (s *Store) Get(key string) port.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	if !ok {
+		return port.Entry{Key: key}
+	}
+	e.Value = slices.Clone(e.Value)
+	return e
+}
+
+// List reads all keys with a prefix, waiting as the port describes.
+func (s *Store) List(ctx context.Context, prefix string, index uint64, wait time.Duration) port.Listing {
+	var l port.Listing
+	s.wait(ctx, index, wait, func() uint64 {
+		l = s.list(prefix)
+		return l.Index
+	})
+	return l
+}
+
+func (s *Store) list(prefix string) port.Listing {
+	l := port.Listing{Index: 1}
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			l.Index = max(l.Index, e.Index)
+			e.Value = slices.Clone(e.Value)
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	for k, at := range s.deleted {
+		if strings.HasPrefix(k, prefix) {
+			l.Index = max(l.Index, at)
+		}
+	}
+	slices.SortFunc(l.Entries, func(x, y port.Entry) int { return strings.Compare(x.Key, y.Key) })
+	return l
+}
+
+// wait calls read, under the lock, until its index has passed index.
+func (s *Store) wait(ctx context.Context, index uint64, wait time.Duration, read func() uint64) {
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		at := read()
+		changed := s.changed
+		s.mu.Unlock()
+		if index == 0 || at != index {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// CAS writes a key if its index is still index.
+func (s *Store) CAS(key string, value []byte, index uint64) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	if e.Index != index {
+		return 0, false
+	}
+	return s.put(key, value, e.Session), true
+}
+
+func (s *Store) put(key string, value []byte, id port.SessionID) uint64 {
+	at := s.bump()
+	s.keys[key] = port.Entry{Key: key, Value: slices.Clone(value), Index: at, Session: id}
+	delete(s.deleted, key)
+	return at
+}
+
+// Delete removes a key if its index is still index.
+func (s *Store) Delete(key string, index uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.keys[key]; !ok || e.Index != index {
+		return false
+	}
+	s.remove(key)
+	return true
+}
+
+func (s *Store) remove(key string) {
+	delete(s.keys, key)
+	s.deleted[key] = s.bump()
+}
+
+// CreateSession opens a session.
+func (s *Store) CreateSession(ttl time.Duration) port.SessionID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := port.SessionID("session-" + strconv.FormatUint(s.bump(), 10))
+	s.sessions[id] = &session{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.DestroySession(id) })}
+	return id
+}
+
+// RenewSession restarts a session's TTL and reports whether it still exists.
+func (s *Store) RenewSession(id port.SessionID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ses, ok := s.sessions[id]
+	if !ok {
+		return false
+	}
+	return ses.timer.Reset(ses.ttl)
+}
+
+// DestroySession ends a session and removes its keys.
+func (s *Store) DestroySession(id port.SessionID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ses, ok := s.sessions[id]
+	if !ok {
+		return
+	}
+	ses.timer.Stop()
+	delete(s.sessions, id)
+	for k, e := range s.keys {
+		if e.Session == id {
+			s.remove(k)
+		}
+	}
+}
+
+// Acquire writes a key for a session. exists is false when the session has
+// lapsed, ok when another session holds the key.
+func (s *Store) Acquire(key string, value []byte, id port.SessionID) (at uint64, exists, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists = s.sessions[id]; !exists {
+		return 0, false, false
+	}
+	if holder := s.keys[key].Session; holder != "" && holder != id {
+		return 0, true, false
+	}
+	return s.put(key, value, id), true, true
+}
+
+// Services reads the list of a service's instances, waiting as the port
+// describes.
+func (s *Store) Services(ctx context.Context, name string, index uint64, wait time.Duration) port.ServiceList {
+	var l port.ServiceList
+	s.wait(ctx, index, wait, func() uint64 {
+		l = s.serviceList(name)
+		return l.Index
+	})
+	return l
+}
+
+func (s *Store) serviceList(name string) port.ServiceList {
+	l := port.ServiceList{Index: 1}
+	svc, ok := s.services[name]
+	if !ok {
+		return l
+	}
+	l.Index = max(l.Index, svc.index)
+	for _, inst := range svc.instances {
+		l.Instances = append(l.Instances, inst)
+	}
+	slices.SortFunc(l.Instances, func(x, y port.ServiceInstance) int { return strings.Compare(x.ID, y.ID) })
+	return l
+}
+
+// Register adds or replaces an instance of a service. It shows after the lag.
+func (s *Store) Register(name string, inst port.ServiceInstance) {
+	s.update(name, inst.ID, func(svc *service) { svc.instances[inst.ID] = inst })
+}
+
+// Deregister removes an instance of a service. It goes after the lag.
+func (s *Store) Deregister(name, id string) {
+	s.update(name, id, func(svc *service) { delete(svc.instances, id) })
+}
+
+func (s *Store) update(name, id string, change func(*service)) {
+	s.mu.Lock()
+	svc, ok := s.services[name]
+	if !ok {
+		svc = &service{instances: make(map[string]port.ServiceInstance), latest: make(map[string]uint64)}
+		s.services[name] = svc
+	}
+	svc.latest[id]++
+	number := svc.latest[id]
+	s.mu.Unlock()
+	apply := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if svc.latest[id] != number {
+			return // a later update of the same instance shows instead
+		}
+		change(svc)
+		svc.index = s.bump()
+	}
+	if s.lag <= 0 {
+		apply()
+		return
+	}
+	time.AfterFunc(s.lag, apply)
+}
