--- /dev/null
+++ b/internal/table/effective.go
@@ -0,0 +1,176 @@
+package table
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// defaultWeight holds where no row has a weight.
+const defaultWeight = 1
+
+// Effective is what applies to a customer's requests of one kind in one
+// failure domain, after inheritance.
+type Effective struct {
+	Weight      float64
+	Concurrency int           // tasks running at once, 0 = unlimited
+	Rate        float64       // task starts a second, 0 = unlimited
+	QueueBound  int           // queued tasks an instance, 0 = unlimited
+	Deadline    time.Duration // default deadline, 0 = none
+}
+
+// Column names a column of the table.
+type Column string
+
+// Columns.
+const (
+	ColCustomer    Column = "customer"
+	ColDomain      Column = "domain"
+	ColKind        Column = "kind"
+	ColServer      Column = "server"
+	ColWeight      Column = "weight"
+	ColConcurrency Column = "concurrency"
+	ColRate        Column = "rate"
+	ColQueueBound  Column = "queue_bound"
+	ColDeadlineMs  Column = "deadline_ms"
+	ColState       Column = "state"
+	ColVersion     Column = "version"
+)
+
+// ancestors is the number of rows that can apply to one request.
+const ancestors = 8
+
+// lineage returns the keys that apply to a request, the most specific first:
+// a named customer outweighs a named kind, which outweighs a named domain.
+func lineage(c model.Customer, d model.Domain, k model.Kind) [ancestors]Key {
+	return [ancestors]Key{
+		{Customer: c, Domain: d, Kind: k},
+		{Customer: c, Domain: Any, Kind: k},
+		{Customer: c, Domain: d, Kind: Any},
+		{Customer: c, Domain: Any, Kind: Any},
+		{Customer: Any, Domain: d, Kind: k},
+		{Customer: Any, Domain: Any, Kind: k},
+		{Customer: Any, Domain: d, Kind: Any},
+		{Customer: Any, Domain: Any, Kind: Any},
+	}
+}
+
+// Effective returns what applies to a request. Each column comes from the
+// most specific row that has it.
+func (s *Snapshot) Effective(c model.Customer, d model.Domain, k model.Kind) Effective {
+	var v Values
+	for _, key := range lineage(c, d, k) {
+		r, ok := s.rows[key]
+		if ok {
+			v = inherit(v, r.Values)
+		}
+	}
+	return Effective{
+		Weight:      orDefault(v.Weight, defaultWeight),
+		Concurrency: orDefault(v.Concurrency, 0),
+		Rate:        orDefault(v.Rate, 0),
+		QueueBound:  orDefault(v.QueueBound, 0),
+		Deadline:    time.Duration(orDefault(v.DeadlineMs, 0)) * time.Millisecond,
+	}
+}
+
+// inherit fills the columns that v lacks from a less specific row.
+func inherit(v, from Values) Values {
+	v.Weight = either(v.Weight, from.Weight)
+	v.Concurrency = either(v.Concurrency, from.Concurrency)
+	v.Rate = either(v.Rate, from.Rate)
+	v.QueueBound = either(v.QueueBound, from.QueueBound)
+	v.DeadlineMs = either(v.DeadlineMs, from.DeadlineMs)
+	return v
+}
+
+func either[T any](a, b *T) *T {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+func orDefault[T any](p *T, def T) T {
+	if p == nil {
+		return def
+	}
+	return *p
+}
+
+// Source says which row a column's effective value comes from.
+type Source struct {
+	Column  Column `json:"column"`
+	Value   string `json:"value"`
+	Row     *Key   `json:"row,omitempty"` // nil for the built-in default
+	Version uint64 `json:"version"`
+}
+
+// Explain returns the source of each column for a request.
+func (s *Snapshot) Explain(c model.Customer, d model.Domain, k model.Kind) []Source {
+	var list []Source
+	for _, f := range fields {
+		if f.server {
+			continue
+		}
+		src := Source{Column: f.column, Value: f.def}
+		for _, key := range lineage(c, d, k) {
+			r, ok := s.rows[key]
+			if text := f.get(r.Values); ok && text != "" {
+				src = Source{Column: f.column, Value: text, Row: &key, Version: r.Version}
+				break
+			}
+		}
+		list = append(list, src)
+	}
+	return list
+}
+
+// maxCached bounds the number of effective rows that a Cache keeps.
+const maxCached = 1 << 16
+
+// Cache keeps the effective rows of one failure domain for the hot path. It
+// is not safe for concurrent use.
+type Cache struct {
+	domain model.Domain
+	snap   *Snapshot
+	rows   map[request]Effective
+}
+
+type request struct {
+	customer model.Customer
+	kind     model.Kind
+}
+
+// NewCache returns a cache over the empty table.
+func NewCache(d model.Domain) *Cache {
+	return &Cache{domain: d, snap: Empty(), rows: make(map[request]Effective)}
+}
+
+// Set puts a snapshot in force, unless the one in force is as new. It reports
+// whether it did.
+func (c *Cache) Set(s *Snapshot) bool {
+	if s.version <= c.snap.version {
+		return false
+	}
+	c.snap = s
+	clear(c.rows)
+	return true
+}
+
+// Snapshot returns the table in force.
+func (c *Cache) Snapshot() *Snapshot { return c.snap }
+
+// Row returns the effective row. It allocates only on the first lookup.
+func (c *Cache) Row(customer model.Customer, kind model.Kind) Effective {
+	key := request{customer, kind}
+	if e, ok := c.rows[key]; ok {
+		return e
+	}
+	if len(c.rows) >= maxCached {
+		clear(c.rows)
+	}
+	e := c.snap.Effective(customer, c.domain, kind)
+	c.rows[key] = e
+	return e
+}
