--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -30,6 +30,10 @@
 func (f *Fake) call(ctx context.Context, op platform.Op, key string, sent int, effect func() (int, platform.Kind)) error {
 	fate, latency := f.Faults.Next(op.IsWrite())
 	if err := pause(ctx, latency); err != nil {
+		if op.IsWrite() && fate == standin.FateServed {
+			// The request is on its way and takes effect after the caller gave up.
+			time.AfterFunc(latency, func() { effect() })
+		}
 		return f.done(op, key, sent, 0, broken(op), err)
 	}
 	switch fate {
--- /dev/null
+++ b/internal/tablestore/edit.go
@@ -0,0 +1,213 @@
+package tablestore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+)
+
+// Delays between attempts to write an edit.
+const (
+	minRetryDelay = 20 * time.Millisecond
+	maxRetryDelay = time.Second
+)
+
+// Request asks for an edit.
+type Request struct {
+	ID       string // unique; repeat it to resolve an unknown outcome
+	Actor    string
+	AtUnixMs int64
+	Note     string
+	Changes  []table.Change // Before is filled in by the store
+	Known    uint64         // table version in force where the edit was asked for
+}
+
+// Result is an edit that is in the table.
+type Result struct {
+	Edit     table.Edit
+	Repeated bool // it was there already, by an earlier request with the same ID
+}
+
+// Edit checks a request as a whole and makes it take effect, or nothing of
+// it. Its errors are *table.InvalidError, *table.ConflictError,
+// *RolledBackError, *TooLargeError, *DamagedError, and those of the platform
+// port, where KindUnknown alone means that the edit may have taken effect.
+func (s *Store) Edit(ctx context.Context, r Request) (Result, error) {
+	if faults := s.opts.Rules.Check(r.Changes); len(faults) > 0 {
+		return Result{}, &table.InvalidError{Faults: faults}
+	}
+	w := &writer{store: s, req: r, delay: minRetryDelay}
+	for {
+		res, done, err := w.attempt(ctx)
+		if done {
+			return res, w.outcome(err)
+		}
+		if !w.pause(ctx) {
+			return Result{}, w.outcome(err)
+		}
+	}
+}
+
+// writer is one edit under way.
+type writer struct {
+	store   *Store
+	req     Request
+	delay   time.Duration
+	unknown error  // set while an attempt may have taken effect
+	tried   uint64 // table version of that attempt
+}
+
+// attempt reads the log and writes it with the edit. done is false when the
+// attempt lost a race or is not resolved.
+func (w *writer) attempt(ctx context.Context) (res Result, done bool, err error) {
+	l, err := w.store.readLog(ctx)
+	if err != nil {
+		return Result{}, w.unknown == nil, err
+	}
+	if l.Version < w.req.Known {
+		return Result{}, true, &RolledBackError{Known: w.req.Known, Stored: l.Version}
+	}
+	e, ok, err := w.existing(ctx, l)
+	if err != nil {
+		return Result{}, w.unknown == nil, err
+	}
+	if ok {
+		w.unknown = nil
+		return Result{Edit: e, Repeated: true}, true, nil
+	}
+	if l.Version >= w.tried {
+		w.unknown = nil // the version that was tried is another edit's
+	}
+	snap, err := w.store.Advance(ctx, w.store.cached(), l.Log)
+	if err != nil {
+		return Result{}, w.unknown == nil, err
+	}
+	if snap.Version() != l.Version {
+		return Result{}, false, lostLog // the cached table is past the log that was read
+	}
+	if c := snap.Conflicts(w.req.ID, w.req.Changes); len(c) > 0 {
+		return Result{}, w.unknown == nil, &table.ConflictError{Rows: named(c, l.Edits)}
+	}
+	return w.write(ctx, l, snap)
+}
+
+// existing looks for the edit in the log, and after an unknown outcome also
+// in the history, where a compaction may have moved it.
+func (w *writer) existing(ctx context.Context, l storedLog) (table.Edit, bool, error) {
+	if e, ok := find(l.Edits, w.req.ID); ok {
+		return e, true, nil
+	}
+	if snap := w.store.cached(); w.unknown == nil && !w.touched(snap) {
+		return table.Edit{}, false, nil
+	}
+	return w.store.findInHistory(ctx, l.Log, w.req.ID, w.tried)
+}
+
+// touched reports whether a row of the edit was last written by it.
+func (w *writer) touched(snap *table.Snapshot) bool {
+	return slices.ContainsFunc(w.req.Changes, func(c table.Change) bool {
+		r, ok := snap.Row(c.Key)
+		return ok && r.EditID == w.req.ID
+	})
+}
+
+func (w *writer) write(ctx context.Context, l storedLog, snap *table.Snapshot) (Result, bool, error) {
+	e := table.Edit{
+		Version:  l.Version + 1,
+		ID:       w.req.ID,
+		Actor:    w.req.Actor,
+		AtUnixMs: w.req.AtUnixMs,
+		Note:     w.req.Note,
+		Changes:  withBefore(snap, w.req.Changes),
+	}
+	one, err := encode(e)
+	if err != nil || len(one) > MaxEditBytes {
+		return Result{}, true, &TooLargeError{What: "the edit", Bytes: len(one), Limit: MaxEditBytes}
+	}
+	next := l.Log.append(e)
+	value, err := encode(next)
+	if err != nil {
+		return Result{}, true, err
+	}
+	if len(value) > maxLogBytes && len(l.Edits) > 0 {
+		trimmed, err := w.store.compact(ctx, l.Log)
+		if err != nil {
+			return Result{}, w.unknown == nil && platform.KindOf(err) != platform.KindConflict, err
+		}
+		next = trimmed.append(e)
+		if value, err = encode(next); err != nil {
+			return Result{}, true, err
+		}
+	}
+	_, err = w.store.p.CAS(ctx, w.store.key(keyLog), value, l.index)
+	return w.written(e, snap, err)
+}
+
+// written judges the outcome of the write.
+func (w *writer) written(e table.Edit, snap *table.Snapshot, err error) (Result, bool, error) {
+	switch platform.KindOf(err) {
+	case platform.KindNone:
+		w.unknown = nil
+		next, _ := snap.Apply([]table.Edit{e})
+		w.store.keep(next)
+		return Result{Edit: e}, true, nil
+	case platform.KindUnknown:
+		w.unknown = err
+		w.tried = e.Version
+		return Result{}, false, err
+	case platform.KindConflict:
+		return Result{}, false, err
+	}
+	return Result{}, w.unknown == nil, err
+}
+
+// lostLog says that an attempt lost a race for the log.
+var lostLog = &platform.Error{Kind: platform.KindConflict, Op: platform.OpCAS, Key: keyLog}
+
+// outcome returns the unknown outcome in place of an error that would claim
+// that nothing was written.
+func (w *writer) outcome(err error) error {
+	if w.unknown != nil {
+		return w.unknown
+	}
+	return err
+}
+
+func (w *writer) pause(ctx context.Context) bool {
+	t := time.NewTimer(w.delay)
+	defer t.Stop()
+	w.delay = min(2*w.delay, maxRetryDelay)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func withBefore(snap *table.Snapshot, changes []table.Change) []table.Change {
+	list := slices.Clone(changes)
+	for i := range list {
+		list[i].Before = nil
+		if r, ok := snap.Row(list[i].Key); ok {
+			list[i].Before = &r.Values
+		}
+	}
+	return list
+}
+
+// named adds who made the current version of each row, where the log tells.
+func named(conflicts []table.RowConflict, edits []table.Edit) []table.RowConflict {
+	for i, c := range conflicts {
+		if c.Current == nil {
+			continue
+		}
+		if e, ok := find(edits, c.Current.EditID); ok {
+			conflicts[i].Actor = e.Actor
+		}
+	}
+	return conflicts
+}
--- /dev/null
+++ b/internal/tablestore/history.go
@@ -0,0 +1,84 @@
+package tablestore
+
+import (
+	"context"
+	"slices"
+
+	"github.com/nutmegweir/nutmegweir/internal/table"
+)
+
+// HistoryPage is a stretch of the history, the newest edit first.
+type HistoryPage struct {
+	Edits []table.Edit
+	Next  Cursor // pass it on for the older edits
+	More  bool   // there may be older edits
+}
+
+// Cursor is a position in the history. The zero value is its newest end.
+type Cursor struct {
+	Page  uint64 // history page to read, when Below is above 0
+	Below uint64 // only edits below this table version
+}
+
+// History reads the newest edits, or those that follow a cursor. One call
+// reads at most one value.
+func (s *Store) History(ctx context.Context, c Cursor) (HistoryPage, error) {
+	if c.Below == 0 {
+		l, err := s.readLog(ctx)
+		if err != nil {
+			return HistoryPage{}, err
+		}
+		return newestFirst(l.Edits, l.Version+1, l.NextPage), nil
+	}
+	p, ok, err := s.readPage(ctx, c.Page)
+	if err != nil || !ok {
+		return HistoryPage{}, err
+	}
+	return newestFirst(p.Edits, c.Below, c.Page), nil
+}
+
+// newestFirst turns edits below a version around. older is one above the
+// number of the page with the edits before them.
+func newestFirst(edits []table.Edit, below, older uint64) HistoryPage {
+	h := HistoryPage{More: older > 0}
+	h.Next.Below = below
+	for _, e := range slices.Backward(edits) {
+		if e.Version < below {
+			h.Edits = append(h.Edits, e)
+			h.Next.Below = e.Version
+		}
+	}
+	if h.More {
+		h.Next.Page = older - 1
+	}
+	return h
+}
+
+func (s *Store) readPage(ctx context.Context, number uint64) (Page, bool, error) {
+	entry, err := s.p.Get(ctx, s.key(pageKey(number)))
+	if err != nil || !entry.Exists() {
+		return Page{}, false, err
+	}
+	var p Page
+	if err := decode(entry.Value, &p); err != nil {
+		return Page{}, false, &DamagedError{Key: entry.Key, Cause: err}
+	}
+	return p, true, nil
+}
+
+// findInHistory looks for an edit by ID in the pages, down to a version.
+func (s *Store) findInHistory(ctx context.Context, l Log, id string, downTo uint64) (table.Edit, bool, error) {
+	for n := l.NextPage; n > 0; n-- {
+		p, ok, err := s.readPage(ctx, n-1)
+		if err != nil || !ok {
+			return table.Edit{}, false, err
+		}
+		if e, ok := find(p.Edits, id); ok {
+			return e, true, nil
+		}
+		if len(p.Edits) > 0 && p.Edits[0].Version <= downTo {
+			return table.Edit{}, false, nil
+		}
+	}
+	return table.Edit{}, false, nil
+}
--- /dev/null
+++ b/internal/tablestore/store_test.go
@@ -0,0 +1,225 @@
+package tablestore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/platform/platformtest"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+)
+
+func newStore(backing *standin.Store) (*tablestore.Store, *platformtest.Fake) {
+	f := platformtest.NewFake(backing)
+	return tablestore.New(tablestore.Options{Platform: f, Prefix: "t/", HistoryPages: 4}), f
+}
+
+func change(customer string, base uint64, concurrency int) table.Change {
+	key := table.Key{Customer: model.Customer(customer), Domain: table.Any, Kind: table.Any}
+	return table.Change{Key: key, Base: base, After: &table.Values{Concurrency: &concurrency}}
+}
+
+func request(id string, changes ...table.Change) tablestore.Request {
+	return tablestore.Request{ID: id, Actor: "ann", Changes: changes}
+}
+
+func mustEdit(t *testing.T, s *tablestore.Store, r tablestore.Request) tablestore.Result {
+	t.Helper()
+	res, err := s.Edit(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+func TestEditChecksBaseAndKeepsBothSides(t *testing.T) {
+	s, _ := newStore(standin.NewStore(0))
+	mustEdit(t, s, request("e1", change("a", 0, 1)))
+	mustEdit(t, s, request("e2", change("a", 1, 2)))
+	_, err := s.Edit(t.Context(), request("e3", change("b", 0, 1), change("a", 1, 3)))
+	var conflict *table.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Rows) != 1 || *conflict.Rows[0].Current.Concurrency != 2 || conflict.Rows[0].Actor != "ann" {
+		t.Fatalf("error %v", err)
+	}
+	snap, err := s.Load(t.Context())
+	if err != nil || snap.Version() != 2 || snap.Len() != 1 {
+		t.Fatalf("version %d, %d rows, error %v", snap.Version(), snap.Len(), err)
+	}
+	var invalid *table.InvalidError
+	if _, err := s.Edit(t.Context(), request("e4", change("a", 2, -1))); !errors.As(err, &invalid) {
+		t.Fatalf("error %v", err)
+	}
+	rolled := request("e5", change("a", 2, 5))
+	rolled.Known = 9
+	var back *tablestore.RolledBackError
+	if _, err := s.Edit(t.Context(), rolled); !errors.As(err, &back) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// TestUnknownOutcomes loses the answer to each write of an edit in turn, also
+// of the writes of a compaction. The edit must be in the table once.
+func TestUnknownOutcomes(t *testing.T) {
+	cases := []struct {
+		name   string
+		before int // edits that fill the log
+		lose   int // writes whose answers are lost
+		repeat bool
+	}{
+		{"first write", 0, 1, false},
+		{"three times", 0, 3, false},
+		{"repeated request", 0, 1, true},
+		{"with compaction", 60, 1, false},
+		{"with compaction, many", 60, 9, false},
+		{"with compaction, repeated", 60, 4, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backing := standin.NewStore(0)
+				s, f := newStore(backing)
+				for i := range c.before {
+					mustEdit(t, s, request(fmt.Sprintf("fill-%d", i), change(fmt.Sprintf("c%d", i), 0, 1)))
+				}
+				for i := range 40 {
+					f.Faults.Set(standin.Faults{LoseAnswers: c.lose})
+					r := request(fmt.Sprintf("e-%d", i), change("a", lastVersion(t, backing, "a"), i))
+					first := mustEdit(t, s, r)
+					if c.repeat {
+						again := mustEdit(t, s, r)
+						if !again.Repeated || again.Edit.Version != first.Edit.Version {
+							t.Fatalf("repeated as version %d, first %d", again.Edit.Version, first.Edit.Version)
+						}
+					}
+				}
+				f.Faults.Set(standin.Faults{})
+				snap, err := s.Load(t.Context())
+				if err != nil || snap.Version() != uint64(c.before+40) {
+					t.Fatalf("version %d, error %v", snap.Version(), err)
+				}
+			})
+		})
+	}
+}
+
+// lastVersion reads a row with a store that has no cache.
+func lastVersion(t *testing.T, backing *standin.Store, customer string) uint64 {
+	t.Helper()
+	fresh, _ := newStore(backing)
+	snap, err := fresh.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _ := snap.Row(change(customer, 0, 0).Key)
+	return r.Version
+}
+
+func TestOutageIsNoUnknownOutcome(t *testing.T) {
+	s, f := newStore(standin.NewStore(0))
+	f.Faults.Set(standin.Faults{Refuse: true})
+	_, err := s.Edit(t.Context(), request("e", change("a", 0, 1)))
+	if platform.KindOf(err) != platform.KindUnavailable {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// TestUnresolvedOutcomeIsTold cuts the platform off after the effect.
+func TestUnresolvedOutcomeIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newStore(standin.NewStore(0))
+		f.Faults.Set(standin.Faults{LoseAnswers: 1, LatencyMs: 10})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		go func() { time.Sleep(25 * time.Millisecond); f.Faults.Set(standin.Faults{Refuse: true}) }()
+		_, err := s.Edit(ctx, request("e", change("a", 0, 1)))
+		if platform.KindOf(err) != platform.KindUnknown {
+			t.Fatalf("error %v", err)
+		}
+		f.Faults.Set(standin.Faults{})
+		if res := mustEdit(t, s, request("e", change("a", 0, 1))); !res.Repeated {
+			t.Fatal("the edit was applied twice")
+		}
+	})
+}
+
+func TestHistoryIsPagedAndBounded(t *testing.T) {
+	backing := standin.NewStore(0)
+	s, _ := newStore(backing)
+	const edits = 400
+	for i := range edits {
+		mustEdit(t, s, request(fmt.Sprintf("e-%d", i), change(fmt.Sprintf("c%d", i%50), lastVersion(t, backing, fmt.Sprintf("c%d", i%50)), i)))
+	}
+	var versions []uint64
+	var cursor tablestore.Cursor
+	for more := true; more; {
+		h, err := s.History(t.Context(), cursor)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range h.Edits {
+			versions = append(versions, e.Version)
+		}
+		cursor, more = h.Next, h.More
+	}
+	for i, v := range versions {
+		if v != uint64(edits-i) {
+			t.Fatalf("version %d at place %d", v, i)
+		}
+	}
+	list := backing.List(t.Context(), "t/", 0, 0)
+	pages := 0
+	for _, e := range list.Entries {
+		if len(e.Value) > 16<<10 {
+			t.Errorf("%s takes %d bytes", e.Key, len(e.Value))
+		}
+		if len(e.Key) > len("t/history/") && e.Key[:len("t/history/")] == "t/history/" {
+			pages++
+		}
+	}
+	if pages > 5 || len(versions) < 100 || len(versions) == edits {
+		t.Fatalf("%d pages, %d edits left", pages, len(versions))
+	}
+}
+
+// TestReaderMeetsCompaction loads with fresh readers after every edit.
+func TestReaderMeetsCompaction(t *testing.T) {
+	backing := standin.NewStore(0)
+	s, _ := newStore(backing)
+	follower, _ := newStore(backing)
+	snap := table.Empty()
+	for i := range 150 {
+		c := change(fmt.Sprintf("c%d", i%7), lastVersion(t, backing, fmt.Sprintf("c%d", i%7)), i)
+		if i%5 == 4 {
+			c.After = nil
+		}
+		mustEdit(t, s, request(fmt.Sprintf("e-%d", i), c))
+		ch, err := follower.Watch(t.Context(), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if snap, err = follower.Advance(t.Context(), snap, ch.Log); err != nil {
+			t.Fatal(err)
+		}
+		fresh, _ := newStore(backing)
+		whole, err := fresh.Load(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		same := slices.EqualFunc(snap.Rows(), whole.Rows(), func(a, b table.Row) bool {
+			return a.Key == b.Key && a.Version == b.Version && a.Values.Equal(b.Values)
+		})
+		if !same || snap.Version() != whole.Version() {
+			t.Fatalf("edit %d: follower %+v, fresh reader %+v", i, snap.Rows(), whole.Rows())
+		}
+	}
+}
+
+func kindIsUnknown(err error) bool { return platform.KindOf(err) == platform.KindUnknown }
