Bound the scheduler's messages by a budget and pass hints of free slots on

Cause: asks, grants and returns together cost 0.25 to 0.3 messages a task. Change: one budget for all messages; recalls only after 300 ms of queueing; hints of third instances' free slots ride on every message.

--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	slowMargin     = 1.5             // a free server is taken without thought up to this multiple of the usual slowness
-	loadMemory     = 5 * time.Second // time constant of the load of short and long work
-	reserveSpread  = 2.0             // slots kept for short work above its mean load, in square roots of that load
-	longSpread     = 0.5             // slots that long work may always hold above its mean load, in square roots of that load
+	slowMargin     = 1.5              // a free server is taken without thought up to this multiple of the usual slowness
+	shortMemory    = 5 * time.Second  // time constant of the load of short work
+	longMemory     = 20 * time.Second // time constant of the load of long work
+	reserveSpread  = 2.0              // slots kept for short work above its mean load, in square roots of that load
+	longSpread     = 0.25             // slots that long work may always hold above its mean load, in square roots of that load
 	firstRunsSpace = 1024
 )
 
@@ -342,9 +343,8 @@
 	if dt <= 0 {
 		return
 	}
-	gain := 1 - math.Exp(-dt/loadMemory.Seconds())
-	r.shortLoad += gain * (r.shortNew/dt - r.shortLoad)
-	r.longLoad += gain * (r.longNew/dt - r.longLoad)
+	r.shortLoad += (1 - math.Exp(-dt/shortMemory.Seconds())) * (r.shortNew/dt - r.shortLoad)
+	r.longLoad += (1 - math.Exp(-dt/longMemory.Seconds())) * (r.longNew/dt - r.longLoad)
 	r.shortNew, r.longNew = 0, 0
 	r.longCap = s.longBound(float64(s.index.held))
 }
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -12,28 +12,32 @@
 )
 
 const (
-	loanIdle       = 150 * time.Millisecond // a borrowed slot that was not needed for so long goes back
+	loanIdle       = 300 * time.Millisecond // a borrowed slot that was not needed for so long goes back
 	loanRenewal    = 3 * time.Second        // interval of the messages that renew loans
 	loanLost       = 8 * time.Second        // a lender takes slots back from a borrower silent for so long
 	grantLost      = 500 * time.Millisecond // a grant without an acknowledgement is taken for lost
 	askAnswer      = 5 * time.Millisecond   // an ask that is not answered within this time counts as unmet for now
-	askStands      = 400 * time.Millisecond // an ask that was not met stands for so long
+	askStands      = 200 * time.Millisecond // an ask that was not met stands for so long
 	reclaimGone    = time.Second            // a lender takes slots back from a borrower that left the list
 	beliefAge      = time.Second            // what a peer said about its free slots counts for so long
+	hintAge        = 300 * time.Millisecond // what is known of a third instance is passed on for so long
 	queuePatience  = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
 	recallEvery    = 200 * time.Millisecond
 	returnEvery    = 60 * time.Millisecond  // interval of the messages that return recalled slots
 	shareEvery     = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
-	sharePatience  = 100 * time.Millisecond // own queue older than this makes an instance compare and recall
-	grantEvery     = 40 * time.Millisecond  // interval of small grants to one asker
+	sharePatience  = 300 * time.Millisecond // own queue older than this makes an instance compare and recall
+	grantEvery     = 100 * time.Millisecond // interval of small grants to one asker
 	largeGrant     = 4                      // slots that are granted without waiting for the interval
 	maxAsk         = 64                     // slots asked of one peer at a time
 	headroomSpread = 0.25                   // free slots kept for the next tasks, in square roots of the load
 	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
-	askBudget      = 0.07                   // asks a start, on average
-	askBurst       = 24.0
-	askFloor       = 1.0 // asks a second without any start
-	unknownFree    = 4   // free slots expected of a peer that said nothing
+	messageBudget  = 0.2                   // messages a start, on average
+	messageBurst   = 30.0
+	messageFloor   = 1.0  // messages a second without any start
+	tokensAsk      = 1.0  // messages left in the budget that an ask needs
+	tokensSearch   = 15 // the same for an ask to a peer that is not known to have free slots
+	tokensReturn   = 0  // the same for a grant to a standing ask, and for the return of idle slots
+	unknownFree    = 4    // free slots expected of a peer that said nothing
 )
 
 // peer is another instance, live or lately gone.
@@ -90,7 +94,7 @@
 
 // lending is this instance's part in the lending of slots.
 type lending struct {
-	tokens    float64 // asks that may be sent
+	tokens    float64 // messages that may be sent; answers may overdraw it
 	refilled  model.Time
 	counted   uint64 // starts that have brought tokens
 	window    model.Time
@@ -376,6 +380,7 @@
 			continue
 		}
 		p.seqOut++
+		s.lend.tokens--
 		m.BootUnixNs = int64(s.boot)
 		m.Sequence = p.seqOut
 		m.Load = s.load(now, p)
@@ -395,6 +400,12 @@
 		Held:   uint32(s.index.held),
 		Queued: uint32(s.queue.waiting),
 	}
+	for _, q := range s.live {
+		age := now.Sub(q.freeAt)
+		if q != p && q.freeAt != 0 && age < hintAge {
+			l.Hints = append(l.Hints, &peerpb.FreeHint{Instance: string(q.ID), Free: uint32(q.free), AgeMs: uint32(age.Milliseconds())})
+		}
+	}
 	if s.queue.waiting == 0 || now.Sub(p.loadAt) < shareEvery {
 		return l
 	}
@@ -515,8 +526,8 @@
 		}
 	}
 	patient := s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < queuePatience
-	for need > 0 && s.lend.tokens >= 1 {
-		p := s.bestLender(now, patient)
+	for need > 0 && s.lend.tokens >= tokensAsk {
+		p := s.bestLender(now, need, patient)
 		if p == nil {
 			return
 		}
@@ -549,9 +560,9 @@
 	return 0
 }
 
-// bestLender returns the peer with the most slots to lend, of the own domain
-// if it has any, that has no standing ask of this instance.
-func (s *Scheduler) bestLender(now model.Time, patient bool) *peer {
+// bestLender returns the peer without a standing ask that can meet most of
+// the need, one of the own domain among equals.
+func (s *Scheduler) bestLender(now model.Time, need int, patient bool) *peer {
 	var best *peer
 	score := 0
 	for _, p := range s.live {
@@ -559,12 +570,12 @@
 			continue
 		}
 		free := p.believedFree(now)
-		if free == 0 && patient {
+		if free == 0 && (patient || s.lend.tokens < tokensSearch) {
 			continue
 		}
-		x := 1 + 2*free
-		if free > 0 && p.Domain == s.opts.Domain {
-			x += 1 << 16
+		x := 2 + 2*min(free, need)
+		if p.Domain == s.opts.Domain {
+			x++
 		}
 		if x > score {
 			best, score = p, x
@@ -574,7 +585,6 @@
 }
 
 func (s *Scheduler) askPeer(now model.Time, p *peer, n int) {
-	s.lend.tokens--
 	p.askOut++
 	p.askedFor = n
 	p.askedAt = now
@@ -656,6 +666,7 @@
 	}
 	p.free = int(l.Free)
 	p.freeAt = now
+	s.receiveHints(now, l.Hints)
 	p.held = int(l.Held)
 	p.queued = int(l.Queued)
 	if l.Queued == 0 {
@@ -666,6 +677,18 @@
 	}
 }
 
+// receiveHints takes over what the sender knows better of third instances.
+func (s *Scheduler) receiveHints(now model.Time, hints []*peerpb.FreeHint) {
+	for _, h := range hints {
+		q := s.peers[model.Instance(h.Instance)]
+		at := now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
+		if q != nil && q.live && at > q.freeAt {
+			q.free = int(h.Free)
+			q.freeAt = at
+		}
+	}
+}
+
 // receiveHeld sets the loans to what the borrower says, unless a grant is
 // still on its way to it.
 func (s *Scheduler) receiveHeld(now model.Time, p *peer, h *peerpb.SlotsHeld) {
@@ -780,20 +803,20 @@
 func (s *Scheduler) refill(now model.Time) {
 	l := &s.lend
 	if l.refilled != 0 {
-		l.tokens += askFloor * now.Sub(l.refilled).Seconds()
+		l.tokens += messageFloor * now.Sub(l.refilled).Seconds()
 	} else {
-		l.tokens = askBurst
+		l.tokens = messageBurst
 	}
 	l.refilled = now
-	l.tokens += askBudget * float64(s.starts-l.counted)
+	l.tokens += messageBudget * float64(s.starts-l.counted)
 	l.counted = s.starts
-	l.tokens = math.Min(l.tokens, askBurst)
+	l.tokens = math.Min(l.tokens, messageBurst)
 }
 
 // returnIdle gives back borrowed slots that nothing needed over the last
 // window.
 func (s *Scheduler) returnIdle(now model.Time) {
-	if now.Sub(s.lend.window) < loanIdle {
+	if now.Sub(s.lend.window) < loanIdle || s.lend.tokens < tokensReturn {
 		return
 	}
 	s.lend.window = now
@@ -805,6 +828,9 @@
 }
 
 func (s *Scheduler) serveStanding(now model.Time) {
+	if s.lend.tokens < tokensReturn {
+		return
+	}
 	for _, p := range s.live {
 		if p.ask.want == 0 {
 			continue
--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -11,7 +11,7 @@
 
 const (
 	warmUp  = 5 * time.Second
-	measure = 25 * time.Second
+	measure = 55 * time.Second
 	settle  = 30 * time.Second
 )
 
