--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -10,19 +10,21 @@
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 60 * time.Second
-	retrySpread   = 0.25            // Retry-After is drawn up to this part above its lower bound
-	promiseGrace  = 2 * time.Second // a refused job is expected back until then
-	promisePart   = 0.5             // part of a job's slack that promises to others may not take
+	retrySpread   = 0.25                   // Retry-After is drawn up to this part above its lower bound
+	promiseGrace  = 2 * time.Second        // a refused job is expected back until then
+	promiseRate   = 0.9                    // part of its rate at which the refused jobs of a customer are told to come back
+	overloadAfter = 300 * time.Millisecond // tasks have waited for a slot for so long without a break
 	maxPromises   = 1 << 16
+	slackPart     = 0.5     // part of the time left that the estimated delay may take
 	maxWaiting    = 200_000 // waiting tasks of an instance above which work is shed by weight
 	maxExpected   = 1 << 20
 )
 
 // promise is a refused job that was told when to come back.
 type promise struct {
-	flow *flow
-	work float64 // seconds
-	due  model.Time
+	customer *customer
+	work     float64 // seconds
+	due      model.Time
 }
 
 // promises are the refused jobs that are expected back.
@@ -83,20 +85,38 @@
 		return s.refuse(now, f, j, r, work, delay), duration(delay)
 	}
 	if j.Deadline == 0 {
+		s.shed.admitted(f.cust, work)
 		return Verdict{}, duration(delay)
 	}
-	slack := j.Deadline.Sub(now).Seconds() - s.ideal(f, tasks)
-	over := delay - slack
-	if over > 0 {
-		return s.refuse(now, f, j, ReasonDeadline, work, over), duration(delay)
+	if over := s.tooLate(now, f, j, tasks, delay, kept); over > 0 {
+		r := ReasonDeadline
+		if f.limit != nil && f.limit.rate > 0 {
+			r = ReasonRate
+		}
+		return s.refuse(now, f, j, r, work, over), duration(delay)
 	}
-	owed := f.promised / s.rate(f)
-	if !kept && delay > promisePart*slack && delay+owed > slack {
-		return s.refuse(now, f, j, ReasonDeadline, work, delay+owed-slack), duration(delay)
+	if !kept && s.shed.refuses(f.cust) {
+		return s.refuse(now, f, j, ReasonShed, work, 0), duration(delay)
 	}
+	s.shed.admitted(f.cust, work)
 	return Verdict{}, duration(delay)
 }
 
+// tooLate returns by how much the estimated delay exceeds what the deadline
+// allows, or 0. A job that comes back when it was told to may use all of its
+// slack, others a part of it.
+func (s *Scheduler) tooLate(now model.Time, f *flow, j *Job, tasks int, delay float64, kept bool) float64 {
+	left := j.Deadline.Sub(now).Seconds()
+	if delay == 0 && left >= f.kindState.run.mean {
+		return 0
+	}
+	slack := left - s.ideal(f, tasks)
+	if !kept {
+		slack *= slackPart
+	}
+	return math.Max(0, delay-slack)
+}
+
 // bounds checks the queue bound of the row and the instance's own.
 func (s *Scheduler) bounds(f *flow, tasks int) Reason {
 	if f.bound > 0 && f.waiting+tasks > f.bound {
@@ -114,7 +134,7 @@
 // ideal is the time from the first start to the last answer of the job.
 func (s *Scheduler) ideal(f *flow, tasks int) float64 {
 	waves := float64(tasks-1) * f.kindState.run.mean / s.rate(f)
-	return waves + f.kindState.run.high()
+	return waves + f.kindState.run.highest(tasks)
 }
 
 // capacity is the number of slots that this instance can count on: those it
@@ -123,25 +143,30 @@
 	return math.Max(1, float64(s.index.held+s.spareElsewhere()))
 }
 
-// rate is the service that a flow gets when everybody has waiting work,
-// seconds of work a second.
-func (s *Scheduler) rate(f *flow) float64 {
-	c := f.cust
+// customerRate is the service that a customer gets when everybody has waiting
+// work, seconds of work a second.
+func (s *Scheduler) customerRate(c *customer) float64 {
 	customers := s.queue.weights
 	if c.waiting == 0 {
 		customers += c.weight
 	}
-	kinds := c.weights
+	r := s.capacity() / math.Max(s.usual, 0.01)
+	return r * c.weight / math.Max(c.weight, customers)
+}
+
+// rate is the same for a flow.
+func (s *Scheduler) rate(f *flow) float64 {
+	kinds := f.cust.weights
 	if f.waiting == 0 {
 		kinds += f.weight
 	}
-	r := s.capacity() / math.Max(s.usual, 0.01)
-	r *= c.weight / math.Max(c.weight, customers)
-	r *= f.weight / math.Max(f.weight, kinds)
+	r := s.customerRate(f.cust) * f.weight / math.Max(f.weight, kinds)
 	return s.limitedRate(f, r)
 }
 
-// delay estimates the time until a job of this flow starts, seconds.
+// delay estimates the time until a job of this flow starts, seconds. When
+// slots are short, that is until the flow and its customer are due by what
+// they received before, and the smaller jobs of the flow are served.
 func (s *Scheduler) delay(f *flow, work float64) float64 {
 	if s.queue.waiting == 0 {
 		return 0
@@ -150,38 +175,61 @@
 	for _, w := range f.classWork[:sizeClass(work)+1] {
 		ahead += w
 	}
+	if s.overloaded() {
+		c := f.cust
+		ahead += math.Max(0, f.virtual-c.floor) * f.weight
+		all := math.Max(0, c.virtual-s.queue.floor) * c.weight
+		return math.Max(ahead/s.rate(f), all/s.customerRate(c))
+	}
 	byShare := ahead / s.rate(f)
-	all := s.queue.work * math.Max(s.usual, 0.01) / s.capacity()
 	if f.limit != nil {
 		return byShare
 	}
-	return math.Min(byShare, all)
+	return math.Min(byShare, s.queue.work*math.Max(s.usual, 0.01)/s.capacity())
+}
+
+// overloaded reports whether slots have been short for some time, so that
+// every customer gets no more than its share.
+func (s *Scheduler) overloaded() bool {
+	return s.lend.queuedAt != 0 && s.now.Sub(s.lend.queuedAt) >= overloadAfter
 }
 
 func duration(sec float64) time.Duration {
 	return time.Duration(math.Min(sec, maxExpected) * float64(time.Second))
 }
 
-// refuse computes when the job should come back and keeps room for it.
+// refuse computes when the job should come back, behind those of the same
+// customer that were told so before.
 func (s *Scheduler) refuse(now model.Time, f *flow, j *Job, r Reason, work, after float64) Verdict {
+	c := f.cust
+	after += c.promised / (promiseRate * s.sharedRate(c))
 	after *= 1 + retrySpread*s.rng.Float64()
 	d := duration(after) + time.Duration(s.rng.Int64N(int64(minRetryAfter)))
 	d = min(max(d, minRetryAfter), maxRetryAfter)
-	s.promise(now, f, j.Token, work, now.Add(d))
+	s.promise(now, c, j.Token, work, now.Add(d))
 	return Verdict{Reason: r, RetryAfter: d}
 }
 
-func (s *Scheduler) promise(now model.Time, f *flow, token uint64, work float64, due model.Time) {
+// sharedRate is the service that a customer can count on from now on, seconds
+// of work a second.
+func (s *Scheduler) sharedRate(c *customer) float64 {
+	if s.shed.on {
+		return math.Max(s.shed.level*c.weight, 0.01)
+	}
+	return s.customerRate(c)
+}
+
+func (s *Scheduler) promise(now model.Time, c *customer, token uint64, work float64, due model.Time) {
 	p := &s.promises
 	if token == 0 || len(p.byToken) >= maxPromises {
 		return
 	}
 	if old, ok := p.byToken[token]; ok {
-		old.flow.promised = math.Max(0, old.flow.promised-old.work)
+		old.customer.promised = math.Max(0, old.customer.promised-old.work)
 	}
-	p.byToken[token] = promise{flow: f, work: work, due: due}
+	p.byToken[token] = promise{customer: c, work: work, due: due}
 	p.order = append(p.order, promiseEnd{token, due.Add(promiseGrace)})
-	f.promised += work
+	c.promised += work
 }
 
 // redeem reports whether a job was refused before and comes back when told.
@@ -191,7 +239,7 @@
 		return false
 	}
 	delete(s.promises.byToken, token)
-	p.flow.promised = math.Max(0, p.flow.promised-p.work)
+	p.customer.promised = math.Max(0, p.customer.promised-p.work)
 	return now >= p.due
 }
 
@@ -203,7 +251,7 @@
 		p.first++
 		if x, ok := p.byToken[e.token]; ok && x.due.Add(promiseGrace) <= e.ends {
 			delete(p.byToken, e.token)
-			x.flow.promised = math.Max(0, x.flow.promised-x.work)
+			x.customer.promised = math.Max(0, x.customer.promised-x.work)
 		}
 	}
 	if p.first > 1024 && 2*p.first > len(p.order) {
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -25,6 +25,7 @@
 type run struct {
 	job     *job
 	server  *server
+	limit   *limit // whose share it takes, nil if none
 	started model.Time
 	charged float64 // service charged so far, seconds
 	long    bool    // counted as long work
@@ -146,12 +147,12 @@
 	f.cust.floor = math.Max(f.cust.floor, f.virtual)
 	v.busy++
 	s.index.update(v)
-	r := run{job: j, server: v, started: now, charged: cost, long: f.kindState.long, probe: probe}
+	r := run{job: j, server: v, limit: f.limit, started: now, charged: cost, long: f.kindState.long, probe: probe}
 	if r.long {
 		s.runs.long++
 	}
-	if f.limit != nil {
-		f.limit.take()
+	if r.limit != nil {
+		r.limit.take()
 	}
 	k := runKey{j.Handle, i}
 	s.runs.byKey[k] = r
@@ -211,9 +212,9 @@
 		s.runs.long--
 		s.wake(&s.parkedLong)
 	}
-	if f.limit != nil {
-		f.limit.release()
-		s.wake(&f.limit.parked)
+	if r.limit != nil {
+		r.limit.release()
+		s.wake(&r.limit.parked)
 	}
 	s.learn(f, v, o, ran)
 	s.settle(f, r, o, ran)
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -31,13 +31,13 @@
 	maxAsk         = 64                     // slots asked of one peer at a time
 	headroomSpread = 0.25                   // free slots kept for the next tasks, in square roots of the load
 	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
-	messageBudget  = 0.2                   // messages a start, on average
+	messageBudget  = 0.2                    // messages a start, on average
 	messageBurst   = 30.0
-	messageFloor   = 1.0  // messages a second without any start
-	tokensAsk      = 1.0  // messages left in the budget that an ask needs
-	tokensSearch   = 15 // the same for an ask to a peer that is not known to have free slots
-	tokensReturn   = 0  // the same for a grant to a standing ask, and for the return of idle slots
-	unknownFree    = 4    // free slots expected of a peer that said nothing
+	messageFloor   = 1.0 // messages a second without any start
+	tokensAsk      = 1.0 // messages left in the budget that an ask needs
+	tokensSearch   = 15  // the same for an ask to a peer that is not known to have free slots
+	tokensReturn   = 0   // the same for a grant to a standing ask, and for the return of idle slots
+	unknownFree    = 4   // free slots expected of a peer that said nothing
 )
 
 // peer is another instance, live or lately gone.
@@ -144,7 +144,6 @@
 	for len(p.borrows) > 0 {
 		s.dropLoan(p.borrows[0])
 	}
-	s.limits.gone(s, now, p)
 }
 
 // assign computes the owner of each server: the live instance of the
@@ -484,7 +483,7 @@
 	for _, f := range s.parkedLong.items {
 		n -= f.waiting
 	}
-	for _, l := range s.limits.blocked {
+	for _, l := range s.limits.list {
 		for _, f := range l.parked.items {
 			n -= f.waiting
 		}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -81,7 +81,6 @@
 	limit     *limit
 	bound     int
 	failures  failureRate
-	promised  float64 // work of refused jobs that were told when to come back, seconds
 	idleSince model.Time
 }
 
@@ -107,15 +106,18 @@
 
 // customer shares service with the other customers by weight.
 type customer struct {
-	name    model.Customer
-	weight  float64
-	virtual float64
-	floor   float64 // virtual time of its flow served last
-	ready   heap[*flow]
-	flows   []*flow
-	waiting int
-	weights float64 // sum of the weights of its flows with waiting tasks
-	at      int
+	name     model.Customer
+	weight   float64
+	virtual  float64
+	floor    float64 // virtual time of its flow served last
+	ready    heap[*flow]
+	flows    []*flow
+	waiting  int
+	weights  float64 // sum of the weights of its flows with waiting tasks
+	admitted float64 // work admitted lately, seconds a second
+	credit   float64 // work that may be admitted while work is shed, seconds
+	promised float64 // work of refused jobs that were told when to come back, seconds
+	at       int
 }
 
 func (c *customer) before(o *customer) bool {
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -12,6 +12,8 @@
 	minKindSamples   = 8                      // run times seen before a kind tells something of a server
 	maxServerSamples = 32                     // weight of the past in a server's slowness
 	maxSlowStep      = 1.0                    // logarithm of the most that one run time may differ from the expected
+	highSpread       = 2.0                    // mean absolute deviations above the mean that most tasks stay below
+	tailSpread       = 0.5                    // the same for each e-fold of the number of tasks
 	longFactor       = 6                      // a kind is long when its mean exceeds the typical run by this factor
 )
 
@@ -39,7 +41,12 @@
 }
 
 // high is a run time that most tasks of the kind stay below.
-func (r *runTime) high() float64 { return r.mean + r.dev }
+func (r *runTime) high() float64 { return r.mean + highSpread*r.dev }
+
+// highest is what the longest of some tasks most likely stays below.
+func (r *runTime) highest(tasks int) float64 {
+	return r.high() + tailSpread*r.dev*math.Log(float64(max(1, tasks)))
+}
 
 // typicalRun is the geometric mean of all run times of the instance.
 type typicalRun struct {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,12 +35,14 @@
 	runs       runs
 	typical    typicalRun
 	promises   promises
+	shed       shedding
 	history    history
 
-	peers  map[model.Instance]*peer
-	live   []*peer // by name
-	lend   lending
-	limits limits
+	peers   map[model.Instance]*peer
+	live    []*peer    // by name
+	peersAt model.Time // last change of the list of instances
+	lend    lending
+	limits  limits
 
 	out    Output
 	starts uint64
@@ -138,6 +140,7 @@
 	s.endPauses(now)
 	s.watchRuns(now)
 	s.updateReserve(now)
+	s.updateShedding(TickInterval.Seconds())
 	s.endPromises(now)
 	if s.ticks%rowsEvery == 0 {
 		s.applyRows(now)
--- /dev/null
+++ b/internal/sched/schedbench/crest.go
@@ -0,0 +1,141 @@
+package schedbench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+const (
+	crestFrom  = 20 * time.Second
+	crestUntil = 35 * time.Second
+	crestEdge  = 3 * time.Second // of the crest left out on either side
+	crestEnd   = 50 * time.Second
+	deadline   = 3 * time.Second
+)
+
+func crestWeights() Weights {
+	w := Weights{}
+	for i := range 4 {
+		w[customerName(i)] = float64(i + 1)
+	}
+	return w
+}
+
+func customerName(i int) model.Customer { return model.Customer(fmt.Sprintf("c%d", i)) }
+
+func threefold(at time.Duration) float64 {
+	if at >= crestFrom && at < crestUntil {
+		return 3
+	}
+	return 1
+}
+
+// crest swings demand from 0.6 to 1.8 times the capacity. Four customers of
+// weights 1 to 4 ask for the same each.
+func crest(obey bool, skew []float64, prepare func(*Sim)) func(sched.Mode, uint64) []Figure {
+	return func(mode sched.Mode, seed uint64) []Figure {
+		weights := crestWeights()
+		m := NewSim(Today, mode, weights, seed)
+		m.obey = obey
+		w := &Workload{
+			Kinds: shortKinds(), Customers: len(weights), Load: 0.6, Swing: threefold,
+			Deadline: deadline, Until: crestEnd, Skew: skew,
+		}
+		m.R.From = virtualZero.Add(crestFrom + crestEdge)
+		m.R.Until = virtualZero.Add(crestUntil)
+		if prepare != nil {
+			prepare(m)
+		}
+		m.Drive(w)
+		m.Run(crestEnd + settle)
+		return m.crestFigures(weights)
+	}
+}
+
+func (m *Sim) crestFigures(weights Weights) []Figure {
+	slots := 0
+	for _, v := range m.servers {
+		slots += v.Slots
+	}
+	capacity := float64(slots) * (crestUntil - crestFrom - crestEdge).Seconds()
+	return []Figure{
+		{"good/capacity", m.R.GoodWork / capacity},
+		{"done/capacity", m.serviceSum() / capacity},
+		{"share-error", m.shareError(weights)},
+		{"late", float64(m.R.Late) / float64(m.R.Admitted)},
+		{"dropped", float64(m.R.Dropped) / float64(m.R.Submitted)},
+		{"retry-admitted", ratio(m.R.RetriesAdmitted, m.R.Retries)},
+		{"msg/task", m.R.MessagesPerTask()},
+		{"503", m.R.RefusalRate()},
+	}
+}
+
+func (m *Sim) serviceSum() float64 {
+	sum := 0.0
+	for i := range 4 {
+		sum += m.R.Service[customerName(i)]
+	}
+	return sum
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// shareError is the largest relative difference of a customer's part of the
+// service from its part of the weights.
+func (m *Sim) shareError(weights Weights) float64 {
+	sum, all := 0.0, 0.0
+	for i := range len(weights) {
+		sum += weights[customerName(i)]
+		all += m.R.Service[customerName(i)]
+	}
+	worst := 0.0
+	for i := range len(weights) {
+		c := customerName(i)
+		worst = math.Max(worst, math.Abs(m.R.Service[c]/all*sum/weights[c]-1))
+	}
+	return worst
+}
+
+// backlog is a crest without deadlines: everybody has waiting work, and the
+// customers of the weights 1 to 4 come in through different domains.
+func backlog(mode sched.Mode, seed uint64) []Figure {
+	weights := crestWeights()
+	m := NewSim(Today, mode, weights, seed)
+	for i := range 4 {
+		skew := []float64{1, 1, 1, 1}
+		skew[i] = 5
+		m.Drive(&Workload{
+			Kinds: shortKinds(), Customers: 4, Demand: only(i), Load: 0.6,
+			Skew: skew, Until: crestUntil,
+		})
+	}
+	m.R.From = virtualZero.Add(10 * time.Second)
+	m.R.Until = virtualZero.Add(crestUntil)
+	m.Run(crestUntil)
+	return []Figure{
+		{"share-error", m.shareError(weights)},
+		{"msg/task", m.R.MessagesPerTask()},
+		{"503", m.R.RefusalRate()},
+	}
+}
+
+func only(i int) []float64 {
+	d := make([]float64, 4)
+	d[i] = 1
+	return d
+}
+
+// cutAtCrest cuts one domain off during the crest.
+func cutAtCrest(m *Sim) {
+	m.At(crestFrom+5*time.Second, func() { m.Cut("b") })
+	m.At(crestFrom+10*time.Second, func() { m.Heal("b") })
+}
--- /dev/null
+++ b/internal/sched/schedbench/faults.go
@@ -0,0 +1,70 @@
+package schedbench
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// newServerList tells every live instance the list of servers as it is now.
+func (m *Sim) newServerList() {
+	for _, in := range m.instances {
+		if !in.dead {
+			in.s.SetServers(m.Now, m.serverList())
+			m.drain(in)
+		}
+	}
+}
+
+func (m *Sim) newPeerList() {
+	for _, in := range m.instances {
+		if !in.dead {
+			in.s.SetPeers(m.Now, m.peersOf(in))
+			m.drain(in)
+		}
+	}
+}
+
+// Leave marks a server as leaving; the instances see it after the lag.
+func (m *Sim) Leave(v *fakeServer) {
+	v.State = sched.ServerLeaving
+	m.after(listLag, m.newServerList)
+}
+
+// Kill ends an instance; its jobs are lost with it.
+func (m *Sim) Kill(in *instance) {
+	in.dead = true
+	m.after(peerLag, m.newPeerList)
+}
+
+// Restart boots a new process of the same instance.
+func (m *Sim) Restart(in *instance) {
+	for h, j := range m.jobs {
+		if j.inst == in {
+			delete(m.jobs, h)
+		}
+	}
+	m.boot(in, 50)
+	m.after(peerLag, m.newPeerList)
+}
+
+// Cut separates a domain from the others, and Heal joins it again.
+func (m *Sim) Cut(d model.Domain) {
+	m.cut[d] = true
+	m.after(peerLag, m.newPeerList)
+}
+
+// Heal joins a domain that was cut off.
+func (m *Sim) Heal(d model.Domain) {
+	delete(m.cut, d)
+	m.after(peerLag, m.newPeerList)
+}
+
+// Cancel cancels a job at its instance.
+func (m *Sim) Cancel(j *job) {
+	if m.jobs[j.Handle] != j || j.inst.dead {
+		return
+	}
+	j.cancelled = true
+	j.inst.s.Cancel(m.Now, j.Handle)
+	m.drain(j.inst)
+}
--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -54,6 +54,11 @@
 	{"load90-speeds", loadRun(0.9, heterogeneous(), nil)},
 	{"short-behind-long", headOfLine},
 	{"big-jobs", bigJobs},
+	{"crest", crest(false, nil, nil)},
+	{"crest-retry", crest(true, nil, nil)},
+	{"crest-skew", crest(false, []float64{4, 3, 2, 1}, nil)},
+	{"crest-cut", crest(false, nil, cutAtCrest)},
+	{"backlog", backlog},
 }
 
 func heterogeneous() Fleet {
--- a/internal/sched/schedbench/sim.go
+++ b/internal/sched/schedbench/sim.go
@@ -113,6 +113,7 @@
 	extra     time.Duration         // most extra delay of a message
 	obey      bool                  // callers come back after Retry-After
 	hook      func(st sched.Start, j *job)
+	onJob     func(j *job)
 
 	R Result
 }
@@ -360,6 +361,9 @@
 	m.R.task(m.Now, j, t, o)
 	if j.left == 0 {
 		m.R.job(m.Now, j)
+		if m.onJob != nil {
+			m.onJob(j)
+		}
 		delete(m.jobs, st.Job)
 	}
 }
