Divide slots over instances by weighted demand instead of backlog

Cause: an instance that sheds less has more waiting work, and so got more slots, and shed even less (slots of an instance between 22 and 105 at a crest, shares off by 0.3 to 0.5). Change: the division counts what was asked for lately, also if refused.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -85,7 +85,7 @@
 		return s.refuse(now, f, j, r, work, delay), duration(delay)
 	}
 	if j.Deadline == 0 {
-		s.shed.admitted(f.cust, work)
+		f.cust.credit -= work
 		return Verdict{}, duration(delay)
 	}
 	if over := s.tooLate(now, f, j, tasks, delay, kept); over > 0 {
@@ -98,7 +98,7 @@
 	if !kept && s.shed.refuses(f.cust) {
 		return s.refuse(now, f, j, ReasonShed, work, 0), duration(delay)
 	}
-	s.shed.admitted(f.cust, work)
+	f.cust.credit -= work
 	return Verdict{}, duration(delay)
 }
 
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -361,6 +361,7 @@
 }
 
 func (s *Scheduler) offered(f *flow, work float64) {
+	f.cust.offered += work
 	if f.kindState.long {
 		s.runs.longNew += work
 		return
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -101,6 +101,7 @@
 	queuedAt  model.Time // since when tasks wait without a free slot, 0 if none
 	sharesAt  model.Time
 	ownShare  float64
+	level     map[model.Customer]float64 // part of each customer's work that is within its share
 	pending   []*peer
 	lentTotal int
 }
@@ -410,10 +411,10 @@
 	}
 	p.loadAt = now
 	for _, c := range s.queue.customers {
-		if c.waiting > 0 {
+		if w := c.wanted(); w > 0 {
 			l.Customers = append(l.Customers, &peerpb.CustomerLoad{
 				Customer: string(c.name),
-				QueuedMs: uint64(c.work()*1e3) + 1,
+				WorkMs:   uint64(w*1e3) + 1,
 			})
 		}
 	}
@@ -895,36 +896,35 @@
 	}
 }
 
-// computeShares divides the slots of all instances over those with waiting
-// tasks: each customer's part by weight, and its part over the instances by
-// its waiting work there.
+// want is the work of a customer over all instances.
+type want struct {
+	customer model.Customer
+	weight   float64
+	work     float64
+	level    float64 // part that the customer gets of its work
+}
+
+// computeShares divides the slots of all instances: among the customers by
+// weight, as far as they have work, and each customer's part among the
+// instances by its work there.
 func (s *Scheduler) computeShares() {
 	total := float64(s.index.held)
-	work := make(map[string]float64)
-	for _, c := range s.queue.customers {
-		if c.waiting > 0 {
-			work[string(c.name)] = c.work()
-		}
-	}
 	for _, p := range s.live {
 		total += float64(p.held)
-		for _, c := range p.customers {
-			work[c.Customer] += float64(c.QueuedMs) / 1e3
-		}
 	}
-	sum, own := 0.0, 0.0
-	for _, c := range s.queue.customers {
-		if w := work[string(c.name)]; w > 0 {
-			own += c.weight * c.work() / w
+	wants := s.wants()
+	s.fill(wants, total*demandMemory)
+	own, sum := 0.0, 0.0
+	for i := range wants {
+		if c := s.queue.byName[wants[i].customer]; c != nil {
+			own += c.wanted() * wants[i].level
 		}
 	}
 	sum = own
 	for _, p := range s.live {
 		p.share = 0
 		for _, c := range p.customers {
-			if w := work[c.Customer]; w > 0 {
-				p.share += s.weightOf(c.Customer) * float64(c.QueuedMs) / 1e3 / w
-			}
+			p.share += float64(c.WorkMs) / 1e3 * s.lend.level[model.Customer(c.Customer)]
 		}
 		sum += p.share
 	}
@@ -935,11 +935,61 @@
 	}
 }
 
-func (s *Scheduler) weightOf(name string) float64 {
-	if c := s.queue.byName[model.Customer(name)]; c != nil {
+// wants adds up the work of each customer over the instances.
+func (s *Scheduler) wants() []want {
+	var list []want
+	at := make(map[model.Customer]int)
+	add := func(c model.Customer, work float64) {
+		i, ok := at[c]
+		if !ok {
+			i = len(list)
+			at[c] = i
+			list = append(list, want{customer: c, weight: s.weightOf(c)})
+		}
+		list[i].work += work
+	}
+	for _, c := range s.queue.customers {
+		if w := c.wanted(); w > 0 {
+			add(c.name, w)
+		}
+	}
+	for _, p := range s.live {
+		for _, c := range p.customers {
+			add(model.Customer(c.Customer), float64(c.WorkMs)/1e3)
+		}
+	}
+	return list
+}
+
+// fill divides a capacity for work by weight, nobody getting more than it
+// has work for, and notes each customer's part.
+func (s *Scheduler) fill(wants []want, capacity float64) {
+	sort.SliceStable(wants, func(i, k int) bool {
+		return wants[i].work*wants[k].weight < wants[k].work*wants[i].weight
+	})
+	weights := 0.0
+	for i := range wants {
+		weights += wants[i].weight
+	}
+	s.lend.level = make(map[model.Customer]float64, len(wants))
+	for i := range wants {
+		w := &wants[i]
+		part := math.Min(w.work, capacity*w.weight/weights)
+		w.level = part / math.Max(w.work, 1e-9)
+		s.lend.level[w.customer] = w.level
+		capacity -= part
+		weights -= w.weight
+	}
+}
+
+// wanted is the work that waits and that was asked for lately, seconds.
+func (c *customer) wanted() float64 { return c.work() + c.demand*demandMemory }
+
+func (s *Scheduler) weightOf(name model.Customer) float64 {
+	if c := s.queue.byName[name]; c != nil {
 		return c.weight
 	}
-	return positive(s.opts.Policy.Row(model.Customer(name), "").Weight)
+	return positive(s.opts.Policy.Row(name, "").Weight)
 }
 
 // recallShort recalls lent slots while this instance holds less than its
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -114,7 +114,8 @@
 	flows    []*flow
 	waiting  int
 	weights  float64 // sum of the weights of its flows with waiting tasks
-	admitted float64 // work admitted lately, seconds a second
+	offered  float64 // work submitted since the last tick, seconds
+	demand   float64 // work submitted lately, seconds a second
 	credit   float64 // work that may be admitted while work is shed, seconds
 	promised float64 // work of refused jobs that were told when to come back, seconds
 	at       int
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -1,62 +1,57 @@
 package sched
 
-import "math"
+import (
+	"math"
+	"sort"
+)
 
 const (
-	shedMemory   = 1.0  // time constant of the admitted work, seconds
-	shedTarget   = 0.3 // delay of the whole queue that shedding aims at, seconds
-	shedBurst    = 0.25 // credit that a customer may save up, as time at its part, seconds
-	shedOnAbove  = 0.25 // delay of the whole queue at which shedding begins, seconds
+	demandMemory = 2.0  // time constant of the work asked for, seconds
+	shedTarget   = 0.2  // delay of the whole queue that shedding aims at, seconds
+	shedOnAbove  = 0.3  // delay of the whole queue at which shedding begins, seconds
 	shedOffAfter = 1.0  // shedding ends when the queue has been short for so long, seconds
-	shedGrowth   = 0.3  // growth of the level while the queue is short, a second
-	shedDecay    = 0.6  // decay of the level while the queue is at twice its target or more, a second
+	shedBurst    = 0.25 // credit that a customer may save up, as time at its part, seconds
+	shedDamping  = 0.3  // change of the capacity by the queue's difference from its target
+	shedLearning = 0.1  // the same lastingly, a second
+	leastGain    = 0.5
+	mostGain     = 2.0
 )
 
 // shedding refuses work of the customers that get most for their weight
-// while more is asked for than can be served. Each customer may be admitted
-// up to its weight times a common level, which follows the queue.
+// while more is asked for than can be served. The capacity is divided by
+// weight, but nobody gets more than it asks for; the queue's delay corrects
+// what the capacity is taken for.
 type shedding struct {
 	on    bool
 	level float64 // seconds of work a second for a weight of one
+	gain  float64 // learned correction of the capacity
 	short float64 // for how long the queue has been short, seconds
+	order []*customer
 }
 
 // refuses reports whether the customer has used up its part.
 func (x *shedding) refuses(c *customer) bool { return x.on && c.credit <= 0 }
 
-func (x *shedding) admitted(c *customer, work float64) {
-	c.admitted += work / shedMemory
-	c.credit -= work
-}
-
-// updateShedding adjusts the level to the queue, and each customer's credit.
+// updateShedding divides the capacity and adds to each customer's credit.
 func (s *Scheduler) updateShedding(dt float64) {
-	decay := math.Exp(-dt / shedMemory)
-	top := 0.0
-	for _, c := range s.queue.customers {
-		c.admitted *= decay
-		top = math.Max(top, c.admitted/c.weight)
-		part := s.shed.level * c.weight
-		c.credit = math.Min(c.credit+part*dt, part*shedBurst)
-	}
+	s.measureDemand(dt)
 	x := &s.shed
 	delay := float64(s.unmet()) * s.meanWaiting() * s.usual / s.capacity()
 	if !x.on {
 		if delay > shedOnAbove && !s.opts.Mode.NoAdmission {
-			*x = shedding{on: true, level: top}
-			for _, c := range s.queue.customers {
-				c.credit = 0
-			}
+			s.beginShedding()
 		}
 		return
 	}
-	over := math.Min(1, (delay-shedTarget)/shedTarget)
-	if over > 0 {
-		x.level *= math.Exp(-shedDecay * over * dt)
-	} else {
-		x.level *= math.Exp(-shedGrowth * over * dt)
+	off := math.Max(-1, math.Min(1, (shedTarget-delay)/shedTarget))
+	x.gain *= math.Exp(shedLearning * off * dt)
+	x.gain = math.Max(leastGain, math.Min(mostGain, x.gain))
+	capacity := s.capacity() / math.Max(s.usual, 0.01) * x.gain * (1 + shedDamping*off)
+	x.level = s.fairLevel(capacity)
+	for _, c := range s.queue.customers {
+		part := x.level * c.weight
+		c.credit = math.Min(c.credit+part*dt, part*shedBurst)
 	}
-	x.level = math.Min(x.level, top+1)
 	x.short += dt
 	if delay > shedTarget/10 {
 		x.short = 0
@@ -64,6 +59,49 @@
 	x.on = x.short < shedOffAfter
 }
 
+func (s *Scheduler) beginShedding() {
+	s.shed.on = true
+	s.shed.gain = 1
+	s.shed.short = 0
+	for _, c := range s.queue.customers {
+		c.credit = 0
+	}
+}
+
+func (s *Scheduler) measureDemand(dt float64) {
+	gain := 1 - math.Exp(-dt/demandMemory)
+	for _, c := range s.queue.customers {
+		c.demand += gain * (c.offered/dt - c.demand)
+		c.offered = 0
+	}
+}
+
+// fairLevel returns the level at which the customers' parts, none above its
+// demand, add up to the capacity.
+func (s *Scheduler) fairLevel(capacity float64) float64 {
+	x := &s.shed
+	x.order = append(x.order[:0], s.queue.customers...)
+	sort.SliceStable(x.order, func(i, k int) bool {
+		a, b := x.order[i], x.order[k]
+		return a.demand*b.weight < b.demand*a.weight
+	})
+	weights := 0.0
+	for _, c := range x.order {
+		weights += c.weight
+	}
+	level := 0.0
+	for _, c := range x.order {
+		level = capacity / math.Max(weights, 1e-9)
+		if c.demand > level*c.weight {
+			return level
+		}
+		capacity -= c.demand
+		weights -= c.weight
+	}
+	const ample = 2 // nobody is short
+	return ample * math.Max(level, 1)
+}
+
 // meanWaiting is the mean expected run time of the waiting tasks, seconds.
 func (s *Scheduler) meanWaiting() float64 {
 	return s.queue.work / math.Max(1, float64(s.queue.waiting))
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -2,19 +2,21 @@
 
 // Stats are gauges of one scheduler.
 type Stats struct {
-	Slots        int // slots that this instance may use
-	Free         int // of these, free
-	Lendable     int // of these, what peers may get
-	Lent         int // own slots that peers use
-	Borrowed     int // slots of peers that this instance may use
-	Waiting      int // tasks that are not started
-	Unmet        int // of these, tasks that only lack a slot
-	Running      int // starts without an outcome
-	RunningLong  int // of these, long work
-	LongBound    int // most starts of long work at once
-	Quarantined  int // servers in quarantine
-	Flows        int // customers and kinds known
-	PromisedJobs int // refused jobs that are expected back
+	Slots        int     // slots that this instance may use
+	Free         int     // of these, free
+	Lendable     int     // of these, what peers may get
+	Lent         int     // own slots that peers use
+	Borrowed     int     // slots of peers that this instance may use
+	Waiting      int     // tasks that are not started
+	Unmet        int     // of these, tasks that only lack a slot
+	Running      int     // starts without an outcome
+	RunningLong  int     // of these, long work
+	LongBound    int     // most starts of long work at once
+	Quarantined  int     // servers in quarantine
+	Shedding     bool    // work is refused by weight
+	ShedLevel    float64 // work admitted for a weight of one while shedding, seconds a second
+	Flows        int     // customers and kinds known
+	PromisedJobs int     // refused jobs that are expected back
 }
 
 // Stats returns the gauges.
@@ -28,7 +30,7 @@
 		Lent: s.lend.lentTotal, Borrowed: borrowed,
 		Waiting: s.queue.waiting, Unmet: s.unmet(),
 		Running: len(s.runs.byKey), RunningLong: s.runs.long, LongBound: s.runs.longCap,
-		Quarantined: len(s.quarantined), Flows: len(s.queue.flowList),
+		Quarantined: len(s.quarantined), Shedding: s.shed.on, ShedLevel: s.shed.level, Flows: len(s.queue.flowList),
 		PromisedJobs: len(s.promises.byToken),
 	}
 }
