--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -94,16 +94,17 @@
 
 // lending is this instance's part in the lending of slots.
 type lending struct {
-	tokens    float64 // messages that may be sent; answers may overdraw it
-	refilled  model.Time
-	counted   uint64 // starts that have brought tokens
-	window    model.Time
-	queuedAt  model.Time // since when tasks wait without a free slot, 0 if none
-	sharesAt  model.Time
-	ownShare  float64
-	level     map[model.Customer]float64 // part of each customer's work that is within its share
-	pending   []*peer
-	lentTotal int
+	tokens       float64 // messages that may be sent; answers may overdraw it
+	refilled     model.Time
+	counted      uint64 // starts that have brought tokens
+	window       model.Time
+	queuedAt     model.Time // since when tasks wait without a free slot, 0 if none
+	sharesAt     model.Time
+	ownShare     float64
+	localWeights bool
+	level        map[model.Customer]float64 // part of each customer's work that is within its share
+	pending      []*peer
+	lentTotal    int
 }
 
 // SetPeers replaces the list of live instances, this one left out.
@@ -879,6 +880,7 @@
 func (s *Scheduler) balance(now model.Time) {
 	if s.unmet() == 0 || s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < sharePatience {
 		s.clearYields()
+		s.resetWeights()
 		return
 	}
 	if now.Sub(s.lend.sharesAt) < shareEvery {
@@ -886,6 +888,7 @@
 	}
 	s.lend.sharesAt = now
 	s.computeShares()
+	s.localWeights()
 	s.recallShort(now)
 	s.yieldSurplus(now)
 }
@@ -935,6 +938,38 @@
 	}
 }
 
+// localWeights gives each customer the weight that its work at this instance
+// has in its part of the whole, so that the parts over all instances follow
+// the table also when the customers' work is spread unevenly.
+func (s *Scheduler) localWeights() {
+	rows, parts := 0.0, 0.0
+	for _, c := range s.queue.customers {
+		if part := c.wanted() * s.lend.level[c.name]; part > 0 {
+			rows += c.row
+			parts += part
+		}
+	}
+	if parts <= 0 {
+		return
+	}
+	s.lend.localWeights = true
+	for _, c := range s.queue.customers {
+		if part := c.wanted() * s.lend.level[c.name]; part > 0 {
+			s.setWeight(c, part*rows/parts)
+		}
+	}
+}
+
+func (s *Scheduler) resetWeights() {
+	if !s.lend.localWeights {
+		return
+	}
+	s.lend.localWeights = false
+	for _, c := range s.queue.customers {
+		s.setWeight(c, c.row)
+	}
+}
+
 // wants adds up the work of each customer over the instances.
 func (s *Scheduler) wants() []want {
 	var list []want
@@ -987,7 +1022,7 @@
 
 func (s *Scheduler) weightOf(name model.Customer) float64 {
 	if c := s.queue.byName[name]; c != nil {
-		return c.weight
+		return c.row
 	}
 	return positive(s.opts.Policy.Row(name, "").Weight)
 }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -107,7 +107,8 @@
 // customer shares service with the other customers by weight.
 type customer struct {
 	name     model.Customer
-	weight   float64
+	row      float64 // weight in the table
+	weight   float64 // weight at this instance, by its part of the customer's work
 	virtual  float64
 	floor    float64 // virtual time of its flow served last
 	ready    heap[*flow]
@@ -165,7 +166,8 @@
 	c := s.queue.byName[name]
 	if c == nil {
 		c = &customer{name: name, at: notInHeap}
-		c.weight = positive(s.opts.Policy.Row(name, "").Weight)
+		c.row = positive(s.opts.Policy.Row(name, "").Weight)
+		c.weight = c.row
 		s.queue.byName[name] = c
 		s.queue.customers = append(s.queue.customers, c)
 	}
@@ -218,17 +220,24 @@
 // applyRows takes changes of the table over.
 func (s *Scheduler) applyRows(now model.Time) {
 	for _, c := range s.queue.customers {
-		w := positive(s.opts.Policy.Row(c.name, "").Weight)
-		if c.waiting > 0 {
-			s.queue.weights += w - c.weight
+		if w := positive(s.opts.Policy.Row(c.name, "").Weight); w != c.row {
+			s.setWeight(c, c.weight*w/c.row)
+			c.row = w
 		}
-		c.weight = w
 	}
 	for _, f := range s.queue.flowList {
 		s.applyRow(now, f)
 	}
 }
 
+// setWeight changes the weight of a customer at this instance.
+func (s *Scheduler) setWeight(c *customer, w float64) {
+	if c.waiting > 0 {
+		s.queue.weights += w - c.weight
+	}
+	c.weight = w
+}
+
 func (s *Scheduler) newJob(now model.Time, f *flow, in *Job) *job {
 	j := s.spareJob()
 	*j = job{Job: *in, flow: f, next: in.FirstIndex, retry: j.retry[:0], at: notInHeap, admitted: now}
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	demandMemory = 2.0  // time constant of the work asked for, seconds
-	shedTarget   = 0.2  // delay of the whole queue that shedding aims at, seconds
-	shedOnAbove  = 0.3  // delay of the whole queue at which shedding begins, seconds
-	shedOffAfter = 1.0  // shedding ends when the queue has been short for so long, seconds
-	shedBurst    = 0.25 // credit that a customer may save up, as time at its part, seconds
-	shedDamping  = 0.3  // change of the capacity by the queue's difference from its target
-	shedLearning = 0.1  // the same lastingly, a second
+	demandMemory = 2.0 // time constant of the work asked for, seconds
+	shedTarget   = 0.2 // delay of the whole queue that shedding aims at, seconds
+	shedOnAbove  = 0.3 // delay of the whole queue at which shedding begins, seconds
+	shedOffAfter = 1.0 // shedding ends when the queue has been short for so long, seconds
+	shedBurst    = 2.0 // credit that a customer may save up, as time at its part, seconds
+	shedDamping  = 0.3 // change of the capacity by the queue's difference from its target
+	shedLearning = 0.1 // the same lastingly, a second
 	leastGain    = 0.5
 	mostGain     = 2.0
 )
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -3,6 +3,7 @@
 // Stats are gauges of one scheduler.
 type Stats struct {
 	Slots        int     // slots that this instance may use
+	FairSlots    float64 // slots that its weighted demand entitles it to, when last computed
 	Free         int     // of these, free
 	Lendable     int     // of these, what peers may get
 	Lent         int     // own slots that peers use
@@ -26,7 +27,7 @@
 		borrowed += p.borrowed
 	}
 	return Stats{
-		Slots: s.index.held, Free: s.index.total, Lendable: s.lendable(),
+		Slots: s.index.held, FairSlots: s.lend.ownShare, Free: s.index.total, Lendable: s.lendable(),
 		Lent: s.lend.lentTotal, Borrowed: borrowed,
 		Waiting: s.queue.waiting, Unmet: s.unmet(),
 		Running: len(s.runs.byKey), RunningLong: s.runs.long, LongBound: s.runs.longCap,
