--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -59,6 +59,13 @@
 	{"crest-skew", crest(false, []float64{4, 3, 2, 1}, nil)},
 	{"crest-cut", crest(false, nil, cutAtCrest)},
 	{"backlog", backlog},
+	{"fails-everything", failsEverything},
+	{"unreachable", unreachableServer},
+	{"leaving", leaving},
+	{"cancel-wave", cancelWave},
+	{"limit-concurrency", concurrencyLimit(nil)},
+	{"limit-cut", concurrencyLimit(cutLimited)},
+	{"limit-rate", rateLimitRun},
 }
 
 func heterogeneous() Fleet {
--- a/internal/sched/schedbench/sim.go
+++ b/internal/sched/schedbench/sim.go
@@ -53,13 +53,14 @@
 // fakeServer runs tasks on its slots and refuses what exceeds them.
 type fakeServer struct {
 	sched.Server
-	slowness    float64 // run time relative to a server of speed 1
-	running     int
-	mostRunning int
-	failing     bool
-	unreachable bool
-	starts      int
-	queue       []func() // only when tasks queue at the server
+	slowness     float64 // run time relative to a server of speed 1
+	running      int
+	mostRunning  int
+	failing      bool
+	unreachable  bool
+	starts       int
+	startsBefore int
+	queue        []func() // only when tasks queue at the server
 }
 
 // instance is one entry instance.
@@ -95,25 +96,26 @@
 
 // Sim is one run.
 type Sim struct {
-	Now       model.Time
-	rng       *rand.Rand
-	events    events
-	seq       uint64
-	servers   []*fakeServer
-	byID      map[model.ServerID]*fakeServer
-	instances []*instance
-	jobs      map[model.JobHandle]*job
-	handle    model.JobHandle
-	mode      sched.Mode
-	policy    sched.Policy
-	seed      uint64
-	cut       map[model.Domain]bool // domains that are cut off from the others
-	lose      float64               // part of the messages lost
-	double    float64               // part of the messages doubled
-	extra     time.Duration         // most extra delay of a message
-	obey      bool                  // callers come back after Retry-After
-	hook      func(st sched.Start, j *job)
-	onJob     func(j *job)
+	Now         model.Time
+	rng         *rand.Rand
+	events      events
+	seq         uint64
+	servers     []*fakeServer
+	byID        map[model.ServerID]*fakeServer
+	instances   []*instance
+	jobs        map[model.JobHandle]*job
+	handle      model.JobHandle
+	mode        sched.Mode
+	policy      sched.Policy
+	seed        uint64
+	cut         map[model.Domain]bool // domains that are cut off from the others
+	lose        float64               // part of the messages lost
+	double      float64               // part of the messages doubled
+	extra       time.Duration         // most extra delay of a message
+	obey        bool                  // callers come back after Retry-After
+	hook        func(st sched.Start, j *job)
+	running     map[model.Customer]int // tasks started and not answered
+	mostRunning map[model.Customer]int
 
 	R Result
 }
@@ -133,6 +135,7 @@
 		Now: virtualZero, rng: rand.New(rand.NewPCG(seed, simStream)),
 		byID: make(map[model.ServerID]*fakeServer), jobs: make(map[model.JobHandle]*job),
 		mode: mode, policy: policy, seed: seed, cut: make(map[model.Domain]bool),
+		running: make(map[model.Customer]int), mostRunning: make(map[model.Customer]int),
 	}
 	m.R.init()
 	m.addServers(f)
@@ -284,6 +287,8 @@
 	j := m.jobs[st.Job]
 	v := m.byID[st.Server]
 	m.R.Starts++
+	m.running[j.Customer]++
+	m.mostRunning[j.Customer] = max(m.mostRunning[j.Customer], m.running[j.Customer])
 	if m.hook != nil {
 		m.hook(st, j)
 	}
@@ -340,7 +345,9 @@
 
 func (m *Sim) finish(in *instance, st sched.Start, o sched.Outcome, back time.Duration, sent model.Time) {
 	epoch := in.epoch
+	c := m.jobs[st.Job].Customer
 	m.after(back, func() {
+		m.running[c]--
 		if in.dead || in.epoch != epoch {
 			return
 		}
@@ -361,9 +368,6 @@
 	m.R.task(m.Now, j, t, o)
 	if j.left == 0 {
 		m.R.job(m.Now, j)
-		if m.onJob != nil {
-			m.onJob(j)
-		}
 		delete(m.jobs, st.Job)
 	}
 }
--- /dev/null
+++ b/internal/sched/schedbench/trouble.go
@@ -0,0 +1,218 @@
+package schedbench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+const (
+	troubleAt = 10 * time.Second
+	troubleTo = 70 * time.Second
+)
+
+// failsEverything gives the starts that a server got which fails every task
+// at once, from two seconds after the failure, over those of its peers.
+func failsEverything(mode sched.Mode, seed uint64) []Figure {
+	m := NewSim(Today, mode, Weights{}, seed)
+	bad, slow := m.servers[0], m.servers[1]
+	slow.slowness = 5
+	w := mixed(0.7)
+	w.Until = troubleTo
+	badAt, slowAt := 0, 0
+	m.At(troubleAt, func() { bad.failing = true })
+	m.At(troubleAt+2*time.Second, func() {
+		badAt, slowAt = bad.starts, slow.starts
+		for _, v := range m.servers[2:] {
+			v.startsBefore = v.starts
+		}
+	})
+	m.Drive(w)
+	m.Run(troubleTo)
+	peers := 0
+	for _, v := range m.servers[2:] {
+		peers += v.starts - v.startsBefore
+	}
+	mean := float64(peers) / float64(len(m.servers)-2)
+	return []Figure{
+		{"bad/peer", float64(bad.starts-badAt) / mean},
+		{"slow*5/peer", slow.slowness * float64(slow.starts-slowAt) / mean},
+		{"failed", float64(m.R.Failed)},
+	}
+}
+
+// unreachableServer is the same for a server that cannot be connected.
+func unreachableServer(mode sched.Mode, seed uint64) []Figure {
+	m := NewSim(Today, mode, Weights{}, seed)
+	bad := m.servers[0]
+	w := mixed(0.7)
+	w.Until = troubleTo
+	badAt, allAt := 0, 0
+	m.At(troubleAt, func() { bad.unreachable = true })
+	m.At(troubleAt+2*time.Second, func() { badAt, allAt = bad.starts, m.R.Starts })
+	m.Drive(w)
+	m.Run(troubleTo)
+	mean := float64(m.R.Starts-allAt) / float64(len(m.servers))
+	return []Figure{{"bad/peer", float64(bad.starts-badAt) / mean}}
+}
+
+// leaving counts the starts on a server from two seconds after it began to
+// leave.
+func leaving(mode sched.Mode, seed uint64) []Figure {
+	m := NewSim(Today, mode, Weights{}, seed)
+	v := m.servers[0]
+	w := mixed(0.9)
+	at := 0
+	m.At(troubleAt, func() { m.Leave(v) })
+	m.At(troubleAt+2*time.Second, func() { at = v.starts })
+	m.Drive(w)
+	m.Run(w.Until)
+	return []Figure{{"starts", float64(v.starts - at)}, {"503", m.R.RefusalRate()}}
+}
+
+const (
+	waveJobs  = 5000
+	waveDelay = 2 * time.Second // from the submissions to the cancels
+)
+
+// cancelWave gives the p99 of the other customers' short work while 5,000
+// jobs are cancelled in a second, over that without the cancels.
+func cancelWave(mode sched.Mode, seed uint64) []Figure {
+	with, after := waveRun(mode, seed, true)
+	without, _ := waveRun(mode, seed, false)
+	return []Figure{
+		{"ratio", with / without},
+		{"p99", with},
+		{"starts-after", float64(after)},
+	}
+}
+
+func waveRun(mode sched.Mode, seed uint64, cancel bool) (p99 float64, after int) {
+	m := NewSim(Today, mode, Weights{}, seed)
+	w := mixed(0.7)
+	w.Until = troubleAt + 10*time.Second
+	k := Kind{Name: "wave", Mean: 350 * time.Millisecond, Long: true, Sigma: 0.5}
+	for i := range waveJobs {
+		at := troubleAt + time.Duration(i)*time.Second/waveJobs
+		var j *job
+		m.At(at, func() {
+			j = m.newJob(w, "wave", &k, 1)
+			m.Submit(j)
+		})
+		if cancel {
+			m.At(at+waveDelay, func() { m.Cancel(j) })
+		}
+	}
+	m.R.From = virtualZero.Add(troubleAt + waveDelay)
+	m.R.Until = virtualZero.Add(troubleAt + waveDelay + time.Second)
+	m.Drive(w)
+	m.Run(w.Until + settle)
+	return Quantile(m.R.Short, 0.99), m.R.StartsAfterCancel
+}
+
+const limited = model.Customer("lim")
+
+// limitPolicy bounds one customer.
+type limitPolicy struct{ row sched.PolicyRow }
+
+func (p limitPolicy) Row(c model.Customer, _ model.Kind) sched.PolicyRow {
+	if c == limited {
+		return p.row
+	}
+	return sched.PolicyRow{Weight: 1}
+}
+
+const (
+	moveAt      = 15 * time.Second // the limited customer's demand moves to another instance
+	concurrency = 40
+	rateLimit   = 100 // starts a second
+)
+
+// concurrencyLimit gives the most tasks of a limited customer that ran at
+// once, and how many ran one second after its demand moved.
+func concurrencyLimit(prepare func(*Sim)) func(sched.Mode, uint64) []Figure {
+	return func(mode sched.Mode, seed uint64) []Figure {
+		m := limitRun(mode, seed, sched.PolicyRow{Weight: 1, Concurrency: concurrency}, prepare)
+		least := math.MaxInt
+		for at := moveAt + time.Second; at < moveAt+5*time.Second; at += 10 * time.Millisecond {
+			m.At(at, func() { least = min(least, m.running[limited]) })
+		}
+		m.Run(moveAt + 5*time.Second)
+		return []Figure{
+			{"most/limit", float64(m.mostRunning[limited]) / concurrency},
+			{"usable", float64(least) / concurrency},
+			{"msg/task", m.R.MessagesPerTask()},
+		}
+	}
+}
+
+// rateLimitRun is the same for starts a second.
+func rateLimitRun(mode sched.Mode, seed uint64) []Figure {
+	m := limitRun(mode, seed, sched.PolicyRow{Weight: 1, Rate: rateLimit}, nil)
+	perSecond := make(map[int]int)
+	m.hook = func(_ sched.Start, j *job) {
+		if j.Customer == limited {
+			perSecond[int(m.Now.Sub(virtualZero)/time.Second)]++
+		}
+	}
+	last := int((moveAt + 5*time.Second) / time.Second)
+	m.Run(moveAt + 5*time.Second)
+	most, least := 0, math.MaxInt
+	for s := 6; s < last; s++ {
+		most = max(most, perSecond[s])
+		if s > int(moveAt/time.Second) {
+			least = min(least, perSecond[s])
+		}
+	}
+	return []Figure{
+		{"most/limit", float64(most) / rateLimit},
+		{"usable", float64(least) / rateLimit},
+	}
+}
+
+// limitRun keeps one instance at a time well supplied with work of the
+// limited customer: first one, then another.
+func limitRun(mode sched.Mode, seed uint64, row sched.PolicyRow, prepare func(*Sim)) *Sim {
+	m := NewSim(Today, mode, limitPolicy{row}, seed)
+	if prepare != nil {
+		prepare(m)
+	}
+	w := mixed(0.5)
+	m.Drive(w)
+	k := Kind{Name: "k200", Mean: 200 * time.Millisecond, Long: true, Sigma: 0.3}
+	const every = 4 * time.Millisecond
+	for at := 5 * time.Second; at < moveAt+5*time.Second; at += every {
+		in := m.instances[0]
+		if at >= moveAt {
+			in = m.instances[5]
+		}
+		m.At(at, func() {
+			j := m.newJob(w, string(limited), &k, 1)
+			j.inst = in
+			m.Submit(j)
+		})
+	}
+	m.At(moveAt, func() { m.cancelAll(limited) })
+	return m
+}
+
+// cancelAll cancels what waits of a customer.
+func (m *Sim) cancelAll(c model.Customer) {
+	for h := model.JobHandle(1); h <= m.handle; h++ {
+		if j := m.jobs[h]; j != nil && j.Customer == c {
+			j.cancelled = true
+			j.inst.s.Cancel(m.Now, h)
+			m.drain(j.inst)
+		}
+	}
+}
+
+// cutLimited cuts the domain off to which the limited demand moves.
+func cutLimited(m *Sim) {
+	m.At(moveAt-3*time.Second, func() { m.Cut(m.instances[5].domain) })
+}
+
+func (f Figure) String() string { return fmt.Sprintf("%s %.3f", f.Name, f.Value) }
