Measure the platform calls of a change of membership

Ruled out: a formula from the protocol alone (how often owners race for the domain's one document depends on timing, so it is measured).

Change: capacity.MeasureViews drives the reducers of one domain in virtual time with a fake platform and fake links through four changes.

Conclusion: go test ./internal/capacity passes.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+func TestMeasureViewsSettlesAfterEachChange(t *testing.T) {
+	figures, err := MeasureViews(ViewLoad{Instances: 4, Shards: 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(figures) != 4 {
+		t.Fatalf("%d changes, want 4", len(figures))
+	}
+	for _, f := range figures {
+		if f.Writes == 0 || f.Wakes == 0 {
+			t.Errorf("%s: no view was written: %+v", f.Change, f)
+		}
+	}
+}
+
 func TestSweepsCoverTheAskedSizes(t *testing.T) {
 	seen := map[string]int{}
 	for _, s := range Sweeps() {
--- a/internal/capacity/cmd/capacity/main.go
+++ b/internal/capacity/cmd/capacity/main.go
@@ -25,10 +25,27 @@
 }
 
 func run(o options) error {
-	if err := measureShards(o); err != nil {
-		return err
+	for _, measure := range []func(options) error{measureViews, measureShards, measureSched} {
+		if err := measure(o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureViews(o options) error {
+	var figures []capacity.ViewFigure
+	for _, l := range capacity.ViewLoads() {
+		list, err := capacity.MeasureViews(l)
+		if err != nil {
+			return err
+		}
+		for _, fig := range list {
+			fmt.Printf("views: %+v\n", fig)
+		}
+		figures = append(figures, list...)
 	}
-	return measureSched(o)
+	return capacity.Write(o.Out, "views", figures)
 }
 
 func measureShards(o options) error {
--- /dev/null
+++ b/internal/capacity/views.go
@@ -0,0 +1,331 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// ViewLoad is the size that view changes are measured at: one failure domain.
+type ViewLoad struct {
+	Instances int `json:"instances"` // of the domain
+	Shards    int `json:"shards"`    // of the domain
+}
+
+// ViewFigure counts the calls to the platform of one domain's instances for
+// one change of membership.
+type ViewFigure struct {
+	Change string `json:"change"`
+	ViewLoad
+	Writes     int     `json:"writes"`    // compare-and-swaps that were applied
+	Conflicts  int     `json:"conflicts"` // compare-and-swaps that lost a race
+	Reads      int     `json:"reads"`     // reads that a plan asked for
+	Wakes      float64 `json:"wakes"`     // answers of watches, an instance
+	PeakCalls  int     `json:"peak_calls"`
+	SettledMs  int64   `json:"settled_ms"`  // from the change to the last write
+	DocBytes   int     `json:"doc_bytes"`   // of the document at the end
+	WatchBytes int     `json:"watch_bytes"` // received by one instance's watch
+}
+
+// ViewLoads returns the sizes to measure.
+func ViewLoads() []ViewLoad {
+	return []ViewLoad{{2, 32}, {4, 32}, {8, 32}, {16, 32}, {24, 32}, {8, 128}, {24, 128}}
+}
+
+// Fixed conditions of a measurement of views.
+const (
+	platformDelay = 3 * time.Millisecond // one call to the platform
+	silenceBound  = 2 * time.Second
+	redialEvery   = time.Second
+	leaseTTL      = 15 * time.Second
+	settleTime    = 10 * time.Second
+	viewsTick     = 20 * time.Millisecond
+)
+
+// MeasureViews forms a domain, then takes one instance away without notice,
+// brings a replacement, and has another one leave.
+func MeasureViews(l ViewLoad) ([]ViewFigure, error) {
+	b := newViewsBench(l)
+	var figures []ViewFigure
+	measure := func(change string, act func()) {
+		b.counts = viewCounts{}
+		begin := b.agenda.now
+		act()
+		b.agenda.runUntil(b.agenda.now.Add(settleTime + leaseTTL))
+		figures = append(figures, b.figure(change, begin))
+	}
+	measure("all start", func() {
+		for i := range l.Instances {
+			b.start(i)
+		}
+	})
+	if err := b.settled(l.Instances); err != nil {
+		return nil, err
+	}
+	measure("one is lost", func() { b.kill(0) })
+	measure("a replacement joins", func() { b.start(0) })
+	if err := b.settled(l.Instances); err != nil {
+		return nil, err
+	}
+	measure("one leaves", func() { b.leave(1) })
+	return figures, nil
+}
+
+type viewCounts struct {
+	writes, conflicts, reads, wakes int
+	lastWrite                       model.Time
+	perSecond                       map[int64]int
+}
+
+// viewsBench holds the reducers of one domain, a fake platform and fake links.
+type viewsBench struct {
+	load   ViewLoad
+	agenda agenda
+	nodes  []*viewNode // by instance, the latest process
+	doc    core.Doc
+	index  uint64
+	change uint64 // counts all changes that watches see
+	listed []core.InstanceInfo
+	counts viewCounts
+	starts int
+}
+
+type viewNode struct {
+	info     core.InstanceInfo
+	core     *core.Reducer
+	alive    bool
+	seen     uint64 // change that its watch has answered
+	watching bool   // its watch waits for a change
+	dialed   map[string]bool
+}
+
+func newViewsBench(l ViewLoad) *viewsBench {
+	b := &viewsBench{load: l, nodes: make([]*viewNode, l.Instances)}
+	b.agenda.now = model.Time(firstKeyTime * int64(time.Millisecond))
+	return b
+}
+
+func (b *viewsBench) start(i int) {
+	b.starts++
+	info := core.InstanceInfo{
+		Member: shard.Member{
+			Instance:    instanceName(i),
+			Incarnation: model.Incarnation(fmt.Sprintf("0123456789abcdef%08d", b.starts)),
+		},
+		Domain: "domain-0",
+		Addr:   fmt.Sprintf("10.0.0.%d:%d", i, 7000+b.starts),
+	}
+	n := &viewNode{info: info, alive: true, dialed: make(map[string]bool)}
+	n.core = core.New(core.Options{
+		Self: info.Member, Domain: info.Domain, Addr: info.Addr, Shards: b.load.Shards,
+		Replica: true, Silence: silenceBound, Shard: shard.DefaultOptions(), Policy: flatPolicy{},
+	})
+	b.nodes[i] = n
+	b.list(info)
+	b.agenda.add(b.agenda.now, func() { b.tick(n) })
+	b.watch(n)
+}
+
+func (b *viewsBench) tick(n *viewNode) {
+	if !n.alive {
+		return
+	}
+	b.step(n, core.Tick{})
+	b.agenda.add(b.agenda.now.Add(viewsTick), func() { b.tick(n) })
+}
+
+func (b *viewsBench) list(info core.InstanceInfo) {
+	b.unlist(info.Member.Instance)
+	b.listed = append(b.listed, info)
+	b.changed()
+}
+
+func (b *viewsBench) unlist(name model.Instance) {
+	kept := make([]core.InstanceInfo, 0, len(b.listed))
+	for _, i := range b.listed {
+		if i.Member.Instance != name {
+			kept = append(kept, i)
+		}
+	}
+	b.listed = kept
+}
+
+// kill ends a process without notice. Its lease lapses later.
+func (b *viewsBench) kill(i int) {
+	dead := b.nodes[i]
+	dead.alive = false
+	for _, n := range b.nodes {
+		if n != dead && n.alive {
+			b.step(n, core.PeerDown{Addr: dead.info.Addr})
+			n.dialed[dead.info.Addr] = false
+			b.dial(n, dead.info.Addr)
+		}
+	}
+	b.agenda.add(b.agenda.now.Add(leaseTTL), func() {
+		b.unlist(dead.info.Member.Instance)
+		b.changed()
+	})
+}
+
+func (b *viewsBench) leave(i int) {
+	n := b.nodes[i]
+	n.info.Leaving = true
+	b.list(n.info)
+	b.step(n, core.Stop{})
+}
+
+// changed wakes the watches that wait.
+func (b *viewsBench) changed() {
+	b.change++
+	for _, n := range b.nodes {
+		if n != nil && n.alive && n.watching {
+			b.watch(n)
+		}
+	}
+}
+
+// watch answers an instance's watch if there is something new.
+func (b *viewsBench) watch(n *viewNode) {
+	n.watching = n.seen == b.change
+	if n.watching || !n.alive {
+		return
+	}
+	b.agenda.add(b.agenda.now.Add(platformDelay), func() {
+		n.seen = b.change
+		b.call(&b.counts.wakes)
+		b.step(n, core.Instances{List: b.listed})
+		b.step(n, core.Views{Domain: n.info.Domain, Index: b.index, Doc: b.doc})
+		b.watch(n)
+	})
+}
+
+func (b *viewsBench) call(counter *int) {
+	*counter++
+	if b.counts.perSecond == nil {
+		b.counts.perSecond = make(map[int64]int)
+	}
+	b.counts.perSecond[int64(b.agenda.now)/int64(time.Second)]++
+}
+
+func (b *viewsBench) step(n *viewNode, e core.Event) {
+	if !n.alive {
+		return
+	}
+	n.core.Step(b.agenda.now, e)
+	b.apply(n, n.core.Ready())
+}
+
+func (b *viewsBench) apply(n *viewNode, out core.Effects) {
+	for _, i := range out.Dial {
+		b.dial(n, i.Addr)
+	}
+	for _, s := range out.Sends {
+		b.send(n, s)
+	}
+	if out.WriteViews != nil {
+		w := *out.WriteViews
+		b.agenda.add(b.agenda.now.Add(platformDelay), func() { b.write(n, w) })
+	}
+	if out.ReadViews {
+		began := b.agenda.now
+		b.agenda.add(b.agenda.now.Add(platformDelay), func() {
+			b.call(&b.counts.reads)
+			b.step(n, core.Views{Domain: n.info.Domain, Index: b.index, Doc: b.doc, ReadAt: began})
+		})
+	}
+}
+
+func (b *viewsBench) write(n *viewNode, w core.WriteViews) {
+	if w.Index != b.index {
+		b.call(&b.counts.conflicts)
+		b.step(n, core.ViewsWritten{Outcome: core.WriteConflict, Doc: w.Doc})
+		return
+	}
+	b.index++
+	b.doc = w.Doc
+	b.counts.lastWrite = b.agenda.now
+	b.call(&b.counts.writes)
+	b.changed()
+	b.step(n, core.ViewsWritten{Outcome: core.WriteApplied, Index: b.index, Doc: w.Doc})
+}
+
+// dial keeps trying an address until a process answers.
+func (b *viewsBench) dial(n *viewNode, addr string) {
+	if n.dialed[addr] {
+		return
+	}
+	n.dialed[addr] = true
+	b.agenda.add(b.agenda.now.Add(2*oneWayDelay), func() { b.attempt(n, addr) })
+}
+
+func (b *viewsBench) attempt(n *viewNode, addr string) {
+	if to := b.at(addr); to != nil {
+		b.step(n, core.PeerUp{Addr: addr, Member: to.info.Member, Domain: to.info.Domain, Reset: true})
+		return
+	}
+	b.step(n, core.PeerRefused{Addr: addr})
+	if n.alive {
+		b.agenda.add(b.agenda.now.Add(redialEvery), func() { b.attempt(n, addr) })
+	}
+}
+
+func (b *viewsBench) at(addr string) *viewNode {
+	for _, n := range b.nodes {
+		if n != nil && n.alive && n.info.Addr == addr {
+			return n
+		}
+	}
+	return nil
+}
+
+func (b *viewsBench) send(from *viewNode, s core.Send) {
+	b.agenda.add(b.agenda.now.Add(oneWayDelay), func() {
+		for _, n := range b.nodes {
+			if n != nil && n.info.Member.Instance == s.To {
+				b.step(n, core.PeerMessage{From: from.info.Member, Message: s.Message})
+			}
+		}
+	})
+}
+
+// settled reports an error unless every shard has as many members as it can.
+func (b *viewsBench) settled(alive int) error {
+	want := min(2, alive)
+	for i := range b.load.Shards {
+		if i >= len(b.doc.Shards) || len(b.doc.Shards[i].Members) != want {
+			return fmt.Errorf("views of %+v did not settle: shard %d lacks members; see docs/design/01-replication.md", b.load, i)
+		}
+	}
+	return nil
+}
+
+func (b *viewsBench) figure(change string, begin model.Time) ViewFigure {
+	doc, err := json.Marshal(b.doc)
+	if err != nil {
+		panic(err) // the document holds nothing that JSON cannot
+	}
+	f := ViewFigure{
+		Change:    change,
+		ViewLoad:  b.load,
+		Writes:    b.counts.writes,
+		Conflicts: b.counts.conflicts,
+		Reads:     b.counts.reads,
+		Wakes:     float64(b.counts.wakes) / float64(b.load.Instances),
+		DocBytes:  len(doc),
+	}
+	f.WatchBytes = int(f.Wakes * float64(f.DocBytes) * base64Factor)
+	for _, n := range b.counts.perSecond {
+		f.PeakCalls = max(f.PeakCalls, n)
+	}
+	if b.counts.lastWrite != 0 {
+		f.SettledMs = b.counts.lastWrite.Sub(begin).Milliseconds()
+	}
+	return f
+}
+
+// base64Factor is by how much the platform's API lengthens values.
+const base64Factor = 4.0 / 3
