Report starts a server, and second starts of repeatable jobs by name

Cause: a trial with a server that fails everything showed one second start, of a job marked repeatable, and could not say how many starts the failing server got.

Ruled out: leaving such second starts out of the findings; whether a job's task may be started again is for the design to say.

Change: a finding of its own, and the starts of each backend stand-in.

Conclusion: go test -race ./internal/load passes.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -277,21 +277,26 @@
 	Count int    `json:"count"`
 }
 
-// fetchStarts adds up the starts of every task identity over the backend
-// stand-ins.
-func fetchStarts(ctx context.Context, addrs []netip.AddrPort) (map[string]int, error) {
+// fetchStarts returns the starts of every task identity, added up over the
+// backend stand-ins, and the starts of each stand-in.
+func fetchStarts(ctx context.Context, addrs []netip.AddrPort) (map[string]int, []ServerStarts, error) {
 	c := newClient(callGrace)
+	defer c.http.CloseIdleConnections()
 	sum := make(map[string]int)
+	var servers []ServerStarts
 	for _, a := range addrs {
 		one, err := c.starts(ctx, a)
 		if err != nil {
-			return nil, errors.Wrapf(err, "starts of %s; check that it is a backend stand-in and still runs", a)
+			return nil, nil, errors.Wrapf(err, "starts of %s; check that it is a backend stand-in and still runs", a)
 		}
+		server := ServerStarts{Server: a.String()}
 		for _, s := range one {
 			sum[s.Task] += s.Count
+			server.Starts += s.Count
 		}
+		servers = append(servers, server)
 	}
-	return sum, nil
+	return sum, servers, nil
 }
 
 func (c *client) starts(ctx context.Context, a netip.AddrPort) ([]startCount, error) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -392,6 +392,9 @@
 	if err := rep.WriteTable(&table); err != nil || !strings.Contains(table.String(), "phase ramp") {
 		t.Errorf("table: %v\n%s", err, table.String())
 	}
+	if len(rep.Servers) != 1 || rep.Servers[0].Starts == 0 {
+		t.Errorf("starts a server: %v", rep.Servers)
+	}
 	dir := t.TempDir()
 	if err := rep.WriteFiles(dir); err != nil {
 		t.Fatal(err)
@@ -403,6 +406,13 @@
 	}
 }
 
+func TestSecondStartOfRepeatableIsNamed(t *testing.T) {
+	j := &Job{Kind: &Kind{Repeatable: true}}
+	if got := startedTwice(j); got != RestartedRepeatable {
+		t.Errorf("got %q", got)
+	}
+}
+
 func TestRunFindsSecondStarts(t *testing.T) {
 	rep := runAgainst(t, &fakeEntry{starts: map[string]int{}, seen: map[string]bool{}, repeat: true})
 	for _, f := range rep.Findings {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,11 +1,13 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -36,6 +38,7 @@
 	Findings    []Finding      `json:"findings"`
 	StartsRead  bool           `json:"starts_read"` // the claims were compared with the backend servers' counts
 	StartsError string         `json:"starts_error,omitempty"`
+	Servers     []ServerStarts `json:"servers"`
 	Series      []Point        `json:"series"`
 
 	responseCDF, ratioCDF, shortRatioCDF []hdrhistogram.Bracket
@@ -73,6 +76,12 @@
 	After Quantiles `json:"after_ms"`
 }
 
+// ServerStarts are the starts that one backend stand-in counted.
+type ServerStarts struct {
+	Server string `json:"server"`
+	Starts int    `json:"starts"`
+}
+
 // Point is one span of the run, by planned arrival.
 type Point struct {
 	AtMs     int64   `json:"at_ms"`
@@ -155,6 +164,7 @@
 		Retries:     rec.retries,
 		Findings:    r.truth.findings(),
 		StartsRead:  len(r.target.Starts) > 0 && startsErr == nil,
+		Servers:     r.servers,
 		Series:      rec.series(),
 
 		responseCDF:   rec.all.response.CumulativeDistribution(),
@@ -228,6 +238,7 @@
 		return err
 	}
 	r.writeCounts(out)
+	r.writeServers(out)
 	return r.writeFindings(out)
 }
 
@@ -261,6 +272,18 @@
 		c.Complete, c.Failed, c.Refused, c.Unknown, c.Pending)
 }
 
+// writeServers shows how far the starts are spread over the servers.
+func (r *Report) writeServers(out io.Writer) {
+	if len(r.Servers) == 0 {
+		return
+	}
+	list := slices.Clone(r.Servers)
+	slices.SortFunc(list, func(a, b ServerStarts) int { return cmp.Compare(a.Starts, b.Starts) })
+	low, mid, high := list[0], list[len(list)/2], list[len(list)-1]
+	fmt.Fprintf(out, "starts a server: fewest %d (%s), median %d, most %d (%s)\n",
+		low.Starts, low.Server, mid.Starts, high.Starts, high.Server)
+}
+
 func (r *Report) writeFindings(out io.Writer) error {
 	if !r.StartsRead {
 		fmt.Fprintln(out, "starts were not read: claims of run and not run are unchecked", r.StartsError)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -49,6 +49,7 @@
 	truth    *truth
 	begin    time.Time
 	took     time.Duration
+	servers  []ServerStarts
 	slots    chan struct{} // bounds the calls in flight
 	calls    sync.WaitGroup
 }
@@ -236,10 +237,11 @@
 	if len(r.target.Starts) == 0 {
 		return nil
 	}
-	starts, err := fetchStarts(ctx, r.target.Starts)
+	starts, servers, err := fetchStarts(ctx, r.target.Starts)
 	if err != nil {
 		return err
 	}
+	r.servers = servers
 	r.truth.compare(starts)
 	return nil
 }
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -16,8 +16,11 @@
 
 // Kinds of violations.
 const (
-	StartedTwice      Violation = "task started twice"
-	RefusedButStarted Violation = "refused as not run, but started"
+	StartedTwice Violation = "task started twice"
+	// RestartedRepeatable is a second start of a task whose job the caller
+	// marked as repeatable.
+	RestartedRepeatable Violation = "task of a repeatable job started twice"
+	RefusedButStarted   Violation = "refused as not run, but started"
 	// RefusedButOther is a call that was refused as not run although another
 	// call with the same key, sent before that answer, was run.
 	RefusedButOther  Violation = "refused as not run, run by another call of the same key"
@@ -194,7 +197,7 @@
 		n := starts[identity(jt.job, jt.key, i)]
 		total += n
 		if n > 1 {
-			t.add(StartedTwice, jt.key, fmt.Sprintf("task %d: %d starts", i, n))
+			t.add(startedTwice(jt.job), jt.key, fmt.Sprintf("task %d: %d starts", i, n))
 		}
 		if jt.ran == nil {
 			continue
@@ -215,6 +218,13 @@
 	}
 }
 
+func startedTwice(j *Job) Violation {
+	if j.Kind.Repeatable {
+		return RestartedRepeatable
+	}
+	return StartedTwice
+}
+
 func (t *truth) add(v Violation, key uuid.UUID, detail string) {
 	f := t.found[v]
 	if f == nil {
@@ -232,7 +242,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	kinds := []Violation{
-		StartedTwice, RefusedButStarted, RefusedButOther, NotRunButStarted,
+		StartedTwice, RestartedRepeatable, RefusedButStarted, RefusedButOther, NotRunButStarted,
 		RanButNotStarted, Partial, ForeignResult, TwoAnswers, Malformed,
 	}
 	var list []Finding
