Give a workload phase an extra rate of one customer

Calls that the end of the run cut were counted as broken.

Change: extra_customer and extra_per_second; the wave's backlog belongs to one customer; calls cut by the end of the run are pending.

Conclusion: go test -race ./internal/load passes.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -189,8 +189,8 @@
 	return u
 }
 
-func (c *client) call(ctx context.Context, method, url string, body []byte) Reply {
-	ctx, stop := context.WithTimeout(ctx, c.wait+callGrace)
+func (c *client) call(run context.Context, method, url string, body []byte) Reply {
+	ctx, stop := context.WithTimeout(run, c.wait+callGrace)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -202,6 +202,9 @@
 	// Without GetBody and with a POST the transport never repeats a call by itself.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
+	if err != nil && run.Err() != nil {
+		return Reply{Class: Pending, Problem: "run-ended"}
+	}
 	if err != nil {
 		return Reply{Class: Unknown, Broken: true, Problem: "call-broken"}
 	}
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -176,21 +176,21 @@
 
 func (p Phase) peak() float64 {
 	if p.ToPerSecond == nil {
-		return p.JobsPerSecond
+		return p.JobsPerSecond + p.ExtraPerS
 	}
-	return max(p.JobsPerSecond, *p.ToPerSecond)
+	return max(p.JobsPerSecond, *p.ToPerSecond) + p.ExtraPerS
 }
 
 func (p Phase) rate(since time.Duration) float64 {
 	if p.ToPerSecond == nil {
-		return p.JobsPerSecond
+		return p.JobsPerSecond + p.ExtraPerS
 	}
 	part := since.Seconds() * 1000 / float64(p.DurationMs)
-	return p.JobsPerSecond + (*p.ToPerSecond-p.JobsPerSecond)*part
+	return p.JobsPerSecond + (*p.ToPerSecond-p.JobsPerSecond)*part + p.ExtraPerS
 }
 
 func (g *Generator) job(rng *rand.Rand) *Job {
-	c := &g.w.Customers[pick(rng, len(g.w.Customers), func(i int) float64 { return g.w.Customers[i].Share })]
+	c := g.customer(rng)
 	k := &c.Kinds[pick(rng, len(c.Kinds), func(i int) float64 { return c.Kinds[i].Share })]
 	h := g.w.Homes[pick(rng, len(g.w.Homes), func(i int) float64 { return g.w.Homes[i].Share })]
 	j := &Job{Seq: g.seq, At: g.at, Phase: g.phase, Customer: c.Name, Home: h.Domain, Kind: k}
@@ -203,6 +203,14 @@
 	return j
 }
 
+func (g *Generator) customer(rng *rand.Rand) *Customer {
+	p := g.w.Phases[g.phase]
+	if p.ExtraPerS > 0 && rng.Float64()*p.rate(g.at-g.phaseStart()) < p.ExtraPerS {
+		return g.w.customer(p.ExtraCustomer)
+	}
+	return &g.w.Customers[pick(rng, len(g.w.Customers), func(i int) float64 { return g.w.Customers[i].Share })]
+}
+
 func (k *Kind) tasks(rng *rand.Rand) []Task {
 	size := k.Sizes[pick(rng, len(k.Sizes), func(i int) float64 { return k.Sizes[i].Share })].Tasks
 	class := k.runClass(rng)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -103,6 +103,26 @@
 	}
 }
 
+func TestExtraRateBelongsToItsCustomer(t *testing.T) {
+	extra := `"jobs_per_second": 0, "extra_customer": "c2", "extra_per_second": 400`
+	w := parse(t, strings.Replace(smallWorkload, `"jobs_per_second": 0`, extra, 1))
+	w.Phases[1].DurationMs = 5_000
+	n := 0
+	for _, ev := range events(w) {
+		if ev.Op != OpSubmit || ev.Job.Phase != 1 {
+			continue
+		}
+		n++
+		if ev.Job.Customer != "c2" {
+			t.Fatalf("job %d is of %s", ev.Job.Seq, ev.Job.Customer)
+		}
+	}
+	// Expected 2,000; five standard deviations.
+	if n < 1776 || n > 2224 {
+		t.Fatalf("%d extra jobs", n)
+	}
+}
+
 func TestGeneratorStopsAtMaxJobs(t *testing.T) {
 	w := parse(t, smallWorkload)
 	w.MaxJobs = 7
@@ -137,6 +157,7 @@
 	tests := []struct{ name, from, to, field string }{
 		{"no slots", `"slots": 8`, `"slots": 0`, "fleet.slots"},
 		{"negative rate", `"jobs_per_second": 0`, `"jobs_per_second": -1`, "phases[1]"},
+		{"extra rate of nobody", `"jobs_per_second": 0`, `"jobs_per_second": 0, "extra_per_second": 1`, "extra_customer"},
 		{"too long", `"duration_ms": 50`, `"duration_ms": 600000`, "phases"},
 		{"too many tasks", `"tasks": 5`, `"tasks": 5000`, "sizes"},
 		{"run of zero", `"min_ms": 1,`, `"min_ms": 0,`, "runs"},
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -69,7 +69,9 @@
 	Name          string   `json:"name"`
 	DurationMs    int64    `json:"duration_ms"`
 	JobsPerSecond float64  `json:"jobs_per_second"`
-	ToPerSecond   *float64 `json:"to_per_second"` // rate at the end, the same as at the start when absent
+	ToPerSecond   *float64 `json:"to_per_second"`    // rate at the end, the same as at the start when absent
+	ExtraCustomer string   `json:"extra_customer"`   // sends jobs beyond its share
+	ExtraPerS     float64  `json:"extra_per_second"` // so many
 }
 
 // Customer is a customer and the kinds of its jobs.
@@ -248,12 +250,27 @@
 			return &WorkloadError{fmt.Sprintf("phases[%d]", i), "has no duration or a negative rate", "give duration_ms above 0 and rates of 0 or more"}
 		}
 	}
+	for i, p := range w.Phases {
+		if !isRate(p.ExtraPerS) || (p.ExtraPerS > 0) != (w.customer(p.ExtraCustomer) != nil) {
+			return &WorkloadError{fmt.Sprintf("phases[%d]", i), "has an extra rate without its customer, or the other way", "give extra_customer, one of customers, and extra_per_second together"}
+		}
+	}
 	if w.Duration() > MaxDuration {
 		return &WorkloadError{"phases", "last too long together", fmt.Sprintf("stay within %s", MaxDuration)}
 	}
 	return nil
 }
 
+// customer finds a customer by name, or returns nil.
+func (w *Workload) customer(name string) *Customer {
+	for i := range w.Customers {
+		if w.Customers[i].Name == name {
+			return &w.Customers[i]
+		}
+	}
+	return nil
+}
+
 func (w *Workload) checkHomes() error {
 	var sum float64
 	for i, h := range w.Homes {
@@ -362,6 +379,7 @@
 	for i := range w.Phases {
 		p := &w.Phases[i]
 		p.JobsPerSecond *= factor
+		p.ExtraPerS *= factor
 		if p.ToPerSecond != nil {
 			*p.ToPerSecond *= factor
 		}
