Mend the faults that the model found

Cause: the model (spec/replication.pml) gave traces with two starts or a start after "not run" for the first protocol: views confirmed by a read while a write based on an older document could still land; silence noted before the document was read; a floor of now + 2*skew; refusals that left no record. By reading: local errors counted as silence, short attempts added up to silence, a refusal seen before a pause could condemn a live process, results "not started" were lost after a hand-over, and a sealed shard waited for a silent successor; a suspended instance would have spun between scheduler and shard. Change: a confirm counter written by compare-and-swap after each pause; silence is one connection unanswered for the whole bound, begun after the counter was known; the hello goes before the multiplexer; floor now + 3*skew + 1 ms; refusals are recorded and close the key, others need first_attempt to say "not run". Ruled out: keeping the read with a delay, for a write has no bound on its delay.

--- a/client/client.go
+++ b/client/client.go
@@ -167,6 +167,7 @@
 		Repeatable:    r.Repeatable,
 		DeclaredRunMs: r.DeclaredRunMs,
 		Needs:         r.Needs,
+		FirstAttempt:  r.FirstAttempt,
 	})
 	if err != nil {
 		return nil, err
--- a/client/retry.go
+++ b/client/retry.go
@@ -59,13 +59,13 @@
 // worthRepeating reports whether another call with the same key may get a
 // better answer. A problem with results is the final answer of its job.
 func worthRepeating(p *Problem) bool {
-	return len(p.Results) == 0 && repeatable[problem.Kind(p.Kind)]
+	return !p.Closed && len(p.Results) == 0 && repeatable[problem.Kind(p.Kind)]
 }
 
 // combined is the error of all attempts together: "not run" is only true if
 // no attempt may have got through.
 func combined(last *Error, uncertain bool) *Error {
-	if !uncertain || last.Problem.Ran != api.RanNo || len(last.Problem.Results) > 0 {
+	if !uncertain || last.Problem.Ran != api.RanNo || last.Problem.Closed || len(last.Problem.Results) > 0 {
 		return last
 	}
 	p := last.Problem
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -137,10 +137,11 @@
 		Observer:       newObserver(i.log, i.metrics),
 	})
 	i.peers = peer.New(peer.Options{
-		Self:   i.self,
-		Domain: i.set.Domain,
-		Client: clientTLS,
-		Events: i.runtime.Post,
+		Self:    i.self,
+		Domain:  i.set.Domain,
+		Client:  clientTLS,
+		Events:  i.runtime.Post,
+		Silence: time.Duration(i.set.Shards.SilenceBoundMs) * time.Millisecond,
 	})
 	i.runtime.SetPeers(i.peers)
 	return i.assembleServers()
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -63,6 +63,9 @@
 	Repeatable    bool              `json:"repeatable,omitempty"`
 	DeclaredRunMs int64             `json:"declared_run_ms,omitempty"`
 	Needs         Resources         `json:"needs,omitzero"`
+	// FirstAttempt says that the caller has no other unanswered copy of this
+	// submission, so that a refusal which can't be recorded may say "not run".
+	FirstAttempt bool `json:"first_attempt,omitempty"`
 }
 
 // Request is the body of a POST to PathRequests: a job of one task.
@@ -76,6 +79,7 @@
 	Repeatable    bool            `json:"repeatable,omitempty"`
 	DeclaredRunMs int64           `json:"declared_run_ms,omitempty"`
 	Needs         Resources       `json:"needs,omitzero"`
+	FirstAttempt  bool            `json:"first_attempt,omitempty"`
 }
 
 // TaskResult is the outcome of one task.
@@ -103,6 +107,7 @@
 	Kind         string       `json:"kind"`
 	Ran          Ran          `json:"ran"`
 	Remedy       string       `json:"remedy"`
+	Closed       bool         `json:"closed,omitempty"`         // the key will never be admitted again; retry with a new one
 	RetryAfterMs int64        `json:"retry_after_ms,omitempty"` // also sent as Retry-After, rounded up to seconds
 	Results      []TaskResult `json:"results,omitempty"`
 }
--- a/internal/caller/convert.go
+++ b/internal/caller/convert.go
@@ -41,6 +41,7 @@
 		Repeatable:    r.Repeatable,
 		DeclaredRunMs: r.DeclaredRunMs,
 		Needs:         r.Needs,
+		FirstAttempt:  r.FirstAttempt,
 	})
 }
 
@@ -67,6 +68,7 @@
 		DeadlineUnixMs: deadline(id, j.DeadlineMs),
 		Repeatable:     j.Repeatable,
 		DeclaredRunMs:  j.DeclaredRunMs,
+		FirstAttempt:   j.FirstAttempt,
 		Resources: &peerpb.Resources{
 			CpuMilli:     j.Needs.CPUMilli,
 			MemoryMb:     j.Needs.MemoryMB,
--- a/internal/caller/output.go
+++ b/internal/caller/output.go
@@ -54,6 +54,7 @@
 		Ran:        ran,
 		RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond,
 		Results:    results,
+		Final:      a.Recorded,
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,7 @@
 	route router
 
 	instances []InstanceInfo
+	held      []sched.Start // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
 	stopping  bool
@@ -52,7 +53,7 @@
 func New(o Options) *Reducer {
 	r := &Reducer{
 		opts:  o,
-		peers: newPeers(o.Self, o.Silence),
+		peers: newPeers(o.Self),
 		sched: sched.New(sched.Options{
 			Self:   o.Self.Instance,
 			Domain: o.Domain,
@@ -92,10 +93,10 @@
 	case PeerDown:
 		r.peerDown(now, e.Addr)
 	case PeerRefused:
-		r.peerRefused(now, e.Addr)
+		r.peerRefused(now, e)
 	case PeerUnanswered:
-		r.peers.unanswered(e.Addr, now)
-		r.replan(now)
+		r.peers.unanswered(e, r.plan.suspendedAt)
+		r.replanNow(now)
 	case Instances:
 		r.setInstances(now, e.List)
 	case Views:
@@ -116,7 +117,7 @@
 
 // watchGap suspends this instance if it was not running for half of the
 // silence bound, for others may have replaced it. The views it holds count
-// again once they have been read from the platform.
+// again once it has confirmed them by a write.
 func (r *Reducer) watchGap(now model.Time) {
 	gap := now.Sub(r.lastTick)
 	if r.lastTick != 0 && gap < r.opts.Silence/2 {
@@ -129,8 +130,9 @@
 }
 
 func (r *Reducer) suspend(now model.Time) {
-	r.peers.restartSilence(now)
+	r.peers.restartSilence()
 	r.plan.suspendedAt = now
+	r.plan.confirmed = 0
 	if !r.env.Suspended {
 		r.note(Note{Kind: NoteSuspended})
 	}
@@ -169,7 +171,7 @@
 func (r *Reducer) settleSched(now model.Time) bool {
 	out := r.sched.Ready()
 	for _, st := range out.Starts {
-		r.env.Bind(now, st)
+		r.bind(now, st)
 	}
 	for _, d := range out.Drops {
 		r.env.Drop(now, d)
@@ -180,6 +182,24 @@
 	return len(out.Starts)+len(out.Drops)+len(out.Sends) > 0
 }
 
+// bind passes a start on. While the instance is suspended the start waits with
+// its slot, for the scheduler would bind it again at once.
+func (r *Reducer) bind(now model.Time, st sched.Start) {
+	if r.env.Suspended {
+		r.held = append(r.held, st)
+		return
+	}
+	r.env.Bind(now, st)
+}
+
+func (r *Reducer) bindHeld(now model.Time) {
+	held := r.held
+	r.held = nil
+	for _, st := range held {
+		r.env.Bind(now, st)
+	}
+}
+
 func (r *Reducer) settleShards(now model.Time) bool {
 	out := r.env.TakeEffects()
 	for _, s := range out.Sends {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -48,17 +48,25 @@
 	Addr   string
 	Member shard.Member
 	Domain model.Domain
-	Reset  bool // messages under way in either direction were lost
+	Began  model.Time // when the connection was begun
+	Reset  bool       // messages under way in either direction were lost
 }
 
 // PeerDown says that the link to Addr broke or is being tried.
 type PeerDown struct{ Addr string }
 
 // PeerRefused says that a fresh connection to Addr was refused.
-type PeerRefused struct{ Addr string }
+type PeerRefused struct {
+	Addr  string
+	Began model.Time // when the connection was begun
+}
 
-// PeerUnanswered says that a fresh connection to Addr was not answered.
-type PeerUnanswered struct{ Addr string }
+// PeerUnanswered says that one fresh connection to Addr was not answered for
+// the whole silence bound.
+type PeerUnanswered struct {
+	Addr  string
+	Began model.Time // when the connection was begun
+}
 
 // InstanceInfo is an entry instance as the platform lists it.
 type InstanceInfo struct {
@@ -66,6 +74,9 @@
 	Domain  model.Domain `json:"domain"`
 	Addr    string       `json:"addr"` // peer address, IP:port
 	Leaving bool         `json:"leaving,omitempty"`
+	// Confirm counts the writes by which the instance has confirmed its views
+	// after a pause. Only the instance itself raises it.
+	Confirm uint64 `json:"confirm,omitempty"`
 }
 
 // Instances is the platform's list of live entry instances.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"time"
-
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
 )
@@ -12,34 +10,45 @@
 	info   InstanceInfo
 	up     bool
 	member shard.Member // who answered last
-	silent model.Time   // first unanswered connection in a row, 0 if none
+	// silent is when the latest connection began that stayed unanswered for
+	// the whole silence bound, 0 if one was answered or refused since.
+	silent model.Time
+}
+
+// known is what is known of one process.
+type known struct {
+	addr    string
+	since   model.Time // when the address was learned
+	confirm uint64     // its latest confirm counter
+	at      model.Time // when that counter was learned
 }
 
 // peers tells who is alive, from the answers to fresh connections.
 type peers struct {
 	self    shard.Member
-	bound   time.Duration // silence bound
 	now     model.Time
 	links   map[string]*link // by address
 	order   []string         // addresses, in the order they were learned
-	addrs   map[shard.Member]string
+	members map[shard.Member]*known
 	dead    map[shard.Member]bool
 	byName  map[model.Instance]shard.Member // latest process that answered
 	changed bool                            // the set of addresses has changed
 }
 
-func newPeers(self shard.Member, bound time.Duration) *peers {
+func newPeers(self shard.Member) *peers {
 	return &peers{
-		self:   self,
-		bound:  bound,
-		links:  make(map[string]*link),
-		addrs:  make(map[shard.Member]string),
-		dead:   make(map[shard.Member]bool),
-		byName: make(map[model.Instance]shard.Member),
+		self:    self,
+		links:   make(map[string]*link),
+		members: make(map[shard.Member]*known),
+		dead:    make(map[shard.Member]bool),
+		byName:  make(map[model.Instance]shard.Member),
 	}
 }
 
-// Liveness implements shard.Peers.
+// Liveness implements shard.Peers. A process counts as silent only by a
+// connection that began after its present confirm counter was known here: one
+// that was unanswered before may have been paused, and have confirmed its
+// views since (spec/replication.pml, W_SILENCE_FIRST).
 func (p *peers) Liveness(m shard.Member) shard.Liveness {
 	if m == p.self {
 		return shard.Alive
@@ -47,11 +56,12 @@
 	if p.dead[m] {
 		return shard.Dead
 	}
-	l := p.links[p.addrs[m]]
-	if l == nil || l.silent == 0 {
+	k := p.members[m]
+	if k == nil {
 		return shard.Alive
 	}
-	if p.now.Sub(l.silent) < p.bound {
+	l := p.links[k.addr]
+	if l == nil || l.silent == 0 || l.silent < k.at {
 		return shard.Alive
 	}
 	return shard.Silent
@@ -59,7 +69,11 @@
 
 // connected reports whether messages can be sent to m now.
 func (p *peers) connected(m shard.Member) bool {
-	l := p.links[p.addrs[m]]
+	k := p.members[m]
+	if k == nil {
+		return false
+	}
+	l := p.links[k.addr]
 	return l != nil && l.up && l.member == m
 }
 
@@ -68,7 +82,7 @@
 	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
 		return
 	}
-	p.addrs[i.Member] = i.Addr
+	p.know(i.Member, i.Addr, i.Confirm)
 	l := p.links[i.Addr]
 	if l == nil {
 		p.links[i.Addr] = &link{info: i}
@@ -82,6 +96,18 @@
 	l.info = i
 }
 
+func (p *peers) know(m shard.Member, addr string, confirm uint64) {
+	k := p.members[m]
+	if k == nil {
+		p.members[m] = &known{addr: addr, since: p.now, confirm: confirm, at: p.now}
+		return
+	}
+	if confirm > k.confirm {
+		k.confirm = confirm
+		k.at = p.now
+	}
+}
+
 // forget drops addresses whose process is dead and that keep does not name.
 func (p *peers) forget(keep map[string]bool) {
 	order := p.order[:0]
@@ -99,11 +125,11 @@
 
 func (p *peers) answered(e PeerUp) *link {
 	l := p.links[e.Addr]
-	if l == nil {
+	if l == nil || p.dead[e.Member] {
 		return nil
 	}
-	p.deadAt(e.Addr, e.Member)
-	p.addrs[e.Member] = e.Addr
+	p.deadAt(e.Addr, e.Member, e.Began)
+	p.know(e.Member, e.Addr, 0)
 	p.byName[e.Member.Instance] = e.Member
 	l.up = true
 	l.silent = 0
@@ -113,45 +139,45 @@
 	return l
 }
 
-// deadAt notes that every process known at an address is gone, but the one
-// that answers there.
-func (p *peers) deadAt(addr string, but shard.Member) {
-	for m, a := range p.addrs {
-		if a == addr && m != but {
+// deadAt notes that processes known at an address are gone, but the one that
+// answers there. Processes that were learned after the connection began may
+// have come after it was answered.
+func (p *peers) deadAt(addr string, but shard.Member, began model.Time) {
+	for m, k := range p.members {
+		if k.addr == addr && m != but && k.since < began {
 			p.dead[m] = true
-			delete(p.addrs, m)
+			delete(p.members, m)
 		}
 	}
 }
 
-func (p *peers) refused(addr string) {
-	l := p.links[addr]
+func (p *peers) refused(e PeerRefused) {
+	l := p.links[e.Addr]
 	if l == nil {
 		return
 	}
-	p.deadAt(addr, shard.Member{})
+	p.deadAt(e.Addr, shard.Member{}, e.Began)
 	l.up = false
 	l.silent = 0
 }
 
-func (p *peers) unanswered(addr string, now model.Time) {
-	l := p.links[addr]
+func (p *peers) unanswered(e PeerUnanswered, suspendedAt model.Time) {
+	l := p.links[e.Addr]
 	if l == nil {
 		return
 	}
 	l.up = false
-	if l.silent == 0 {
-		l.silent = now
+	// A connection that spans a pause of this instance shows nothing.
+	if e.Began > suspendedAt {
+		l.silent = e.Began
 	}
 }
 
-// restartSilence begins all waits for silent peers anew, for this instance
-// has not been watching.
-func (p *peers) restartSilence(now model.Time) {
+// restartSilence forgets which peers were silent, for this instance has not
+// been watching.
+func (p *peers) restartSilence() {
 	for _, l := range p.links {
-		if l.silent != 0 {
-			l.silent = now
-		}
+		l.silent = 0
 	}
 }
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -189,6 +189,7 @@
 		Problem:      rep.Answer.Problem,
 		Detail:       rep.Answer.Detail,
 		RetryAfterMs: rep.Answer.RetryAfterMs,
+		Recorded:     rep.Answer.Recorded,
 		Results:      rep.Answer.Results,
 	}
 	r.send(rep.To.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: a}})
@@ -214,18 +215,19 @@
 	r.reply(q, r.truthful(q, a))
 }
 
-// truthful keeps a refusal from saying "not run" while an earlier attempt of
-// the request may have been admitted elsewhere.
+// truthful keeps a refusal that is not recorded from saying "not run" while
+// another copy of the submission may be admitted: an earlier attempt of this
+// request, or a copy that the caller has sent before.
 func (r *Reducer) truthful(q *request, a *peerpb.Answer) *peerpb.Answer {
 	refused := a.Status == peerpb.Status_STATUS_REFUSED && a.Ran == peerpb.Ran_RAN_NO
-	if !refused || !q.before || q.Op != OpSubmit {
+	if !refused || a.Recorded || q.Op != OpSubmit || !q.before && q.Spec.FirstAttempt {
 		return a
 	}
 	return &peerpb.Answer{
 		Status:       a.Status,
 		Ran:          peerpb.Ran_RAN_UNKNOWN,
-		Problem:      shard.ProblemUnknown,
-		Detail:       a.Problem,
+		Problem:      a.Problem,
+		Detail:       a.Detail,
 		RetryAfterMs: a.RetryAfterMs,
 	}
 }
@@ -286,7 +288,7 @@
 	if q.maybe || q.Op != OpSubmit {
 		a.Ran = peerpb.Ran_RAN_UNKNOWN
 	}
-	r.reply(q, a)
+	r.reply(q, r.truthful(q, a))
 }
 
 // ProblemHomeUnreachable is the kind of a refusal for want of a link to the
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -14,23 +14,28 @@
 
 // planner is the state of the changes to the home domain's views.
 type planner struct {
-	doc         Doc
-	index       uint64
-	known       bool // doc was read
-	writing     bool
-	reading     bool
-	readAt      model.Time // when the latest answered read began
-	suspendedAt model.Time
-	planAt      model.Time
+	doc     Doc
+	index   uint64
+	known   bool // doc was read
+	writing bool
+	reading bool
+	planAt  model.Time
+
+	suspendedAt model.Time // when the latest pause was noticed
+	// confirmed is the counter of the latest confirming write that was issued
+	// after the latest pause, 0 if there was none. The views count again once
+	// it is known to have taken effect: from then on no write that others
+	// based on an earlier document can take effect any more.
+	confirmed uint64
+	// unknownAt is the index on which a write was based whose outcome is not
+	// known. While the document has that index the write may still land.
+	unknownAt uint64
+	unknown   bool
 }
 
-const (
-	// planInterval is the least time between two plans that nothing but the
-	// passing of time has caused.
-	planInterval = 100 * time.Millisecond
-	// freshness is how old a read may be that a takeover relies on.
-	freshness = 500 * time.Millisecond
-)
+// planInterval is the least time between two plans that nothing but the
+// passing of time has caused.
+const planInterval = 100 * time.Millisecond
 
 // setViews installs a document. Views only ever go forward, whatever the
 // order in which documents come.
@@ -41,13 +46,15 @@
 	}
 	if v.ReadAt != 0 {
 		r.plan.reading = false
-		r.plan.readAt = max(r.plan.readAt, v.ReadAt)
 	}
 	if !r.plan.known || v.Index > r.plan.index {
 		r.plan.known = true
 		r.plan.index = v.Index
 		r.plan.doc = v.Doc
 	}
+	if r.plan.unknown && r.plan.index > r.plan.unknownAt {
+		r.plan.unknown = false
+	}
 	for _, i := range v.Doc.Instances {
 		r.peers.learn(i)
 	}
@@ -56,14 +63,57 @@
 	r.replanNow(now)
 }
 
-// resume ends a suspension once the views were read after it began.
+// resume ends a suspension. An instance that the views name needs its
+// confirming write in the document; one that they do not name holds nothing
+// that others could have replaced, so that a read after the pause will do.
 func (r *Reducer) resume(now model.Time, readAt model.Time) {
-	if !r.env.Suspended || readAt == 0 || readAt < r.plan.suspendedAt {
+	if !r.env.Suspended || !r.confirmedBy(readAt) {
 		return
 	}
 	r.env.Suspended = false
 	r.note(Note{Kind: NoteResumed})
 	r.checkMembers(now)
+	r.bindHeld(now)
+}
+
+func (r *Reducer) confirmedBy(readAt model.Time) bool {
+	own := r.ownInfo()
+	if own == nil {
+		return readAt != 0 && readAt >= r.plan.suspendedAt
+	}
+	return r.plan.confirmed != 0 && own.Confirm >= r.plan.confirmed
+}
+
+// ownInfo returns this instance's entry in the document, or nil.
+func (r *Reducer) ownInfo() *InstanceInfo {
+	for i := range r.plan.doc.Instances {
+		if r.plan.doc.Instances[i].Member == r.opts.Self {
+			return &r.plan.doc.Instances[i]
+		}
+	}
+	return nil
+}
+
+// confirm writes the document with a higher counter of this instance.
+func (r *Reducer) confirm() {
+	own := r.ownInfo()
+	if own == nil || !r.plan.known {
+		r.readViews()
+		return
+	}
+	if r.plan.writing {
+		return
+	}
+	doc := r.plan.doc
+	doc.Instances = append([]InstanceInfo(nil), doc.Instances...)
+	r.plan.confirmed = max(own.Confirm, r.plan.confirmed) + 1
+	for i := range doc.Instances {
+		if doc.Instances[i].Member == r.opts.Self {
+			doc.Instances[i].Confirm = r.plan.confirmed
+		}
+	}
+	r.plan.writing = true
+	r.out.WriteViews = &WriteViews{Index: r.plan.index, Doc: doc}
 }
 
 func (r *Reducer) checkMembers(now model.Time) {
@@ -156,8 +206,8 @@
 	r.replan(now)
 }
 
-func (r *Reducer) peerRefused(now model.Time, addr string) {
-	r.peers.refused(addr)
+func (r *Reducer) peerRefused(now model.Time, e PeerRefused) {
+	r.peers.refused(e)
 	r.peersChanged(now)
 }
 
@@ -179,7 +229,7 @@
 func (r *Reducer) replanNow(now model.Time) {
 	r.plan.planAt = now
 	if r.env.Suspended {
-		r.readViews()
+		r.confirm()
 		return
 	}
 	if r.plan.writing || !r.plan.known {
@@ -208,11 +258,7 @@
 		if !ok {
 			continue
 		}
-		if p.Fresh && now.Sub(r.plan.readAt) > freshness {
-			r.readViews()
-			continue
-		}
-		if p.Fresh {
+		if p.Promise {
 			s.Promise(p.View.Epoch)
 		}
 		doc.Shards[i] = p.View
@@ -280,6 +326,8 @@
 			Member: r.opts.Self,
 			Domain: r.opts.Domain,
 			Addr:   r.opts.Addr,
+			// The counter is only ever raised.
+			Confirm: r.ownConfirm(),
 		})
 		named[r.opts.Self] = false
 	}
@@ -294,22 +342,41 @@
 	return list
 }
 
+func (r *Reducer) ownConfirm() uint64 {
+	if own := r.ownInfo(); own != nil {
+		return own.Confirm
+	}
+	return 0
+}
+
 func (r *Reducer) viewsWritten(now model.Time, e ViewsWritten) {
 	r.plan.writing = false
 	switch e.Outcome {
 	case WriteApplied:
 		r.setViews(now, Views{Domain: r.opts.Domain, Index: e.Index, Doc: e.Doc})
 	case WriteFailed:
-		for _, s := range r.own {
-			s.Abandon(now)
-		}
+		r.abandon(now)
+		r.readViews()
+	case WriteUnknown:
+		r.plan.unknown = true
+		r.plan.unknownAt = r.plan.index
 		r.readViews()
 	default:
-		// Another instance wrote first, or this write took effect unseen.
 		r.readViews()
 	}
 }
 
+// abandon ends hand-overs that were certainly not written. An earlier write of
+// unknown outcome on the same index may still land.
+func (r *Reducer) abandon(now model.Time) {
+	if r.plan.unknown {
+		return
+	}
+	for _, s := range r.own {
+		s.Abandon(now)
+	}
+}
+
 func (r *Reducer) schedPeers() []sched.Peer {
 	var list []sched.Peer
 	for _, a := range r.peers.order {
--- a/internal/peer/inbox.go
+++ b/internal/peer/inbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"sync"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -10,6 +11,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
 )
 
 type protoMessage = proto.Message
@@ -19,13 +21,13 @@
 type inbox struct {
 	mu      sync.Mutex
 	session uint64
-	seq     uint64 // latest frame received
-	current *conn  // frames of earlier connections are dropped
+	seq     uint64   // latest frame received
+	current net.Conn // frames of earlier connections are dropped
 }
 
 // begin makes c the connection of the session and returns the number of the
 // latest frame received in it.
-func (b *inbox) begin(c *conn, session uint64) uint64 {
+func (b *inbox) begin(c net.Conn, session uint64) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.session != session {
@@ -38,7 +40,7 @@
 
 // take runs deliver if the frame is the next one of the current connection.
 // It reports whether the connection is still the current one.
-func (b *inbox) take(c *conn, seq uint64, deliver func()) bool {
+func (b *inbox) take(c net.Conn, seq uint64, deliver func()) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != c {
@@ -62,20 +64,8 @@
 	return b
 }
 
-// receive answers the hello and delivers frames until the connection ends.
-func (m *Manager) receive(c *conn) {
-	hello := &peerpb.Hello{}
-	if err := c.read(hello); err != nil || hello.Version != Version {
-		return
-	}
-	from := memberOf(hello)
-	b := m.inboxOf(from.Incarnation)
-	answer := m.hello()
-	answer.Received = b.begin(c, hello.Session)
-	answer.Session = hello.Session
-	if _, err := protodelim.MarshalTo(c, answer); err != nil {
-		return
-	}
+// receive delivers frames until the connection ends.
+func (m *Manager) receive(from shard.Member, b *inbox, raw net.Conn, c *conn) {
 	w := bufio.NewWriter(c)
 	for {
 		f := &peerpb.Frame{}
@@ -83,7 +73,7 @@
 			return
 		}
 		m.countReceived(f)
-		ok := b.take(c, f.Seq, func() {
+		ok := b.take(raw, f.Seq, func() {
 			for _, msg := range f.Messages {
 				m.opts.Events(core.PeerMessage{From: from, Message: msg})
 			}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -73,12 +73,12 @@
 	delay := retryMin
 	for ctx.Err() == nil {
 		began := time.Now()
-		c, err := l.connect(ctx)
+		c, err := l.connect(ctx, began)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			l.m.opts.Events(failure(l.addr, err))
+			l.m.opts.Events(l.failure(began, err))
 			sleep(ctx, delay)
 			delay = min(2*delay, retryMax)
 			continue
@@ -91,11 +91,19 @@
 	}
 }
 
-func failure(addr string, err error) core.Event {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return core.PeerRefused{Addr: addr}
+// failure turns a failed attempt into evidence. Only a refusal, and an attempt
+// that went unanswered for the whole silence bound, say anything of the peer;
+// other errors may be this process's own.
+func (l *link) failure(began time.Time, err error) core.Event {
+	at := model.Time(began.UnixNano())
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return core.PeerRefused{Addr: l.addr, Began: at}
+	case errors.As(err, &timeout) && timeout.Timeout() && time.Since(began) >= l.m.opts.Silence:
+		return core.PeerUnanswered{Addr: l.addr, Began: at}
 	}
-	return core.PeerUnanswered{Addr: addr}
+	return core.PeerDown{Addr: l.addr}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -108,13 +116,17 @@
 }
 
 // connect opens a connection and exchanges hellos.
-func (l *link) connect(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout+helloTimeout)
+func (l *link) connect(ctx context.Context, began time.Time) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, began.Add(l.m.opts.Silence+silenceSlack))
 	defer cancel()
 	raw, err := l.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if err := l.greet(raw, began); err != nil {
+		raw.Close()
+		return nil, err
+	}
 	session, err := yamux.Client(raw, muxConfig())
 	if err != nil {
 		raw.Close()
@@ -125,16 +137,11 @@
 		session.Close()
 		return nil, errors.Wrap(err, "open yamux stream")
 	}
-	c := newConn(session, stream)
-	if err := l.greet(c); err != nil {
-		c.close()
-		return nil, err
-	}
-	return c, nil
+	return newConn(session, stream), nil
 }
 
 func (l *link) dial(ctx context.Context) (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{}
 	if l.m.opts.Client == nil {
 		return d.DialContext(ctx, "tcp", l.addr)
 	}
@@ -143,9 +150,9 @@
 
 // greet exchanges hellos and goes on with the session, or begins a new one if
 // another process answers or frames were lost.
-func (l *link) greet(c *conn) error {
-	_ = c.stream.SetDeadline(time.Now().Add(helloTimeout))
-	defer c.stream.SetDeadline(time.Time{})
+func (l *link) greet(c net.Conn, began time.Time) error {
+	_ = c.SetDeadline(began.Add(l.m.opts.Silence + silenceSlack))
+	defer c.SetDeadline(time.Time{})
 	l.mu.Lock()
 	if l.reset || l.session == 0 {
 		l.session++
@@ -158,17 +165,17 @@
 		return errors.Wrap(err, "send hello")
 	}
 	answer := &peerpb.Hello{}
-	if err := c.read(answer); err != nil {
+	if err := readHello(c, answer); err != nil {
 		return errors.Wrap(err, "read hello")
 	}
 	if answer.Version != Version {
 		return errors.Errorf("peer %s speaks version %d of the protocol, want %d; upgrade it", l.addr, answer.Version, Version)
 	}
-	l.began(answer)
+	l.began(answer, began)
 	return nil
 }
 
-func (l *link) began(answer *peerpb.Hello) {
+func (l *link) began(answer *peerpb.Hello, at time.Time) {
 	member := memberOf(answer)
 	l.mu.Lock()
 	fresh := l.reset || l.member != member
@@ -185,6 +192,7 @@
 		Addr:   l.addr,
 		Member: member,
 		Domain: model.Domain(answer.Domain),
+		Began:  model.Time(at.UnixNano()),
 		Reset:  fresh,
 	})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,8 +30,7 @@
 const Version = 1
 
 const (
-	dialTimeout    = 500 * time.Millisecond
-	helloTimeout   = 500 * time.Millisecond
+	silenceSlack   = 10 * time.Millisecond // past the bound, so that timers agree
 	retryMin       = 50 * time.Millisecond
 	retryMax       = time.Second
 	keepAlive      = time.Second
@@ -39,6 +38,8 @@
 	streamWindow   = 1 << 20
 	maxFrameBytes  = 16 << 20
 	maxFrameMsgs   = 1024
+	maxHelloBytes  = 4 << 10
+	minBuffer      = 16
 	maxQueueMsgs   = 1 << 17 // unacknowledged messages of one link
 	acceptDeadline = 2 * time.Second
 )
@@ -49,7 +50,10 @@
 	Domain model.Domain
 	Client *tls.Config      // nil for plain TCP
 	Events func(core.Event) // takes events; may block
-	Stats  Stats            // may be nil
+	// Silence is how long a fresh connection stays unanswered before the
+	// peer counts as silent.
+	Silence time.Duration
+	Stats   Stats // may be nil
 }
 
 // Stats counts what goes over the links.
@@ -154,7 +158,6 @@
 	c.KeepAliveInterval = keepAlive
 	c.ConnectionWriteTimeout = writeTimeout
 	c.MaxStreamWindowSize = streamWindow
-	c.StreamOpenTimeout = helloTimeout
 	c.LogOutput = io.Discard
 	return c
 }
@@ -198,6 +201,10 @@
 	defer c.Close()
 	stop := context.AfterFunc(m.ctx, func() { c.Close() })
 	defer stop()
+	from, b, ok := m.welcome(c)
+	if !ok {
+		return
+	}
 	session, err := yamux.Server(c, muxConfig())
 	if err != nil {
 		return
@@ -209,5 +216,35 @@
 	if err != nil {
 		return
 	}
-	m.receive(newConn(session, stream))
+	m.receive(from, b, c, newConn(session, stream))
+}
+
+// welcome answers the hello, which comes before the multiplexer so that the
+// keep-alive of the latter has no part in it.
+func (m *Manager) welcome(c net.Conn) (shard.Member, *inbox, bool) {
+	_ = c.SetDeadline(time.Now().Add(acceptDeadline))
+	defer c.SetDeadline(time.Time{})
+	hello := &peerpb.Hello{}
+	if err := readHello(c, hello); err != nil || hello.Version != Version {
+		return shard.Member{}, nil, false
+	}
+	from := memberOf(hello)
+	b := m.inboxOf(from.Incarnation)
+	answer := m.hello()
+	answer.Received = b.begin(c, hello.Session)
+	answer.Session = hello.Session
+	_, err := protodelim.MarshalTo(c, answer)
+	return from, b, err == nil
 }
+
+// readHello reads byte by byte, so that nothing of what follows is taken.
+func readHello(c net.Conn, h *peerpb.Hello) error {
+	r := bufio.NewReaderSize(byteReader{c}, minBuffer)
+	return protodelim.UnmarshalOptions{MaxSize: maxHelloBytes}.UnmarshalFrom(r, h)
+}
+
+// byteReader returns one byte at a time.
+type byteReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (b byteReader) Read(p []byte) (int, error) { return b.Reader.Read(p[:1]) }
--- a/internal/problem/document.go
+++ b/internal/problem/document.go
@@ -32,7 +32,7 @@
 	if e.RetryAfter > 0 {
 		p.RetryAfterMs = roundUp(e.RetryAfter, time.Millisecond)
 	}
-	if len(e.Results) > 0 {
+	if len(e.Results) > 0 || e.Final {
 		makeFinal(&p)
 	}
 	return p
@@ -41,10 +41,10 @@
 // remedyFinal is the remedy of a job that was given up before any start.
 const remedyFinal = "This answer is final. If the work is still wanted, submit it with a new key, after the wait if one is given."
 
-// makeFinal sets the remedy of a problem with results. It is the final answer
-// of a job: the same key would get it again, so only a new one can help, and
+// makeFinal sets the remedy of a problem that is the final answer of a key: the same key would get it again, so only a new one can help, and
 // that is not safe where tasks may have run.
 func makeFinal(p *api.Problem) {
+	p.Closed = true
 	switch p.Ran {
 	case api.RanNo:
 		p.Remedy = remedyFinal
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -130,6 +130,7 @@
 	RetryAfter time.Duration // 0 takes the kind's
 	Results    []api.TaskResult
 	cause      error
+	Final      bool // the key is closed, also without results
 }
 
 // New returns an error of kind k.
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -49,7 +49,7 @@
 
 // Options are the settings that all shards of an instance share.
 type Options struct {
-	Skew        time.Duration // bound on the difference of two clocks
+	Skew        time.Duration // bound on the error of each clock
 	Window      time.Duration // how long records are kept, by submission time
 	IntentAhead int           // most tasks that an intent covers ahead of free slots
 	Resend      time.Duration // unacknowledged operations are sent again after this
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -43,6 +43,7 @@
 }
 
 func (s *Shard) admit(now model.Time, k key, spec *peerpb.JobSpec, w Waiter, report bool) {
+	// Nothing can be committed, a refusal neither.
 	if s.blocked() {
 		s.refuse(w, ProblemNoOwner, peerpb.Ran_RAN_NO, blockedRetryAfter)
 		return
@@ -53,7 +54,7 @@
 	v := s.env.Queue.Submit(now, queueJob(h, spec, 0, false))
 	if v.Reason != sched.ReasonNone {
 		delete(s.env.jobs, h)
-		s.refuse(w, problemOf(v.Reason), peerpb.Ran_RAN_NO, v.RetryAfter)
+		s.refuseForEver(now, r, w, v)
 		return
 	}
 	r.job.handles = append(r.job.handles, h)
@@ -69,6 +70,31 @@
 	return &peerpb.Answer{Status: peerpb.Status_STATUS_PENDING}
 }
 
+// refuseForEver closes an identity that was never admitted. Without the record
+// another copy of the submission, come late, could be admitted after its
+// caller was told that it has not run (spec/replication.pml,
+// W_REFUSAL_UNRECORDED).
+func (s *Shard) refuseForEver(now model.Time, r *record, w Waiter, v sched.Verdict) {
+	a := &peerpb.Answer{
+		Status:       peerpb.Status_STATUS_REFUSED,
+		Ran:          peerpb.Ran_RAN_NO,
+		Problem:      problemOf(v.Reason),
+		RetryAfterMs: v.RetryAfter.Milliseconds(),
+		Recorded:     true,
+	}
+	identity := r.job.spec.Identity
+	s.addRecord(r)
+	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Refusal{
+		Refusal: &peerpb.Refusal{
+			Identity: identity,
+			Digest:   append([]byte(nil), r.digest[:]...),
+			Answer:   a,
+		},
+	}})
+	s.setFinal(r, a)
+	s.answerAfter(s.seq, a, w)
+}
+
 // blockedRetryAfter is when a caller should come back to a shard whose
 // replica does not answer.
 const blockedRetryAfter = 2 * time.Second
@@ -180,7 +206,8 @@
 		s.refuse(w, ProblemTooOld, peerpb.Ran_RAN_UNKNOWN, 0)
 		return nil, false
 	}
-	s.refuse(w, ProblemNotFound, peerpb.Ran_RAN_NO, 0)
+	// A submission may still be on its way.
+	s.refuse(w, ProblemNotFound, peerpb.Ran_RAN_UNKNOWN, 0)
 	return nil, false
 }
 
@@ -254,6 +281,11 @@
 	j.started--
 	switch d.Outcome {
 	case sched.OutcomeNotStarted, sched.OutcomeUnreachable:
+		if s.sealed || s.role != RoleOwner {
+			s.result(now, r, notStartedResult(i))
+			s.releaseHandles(r)
+			return
+		}
 		// The scheduler has queued the task again.
 		j.states[i] = taskQueued
 		return
@@ -292,6 +324,12 @@
 	return t
 }
 
+// notStartedResult tells the present owner that a task in flight was refused
+// before its start, so that it may start elsewhere.
+func notStartedResult(i int) *peerpb.TaskResult {
+	return &peerpb.TaskResult{Index: uint32(i), Ran: peerpb.Ran_RAN_NO}
+}
+
 // maxAttempts bounds the starts of one repeatable task.
 const maxAttempts = 3
 
@@ -326,6 +364,10 @@
 		return
 	}
 	j := r.job
+	if res.Ran == peerpb.Ran_RAN_NO {
+		s.requeueOne(now, r, int(res.Index))
+		return
+	}
 	if !j.record(res) {
 		return
 	}
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -1,6 +1,10 @@
 package shard
 
-import "github.com/nutmegweir/nutmegweir/internal/model"
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
 
 // Targets are the members that a shard should have, by rendezvous hashing
 // over the live instances of its domain.
@@ -12,9 +16,9 @@
 // Proposal is a view that an instance wants the platform to hold next.
 type Proposal struct {
 	View View
-	// Fresh is set if the view may be proposed only after the present one
-	// was read from the platform, so that the platform is known to answer.
-	Fresh bool
+	// Promise is set if this instance has to stop acknowledging the present
+	// owner before the view is written.
+	Promise bool
 }
 
 // Propose returns the next view that this instance should write, if any. It
@@ -72,7 +76,12 @@
 // proposeHandOver makes the successor the owner once it holds everything.
 func (s *Shard) proposeHandOver() (Proposal, bool) {
 	f := s.follower(s.target.Instance)
-	if f == nil || !f.required || f.acked < s.seq {
+	if f == nil || s.env.Peers.Liveness(s.target) != Alive {
+		// An earlier write of the hand-over may still land, so the shard
+		// stays sealed until this one or that one is known to have won.
+		return s.next(0, s.env.Self), true
+	}
+	if !f.required || f.acked < s.seq {
 		return Proposal{}, false
 	}
 	return s.next(0, s.target, s.env.Self), true
@@ -138,7 +147,7 @@
 		return Proposal{}, false
 	}
 	p := s.next(0, s.env.Self)
-	p.Fresh = true
+	p.Promise = true
 	return p, true
 }
 
@@ -146,9 +155,7 @@
 func (s *Shard) Promise(epoch uint64) { s.fence = max(s.fence, epoch) }
 
 // proposeLost replaces members that are all gone. Their records are lost, so
-// the floor passes every submission time that they can have admitted: they
-// admitted none ahead of their clock by more than the skew bound, and their
-// clock was ahead of this one by no more than that.
+// the floor passes every submission time that they can have admitted.
 func (s *Shard) proposeLost(now model.Time, t Targets) (Proposal, bool) {
 	if t.Owner != s.env.Self {
 		return Proposal{}, false
@@ -158,9 +165,15 @@
 			return Proposal{}, false
 		}
 	}
-	p := s.next(now.Add(2*s.env.Opts.Skew), s.env.Self)
-	p.Fresh = true
-	return p, true
+	return s.next(now.Add(lostFloor(s.env.Opts.Skew)), s.env.Self), true
+}
+
+// lostFloor is how far the floor lies past the present time once records are
+// lost. The old owner admitted up to skew ahead of its clock, its clock was up
+// to skew ahead of the true time, and this clock may be skew behind it; keys
+// have a resolution of a millisecond, and a key at the floor is admitted.
+func lostFloor(skew time.Duration) time.Duration {
+	return 3*skew + time.Millisecond
 }
 
 // Abandon takes that a proposed hand-over was certainly not written.
--- a/internal/shard/replica.go
+++ b/internal/shard/replica.go
@@ -60,6 +60,8 @@
 		if r := s.open(b.Final.Identity); r != nil {
 			s.setFinal(r, b.Final.Answer)
 		}
+	case *peerpb.Operation_Refusal:
+		s.applyRefusal(b.Refusal)
 	case *peerpb.Operation_FloorUnixNs:
 		s.floor = max(s.floor, model.Time(b.FloorUnixNs))
 	}
@@ -73,6 +75,17 @@
 	s.addRecord(&record{key: k, digest: digestOf(spec), job: newJob(spec)})
 }
 
+func (s *Shard) applyRefusal(p *peerpb.Refusal) {
+	k := keyOf(p.Identity)
+	if _, ok := s.records[k]; ok {
+		return
+	}
+	r := &record{key: k}
+	copy(r.digest[:], p.Digest)
+	s.addRecord(r)
+	s.setFinal(r, p.Answer)
+}
+
 func (s *Shard) applyResult(r *record, res *peerpb.TaskResult) {
 	r.job.record(res)
 	if a := r.job.complete(); a != nil {
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -309,7 +309,11 @@
 	held := s.held
 	s.held = nil
 	for _, h := range held {
-		if h.rec.job != nil {
+		switch {
+		case h.rec.job == nil:
+		case h.res.Ran == peerpb.Ran_RAN_NO:
+			h.rec.job.states[h.res.Index] = taskQueued
+		default:
 			s.result(now, h.rec, h.res)
 		}
 	}
