Keep records through graceful stops of every instance in turn

Cause: a stopping instance left at once when it knew no successor, which it had not yet seen, and its records were lost with it; an address of a dead process that this one now holds was dialed as a peer. Change: a stopping instance that alone holds records waits up to 5 s for a successor; an own address proves its earlier holder dead; the status names a replica only while it is alive.

--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -29,7 +29,7 @@
 	Shard   int    `json:"shard"`
 	Epoch   uint64 `json:"epoch"`
 	Owner   string `json:"owner"`
-	Replica string `json:"replica,omitempty"`
-	Role    string `json:"role"` // of this instance: none, learner, replica or owner
+	Replica string `json:"replica,omitempty"` // absent while it is dead or silent
+	Role    string `json:"role"`              // of this instance: none, learner, replica or owner
 	Jobs    int    `json:"jobs"`
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,7 +53,7 @@
 func New(o Options) *Reducer {
 	r := &Reducer{
 		opts:  o,
-		peers: newPeers(o.Self),
+		peers: newPeers(o.Self, o.Addr),
 		sched: sched.New(sched.Options{
 			Self:   o.Self.Instance,
 			Domain: o.Domain,
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -26,6 +26,7 @@
 // peers tells who is alive, from the answers to fresh connections.
 type peers struct {
 	self    shard.Member
+	addr    string // own address
 	now     model.Time
 	links   map[string]*link // by address
 	order   []string         // addresses, in the order they were learned
@@ -35,9 +36,10 @@
 	changed bool                            // the set of addresses has changed
 }
 
-func newPeers(self shard.Member) *peers {
+func newPeers(self shard.Member, addr string) *peers {
 	return &peers{
 		self:    self,
+		addr:    addr,
 		links:   make(map[string]*link),
 		members: make(map[shard.Member]*known),
 		dead:    make(map[shard.Member]bool),
@@ -82,6 +84,11 @@
 	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
 		return
 	}
+	if i.Addr == p.addr {
+		// This process listens there, so the one that did before is gone.
+		p.dead[i.Member] = true
+		return
+	}
 	p.know(i.Member, i.Addr, i.Confirm)
 	l := p.links[i.Addr]
 	if l == nil {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -19,7 +19,7 @@
 		s.Peers = append(s.Peers, r.peerStatus(r.peers.links[a]))
 	}
 	for i, sh := range r.own {
-		s.Shards = append(s.Shards, shardStatus(i, sh))
+		s.Shards = append(s.Shards, r.shardStatus(i, sh))
 		s.Jobs += sh.Jobs()
 	}
 	return s
@@ -41,7 +41,7 @@
 	return p
 }
 
-func shardStatus(i int, s *shard.Shard) api.ShardStatus {
+func (r *Reducer) shardStatus(i int, s *shard.Shard) api.ShardStatus {
 	v := s.View()
 	st := api.ShardStatus{
 		Shard: i,
@@ -50,7 +50,7 @@
 		Role:  s.Role().String(),
 		Jobs:  s.Jobs(),
 	}
-	if len(v.Members) > 1 {
+	if len(v.Members) > 1 && r.peers.Liveness(v.Members[1]) == shard.Alive {
 		st.Replica = string(v.Members[1].Instance)
 	}
 	return st
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -400,6 +400,11 @@
 	if len(r.candidates()) == 0 {
 		return n
 	}
+	return n + r.owned()
+}
+
+func (r *Reducer) owned() int {
+	n := 0
 	for _, s := range r.own {
 		if s.Role() == shard.RoleOwner {
 			n++
@@ -407,3 +412,15 @@
 	}
 	return n
 }
+
+// Unreplicated returns the number of records that only this instance holds
+// and that a successor could still take.
+func (r *Reducer) Unreplicated() int {
+	n := 0
+	for _, s := range r.own {
+		if s.Role() == shard.RoleOwner {
+			n += s.Jobs()
+		}
+	}
+	return n
+}
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -62,6 +62,7 @@
 	"platform": {"addr": "%[4]s:9000"},
 	"tls": {"caller": {"plain": true}, "peer": {"plain": true}, "operator": {"plain": true}},
 	"shards": {"per_domain": 8},
+	"log_level": "error",
 }`, name, domain, domains, ip, port)
 	file := filepath.Join(ts.Getenv("WORK"), name+".hujson")
 	ts.Check(os.WriteFile(file, []byte(text), 0o644))
--- a/internal/runtime/cluster.go
+++ b/internal/runtime/cluster.go
@@ -285,16 +285,23 @@
 		r.platformError("announce leaving", err)
 	}
 	r.undone.Store(1)
+	r.alone.Store(1)
 	r.stopping.Store(true)
 	r.Post(core.Stop{})
+	began := time.Now()
 	for ctx.Err() == nil {
-		if r.undone.Load() == 0 && r.inFlight.Load() == 0 {
+		waits := r.alone.Load() > 0 && time.Since(began) < successorWait
+		if !waits && r.undone.Load() == 0 && r.inFlight.Load() == 0 {
 			return
 		}
 		r.pause(drainPoll)
 	}
 }
 
+// successorWait is how long a stopping instance waits for another one of its
+// domain to take over records that only it holds.
+const successorWait = 5 * time.Second
+
 // drainPoll is how often Drain looks whether it is done.
 const drainPoll = 20 * time.Millisecond
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -58,6 +58,7 @@
 	requests atomic.Uint64
 	inFlight atomic.Int64 // tasks started and not yet answered
 	stopping atomic.Bool
+	alone    atomic.Int64 // records that would be lost with this process
 	undone   atomic.Int64 // what a graceful stop waits for
 
 	mu      sync.Mutex
@@ -188,6 +189,7 @@
 	}
 	if r.stopping.Load() {
 		r.undone.Store(int64(r.core.Undone()))
+		r.alone.Store(int64(r.core.Unreplicated()))
 	}
 }
 
