--- a/internal/tablestore/compact.go
+++ b/internal/tablestore/compact.go
@@ -13,7 +13,7 @@
 // also by several editors at once: parts and pages only move forward, and
 // the shorter log takes effect only by the editor's compare-and-swap.
 func (s *Store) compact(ctx context.Context, l Log) (Log, error) {
-	moved := l.Edits[:l.cut()]
+	moved := l.Edits[:l.cut(s.opts.LogBytes/keepLogShare)]
 	base := moved[len(moved)-1].Version
 	var byPart [numParts]bool
 	for _, e := range moved {
@@ -40,12 +40,12 @@
 
 // cut returns the number of edits that a compaction moves: all but the newest
 // that fit into the bound, and at least one.
-func (l Log) cut() int {
+func (l Log) cut(keep int) int {
 	size := 0
 	for i, e := range slices.Backward(l.Edits) {
 		b, err := encode(e)
 		size += len(b)
-		if err != nil || size > keepLogBytes {
+		if err != nil || size > keep {
 			return i + 1
 		}
 	}
@@ -97,7 +97,7 @@
 	}
 	for _, e := range edits {
 		for _, c := range e.Changes {
-			if e.Version > p.Upto && partOf(c.Key) == n {
+			if partOf(c.Key) == n {
 				applyChange(rows, e, c)
 			}
 		}
--- a/internal/tablestore/edit.go
+++ b/internal/tablestore/edit.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return Result{}, true, err
 	}
-	if len(value) > maxLogBytes && len(l.Edits) > 0 {
+	if len(value) > w.store.opts.LogBytes && len(l.Edits) > 0 {
 		trimmed, err := w.store.compact(ctx, l.Log)
 		if err != nil {
 			return Result{}, w.unknown == nil && platform.KindOf(err) != platform.KindConflict, err
--- a/internal/tablestore/layout.go
+++ b/internal/tablestore/layout.go
@@ -29,7 +29,7 @@
 const (
 	numParts     = 16
 	maxLogBytes  = 8 << 10   // the log is compacted before it grows beyond
-	keepLogBytes = 2 << 10   // edits of this size stay in the log after a compaction
+	keepLogShare = 4         // this part of the log stays after a compaction
 	MaxEditBytes = 64 << 10  // of one edit
 	maxPartBytes = 512 << 10 // of one part
 	defaultPages = 1000      // history pages kept
--- a/internal/tablestore/store.go
+++ b/internal/tablestore/store.go
@@ -15,6 +15,7 @@
 	Prefix       string // of all keys, such as "nutmegweir/table/"
 	Rules        table.Rules
 	HistoryPages uint64 // pages of history kept, 0 means 1000
+	LogBytes     int    // the log is compacted before it grows beyond, 0 means 8 KiB
 }
 
 // Store reads and edits the table on the platform. It is safe for concurrent
@@ -31,6 +32,9 @@
 	if o.HistoryPages == 0 {
 		o.HistoryPages = defaultPages
 	}
+	if o.LogBytes == 0 {
+		o.LogBytes = maxLogBytes
+	}
 	return &Store{p: o.Platform, opts: o, cache: table.Empty()}
 }
 
@@ -129,29 +133,21 @@
 }
 
 // assemble applies the log to the parts. A part may already hold some of the
-// log's edits, when a compaction is under way.
+// log's edits, when a compaction is under way; applying them again, in order
+// and up to the last, gives the same rows.
 func (s *Store) assemble(entries []platform.Entry, l Log) (*table.Snapshot, error) {
 	rows := make(map[table.Key]table.Row)
-	var upto [numParts]uint64
 	for _, e := range entries {
 		var p Part
 		if err := decode(e.Value, &p); err != nil {
 			return nil, &DamagedError{Key: e.Key, Cause: err}
 		}
-		for n := range numParts {
-			if e.Key == s.key(partKey(n)) {
-				upto[n] = p.Upto
-			}
-		}
 		for _, r := range p.Rows {
 			rows[r.Key] = r
 		}
 	}
 	for _, e := range l.Edits {
 		for _, c := range e.Changes {
-			if e.Version <= upto[partOf(c.Key)] {
-				continue
-			}
 			applyChange(rows, e, c)
 		}
 	}
