Tell an outcome as unknown when the history no longer reaches back

A test with more edits than the history keeps showed an edit whose answer was lost reported as a conflict, though it had taken effect and was overwritten. The search of the history now says whether it saw every edit from the wanted version on; if not, the outcome stays unknown.

--- a/internal/tablestore/edit.go
+++ b/internal/tablestore/edit.go
@@ -70,13 +70,16 @@
 	if l.Version < w.req.Known {
 		return Result{}, true, &RolledBackError{Known: w.req.Known, Stored: l.Version}
 	}
-	e, ok, err := w.existing(ctx, l)
+	found, err := w.existing(ctx, l)
 	if err != nil {
 		return Result{}, w.unknown == nil, err
 	}
-	if ok {
+	if found.found {
 		w.unknown = nil
-		return Result{Edit: e, Repeated: true}, true, nil
+		return Result{Edit: found.edit, Repeated: true}, true, nil
+	}
+	if !found.whole && w.unknown != nil {
+		return Result{}, true, w.unknown // the history no longer reaches back to it
 	}
 	if l.Version >= w.tried {
 		w.unknown = nil // the version that was tried is another edit's
@@ -96,22 +99,29 @@
 
 // existing looks for the edit in the log, and after an unknown outcome also
 // in the history, where a compaction may have moved it.
-func (w *writer) existing(ctx context.Context, l storedLog) (table.Edit, bool, error) {
+func (w *writer) existing(ctx context.Context, l storedLog) (search, error) {
 	if e, ok := find(l.Edits, w.req.ID); ok {
-		return e, true, nil
+		return search{edit: e, found: true}, nil
+	}
+	downTo := w.tried
+	if w.unknown == nil {
+		downTo = w.lastWrote(w.store.cached())
 	}
-	if snap := w.store.cached(); w.unknown == nil && !w.touched(snap) {
-		return table.Edit{}, false, nil
+	if downTo == 0 {
+		return search{whole: true}, nil
 	}
-	return w.store.findInHistory(ctx, l.Log, w.req.ID, w.tried)
+	return w.store.findInHistory(ctx, l.Log, w.req.ID, downTo)
 }
 
-// touched reports whether a row of the edit was last written by it.
-func (w *writer) touched(snap *table.Snapshot) bool {
-	return slices.ContainsFunc(w.req.Changes, func(c table.Change) bool {
-		r, ok := snap.Row(c.Key)
-		return ok && r.EditID == w.req.ID
-	})
+// lastWrote returns the version of a row that the edit was the last to write,
+// 0 if there is none.
+func (w *writer) lastWrote(snap *table.Snapshot) uint64 {
+	for _, c := range w.req.Changes {
+		if r, ok := snap.Row(c.Key); ok && r.EditID == w.req.ID {
+			return r.Version
+		}
+	}
+	return 0
 }
 
 func (w *writer) write(ctx context.Context, l storedLog, snap *table.Snapshot) (Result, bool, error) {
--- a/internal/tablestore/history.go
+++ b/internal/tablestore/history.go
@@ -66,19 +66,26 @@
 	return p, true, nil
 }
 
+// search is how far a look into the history came.
+type search struct {
+	edit  table.Edit
+	found bool
+	whole bool // every edit from the wanted version on was seen
+}
+
 // findInHistory looks for an edit by ID in the pages, down to a version.
-func (s *Store) findInHistory(ctx context.Context, l Log, id string, downTo uint64) (table.Edit, bool, error) {
+func (s *Store) findInHistory(ctx context.Context, l Log, id string, downTo uint64) (search, error) {
 	for n := l.NextPage; n > 0; n-- {
 		p, ok, err := s.readPage(ctx, n-1)
 		if err != nil || !ok {
-			return table.Edit{}, false, err
+			return search{}, err
 		}
 		if e, ok := find(p.Edits, id); ok {
-			return e, true, nil
+			return search{edit: e, found: true}, nil
 		}
 		if len(p.Edits) > 0 && p.Edits[0].Version <= downTo {
-			return table.Edit{}, false, nil
+			break
 		}
 	}
-	return table.Edit{}, false, nil
+	return search{whole: true}, nil
 }
