--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -18,6 +18,7 @@
 	refusalPause     = 20 * time.Millisecond
 	maxRefusalPause  = time.Second
 	failureMemory    = 256 // starts that the failure rate of a kind remembers
+	failurePrior     = 10  // starts without failure that a new kind is taken to have had
 	maxQuarantinePct = 50  // share of servers that may be in quarantine at once
 )
 
@@ -52,7 +53,7 @@
 	if failed {
 		x = 1
 	}
-	f.rate += (x - f.rate) / f.samples
+	f.rate += (x - f.rate) / (f.samples + failurePrior)
 }
 
 func (f *failureRate) expected() float64 {
@@ -123,9 +124,23 @@
 	h.probeAt = now.Add(h.wait)
 	h.passed = 0
 	s.quarantined = append(s.quarantined, v)
+	if p := v.lender; p != nil {
+		p.broken = append(p.broken, v.ID)
+		s.dropLoan(v)
+	}
 	s.index.update(v)
 }
 
+// receiveBroken quarantines own servers that a borrower found broken.
+func (s *Scheduler) receiveBroken(now model.Time, ids []string) {
+	for _, id := range ids {
+		v := s.servers[model.ServerID(id)]
+		if v != nil && v.owned && !v.health.quarantined && s.mayQuarantine() {
+			s.quarantine(now, v)
+		}
+	}
+}
+
 func (s *Scheduler) release(v *server) {
 	wait := v.health.wait
 	v.health = health{wait: wait / 2, starts: v.health.starts, failures: v.health.failures}
@@ -169,7 +184,7 @@
 	for _, v := range s.quarantined {
 		h := &v.health
 		due := now >= h.probeAt && !h.probing && !h.paused
-		if due && v.known && v.State == ServerActive && v.held() > v.busy && f.needs.Fits(v.Has) {
+		if due && v.owned && v.known && v.State == ServerActive && v.held() > v.busy && f.needs.Fits(v.Has) {
 			return v
 		}
 	}
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -76,6 +76,7 @@
 	askedAt  model.Time
 	recall   int // slots to give back as they become free
 	changed  bool
+	broken   []model.ServerID // found broken, the lender has not been told
 	heldAt   model.Time
 	loadAt   model.Time
 }
@@ -434,6 +435,10 @@
 
 func (s *Scheduler) heldOf(p *peer) *peerpb.SlotsHeld {
 	h := &peerpb.SlotsHeld{Grant: p.grantIn}
+	for _, id := range p.broken {
+		h.Broken = append(h.Broken, string(id))
+	}
+	p.broken = nil
 	for _, v := range p.borrows {
 		h.Slots = append(h.Slots, &peerpb.SlotCount{Server: string(v.ID), Count: uint32(v.borrowed)})
 	}
@@ -696,6 +701,7 @@
 	if h == nil {
 		return
 	}
+	s.receiveBroken(now, h.Broken)
 	if h.Grant < p.grantOut && now.Sub(p.grantAt) < grantLost {
 		return
 	}
@@ -740,6 +746,9 @@
 		v.speed = slowness{log: math.Log(float64(c.SlownessMilli) / 1000), samples: 1}
 		s.rank(v)
 	}
+	if v.health.quarantined {
+		s.release(v)
+	}
 	v.borrowed += int(c.Count)
 	p.borrowed += int(c.Count)
 	s.index.update(v)
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -19,7 +19,8 @@
 	reclaimCut    = 10 * time.Minute       // the same when no instance of its domain is left in the list
 	rateBurst     = 50 * time.Millisecond  // starts that may be saved up, as time at the rate share
 	rateGrowth    = 1.5                    // demand reported by an instance held up by its rate, over its share
-	rateMemory    = time.Second            // time constant of the measured rate of starts
+	rateCatchUp   = 500 * time.Millisecond // an instance asks for the rate that clears its queue in this time
+	rateMemory    = 250 * time.Millisecond // time constant of the measured rate of starts
 )
 
 // limit is a row's bound on concurrency and rate, and this instance's share.
@@ -290,7 +291,7 @@
 	waiting := l.waiting()
 	need := l.startRate
 	if waiting > 0 && l.rate > 0 && l.tokens < 1 {
-		need = math.Max(need, l.rateShare)*rateGrowth + 1
+		need = math.Max(math.Max(need, l.rateShare)*rateGrowth+1, float64(waiting)/rateCatchUp.Seconds())
 	}
 	return peerpb.LimitReport{
 		Row: l.name, Version: l.version,
