--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -11,7 +11,7 @@
 
 const (
 	warmUp  = 5 * time.Second
-	measure = 25 * time.Second
+	measure = 55 * time.Second
 	settle  = 30 * time.Second
 )
 
@@ -54,6 +54,18 @@
 	{"load90-speeds", loadRun(0.9, heterogeneous(), nil)},
 	{"short-behind-long", headOfLine},
 	{"big-jobs", bigJobs},
+	{"crest", crest(false, nil, nil)},
+	{"crest-retry", crest(true, nil, nil)},
+	{"crest-skew", crest(false, []float64{4, 3, 2, 1}, nil)},
+	{"crest-cut", crest(false, nil, cutAtCrest)},
+	{"backlog", backlog},
+	{"fails-everything", failsEverything},
+	{"unreachable", unreachableServer},
+	{"leaving", leaving},
+	{"cancel-wave", cancelWave},
+	{"limit-concurrency", concurrencyLimit(nil)},
+	{"limit-cut", concurrencyLimit(cutLimited)},
+	{"limit-rate", rateLimitRun},
 }
 
 func heterogeneous() Fleet {
