Send one batch of operations a link and round trip; explain waits

Cause: every start that waited for its intent flushed its shard, so that a job of 100 tasks cost 1.58 appends and acknowledgements a task (0.56 frames a task, 8 callers, 64 slots, no run time; go test ./entry -bench Path/replicated -benchtime 40000x). Ruled out: a longer delay of results, which does not concern intents. Change: a wait flushes only what was not sent; operations to a link with appends under way wait for their answer. Also: the scheduler waited for a faster server with nothing in flight, found by the same benchmark, which then never ended; explain now tells the scheduler's reason.

--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/nutmegweir/nutmegweir/internal/metrics"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	port "github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/settings"
+	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
+	"github.com/nutmegweir/nutmegweir/internal/standin/platform"
+)
+
+const (
+	benchDomain  = model.Domain("muttrah")
+	benchServers = 4
+	benchSlots   = 16
+	benchTasks   = 100 // of one job
+	benchCallers = 8
+)
+
+// startBench runs instances on stand-ins and returns them once the first one
+// can route.
+func startBench(b *testing.B, replicas int, names ...model.Instance) []*Instance {
+	b.Helper()
+	store := platform.New(platform.Options{})
+	addr := benchServe(b, store)
+	for n := range benchServers {
+		s := backend.New(backend.Options{Name: string(rune('a' + n)), Slots: benchSlots})
+		at := netip.MustParseAddrPort(benchServe(b, s))
+		store.Store.Register("backend", port.ServiceInstance{
+			ID: string(rune('a' + n)), Addr: at, Domain: benchDomain, Slots: benchSlots, State: port.StateActive,
+		})
+	}
+	var list []*Instance
+	for _, name := range names {
+		list = append(list, benchInstance(b, name, addr, replicas))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for _, i := range list {
+		if err := i.WaitReady(ctx); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return list
+}
+
+func benchServe(b *testing.B, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func benchInstance(b *testing.B, name model.Instance, platformAddr string, replicas int) *Instance {
+	set := settings.Default()
+	set.Instance = name
+	set.Domain = benchDomain
+	set.Domains = []model.Domain{benchDomain}
+	set.Listen = settings.Listen{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Operator: "127.0.0.1:0"}
+	set.Platform.Addr = platformAddr
+	set.TLS.Caller.Plain, set.TLS.Peer.Plain, set.TLS.Operator.Plain = true, true, true
+	set.Shards.Replicas = replicas
+	i, err := New(Options{Settings: &set})
+	if err != nil {
+		b.Fatal(err)
+	}
+	i.Start()
+	b.Cleanup(i.Close)
+	return i
+}
+
+func benchSpec(tasks int) *peerpb.JobSpec {
+	key := uuid.Must(uuid.NewV7())
+	spec := &peerpb.JobSpec{
+		Identity: &peerpb.Identity{Customer: "bench", Home: string(benchDomain), Key: key[:]},
+		Kind:     "bench",
+	}
+	for range tasks {
+		spec.Payloads = append(spec.Payloads, []byte(`{"run_ms":0}`))
+	}
+	return spec
+}
+
+// BenchmarkPath runs jobs of 100 tasks without run time from the reducer to
+// backend servers and back, all in this process. One operation is one task.
+func BenchmarkPath(b *testing.B) {
+	b.Run("alone", func(b *testing.B) { benchPath(b, startBench(b, 0, "east")) })
+	b.Run("replicated", func(b *testing.B) { benchPath(b, startBench(b, 1, "east", "west")) })
+}
+
+func benchPath(b *testing.B, list []*Instance) {
+	b.ReportAllocs()
+	b.ResetTimer()
+	jobs := make(chan struct{}, b.N/benchTasks+1)
+	for range b.N/benchTasks + 1 {
+		jobs <- struct{}{}
+	}
+	close(jobs)
+	var wg sync.WaitGroup
+	for n := range benchCallers {
+		wg.Go(func() {
+			for range jobs {
+				a, err := list[n%len(list)].runtime.Submit(context.Background(), benchSpec(benchTasks), true)
+				if err != nil || a.Status != peerpb.Status_STATUS_COMPLETE {
+					b.Errorf("answer %v, error %v", a, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	reportPeers(b, list)
+}
+
+// reportPeers reports what the links between the instances have carried.
+func reportPeers(b *testing.B, list []*Instance) {
+	var frames, bytes, replication float64
+	for _, i := range list {
+		m := i.metrics
+		frames += value(m.PeerFrames.WithLabelValues(metrics.DirectionOut))
+		bytes += value(m.PeerBytes.WithLabelValues(metrics.DirectionOut))
+		replication += value(m.PeerMessages.WithLabelValues(metrics.DirectionOut, "append"))
+		replication += value(m.PeerMessages.WithLabelValues(metrics.DirectionOut, "append-ack"))
+	}
+	b.ReportMetric(frames/float64(b.N), "frames/task")
+	b.ReportMetric(replication/float64(b.N), "appends+acks/task")
+	b.ReportMetric(bytes/float64(b.N), "peerbytes/task")
+}
+
+func value(c prometheus.Counter) float64 {
+	var m dto.Metric
+	if c.Write(&m) != nil {
+		return 0
+	}
+	return m.GetCounter().GetValue()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,27 +128,31 @@
 		p = i.httpPlatform()
 	}
 	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns})
+	watch := newObserver(i.log, i.metrics)
 	i.runtime = runtime.New(runtime.Options{
 		Core:           i.coreOptions(),
 		Domains:        i.set.Domains,
 		Platform:       p,
 		BackendService: i.set.BackendService,
 		Backends:       i.pool,
-		Observer:       newObserver(i.log, i.metrics),
+		Observer:       watch,
 	})
 	i.peers = peer.New(peer.Options{
 		Self:    i.self,
 		Domain:  i.set.Domain,
 		Client:  clientTLS,
 		Events:  i.runtime.Post,
+		Stats:   watch,
 		Silence: time.Duration(i.set.Shards.SilenceBoundMs) * time.Millisecond,
 	})
 	i.runtime.SetPeers(i.peers)
 	return i.assembleServers()
 }
 
-// maxIdleConns is the number of idle connections kept for each backend server.
-const maxIdleConns = 4
+// maxIdleConns is the number of idle connections kept for each backend server:
+// with the eight instances of a deployment all of them stay within
+// backendapi.MaxConnections.
+const maxIdleConns = 8
 
 func (i *Instance) httpPlatform() platform.Platform {
 	return platform.NewHTTP(platform.HTTPOptions{
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 )
 
@@ -100,3 +101,39 @@
 	}
 	return "lost"
 }
+
+// FrameSent implements peer.Stats.
+func (o *observer) FrameSent(f *peerpb.Frame, bytes int) {
+	o.count(metrics.DirectionOut, f, bytes)
+}
+
+// FrameReceived implements peer.Stats.
+func (o *observer) FrameReceived(f *peerpb.Frame, bytes int) {
+	o.count(metrics.DirectionIn, f, bytes)
+}
+
+func (o *observer) count(direction string, f *peerpb.Frame, bytes int) {
+	o.metrics.PeerFrames.WithLabelValues(direction).Inc()
+	o.metrics.PeerBytes.WithLabelValues(direction).Add(float64(bytes))
+	for _, m := range f.Messages {
+		o.metrics.PeerMessages.WithLabelValues(direction, typeOf(m)).Inc()
+	}
+}
+
+func typeOf(m *peerpb.Message) string {
+	switch m.Body.(type) {
+	case *peerpb.Message_Submit, *peerpb.Message_Lookup, *peerpb.Message_Cancel:
+		return "request"
+	case *peerpb.Message_Answer:
+		return "answer"
+	case *peerpb.Message_Append:
+		return "append"
+	case *peerpb.Message_AppendAck:
+		return "append-ack"
+	case *peerpb.Message_Sched:
+		return "sched"
+	case *peerpb.Message_Table:
+		return "table"
+	}
+	return "view"
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -311,7 +311,7 @@
 }
 
 // Explain says where a job stands at this instance.
-func (r *Reducer) Explain(id *peerpb.Identity) string {
+func (r *Reducer) Explain(now model.Time, id *peerpb.Identity) string {
 	sid := r.ShardOf(id)
 	owner, ok := r.owner(sid)
 	if !ok {
@@ -320,5 +320,9 @@
 	if owner != r.opts.Self {
 		return "The job's shard is owned by instance " + string(owner.Instance) + "; ask there."
 	}
-	return r.own[sid.Index].Explain(id)
+	text, handles := r.own[sid.Index].Explain(id)
+	for _, h := range handles {
+		text += "\n" + explainQueue(r.sched.Explain(now, h))
+	}
+	return text
 }
--- /dev/null
+++ b/internal/core/explain.go
@@ -0,0 +1,33 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+var waitTexts = map[sched.Wait]string{
+	sched.WaitNone:      "nothing holds its next task back",
+	sched.WaitTurn:      "other customers and kinds have their turn first, by weight",
+	sched.WaitSlot:      "every slot that this instance may use is taken",
+	sched.WaitFaster:    "the free servers are so slow that waiting for a faster one ends sooner",
+	sched.WaitShortWork: "the free slots are kept for short work",
+	sched.WaitLimit:     "this instance's share of the limit of its row is used up",
+	sched.WaitNeeds:     "no free server has the resources that it needs",
+}
+
+// explainQueue puts the scheduler's explanation into words.
+func explainQueue(e sched.Explanation) string {
+	text := fmt.Sprintf("Queue of %s, %s: %d tasks wait, %d run, waited %v, %d tasks wait on this instance in all.",
+		e.Customer, e.Kind, e.Waiting, e.Running, e.Waited.Round(time.Millisecond), e.AheadTasks)
+	if e.Waiting > 0 {
+		text += " It waits because " + waitTexts[e.Wait] + "."
+	}
+	if e.Server != "" {
+		text += fmt.Sprintf(" Its latest task went to backend server %s, which takes %.1f times the usual run time.", e.Server, e.ServerSlowness)
+	}
+	text += fmt.Sprintf(" Starts: %d on own slots, %d on borrowed ones, %d in other failure domains, %d refused by servers.",
+		e.StartsOwn, e.StartsBorrowed, e.StartsSpilled, e.NotStarted)
+	return text
+}
--- a/internal/peer/inbox.go
+++ b/internal/peer/inbox.go
@@ -96,6 +96,6 @@
 
 func (m *Manager) countReceived(f *peerpb.Frame) {
 	if m.opts.Stats != nil {
-		m.opts.Stats.FrameReceived(len(f.Messages), proto.Size(f))
+		m.opts.Stats.FrameReceived(f, proto.Size(f))
 	}
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -271,7 +271,7 @@
 func (l *link) write(w *bufio.Writer, f *peerpb.Frame) error {
 	n, err := protodelim.MarshalTo(w, f)
 	if err == nil && l.m.opts.Stats != nil {
-		l.m.opts.Stats.FrameSent(len(f.Messages), n)
+		l.m.opts.Stats.FrameSent(f, n)
 	}
 	return err
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -58,8 +58,8 @@
 
 // Stats counts what goes over the links.
 type Stats interface {
-	FrameSent(messages, bytes int)
-	FrameReceived(messages, bytes int)
+	FrameSent(f *peerpb.Frame, bytes int)
+	FrameReceived(f *peerpb.Frame, bytes int)
 }
 
 // Manager keeps the links of one instance.
--- a/internal/runtime/dispatch.go
+++ b/internal/runtime/dispatch.go
@@ -96,7 +96,7 @@
 // Explain says in plain text where a job stands.
 func (r *Runtime) Explain(ctx context.Context, id *peerpb.Identity) (string, error) {
 	var text string
-	err := r.query(ctx, func() { text = r.core.Explain(id) })
+	err := r.query(ctx, func() { text = r.core.Explain(r.clock.now(), id) })
 	return text, err
 }
 
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -112,6 +112,11 @@
 // tooSlow compares the expected end on a free slow server with that on one
 // of the usual slowness after the queue.
 func (s *Scheduler) tooSlow(f *flow, v *server) bool {
+	// With nothing in flight no slot will come free, and nothing be learned,
+	// by waiting.
+	if len(s.runs.byKey) == 0 {
+		return false
+	}
 	usual := s.usualSlowness()
 	slow := v.speed.likelyFactor()
 	if v.speed.samples < minSlowSample || slow <= slowMargin*usual {
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -90,6 +90,8 @@
 	jobs       map[model.JobHandle]jobRef
 	nextHandle model.JobHandle
 	dirty      []*Shard
+	flushing   []*Shard
+	links      map[Member]linkState
 	tokens     float64 // retries that the budget allows now
 	bytes      int64   // answers kept
 }
@@ -102,19 +104,59 @@
 // NewEnv returns an Env. Queue and Peers are set before the first use.
 func NewEnv(self Member, o Options) *Env {
 	return &Env{
-		Self: self,
-		Opts: o,
-		jobs: make(map[model.JobHandle]jobRef),
+		Self:  self,
+		Opts:  o,
+		jobs:  make(map[model.JobHandle]jobRef),
+		links: make(map[Member]linkState),
 	}
 }
 
-// Flush sends the operations that somebody waits for.
+// Flush sends the operations that somebody waits for, in one batch a link and
+// round trip.
 func (e *Env) Flush(now model.Time) {
+	e.flushing = e.flushing[:0]
+	kept := e.dirty[:0]
 	for _, s := range e.dirty {
+		if s.linkBusy(now) {
+			kept = append(kept, s)
+			continue
+		}
+		e.flushing = append(e.flushing, s)
+	}
+	e.dirty = kept
+	for _, s := range e.flushing {
 		s.Flush(now)
 		s.urgent = false
 	}
-	e.dirty = e.dirty[:0]
+}
+
+// linkState is what is under way to one process.
+type linkState struct {
+	appends int        // sent and not yet answered
+	since   model.Time // when the latest was sent
+}
+
+// linkTimeout is how long a link counts as busy without an answer. Answers
+// are lost when the link begins anew.
+const linkTimeout = 50 * time.Millisecond
+
+func (e *Env) linkBusy(now model.Time, m Member) bool {
+	l := e.links[m]
+	return l.appends > 0 && now.Sub(l.since) < linkTimeout
+}
+
+func (e *Env) sentOn(now model.Time, m Member) {
+	l := e.links[m]
+	if now.Sub(l.since) >= linkTimeout {
+		l.appends = 0
+	}
+	e.links[m] = linkState{appends: l.appends + 1, since: now}
+}
+
+func (e *Env) ackedOn(m Member) {
+	l := e.links[m]
+	l.appends = max(0, l.appends-1)
+	e.links[m] = l
 }
 
 // OpenJobs returns the number of queued jobs and of jobs with tasks in flight.
--- a/internal/shard/explain.go
+++ b/internal/shard/explain.go
@@ -3,19 +3,32 @@
 import (
 	"fmt"
 
+	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
 
-// Explain says in plain text where a job stands.
-func (s *Shard) Explain(id *peerpb.Identity) string {
+// Explain says in plain text where a job stands, and returns its handles in
+// the scheduler while it is open.
+func (s *Shard) Explain(id *peerpb.Identity) (string, []model.JobHandle) {
 	r := s.records[keyOf(id)]
 	switch {
 	case r == nil:
-		return "No job with this identity is remembered."
+		return "No job with this identity is remembered.", nil
 	case r.final != nil:
-		return fmt.Sprintf("The answer is final: %s %s.", r.final.Status, r.final.Problem)
+		return fmt.Sprintf("The answer is final: %s %s.", r.final.Status, r.final.Problem), nil
 	}
 	j := r.job
-	return fmt.Sprintf("%d of %d tasks are closed, %d in flight; intents cover the first %d.",
-		j.closed, len(j.results), j.started, j.intent)
+	text := fmt.Sprintf("%d of %d tasks are closed, %d in flight, %d wait for the replica; intents cover the first %d.",
+		j.closed, len(j.results), j.started, j.count(taskBound), j.intent)
+	return text, j.handles
+}
+
+func (j *job) count(state taskState) int {
+	n := 0
+	for _, st := range j.states {
+		if st == state {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/shard/log.go
+++ b/internal/shard/log.go
@@ -93,7 +93,18 @@
 func (s *Shard) addWait(w wait) {
 	w.seq = max(w.seq, s.lastWait())
 	s.waits = append(s.waits, w)
-	s.markUrgent()
+	if w.seq > s.sent() {
+		s.markUrgent()
+	}
+}
+
+// sent returns the last operation that was sent to every follower.
+func (s *Shard) sent() uint64 {
+	n := s.seq
+	for _, f := range s.followers {
+		n = min(n, f.sent)
+	}
+	return n
 }
 
 func (s *Shard) lastWait() uint64 {
@@ -134,16 +145,29 @@
 	if s.role != RoleOwner || len(s.followers) == 0 {
 		return
 	}
-	due := s.urgent || now.Sub(s.logSince) >= s.env.Opts.ResultDelay
-	if !due {
-		return
+	if s.urgent || now.Sub(s.logSince) >= s.env.Opts.ResultDelay {
+		s.flush(now)
 	}
+}
+
+func (s *Shard) flush(now model.Time) {
 	s.urgent = false
 	for _, f := range s.followers {
 		s.sendLog(now, f)
 	}
 }
 
+// linkBusy reports whether operations to a follower are under way, of this
+// shard or another. Those that come meanwhile make the next batch.
+func (s *Shard) linkBusy(now model.Time) bool {
+	for _, f := range s.followers {
+		if s.env.linkBusy(now, f.member) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendLog sends the operations after f.sent.
 func (s *Shard) sendLog(now model.Time, f *follower) {
 	for f.sent < s.seq {
@@ -160,6 +184,7 @@
 		}})
 		f.sent = s.logBase + upto
 		f.sentAt = now
+		s.env.sentOn(now, f.member)
 	}
 }
 
@@ -195,6 +220,7 @@
 
 // HandleAck takes a follower's acknowledgement.
 func (s *Shard) HandleAck(now model.Time, from Member, m *peerpb.AppendAck) {
+	s.env.ackedOn(from)
 	f := s.follower(from.Instance)
 	if s.role != RoleOwner || f == nil || f.member != from || m.Epoch != s.view.Epoch {
 		return
