Bound the hand-over of a graceful stop to 5 s

Cause: with the platform gone a stopping instance waited for its whole bound for a hand-over that could not happen. Its replicas act once it is gone, so nothing is lost by going.

--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -393,34 +393,18 @@
 	r.replanNow(now)
 }
 
-// Undone returns how much a stopping instance has still to do: open jobs, and
-// shards that another instance could own.
-func (r *Reducer) Undone() int {
-	n := r.env.OpenJobs()
-	if len(r.candidates()) == 0 {
-		return n
-	}
-	return n + r.owned()
-}
+// OpenJobs returns the number of jobs that a stopping instance has to finish.
+func (r *Reducer) OpenJobs() int { return r.env.OpenJobs() }
 
-func (r *Reducer) owned() int {
+// Unhanded returns the number of shards with records that a stopping instance
+// has still to hand over. Those that it can't hand over in time are not lost
+// if they have a replica, which acts once this process is gone.
+func (r *Reducer) Unhanded() int {
 	n := 0
 	for _, s := range r.own {
-		if s.Role() == shard.RoleOwner {
+		if s.Role() == shard.RoleOwner && s.Jobs() > 0 {
 			n++
 		}
 	}
 	return n
 }
-
-// Unreplicated returns the number of records that only this instance holds
-// and that a successor could still take.
-func (r *Reducer) Unreplicated() int {
-	n := 0
-	for _, s := range r.own {
-		if s.Role() == shard.RoleOwner {
-			n += s.Jobs()
-		}
-	}
-	return n
-}
--- a/internal/runtime/cluster.go
+++ b/internal/runtime/cluster.go
@@ -284,23 +284,23 @@
 	if err := r.announce(ctx); err != nil {
 		r.platformError("announce leaving", err)
 	}
-	r.undone.Store(1)
-	r.alone.Store(1)
+	r.open.Store(1)
+	r.unhanded.Store(1)
 	r.stopping.Store(true)
 	r.Post(core.Stop{})
 	began := time.Now()
 	for ctx.Err() == nil {
-		waits := r.alone.Load() > 0 && time.Since(began) < successorWait
-		if !waits && r.undone.Load() == 0 && r.inFlight.Load() == 0 {
+		hands := r.unhanded.Load() > 0 && time.Since(began) < handOverBound
+		if !hands && r.open.Load() == 0 && r.inFlight.Load() == 0 {
 			return
 		}
 		r.pause(drainPoll)
 	}
 }
 
-// successorWait is how long a stopping instance waits for another one of its
-// domain to take over records that only it holds.
-const successorWait = 5 * time.Second
+// handOverBound is how long a stopping instance tries to hand its shards over,
+// also when no other instance of its domain is known yet.
+const handOverBound = 5 * time.Second
 
 // drainPoll is how often Drain looks whether it is done.
 const drainPoll = 20 * time.Millisecond
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -58,8 +58,8 @@
 	requests atomic.Uint64
 	inFlight atomic.Int64 // tasks started and not yet answered
 	stopping atomic.Bool
-	alone    atomic.Int64 // records that would be lost with this process
-	undone   atomic.Int64 // what a graceful stop waits for
+	open     atomic.Int64 // jobs that a graceful stop waits for
+	unhanded atomic.Int64 // shards that a graceful stop hands over
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *peerpb.Answer
@@ -188,8 +188,8 @@
 		r.opts.Observer.Note(n)
 	}
 	if r.stopping.Load() {
-		r.undone.Store(int64(r.core.Undone()))
-		r.alone.Store(int64(r.core.Unreplicated()))
+		r.open.Store(int64(r.core.OpenJobs()))
+		r.unhanded.Store(int64(r.core.Unhanded()))
 	}
 }
 
