Pass the table on between instances

A pure core takes only newer versions, from the platform's watch or from a peer. The first instance of a failure domain watches, the second takes over when the first cannot; edits are pushed inside the domain, announcements of versions let everybody else fetch what it lacks, also at start while the platform is down. Status says per domain: in force, pending or cut off.

Ruled out: a watch at every instance (16 waiting calls in place of one a domain); announcing every change at once to other domains (they have a watch of their own, and would fetch what is already under way).

--- /dev/null
+++ b/internal/tablesync/core_test.go
@@ -0,0 +1,201 @@
+package tablesync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+)
+
+const second = model.Time(time.Second)
+
+func coreOf(id model.Instance) *Core {
+	return New(Options{Self: id, Domain: model.Domain(id[:1]), Domains: []model.Domain{"a", "b"}})
+}
+
+func peersOf(ids ...model.Instance) []Peer {
+	var list []Peer
+	for _, id := range ids {
+		list = append(list, Peer{ID: id, Domain: model.Domain(id[:1])})
+	}
+	return list
+}
+
+// history returns edits 1 to n, each of a row of its own.
+func history(n int) []table.Edit {
+	var edits []table.Edit
+	for i := range n {
+		key := table.Key{Customer: model.Customer(fmt.Sprintf("c%d", i)), Domain: "*", Kind: "*"}
+		limit := i
+		edits = append(edits, table.Edit{Version: uint64(i + 1), ID: "e", Changes: []table.Change{{Key: key, After: &table.Values{Concurrency: &limit}}}})
+	}
+	return edits
+}
+
+func tableOf(edits []table.Edit) *table.Snapshot {
+	s, _ := table.Empty().Apply(edits)
+	return s
+}
+
+func TestOlderTablesAreIgnored(t *testing.T) {
+	edits := history(5)
+	old := tableOf(edits[:3])
+	cases := []struct {
+		name string
+		feed func(c *Core)
+	}{
+		{"platform", func(c *Core) { c.Loaded(old, edits[:3]) }},
+		{"own edit", func(c *Core) { c.Put(old, edits[2:3]) }},
+		{"whole table of a peer", func(c *Core) {
+			for _, m := range chunks(old) {
+				c.Receive(second, "a2", m)
+			}
+		}},
+		{"edits of a peer", func(c *Core) { c.Receive(second, "a2", editsMessage(edits[:3])) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := coreOf("a1")
+			c.SetPeers(0, peersOf("a2"))
+			c.Loaded(tableOf(edits), edits)
+			c.Ready()
+			tc.feed(c)
+			if out := c.Ready(); out.Changed || c.Snapshot().Version() != 5 {
+				t.Fatalf("version %d", c.Snapshot().Version())
+			}
+		})
+	}
+}
+
+func TestChunksAreTakenWhole(t *testing.T) {
+	whole := tableOf(history(3*chunkRows - 1))
+	messages := chunks(whole)
+	cases := []struct {
+		name  string
+		order []int
+		from  []model.Instance // sender of each
+		taken bool
+	}{
+		{"in order", []int{0, 1, 2}, []model.Instance{"b1", "b1", "b1"}, true},
+		{"one missing", []int{0, 2}, []model.Instance{"b1", "b1"}, false},
+		{"first missing", []int{1, 2}, []model.Instance{"b1", "b1"}, false},
+		{"of two senders", []int{0, 1, 2}, []model.Instance{"b1", "b2", "b1"}, false},
+		{"begun again", []int{0, 1, 0, 1, 2}, []model.Instance{"b1", "b1", "b2", "b2", "b2"}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := coreOf("a1")
+			for i, n := range tc.order {
+				c.Receive(0, tc.from[i], messages[n])
+			}
+			if got := c.Snapshot(); (got.Len() == whole.Len() && got.Version() == whole.Version()) != tc.taken || c.Ready().Changed != tc.taken {
+				t.Fatalf("version %d with %d rows", got.Version(), got.Len())
+			}
+		})
+	}
+}
+
+func TestEditsArePushedToTheDomain(t *testing.T) {
+	c := coreOf("a1")
+	c.SetPeers(0, peersOf("a2", "a3", "b1"))
+	c.Loaded(tableOf(history(2)), history(2))
+	c.Ready()
+	c.Loaded(tableOf(history(3)), history(3))
+	pushed := 0
+	for _, s := range c.Ready().Sends {
+		if e := s.Message.GetEdits(); e != nil && len(e.GetEdits()) == 1 && s.To != "b1" {
+			pushed++
+		}
+	}
+	if pushed != 2 {
+		t.Fatalf("pushed to %d peers", pushed)
+	}
+}
+
+func TestFetchIsRepeated(t *testing.T) {
+	c := coreOf("a1")
+	c.SetPeers(0, peersOf("a2", "b1"))
+	c.Ready()
+	fetches := func(at model.Time, from model.Instance) int {
+		c.Receive(at, from, announce(4, "a", false))
+		n := 0
+		for _, s := range c.Ready().Sends {
+			if s.Message.GetFetch() != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if fetches(second, "a2") != 1 || fetches(second, "b1") != 0 || fetches(4*second, "b1") != 1 {
+		t.Fatal("one fetch at a time, and another after the timeout")
+	}
+}
+
+// TestFewWatch runs the instances of one domain on each other's messages.
+func TestFewWatch(t *testing.T) {
+	cases := []struct {
+		name   string
+		broken []model.Instance // cannot watch
+		want   int              // instances that try
+	}{
+		{"all well", nil, 1},
+		{"the first cannot watch", []model.Instance{"a1"}, 2},
+		{"none can watch", []model.Instance{"a1", "a2", "a3", "a4"}, 2},
+	}
+	ids := []model.Instance{"a1", "a2", "a3", "a4"}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			cores := make(map[model.Instance]*Core)
+			for _, id := range ids {
+				cores[id] = coreOf(id)
+			}
+			for i, id := range ids {
+				others := append(append([]model.Instance{}, ids[:i]...), ids[i+1:]...)
+				cores[id].SetPeers(second, peersOf(others...))
+			}
+			var now model.Time
+			for now = second; now < 30*second; now += second {
+				step(now, ids, cores, tc.broken)
+			}
+			trying := 0
+			for _, id := range ids {
+				if cores[id].ShouldWatch(now) {
+					trying++
+				}
+			}
+			if trying != tc.want {
+				t.Fatalf("%d instances watch, want %d", trying, tc.want)
+			}
+		})
+	}
+}
+
+func step(now model.Time, ids []model.Instance, cores map[model.Instance]*Core, broken []model.Instance) {
+	fails := make(map[model.Instance]bool)
+	for _, id := range broken {
+		fails[id] = true
+	}
+	for _, id := range ids {
+		c := cores[id]
+		if c.ShouldWatch(now) && fails[id] {
+			c.WatchFailed()
+		} else if c.ShouldWatch(now) {
+			c.Loaded(table.Empty(), nil)
+		}
+		c.Tick(now)
+		for _, s := range c.Ready().Sends {
+			cores[s.To].Receive(now, id, s.Message)
+		}
+	}
+}
+
+func TestMessagesOfOtherReleasesAreIgnored(t *testing.T) {
+	c := coreOf("a1")
+	c.Receive(0, "a2", &peerpb.TableMessage{})
+	if out := c.Ready(); out.Changed || len(out.Sends) > 0 {
+		t.Fatalf("%+v", out)
+	}
+}
--- /dev/null
+++ b/internal/tablesync/runner.go
@@ -0,0 +1,173 @@
+package tablesync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+)
+
+// Times of the watch of the platform.
+const (
+	watchWait     = 5 * time.Second
+	watchGap      = time.Second // between two reads, so that a burst of edits costs few
+	minRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
+	idleCheck     = time.Second
+)
+
+// RunnerOptions are the settings of a Runner.
+type RunnerOptions struct {
+	Core     Options
+	Store    *tablestore.Store
+	Send     func(to model.Instance, m *peerpb.TableMessage) // must not block; may drop
+	OnChange func(*table.Snapshot)                           // may be nil; versions only grow
+	OnError  func(error)                                     // failures of the platform; may be nil
+}
+
+// Runner drives a Core. Its methods are safe for concurrent use.
+type Runner struct {
+	opts RunnerOptions
+	mu   sync.Mutex
+	core *Core
+}
+
+// NewRunner returns a runner. Run starts it.
+func NewRunner(o RunnerOptions) *Runner { return &Runner{opts: o, core: New(o.Core)} }
+
+// do runs a step of the core and carries out its output. The lock orders
+// sends and changes.
+func (r *Runner) do(step func(now model.Time, c *Core)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	step(model.Time(time.Now().UnixNano()), r.core)
+	out := r.core.Ready()
+	if out.Changed && r.opts.OnChange != nil {
+		r.opts.OnChange(r.core.Snapshot())
+	}
+	for _, s := range out.Sends {
+		r.opts.Send(s.To, s.Message)
+	}
+}
+
+// SetPeers replaces the list of live instances, this one left out.
+func (r *Runner) SetPeers(list []Peer) {
+	r.do(func(now model.Time, c *Core) { c.SetPeers(now, list) })
+}
+
+// Receive takes a message from another instance.
+func (r *Runner) Receive(from model.Instance, m *peerpb.TableMessage) {
+	r.do(func(now model.Time, c *Core) { c.Receive(now, from, m) })
+}
+
+// Edited takes an edit that this instance wrote to the platform, so that it
+// need not wait for the watch. An edit that does not follow the table in
+// force is left to the watch.
+func (r *Runner) Edited(e table.Edit) {
+	r.do(func(_ model.Time, c *Core) {
+		if next, ok := c.Snapshot().Apply([]table.Edit{e}); ok {
+			c.Put(next, []table.Edit{e})
+		}
+	})
+}
+
+// Snapshot returns the table in force.
+func (r *Runner) Snapshot() *table.Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Snapshot()
+}
+
+// Status returns how far a version has come in each failure domain.
+func (r *Runner) Status(version uint64) []DomainStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Status(model.Time(time.Now().UnixNano()), version)
+}
+
+// Run watches the platform when this instance is to, and ticks, until ctx
+// ends.
+func (r *Runner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { r.tick(ctx) })
+	wg.Go(func() { r.watch(ctx) })
+	wg.Wait()
+}
+
+func (r *Runner) tick(ctx context.Context) {
+	t := time.NewTicker(TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.do(func(now model.Time, c *Core) { c.Tick(now) })
+		}
+	}
+}
+
+func (r *Runner) watch(ctx context.Context) {
+	var index uint64
+	delay := minRetryDelay
+	for ctx.Err() == nil {
+		if !r.shouldWatch() {
+			pause(ctx, idleCheck)
+			continue
+		}
+		next, err := r.read(ctx, index)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			r.failed(err)
+			index = 0
+			pause(ctx, delay)
+			delay = min(2*delay, maxRetryDelay)
+			continue
+		}
+		index = next
+		delay = minRetryDelay
+		pause(ctx, watchGap)
+	}
+}
+
+func (r *Runner) shouldWatch() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.ShouldWatch(model.Time(time.Now().UnixNano()))
+}
+
+// read makes one call of the watch and takes the table that it shows.
+func (r *Runner) read(ctx context.Context, index uint64) (uint64, error) {
+	ch, err := r.opts.Store.Watch(ctx, index, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	snap, err := r.opts.Store.Advance(ctx, r.Snapshot(), ch.Log)
+	if err != nil {
+		return 0, err
+	}
+	r.do(func(_ model.Time, c *Core) { c.Loaded(snap, ch.Log.Edits) })
+	return ch.Index, nil
+}
+
+func (r *Runner) failed(err error) {
+	if r.opts.OnError != nil {
+		r.opts.OnError(err)
+	}
+	r.do(func(_ model.Time, c *Core) { c.WatchFailed() })
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/tablesync/runner_test.go
@@ -0,0 +1,434 @@
+package tablesync_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/platform/platformtest"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+	"github.com/nutmegweir/nutmegweir/internal/tablesync"
+)
+
+const (
+	numDomains = 6
+	perDomain  = 2
+	linkDelay  = time.Millisecond
+	// inForceBound is the target: a change is in force within seconds.
+	inForceBound = 5 * time.Second
+	settle       = 10 * time.Second
+)
+
+// node is one instance with a link of its own to the platform.
+type node struct {
+	id      model.Instance
+	domain  model.Domain
+	fake    *platformtest.Fake
+	runner  *tablesync.Runner
+	cancel  context.CancelFunc
+	done    chan struct{}
+	highest uint64
+	reached map[uint64]time.Time // when each version came in force
+}
+
+// fleet is a set of nodes joined by links that can be cut.
+type fleet struct {
+	t       *testing.T
+	backing *standin.Store
+	editor  *tablestore.Store
+	mu      sync.Mutex
+	nodes   map[model.Instance]*node
+	order   []model.Instance
+	domains []model.Domain
+	cut     map[model.Domain]bool // cut off from the other domains
+	bytes   int
+	sent    int
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, backing: standin.NewStore(0), nodes: make(map[model.Instance]*node), cut: make(map[model.Domain]bool)}
+	f.editor = tablestore.New(tablestore.Options{Platform: platformtest.NewFake(f.backing)})
+	for d := range numDomains {
+		f.domains = append(f.domains, model.Domain(fmt.Sprintf("d%d", d)))
+	}
+	for _, d := range f.domains {
+		for i := range perDomain {
+			f.order = append(f.order, model.Instance(fmt.Sprintf("%s-%d", d, i)))
+		}
+	}
+	for _, id := range f.order {
+		f.start(id)
+	}
+	f.setPeers()
+	return f
+}
+
+func domainOf(id model.Instance) model.Domain { return model.Domain(id[:2]) }
+
+// start starts a node, or a replacement with empty memory.
+func (f *fleet) start(id model.Instance) *node {
+	n := &node{id: id, domain: domainOf(id), fake: platformtest.NewFake(f.backing), done: make(chan struct{}), reached: make(map[uint64]time.Time)}
+	n.fake.Faults.Set(standin.Faults{LatencyMs: 2})
+	n.runner = tablesync.NewRunner(tablesync.RunnerOptions{
+		Core:     tablesync.Options{Self: id, Domain: n.domain, Domains: f.domains},
+		Store:    tablestore.New(tablestore.Options{Platform: n.fake}),
+		Send:     func(to model.Instance, m *peerpb.TableMessage) { f.send(n, to, m) },
+		OnChange: func(s *table.Snapshot) { f.changed(n, s) },
+	})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	n.cancel = cancel
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	go func() { defer close(n.done); n.runner.Run(ctx) }()
+	return n
+}
+
+func (f *fleet) stop(id model.Instance) {
+	n := f.nodes[id]
+	n.cancel()
+	<-n.done
+	f.mu.Lock()
+	delete(f.nodes, id)
+	f.mu.Unlock()
+}
+
+func (f *fleet) stopAll() {
+	for id := range f.nodes {
+		f.stop(id)
+	}
+	time.Sleep(time.Second) // messages on their way end
+}
+
+func (f *fleet) setPeers() {
+	for _, id := range f.order {
+		n := f.nodes[id]
+		if n == nil {
+			continue
+		}
+		var list []tablesync.Peer
+		for _, other := range f.order {
+			if other != id {
+				list = append(list, tablesync.Peer{ID: other, Domain: domainOf(other)})
+			}
+		}
+		n.runner.SetPeers(list)
+	}
+}
+
+// changed fails the test if a node goes back.
+func (f *fleet) changed(n *node, s *table.Snapshot) {
+	if s.Version() <= n.highest {
+		f.t.Errorf("%s went from version %d to %d", n.id, n.highest, s.Version())
+	}
+	n.highest = s.Version()
+	f.mu.Lock()
+	n.reached[s.Version()] = time.Now()
+	f.mu.Unlock()
+}
+
+func (f *fleet) send(from *node, to model.Instance, m *peerpb.TableMessage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	f.bytes += proto.Size(m)
+	d := domainOf(to)
+	if from.domain != d && (f.cut[from.domain] || f.cut[d]) {
+		return
+	}
+	time.AfterFunc(linkDelay, func() {
+		f.mu.Lock()
+		n := f.nodes[to]
+		f.mu.Unlock()
+		if n != nil {
+			n.runner.Receive(from.id, m)
+		}
+	})
+}
+
+// faults sets the faults of a domain's links to the platform.
+func (f *fleet) faults(d model.Domain, faults standin.Faults) {
+	for _, n := range f.nodes {
+		if n.domain == d {
+			n.fake.Faults.Set(faults)
+		}
+	}
+}
+
+func (f *fleet) cutLinks(d model.Domain, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[d] = cut
+}
+
+// edit writes one change and returns its version.
+func (f *fleet) edit(i int) uint64 {
+	f.t.Helper()
+	snap, err := f.editor.Load(f.t.Context())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	weight := float64(i + 1)
+	key := table.Key{Customer: "a", Domain: table.Any, Kind: table.Any}
+	row, _ := snap.Row(key)
+	req := tablestore.Request{ID: fmt.Sprintf("edit-%d-%d", snap.Version(), i), Actor: "ann", AtUnixMs: time.Now().UnixMilli()}
+	req.Changes = []table.Change{{Key: key, Base: row.Version, After: &table.Values{Weight: &weight}}}
+	res, err := f.editor.Edit(f.t.Context(), req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return res.Edit.Version
+}
+
+// requireInForce waits for the bound and fails if a node outside except lacks
+// a version.
+func (f *fleet) requireInForce(version uint64, except ...model.Domain) {
+	f.t.Helper()
+	time.Sleep(inForceBound)
+	for _, id := range f.order {
+		n := f.nodes[id]
+		if n == nil || slices.Contains(except, n.domain) {
+			continue
+		}
+		if got := n.runner.Snapshot().Version(); got < version {
+			f.t.Errorf("%s has version %d, want %d", id, got, version)
+		}
+	}
+}
+
+// requireReach checks what a node reports of a domain.
+func (f *fleet) requireReach(from model.Instance, version uint64, d model.Domain, want tablesync.Reach) {
+	f.t.Helper()
+	for _, s := range f.nodes[from].runner.Status(version) {
+		if s.Domain == d && s.Reach != want {
+			f.t.Errorf("%s reports version %d as %q in %s, want %q", from, version, s.Reach, d, want)
+		}
+	}
+}
+
+var outage = standin.Faults{Refuse: true}
+
+var propagation = []struct {
+	name string
+	run  func(f *fleet)
+}{
+	{"no fault", func(f *fleet) {
+		for i := range 5 {
+			f.requireInForce(f.edit(i))
+		}
+		f.requireReach("d0-0", 5, "d5", tablesync.ReachInForce)
+	}},
+	{"domain cut off from the platform", func(f *fleet) {
+		f.faults("d3", outage)
+		f.requireInForce(f.edit(0))
+	}},
+	{"platform hangs for a domain", func(f *fleet) {
+		f.faults("d3", standin.Faults{Hang: true})
+		f.requireInForce(f.edit(0))
+	}},
+	{"one instance's link to the platform is broken and its domain is cut off", func(f *fleet) {
+		f.cutLinks("d3", true)
+		f.nodes["d3-0"].fake.Faults.Set(outage)
+		time.Sleep(settle)
+		f.requireInForce(f.edit(0))
+	}},
+	{"domain cut off from all, then healed", func(f *fleet) {
+		f.requireInForce(f.edit(0))
+		f.cutLinks("d3", true)
+		f.faults("d3", outage)
+		time.Sleep(2 * settle)
+		v := f.edit(1)
+		f.requireInForce(v, "d3")
+		f.requireReach("d0-0", v, "d3", tablesync.ReachCutOff)
+		f.requireReach("d0-0", v, "d2", tablesync.ReachInForce)
+		f.requireReach("d3-0", v, "d3", tablesync.ReachPending)
+		f.cutLinks("d3", false)
+		f.faults("d3", standin.Faults{})
+		f.requireInForce(v)
+		f.requireReach("d0-0", v, "d3", tablesync.ReachInForce)
+	}},
+	{"stale peer comes back while the platform is down", func(f *fleet) {
+		f.cutLinks("d3", true)
+		f.faults("d3", outage)
+		v := f.edit(0)
+		f.requireInForce(v, "d3")
+		for _, d := range f.domains {
+			f.faults(d, outage)
+		}
+		f.cutLinks("d3", false)
+		f.requireInForce(v)
+	}},
+	{"restart while the platform is down", func(f *fleet) {
+		v := f.edit(0)
+		f.requireInForce(v)
+		for _, d := range f.domains {
+			f.faults(d, outage)
+		}
+		for _, id := range []model.Instance{"d3-0", "d3-1"} {
+			f.stop(id)
+			f.start(id).fake.Faults.Set(outage)
+		}
+		f.setPeers()
+		f.requireInForce(v)
+	}},
+	{"platform restored late", func(f *fleet) {
+		v := f.edit(0)
+		f.requireInForce(v)
+		for _, d := range f.domains {
+			f.faults(d, outage)
+		}
+		time.Sleep(10 * time.Minute)
+		for _, d := range f.domains {
+			f.faults(d, standin.Faults{})
+		}
+		time.Sleep(settle)
+		f.requireInForce(f.edit(1))
+	}},
+	{"platform restored with older data", func(f *fleet) {
+		f.edit(0)
+		v := f.edit(1)
+		f.requireInForce(v)
+		old := f.backing.Get("log")
+		f.backing.Delete("log", old.Index)
+		time.Sleep(settle)
+		f.requireInForce(v)
+	}},
+	{"watching instance dies", func(f *fleet) {
+		f.cutLinks("d3", true)
+		f.stop("d3-0")
+		time.Sleep(2 * settle)
+		f.requireInForce(f.edit(0))
+	}},
+	{"more edits than the log holds while a domain is cut off", func(f *fleet) {
+		f.cutLinks("d3", true)
+		f.faults("d3", outage)
+		var v uint64
+		for i := range 150 {
+			v = f.edit(i)
+		}
+		f.requireInForce(v, "d3")
+		f.cutLinks("d3", false)
+		f.requireInForce(v)
+	}},
+}
+
+func TestInForceWithinSecondsAndNeverBack(t *testing.T) {
+	for _, c := range propagation {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				time.Sleep(settle)
+				c.run(f)
+				f.stopAll()
+			})
+		})
+	}
+}
+
+// TestCostOfChanges reports the time to force and the cost of a burst of 100
+// edits in 10 s, and holds it below the bound of 18 KB/s a node.
+func TestCostOfChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			loneEdits     = 20
+			edits         = 100
+			every         = 100 * time.Millisecond
+			bytesASecond  = 18_000
+			watchersBytes = 4.0 / 3.0 // base64 in the answers of the platform
+		)
+		f := newFleet(t)
+		time.Sleep(settle)
+		lone := make(map[uint64]time.Time)
+		for i := range loneEdits {
+			lone[f.edit(i)] = time.Now()
+			time.Sleep(settle)
+		}
+		f.report(t, "lone edits", lone)
+		sentBefore, bytesBefore := f.traffic()
+		before := f.totals()
+		start := time.Now()
+		written := make(map[uint64]time.Time)
+		for i := range edits {
+			written[f.edit(i)] = time.Now()
+			time.Sleep(every)
+		}
+		burst := f.totals()
+		took := time.Since(start)
+		sent, bytes := f.traffic()
+		sent, bytes = sent-sentBefore, bytes-bytesBefore
+		f.requireInForce(loneEdits + edits)
+		f.report(t, "burst", written)
+		calls, read, busiest := 0, 0, 0.0
+		for id, b := range burst {
+			a := before[id]
+			calls += b.calls - a.calls
+			read += b.read - a.read
+			rate := watchersBytes * float64(b.read-a.read) / took.Seconds()
+			busiest = max(busiest, rate)
+		}
+		nodes := float64(len(f.order))
+		t.Logf("burst of %d edits in %v, %d domains of %d nodes: %.2f platform calls and %.0f bytes read a node per change, busiest node reads %.0f B/s", edits, took, numDomains, perDomain, float64(calls)/nodes/edits, float64(read)/nodes/edits, busiest)
+		t.Logf("%d peer messages of %d bytes together, %.0f bytes a node per change", sent, bytes, float64(bytes)/nodes/edits)
+		if peer := float64(bytes) / nodes / took.Seconds(); busiest+peer > bytesASecond {
+			t.Errorf("%.0f B/s at the busiest node, more than %d", busiest+peer, bytesASecond)
+		}
+		f.stopAll()
+	})
+}
+
+// traffic returns the messages and bytes sent between nodes so far.
+func (f *fleet) traffic() (messages, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent, f.bytes
+}
+
+type totals struct{ calls, read int }
+
+func (f *fleet) totals() map[model.Instance]totals {
+	m := make(map[model.Instance]totals)
+	for id, n := range f.nodes {
+		c := n.fake.Counts.Totals()
+		m[id] = totals{calls: c.All(), read: c.Received}
+	}
+	return m
+}
+
+// report logs the time from each edit to its being in force everywhere.
+func (f *fleet) report(t *testing.T, name string, written map[uint64]time.Time) {
+	var times []time.Duration
+	for v, at := range written {
+		times = append(times, f.lastReached(v).Sub(at))
+	}
+	slices.Sort(times)
+	t.Logf("%s: time to force everywhere: median %v, 99th percentile %v, longest %v", name, times[len(times)/2], times[len(times)*99/100], times[len(times)-1])
+}
+
+// lastReached returns when the last node had a version or a later one.
+func (f *fleet) lastReached(version uint64) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var last time.Time
+	for _, n := range f.nodes {
+		var first time.Time
+		for v, at := range n.reached {
+			if v >= version && (first.IsZero() || at.Before(first)) {
+				first = at
+			}
+		}
+		if first.After(last) {
+			last = first
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/tablesync/status.go
@@ -0,0 +1,70 @@
+package tablesync
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Reach says how far a version has come in one failure domain.
+type Reach string
+
+// Values of Reach.
+const (
+	ReachInForce Reach = "in force" // at every live instance
+	ReachPending Reach = "pending"  // not yet at every live instance
+	ReachCutOff  Reach = "cut off"  // no instance has been heard of
+)
+
+// InstanceStatus is what is known of one instance.
+type InstanceStatus struct {
+	ID       model.Instance `json:"id"`
+	Version  uint64         `json:"version"` // in force there when it was last heard of
+	Silent   bool           `json:"silent"`
+	Watching bool           `json:"watching"`
+}
+
+// DomainStatus is what is known of one failure domain.
+type DomainStatus struct {
+	Domain    model.Domain     `json:"domain"`
+	Reach     Reach            `json:"reach"`
+	Version   uint64           `json:"version"` // in force at every instance that is not silent
+	Instances []InstanceStatus `json:"instances"`
+}
+
+// Status returns, for each failure domain in the order of the settings, how
+// far a version has come as this instance knows.
+func (c *Core) Status(now model.Time, version uint64) []DomainStatus {
+	list := make([]DomainStatus, 0, len(c.opts.Domains))
+	for _, d := range c.opts.Domains {
+		list = append(list, c.domainStatus(now, d, version))
+	}
+	return list
+}
+
+func (c *Core) domainStatus(now model.Time, d model.Domain, version uint64) DomainStatus {
+	s := DomainStatus{Domain: d, Reach: ReachCutOff}
+	if d == c.opts.Domain {
+		s.add(InstanceStatus{ID: c.opts.Self, Version: c.snap.Version(), Watching: c.watchOK})
+	}
+	for _, p := range c.peers {
+		if p.Domain == d {
+			silent := p.heard == 0 || now.Sub(p.heard) >= silentAfter
+			s.add(InstanceStatus{ID: p.ID, Version: p.version, Silent: silent, Watching: p.watching})
+		}
+	}
+	if s.Reach == ReachPending && s.Version >= version {
+		s.Reach = ReachInForce
+	}
+	return s
+}
+
+func (s *DomainStatus) add(i InstanceStatus) {
+	s.Instances = append(s.Instances, i)
+	if i.Silent {
+		return
+	}
+	if s.Reach == ReachCutOff {
+		s.Reach = ReachPending
+		s.Version = i.Version
+	}
+	s.Version = min(s.Version, i.Version)
+}
