--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,198 @@
+package core
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// link is what is known of the process at a peer address.
+type link struct {
+	info   InstanceInfo
+	up     bool
+	member shard.Member // who answered last
+	// silent is when the latest connection began that stayed unanswered for
+	// the whole silence bound, 0 if one was answered or refused since.
+	silent model.Time
+}
+
+// known is what is known of one process.
+type known struct {
+	addr    string
+	since   model.Time // when the address was learned
+	confirm uint64     // its latest confirm counter
+	at      model.Time // when that counter was learned
+}
+
+// peers tells who is alive, from the answers to fresh connections.
+type peers struct {
+	self    shard.Member
+	addr    string // own address
+	now     model.Time
+	links   map[string]*link // by address
+	order   []string         // addresses, in the order they were learned
+	members map[shard.Member]*known
+	dead    map[shard.Member]bool
+	byName  map[model.Instance]shard.Member // latest process that answered
+	changed bool                            // the set of addresses has changed
+}
+
+func newPeers(self shard.Member, addr string) *peers {
+	return &peers{
+		self:    self,
+		addr:    addr,
+		links:   make(map[string]*link),
+		members: make(map[shard.Member]*known),
+		dead:    make(map[shard.Member]bool),
+		byName:  make(map[model.Instance]shard.Member),
+	}
+}
+
+// Liveness implements shard.Peers. A process counts as silent only by a
+// connection that began after its present confirm counter was known here: one
+// that was unanswered before may have been paused, and have confirmed its
+// views since (spec/replication.pml, W_SILENCE_FIRST).
+func (p *peers) Liveness(m shard.Member) shard.Liveness {
+	if m == p.self {
+		return shard.Alive
+	}
+	if p.dead[m] {
+		return shard.Dead
+	}
+	k := p.members[m]
+	if k == nil {
+		return shard.Alive
+	}
+	l := p.links[k.addr]
+	if l == nil || l.silent == 0 || l.silent < k.at {
+		return shard.Alive
+	}
+	return shard.Silent
+}
+
+// connected reports whether messages can be sent to m now.
+func (p *peers) connected(m shard.Member) bool {
+	k := p.members[m]
+	if k == nil {
+		return false
+	}
+	l := p.links[k.addr]
+	return l != nil && l.up && l.member == m
+}
+
+// learn keeps the address of an instance.
+func (p *peers) learn(i InstanceInfo) {
+	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
+		return
+	}
+	if i.Addr == p.addr {
+		// This process listens there, so the one that did before is gone.
+		p.dead[i.Member] = true
+		return
+	}
+	p.know(i.Member, i.Addr, i.Confirm)
+	l := p.links[i.Addr]
+	if l == nil {
+		p.links[i.Addr] = &link{info: i}
+		p.order = append(p.order, i.Addr)
+		p.changed = true
+		return
+	}
+	if l.up && l.member != i.Member {
+		return
+	}
+	l.info = i
+}
+
+func (p *peers) know(m shard.Member, addr string, confirm uint64) {
+	k := p.members[m]
+	if k == nil {
+		p.members[m] = &known{addr: addr, since: p.now, confirm: confirm, at: p.now}
+		return
+	}
+	if confirm > k.confirm {
+		k.confirm = confirm
+		k.at = p.now
+	}
+}
+
+// forget drops addresses whose process is dead and that keep does not name.
+func (p *peers) forget(keep map[string]bool) {
+	order := p.order[:0]
+	for _, a := range p.order {
+		l := p.links[a]
+		if l.up || keep[a] {
+			order = append(order, a)
+			continue
+		}
+		delete(p.links, a)
+		p.changed = true
+	}
+	p.order = order
+}
+
+func (p *peers) answered(e PeerUp) *link {
+	l := p.links[e.Addr]
+	if l == nil || p.dead[e.Member] {
+		return nil
+	}
+	p.deadAt(e.Addr, e.Member, e.Began)
+	p.know(e.Member, e.Addr, 0)
+	p.byName[e.Member.Instance] = e.Member
+	l.up = true
+	l.silent = 0
+	l.member = e.Member
+	l.info.Member = e.Member
+	l.info.Domain = e.Domain
+	return l
+}
+
+// deadAt notes that processes known at an address are gone, but the one that
+// answers there. Processes that were learned after the connection began may
+// have come after it was answered.
+func (p *peers) deadAt(addr string, but shard.Member, began model.Time) {
+	for m, k := range p.members {
+		if k.addr == addr && m != but && k.since < began {
+			p.dead[m] = true
+			delete(p.members, m)
+		}
+	}
+}
+
+func (p *peers) refused(e PeerRefused) {
+	l := p.links[e.Addr]
+	if l == nil {
+		return
+	}
+	p.deadAt(e.Addr, shard.Member{}, e.Began)
+	l.up = false
+	l.silent = 0
+}
+
+func (p *peers) unanswered(e PeerUnanswered, suspendedAt model.Time) {
+	l := p.links[e.Addr]
+	if l == nil {
+		return
+	}
+	l.up = false
+	// A connection that spans a pause of this instance shows nothing.
+	if e.Began > suspendedAt {
+		l.silent = e.Began
+	}
+}
+
+// restartSilence forgets which peers were silent, for this instance has not
+// been watching.
+func (p *peers) restartSilence() {
+	for _, l := range p.links {
+		l.silent = 0
+	}
+}
+
+// dial returns the links to keep, in a stable order.
+func (p *peers) dial() []InstanceInfo {
+	list := make([]InstanceInfo, 0, len(p.order))
+	for _, a := range p.order {
+		list = append(list, p.links[a].info)
+	}
+	return list
+}
