Add the audit trail on a watermill topic

A bounded trail in memory with filters by time, row, customer, action and actor; refusals go in as sums a customer and reason. Publishing waits for the trail's acknowledgement, because watermill's in-memory channel does not keep the order otherwise; nothing of it is on the path of a task.

--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,259 @@
+// Package audit is the audit trail: who changed what, and what the instance
+// decided on its own. Records pass through a watermill topic to a bounded
+// trail in memory; edits of the table are besides kept on the platform with
+// the table itself.
+package audit
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/table"
+)
+
+// Topic is the watermill topic of the records.
+const Topic = "audit"
+
+// DefaultKeep is the number of records that a trail keeps.
+const DefaultKeep = 10_000
+
+// Action says what was done.
+type Action string
+
+// Actions.
+const (
+	ActionEdit       Action = "edit"       // a row of the table was changed or removed
+	ActionRefused    Action = "refused"    // an operator's request was refused
+	ActionInForce    Action = "in-force"   // a table version is in force in a failure domain
+	ActionView       Action = "view"       // the view of a shard was changed
+	ActionQuarantine Action = "quarantine" // a backend server gets no work because its tasks fail
+	ActionRestore    Action = "restore"    // a backend server gets work again
+	ActionRefusals   Action = "refusals"   // submissions were refused; Count says how many
+)
+
+// Record is one entry of the trail. Fields that do not apply are absent.
+type Record struct {
+	AtUnixMs int64          `json:"at_unix_ms"`
+	Action   Action         `json:"action"`
+	Actor    string         `json:"actor,omitempty"` // operator's name; absent for the instance itself
+	Instance model.Instance `json:"instance,omitempty"`
+	Domain   model.Domain   `json:"domain,omitempty"`
+	Customer model.Customer `json:"customer,omitempty"`
+	Row      string         `json:"row,omitempty"`     // table row, shard or backend server
+	Version  uint64         `json:"version,omitempty"` // of the table
+	EditID   string         `json:"edit_id,omitempty"`
+	Before   *table.Values  `json:"before,omitempty"`
+	After    *table.Values  `json:"after,omitempty"`
+	Count    int            `json:"count,omitempty"`
+	Note     string         `json:"note,omitempty"`
+}
+
+// FromEdit returns the records of an edit, one a row.
+func FromEdit(e table.Edit) []Record {
+	list := make([]Record, 0, len(e.Changes))
+	for _, c := range e.Changes {
+		list = append(list, Record{
+			AtUnixMs: e.AtUnixMs,
+			Action:   ActionEdit,
+			Actor:    e.Actor,
+			Domain:   c.Key.Domain,
+			Customer: c.Key.Customer,
+			Row:      c.Key.String(),
+			Version:  e.Version,
+			EditID:   e.ID,
+			Before:   c.Before,
+			After:    c.After,
+			Note:     e.Note,
+		})
+	}
+	return list
+}
+
+// Filter selects records. Zero fields select all.
+type Filter struct {
+	SinceUnixMs int64
+	UntilUnixMs int64 // exclusive
+	Row         string
+	Customer    model.Customer
+	Action      Action
+	Actor       string
+}
+
+// Match reports whether a record is selected.
+func (f Filter) Match(r Record) bool {
+	return r.AtUnixMs >= f.SinceUnixMs &&
+		(f.UntilUnixMs == 0 || r.AtUnixMs < f.UntilUnixMs) &&
+		(f.Row == "" || strings.Contains(r.Row, f.Row)) &&
+		(f.Customer == "" || r.Customer == f.Customer) &&
+		(f.Action == "" || r.Action == f.Action) &&
+		(f.Actor == "" || r.Actor == f.Actor)
+}
+
+// Trail publishes records and keeps the newest ones. It is safe for
+// concurrent use.
+type Trail struct {
+	instance model.Instance
+	pubsub   *gochannel.GoChannel
+	done     chan struct{}
+
+	mu      sync.Mutex
+	ring    []Record
+	next    int // place of the next record
+	dropped int // records that newer ones have replaced
+}
+
+// NewTrail returns a trail that keeps up to keep records. Close ends it.
+func NewTrail(instance model.Instance, keep int) (*Trail, error) {
+	config := gochannel.Config{BlockPublishUntilSubscriberAck: true} // keeps the order
+	t := &Trail{
+		instance: instance,
+		pubsub:   gochannel.NewGoChannel(config, watermill.NopLogger{}),
+		done:     make(chan struct{}),
+		ring:     make([]Record, 0, keep),
+	}
+	messages, err := t.Subscribe(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	go t.collect(messages)
+	return t, nil
+}
+
+// Subscribe returns the messages of the topic from now on, until ctx ends or
+// the trail is closed. Each must be acknowledged soon, for Publish waits.
+func (t *Trail) Subscribe(ctx context.Context) (<-chan *message.Message, error) {
+	m, err := t.pubsub.Subscribe(ctx, Topic)
+	return m, errors.Wrap(err, "subscribe to the audit trail")
+}
+
+// Decode returns the record of a message.
+func Decode(m *message.Message) (Record, error) {
+	var r Record
+	err := json.Unmarshal(m.Payload, &r)
+	return r, errors.Wrap(err, "audit record is damaged; check the publisher's release")
+}
+
+// Publish adds a record. It stamps time and instance where they are absent.
+func (t *Trail) Publish(r Record) error {
+	if r.AtUnixMs == 0 {
+		r.AtUnixMs = time.Now().UnixMilli()
+	}
+	if r.Instance == "" {
+		r.Instance = t.instance
+	}
+	payload, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode audit record")
+	}
+	return errors.Wrap(t.pubsub.Publish(Topic, message.NewMessage(watermill.NewUUID(), payload)), "publish audit record")
+}
+
+// Close ends the trail; its records stay readable.
+func (t *Trail) Close() error {
+	err := t.pubsub.Close()
+	<-t.done
+	return errors.Wrap(err, "close the audit trail")
+}
+
+func (t *Trail) collect(messages <-chan *message.Message) {
+	defer close(t.done)
+	for m := range messages {
+		if r, err := Decode(m); err == nil {
+			t.add(r)
+		}
+		m.Ack()
+	}
+}
+
+func (t *Trail) add(r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.ring) < cap(t.ring) {
+		t.ring = append(t.ring, r)
+		return
+	}
+	t.ring[t.next] = r
+	t.next = (t.next + 1) % len(t.ring)
+	t.dropped++
+}
+
+// Records returns up to limit records that a filter selects, the newest
+// first.
+func (t *Trail) Records(f Filter, limit int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Record
+	for i := len(t.ring) - 1; i >= 0 && len(list) < limit; i-- {
+		if r := t.ring[(t.next+i)%len(t.ring)]; f.Match(r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Dropped returns the number of records that newer ones have replaced.
+func (t *Trail) Dropped() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.dropped
+}
+
+// Refusals sums refused submissions, so that the trail gets numbers in place
+// of one record each. It is safe for concurrent use.
+type Refusals struct {
+	mu     sync.Mutex
+	counts map[refusal]int
+}
+
+type refusal struct {
+	customer model.Customer
+	reason   string
+}
+
+// maxRefusalSums bounds the customers and reasons between two flushes.
+const maxRefusalSums = 10_000
+
+// otherCustomers takes the sums beyond the bound.
+const otherCustomers = "(others)"
+
+// Add counts one refused submission.
+func (s *Refusals) Add(c model.Customer, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts == nil {
+		s.counts = make(map[refusal]int)
+	}
+	key := refusal{c, reason}
+	if _, ok := s.counts[key]; !ok && len(s.counts) >= maxRefusalSums {
+		key.customer = otherCustomers
+	}
+	s.counts[key]++
+}
+
+// Flush returns the sums since the last call as records, in order of customer
+// and reason.
+func (s *Refusals) Flush() []Record {
+	s.mu.Lock()
+	counts := s.counts
+	s.counts = nil
+	s.mu.Unlock()
+	list := make([]Record, 0, len(counts))
+	for k, n := range counts {
+		list = append(list, Record{Action: ActionRefusals, Customer: k.customer, Note: k.reason, Count: n})
+	}
+	slices.SortFunc(list, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Note, b.Note))
+	})
+	return list
+}
