Serve table, backend servers and audit trail to operators

JSON and CSV over chi, a token per operator with role read or write, by digest and compared in constant time, the operator's name in the audit trail, and a plain page. Every refusal is a problem document with kind, remedy and whether the change was applied. Bodies of writes need a media type that a page of another site cannot send.

--- /dev/null
+++ b/internal/operator/auth.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+// Role says what an operator may do.
+type Role uint8
+
+// Roles. Writing includes reading.
+const (
+	RoleRead Role = iota + 1
+	RoleWrite
+)
+
+// Operator is who made a request.
+type Operator struct {
+	Name string // as the audit trail shows it
+	Role Role
+}
+
+// Authenticator knows the operators.
+type Authenticator interface {
+	// Authenticate returns the operator of a token, false if there is none.
+	Authenticate(token string) (Operator, bool)
+}
+
+// Token is a token of one operator, by its digest.
+type Token struct {
+	Operator
+	SHA256 [sha256.Size]byte
+}
+
+// Tokens is an Authenticator over a list.
+type Tokens []Token
+
+// Authenticate implements Authenticator. Its time does not depend on which
+// token fits.
+func (l Tokens) Authenticate(token string) (Operator, bool) {
+	digest := sha256.Sum256([]byte(token))
+	var found Operator
+	ok := false
+	for _, t := range l {
+		if subtle.ConstantTimeCompare(digest[:], t.SHA256[:]) == 1 {
+			found, ok = t.Operator, true
+		}
+	}
+	return found, ok
+}
+
+// Everyone is an Authenticator for a port on loopback without tokens: every
+// request is made by the operator of that name, who may write.
+type Everyone string
+
+// Authenticate implements Authenticator.
+func (e Everyone) Authenticate(string) (Operator, bool) {
+	return Operator{Name: string(e), Role: RoleWrite}, true
+}
+
+type operatorKey struct{}
+
+func operatorOf(ctx context.Context) Operator {
+	op, _ := ctx.Value(operatorKey{}).(Operator)
+	return op
+}
+
+// tokenOf returns the bearer token, or the password of a browser.
+func tokenOf(r *http.Request) string {
+	if _, password, ok := r.BasicAuth(); ok {
+		return password
+	}
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// require lets requests of operators with a role pass.
+func (h *Handler) require(role Role) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			op, ok := h.opts.Auth.Authenticate(tokenOf(r))
+			if !ok {
+				w.Header().Add("WWW-Authenticate", `Bearer realm="nutmegweir"`)
+				w.Header().Add("WWW-Authenticate", `Basic realm="nutmegweir"`)
+				writeProblem(w, problemUnauthorized())
+				return
+			}
+			if op.Role < role {
+				h.refused(op, r, "the role is read")
+				writeProblem(w, problemForbidden())
+				return
+			}
+			next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, op)))
+		})
+	}
+}
+
+// requireType refuses bodies that a page of another site could make a
+// browser send.
+func requireType(mediaType string) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			got, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+			if !strings.EqualFold(strings.TrimSpace(got), mediaType) {
+				writeProblem(w, problemMediaType(mediaType))
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
--- a/internal/tablestore/edit.go
+++ b/internal/tablestore/edit.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// Check returns the changes of a request with what they replace, or the error
+// that Edit would give now. It changes nothing.
+func (s *Store) Check(ctx context.Context, r Request) ([]table.Change, error) {
+	if faults := s.opts.Rules.Check(r.Changes); len(faults) > 0 {
+		return nil, &table.InvalidError{Faults: faults}
+	}
+	snap, err := s.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if c := snap.Conflicts(r.ID, r.Changes); len(c) > 0 {
+		return nil, &table.ConflictError{Rows: c}
+	}
+	return withBefore(snap, r.Changes), nil
+}
+
 // writer is one edit under way.
 type writer struct {
 	store   *Store
--- a/internal/tablestore/history.go
+++ b/internal/tablestore/history.go
@@ -16,8 +16,8 @@
 
 // Cursor is a position in the history. The zero value is its newest end.
 type Cursor struct {
-	Page  uint64 // history page to read, when Below is above 0
-	Below uint64 // only edits below this table version
+	Page  uint64 `json:"page"`  // history page to read, when Below is above 0
+	Below uint64 `json:"below"` // only edits below this table version
 }
 
 // History reads the newest edits, or those that follow a cursor. One call
@@ -66,6 +66,27 @@
 	return p, true, nil
 }
 
+// FindVersion returns the edit that made a table version; the second result is
+// false if the history does not have it.
+func (s *Store) FindVersion(ctx context.Context, version uint64) (table.Edit, bool, error) {
+	var c Cursor
+	for {
+		h, err := s.History(ctx, c)
+		if err != nil {
+			return table.Edit{}, false, err
+		}
+		for _, e := range h.Edits {
+			if e.Version == version {
+				return e, true, nil
+			}
+		}
+		if !h.More || h.Next.Below <= version {
+			return table.Edit{}, false, nil
+		}
+		c = h.Next
+	}
+}
+
 // search is how far a look into the history came.
 type search struct {
 	edit  table.Edit
--- a/internal/tablesync/core.go
+++ b/internal/tablesync/core.go
@@ -50,6 +50,14 @@
 type Output struct {
 	Sends   []Send
 	Changed bool // Snapshot has changed
+	Reached []Reached
+}
+
+// Reached says that a version is in force at every live instance of a failure
+// domain, as far as this instance knows.
+type Reached struct {
+	Domain  model.Domain
+	Version uint64
 }
 
 // Core is the state of the propagation at one instance.
@@ -65,6 +73,7 @@
 	announced    uint64
 	announcedAt  model.Time
 	everAnnounce bool
+	reached      map[model.Domain]uint64
 	out          Output
 }
 
@@ -85,7 +94,9 @@
 }
 
 // New returns a core with the empty table.
-func New(o Options) *Core { return &Core{opts: o, snap: table.Empty()} }
+func New(o Options) *Core {
+	return &Core{opts: o, snap: table.Empty(), reached: make(map[model.Domain]uint64)}
+}
 
 // Snapshot returns the table in force.
 func (c *Core) Snapshot() *table.Snapshot { return c.snap }
@@ -228,6 +239,7 @@
 
 // Tick advances timers; it is called every TickInterval.
 func (c *Core) Tick(now model.Time) {
+	c.noteReached(now)
 	due := !c.everAnnounce || now.Sub(c.announcedAt) >= announceEvery
 	if !due && c.announced == c.snap.Version() {
 		return
@@ -240,6 +252,17 @@
 	}
 }
 
+// noteReached reports the failure domains where a newer version has come in
+// force.
+func (c *Core) noteReached(now model.Time) {
+	for _, s := range c.Status(now, 0) {
+		if s.Reach != ReachCutOff && s.Version > c.reached[s.Domain] {
+			c.reached[s.Domain] = s.Version
+			c.out.Reached = append(c.out.Reached, Reached{Domain: s.Domain, Version: s.Version})
+		}
+	}
+}
+
 // Receive takes a message from another instance.
 func (c *Core) Receive(now model.Time, from model.Instance, m *peerpb.TableMessage) {
 	switch body := m.GetBody().(type) {
--- a/internal/tablesync/core_test.go
+++ b/internal/tablesync/core_test.go
@@ -199,3 +199,25 @@
 		t.Fatalf("%+v", out)
 	}
 }
+
+func TestReachedIsToldOncePerDomain(t *testing.T) {
+	c := coreOf("a1")
+	c.SetPeers(second, peersOf("a2", "b1", "b2"))
+	c.Loaded(tableOf(history(3)), history(3))
+	report := func(now model.Time, versions map[model.Instance]uint64) []Reached {
+		for id, v := range versions {
+			c.Receive(now, id, announce(v, model.Domain(id[:1]), false))
+		}
+		c.Tick(now)
+		return c.Ready().Reached
+	}
+	if got := report(2*second, map[model.Instance]uint64{"a2": 3, "b1": 3, "b2": 2}); len(got) != 2 || got[0] != (Reached{"a", 3}) || got[1] != (Reached{"b", 2}) {
+		t.Fatalf("reached %+v", got)
+	}
+	if got := report(3*second, map[model.Instance]uint64{"b2": 3}); len(got) != 1 || got[0] != (Reached{"b", 3}) {
+		t.Fatalf("reached %+v", got)
+	}
+	if got := report(4*second, map[model.Instance]uint64{"b1": 0, "b2": 3}); len(got) != 0 {
+		t.Fatalf("reached %+v", got)
+	}
+}
--- a/internal/tablesync/runner.go
+++ b/internal/tablesync/runner.go
@@ -26,6 +26,7 @@
 	Store    *tablestore.Store
 	Send     func(to model.Instance, m *peerpb.TableMessage) // must not block; may drop
 	OnChange func(*table.Snapshot)                           // may be nil; versions only grow
+	OnReach  func(Reached)                                   // may be nil
 	OnError  func(error)                                     // failures of the platform; may be nil
 }
 
@@ -49,6 +50,11 @@
 	if out.Changed && r.opts.OnChange != nil {
 		r.opts.OnChange(r.core.Snapshot())
 	}
+	for _, reached := range out.Reached {
+		if r.opts.OnReach != nil {
+			r.opts.OnReach(reached)
+		}
+	}
 	for _, s := range out.Sends {
 		r.opts.Send(s.To, s.Message)
 	}
