--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -56,18 +56,19 @@
 
 // String shows both sides.
 func (c RowConflict) String() string {
-	text := fmt.Sprintf("row %v was changed since version %d: yours is %s, current is ", c.Key, c.Base, describe(c.Yours))
+	text := fmt.Sprintf("row %v was changed since version %d: yours is %s, current is ", c.Key, c.Base, Describe(c.Yours))
 	if c.Current == nil {
 		return text + "removed"
 	}
-	text += fmt.Sprintf("%s (version %d", describe(&c.Current.Values), c.Current.Version)
+	text += fmt.Sprintf("%s (version %d", Describe(&c.Current.Values), c.Current.Version)
 	if c.Actor != "" {
 		text += " by " + c.Actor
 	}
 	return text + ")"
 }
 
-func describe(v *Values) string {
+// Describe returns the columns of a row as text; nil is a removed row.
+func Describe(v *Values) string {
 	if v == nil {
 		return "removed"
 	}
