--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -189,8 +189,8 @@
 	return u
 }
 
-func (c *client) call(ctx context.Context, method, url string, body []byte) Reply {
-	ctx, stop := context.WithTimeout(ctx, c.wait+callGrace)
+func (c *client) call(run context.Context, method, url string, body []byte) Reply {
+	ctx, stop := context.WithTimeout(run, c.wait+callGrace)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -202,6 +202,9 @@
 	// Without GetBody and with a POST the transport never repeats a call by itself.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
+	if err != nil && run.Err() != nil {
+		return Reply{Class: Pending, Problem: "run-ended"}
+	}
 	if err != nil {
 		return Reply{Class: Unknown, Broken: true, Problem: "call-broken"}
 	}
@@ -277,21 +280,26 @@
 	Count int    `json:"count"`
 }
 
-// fetchStarts adds up the starts of every task identity over the backend
-// stand-ins.
-func fetchStarts(ctx context.Context, addrs []netip.AddrPort) (map[string]int, error) {
+// fetchStarts returns the starts of every task identity, added up over the
+// backend stand-ins, and the starts of each stand-in.
+func fetchStarts(ctx context.Context, addrs []netip.AddrPort) (map[string]int, []ServerStarts, error) {
 	c := newClient(callGrace)
+	defer c.http.CloseIdleConnections()
 	sum := make(map[string]int)
+	var servers []ServerStarts
 	for _, a := range addrs {
 		one, err := c.starts(ctx, a)
 		if err != nil {
-			return nil, errors.Wrapf(err, "starts of %s; check that it is a backend stand-in and still runs", a)
+			return nil, nil, errors.Wrapf(err, "starts of %s; check that it is a backend stand-in and still runs", a)
 		}
+		server := ServerStarts{Server: a.String()}
 		for _, s := range one {
 			sum[s.Task] += s.Count
+			server.Starts += s.Count
 		}
+		servers = append(servers, server)
 	}
-	return sum, nil
+	return sum, servers, nil
 }
 
 func (c *client) starts(ctx context.Context, a netip.AddrPort) ([]startCount, error) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -103,6 +103,26 @@
 	}
 }
 
+func TestExtraRateBelongsToItsCustomer(t *testing.T) {
+	extra := `"jobs_per_second": 0, "extra_customer": "c2", "extra_per_second": 400`
+	w := parse(t, strings.Replace(smallWorkload, `"jobs_per_second": 0`, extra, 1))
+	w.Phases[1].DurationMs = 5_000
+	n := 0
+	for _, ev := range events(w) {
+		if ev.Op != OpSubmit || ev.Job.Phase != 1 {
+			continue
+		}
+		n++
+		if ev.Job.Customer != "c2" {
+			t.Fatalf("job %d is of %s", ev.Job.Seq, ev.Job.Customer)
+		}
+	}
+	// Expected 2,000; five standard deviations.
+	if n < 1776 || n > 2224 {
+		t.Fatalf("%d extra jobs", n)
+	}
+}
+
 func TestGeneratorStopsAtMaxJobs(t *testing.T) {
 	w := parse(t, smallWorkload)
 	w.MaxJobs = 7
@@ -137,6 +157,7 @@
 	tests := []struct{ name, from, to, field string }{
 		{"no slots", `"slots": 8`, `"slots": 0`, "fleet.slots"},
 		{"negative rate", `"jobs_per_second": 0`, `"jobs_per_second": -1`, "phases[1]"},
+		{"extra rate of nobody", `"jobs_per_second": 0`, `"jobs_per_second": 0, "extra_per_second": 1`, "extra_customer"},
 		{"too long", `"duration_ms": 50`, `"duration_ms": 600000`, "phases"},
 		{"too many tasks", `"tasks": 5`, `"tasks": 5000`, "sizes"},
 		{"run of zero", `"min_ms": 1,`, `"min_ms": 0,`, "runs"},
@@ -231,6 +252,13 @@
 	}
 }
 
+func withoutOutputs(r Reply) Reply {
+	for i := range r.Results {
+		r.Results[i].Output = nil
+	}
+	return r
+}
+
 func TestTruthFindsEveryViolation(t *testing.T) {
 	j := &Job{Home: "h", Customer: "c", Kind: &Kind{}, Tasks: make([]Task, 2)}
 	key := j.Key(time.UnixMilli(1))
@@ -255,6 +283,8 @@
 	}{
 		{"true and whole, twice", []Reply{whole, whole}, both, nil},
 		{"true failure", []Reply{failed(api.RanNo)}, one, nil},
+		{"failure without outputs", []Reply{withoutOutputs(failed(api.RanNo))}, one, nil},
+		{"failure with the output of another", []Reply{{Class: Failed, Results: crossed.Results}}, both, []Violation{ForeignResult}},
 		{"may have run", []Reply{failed(api.RanUnknown)}, both, nil},
 		{"true refusal", []Reply{refused}, nil, nil},
 		{"second start", []Reply{whole}, map[string]int{id(0): 1, id(1): 2}, []Violation{StartedTwice}},
@@ -383,6 +413,9 @@
 	if err := rep.WriteTable(&table); err != nil || !strings.Contains(table.String(), "phase ramp") {
 		t.Errorf("table: %v\n%s", err, table.String())
 	}
+	if len(rep.Servers) != 1 || rep.Servers[0].Starts == 0 {
+		t.Errorf("starts a server: %v", rep.Servers)
+	}
 	dir := t.TempDir()
 	if err := rep.WriteFiles(dir); err != nil {
 		t.Fatal(err)
@@ -394,6 +427,13 @@
 	}
 }
 
+func TestSecondStartOfRepeatableIsNamed(t *testing.T) {
+	j := &Job{Kind: &Kind{Repeatable: true}}
+	if got := startedTwice(j); got != RestartedRepeatable {
+		t.Errorf("got %q", got)
+	}
+}
+
 func TestRunFindsSecondStarts(t *testing.T) {
 	rep := runAgainst(t, &fakeEntry{starts: map[string]int{}, seen: map[string]bool{}, repeat: true})
 	for _, f := range rep.Findings {
@@ -413,3 +453,19 @@
 		t.Fatalf("%v, %v", rep, err)
 	}
 }
+
+func TestRetryKeepsKeyOrTakesANewOne(t *testing.T) {
+	w := parse(t, smallWorkload)
+	r := newRunner(w, Target{})
+	r.begin = time.UnixMilli(1_000_000)
+	j := &Job{At: time.Second, Kind: &Kind{DeadlineMs: 500}}
+	key := j.Key(r.begin.Add(j.At))
+	at := r.begin.Add(3 * time.Second)
+	if again, k := r.again(j, key, 0, at); k == key || again.Kind.DeadlineMs != 500 {
+		t.Errorf("a new job has key %s and deadline %d", k, again.Kind.DeadlineMs)
+	}
+	w.RetrySameKey = true
+	if again, k := r.again(j, key, 0, at); k != key || again.Kind.DeadlineMs != 2500 {
+		t.Errorf("the same job has key %s and deadline %d, want %s and 2500", k, again.Kind.DeadlineMs, key)
+	}
+}
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	slowMargin     = 1.5             // a free server is taken without thought up to this multiple of the usual slowness
-	loadMemory     = 5 * time.Second // time constant of the load of short and long work
-	reserveSpread  = 2.0             // slots kept for short work above its mean load, in square roots of that load
-	longSpread     = 0.5             // slots that long work may always hold above its mean load, in square roots of that load
+	slowMargin     = 1.5              // a free server is taken without thought up to this multiple of the usual slowness
+	shortMemory    = 5 * time.Second  // time constant of the load of short work
+	longMemory     = 20 * time.Second // time constant of the load of long work
+	reserveSpread  = 2.0              // slots kept for short work above its mean load, in square roots of that load
+	longSpread     = 0.25             // slots that long work may always hold above its mean load, in square roots of that load
 	firstRunsSpace = 1024
 )
 
@@ -24,6 +25,7 @@
 type run struct {
 	job     *job
 	server  *server
+	limit   *limit // whose share it takes, nil if none
 	started model.Time
 	charged float64 // service charged so far, seconds
 	long    bool    // counted as long work
@@ -145,12 +147,12 @@
 	f.cust.floor = math.Max(f.cust.floor, f.virtual)
 	v.busy++
 	s.index.update(v)
-	r := run{job: j, server: v, started: now, charged: cost, long: f.kindState.long, probe: probe}
+	r := run{job: j, server: v, limit: f.limit, started: now, charged: cost, long: f.kindState.long, probe: probe}
 	if r.long {
 		s.runs.long++
 	}
-	if f.limit != nil {
-		f.limit.take()
+	if r.limit != nil {
+		r.limit.take()
 	}
 	k := runKey{j.Handle, i}
 	s.runs.byKey[k] = r
@@ -210,9 +212,9 @@
 		s.runs.long--
 		s.wake(&s.parkedLong)
 	}
-	if f.limit != nil {
-		f.limit.release()
-		s.wake(&f.limit.parked)
+	if r.limit != nil {
+		r.limit.release()
+		s.wake(&r.limit.parked)
 	}
 	s.learn(f, v, o, ran)
 	s.settle(f, r, o, ran)
@@ -342,9 +344,8 @@
 	if dt <= 0 {
 		return
 	}
-	gain := 1 - math.Exp(-dt/loadMemory.Seconds())
-	r.shortLoad += gain * (r.shortNew/dt - r.shortLoad)
-	r.longLoad += gain * (r.longNew/dt - r.longLoad)
+	r.shortLoad += (1 - math.Exp(-dt/shortMemory.Seconds())) * (r.shortNew/dt - r.shortLoad)
+	r.longLoad += (1 - math.Exp(-dt/longMemory.Seconds())) * (r.longNew/dt - r.longLoad)
 	r.shortNew, r.longNew = 0, 0
 	r.longCap = s.longBound(float64(s.index.held))
 }
@@ -360,6 +361,7 @@
 }
 
 func (s *Scheduler) offered(f *flow, work float64) {
+	f.cust.offered += work
 	if f.kindState.long {
 		s.runs.longNew += work
 		return
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -12,27 +12,31 @@
 )
 
 const (
-	loanIdle       = 150 * time.Millisecond // a borrowed slot that was not needed for so long goes back
+	loanIdle       = 300 * time.Millisecond // a borrowed slot that was not needed for so long goes back
 	loanRenewal    = 3 * time.Second        // interval of the messages that renew loans
 	loanLost       = 8 * time.Second        // a lender takes slots back from a borrower silent for so long
 	grantLost      = 500 * time.Millisecond // a grant without an acknowledgement is taken for lost
 	askAnswer      = 5 * time.Millisecond   // an ask that is not answered within this time counts as unmet for now
-	askStands      = 400 * time.Millisecond // an ask that was not met stands for so long
+	askStands      = 200 * time.Millisecond // an ask that was not met stands for so long
 	reclaimGone    = time.Second            // a lender takes slots back from a borrower that left the list
 	beliefAge      = time.Second            // what a peer said about its free slots counts for so long
+	hintAge        = 300 * time.Millisecond // what is known of a third instance is passed on for so long
 	queuePatience  = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
 	recallEvery    = 200 * time.Millisecond
 	returnEvery    = 60 * time.Millisecond  // interval of the messages that return recalled slots
 	shareEvery     = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
-	sharePatience  = 100 * time.Millisecond // own queue older than this makes an instance compare and recall
-	grantEvery     = 40 * time.Millisecond  // interval of small grants to one asker
+	sharePatience  = 300 * time.Millisecond // own queue older than this makes an instance compare and recall
+	grantEvery     = 100 * time.Millisecond // interval of small grants to one asker
 	largeGrant     = 4                      // slots that are granted without waiting for the interval
 	maxAsk         = 64                     // slots asked of one peer at a time
 	headroomSpread = 0.25                   // free slots kept for the next tasks, in square roots of the load
 	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
-	askBudget      = 0.07                   // asks a start, on average
-	askBurst       = 24.0
-	askFloor       = 1.0 // asks a second without any start
+	messageBudget  = 0.2                    // messages a start, on average
+	messageBurst   = 30.0
+	messageFloor   = 1.0 // messages a second without any start
+	tokensAsk      = 1.0 // messages left in the budget that an ask needs
+	tokensSearch   = 15  // the same for an ask to a peer that is not known to have free slots
+	tokensReturn   = 0   // the same for a grant to a standing ask, and for the return of idle slots
 	unknownFree    = 4   // free slots expected of a peer that said nothing
 )
 
@@ -72,6 +76,7 @@
 	askedAt  model.Time
 	recall   int // slots to give back as they become free
 	changed  bool
+	broken   []model.ServerID // found broken, the lender has not been told
 	heldAt   model.Time
 	loadAt   model.Time
 }
@@ -90,15 +95,17 @@
 
 // lending is this instance's part in the lending of slots.
 type lending struct {
-	tokens    float64 // asks that may be sent
-	refilled  model.Time
-	counted   uint64 // starts that have brought tokens
-	window    model.Time
-	queuedAt  model.Time // since when tasks wait without a free slot, 0 if none
-	sharesAt  model.Time
-	ownShare  float64
-	pending   []*peer
-	lentTotal int
+	tokens       float64 // messages that may be sent; answers may overdraw it
+	refilled     model.Time
+	counted      uint64 // starts that have brought tokens
+	window       model.Time
+	queuedAt     model.Time // since when tasks wait without a free slot, 0 if none
+	sharesAt     model.Time
+	ownShare     float64
+	localWeights bool
+	level        map[model.Customer]float64 // part of each customer's work that is within its share
+	pending      []*peer
+	lentTotal    int
 }
 
 // SetPeers replaces the list of live instances, this one left out.
@@ -140,7 +147,6 @@
 	for len(p.borrows) > 0 {
 		s.dropLoan(p.borrows[0])
 	}
-	s.limits.gone(s, now, p)
 }
 
 // assign computes the owner of each server: the live instance of the
@@ -376,6 +382,7 @@
 			continue
 		}
 		p.seqOut++
+		s.lend.tokens--
 		m.BootUnixNs = int64(s.boot)
 		m.Sequence = p.seqOut
 		m.Load = s.load(now, p)
@@ -395,15 +402,21 @@
 		Held:   uint32(s.index.held),
 		Queued: uint32(s.queue.waiting),
 	}
+	for _, q := range s.live {
+		age := now.Sub(q.freeAt)
+		if q != p && q.freeAt != 0 && age < hintAge {
+			l.Hints = append(l.Hints, &peerpb.FreeHint{Instance: string(q.ID), Free: uint32(q.free), AgeMs: uint32(age.Milliseconds())})
+		}
+	}
 	if s.queue.waiting == 0 || now.Sub(p.loadAt) < shareEvery {
 		return l
 	}
 	p.loadAt = now
 	for _, c := range s.queue.customers {
-		if c.waiting > 0 {
+		if w := c.wanted(); w > 0 {
 			l.Customers = append(l.Customers, &peerpb.CustomerLoad{
 				Customer: string(c.name),
-				QueuedMs: uint64(c.work()*1e3) + 1,
+				WorkMs:   uint64(w*1e3) + 1,
 			})
 		}
 	}
@@ -422,6 +435,10 @@
 
 func (s *Scheduler) heldOf(p *peer) *peerpb.SlotsHeld {
 	h := &peerpb.SlotsHeld{Grant: p.grantIn}
+	for _, id := range p.broken {
+		h.Broken = append(h.Broken, string(id))
+	}
+	p.broken = nil
 	for _, v := range p.borrows {
 		h.Slots = append(h.Slots, &peerpb.SlotCount{Server: string(v.ID), Count: uint32(v.borrowed)})
 	}
@@ -473,7 +490,7 @@
 	for _, f := range s.parkedLong.items {
 		n -= f.waiting
 	}
-	for _, l := range s.limits.blocked {
+	for _, l := range s.limits.list {
 		for _, f := range l.parked.items {
 			n -= f.waiting
 		}
@@ -515,8 +532,8 @@
 		}
 	}
 	patient := s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < queuePatience
-	for need > 0 && s.lend.tokens >= 1 {
-		p := s.bestLender(now, patient)
+	for need > 0 && s.lend.tokens >= tokensAsk {
+		p := s.bestLender(now, need, patient)
 		if p == nil {
 			return
 		}
@@ -549,9 +566,9 @@
 	return 0
 }
 
-// bestLender returns the peer with the most slots to lend, of the own domain
-// if it has any, that has no standing ask of this instance.
-func (s *Scheduler) bestLender(now model.Time, patient bool) *peer {
+// bestLender returns the peer without a standing ask that can meet most of
+// the need, one of the own domain among equals.
+func (s *Scheduler) bestLender(now model.Time, need int, patient bool) *peer {
 	var best *peer
 	score := 0
 	for _, p := range s.live {
@@ -559,12 +576,12 @@
 			continue
 		}
 		free := p.believedFree(now)
-		if free == 0 && patient {
+		if free == 0 && (patient || s.lend.tokens < tokensSearch) {
 			continue
 		}
-		x := 1 + 2*free
-		if free > 0 && p.Domain == s.opts.Domain {
-			x += 1 << 16
+		x := 2 + 2*min(free, need)
+		if p.Domain == s.opts.Domain {
+			x++
 		}
 		if x > score {
 			best, score = p, x
@@ -574,7 +591,6 @@
 }
 
 func (s *Scheduler) askPeer(now model.Time, p *peer, n int) {
-	s.lend.tokens--
 	p.askOut++
 	p.askedFor = n
 	p.askedAt = now
@@ -656,6 +672,7 @@
 	}
 	p.free = int(l.Free)
 	p.freeAt = now
+	s.receiveHints(now, l.Hints)
 	p.held = int(l.Held)
 	p.queued = int(l.Queued)
 	if l.Queued == 0 {
@@ -666,12 +683,25 @@
 	}
 }
 
+// receiveHints takes over what the sender knows better of third instances.
+func (s *Scheduler) receiveHints(now model.Time, hints []*peerpb.FreeHint) {
+	for _, h := range hints {
+		q := s.peers[model.Instance(h.Instance)]
+		at := now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
+		if q != nil && q.live && at > q.freeAt {
+			q.free = int(h.Free)
+			q.freeAt = at
+		}
+	}
+}
+
 // receiveHeld sets the loans to what the borrower says, unless a grant is
 // still on its way to it.
 func (s *Scheduler) receiveHeld(now model.Time, p *peer, h *peerpb.SlotsHeld) {
 	if h == nil {
 		return
 	}
+	s.receiveBroken(now, h.Broken)
 	if h.Grant < p.grantOut && now.Sub(p.grantAt) < grantLost {
 		return
 	}
@@ -716,6 +746,9 @@
 		v.speed = slowness{log: math.Log(float64(c.SlownessMilli) / 1000), samples: 1}
 		s.rank(v)
 	}
+	if v.health.quarantined {
+		s.release(v)
+	}
 	v.borrowed += int(c.Count)
 	p.borrowed += int(c.Count)
 	s.index.update(v)
@@ -780,20 +813,20 @@
 func (s *Scheduler) refill(now model.Time) {
 	l := &s.lend
 	if l.refilled != 0 {
-		l.tokens += askFloor * now.Sub(l.refilled).Seconds()
+		l.tokens += messageFloor * now.Sub(l.refilled).Seconds()
 	} else {
-		l.tokens = askBurst
+		l.tokens = messageBurst
 	}
 	l.refilled = now
-	l.tokens += askBudget * float64(s.starts-l.counted)
+	l.tokens += messageBudget * float64(s.starts-l.counted)
 	l.counted = s.starts
-	l.tokens = math.Min(l.tokens, askBurst)
+	l.tokens = math.Min(l.tokens, messageBurst)
 }
 
 // returnIdle gives back borrowed slots that nothing needed over the last
 // window.
 func (s *Scheduler) returnIdle(now model.Time) {
-	if now.Sub(s.lend.window) < loanIdle {
+	if now.Sub(s.lend.window) < loanIdle || s.lend.tokens < tokensReturn {
 		return
 	}
 	s.lend.window = now
@@ -805,6 +838,9 @@
 }
 
 func (s *Scheduler) serveStanding(now model.Time) {
+	if s.lend.tokens < tokensReturn {
+		return
+	}
 	for _, p := range s.live {
 		if p.ask.want == 0 {
 			continue
@@ -853,6 +889,7 @@
 func (s *Scheduler) balance(now model.Time) {
 	if s.unmet() == 0 || s.lend.queuedAt == 0 || now.Sub(s.lend.queuedAt) < sharePatience {
 		s.clearYields()
+		s.resetWeights()
 		return
 	}
 	if now.Sub(s.lend.sharesAt) < shareEvery {
@@ -860,6 +897,7 @@
 	}
 	s.lend.sharesAt = now
 	s.computeShares()
+	s.localWeights()
 	s.recallShort(now)
 	s.yieldSurplus(now)
 }
@@ -870,36 +908,35 @@
 	}
 }
 
-// computeShares divides the slots of all instances over those with waiting
-// tasks: each customer's part by weight, and its part over the instances by
-// its waiting work there.
+// want is the work of a customer over all instances.
+type want struct {
+	customer model.Customer
+	weight   float64
+	work     float64
+	level    float64 // part that the customer gets of its work
+}
+
+// computeShares divides the slots of all instances: among the customers by
+// weight, as far as they have work, and each customer's part among the
+// instances by its work there.
 func (s *Scheduler) computeShares() {
 	total := float64(s.index.held)
-	work := make(map[string]float64)
-	for _, c := range s.queue.customers {
-		if c.waiting > 0 {
-			work[string(c.name)] = c.work()
-		}
-	}
 	for _, p := range s.live {
 		total += float64(p.held)
-		for _, c := range p.customers {
-			work[c.Customer] += float64(c.QueuedMs) / 1e3
-		}
 	}
-	sum, own := 0.0, 0.0
-	for _, c := range s.queue.customers {
-		if w := work[string(c.name)]; w > 0 {
-			own += c.weight * c.work() / w
+	wants := s.wants()
+	s.fill(wants, total*demandMemory)
+	own, sum := 0.0, 0.0
+	for i := range wants {
+		if c := s.queue.byName[wants[i].customer]; c != nil {
+			own += c.wanted() * wants[i].level
 		}
 	}
 	sum = own
 	for _, p := range s.live {
 		p.share = 0
 		for _, c := range p.customers {
-			if w := work[c.Customer]; w > 0 {
-				p.share += s.weightOf(c.Customer) * float64(c.QueuedMs) / 1e3 / w
-			}
+			p.share += float64(c.WorkMs) / 1e3 * s.lend.level[model.Customer(c.Customer)]
 		}
 		sum += p.share
 	}
@@ -910,11 +947,93 @@
 	}
 }
 
-func (s *Scheduler) weightOf(name string) float64 {
-	if c := s.queue.byName[model.Customer(name)]; c != nil {
-		return c.weight
+// localWeights gives each customer the weight that its work at this instance
+// has in its part of the whole, so that the parts over all instances follow
+// the table also when the customers' work is spread unevenly.
+func (s *Scheduler) localWeights() {
+	rows, parts := 0.0, 0.0
+	for _, c := range s.queue.customers {
+		if part := c.wanted() * s.lend.level[c.name]; part > 0 {
+			rows += c.row
+			parts += part
+		}
+	}
+	if parts <= 0 {
+		return
+	}
+	s.lend.localWeights = true
+	for _, c := range s.queue.customers {
+		if part := c.wanted() * s.lend.level[c.name]; part > 0 {
+			s.setWeight(c, part*rows/parts)
+		}
+	}
+}
+
+func (s *Scheduler) resetWeights() {
+	if !s.lend.localWeights {
+		return
+	}
+	s.lend.localWeights = false
+	for _, c := range s.queue.customers {
+		s.setWeight(c, c.row)
+	}
+}
+
+// wants adds up the work of each customer over the instances.
+func (s *Scheduler) wants() []want {
+	var list []want
+	at := make(map[model.Customer]int)
+	add := func(c model.Customer, work float64) {
+		i, ok := at[c]
+		if !ok {
+			i = len(list)
+			at[c] = i
+			list = append(list, want{customer: c, weight: s.weightOf(c)})
+		}
+		list[i].work += work
+	}
+	for _, c := range s.queue.customers {
+		if w := c.wanted(); w > 0 {
+			add(c.name, w)
+		}
+	}
+	for _, p := range s.live {
+		for _, c := range p.customers {
+			add(model.Customer(c.Customer), float64(c.WorkMs)/1e3)
+		}
+	}
+	return list
+}
+
+// fill divides a capacity for work by weight, nobody getting more than it
+// has work for, and notes each customer's part.
+func (s *Scheduler) fill(wants []want, capacity float64) {
+	sort.SliceStable(wants, func(i, k int) bool {
+		return wants[i].work*wants[k].weight < wants[k].work*wants[i].weight
+	})
+	weights := 0.0
+	for i := range wants {
+		weights += wants[i].weight
+	}
+	s.lend.level = make(map[model.Customer]float64, len(wants))
+	for i := range wants {
+		w := &wants[i]
+		part := math.Min(w.work, capacity*w.weight/weights)
+		w.level = part / math.Max(w.work, 1e-9)
+		s.lend.level[w.customer] = w.level
+		capacity -= part
+		weights -= w.weight
+	}
+}
+
+// wanted is the work that waits and that was asked for lately, seconds.
+func (c *customer) wanted() float64 { return c.work() + c.demand*demandMemory }
+
+func (s *Scheduler) weightOf(name model.Customer) float64 {
+	if c := s.queue.byName[name]; c != nil {
+		return c.row
 	}
-	return positive(s.opts.Policy.Row(model.Customer(name), "").Weight)
+	return positive(s.opts.Policy.Row(name, "").Weight)
 }
 
 // recallShort recalls lent slots while this instance holds less than its
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -81,7 +81,6 @@
 	limit     *limit
 	bound     int
 	failures  failureRate
-	promised  float64 // work of refused jobs that were told when to come back, seconds
 	idleSince model.Time
 }
 
@@ -107,15 +106,20 @@
 
 // customer shares service with the other customers by weight.
 type customer struct {
-	name    model.Customer
-	weight  float64
-	virtual float64
-	floor   float64 // virtual time of its flow served last
-	ready   heap[*flow]
-	flows   []*flow
-	waiting int
-	weights float64 // sum of the weights of its flows with waiting tasks
-	at      int
+	name     model.Customer
+	row      float64 // weight in the table
+	weight   float64 // weight at this instance, by its part of the customer's work
+	virtual  float64
+	floor    float64 // virtual time of its flow served last
+	ready    heap[*flow]
+	flows    []*flow
+	waiting  int
+	weights  float64 // sum of the weights of its flows with waiting tasks
+	offered  float64 // work submitted since the last tick, seconds
+	demand   float64 // work submitted lately, seconds a second
+	credit   float64 // work that may be admitted while work is shed, seconds
+	promised float64 // work of refused jobs that were told when to come back, seconds
+	at       int
 }
 
 func (c *customer) before(o *customer) bool {
@@ -162,7 +166,8 @@
 	c := s.queue.byName[name]
 	if c == nil {
 		c = &customer{name: name, at: notInHeap}
-		c.weight = positive(s.opts.Policy.Row(name, "").Weight)
+		c.row = positive(s.opts.Policy.Row(name, "").Weight)
+		c.weight = c.row
 		s.queue.byName[name] = c
 		s.queue.customers = append(s.queue.customers, c)
 	}
@@ -215,17 +220,24 @@
 // applyRows takes changes of the table over.
 func (s *Scheduler) applyRows(now model.Time) {
 	for _, c := range s.queue.customers {
-		w := positive(s.opts.Policy.Row(c.name, "").Weight)
-		if c.waiting > 0 {
-			s.queue.weights += w - c.weight
+		if w := positive(s.opts.Policy.Row(c.name, "").Weight); w != c.row {
+			s.setWeight(c, c.weight*w/c.row)
+			c.row = w
 		}
-		c.weight = w
 	}
 	for _, f := range s.queue.flowList {
 		s.applyRow(now, f)
 	}
 }
 
+// setWeight changes the weight of a customer at this instance.
+func (s *Scheduler) setWeight(c *customer, w float64) {
+	if c.waiting > 0 {
+		s.queue.weights += w - c.weight
+	}
+	c.weight = w
+}
+
 func (s *Scheduler) newJob(now model.Time, f *flow, in *Job) *job {
 	j := s.spareJob()
 	*j = job{Job: *in, flow: f, next: in.FirstIndex, retry: j.retry[:0], at: notInHeap, admitted: now}
