Feed the gauges from the instance's status, the scheduler and the platform

Metrics that no part of the program could feed are gone; a counter that stands at 0 for ever tells operators something untrue. Calls to the platform are counted by the operations and error kinds of its port.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,25 +10,6 @@
 // Namespace precedes every metric of this project.
 const Namespace = "nutmegweir"
 
-// Values of the label "call" of PlatformCalls.
-const (
-	CallRead   = "read"
-	CallWrite  = "write"
-	CallWatch  = "watch"
-	CallLease  = "lease"
-	CallList   = "list"
-	CallHealth = "health"
-)
-
-// Values of the label "outcome" of PlatformCalls.
-const (
-	OutcomeOK        = "ok"
-	OutcomeConflict  = "conflict"
-	OutcomeUnknown   = "unknown" // the answer was lost
-	OutcomeFailed    = "failed"
-	OutcomeThrottled = "throttled"
-)
-
 // Values of the label "direction".
 const (
 	DirectionIn  = "in"
@@ -42,7 +23,6 @@
 
 	// Callers.
 	Submissions    *prometheus.CounterVec // by kind
-	Resubmissions  prometheus.Counter
 	Answers        *prometheus.CounterVec // by status, kind
 	Refusals       *prometheus.CounterVec // by problem, ran
 	AnswerDuration *prometheus.HistogramVec
@@ -51,44 +31,37 @@
 	DroppedTasks   *prometheus.CounterVec // by reason
 
 	// Scheduling.
-	Starts             *prometheus.CounterVec   // by server_domain, outcome
-	TaskDuration       *prometheus.HistogramVec // by kind
-	QueueWait          *prometheus.HistogramVec // by kind
-	QueuedTasks        prometheus.Gauge
-	SlotsHeld          prometheus.Gauge
-	SlotsLent          prometheus.Gauge
-	SlotsBusy          prometheus.Gauge
-	Servers            *prometheus.GaugeVec // by state
-	SilentConnections  prometheus.Counter
-	BackendConnections prometheus.Gauge
+	Starts       *prometheus.CounterVec   // by server_domain, outcome
+	TaskDuration *prometheus.HistogramVec // by kind
+	QueueWait    *prometheus.HistogramVec // by kind
+	QueuedTasks  prometheus.Gauge
+	SlotsHeld    prometheus.Gauge
+	SlotsLent    prometheus.Gauge
+	SlotsBusy    prometheus.Gauge
+	Servers      *prometheus.GaugeVec // by state
 
 	// Shards.
 	ReplicationAppends *prometheus.CounterVec // by role
 	ReplicationAcks    *prometheus.CounterVec // by result
-	CommitDuration     prometheus.Histogram
 	ViewChanges        *prometheus.CounterVec // by cause
 	Takeovers          *prometheus.CounterVec // by records
 	FloorsRaised       prometheus.Counter
 	ShardsOwned        prometheus.Gauge
-	RecordBytes        prometheus.Gauge
 
 	// Peers.
 	PeerLinks    prometheus.Gauge
 	PeerFrames   *prometheus.CounterVec // by direction
 	PeerBytes    *prometheus.CounterVec // by direction
 	PeerMessages *prometheus.CounterVec // by direction, type
-	PeerDropped  *prometheus.CounterVec // by type
 
 	// Platform and table.
-	PlatformCalls    *prometheus.CounterVec   // by call, outcome
-	PlatformDuration *prometheus.HistogramVec // by call
-	PlatformUp       prometheus.Gauge
-	TableVersion     prometheus.Gauge
-	Edits            *prometheus.CounterVec // by result
+	PlatformCalls *prometheus.CounterVec // by call, outcome
+	PlatformUp    prometheus.Gauge
+	TableVersion  prometheus.Gauge
+	Edits         *prometheus.CounterVec // by result
 
 	// The reducer.
 	StepDuration prometheus.Histogram
-	EventQueue   prometheus.Gauge
 }
 
 // New returns collectors that are registered in a new registry, together with
@@ -114,7 +87,6 @@
 
 func (m *Metrics) addCallers(b *builder) {
 	m.Submissions = b.counterVec("submissions_total", "Valid submissions of jobs and requests.", "kind")
-	m.Resubmissions = b.counter("resubmissions_total", "Submissions whose key was already known.")
 	m.Answers = b.counterVec("answers_total", "Answers to valid submissions: pending, complete, failed, refused or error.", "status", "kind")
 	m.Refusals = b.counterVec("refusals_total", "Problems answered to callers, and whether the work was run.", "problem", "ran")
 	m.AnswerDuration = b.histogramVec("answer_duration_seconds", "Time from a valid submission to its answer at the caller port.", taskBuckets, "status")
@@ -132,19 +104,15 @@
 	m.SlotsLent = b.gauge("slots_lent", "Slots that this instance has lent to others.")
 	m.SlotsBusy = b.gauge("slots_busy", "Slots in which a task of this instance runs.")
 	m.Servers = b.gaugeVec("servers", "Backend servers by state: active, leaving or quarantined.", "state")
-	m.SilentConnections = b.counter("silent_connections_total", "Connections to backend servers that went silent and were replaced.")
-	m.BackendConnections = b.gauge("backend_connections", "Open connections to backend servers.")
 }
 
 func (m *Metrics) addShards(b *builder) {
 	m.ReplicationAppends = b.counterVec("replication_appends_total", "Appends sent as owner or taken as replica.", "role")
 	m.ReplicationAcks = b.counterVec("replication_acks_total", "Acknowledgements received: ok or refused.", "result")
-	m.CommitDuration = b.histogram("commit_duration_seconds", "Time from append to commit.", stepBuckets)
 	m.ViewChanges = b.counterVec("view_changes_total", "View changes made by this instance.", "cause")
 	m.Takeovers = b.counterVec("takeovers_total", "Shards taken over, with or without their records.", "records")
 	m.FloorsRaised = b.counter("floors_raised_total", "Admission floors raised because records were lost or dropped.")
 	m.ShardsOwned = b.gauge("shards_owned", "Shards of which this instance is the acting owner.")
-	m.RecordBytes = b.gauge("record_bytes", "Memory held by job records.")
 }
 
 func (m *Metrics) addPeers(b *builder) {
@@ -152,12 +120,10 @@
 	m.PeerFrames = b.counterVec("peer_frames_total", "Frames on links to other instances.", "direction")
 	m.PeerBytes = b.counterVec("peer_bytes_total", "Bytes of frames on links to other instances.", "direction")
 	m.PeerMessages = b.counterVec("peer_messages_total", "Messages on links to other instances.", "direction", "type")
-	m.PeerDropped = b.counterVec("peer_dropped_total", "Messages to other instances that were dropped.", "type")
 }
 
 func (m *Metrics) addPlatform(b *builder) {
-	m.PlatformCalls = b.counterVec("platform_calls_total", "Calls to the platform.", "call", "outcome")
-	m.PlatformDuration = b.histogramVec("platform_call_duration_seconds", "Time of calls to the platform other than watches.", taskBuckets, "call")
+	m.PlatformCalls = b.counterVec("platform_calls_total", "Calls to the platform by operation, and none or the kind of error.", "call", "outcome")
 	m.PlatformUp = b.gauge("platform_up", "1 while the platform answers, else 0.")
 	m.TableVersion = b.gauge("table_version", "Version of the table in force on this instance.")
 	m.Edits = b.counterVec("edits_total", "Edits of the table: accepted, refused or conflict.", "result")
@@ -165,5 +131,4 @@
 
 func (m *Metrics) addReducer(b *builder) {
 	m.StepDuration = b.histogram("step_duration_seconds", "Time of one step of the reducer.", stepBuckets)
-	m.EventQueue = b.gauge("event_queue", "Events that wait for the reducer.")
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,12 +1,18 @@
 package metrics
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
 	"os"
 	"reflect"
 	"regexp"
 	"strings"
 	"testing"
+
+	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
 )
 
 var rowPattern = regexp.MustCompile("(?m)^\\| `" + Namespace + `_.*$`)
@@ -35,19 +41,32 @@
 	}
 }
 
-func TestGather(t *testing.T) {
+func TestHandlerServesWhatWasFed(t *testing.T) {
 	m := New()
 	m.Starts.WithLabelValues("tayside", "ok").Inc()
-	families, err := m.Registry.Gather()
-	if err != nil {
-		t.Fatal(err)
+	m.Count(platform.Call{Op: platform.OpCAS, Kind: platform.KindConflict})
+	m.Count(platform.Call{Op: platform.OpGet})
+	m.SetScheduler(sched.Stats{Slots: 12, Lent: 3, Running: 5, Waiting: 7, Quarantined: 1})
+	m.SetServers([]sched.Server{{State: sched.ServerActive}, {State: sched.ServerLeaving}, {State: sched.ServerGone}})
+	status := &api.InstanceStatus{
+		Peers:  []api.PeerStatus{{State: "up"}, {State: "silent"}},
+		Shards: []api.ShardStatus{{Role: "owner"}, {Role: "owner"}, {Role: "replica"}},
 	}
-	for _, f := range families {
-		if f.GetName() == Namespace+"_starts_total" && f.Metric[0].GetCounter().GetValue() == 1 {
-			return
+	w := httptest.NewRecorder()
+	m.Handler(func(context.Context) *api.InstanceStatus { return status }).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`starts_total{outcome="ok",server_domain="tayside"} 1`,
+		`platform_calls_total{call="cas",outcome="conflict"} 1`,
+		`platform_calls_total{call="get",outcome="none"} 1`,
+		"platform_up 1",
+		"slots_held 12", "slots_lent 3", "slots_busy 5", "queued_tasks 7",
+		`servers{state="active"} 1`, `servers{state="leaving"} 1`, `servers{state="quarantined"} 1`,
+		"peer_links 1", "shards_owned 2",
+	} {
+		if !strings.Contains(w.Body.String(), "\n"+Namespace+"_"+want+"\n") {
+			t.Errorf("%s is not served", want)
 		}
 	}
-	t.Error("the counter of starts is not gathered")
 }
 
 func TestLabelLimit(t *testing.T) {
