--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,12 @@
 // each with its file, line, field path and remedy.
 package settings
 
-import "github.com/nutmegweir/nutmegweir/internal/model"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
 
 // Settings are the settings of one entry instance.
 type Settings struct {
@@ -86,6 +91,16 @@
 	TokenSHA256 string `json:"token_sha256"` // hexadecimal digest of the bearer token
 }
 
+// Digest returns the digest of the token, all zero if TokenSHA256 is not
+// hexadecimal, which Parse refuses.
+func (t *OperatorToken) Digest() [sha256.Size]byte {
+	var digest [sha256.Size]byte
+	if raw, err := hex.DecodeString(t.TokenSHA256); err == nil {
+		copy(digest[:], raw)
+	}
+	return digest
+}
+
 // Shards holds the parameters of sharding and replication. PerDomain must be
 // the same on every instance of all failure domains.
 type Shards struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"strings"
 	"testing"
@@ -89,6 +91,14 @@
 	}
 }
 
+func TestTokenDigest(t *testing.T) {
+	want := sha256.Sum256([]byte("secret"))
+	token := OperatorToken{TokenSHA256: hex.EncodeToString(want[:])}
+	if got := token.Digest(); got != want {
+		t.Errorf("got %x", got)
+	}
+}
+
 func TestLoadNamesMissingFile(t *testing.T) {
 	_, err := Load("no-such-file.hujson")
 	if err == nil || !strings.Contains(err.Error(), "no-such-file.hujson") {
