--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -102,6 +102,8 @@
 	queuedAt     model.Time // since when tasks wait without a free slot, 0 if none
 	sharesAt     model.Time
 	ownShare     float64
+	loads        []*peerpb.CustomerLoad // as told to peers last
+	loadsAt      model.Time
 	localWeights bool
 	level        map[model.Customer]float64 // part of each customer's work that is within its share
 	pending      []*peer
@@ -408,19 +410,30 @@
 			l.Hints = append(l.Hints, &peerpb.FreeHint{Instance: string(q.ID), Free: uint32(q.free), AgeMs: uint32(age.Milliseconds())})
 		}
 	}
-	if s.queue.waiting == 0 || now.Sub(p.loadAt) < shareEvery {
-		return l
+	if s.queue.waiting > 0 && now.Sub(p.loadAt) >= shareEvery {
+		p.loadAt = now
+		l.Customers = s.customerLoads(now)
 	}
-	p.loadAt = now
-	for _, c := range s.queue.customers {
+	return l
+}
+
+// customerLoads lists the work of each customer. The list is shared by the
+// messages of an interval and never changed.
+func (s *Scheduler) customerLoads(now model.Time) []*peerpb.CustomerLoad {
+	if s.lend.loadsAt != 0 && now.Sub(s.lend.loadsAt) < shareEvery {
+		return s.lend.loads
+	}
+	s.lend.loadsAt = now
+	space := make([]peerpb.CustomerLoad, len(s.queue.customers))
+	s.lend.loads = make([]*peerpb.CustomerLoad, 0, len(space))
+	for i, c := range s.queue.customers {
 		if w := c.wanted(); w > 0 {
-			l.Customers = append(l.Customers, &peerpb.CustomerLoad{
-				Customer: string(c.name),
-				WorkMs:   uint64(w*1e3) + 1,
-			})
+			space[i].Customer = string(c.name)
+			space[i].WorkMs = uint64(w*1e3) + 1
+			s.lend.loads = append(s.lend.loads, &space[i])
 		}
 	}
-	return l
+	return s.lend.loads
 }
 
 func (c *customer) work() float64 {
--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -52,7 +52,9 @@
 	{"load90-skew", loadRun(0.9, Today, []float64{4, 3, 2, 1})},
 	{"load60-speeds", loadRun(0.6, heterogeneous(), nil)},
 	{"load90-speeds", loadRun(0.9, heterogeneous(), nil)},
-	{"short-behind-long", headOfLine},
+	{"short-behind-long60", headOfLine(0.6)},
+	{"short-behind-long75", headOfLine(0.75)},
+	{"short-behind-long85", headOfLine(0.85)},
 	{"big-jobs", bigJobs},
 	{"crest", crest(false, nil, nil)},
 	{"crest-retry", crest(true, nil, nil)},
@@ -109,21 +111,23 @@
 
 // headOfLine gives the p99 slowdown of short work with and without long work
 // beside it: the short work is the same, the long jobs are a tenth of all.
-func headOfLine(mode sched.Mode, seed uint64) []Figure {
-	with := shortRun(mode, seed, true)
-	without := shortRun(mode, seed, false)
-	a, b := Quantile(with.Short, 0.99), Quantile(without.Short, 0.99)
-	return []Figure{
-		{"short-p99", a},
-		{"alone-p99", b},
-		{"ratio", a / b},
-		{"long-mean", Mean(with.Long)},
-		{"msg/task", with.MessagesPerTask()},
+// The load is that with the long work.
+func headOfLine(load float64) func(sched.Mode, uint64) []Figure {
+	return func(mode sched.Mode, seed uint64) []Figure {
+		with := shortRun(mode, seed, load, true)
+		without := shortRun(mode, seed, load, false)
+		a, b := Quantile(with.Short, 0.99), Quantile(without.Short, 0.99)
+		return []Figure{
+			{"short-p99", a},
+			{"alone-p99", b},
+			{"ratio", a / b},
+			{"long-mean", Mean(with.Long)},
+			{"msg/task", with.MessagesPerTask()},
+		}
 	}
 }
 
-func shortRun(mode sched.Mode, seed uint64, long bool) *Result {
-	const load = 0.85
+func shortRun(mode sched.Mode, seed uint64, load float64, long bool) *Result {
 	m := NewSim(Today, mode, Weights{}, seed)
 	all := &Workload{Kinds: withLong(shortKinds(), 4*time.Second, 0.1)}
 	short := &Workload{Kinds: shortKinds(), Customers: 12, Until: warmUp + measure}
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -13,6 +13,7 @@
 	shedBurst    = 2.0 // credit that a customer may save up, as time at its part, seconds
 	shedDamping  = 0.3 // change of the capacity by the queue's difference from its target
 	shedLearning = 0.1 // the same lastingly, a second
+	levelEvery   = 3   // ticks between divisions of the capacity
 	leastGain    = 0.5
 	mostGain     = 2.0
 )
@@ -47,7 +48,9 @@
 	x.gain *= math.Exp(shedLearning * off * dt)
 	x.gain = math.Max(leastGain, math.Min(mostGain, x.gain))
 	capacity := s.capacity() / math.Max(s.usual, 0.01) * x.gain * (1 + shedDamping*off)
-	x.level = s.fairLevel(capacity)
+	if x.level == 0 || s.ticks%levelEvery == 0 {
+		x.level = s.fairLevel(capacity)
+	}
 	for _, c := range s.queue.customers {
 		part := x.level * c.weight
 		c.credit = math.Min(c.credit+part*dt, part*shedBurst)
@@ -61,6 +64,7 @@
 
 func (s *Scheduler) beginShedding() {
 	s.shed.on = true
+	s.shed.level = 0
 	s.shed.gain = 1
 	s.shed.short = 0
 	for _, c := range s.queue.customers {
