--- /dev/null
+++ b/internal/sched/limits_test.go
@@ -0,0 +1,161 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+const limitedTasks = 12
+
+func limitNet(t *testing.T) *net {
+	rows := map[model.Customer]PolicyRow{"c": {Weight: 1, Concurrency: limitedTasks, Rate: 0}}
+	n := newNet(t, fixedPolicy{rows}, "a1", "a2", "b1", "b2")
+	n.servers(append(testServers("a", 8, 8), testServers("b", 8, 8)...))
+	n.run(takeover + time.Second)
+	return n
+}
+
+// shares is the sum of what the instances may run of the limited customer.
+func (n *net) shares() int {
+	sum := 0
+	for _, name := range n.names {
+		if s := n.nodes[name]; s != nil {
+			for _, l := range s.limits.list {
+				sum += max(l.share, l.running)
+			}
+		}
+	}
+	return sum
+}
+
+func TestLimitFollowsDemand(t *testing.T) {
+	n := limitNet(t)
+	for i, name := range []model.Instance{"a1", "b2", "a2"} {
+		h := model.JobHandle(i + 1)
+		n.nodes[name].Submit(n.now, testJob(int(h), 100))
+		n.settle()
+		n.run(time.Second)
+		if got, want := len(n.starts[name]), limitedTasks*9/10; got < want {
+			t.Fatalf("%s runs %d tasks a second after it asked, want at least %d of %d", name, got, want, limitedTasks)
+		}
+		n.nodes[name].Cancel(n.now, h)
+		n.end(name)
+	}
+}
+
+func TestLimitHoldsUnderMessageFaults(t *testing.T) {
+	cases := []struct {
+		name         string
+		lose, double float64
+	}{
+		{"none", 0, 0},
+		{"a third lost", 0.33, 0},
+		{"a third doubled", 0, 0.33},
+		{"both", 0.25, 0.25},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				n := limitNet(t)
+				n.filter = func(model.Instance, Send) int {
+					switch x := rng.Float64(); {
+					case x < c.lose:
+						return 0
+					case x < c.lose+c.double:
+						return 2
+					}
+					return 1
+				}
+				for h := 1; h < 60; h++ {
+					name := n.names[rng.IntN(len(n.names))]
+					n.nodes[name].Submit(n.now, testJob(h, 1+rng.IntN(8)))
+					n.settle()
+					n.run(60 * time.Millisecond)
+					if got := n.shares(); got > limitedTasks {
+						t.Fatalf("seed %d, job %d: shares add up to %d of %d", seed, h, got, limitedTasks)
+					}
+					n.end(n.names[rng.IntN(len(n.names))])
+				}
+			}
+		})
+	}
+}
+
+func TestLimitWhileADomainIsCutOff(t *testing.T) {
+	n := limitNet(t)
+	n.nodes["a1"].Submit(n.now, testJob(1, 4))
+	n.nodes["b1"].Submit(n.now, testJob(2, 4))
+	n.settle()
+	n.run(time.Second)
+	n.filter = func(from model.Instance, x Send) int {
+		if domainOf(from) != domainOf(x.To) {
+			return 0
+		}
+		return 1
+	}
+	for _, name := range n.names {
+		var list []Peer
+		for _, p := range n.names {
+			if p != name && domainOf(p) == domainOf(name) {
+				list = append(list, Peer{ID: p, Domain: domainOf(p)})
+			}
+		}
+		n.nodes[name].SetPeers(n.now, list)
+	}
+	n.nodes["a2"].Submit(n.now, testJob(3, 100))
+	n.nodes["b2"].Submit(n.now, testJob(4, 100))
+	n.run(20 * time.Second)
+	const most = 2 * limitedTasks // stated: at most the limit for each part that is cut off
+	if got := n.shares(); got > most {
+		t.Fatalf("shares add up to %d while cut off, want at most %d", got, most)
+	}
+	n.filter = func(model.Instance, Send) int { return 1 }
+	n.peers(n.names...)
+	for h := 10; h < 60; h++ {
+		n.run(100 * time.Millisecond)
+		for _, name := range n.names {
+			n.end(name)
+		}
+	}
+	if got := n.shares(); got > limitedTasks {
+		t.Fatalf("shares add up to %d after the domains were joined, want at most %d", got, limitedTasks)
+	}
+}
+
+func TestRateLimit(t *testing.T) {
+	const rate = 50
+	rows := map[model.Customer]PolicyRow{"c": {Weight: 1, Rate: rate}}
+	s := New(Options{Self: "a1", Domain: "a", Seed: 1, Policy: fixedPolicy{rows}})
+	s.SetServers(testStart, testServers("a", 50, 8))
+	s.Submit(testStart, testJob(1, 1000))
+	now, starts := testStart, 0
+	for now.Sub(testStart) < 4*time.Second {
+		now = now.Add(TickInterval)
+		s.Tick(now)
+		starts += len(s.Ready().Starts)
+	}
+	if want := 4 * rate; starts > want+rate/10 || starts < want*9/10 {
+		t.Fatalf("%d starts in 4 s at %d a second", starts, rate)
+	}
+}
+
+func TestSameInputsGiveSameOutputs(t *testing.T) {
+	trace := func() string {
+		n := borrowAll(t)
+		out := ""
+		for range 5 {
+			n.end("a1")
+			n.run(100 * time.Millisecond)
+			out += fmt.Sprint(n.starts)
+		}
+		return out
+	}
+	if first := trace(); first != trace() {
+		t.Fatal("two runs with the same inputs differ")
+	}
+}
