--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,7 +62,7 @@
 		}),
 		env:   shard.NewEnv(o.Self, o.Shard),
 		views: make(map[model.Domain][]shard.View),
-		route: newRouter(),
+		route: newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
 	r.env.Peers = r.peers
@@ -252,7 +252,7 @@
 	case *peerpb.Message_Submit:
 		r.remoteSubmit(now, from, b.Submit)
 	case *peerpb.Message_Answer:
-		r.answered(now, b.Answer)
+		r.answered(now, from, b.Answer)
 	case *peerpb.Message_Lookup:
 		r.remoteLookup(now, from, b.Lookup)
 	case *peerpb.Message_Cancel:
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -79,6 +79,14 @@
 	return l != nil && l.up && l.member == m
 }
 
+// addrOf returns the address of a process, or "" if it is not known.
+func (p *peers) addrOf(m shard.Member) string {
+	if k := p.members[m]; k != nil {
+		return k.addr
+	}
+	return ""
+}
+
 // learn keeps the address of an instance.
 func (p *peers) learn(i InstanceInfo) {
 	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
@@ -36,8 +38,11 @@
 	next      uint64
 }
 
-func newRouter() router {
+// newRouter numbers attempts from a start of the process's own, so that an
+// answer meant for an earlier process of this instance finds no request.
+func newRouter(self shard.Member) router {
 	return router{
+		next:      xxhash.Sum64String(string(self.Incarnation)),
 		byID:      make(map[uint64]*request),
 		byAttempt: make(map[uint64]*request),
 		order:     list.New(),
@@ -195,10 +200,31 @@
 	r.send(rep.To.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: a}})
 }
 
-func (r *Reducer) answered(now model.Time, a *peerpb.Answer) {
+func (r *Reducer) answered(now model.Time, from shard.Member, a *peerpb.Answer) {
+	if a.Problem == shard.ProblemLinkReset {
+		r.messagesLost(now, from)
+		return
+	}
 	r.deliver(now, a.Request, a)
 }
 
+// noticeReset tells a peer that messages to it were lost, or could not be sent
+// before there was a link.
+func (r *Reducer) noticeReset(to shard.Member) {
+	r.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: &peerpb.Answer{
+		Problem: shard.ProblemLinkReset,
+	}}})
+}
+
+// messagesLost asks again for answers that a peer may have sent, and gives up
+// task results that it may have sent.
+func (r *Reducer) messagesLost(now model.Time, from shard.Member) {
+	r.rerouteFrom(now, from)
+	for _, s := range r.own {
+		s.LoseRunner(now, from)
+	}
+}
+
 // deliver gives an answer to the caller. Answers to attempts that were given
 // up, and second answers to one attempt, find no request.
 func (r *Reducer) deliver(now model.Time, attempt uint64, a *peerpb.Answer) {
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -182,6 +182,11 @@
 	for _, i := range r.plan.doc.Instances {
 		keep[i.Addr] = true
 	}
+	for _, s := range r.own {
+		for _, m := range s.Runners() {
+			keep[r.peers.addrOf(m)] = true
+		}
+	}
 	r.peers.forget(keep)
 	r.replanNow(now)
 }
@@ -195,6 +200,7 @@
 			s.PeerReset(now, e.Member)
 		}
 		r.rerouteFrom(now, e.Member)
+		r.noticeReset(e.Member)
 	}
 	r.peersChanged(now)
 }
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -230,6 +230,9 @@
 	ProblemNotFound   = "not-found"
 	ProblemNoOwner    = "no-owner"
 	ProblemInternal   = "internal"
+	// ProblemLinkReset tells an instance that messages to it were lost. It
+	// never reaches a caller.
+	ProblemLinkReset = "link-reset"
 	// ProblemNotOwner tells an entry instance to ask again elsewhere. It
 	// never reaches a caller.
 	ProblemNotOwner = "not-owner"
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -348,6 +348,7 @@
 	}
 	j.handles = append(j.handles, h)
 	j.states[index] = taskQueued
+	j.markRan(index)
 	return true
 }
 
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -144,13 +144,22 @@
 // acknowledge its operations comes before the change is written.
 func (s *Shard) proposeReplica() (Proposal, bool) {
 	if s.env.Peers.Liveness(s.view.Owner()) != Silent {
-		return Proposal{}, false
+		return s.proposeRenewal()
 	}
 	p := s.next(0, s.env.Self)
 	p.Promise = true
 	return p, true
 }
 
+// proposeRenewal lets an owner that answers again go on after a promise that
+// led to no takeover: only a later epoch ends the promise.
+func (s *Shard) proposeRenewal() (Proposal, bool) {
+	if s.fence <= s.view.Epoch {
+		return Proposal{}, false
+	}
+	return s.next(0, s.view.Members...), true
+}
+
 // Promise refuses operations of epochs before the one given, for ever.
 func (s *Shard) Promise(epoch uint64) { s.fence = max(s.fence, epoch) }
 
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -54,7 +54,8 @@
 	attempts []uint8              // owner
 	started  int                  // owner: tasks in flight
 	waiters  []Waiter             // owner
-	remote   Member               // owner: reports tasks in state taskRemote
+	runners  map[uint32]Member    // owner: who reports tasks in state taskRemote
+	ranOnce  map[int]bool         // owner: queued again after a start that may have run
 }
 
 func newJob(spec *peerpb.JobSpec) *job {
@@ -127,7 +128,30 @@
 }
 
 func (j *job) mayHaveRun(i int) bool {
-	return j.states[i] == taskStarted || j.states[i] == taskRemote
+	return j.states[i] == taskStarted || j.states[i] == taskRemote || j.ranOnce[i]
+}
+
+// unstarted reports whether no start of the task can have run.
+func (j *job) unstarted(i int) bool {
+	return (j.states[i] == taskQueued || j.states[i] == taskBound) && !j.ranOnce[i]
+}
+
+// markRan notes that an attempt of the task may have run.
+func (j *job) markRan(i int) {
+	if j.ranOnce == nil {
+		j.ranOnce = make(map[int]bool)
+	}
+	j.ranOnce[i] = true
+}
+
+// awaits reports whether a task in flight is reported by m.
+func (j *job) awaits(m Member) bool {
+	for i, runner := range j.runners {
+		if runner == m && j.states[i] == taskRemote {
+			return true
+		}
+	}
+	return false
 }
 
 // openIntents counts tasks that an intent covers and no result closes, apart
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -74,6 +74,7 @@
 	sealNote  *peerpb.HandOver
 	parked    []parked
 	held      []heldResult
+	runners   []Member // they have tasks of an earlier owner in flight
 
 	// replica
 	from     Member // the owner whose operations are applied
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
@@ -86,7 +88,6 @@
 // tasks that no intent covers may start from here on; those that an intent
 // covers and no result closes may have run.
 func (s *Shard) takeOver(now model.Time) {
-	previous := s.from
 	s.role = RoleOwner
 	s.followers = nil
 	s.log = nil
@@ -97,33 +98,42 @@
 	s.handOver = nil
 	for _, r := range s.order {
 		if r.job != nil && s.records[r.key] == r {
-			s.resume(now, r, open[r.key], previous)
+			s.resume(now, r, open[r.key])
 		}
 	}
 }
 
 // remoteTasks returns the tasks that the previous owner has announced to be
 // in flight, if the view changed hands by its hand-over.
-func (s *Shard) remoteTasks() map[key][]uint32 {
-	tasks := make(map[key][]uint32)
+func (s *Shard) remoteTasks() map[key][]*peerpb.OpenTasks {
+	s.runners = nil
+	tasks := make(map[key][]*peerpb.OpenTasks)
 	h := s.handOver
-	if h == nil || h.Epoch+1 != s.view.Epoch || s.env.Peers.Liveness(s.from) == Dead {
+	if h == nil || h.Epoch+1 != s.view.Epoch {
 		return tasks
 	}
 	for _, o := range h.Open {
-		tasks[keyOf(o.Identity)] = o.Indexes
+		runner := memberFromProto(o.Runner)
+		if s.env.Peers.Liveness(runner) == Dead {
+			continue
+		}
+		k := keyOf(o.Identity)
+		tasks[k] = append(tasks[k], o)
+		if !slices.Contains(s.runners, runner) {
+			s.runners = append(s.runners, runner)
+		}
 	}
 	return tasks
 }
 
-func (s *Shard) resume(now model.Time, r *record, remote []uint32, previous Member) {
+// Runners returns the instances that have tasks of an earlier owner in flight.
+func (s *Shard) Runners() []Member { return s.runners }
+
+func (s *Shard) resume(now model.Time, r *record, remote []*peerpb.OpenTasks) {
 	j := r.job
 	j.own()
-	j.remote = previous
-	for _, i := range remote {
-		if j.results[i] == nil {
-			j.states[i] = taskRemote
-		}
+	for _, o := range remote {
+		j.awaitRunner(o)
 	}
 	if j.failed {
 		s.giveUpResumed(now, r, ProblemJobFailed)
@@ -136,6 +146,19 @@
 	s.requeue(now, r)
 }
 
+// awaitRunner marks tasks that an earlier owner has in flight.
+func (j *job) awaitRunner(o *peerpb.OpenTasks) {
+	if j.runners == nil {
+		j.runners = make(map[uint32]Member)
+	}
+	for _, i := range o.Indexes {
+		if j.results[i] == nil {
+			j.states[i] = taskRemote
+			j.runners[i] = memberFromProto(o.Runner)
+		}
+	}
+}
+
 // giveUpResumed fails a job whose covered tasks may have run under the
 // previous owner.
 func (s *Shard) giveUpResumed(now model.Time, r *record, problem string) {
@@ -160,11 +183,14 @@
 	}
 	s.role = RoleReplica
 	s.from = s.view.Owner()
+	s.handOver = nil
 }
 
 // demote turns an owner into a replica. Tasks in flight are reported to the
 // new owner as they end. The entry instances are told to ask the new owner.
 func (s *Shard) demote(now model.Time) {
+	// The new owner has to know the view before the results come.
+	s.sendView(s.view.Owner())
 	s.releaseWaits(now)
 	for _, r := range s.order {
 		if r.job != nil {
@@ -280,12 +306,8 @@
 		s.env.Queue.Cancel(now, hd)
 	}
 	upto := uint32(0)
-	var flight []uint32
-	for i, st := range j.states {
-		if st == taskStarted || st == taskRemote {
-			flight = append(flight, uint32(i))
-		}
-		if st != taskQueued && st != taskBound {
+	for i := range j.states {
+		if !j.unstarted(i) {
 			upto = uint32(i) + 1
 		}
 	}
@@ -295,9 +317,39 @@
 			Intent: &peerpb.Intent{Identity: j.spec.Identity, Upto: upto},
 		}})
 	}
-	if len(flight) > 0 {
-		h.Open = append(h.Open, &peerpb.OpenTasks{Identity: j.spec.Identity, Indexes: flight})
+	h.Open = append(h.Open, s.inFlight(j)...)
+}
+
+// inFlight lists the tasks of a job that are in flight, by who reports them.
+func (s *Shard) inFlight(j *job) []*peerpb.OpenTasks {
+	var list []*peerpb.OpenTasks
+	for i, st := range j.states {
+		var runner Member
+		switch st {
+		case taskStarted:
+			runner = s.env.Self
+		case taskRemote:
+			runner = j.runners[uint32(i)]
+		default:
+			continue
+		}
+		list = addOpen(list, j.spec.Identity, runner, uint32(i))
+	}
+	return list
+}
+
+func addOpen(list []*peerpb.OpenTasks, id *peerpb.Identity, runner Member, i uint32) []*peerpb.OpenTasks {
+	for _, o := range list {
+		if memberFromProto(o.Runner) == runner {
+			o.Indexes = append(o.Indexes, i)
+			return list
+		}
 	}
+	return append(list, &peerpb.OpenTasks{
+		Identity: id,
+		Indexes:  []uint32{i},
+		Runner:   memberProto(runner),
+	})
 }
 
 // unseal goes on as owner after a hand-over that did not take place.
@@ -387,6 +439,7 @@
 // HandleRemoteResult takes the result of a task that an earlier owner started.
 func (s *Shard) HandleRemoteResult(now model.Time, m *peerpb.RemoteResult) {
 	if s.role != RoleOwner {
+		s.passOn(m)
 		return
 	}
 	r := s.open(m.Identity)
@@ -396,6 +449,20 @@
 	s.result(now, r, m.Result)
 }
 
+// passOn sends a result to the owner that came after this one.
+func (s *Shard) passOn(m *peerpb.RemoteResult) {
+	owner := s.view.Owner()
+	if owner == (Member{}) || owner == s.env.Self {
+		return
+	}
+	s.sendView(owner)
+	s.env.send(owner.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteResult{RemoteResult: m}})
+}
+
+func (s *Shard) sendView(to Member) {
+	s.env.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_View{View: s.view.Proto(s.id)}})
+}
+
 // MemberDead takes the proof that a process is gone for ever. The owner leaves
 // it out at once; a replica whose owner it was acts as owner. Neither needs
 // the platform: the dead process held the only other copy, so nobody else can
@@ -407,7 +474,6 @@
 	switch s.role {
 	case RoleOwner:
 		s.dropFollower(now, m)
-		s.loseRemote(now, m)
 	case RoleReplica:
 		if m == s.view.Owner() {
 			s.takeOver(now)
@@ -422,6 +488,14 @@
 			s.MemberDead(now, m)
 		}
 	}
+	if s.env.Suspended {
+		return
+	}
+	for _, m := range slices.Clone(s.runners) {
+		if s.env.Peers.Liveness(m) == Dead {
+			s.LoseRunner(now, m)
+		}
+	}
 }
 
 func (s *Shard) dropFollower(now model.Time, m Member) {
@@ -438,18 +512,16 @@
 	}
 }
 
-// loseRemote fails the jobs with tasks that a dead instance would have
-// reported.
-func (s *Shard) loseRemote(now model.Time, m Member) {
+// LoseRunner fails the jobs with tasks that an instance would have reported
+// whose reports are lost.
+func (s *Shard) LoseRunner(now model.Time, m Member) {
+	if s.role != RoleOwner || s.sealed || !slices.Contains(s.runners, m) {
+		return
+	}
+	s.runners = slices.DeleteFunc(s.runners, func(x Member) bool { return x == m })
 	for _, r := range s.order {
-		if r.job == nil || r.job.remote != m {
-			continue
-		}
-		for _, st := range r.job.states {
-			if st == taskRemote {
-				s.giveUp(now, r, ProblemUnknown)
-				break
-			}
+		if r.job != nil && r.job.awaits(m) {
+			s.giveUp(now, r, ProblemUnknown)
 		}
 	}
 }
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -52,10 +52,7 @@
 		FloorUnixNs: int64(v.Floor),
 	}
 	for _, m := range v.Members {
-		p.Members = append(p.Members, &peerpb.Member{
-			Instance:    string(m.Instance),
-			Incarnation: string(m.Incarnation),
-		})
+		p.Members = append(p.Members, memberProto(m))
 	}
 	return p
 }
@@ -64,14 +61,25 @@
 func ViewFromProto(p *peerpb.View) View {
 	v := View{Epoch: p.Epoch, Floor: model.Time(p.FloorUnixNs)}
 	for _, m := range p.Members {
-		v.Members = append(v.Members, Member{
-			Instance:    model.Instance(m.Instance),
-			Incarnation: model.Incarnation(m.Incarnation),
-		})
+		v.Members = append(v.Members, memberFromProto(m))
 	}
 	return v
 }
 
+func memberProto(m Member) *peerpb.Member {
+	return &peerpb.Member{
+		Instance:    string(m.Instance),
+		Incarnation: string(m.Incarnation),
+	}
+}
+
+func memberFromProto(p *peerpb.Member) Member {
+	return Member{
+		Instance:    model.Instance(p.GetInstance()),
+		Incarnation: model.Incarnation(p.GetIncarnation()),
+	}
+}
+
 // Liveness is what fresh connections to a member have shown.
 type Liveness uint8
 
