--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+func TestMeasureStoreCountsCalls(t *testing.T) {
+	f, err := MeasureStore(2, 50)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.WritesPerEdit < 1 || f.ReadsPerEdit < 1 || f.WatchBytes == 0 {
+		t.Fatalf("calls are missing: %+v", f)
+	}
+}
+
+func TestMeasureTableHasEveryRow(t *testing.T) {
+	if f := MeasureTable(2); f.Rows != 2*tableKinds*tableDomains || f.ApplyUs < 0 {
+		t.Fatalf("%+v", f)
+	}
+}
+
 func TestSweepsCoverTheAskedSizes(t *testing.T) {
 	seen := map[string]int{}
 	for _, s := range Sweeps() {
--- a/internal/capacity/cmd/capacity/main.go
+++ b/internal/capacity/cmd/capacity/main.go
@@ -25,7 +25,7 @@
 }
 
 func run(o options) error {
-	for _, measure := range []func(options) error{measureViews, measureShards, measureSched} {
+	for _, measure := range []func(options) error{measureTable, measureStore, measureViews, measureShards, measureSched} {
 		if err := measure(o); err != nil {
 			return err
 		}
@@ -33,6 +33,25 @@
 	return nil
 }
 
+func measureTable(o options) error {
+	var figures []capacity.TableFigure
+	for _, customers := range capacity.TableSizes() {
+		fig := capacity.MeasureTable(customers)
+		fmt.Printf("table: %+v\n", fig)
+		figures = append(figures, fig)
+	}
+	return capacity.Write(o.Out, "table", figures)
+}
+
+func measureStore(o options) error {
+	fig, err := capacity.MeasureStore(capacity.Target.Customers, capacity.DayEdits)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("store: %+v\n", fig)
+	return capacity.Write(o.Out, "store", []capacity.StoreFigure{fig})
+}
+
 func measureViews(o options) error {
 	var figures []capacity.ViewFigure
 	for _, l := range capacity.ViewLoads() {
