Name and explain the jobs that a load run leaves unanswered

Cause: in a run of half-size one short job had no answer after 44 s, with no fault brought about, and the report could not say which.

Change: the report lists up to ten pending jobs with what the instance explains about them.

Conclusion: the fault is not found yet; the next runs name the job.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -26,6 +26,9 @@
 	maxAnswerBytes = 64 << 20
 	maxPolls       = 20
 	idlePerEntry   = 4096
+
+	explainTimeout  = 2 * time.Second
+	maxExplainBytes = 8 << 10
 )
 
 // Entry is an entry instance that load is offered to.
@@ -177,8 +180,31 @@
 	return c.call(ctx, http.MethodDelete, c.url(e, jobPath(j, key), false), nil)
 }
 
-func jobPath(j *Job, key uuid.UUID) string {
-	return strings.NewReplacer("{home}", j.Home, "{customer}", j.Customer, "{key}", key.String()).Replace(api.PathJob)
+// explain asks an instance where a job stands; it returns what it says, or
+// why it says nothing.
+func (c *client) explain(ctx context.Context, e Entry, j *Job, key uuid.UUID) string {
+	ctx, stop := context.WithTimeout(ctx, explainTimeout)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr.String()+fill(api.PathExplain, j, key), nil)
+	if err != nil {
+		return err.Error()
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxExplainBytes))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+func jobPath(j *Job, key uuid.UUID) string { return fill(api.PathJob, j, key) }
+
+func fill(path string, j *Job, key uuid.UUID) string {
+	return strings.NewReplacer("{home}", j.Home, "{customer}", j.Customer, "{key}", key.String()).Replace(path)
 }
 
 func (c *client) url(e Entry, path string, wait bool) string {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -444,6 +444,27 @@
 	t.Fatalf("second starts not found: %v", rep.Findings)
 }
 
+func TestRunExplainsUnansweredJobs(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/explain") {
+			_, _ = w.Write([]byte("it waits for a slot"))
+			return
+		}
+		writeJSON(w, http.StatusAccepted, "application/json", api.Answer{Status: api.StatusPending})
+	}))
+	defer srv.Close()
+	w := parse(t, smallWorkload)
+	w.MaxJobs = 3
+	addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
+	rep, err := Run(context.Background(), w, Target{Entries: []Entry{{Addr: addr}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rep.All.Counts.Pending != 3 || len(rep.Unanswered) != 3 || rep.Unanswered[0].Explain != "it waits for a slot" {
+		t.Fatalf("%d pending, unanswered %v", rep.All.Counts.Pending, rep.Unanswered)
+	}
+}
+
 func TestRunEndsWithItsContext(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -39,6 +39,7 @@
 	StartsRead  bool           `json:"starts_read"` // the claims were compared with the backend servers' counts
 	StartsError string         `json:"starts_error,omitempty"`
 	Servers     []ServerStarts `json:"servers"`
+	Unanswered  []Unanswered   `json:"unanswered,omitempty"` // some of the pending jobs
 	Series      []Point        `json:"series"`
 
 	responseCDF, ratioCDF, shortRatioCDF []hdrhistogram.Bracket
@@ -76,6 +77,16 @@
 	After Quantiles `json:"after_ms"`
 }
 
+// Unanswered is a job without a final answer at the end of the run.
+type Unanswered struct {
+	Key      string `json:"key"`
+	Customer string `json:"customer"`
+	Home     string `json:"home"`
+	Kind     string `json:"kind"`
+	Tasks    int    `json:"tasks"`
+	Explain  string `json:"explain"` // what an instance said about it
+}
+
 // ServerStarts are the starts that one backend stand-in counted.
 type ServerStarts struct {
 	Server string `json:"server"`
@@ -142,7 +153,7 @@
 	return list
 }
 
-func (r *runner) report(startsErr error) *Report {
+func (r *runner) report(startsErr error, unanswered []Unanswered) *Report {
 	rec := r.recorder
 	rep := &Report{
 		Workload:    r.w.Name,
@@ -165,6 +176,7 @@
 		Findings:    r.truth.findings(),
 		StartsRead:  len(r.target.Starts) > 0 && startsErr == nil,
 		Servers:     r.servers,
+		Unanswered:  unanswered,
 		Series:      rec.series(),
 
 		responseCDF:   rec.all.response.CumulativeDistribution(),
@@ -239,6 +251,7 @@
 	}
 	r.writeCounts(out)
 	r.writeServers(out)
+	r.writeUnanswered(out)
 	return r.writeFindings(out)
 }
 
@@ -272,6 +285,12 @@
 		c.Complete, c.Failed, c.Refused, c.Unknown, c.Pending)
 }
 
+func (r *Report) writeUnanswered(out io.Writer) {
+	for _, u := range r.Unanswered {
+		fmt.Fprintf(out, "unanswered: %s/%s/%s, %s, %d tasks\n%s\n", u.Home, u.Customer, u.Key, u.Kind, u.Tasks, u.Explain)
+	}
+}
+
 // writeServers shows how far the starts are spread over the servers.
 func (r *Report) writeServers(out io.Writer) {
 	if len(r.Servers) == 0 {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -36,9 +36,11 @@
 		}
 	}
 	r := newRunner(w, t)
+	defer r.client.http.CloseIdleConnections()
 	r.drive(ctx)
+	unanswered := r.explainUnanswered(ctx)
 	startsErr := r.compareStarts(ctx)
-	return r.report(startsErr), nil
+	return r.report(startsErr, unanswered), nil
 }
 
 type runner struct {
@@ -50,10 +52,21 @@
 	begin    time.Time
 	took     time.Duration
 	servers  []ServerStarts
-	slots    chan struct{} // bounds the calls in flight
-	calls    sync.WaitGroup
+
+	mu         sync.Mutex
+	unanswered []unansweredJob
+	slots      chan struct{} // bounds the calls in flight
+	calls      sync.WaitGroup
+}
+
+type unansweredJob struct {
+	job *Job
+	key uuid.UUID
 }
 
+// maxUnanswered bounds the unanswered jobs that the report explains.
+const maxUnanswered = 10
+
 func newRunner(w *Workload, t Target) *runner {
 	return &runner{
 		w:        w,
@@ -82,7 +95,6 @@
 	}
 	r.calls.Wait()
 	r.took = time.Since(r.begin)
-	r.client.http.CloseIdleConnections()
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
@@ -123,6 +135,7 @@
 	case OpSubmit:
 		reply := r.submitAnywhere(ctx, ev.Job, key)
 		r.recordJob(ev.Job, time.Since(planned), reply)
+		r.noteUnanswered(ev.Job, key, reply)
 		r.retryRefused(ctx, ev.Job, key, reply)
 	case OpResubmit:
 		reply := r.submit(ctx, ev.Job, key, 1)
@@ -231,6 +244,34 @@
 	})
 }
 
+// noteUnanswered keeps some of the jobs that have no final answer.
+func (r *runner) noteUnanswered(j *Job, key uuid.UUID, reply Reply) {
+	if reply.Class != Pending {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unanswered) < maxUnanswered {
+		r.unanswered = append(r.unanswered, unansweredJob{j, key})
+	}
+}
+
+// explainUnanswered asks the instances where the unanswered jobs stand.
+func (r *runner) explainUnanswered(ctx context.Context) []Unanswered {
+	var list []Unanswered
+	for _, u := range r.unanswered {
+		list = append(list, Unanswered{
+			Key:      u.key.String(),
+			Customer: u.job.Customer,
+			Home:     u.job.Home,
+			Kind:     u.job.Kind.Name,
+			Tasks:    len(u.job.Tasks),
+			Explain:  r.client.explain(ctx, r.entry(u.job, 0), u.job, u.key),
+		})
+	}
+	return list
+}
+
 // compareStarts checks the answers against the starts that the backend
 // stand-ins counted.
 func (r *runner) compareStarts(ctx context.Context) error {
--- a/scripts/local-cluster.sh
+++ b/scripts/local-cluster.sh
@@ -11,8 +11,9 @@
 #   GOMAXPROCS_ENTRY  processors of an entry instance whose file names none (default 2)
 #
 # It leaves in OUTDIR: the load's report and plots, the settings and logs of
-# the processes, usage.csv (processor time and memory of each entry instance)
-# and events.log (the faults brought about).
+# the processes, usage.csv (processor time and memory of each entry instance),
+# machine.txt (load average before and after) and events.log (the faults brought
+# about).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 workload="$1"
@@ -144,8 +145,10 @@
   pids+=($!)
 fi
 
+uptime >"$out/machine.txt"
 status=0
 "$bin/nutmegctl" load "$workload" "${load_flags[@]}" --out "$out" "$@" | tee "$out/report.txt" || status=$?
 usage after >>"$out/usage.csv"
+uptime >>"$out/machine.txt"
 cat "$out/events.log"
 exit "$status"
