Put the table, the audit trail and the operators' handlers into the instance

The reducer takes a newer table as an event and treats a drained backend server as leaving; default deadlines come from the table without being part of the content; instances exchange the table over their links; views, edits and versions in force go to the audit trail on watermill.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,11 +6,13 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/nutmegweir/nutmegweir/internal/audit"
 	"github.com/nutmegweir/nutmegweir/internal/backend"
 	"github.com/nutmegweir/nutmegweir/internal/caller"
 	"github.com/nutmegweir/nutmegweir/internal/core"
@@ -19,10 +21,12 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peer"
 	"github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/policy"
 	"github.com/nutmegweir/nutmegweir/internal/runtime"
-	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/settings"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+	"github.com/nutmegweir/nutmegweir/internal/tablesync"
 )
 
 // Options are the parts of an Instance.
@@ -44,6 +48,13 @@
 	pool    *backend.Pool
 	handler *caller.Handler
 
+	observer *observer
+	trail    *audit.Trail
+	store    *tablestore.Store
+	sync     *tablesync.Runner
+	cancel   context.CancelFunc // ends what runs beside the runtime
+	wg       sync.WaitGroup
+
 	callerListener   net.Listener
 	peerListener     net.Listener
 	operatorListener net.Listener
@@ -128,21 +139,24 @@
 		p = i.httpPlatform()
 	}
 	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns})
-	watch := newObserver(i.log, i.metrics)
+	i.observer = newObserver(i.log, i.metrics)
+	if err := i.assembleTable(p); err != nil {
+		return err
+	}
 	i.runtime = runtime.New(runtime.Options{
 		Core:           i.coreOptions(),
 		Domains:        i.set.Domains,
 		Platform:       p,
 		BackendService: i.set.BackendService,
 		Backends:       i.pool,
-		Observer:       watch,
+		Observer:       i.observer,
 	})
 	i.peers = peer.New(peer.Options{
 		Self:    i.self,
 		Domain:  i.set.Domain,
 		Client:  clientTLS,
-		Events:  i.runtime.Post,
-		Stats:   watch,
+		Events:  i.event,
+		Stats:   i.observer,
 		Silence: time.Duration(i.set.Shards.SilenceBoundMs) * time.Millisecond,
 	})
 	i.runtime.SetPeers(i.peers)
@@ -177,7 +191,7 @@
 		Silence: time.Duration(i.set.Shards.SilenceBoundMs) * time.Millisecond,
 		Seed:    i.set.Scheduler.Seed,
 		Shard:   so,
-		Policy:  defaultPolicy{},
+		Policy:  policy.New(i.set.Domain),
 	}
 }
 
@@ -202,12 +216,16 @@
 		Log:        i.log,
 	})
 	i.callerServer = caller.NewServer(i.handler, i.set.Limits, callerTLS, i.log)
+	operators, err := i.operatorHandler()
+	if err != nil {
+		return err
+	}
 	operatorTLS, err := i.set.TLS.Operator.ServerConfig()
 	if err != nil {
 		return err
 	}
 	i.operatorServer = &http.Server{
-		Handler:           i.operatorRoutes(),
+		Handler:           i.operatorRoutes(operators),
 		TLSConfig:         operatorTLS,
 		ReadHeaderTimeout: 5 * time.Second,
 	}
@@ -224,6 +242,9 @@
 func (i *Instance) Start() {
 	go func() { _ = i.peers.Serve(i.peerListener) }()
 	i.runtime.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.wg.Go(func() { i.sync.Run(ctx) })
 	go i.serve(i.callerServer, i.callerListener)
 	go i.serve(i.operatorServer, i.operatorListener)
 	i.log.Event(eventlog.InstanceStarted).
@@ -260,20 +281,17 @@
 func (i *Instance) Close() {
 	_ = i.callerServer.Close()
 	_ = i.operatorServer.Close()
+	if i.cancel != nil {
+		i.cancel()
+	}
+	i.wg.Wait()
 	i.runtime.Close()
 	i.peers.Close()
+	_ = i.trail.Close()
 	_ = i.peerListener.Close()
 	i.pool.Close()
 }
 
-// defaultPolicy gives every customer and kind the same row.
-type defaultPolicy struct{}
-
-// Row implements sched.Policy.
-func (defaultPolicy) Row(model.Customer, model.Kind) sched.PolicyRow {
-	return sched.PolicyRow{Weight: 1}
-}
-
 // WaitReady waits until submissions can be routed.
 func (i *Instance) WaitReady(ctx context.Context) error {
 	t := time.NewTicker(20 * time.Millisecond)
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -1,14 +1,17 @@
 package entry
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/nutmegweir/nutmegweir/internal/audit"
 	"github.com/nutmegweir/nutmegweir/internal/backend"
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/operator"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 )
@@ -20,6 +23,11 @@
 
 	mu      sync.RWMutex
 	domains map[model.ServerID]string
+	servers []sched.Server
+
+	// Set before the first event.
+	peers func([]sched.Peer)
+	trail *audit.Trail
 }
 
 func newObserver(l *eventlog.Log, m *metrics.Metrics) *observer {
@@ -41,7 +49,50 @@
 		Send()
 	if n.Kind == core.NoteViewChanged {
 		o.metrics.ViewChanges.WithLabelValues("platform").Inc()
+		o.audit(audit.Record{
+			Action: audit.ActionView,
+			Domain: n.Domain,
+			Row:    "shard " + strconv.Itoa(int(n.Shard)),
+			Note:   "epoch " + strconv.FormatUint(n.Epoch, 10) + ", owner " + string(n.Member.Instance),
+		})
+	}
+}
+
+// audit adds a record to the trail. The reducer's goroutine does not wait for
+// the subscribers.
+func (o *observer) audit(r audit.Record) {
+	r.AtUnixMs = time.Now().UnixMilli()
+	go func() { _ = o.trail.Publish(r) }()
+}
+
+// Peers implements runtime.Observer.
+func (o *observer) Peers(list []sched.Peer) {
+	o.metrics.PeerLinks.Set(float64(len(list)))
+	o.peers(list)
+}
+
+// serverList returns the platform's list of backend servers.
+func (o *observer) serverList() []operator.Server {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	list := make([]operator.Server, len(o.servers))
+	for n, s := range o.servers {
+		list[n] = operator.Server{
+			ID:     s.ID,
+			Domain: s.Domain,
+			Addr:   s.Addr,
+			Slots:  s.Slots,
+			Listed: listed(s.State),
+		}
+	}
+	return list
+}
+
+func listed(s sched.ServerState) string {
+	if s == sched.ServerLeaving {
+		return "leaving"
 	}
+	return "active"
 }
 
 func eventOf(k core.NoteKind) eventlog.Event {
@@ -75,6 +126,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.domains = domains
+	o.servers = list
 }
 
 // TaskDone implements runtime.Observer.
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -24,7 +24,7 @@
 	return d.Runtime.Explain(ctx, id)
 }
 
-func (i *Instance) operatorRoutes() http.Handler {
+func (i *Instance) operatorRoutes(operators http.Handler) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
@@ -36,6 +36,7 @@
 	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.Mount("/", operators)
 	return r
 }
 
--- a/internal/capacity/views.go
+++ b/internal/capacity/views.go
@@ -7,6 +7,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/policy"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
 )
 
@@ -122,7 +123,7 @@
 	n := &viewNode{info: info, alive: true, dialed: make(map[string]bool)}
 	n.core = core.New(core.Options{
 		Self: info.Member, Domain: info.Domain, Addr: info.Addr, Shards: b.load.Shards,
-		Replica: true, Silence: silenceBound, Shard: shard.DefaultOptions(), Policy: flatPolicy{},
+		Replica: true, Silence: silenceBound, Shard: shard.DefaultOptions(), Policy: policy.New("capacity"),
 	})
 	b.nodes[i] = n
 	b.list(info)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/policy"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
 )
@@ -24,7 +25,7 @@
 	Silence time.Duration
 	Seed    uint64
 	Shard   shard.Options
-	Policy  sched.Policy
+	Policy  *policy.Policy
 }
 
 // Reducer is the state of one entry instance.
@@ -40,7 +41,8 @@
 	route router
 
 	instances []InstanceInfo
-	held      []sched.Start // starts that wait for the end of a suspension
+	servers   []sched.Server // as the platform lists them
+	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
 	stopping  bool
@@ -65,6 +67,7 @@
 		route: newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
+	r.env.Deadline = o.Policy.Deadline
 	r.env.Peers = r.peers
 	for i := range o.Shards {
 		r.own = append(r.own, shard.New(r.env, shard.ID{Domain: o.Domain, Index: uint32(i)}))
@@ -96,7 +99,7 @@
 		r.peerRefused(now, e)
 	case PeerUnanswered:
 		r.peers.unanswered(e, r.plan.suspendedAt)
-		r.replanNow(now)
+		r.peersChanged(now)
 	case Instances:
 		r.setInstances(now, e.List)
 	case Views:
@@ -106,7 +109,12 @@
 	case ReadFailed:
 		r.plan.reading = false
 	case Servers:
-		r.sched.SetServers(now, e.List)
+		r.servers = e.List
+		r.applyServers(now)
+	case Table:
+		if r.opts.Policy.Set(e.Snapshot) {
+			r.applyServers(now)
+		}
 	case TaskDone:
 		r.env.TaskDone(now, e.TaskDone)
 	case Stop:
@@ -182,6 +190,18 @@
 	return len(out.Starts)+len(out.Drops)+len(out.Sends) > 0
 }
 
+// applyServers gives the scheduler the listed servers. One that an operator
+// has drained counts as leaving.
+func (r *Reducer) applyServers(now model.Time) {
+	list := append([]sched.Server(nil), r.servers...)
+	for i := range list {
+		if list[i].State == sched.ServerActive && r.opts.Policy.Drained(list[i].ID) {
+			list[i].State = sched.ServerLeaving
+		}
+	}
+	r.sched.SetServers(now, list)
+}
+
 // bind passes a start on. While the instance is suspended the start waits with
 // its slot, for the scheduler would bind it again at once.
 func (r *Reducer) bind(now model.Time, st sched.Start) {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,6 +5,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/table"
 )
 
 // Event is an input of the reducer.
@@ -121,6 +122,9 @@
 // Servers is the list of backend servers.
 type Servers struct{ List []sched.Server }
 
+// Table is a newer table of weights and limits.
+type Table struct{ Snapshot *table.Snapshot }
+
 // TaskDone is the outcome of a StartTask effect.
 type TaskDone struct{ shard.TaskDone }
 
@@ -140,6 +144,7 @@
 func (ViewsWritten) event()   {}
 func (ReadFailed) event()     {}
 func (Servers) event()        {}
+func (Table) event()          {}
 func (TaskDone) event()       {}
 func (Stop) event()           {}
 
@@ -192,4 +197,5 @@
 	ReadViews  bool
 	Dial       []InstanceInfo // all peers to keep a link to, nil if unchanged
 	Notes      []Note
+	Peers      []sched.Peer // live instances, nil if unchanged
 }
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -220,7 +220,9 @@
 // peersChanged applies new knowledge of who is alive.
 func (r *Reducer) peersChanged(now model.Time) {
 	r.checkMembers(now)
-	r.sched.SetPeers(now, r.schedPeers())
+	list := r.schedPeers()
+	r.sched.SetPeers(now, list)
+	r.out.Peers = list
 	r.rerouteDead(now)
 	r.replanNow(now)
 }
@@ -384,7 +386,7 @@
 }
 
 func (r *Reducer) schedPeers() []sched.Peer {
-	var list []sched.Peer
+	list := []sched.Peer{}
 	for _, a := range r.peers.order {
 		l := r.peers.links[a]
 		if l.up {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -42,6 +42,7 @@
 	PlatformError(op string, err error)
 	TaskDone(server model.ServerID, res backend.Result)
 	Servers(list []sched.Server)
+	Peers(list []sched.Peer)
 }
 
 // Runtime runs the reducer of one instance.
@@ -184,6 +185,9 @@
 		began := r.clock.now()
 		r.wg.Go(func() { r.readViews(began) })
 	}
+	if e.Peers != nil {
+		r.opts.Observer.Peers(e.Peers)
+	}
 	for _, n := range e.Notes {
 		r.opts.Observer.Note(n)
 	}
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -16,7 +16,6 @@
 	names  []model.Instance
 	filter func(from model.Instance, x Send) int // copies to deliver
 	late   []Send
-	from   []model.Instance
 	starts map[model.Instance][]Start
 	policy Policy
 }
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -81,6 +81,10 @@
 	Peers Peers
 	Out   Effects
 
+	// Deadline returns the default deadline of a customer's kind, from the
+	// time of the key, 0 if there is none. It may be nil.
+	Deadline func(model.Customer, model.Kind) time.Duration
+
 	// Suspended is set after a gap in the instance's own ticks, until the
 	// views have been read freshly from the platform. While it is set the
 	// instance admits nothing, starts nothing and draws no conclusion from
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -51,7 +51,7 @@
 	r := &record{key: k, digest: digestOf(spec), job: newJob(spec)}
 	r.job.own()
 	h := s.env.register(s, r)
-	v := s.env.Queue.Submit(now, queueJob(h, spec, 0, false))
+	v := s.env.Queue.Submit(now, s.queueJob(h, spec, 0, false))
 	if v.Reason != sched.ReasonNone {
 		delete(s.env.jobs, h)
 		s.refuseForEver(now, r, w, v)
@@ -110,14 +110,27 @@
 	return false
 }
 
-func queueJob(h model.JobHandle, spec *peerpb.JobSpec, first int, accepted bool) sched.Job {
+// deadline returns the deadline that the scheduler works to. A default is not
+// part of the content, so that a change of the table makes no mismatch.
+func (s *Shard) deadline(spec *peerpb.JobSpec) model.Time {
+	if spec.DeadlineUnixMs != 0 || s.env.Deadline == nil {
+		return model.Time(spec.DeadlineUnixMs * int64(time.Millisecond))
+	}
+	d := s.env.Deadline(model.Customer(spec.Identity.Customer), model.Kind(spec.Kind))
+	if d == 0 {
+		return 0
+	}
+	return keyOf(spec.Identity).key.Submitted().Add(d)
+}
+
+func (s *Shard) queueJob(h model.JobHandle, spec *peerpb.JobSpec, first int, accepted bool) sched.Job {
 	return sched.Job{
 		Handle:     h,
 		Customer:   model.Customer(spec.Identity.Customer),
 		Kind:       model.Kind(spec.Kind),
 		Tasks:      len(spec.Payloads),
 		Declared:   time.Duration(spec.DeclaredRunMs) * time.Millisecond,
-		Deadline:   model.Time(spec.DeadlineUnixMs * int64(time.Millisecond)),
+		Deadline:   s.deadline(spec),
 		Needs:      needsOf(spec),
 		Repeatable: spec.Repeatable,
 		Accepted:   accepted,
@@ -340,7 +353,7 @@
 		return false
 	}
 	h := s.env.register(s, r)
-	q := queueJob(h, j.spec, index, true)
+	q := s.queueJob(h, j.spec, index, true)
 	q.Tasks = index + 1
 	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
 		delete(s.env.jobs, h)
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -173,7 +173,7 @@
 	}
 	h := s.env.register(s, r)
 	j.handles = append(j.handles, h)
-	s.env.Queue.Submit(now, queueJob(h, j.spec, int(j.intent), true))
+	s.env.Queue.Submit(now, s.queueJob(h, j.spec, int(j.intent), true))
 }
 
 // installReplica follows the view's owner with the records at hand.
@@ -388,7 +388,7 @@
 	if first < len(j.states) {
 		h := s.env.register(s, r)
 		j.handles = append(j.handles, h)
-		s.env.Queue.Submit(now, queueJob(h, j.spec, first, true))
+		s.env.Queue.Submit(now, s.queueJob(h, j.spec, first, true))
 	}
 	for i := range first {
 		if j.states[i] == taskQueued || j.states[i] == taskBound {
@@ -402,7 +402,7 @@
 	j.states[i] = taskQueued
 	h := s.env.register(s, r)
 	j.handles = append(j.handles, h)
-	q := queueJob(h, j.spec, i, true)
+	q := s.queueJob(h, j.spec, i, true)
 	q.Tasks = i + 1
 	s.env.Queue.Submit(now, q)
 }
