--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -30,6 +30,9 @@
 type Root struct {
 	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
+	Table   *TableCmd   `arg:"subcommand:table" help:"read and edit the table of weights and limits"`
+	Backend *BackendCmd `arg:"subcommand:backend" help:"list backend servers, take them out of service and back"`
+	Audit   *AuditCmd   `arg:"subcommand:audit" help:"show who changed what"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"say what an instance knows of itself, its peers and shards"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"offer a workload to instances on loopback and report"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
