--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -23,7 +23,7 @@
 	ExitUsage   = 2 // the arguments or the settings file are wrong
 	ExitRefused = 3 // refused, not run
 	ExitUnknown = 4 // it may have run
-	ExitPartial = 5 // a change is in force in some failure domains only
+	ExitPartial = 5 // a change was made in part, or is in force in some failure domains only
 )
 
 // Root holds the arguments of nutmegctl.
@@ -47,7 +47,8 @@
 // Epilogue lists the exit codes.
 func (Root) Epilogue() string {
 	return "Exit codes: 0 ok, 1 failed, 2 wrong usage or settings, 3 refused and not run,\n" +
-		"4 may have run, 5 a change is in force in some failure domains only.\n\n" +
+		"4 may have run or may be changed, 5 a change was made in part or is in force in\n" +
+		"some failure domains only.\n\n" +
 		"Use \"nutmegctl COMMAND --help\" for the arguments of a command."
 }
 
--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -18,8 +18,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	_, section, _ := strings.Cut(string(doc), "\n## Settings\n")
+	section, _, _ = strings.Cut(section, "\n## ")
 	var got []string
-	for _, m := range docRow.FindAllStringSubmatch(string(doc), -1) {
+	for _, m := range docRow.FindAllStringSubmatch(section, -1) {
 		got = append(got, m[1]+" = "+m[2])
 	}
 	d := Default()
