--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -185,6 +185,9 @@
 	ctx, cancel := h.waitContext(r, 0)
 	defer cancel()
 	answer, err := h.opts.Dispatcher.Cancel(ctx, id)
+	if err == nil && answer.GetProblem() == string(problem.Cancelled) {
+		h.opts.Log.Event(eventlog.JobCancelled).Str("job", jobPath(id)).Send()
+	}
 	h.answer(w, id, answer, anyTasks, err, writeAnswer)
 }
 
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	dto "github.com/prometheus/client_model/go"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/problem"
@@ -354,6 +356,28 @@
 	}
 }
 
+func TestCancelTellsWhatWasRun(t *testing.T) {
+	cancelled := &peerpb.Answer{Status: peerpb.Status_STATUS_FAILED, Problem: string(problem.Cancelled), Results: []*peerpb.TaskResult{
+		{Index: 0, Ran: peerpb.Ran_RAN_YES, Ok: true, Output: []byte("1")},
+		{Index: 1, Ran: peerpb.Ran_RAN_NO},
+	}}
+	var out bytes.Buffer
+	log, err := eventlog.New(&out, "debug")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := newTestHandler(&fakeDispatcher{answer: cancelled})
+	h.opts.Log = log
+	w := send(h, "DELETE", testPath, "")
+	p := problemOf(t, w)
+	if w.Code != http.StatusConflict || p.Kind != string(problem.Cancelled) || p.Ran != api.RanYes || len(p.Results) != 2 {
+		t.Errorf("got %d %+v", w.Code, p)
+	}
+	if !strings.Contains(out.String(), eventlog.JobCancelled.Name) {
+		t.Errorf("the log lacks the event: %s", out.String())
+	}
+}
+
 func TestExplain(t *testing.T) {
 	d := &fakeDispatcher{explain: "queued behind 3 tasks\n"}
 	w := send(newTestHandler(d), "GET", testPath+"/explain", "")
