--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,6 +242,9 @@
 func (i *Instance) Start() {
 	go func() { _ = i.peers.Serve(i.peerListener) }()
 	i.runtime.Start()
+	if len(i.set.Peers.Seeds) > 0 {
+		i.runtime.Post(core.Seeds{Addrs: i.set.Peers.Seeds})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.wg.Go(func() { i.sync.Run(ctx) })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,10 @@
 	case PeerUnanswered:
 		r.peers.unanswered(e, r.plan.suspendedAt)
 		r.peersChanged(now)
+	case Seeds:
+		for _, a := range e.Addrs {
+			r.peers.dialAddr(InstanceInfo{Addr: a})
+		}
 	case Instances:
 		r.setInstances(now, e.List)
 	case Views:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -80,6 +80,10 @@
 	Confirm uint64 `json:"confirm,omitempty"`
 }
 
+// Seeds are peer addresses from the settings, for a start while the platform
+// is down.
+type Seeds struct{ Addrs []string }
+
 // Instances is the platform's list of live entry instances.
 type Instances struct{ List []InstanceInfo }
 
@@ -139,6 +143,7 @@
 func (PeerDown) event()       {}
 func (PeerRefused) event()    {}
 func (PeerUnanswered) event() {}
+func (Seeds) event()          {}
 func (Instances) event()      {}
 func (Views) event()          {}
 func (ViewsWritten) event()   {}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -98,17 +98,23 @@
 		return
 	}
 	p.know(i.Member, i.Addr, i.Confirm)
+	l := p.dialAddr(i)
+	if l.up && l.member != i.Member {
+		return
+	}
+	l.info = i
+}
+
+// dialAddr returns the link to an address, and makes it if there is none.
+func (p *peers) dialAddr(i InstanceInfo) *link {
 	l := p.links[i.Addr]
 	if l == nil {
-		p.links[i.Addr] = &link{info: i}
+		l = &link{info: i}
+		p.links[i.Addr] = l
 		p.order = append(p.order, i.Addr)
 		p.changed = true
-		return
-	}
-	if l.up && l.member != i.Member {
-		return
 	}
-	l.info = i
+	return l
 }
 
 func (p *peers) know(m shard.Member, addr string, confirm uint64) {
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,11 +19,16 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/ctl"
 	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
+		"nutmegctl": func() {
+			env := &ctl.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+			os.Exit(ctl.Main(context.Background(), os.Args[1:], env))
+		},
 		"nutmegweir": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
@@ -43,6 +49,7 @@
 			"settings": writeSettings,
 			"ready":    waitReady,
 			"members":  waitMembers,
+			"links":    waitLinks,
 			"pause":    pauseProcess,
 			"job":      submitJob,
 			"starts":   checkStarts,
@@ -89,39 +96,69 @@
 func waitMembers(ts *testscript.TestScript, neg bool, args []string) {
 	want, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "3" + api.PathStatus
+	waitStatus(ts, args[0], func(s *api.InstanceStatus) bool {
+		for _, sh := range s.Shards {
+			if members(sh) != want {
+				return false
+			}
+		}
+		return len(s.Shards) > 0
+	})
+}
+
+func members(sh api.ShardStatus) int {
+	n := 0
+	if sh.Owner != "" {
+		n++
+	}
+	if sh.Replica != "" {
+		n++
+	}
+	return n
+}
+
+// waitLinks polls until the instance at the port has links to so many others:
+// links PORT N.
+func waitLinks(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	waitStatus(ts, args[0], func(s *api.InstanceStatus) bool {
+		n := 0
+		for _, p := range s.Peers {
+			if p.State == "up" {
+				n++
+			}
+		}
+		return n == want
+	})
+}
+
+// waitStatus polls the status of the instance at the port until it fits.
+func waitStatus(ts *testscript.TestScript, port string, fits func(*api.InstanceStatus) bool) {
+	url := "http://" + ts.Getenv("IP") + ":" + port + "3" + api.PathStatus
 	deadline := time.Now().Add(scriptTimeout)
-	for !allHaveMembers(url, want) {
+	for {
+		if s := getStatus(url); s != nil && fits(s) {
+			return
+		}
 		if time.Now().After(deadline) {
-			ts.Fatalf("shards at %s do not have %d members", url, want)
+			ts.Fatalf("the status at %s does not become what is waited for", url)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-func allHaveMembers(url string, want int) bool {
+func getStatus(url string) *api.InstanceStatus {
 	resp, err := http.Get(url)
 	if err != nil {
-		return false
+		return nil
 	}
 	defer resp.Body.Close()
-	var s api.InstanceStatus
-	if json.NewDecoder(resp.Body).Decode(&s) != nil {
-		return false
-	}
-	for _, sh := range s.Shards {
-		n := 0
-		if sh.Owner != "" {
-			n++
-		}
-		if sh.Replica != "" {
-			n++
-		}
-		if n != want {
-			return false
-		}
+	s := &api.InstanceStatus{}
+	if json.NewDecoder(resp.Body).Decode(s) != nil {
+		return nil
 	}
-	return len(s.Shards) > 0
+	return s
 }
 
 // pauseProcess stops or continues a process: pause PIDFILE stop|cont.
