--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/ctl"
 	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 )
 
 func TestMain(m *testing.M) {
@@ -46,13 +47,16 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"settings": writeSettings,
-			"ready":    waitReady,
-			"members":  waitMembers,
-			"links":    waitLinks,
-			"pause":    pauseProcess,
-			"job":      submitJob,
-			"starts":   checkStarts,
+			"settings":  writeSettings,
+			"ready":     waitReady,
+			"members":   waitMembers,
+			"links":     waitLinks,
+			"pause":     pauseProcess,
+			"advertise": advertise,
+			"cut":       cutLink,
+			"refused":   checkRefused,
+			"job":       submitJob,
+			"starts":    checkStarts,
 		},
 	})
 }
@@ -75,6 +79,43 @@
 	ts.Check(os.WriteFile(file, []byte(text), 0o644))
 }
 
+// advertise makes the instance reachable through a link stand-in at a port:
+// advertise NAME PORT. It starts from what settings wrote.
+func advertise(ts *testscript.TestScript, neg bool, args []string) {
+	file := filepath.Join(ts.Getenv("WORK"), args[0]+".hujson")
+	text, err := os.ReadFile(file)
+	ts.Check(err)
+	peers := fmt.Sprintf("\"peers\": {\"advertise\": \"%s:%s\"},\n\t\"shards\"", ts.Getenv("IP"), args[1])
+	changed := strings.Replace(string(text), "\"shards\"", peers, 1)
+	ts.Check(os.WriteFile(file, []byte(changed), 0o644))
+}
+
+// cutLink makes links silent, or lets them go on: cut on|off CONTROLPORT...
+func cutLink(ts *testscript.TestScript, neg bool, args []string) {
+	body := fmt.Sprintf(`{"silent":%v}`, args[0] == "on")
+	for _, port := range args[1:] {
+		url := "http://" + ts.Getenv("IP") + ":" + port + link.PathMode
+		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+		ts.Check(err)
+		resp, err := http.DefaultClient.Do(req)
+		ts.Check(err)
+		_ = resp.Body.Close()
+	}
+}
+
+// checkRefused submits a job that must be refused: refused PORT HOME KIND RAN
+// KEYFILE.
+func checkRefused(ts *testscript.TestScript, neg bool, args []string) {
+	job := scriptJob(args[1], 1, jobKey(ts, args[4:]))
+	job.FirstAttempt = true
+	status, text := post(ts, args[0], job)
+	var p api.Problem
+	ts.Check(json.Unmarshal(text, &p))
+	if p.Kind != args[2] || string(p.Ran) != args[3] {
+		ts.Fatalf("answered %d: %s", status, text)
+	}
+}
+
 const scriptTimeout = 30 * time.Second
 
 // waitReady polls until an operator port reports readiness: ready PORT...
@@ -188,25 +229,36 @@
 func submitJob(ts *testscript.TestScript, neg bool, args []string) {
 	tasks, err := strconv.Atoi(args[2])
 	ts.Check(err)
-	job := &api.Job{Customer: "rosehill", Home: args[1], Kind: "route-plan", Key: jobKey(ts, args[3:])}
+	job := scriptJob(args[1], tasks, jobKey(ts, args[3:]))
+	status, text := post(ts, args[0], job)
+	if status != http.StatusOK {
+		ts.Fatalf("answered %d: %s", status, text)
+	}
+	var a api.Answer
+	ts.Check(json.Unmarshal(text, &a))
+	checkAnswer(ts, job, &a)
+}
+
+func scriptJob(home string, tasks int, key string) *api.Job {
+	job := &api.Job{Customer: "rosehill", Home: home, Kind: "route-plan", Key: key}
 	for i := range tasks {
 		payload := fmt.Sprintf(`{"run_ms":20,"echo":{"task":%d}}`, i)
 		job.Tasks = append(job.Tasks, json.RawMessage(payload))
 	}
+	return job
+}
+
+// post submits a job and returns status and body of the answer.
+func post(ts *testscript.TestScript, port string, job *api.Job) (int, []byte) {
 	body, err := json.Marshal(job)
 	ts.Check(err)
-	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "1" + api.PathJobs
+	url := "http://" + ts.Getenv("IP") + ":" + port + "1" + api.PathJobs
 	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
 	ts.Check(err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	ts.Check(err)
-	if resp.StatusCode != http.StatusOK {
-		ts.Fatalf("answered %s: %s", resp.Status, text)
-	}
-	var a api.Answer
-	ts.Check(json.Unmarshal(text, &a))
-	checkAnswer(ts, job, &a)
+	return resp.StatusCode, text
 }
 
 func jobKey(ts *testscript.TestScript, file []string) string {
--- a/internal/daemon/standin.go
+++ b/internal/daemon/standin.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	port "github.com/nutmegweir/nutmegweir/internal/platform"
 	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 	"github.com/nutmegweir/nutmegweir/internal/standin/platform"
 )
 
@@ -24,6 +25,13 @@
 type standinArgs struct {
 	Platform *standinPlatformArgs `arg:"subcommand:platform" help:"the platform's key-value service"`
 	Backend  *standinBackendArgs  `arg:"subcommand:backend" help:"a backend server"`
+	Link     *standinLinkArgs     `arg:"subcommand:link" help:"a network link that can go silent"`
+}
+
+type standinLinkArgs struct {
+	Listen  string `arg:"--listen,required" help:"IP:port to listen on" placeholder:"ADDR"`
+	Target  string `arg:"--target,required" help:"IP:port to forward to" placeholder:"ADDR"`
+	Control string `arg:"--control,required" help:"IP:port of the control port" placeholder:"ADDR"`
 }
 
 type standinPlatformArgs struct {
@@ -49,6 +57,8 @@
 		return standinPlatform(ctx, a.Platform, stdout)
 	case a.Backend != nil:
 		return standinBackend(ctx, a.Backend, stdout)
+	case a.Link != nil:
+		return standinLink(ctx, a.Link, stdout)
 	}
 	return errNoCommand
 }
@@ -112,6 +122,21 @@
 	return serveHTTP(ctx, s.Listener(l), s)
 }
 
+func standinLink(ctx context.Context, a *standinLinkArgs, stdout io.Writer) error {
+	l := link.New(a.Target)
+	data, err := net.Listen("tcp", a.Listen)
+	if err != nil {
+		return errors.Wrap(err, "open --listen; choose a free address")
+	}
+	control, err := net.Listen("tcp", a.Control)
+	if err != nil {
+		return errors.Wrap(err, "open --control; choose a free address")
+	}
+	fmt.Fprintln(stdout, "link stand-in on", data.Addr())
+	go func() { _ = serveHTTP(ctx, control, l) }()
+	return l.Serve(ctx, data)
+}
+
 func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,141 @@
+// Package link is a stand-in for a network link: it forwards bytes between a
+// listener and a target, and can go silent or refuse connections.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// PathMode is the path of the control port: GET and PUT of a Mode.
+const PathMode = "/standin/mode"
+
+// Mode is the fault that the link shows.
+type Mode struct {
+	Silent bool `json:"silent"` // bytes are held back in both directions, new connections too
+}
+
+// Link is the stand-in.
+type Link struct {
+	target string
+
+	mu    sync.Mutex
+	cond  *sync.Cond
+	mode  Mode
+	ended bool
+}
+
+// New returns a link to a target address.
+func New(target string) *Link {
+	l := &Link{target: target}
+	l.cond = sync.NewCond(&l.mu)
+	return l
+}
+
+// SetMode changes the fault. Bytes that were held back go on when the link is
+// no longer silent.
+func (l *Link) SetMode(m Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = m
+	l.cond.Broadcast()
+}
+
+// Serve forwards connections until ctx ends.
+func (l *Link) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		l.end()
+	})
+	defer stop()
+	for {
+		c, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept on the link")
+		}
+		go l.forward(ctx, c)
+	}
+}
+
+func (l *Link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	l.cond.Broadcast()
+}
+
+// pass waits until bytes may go on, and reports whether the link still serves.
+func (l *Link) pass() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.mode.Silent && !l.ended {
+		l.cond.Wait()
+	}
+	return !l.ended
+}
+
+func (l *Link) forward(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	if !l.pass() {
+		return
+	}
+	t, err := net.Dial("tcp", l.target)
+	if err != nil {
+		return
+	}
+	defer t.Close()
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.Close()
+		_ = t.Close()
+	})
+	defer stop()
+	go l.copy(t, c)
+	l.copy(c, t)
+}
+
+func (l *Link) copy(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if !l.pass() {
+			return
+		}
+		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
+			closeWrite(to)
+			return
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+}
+
+// ServeHTTP serves the control port.
+func (l *Link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != PathMode || r.Method != http.MethodPut {
+		http.Error(w, "use PUT "+PathMode, http.StatusNotFound)
+		return
+	}
+	var m Mode
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<10))
+	if err == nil {
+		err = json.Unmarshal(body, &m)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.SetMode(m)
+}
