Let callers come back under a key that the scheduler knows

A refusal closes its key, so a retry takes a new one; it keeps the random half of the old key, which now chooses the shard and names the caller's promise in the scheduler.

--- a/client/client.go
+++ b/client/client.go
@@ -135,6 +135,22 @@
 	return k.String(), nil
 }
 
+// RetryKey returns the key for another try of a submission that was refused
+// under a closed key. It has a new time and keeps the random half of the old
+// key, by which the service knows that it told the caller to come back.
+func RetryKey(key string) (string, error) {
+	old, err := uuid.Parse(key)
+	if err != nil {
+		return "", errors.Wrap(err, "the old key is not a UUID")
+	}
+	k, err := uuid.NewV7()
+	if err != nil {
+		return "", errors.Wrap(err, "make a key")
+	}
+	copy(k[8:], old[8:])
+	return k.String(), nil
+}
+
 // Submit submits a job and returns its complete answer. It repeats the call
 // with the same key while that can help and ctx lasts.
 func (c *Client) Submit(ctx context.Context, j *Job) (*Answer, error) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,8 +6,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/policy"
@@ -255,12 +253,9 @@
 
 // ShardOf returns the shard of an identity.
 func (r *Reducer) ShardOf(id *peerpb.Identity) shard.ID {
-	h := xxhash.New()
-	_, _ = h.WriteString(id.GetCustomer())
-	_, _ = h.Write(id.GetKey())
 	return shard.ID{
 		Domain: model.Domain(id.GetHome()),
-		Index:  uint32(h.Sum64() % uint64(r.opts.Shards)),
+		Index:  uint32(shard.Token(id) % uint64(r.opts.Shards)),
 	}
 }
 
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -169,17 +169,17 @@
 		if !sleepUntil(ctx, at) {
 			return
 		}
-		again, key := r.again(j, key, i, at)
+		again, key := r.again(j, key, at)
 		reply = r.submit(ctx, again, key, i+1)
 		r.recorder.with(func(rec *recorder) { rec.retries.add(reply.Class) })
 	}
 }
 
 // again returns the job as it is offered the next time.
-func (r *runner) again(j *Job, key uuid.UUID, attempt int, at time.Time) (*Job, uuid.UUID) {
+func (r *runner) again(j *Job, key uuid.UUID, at time.Time) (*Job, uuid.UUID) {
 	again := *j
 	if !r.w.RetrySameKey {
-		again.Random[9] += byte(attempt) + 1
+		// The same random half with a new time: see client.RetryKey.
 		return &again, again.Key(at)
 	}
 	kind := *j.Kind
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -135,6 +135,7 @@
 		Repeatable: spec.Repeatable,
 		Accepted:   accepted,
 		FirstIndex: first,
+		Token:      Token(spec.Identity),
 	}
 }
 
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
@@ -235,6 +237,19 @@
 	}
 }
 
+// Token hashes the customer and the random half of the key. A caller that
+// comes back after a refusal keeps that half and takes a new time, so that its
+// new key meets the same shard and the scheduler knows it again.
+func Token(id *peerpb.Identity) uint64 {
+	const randomHalf = 8
+	h := xxhash.New()
+	_, _ = h.WriteString(id.GetCustomer())
+	if k := id.GetKey(); len(k) > randomHalf {
+		_, _ = h.Write(k[randomHalf:])
+	}
+	return h.Sum64()
+}
+
 // answerBytes estimates the memory of a kept answer.
 func answerBytes(a *peerpb.Answer) int64 {
 	const perResult, perAnswer = 64, 96
