--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -79,6 +79,14 @@
 	return l != nil && l.up && l.member == m
 }
 
+// addrOf returns the address of a process, or "" if it is not known.
+func (p *peers) addrOf(m shard.Member) string {
+	if k := p.members[m]; k != nil {
+		return k.addr
+	}
+	return ""
+}
+
 // learn keeps the address of an instance.
 func (p *peers) learn(i InstanceInfo) {
 	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
@@ -90,17 +98,23 @@
 		return
 	}
 	p.know(i.Member, i.Addr, i.Confirm)
+	l := p.dialAddr(i)
+	if l.up && l.member != i.Member {
+		return
+	}
+	l.info = i
+}
+
+// dialAddr returns the link to an address, and makes it if there is none.
+func (p *peers) dialAddr(i InstanceInfo) *link {
 	l := p.links[i.Addr]
 	if l == nil {
-		p.links[i.Addr] = &link{info: i}
+		l = &link{info: i}
+		p.links[i.Addr] = l
 		p.order = append(p.order, i.Addr)
 		p.changed = true
-		return
 	}
-	if l.up && l.member != i.Member {
-		return
-	}
-	l.info = i
+	return l
 }
 
 func (p *peers) know(m shard.Member, addr string, confirm uint64) {
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -182,6 +182,11 @@
 	for _, i := range r.plan.doc.Instances {
 		keep[i.Addr] = true
 	}
+	for _, s := range r.own {
+		for _, m := range s.Runners() {
+			keep[r.peers.addrOf(m)] = true
+		}
+	}
 	r.peers.forget(keep)
 	r.replanNow(now)
 }
@@ -195,6 +200,7 @@
 			s.PeerReset(now, e.Member)
 		}
 		r.rerouteFrom(now, e.Member)
+		r.noticeReset(e.Member)
 	}
 	r.peersChanged(now)
 }
@@ -214,7 +220,9 @@
 // peersChanged applies new knowledge of who is alive.
 func (r *Reducer) peersChanged(now model.Time) {
 	r.checkMembers(now)
-	r.sched.SetPeers(now, r.schedPeers())
+	list := r.schedPeers()
+	r.sched.SetPeers(now, list)
+	r.out.Peers = list
 	r.rerouteDead(now)
 	r.replanNow(now)
 }
@@ -378,7 +386,7 @@
 }
 
 func (r *Reducer) schedPeers() []sched.Peer {
-	var list []sched.Peer
+	list := []sched.Peer{}
 	for _, a := range r.peers.order {
 		l := r.peers.links[a]
 		if l.up {
@@ -393,34 +401,18 @@
 	r.replanNow(now)
 }
 
-// Undone returns how much a stopping instance has still to do: open jobs, and
-// shards that another instance could own.
-func (r *Reducer) Undone() int {
-	n := r.env.OpenJobs()
-	if len(r.candidates()) == 0 {
-		return n
-	}
-	return n + r.owned()
-}
+// OpenJobs returns the number of jobs that a stopping instance has to finish.
+func (r *Reducer) OpenJobs() int { return r.env.OpenJobs() }
 
-func (r *Reducer) owned() int {
+// Unhanded returns the number of shards with records that a stopping instance
+// has still to hand over. Those that it can't hand over in time are not lost
+// if they have a replica, which acts once this process is gone.
+func (r *Reducer) Unhanded() int {
 	n := 0
 	for _, s := range r.own {
-		if s.Role() == shard.RoleOwner {
+		if s.Role() == shard.RoleOwner && s.Jobs() > 0 {
 			n++
 		}
 	}
 	return n
 }
-
-// Unreplicated returns the number of records that only this instance holds
-// and that a successor could still take.
-func (r *Reducer) Unreplicated() int {
-	n := 0
-	for _, s := range r.own {
-		if s.Role() == shard.RoleOwner {
-			n += s.Jobs()
-		}
-	}
-	return n
-}
