--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -12,7 +12,6 @@
 	shortMemory    = 5 * time.Second  // time constant of the load of short work
 	longMemory     = 20 * time.Second // time constant of the load of long work
 	reserveSpread  = 2.0              // slots kept for short work above its mean load, in square roots of that load
-	longKeeps      = 0.6              // part of its load that long work keeps while short work waits
 	longSpread     = 0.25             // slots that long work may always hold above its mean load, in square roots of that load
 	firstRunsSpace = 1024
 )
@@ -86,17 +85,8 @@
 	s.start(now, j, v, false)
 }
 
-// reserved reports whether the free slots are kept for short work. While
-// short work waits, long work gives way down to a part of its own load.
 func (s *Scheduler) reserved(f *flow) bool {
-	if !f.kindState.long || s.opts.Mode.NoReserve {
-		return false
-	}
-	most := s.runs.longCap
-	if s.queue.waiting > s.queue.longWaiting {
-		most = max(1, min(most, int(longKeeps*s.runs.longLoad)))
-	}
-	return s.runs.long >= most
+	return f.kindState.long && !s.opts.Mode.NoReserve && s.runs.long >= s.runs.longCap
 }
 
 // choose finds the server for the flow's next task: the fastest free one,
@@ -297,13 +287,11 @@
 func (s *Scheduler) classify(ks *kindState) {
 	const leave = 0.75
 	bound := longFactor * s.typical.seconds()
-	switch {
-	case !ks.long && ks.run.mean > bound:
+	if ks.run.mean > bound {
 		ks.long = true
-		s.queue.longWaiting += ks.waiting
-	case ks.long && ks.run.mean < leave*bound:
+	}
+	if ks.run.mean < leave*bound {
 		ks.long = false
-		s.queue.longWaiting -= ks.waiting
 	}
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -100,9 +100,8 @@
 
 // kindState is what is learned about a customer's kind.
 type kindState struct {
-	run     runTime
-	long    bool
-	waiting int // tasks to start
+	run  runTime
+	long bool
 }
 
 // customer shares service with the other customers by weight.
@@ -134,20 +133,19 @@
 
 // queue holds every job and orders the flows.
 type queue struct {
-	jobs        map[model.JobHandle]*job
-	flows       map[flowKey]*flow
-	kinds       map[kindKey]*kindState
-	byName      map[model.Customer]*customer
-	flowList    []*flow
-	customers   []*customer
-	ready       heap[*customer]
-	floor       float64 // virtual time of the customer served last
-	waiting     int     // tasks to start
-	longWaiting int     // of these, long work
-	weights     float64 // sum of the weights of customers with waiting tasks
-	work        float64 // expected run time of the waiting tasks, seconds
-	seq         uint64
-	spare       []*job
+	jobs      map[model.JobHandle]*job
+	flows     map[flowKey]*flow
+	kinds     map[kindKey]*kindState
+	byName    map[model.Customer]*customer
+	flowList  []*flow
+	customers []*customer
+	ready     heap[*customer]
+	floor     float64 // virtual time of the customer served last
+	waiting   int     // tasks to start
+	weights   float64 // sum of the weights of customers with waiting tasks
+	work      float64 // expected run time of the waiting tasks, seconds
+	seq       uint64
+	spare     []*job
 }
 
 type kindKey struct {
@@ -306,10 +304,6 @@
 	f.waiting += tasks
 	f.cust.waiting += tasks
 	s.queue.waiting += tasks
-	f.kindState.waiting += tasks
-	if f.kindState.long {
-		s.queue.longWaiting += tasks
-	}
 	if s.queue.waiting == 0 {
 		s.queue.work = 0
 	}
