--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -15,8 +15,6 @@
 	nodes  map[model.Instance]*Scheduler
 	names  []model.Instance
 	filter func(from model.Instance, x Send) int // copies to deliver
-	late   []Send
-	from   []model.Instance
 	starts map[model.Instance][]Start
 	policy Policy
 }
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -724,6 +724,14 @@
 	}
 }
 
+func countAll(list []*peerpb.SlotCount) int {
+	n := 0
+	for _, c := range list {
+		n += int(c.Count)
+	}
+	return n
+}
+
 func countOf(list []*peerpb.SlotCount, id model.ServerID) int {
 	for _, c := range list {
 		if c.Server == string(id) {
@@ -742,7 +750,7 @@
 		s.borrow(p, c)
 	}
 	if g.Ask == p.askOut {
-		p.askedFor = max(0, p.askedFor-len(g.Slots))
+		p.askedFor = max(0, p.askedFor-countAll(g.Slots))
 	}
 }
 
