--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -482,11 +482,11 @@
 	j := &Job{At: time.Second, Kind: &Kind{DeadlineMs: 500}}
 	key := j.Key(r.begin.Add(j.At))
 	at := r.begin.Add(3 * time.Second)
-	if again, k := r.again(j, key, 0, at); k == key || again.Kind.DeadlineMs != 500 {
+	if again, k := r.again(j, key, at); k == key || again.Kind.DeadlineMs != 500 {
 		t.Errorf("a new job has key %s and deadline %d", k, again.Kind.DeadlineMs)
 	}
 	w.RetrySameKey = true
-	if again, k := r.again(j, key, 0, at); k != key || again.Kind.DeadlineMs != 2500 {
+	if again, k := r.again(j, key, at); k != key || again.Kind.DeadlineMs != 2500 {
 		t.Errorf("the same job has key %s and deadline %d, want %s and 2500", k, again.Kind.DeadlineMs, key)
 	}
 }
