Name records by number in operations; keep final answers encoded

Cause: docs/CAPACITY.md found replication bytes and remembered jobs to be what gives way first: each intent and result repeated customer, home and key, and a remembered answer was kept as a message. Change: an operation names its job by the sequence number of the claim, which owner and replica count alike; final answers are kept encoded.

--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -151,3 +153,71 @@
 	}
 	return m.GetCounter().GetValue()
 }
+
+// BenchmarkSingle runs jobs of one task without run time one after the other.
+// The difference between its parts is what replication adds to a job.
+func BenchmarkSingle(b *testing.B) {
+	b.Run("alone", func(b *testing.B) { benchSingle(b, startBench(b, 0, "east")[:1]) })
+	b.Run("replicated", func(b *testing.B) { benchSingle(b, startBench(b, 1, "east", "west")) })
+}
+
+// benchSingle submits at the owner of each job's shard, so that no forwarding
+// is measured.
+func benchSingle(b *testing.B, list []*Instance) {
+	took := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for range b.N {
+		spec := benchSpec(1)
+		owner := benchOwner(b, list, spec)
+		began := time.Now()
+		if _, err := owner.runtime.Submit(context.Background(), spec, true); err != nil {
+			b.Fatal(err)
+		}
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "us/p50")
+}
+
+func benchOwner(b *testing.B, list []*Instance, spec *peerpb.JobSpec) *Instance {
+	for _, i := range list {
+		text, err := i.runtime.Explain(context.Background(), spec.Identity)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if !strings.Contains(text, "ask there") {
+			return i
+		}
+	}
+	return list[0]
+}
+
+// BenchmarkTakeover ends one of two instances at once and measures the time
+// until a submission to each of its shards has been answered by the other.
+func BenchmarkTakeover(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		list := startBench(b, 1, "east", "west")
+		specs := benchOwned(b, list[0], list)
+		list[0].Close()
+		b.StartTimer()
+		for _, spec := range specs {
+			if _, err := list[1].runtime.Submit(context.Background(), spec, true); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
+
+// benchOwned returns jobs for shards that an instance owns.
+func benchOwned(b *testing.B, owner *Instance, list []*Instance) []*peerpb.JobSpec {
+	const jobs = 32
+	var specs []*peerpb.JobSpec
+	for len(specs) < jobs {
+		spec := benchSpec(1)
+		if benchOwner(b, list, spec) == owner {
+			specs = append(specs, spec)
+		}
+	}
+	return specs
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -195,7 +196,7 @@
 		res.Output = body
 	default:
 		res.Outcome = sched.OutcomeFailed
-		res.Error = "the backend server answered " + resp.Status
+		res.Error = "the backend server answered " + strings.ToValidUTF8(resp.Status, "?")
 	}
 	return res
 }
--- a/internal/shard/explain.go
+++ b/internal/shard/explain.go
@@ -15,7 +15,8 @@
 	case r == nil:
 		return "No job with this identity is remembered.", nil
 	case r.final != nil:
-		return fmt.Sprintf("The answer is final: %s %s.", r.final.Status, r.final.Problem), nil
+		a := r.answer()
+		return fmt.Sprintf("The answer is final: %s %s.", a.Status, a.Problem), nil
 	}
 	j := r.job
 	text := fmt.Sprintf("%d of %d tasks are closed, %d in flight, %d wait for the replica; intents cover the first %d.",
--- a/internal/shard/learner.go
+++ b/internal/shard/learner.go
@@ -45,7 +45,10 @@
 }
 
 func (s *Shard) recordProto(r *record) *peerpb.JobRecord {
-	p := &peerpb.JobRecord{Digest: append([]byte(nil), r.digest[:]...)}
+	p := &peerpb.JobRecord{
+		Digest: append([]byte(nil), r.digest[:]...),
+		Record: r.number,
+	}
 	if r.job == nil {
 		p.Spec = &peerpb.JobSpec{Identity: r.key.identity(s.id.Domain)}
 		p.Final = r.final
@@ -108,9 +111,10 @@
 		return
 	}
 	if p.Final != nil {
-		s.setFinal(r, p.Final)
+		s.keepFinal(r, p.Final)
 		return
 	}
+	s.setNumber(r, p.Record)
 	r.job = newJob(p.Spec)
 	r.job.intent = p.IntentUpto
 	for _, res := range p.Results {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -61,6 +61,7 @@
 	r.job.waiters = append(r.job.waiters, w)
 	s.addRecord(r)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Claim{Claim: spec}})
+	s.setNumber(r, s.seq)
 	if report {
 		s.answerAfter(s.seq, pending(), w)
 	}
@@ -165,7 +166,7 @@
 		r.job.waiters = append(r.job.waiters, w)
 		return
 	}
-	s.answerAfter(r.seq, r.final, w)
+	s.answerAfter(r.seq, r.answer(), w)
 }
 
 func (s *Shard) refuse(w Waiter, problem string, ran peerpb.Ran, retry time.Duration) {
@@ -253,8 +254,8 @@
 	j.intent = uint32(min(index+1+ahead, len(j.results)))
 	s.appendUrgent(now, &peerpb.Operation{
 		Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{
-			Identity: j.spec.Identity,
-			Upto:     j.intent,
+			Record: r.number,
+			Upto:   j.intent,
 		}},
 	})
 	j.intentAt = s.seq
@@ -388,8 +389,8 @@
 	}
 	j.states[res.Index] = taskClosed
 	op := &peerpb.Operation{Body: &peerpb.Operation_Result{Result: &peerpb.Result{
-		Identity: j.spec.Identity,
-		Result:   res,
+		Record: r.number,
+		Result: res,
 	}}}
 	if a := j.complete(); a != nil {
 		s.appendUrgent(now, op)
@@ -417,8 +418,8 @@
 	}
 	a := r.job.fail(problem)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
-		Identity: r.job.spec.Identity,
-		Answer:   a,
+		Record: r.number,
+		Answer: a,
 	}}})
 	s.finish(now, r, a)
 }
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -25,9 +26,39 @@
 type record struct {
 	key    key
 	digest digest
-	job    *job           // nil once the answer is final
-	final  *peerpb.Answer // nil until the answer is final
-	seq    uint64         // operation that made the answer final
+	number uint64 // sequence number of the claim
+	job    *job   // nil once the answer is final
+	final  []byte // the final answer, encoded; nil until it is final
+	seq    uint64 // operation that made the answer final
+}
+
+// answer returns the final answer.
+func (r *record) answer() *peerpb.Answer {
+	a := &peerpb.Answer{}
+	if err := proto.Unmarshal(r.final, a); err != nil {
+		// It was encoded by encodeAnswer here or at the owner.
+		return &peerpb.Answer{
+			Status:  peerpb.Status_STATUS_FAILED,
+			Ran:     peerpb.Ran_RAN_UNKNOWN,
+			Problem: ProblemInternal,
+		}
+	}
+	return a
+}
+
+// encodeAnswer returns the form in which final answers are kept, which takes
+// a fraction of the memory of the message.
+func encodeAnswer(a *peerpb.Answer) []byte {
+	encoded, err := proto.Marshal(a)
+	if err != nil {
+		// Strings that are not UTF-8 are refused by the ports.
+		encoded, _ = proto.Marshal(&peerpb.Answer{
+			Status:  a.Status,
+			Ran:     a.Ran,
+			Problem: ProblemInternal,
+		})
+	}
+	return encoded
 }
 
 func (r *record) submitted() model.Time { return r.key.key.Submitted() }
@@ -250,12 +281,8 @@
 	return h.Sum64()
 }
 
-// answerBytes estimates the memory of a kept answer.
-func answerBytes(a *peerpb.Answer) int64 {
-	const perResult, perAnswer = 64, 96
-	n := int64(perAnswer)
-	for _, r := range a.Results {
-		n += perResult + int64(len(r.Output)+len(r.Error))
-	}
-	return n
+// recordBytes estimates the memory of a record that is final.
+func recordBytes(r *record) int64 {
+	const perRecord = 300 // record, its places in map, order and expiry
+	return perRecord + int64(len(r.final)+len(r.key.customer))
 }
--- a/internal/shard/replica.go
+++ b/internal/shard/replica.go
@@ -49,15 +49,15 @@
 	case *peerpb.Operation_Claim:
 		s.applyClaim(b.Claim)
 	case *peerpb.Operation_Intent:
-		if r := s.open(b.Intent.Identity); r != nil {
+		if r := s.open[b.Intent.Record]; r != nil {
 			r.job.intent = b.Intent.Upto
 		}
 	case *peerpb.Operation_Result:
-		if r := s.open(b.Result.Identity); r != nil {
+		if r := s.open[b.Result.Record]; r != nil {
 			s.applyResult(r, b.Result.Result)
 		}
 	case *peerpb.Operation_Final:
-		if r := s.open(b.Final.Identity); r != nil {
+		if r := s.open[b.Final.Record]; r != nil {
 			s.setFinal(r, b.Final.Answer)
 		}
 	case *peerpb.Operation_Refusal:
@@ -72,7 +72,9 @@
 	if _, ok := s.records[k]; ok {
 		return
 	}
-	s.addRecord(&record{key: k, digest: digestOf(spec), job: newJob(spec)})
+	r := &record{key: k, digest: digestOf(spec), job: newJob(spec)}
+	s.addRecord(r)
+	s.setNumber(r, s.seq)
 }
 
 func (s *Shard) applyRefusal(p *peerpb.Refusal) {
@@ -93,8 +95,8 @@
 	}
 }
 
-// open returns the record of a job that has no final answer, or nil.
-func (s *Shard) open(id *peerpb.Identity) *record {
+// openRecord returns the record of a job that has no final answer, or nil.
+func (s *Shard) openRecord(id *peerpb.Identity) *record {
 	r := s.records[keyOf(id)]
 	if r == nil || r.job == nil {
 		return nil
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -55,7 +55,8 @@
 	role Role
 
 	records map[key]*record
-	order   []*record // by arrival, for snapshots
+	open    map[uint64]*record // jobs without a final answer, by record number
+	order   []*record          // by arrival, for snapshots
 	expiry  expiryHeap
 	floor   model.Time
 
@@ -97,7 +98,7 @@
 
 // New returns a shard that nobody holds yet.
 func New(env *Env, id ID) *Shard {
-	return &Shard{env: env, id: id, records: make(map[key]*record)}
+	return &Shard{env: env, id: id, records: make(map[key]*record), open: make(map[uint64]*record)}
 }
 
 // View returns the latest view that the shard has seen.
@@ -123,19 +124,31 @@
 // setFinal closes a record. The job's part is dropped, so that a start that
 // still waits for its intent finds nothing to start.
 func (s *Shard) setFinal(r *record, a *peerpb.Answer) {
-	r.final = a
+	s.keepFinal(r, encodeAnswer(a))
+}
+
+func (s *Shard) keepFinal(r *record, encoded []byte) {
+	r.final = encoded
 	r.seq = s.seq
 	r.job = nil
-	s.env.bytes += answerBytes(a)
+	delete(s.open, r.number)
+	s.env.bytes += recordBytes(r)
+}
+
+// setNumber makes an open job known by its record number.
+func (s *Shard) setNumber(r *record, number uint64) {
+	r.number = number
+	s.open[number] = r
 }
 
 func (s *Shard) reset() {
 	for _, r := range s.records {
 		if r.final != nil {
-			s.env.bytes -= answerBytes(r.final)
+			s.env.bytes -= recordBytes(r)
 		}
 	}
 	s.records = make(map[key]*record)
+	s.open = make(map[uint64]*record)
 	s.order = nil
 	s.expiry = nil
 	s.seq = 0
@@ -178,7 +191,7 @@
 
 func (s *Shard) forget(r *record) {
 	delete(s.records, r.key)
-	s.env.bytes -= answerBytes(r.final)
+	s.env.bytes -= recordBytes(r)
 }
 
 // compact drops forgotten records from the order once they are the majority.
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -314,7 +314,7 @@
 	if upto < j.intent {
 		j.intent = upto
 		s.append(now, &peerpb.Operation{Body: &peerpb.Operation_Intent{
-			Intent: &peerpb.Intent{Identity: j.spec.Identity, Upto: upto},
+			Intent: &peerpb.Intent{Record: r.number, Upto: upto},
 		}})
 	}
 	h.Open = append(h.Open, s.inFlight(j)...)
@@ -442,7 +442,7 @@
 		s.passOn(m)
 		return
 	}
-	r := s.open(m.Identity)
+	r := s.openRecord(m.Identity)
 	if r == nil || r.job.states[m.Result.Index] != taskRemote {
 		return
 	}
