Test answers, limits and faults of the platform port, each on a mutation

The contract tests were seen to fail on: a session that keeps its keys, a second holder of a key, no lag, a removal that does not show, a watch woken by other prefixes, a watch counted twice. Of the backend stand-in on: slots or connections without bound, starts not counted, a refusal without its mark.

--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -146,6 +146,19 @@
 			t.Fatalf("entries %+v", l.Entries)
 		}
 	}},
+	{"list sees the removal of its older key", func(t *testing.T, r rig) {
+		at := mustCAS(t, r.port, "t/a", "1", 0)
+		mustCAS(t, r.port, "t/b", "1", 0)
+		l, err := r.port.List(t.Context(), "t/", 0, 0)
+		wantKind(t, err, platform.KindNone)
+		start := time.Now()
+		go func() { time.Sleep(time.Second); _ = r.port.Delete(context.Background(), "t/a", at) }()
+		l, err = r.port.List(t.Context(), "t/", l.Index, testWait)
+		wantKind(t, err, platform.KindNone)
+		if len(l.Entries) != 1 || time.Since(start) != time.Second {
+			t.Fatalf("entries %+v after %v", l.Entries, time.Since(start))
+		}
+	}},
 	{"session lapses with its keys", func(t *testing.T, r rig) {
 		id, err := r.port.CreateSession(t.Context(), "a", testTTL)
 		wantKind(t, err, platform.KindNone)
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -66,6 +67,23 @@
 	}
 }
 
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := backend.New(backend.Options{Slots: 1, Modes: backend.Modes{Silent: true}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		r := httptest.NewRequest(http.MethodPost, backendapi.PathTasks, strings.NewReader(`{}`)).WithContext(ctx)
+		r.Header.Set(backendapi.HeaderTask, "a")
+		start := time.Now()
+		defer func() {
+			if recover() != http.ErrAbortHandler || time.Since(start) != time.Minute || len(s.Starts()) != 1 {
+				t.Fatalf("after %v, starts %+v", time.Since(start), s.Starts())
+			}
+		}()
+		s.ServeHTTP(httptest.NewRecorder(), r)
+	})
+}
+
 func TestConnectionCap(t *testing.T) {
 	s := backend.New(backend.Options{Slots: 1})
 	srv := httptest.NewUnstartedServer(s)
--- /dev/null
+++ b/internal/standin/platform/handler_test.go
@@ -0,0 +1,35 @@
+package platform_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+)
+
+func TestFaultsAreSetOverHTTP(t *testing.T) {
+	h := standin.New(standin.Options{})
+	send := func(method, path, body string) int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w.Code
+	}
+	if got := send(http.MethodPut, standin.PathFaults, `{"refused":true}`); got != http.StatusBadRequest {
+		t.Fatalf("unknown fault: status %d", got)
+	}
+	if got := send(http.MethodPut, standin.PathFaults, `{"refuse":true}`); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	if got := send(http.MethodGet, "/v1/kv/a", ""); got != http.StatusInternalServerError {
+		t.Fatalf("status %d during an outage", got)
+	}
+	send(http.MethodPut, standin.PathFaults, `{}`)
+	if got := send(http.MethodGet, "/v1/kv/a", ""); got != http.StatusNotFound {
+		t.Fatalf("status %d after the outage", got)
+	}
+	if got := send(http.MethodPut, "/v1/kv/a", "x"); got != http.StatusBadRequest {
+		t.Fatalf("status %d of a write without cas", got)
+	}
+}
