--- /dev/null
+++ b/internal/sched/authority.go
@@ -0,0 +1,352 @@
+package sched
+
+import (
+	"math"
+	"sort"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// limitTable is what the authority of a limit knows of the holders.
+type limitTable struct {
+	since   model.Time // when this instance became the authority
+	ready   bool       // the holdings of all live instances are known
+	holders []*holder  // by instance
+	divided model.Time
+	dirty   bool
+}
+
+// holder is an instance with a share of a limit.
+type holder struct {
+	id          model.Instance
+	domain      model.Domain
+	version     uint64 // of the last share sent
+	acked       uint64
+	target      int
+	rateTarget  float64
+	concurrency int     // upper bound on its running tasks
+	rate        float64 // upper bound on its rate
+	demand      int
+	rateDemand  float64
+	goneAt      model.Time // 0 while live
+}
+
+// findAuthority computes which live instance shares the limit out.
+func (s *Scheduler) findAuthority(now model.Time, l *limit) {
+	best, high := s.opts.Self, rendezvous(model.ServerID(l.name), s.opts.Self)
+	for _, p := range s.live {
+		h := rendezvous(model.ServerID(l.name), p.ID)
+		if h > high || (h == high && p.ID < best) {
+			best, high = p.ID, h
+		}
+	}
+	if best == l.authority {
+		return
+	}
+	was := l.authority
+	l.authority = best
+	l.mustReport = true
+	if best == s.opts.Self {
+		l.table = &limitTable{since: now, ready: len(s.live) == 0, dirty: true}
+		if s.limits.settled(s, now) && was == "" {
+			l.table.ready = true
+		}
+		return
+	}
+	s.handOver(l, best)
+}
+
+// settled reports whether the list of instances has not changed for so long
+// that nobody else can have been the authority of a limit seen first now.
+func (x *limits) settled(s *Scheduler, now model.Time) bool {
+	return s.peersAt != 0 && now.Sub(s.peersAt) >= takeover
+}
+
+// handOver sends the table to the new authority.
+func (s *Scheduler) handOver(l *limit, to model.Instance) {
+	t := l.table
+	l.table = nil
+	p := s.peers[to]
+	if t == nil || !t.ready || p == nil {
+		return
+	}
+	m := &peerpb.LimitTable{Row: l.name}
+	for _, h := range t.holders {
+		m.Holdings = append(m.Holdings, &peerpb.LimitHolding{
+			Instance: string(h.id), Version: h.version,
+			Concurrency: uint32(h.concurrency), Rate: h.rate,
+		})
+	}
+	x := s.message(p)
+	x.Tables = append(x.Tables, m)
+}
+
+func (t *limitTable) find(id model.Instance) *holder {
+	for _, h := range t.holders {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+func (t *limitTable) holder(id model.Instance, d model.Domain) *holder {
+	h := t.find(id)
+	if h == nil {
+		h = &holder{id: id}
+		t.holders = append(t.holders, h)
+		sort.Slice(t.holders, func(i, k int) bool { return t.holders[i].id < t.holders[k].id })
+	}
+	if d != "" {
+		h.domain = d
+	}
+	return h
+}
+
+// reported takes a holder's report into the table.
+func (s *Scheduler) reported(now model.Time, l *limit, id model.Instance, d model.Domain, r *peerpb.LimitReport) {
+	t := l.table
+	h := t.holder(id, d)
+	old := *h
+	h.goneAt = 0
+	h.demand = int(r.ConcurrencyDemand)
+	h.rateDemand = r.RateDemand
+	if r.Version > h.version {
+		h.version = r.Version
+		h.target, h.rateTarget = int(r.ConcurrencyHeld), r.RateHeld
+	}
+	if r.Version == h.version {
+		h.acked = r.Version
+		h.concurrency = max(int(r.ConcurrencyHeld), h.target)
+		h.rate = math.Max(r.RateHeld, h.rateTarget)
+	}
+	if *h != old {
+		t.dirty = true
+	}
+}
+
+// receiveTable takes over the table of the earlier authority.
+func (s *Scheduler) receiveTable(now model.Time, m *peerpb.LimitTable) {
+	l := s.limits.byName[m.Row]
+	if l == nil {
+		l = &limit{name: m.Row, filled: now}
+		s.limits.byName[m.Row] = l
+		s.limits.list = append(s.limits.list, l)
+		s.findAuthority(now, l)
+	}
+	t := l.table
+	if t == nil {
+		return
+	}
+	for _, x := range m.Holdings {
+		h := t.holder(model.Instance(x.Instance), "")
+		if p := s.peers[h.id]; p != nil {
+			h.domain = p.Domain
+		}
+		if x.Version >= h.version {
+			h.version = x.Version
+			h.concurrency = max(h.concurrency, int(x.Concurrency))
+			h.rate = math.Max(h.rate, x.Rate)
+			h.target, h.rateTarget = h.concurrency, h.rate
+		}
+	}
+	t.ready = true
+	t.dirty = true
+}
+
+// divide computes the holders' shares and sends those that change: first
+// the lower ones; the higher ones as far as the limit leaves room.
+func (s *Scheduler) divide(now model.Time, l *limit) {
+	t := l.table
+	s.reclaim(now, l)
+	if !t.ready && now.Sub(t.since) >= takeover {
+		t.ready = true
+		t.dirty = true
+	}
+	if !t.ready || !t.dirty || now.Sub(t.divided) < shareOutEvery {
+		return
+	}
+	t.divided = now
+	t.dirty = false
+	if !l.short() {
+		return
+	}
+	s.divideConcurrency(l)
+	s.divideRate(l)
+	for _, h := range t.holders {
+		s.sendShare(now, l, h)
+	}
+}
+
+// short reports whether a holder needs more than it has, or the holders have
+// more than the limit allows.
+func (l *limit) short() bool {
+	held, rate := 0, 0.0
+	for _, h := range l.table.holders {
+		held += h.concurrency
+		rate += h.rate
+		if h.goneAt != 0 {
+			continue
+		}
+		if l.concurrency > 0 && h.demand > h.concurrency {
+			return true
+		}
+		if l.rate > 0 && h.rateDemand > h.rate {
+			return true
+		}
+	}
+	return (l.concurrency > 0 && held > l.concurrency) || (l.rate > 0 && rate > l.rate*(1+reportChange/10))
+}
+
+// reclaim frees the shares of instances that are gone for good.
+func (s *Scheduler) reclaim(now model.Time, l *limit) {
+	t := l.table
+	keep := t.holders[:0]
+	for _, h := range t.holders {
+		if h.id != s.opts.Self && !s.isLive(h.id) {
+			if h.goneAt == 0 {
+				h.goneAt = now
+			}
+			wait := reclaimCut
+			if s.domainLive(h.domain) {
+				wait = reclaimShare
+			}
+			if now.Sub(h.goneAt) >= wait {
+				t.dirty = true
+				continue
+			}
+		}
+		keep = append(keep, h)
+	}
+	t.holders = keep
+}
+
+func (s *Scheduler) isLive(id model.Instance) bool {
+	p := s.peers[id]
+	return p != nil && p.live
+}
+
+func (s *Scheduler) domainLive(d model.Domain) bool {
+	if d == s.opts.Domain {
+		return true
+	}
+	for _, p := range s.live {
+		if p.Domain == d {
+			return true
+		}
+	}
+	return false
+}
+
+// divideConcurrency sets the targets: everybody's demand as far as the limit
+// goes, smallest demands first, and what is left in even parts.
+func (s *Scheduler) divideConcurrency(l *limit) {
+	if l.concurrency == 0 {
+		return
+	}
+	live, gone := l.table.split()
+	left := l.concurrency
+	for _, h := range gone {
+		left -= h.concurrency
+	}
+	left = max(0, left)
+	byDemand := append([]*holder(nil), live...)
+	sort.SliceStable(byDemand, func(i, k int) bool { return byDemand[i].demand < byDemand[k].demand })
+	for i, h := range byDemand {
+		part := left / (len(byDemand) - i)
+		h.target = min(h.demand, part)
+		left -= h.target
+	}
+	for i, h := range byDemand {
+		extra := left / (len(byDemand) - i)
+		h.target += extra
+		left -= extra
+	}
+	room := l.concurrency
+	for _, h := range l.table.holders {
+		room -= h.concurrency
+	}
+	for _, h := range live {
+		if up := h.target - h.concurrency; up > 0 {
+			up = max(0, min(up, room))
+			h.target = h.concurrency + up
+			room -= up
+		}
+	}
+}
+
+func (s *Scheduler) divideRate(l *limit) {
+	if l.rate == 0 {
+		return
+	}
+	live, gone := l.table.split()
+	left := l.rate
+	for _, h := range gone {
+		left -= h.rate
+	}
+	left = math.Max(0, left)
+	byDemand := append([]*holder(nil), live...)
+	sort.SliceStable(byDemand, func(i, k int) bool { return byDemand[i].rateDemand < byDemand[k].rateDemand })
+	for i, h := range byDemand {
+		h.rateTarget = math.Min(h.rateDemand, left/float64(len(byDemand)-i))
+		left -= h.rateTarget
+	}
+	for _, h := range byDemand {
+		h.rateTarget += left / float64(len(byDemand))
+	}
+	room := l.rate
+	for _, h := range l.table.holders {
+		room -= h.rate
+	}
+	for _, h := range live {
+		if up := h.rateTarget - h.rate; up > 0 {
+			up = math.Max(0, math.Min(up, room))
+			h.rateTarget = h.rate + up
+			room -= up
+		}
+	}
+}
+
+// split separates the holders that are live from those that are gone.
+func (t *limitTable) split() (live, gone []*holder) {
+	for _, h := range t.holders {
+		if h.goneAt == 0 {
+			live = append(live, h)
+		} else {
+			gone = append(gone, h)
+		}
+	}
+	return live, gone
+}
+
+// sendShare sends a holder its target if it matters: always when it goes
+// down because others need it, and up when the holder is short.
+func (s *Scheduler) sendShare(now model.Time, l *limit, h *holder) {
+	if h.goneAt != 0 {
+		return
+	}
+	up := h.target > h.concurrency || h.rateTarget > h.rate*(1+reportChange)
+	down := h.target < h.concurrency || h.rateTarget < h.rate*(1-reportChange)
+	if !up && !down {
+		h.rateTarget = h.rate
+		return
+	}
+	if down && h.acked < h.version {
+		h.target, h.rateTarget = h.concurrency, h.rate
+		l.table.dirty = true
+		return
+	}
+	h.version++
+	h.concurrency = max(h.concurrency, h.target)
+	h.rate = math.Max(h.rate, h.rateTarget)
+	x := &peerpb.LimitShare{Row: l.name, Version: h.version, Concurrency: uint32(h.target), Rate: h.rateTarget}
+	if h.id == s.opts.Self {
+		s.takeShare(now, l, x)
+		c := l.current()
+		s.reported(now, l, h.id, s.opts.Domain, &c)
+		return
+	}
+	m := s.message(s.peers[h.id])
+	m.Shares = append(m.Shares, x)
+}
