--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -148,6 +148,9 @@
 	if s.ticks%balanceEvery == 0 {
 		s.balanceSpeeds()
 	}
+	if s.ticks%sweepEvery == 0 {
+		s.sweep(now)
+	}
 	s.dropExpired(now)
 	s.wakeAll(&s.parkedLong)
 	s.wakeAll(&s.parkedSlot)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -135,3 +135,30 @@
 		t.Fatalf("drops %+v", drops)
 	}
 }
+
+func TestIdleFlowsAreForgotten(t *testing.T) {
+	s := newTest(2, 2)
+	now := testStart
+	for h := 1; h <= 100; h++ {
+		j := testJob(h, 1)
+		j.Kind = model.Kind(fmt.Sprintf("k%d", h))
+		s.Submit(now, j)
+		for _, st := range copyStarts(s) {
+			s.Done(now, st, OutcomeOK, time.Millisecond)
+		}
+	}
+	if n := s.Stats().Flows; n != 100 {
+		t.Fatalf("%d flows, want 100", n)
+	}
+	now = now.Add(2 * flowMemory)
+	for range sweepEvery {
+		s.Tick(now)
+	}
+	if n := s.Stats().Flows; n != 0 {
+		t.Fatalf("%d flows are left", n)
+	}
+	s.Submit(now, testJob(200, 1))
+	if got := copyStarts(s); len(got) != 1 {
+		t.Fatalf("starts after the sweep: %+v", got)
+	}
+}
