--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -23,13 +23,16 @@
 	ExitUsage   = 2 // the arguments or the settings file are wrong
 	ExitRefused = 3 // refused, not run
 	ExitUnknown = 4 // it may have run
-	ExitPartial = 5 // a change is in force in some failure domains only
+	ExitPartial = 5 // a change was made in part, or is in force in some failure domains only
 )
 
 // Root holds the arguments of nutmegctl.
 type Root struct {
 	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
+	Table   *TableCmd   `arg:"subcommand:table" help:"read and edit the table of weights and limits"`
+	Backend *BackendCmd `arg:"subcommand:backend" help:"list backend servers, take them out of service and back"`
+	Audit   *AuditCmd   `arg:"subcommand:audit" help:"show who changed what"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"say what an instance knows of itself, its peers and shards"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"offer a workload to instances on loopback and report"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
@@ -44,7 +47,8 @@
 // Epilogue lists the exit codes.
 func (Root) Epilogue() string {
 	return "Exit codes: 0 ok, 1 failed, 2 wrong usage or settings, 3 refused and not run,\n" +
-		"4 may have run, 5 a change is in force in some failure domains only.\n\n" +
+		"4 may have run or may be changed, 5 a change was made in part or is in force in\n" +
+		"some failure domains only.\n\n" +
 		"Use \"nutmegctl COMMAND --help\" for the arguments of a command."
 }
 
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,11 +19,17 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/ctl"
 	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
+		"nutmegctl": func() {
+			env := &ctl.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+			os.Exit(ctl.Main(context.Background(), os.Args[1:], env))
+		},
 		"nutmegweir": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
@@ -40,12 +47,16 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"settings": writeSettings,
-			"ready":    waitReady,
-			"members":  waitMembers,
-			"pause":    pauseProcess,
-			"job":      submitJob,
-			"starts":   checkStarts,
+			"settings":  writeSettings,
+			"ready":     waitReady,
+			"members":   waitMembers,
+			"links":     waitLinks,
+			"pause":     pauseProcess,
+			"advertise": advertise,
+			"cut":       cutLink,
+			"refused":   checkRefused,
+			"job":       submitJob,
+			"starts":    checkStarts,
 		},
 	})
 }
@@ -68,6 +79,43 @@
 	ts.Check(os.WriteFile(file, []byte(text), 0o644))
 }
 
+// advertise makes the instance reachable through a link stand-in at a port:
+// advertise NAME PORT. It starts from what settings wrote.
+func advertise(ts *testscript.TestScript, neg bool, args []string) {
+	file := filepath.Join(ts.Getenv("WORK"), args[0]+".hujson")
+	text, err := os.ReadFile(file)
+	ts.Check(err)
+	peers := fmt.Sprintf("\"peers\": {\"advertise\": \"%s:%s\"},\n\t\"shards\"", ts.Getenv("IP"), args[1])
+	changed := strings.Replace(string(text), "\"shards\"", peers, 1)
+	ts.Check(os.WriteFile(file, []byte(changed), 0o644))
+}
+
+// cutLink makes links silent, or lets them go on: cut on|off CONTROLPORT...
+func cutLink(ts *testscript.TestScript, neg bool, args []string) {
+	body := fmt.Sprintf(`{"silent":%v}`, args[0] == "on")
+	for _, port := range args[1:] {
+		url := "http://" + ts.Getenv("IP") + ":" + port + link.PathMode
+		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+		ts.Check(err)
+		resp, err := http.DefaultClient.Do(req)
+		ts.Check(err)
+		_ = resp.Body.Close()
+	}
+}
+
+// checkRefused submits a job that must be refused: refused PORT HOME KIND RAN
+// KEYFILE.
+func checkRefused(ts *testscript.TestScript, neg bool, args []string) {
+	job := scriptJob(args[1], 1, jobKey(ts, args[4:]))
+	job.FirstAttempt = true
+	status, text := post(ts, args[0], job)
+	var p api.Problem
+	ts.Check(json.Unmarshal(text, &p))
+	if p.Kind != args[2] || string(p.Ran) != args[3] {
+		ts.Fatalf("answered %d: %s", status, text)
+	}
+}
+
 const scriptTimeout = 30 * time.Second
 
 // waitReady polls until an operator port reports readiness: ready PORT...
@@ -89,39 +137,69 @@
 func waitMembers(ts *testscript.TestScript, neg bool, args []string) {
 	want, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "3" + api.PathStatus
+	waitStatus(ts, args[0], func(s *api.InstanceStatus) bool {
+		for _, sh := range s.Shards {
+			if members(sh) != want {
+				return false
+			}
+		}
+		return len(s.Shards) > 0
+	})
+}
+
+func members(sh api.ShardStatus) int {
+	n := 0
+	if sh.Owner != "" {
+		n++
+	}
+	if sh.Replica != "" {
+		n++
+	}
+	return n
+}
+
+// waitLinks polls until the instance at the port has links to so many others:
+// links PORT N.
+func waitLinks(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	waitStatus(ts, args[0], func(s *api.InstanceStatus) bool {
+		n := 0
+		for _, p := range s.Peers {
+			if p.State == "up" {
+				n++
+			}
+		}
+		return n == want
+	})
+}
+
+// waitStatus polls the status of the instance at the port until it fits.
+func waitStatus(ts *testscript.TestScript, port string, fits func(*api.InstanceStatus) bool) {
+	url := "http://" + ts.Getenv("IP") + ":" + port + "3" + api.PathStatus
 	deadline := time.Now().Add(scriptTimeout)
-	for !allHaveMembers(url, want) {
+	for {
+		if s := getStatus(url); s != nil && fits(s) {
+			return
+		}
 		if time.Now().After(deadline) {
-			ts.Fatalf("shards at %s do not have %d members", url, want)
+			ts.Fatalf("the status at %s does not become what is waited for", url)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-func allHaveMembers(url string, want int) bool {
+func getStatus(url string) *api.InstanceStatus {
 	resp, err := http.Get(url)
 	if err != nil {
-		return false
+		return nil
 	}
 	defer resp.Body.Close()
-	var s api.InstanceStatus
-	if json.NewDecoder(resp.Body).Decode(&s) != nil {
-		return false
+	s := &api.InstanceStatus{}
+	if json.NewDecoder(resp.Body).Decode(s) != nil {
+		return nil
 	}
-	for _, sh := range s.Shards {
-		n := 0
-		if sh.Owner != "" {
-			n++
-		}
-		if sh.Replica != "" {
-			n++
-		}
-		if n != want {
-			return false
-		}
-	}
-	return len(s.Shards) > 0
+	return s
 }
 
 // pauseProcess stops or continues a process: pause PIDFILE stop|cont.
@@ -151,25 +229,36 @@
 func submitJob(ts *testscript.TestScript, neg bool, args []string) {
 	tasks, err := strconv.Atoi(args[2])
 	ts.Check(err)
-	job := &api.Job{Customer: "rosehill", Home: args[1], Kind: "route-plan", Key: jobKey(ts, args[3:])}
+	job := scriptJob(args[1], tasks, jobKey(ts, args[3:]))
+	status, text := post(ts, args[0], job)
+	if status != http.StatusOK {
+		ts.Fatalf("answered %d: %s", status, text)
+	}
+	var a api.Answer
+	ts.Check(json.Unmarshal(text, &a))
+	checkAnswer(ts, job, &a)
+}
+
+func scriptJob(home string, tasks int, key string) *api.Job {
+	job := &api.Job{Customer: "rosehill", Home: home, Kind: "route-plan", Key: key}
 	for i := range tasks {
 		payload := fmt.Sprintf(`{"run_ms":20,"echo":{"task":%d}}`, i)
 		job.Tasks = append(job.Tasks, json.RawMessage(payload))
 	}
+	return job
+}
+
+// post submits a job and returns status and body of the answer.
+func post(ts *testscript.TestScript, port string, job *api.Job) (int, []byte) {
 	body, err := json.Marshal(job)
 	ts.Check(err)
-	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "1" + api.PathJobs
+	url := "http://" + ts.Getenv("IP") + ":" + port + "1" + api.PathJobs
 	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
 	ts.Check(err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	ts.Check(err)
-	if resp.StatusCode != http.StatusOK {
-		ts.Fatalf("answered %s: %s", resp.Status, text)
-	}
-	var a api.Answer
-	ts.Check(json.Unmarshal(text, &a))
-	checkAnswer(ts, job, &a)
+	return resp.StatusCode, text
 }
 
 func jobKey(ts *testscript.TestScript, file []string) string {
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
@@ -54,7 +56,8 @@
 	attempts []uint8              // owner
 	started  int                  // owner: tasks in flight
 	waiters  []Waiter             // owner
-	remote   Member               // owner: reports tasks in state taskRemote
+	runners  map[uint32]Member    // owner: who reports tasks in state taskRemote
+	ranOnce  map[int]bool         // owner: queued again after a start that may have run
 }
 
 func newJob(spec *peerpb.JobSpec) *job {
@@ -127,7 +130,30 @@
 }
 
 func (j *job) mayHaveRun(i int) bool {
-	return j.states[i] == taskStarted || j.states[i] == taskRemote
+	return j.states[i] == taskStarted || j.states[i] == taskRemote || j.ranOnce[i]
+}
+
+// unstarted reports whether no start of the task can have run.
+func (j *job) unstarted(i int) bool {
+	return (j.states[i] == taskQueued || j.states[i] == taskBound) && !j.ranOnce[i]
+}
+
+// markRan notes that an attempt of the task may have run.
+func (j *job) markRan(i int) {
+	if j.ranOnce == nil {
+		j.ranOnce = make(map[int]bool)
+	}
+	j.ranOnce[i] = true
+}
+
+// awaits reports whether a task in flight is reported by m.
+func (j *job) awaits(m Member) bool {
+	for i, runner := range j.runners {
+		if runner == m && j.states[i] == taskRemote {
+			return true
+		}
+	}
+	return false
 }
 
 // openIntents counts tasks that an intent covers and no result closes, apart
@@ -211,6 +237,19 @@
 	}
 }
 
+// Token hashes the customer and the random half of the key. A caller that
+// comes back after a refusal keeps that half and takes a new time, so that its
+// new key meets the same shard and the scheduler knows it again.
+func Token(id *peerpb.Identity) uint64 {
+	const randomHalf = 8
+	h := xxhash.New()
+	_, _ = h.WriteString(id.GetCustomer())
+	if k := id.GetKey(); len(k) > randomHalf {
+		_, _ = h.Write(k[randomHalf:])
+	}
+	return h.Sum64()
+}
+
 // answerBytes estimates the memory of a kept answer.
 func answerBytes(a *peerpb.Answer) int64 {
 	const perResult, perAnswer = 64, 96
