--- a/internal/shard/learner.go
+++ b/internal/shard/learner.go
@@ -13,7 +13,8 @@
 	if s.role != RoleOwner || s.sealed || s.follower(m.Instance) != nil {
 		return
 	}
-	s.followers = append(s.followers, &follower{member: m, acked: s.seq, sent: s.seq})
+	s.copies++
+	s.followers = append(s.followers, &follower{member: m, acked: s.seq, sent: s.seq, learning: s.copies})
 	s.env.send(m.Instance, &peerpb.Message{Body: &peerpb.Message_View{View: s.view.Proto(s.id)}})
 	s.sendChunk(now, s.followers[len(s.followers)-1])
 }
@@ -28,6 +29,7 @@
 		Seq:         s.seq,
 		FloorUnixNs: int64(s.floor),
 		Chunk:       f.chunk,
+		Learning:    f.learning,
 	}
 	size := 0
 	for f.next < len(s.order) && size < s.env.Opts.ChunkBytes {
@@ -66,7 +68,7 @@
 	if m.Chunk == 0 {
 		s.beginLearning(from, m)
 	}
-	if s.role != RoleLearner || from != s.from || m.Chunk != s.chunk {
+	if s.role != RoleLearner || from != s.from || m.Learning != s.learning || m.Chunk != s.chunk {
 		return
 	}
 	s.chunk++
@@ -80,6 +82,8 @@
 			Shard:  m.Shard,
 			Epoch:  m.Epoch,
 			Chunk:  m.Chunk,
+			// The acknowledgement of an earlier copy must not count for this one.
+			Learning: m.Learning,
 		},
 	}})
 }
@@ -93,6 +97,7 @@
 	s.reset()
 	s.role = RoleLearner
 	s.seq = m.Seq
+	s.learning = m.Learning
 	s.chunk = 0
 }
 
@@ -121,7 +126,10 @@
 // HandleSnapshotAck sends the next chunk, or notes that the learner has all.
 func (s *Shard) HandleSnapshotAck(now model.Time, from Member, m *peerpb.SnapshotAck) {
 	f := s.follower(from.Instance)
-	if s.role != RoleOwner || f == nil || f.member != from || f.synced || m.Chunk != f.chunk {
+	if s.role != RoleOwner || f == nil || f.member != from || f.synced {
+		return
+	}
+	if m.Learning != f.learning || m.Chunk != f.chunk {
 		return
 	}
 	f.chunk++
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -275,6 +275,10 @@
 		return
 	}
 	i := d.Start.Index
+	if s.returned(r, i) {
+		s.reportBack(now, r, d)
+		return
+	}
 	if j.states[i] != taskStarted {
 		return
 	}
@@ -298,6 +302,30 @@
 	s.releaseHandles(r)
 }
 
+// returned reports whether the shard went to another owner and came back while
+// the task was in flight.
+func (s *Shard) returned(r *record, i int) bool {
+	if s.role != RoleOwner {
+		return false
+	}
+	return s.records[r.key] != r || r.job.states[i] == taskRemote
+}
+
+// reportBack takes a result of this instance as an earlier owner.
+func (s *Shard) reportBack(now model.Time, r *record, d TaskDone) {
+	if s.records[r.key] != r {
+		delete(s.env.jobs, d.Start.Job)
+	}
+	res := resultOf(d)
+	if d.Outcome == sched.OutcomeNotStarted || d.Outcome == sched.OutcomeUnreachable {
+		res = notStartedResult(d.Start.Index)
+	}
+	s.HandleRemoteResult(now, &peerpb.RemoteResult{
+		Identity: r.key.identity(s.id.Domain),
+		Result:   res,
+	})
+}
+
 // releaseHandles forgets the handles of a job that is owned elsewhere once
 // its last task in flight has ended.
 func (s *Shard) releaseHandles(r *record) {
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -98,6 +98,18 @@
 			return true
 		}
 	}
+	return s.lostLearner()
+}
+
+// lostLearner reports whether commits wait for a learner that no view names
+// yet and that does not answer. A write that names it may still land, so that
+// it is left out by a view of a later epoch only.
+func (s *Shard) lostLearner() bool {
+	for _, f := range s.followers {
+		if f.required && !s.view.Has(f.member) && s.env.Peers.Liveness(f.member) != Alive {
+			return true
+		}
+	}
 	return false
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -31,6 +31,7 @@
 	sent     uint64     // operations sent to it
 	sentAt   model.Time // time of the latest send
 	required bool       // commits wait for it
+	learning uint64     // learner: number of the copy
 	chunk    uint32     // learner: chunk in flight
 	chunkAt  model.Time // learner: when the chunk was sent
 	next     int        // learner: next record to send
@@ -74,11 +75,13 @@
 	sealNote  *peerpb.HandOver
 	parked    []parked
 	held      []heldResult
+	copies    uint64   // copies to learners begun
 	runners   []Member // they have tasks of an earlier owner in flight
 
 	// replica
 	from     Member // the owner whose operations are applied
 	handOver *peerpb.HandOver
+	learning uint64 // number of the copy
 	chunk    uint32
 }
 
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -488,6 +488,12 @@
 			s.MemberDead(now, m)
 		}
 	}
+	// A learner may be needed for commits before a view names it.
+	for _, f := range slices.Clone(s.followers) {
+		if s.env.Peers.Liveness(f.member) == Dead {
+			s.MemberDead(now, f.member)
+		}
+	}
 	if s.env.Suspended {
 		return
 	}
