Test the real reducers against the properties of the model

Properties: at most one start of a task that is not repeatable, counted to the end; no start of what was answered "not run"; a final answer never changes; complete means every result, each its own; after the faults every request is answered and new jobs complete.

--- /dev/null
+++ b/internal/core/coretest/callers_test.go
@@ -0,0 +1,317 @@
+package coretest
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// job is a submission as its caller sees it.
+type job struct {
+	w       *world
+	name    string
+	spec    *peerpb.JobSpec
+	copies  int
+	final   *peerpb.Answer // first final answer
+	notRun  bool           // the caller was told that nothing of it runs
+	unknown bool           // the caller was told that it may have run
+	noStart map[int]bool   // tasks that the caller was told never ran
+}
+
+// request is one copy of a submission, a lookup or a cancellation.
+type request struct {
+	job   *job
+	op    core.Op
+	first bool // sent with first_attempt
+	at    *proc
+	id    uint64
+}
+
+// newKey returns a key first submitted at t, with a counter to tell it apart.
+func newKey(t model.Time, n int) []byte {
+	var k [16]byte
+	binary.BigEndian.PutUint64(k[:8], uint64(t.UnixMilli())<<16|0x7000)
+	binary.BigEndian.PutUint64(k[8:], 1<<63|uint64(n))
+	return k[:]
+}
+
+// newJob makes a submission of n tasks.
+func (w *world) newJob(home model.Domain, n int, repeatable bool, age time.Duration) *job {
+	j := &job{w: w, name: fmt.Sprintf("job%d", len(w.jobs)), noStart: make(map[int]bool)}
+	j.spec = &peerpb.JobSpec{
+		Identity: &peerpb.Identity{
+			Customer: "c",
+			Home:     string(home),
+			Key:      newKey(w.now.Add(-age), len(w.jobs)),
+		},
+		Kind:       "k",
+		Repeatable: repeatable,
+	}
+	for i := range n {
+		j.spec.Payloads = append(j.spec.Payloads, []byte(fmt.Sprint(j.name, "/", i)))
+	}
+	w.jobs = append(w.jobs, j)
+	return j
+}
+
+func (j *job) key() string { return string(j.spec.Identity.Key) }
+
+// submit sends a copy through an instance. A caller that sends a further copy
+// no longer believes an unrecorded "not run" of the first.
+func (j *job) submit(p *proc) {
+	spec := proto.Clone(j.spec).(*peerpb.JobSpec)
+	spec.FirstAttempt = j.copies == 0
+	j.copies++
+	j.w.note("submit %s copy %d to %s", j.name, j.copies, p.member.Incarnation)
+	j.ask(p, &request{job: j, op: core.OpSubmit, first: spec.FirstAttempt}, core.CallerRequest{Spec: spec})
+}
+
+func (j *job) ask(p *proc, q *request, c core.CallerRequest) {
+	p.nextID++
+	q.at = p
+	q.id = p.nextID
+	p.asked[q.id] = q
+	c.ID = q.id
+	c.Op = q.op
+	p.take(c)
+}
+
+func (j *job) lookup(p *proc) {
+	j.ask(p, &request{job: j, op: core.OpLookup}, core.CallerRequest{Identity: j.spec.Identity, Wait: true})
+}
+
+func (j *job) cancel(p *proc) {
+	j.w.note("cancel %s at %s", j.name, p.member.Incarnation)
+	j.ask(p, &request{job: j, op: core.OpCancel}, core.CallerRequest{Identity: j.spec.Identity})
+}
+
+// asking returns the copies that wait for an answer.
+func (j *job) asking() []*request {
+	var list []*request
+	for _, p := range j.w.running() {
+		for id := uint64(1); id <= p.nextID; id++ {
+			if q := p.asked[id]; q != nil && q.job == j && q.op == core.OpSubmit {
+				list = append(list, q)
+			}
+		}
+	}
+	return list
+}
+
+// settled reports whether the caller needs no further answer.
+func (j *job) settled() bool { return j.final != nil || j.notRun || j.unknown }
+
+// broken has the caller ask again elsewhere.
+func (q *request) broken() {
+	if q.op == core.OpSubmit {
+		q.job.retry(time.Second)
+	}
+}
+
+func (j *job) retry(d time.Duration) {
+	j.w.after(d, func() {
+		list := j.w.running()
+		if j.settled() {
+			return
+		}
+		if len(list) == 0 {
+			j.retry(d)
+			return
+		}
+		j.submit(list[j.w.rng.IntN(len(list))])
+	})
+}
+
+// reply passes an answer to its caller.
+func (p *proc) reply(r core.Reply) {
+	q := p.asked[r.ID]
+	if q == nil || r.Answer.Status == peerpb.Status_STATUS_PENDING {
+		return
+	}
+	delete(p.asked, r.ID)
+	q.job.answered(q, r.Answer)
+}
+
+func (j *job) answered(q *request, a *peerpb.Answer) {
+	j.w.note("answer %s to %s: %v %v %s", j.name, q.at.member.Incarnation, a.Status, a.Ran, a.Problem)
+	switch {
+	case a.Status != peerpb.Status_STATUS_REFUSED || a.Recorded:
+		j.finally(a)
+	case a.Ran == peerpb.Ran_RAN_NO && (!q.first || j.copies == 1):
+		j.notRun = true
+		j.checkNotRun()
+	case a.Problem == shard.ProblemTooOld:
+		j.unknown = true
+	case q.op == core.OpSubmit && len(j.asking()) == 0:
+		j.retry(2 * time.Second)
+	}
+}
+
+// finally checks a final answer.
+func (j *job) finally(a *peerpb.Answer) {
+	a = proto.Clone(a).(*peerpb.Answer)
+	a.Request = 0
+	if j.final != nil && !proto.Equal(a, j.final) {
+		j.w.fail("%s: the final answer changed from %v to %v", j.name, j.final, a)
+	}
+	j.final = a
+	switch a.Status {
+	case peerpb.Status_STATUS_COMPLETE:
+		j.checkComplete(a)
+	case peerpb.Status_STATUS_FAILED:
+		j.checkFailed(a)
+	case peerpb.Status_STATUS_REFUSED:
+		j.notRun = a.Ran == peerpb.Ran_RAN_NO
+	}
+	j.checkNotRun()
+}
+
+func (j *job) checkComplete(a *peerpb.Answer) {
+	if len(a.Results) != len(j.spec.Payloads) {
+		j.w.fail("%s: complete with %d of %d results", j.name, len(a.Results), len(j.spec.Payloads))
+	}
+	for i, r := range a.Results {
+		if int(r.Index) != i || string(r.Output) != string(j.spec.Payloads[i]) {
+			j.w.fail("%s: complete with a wrong result of task %d: %v", j.name, i, r)
+		}
+		if j.w.starts[j.task(i)] == 0 {
+			j.w.fail("%s: complete, but task %d never started", j.name, i)
+		}
+	}
+}
+
+func (j *job) checkFailed(a *peerpb.Answer) {
+	if a.Ran == peerpb.Ran_RAN_NO {
+		j.notRun = true
+	}
+	for _, r := range a.Results {
+		if r.Ran == peerpb.Ran_RAN_NO {
+			j.noStart[int(r.Index)] = true
+		}
+		if len(r.Output) > 0 {
+			j.w.fail("%s: failed, but with the output of task %d", j.name, r.Index)
+		}
+	}
+}
+
+func (j *job) task(i int) string { return fmt.Sprintf("%x/%d", j.key(), i) }
+
+// checkNotRun compares what the caller was told with the starts.
+func (j *job) checkNotRun() {
+	for i := range j.spec.Payloads {
+		n := j.w.starts[j.task(i)]
+		if n > 0 && (j.notRun || j.noStart[i]) {
+			j.w.fail("%s: task %d was answered \"not run\" and has started", j.name, i)
+		}
+		if n > 1 && !j.spec.Repeatable {
+			j.w.fail("%s: task %d has started %d times", j.name, i, n)
+		}
+	}
+}
+
+func (w *world) jobOf(spec *peerpb.JobSpec) *job {
+	for _, j := range w.jobs {
+		if j.key() == string(spec.Identity.Key) {
+			return j
+		}
+	}
+	return nil
+}
+
+// start sends a task to its backend server. Once it has left, neither a pause
+// nor the death of the sender stops it.
+func (p *proc) start(st shard.StartTask) {
+	w := p.w
+	j := w.jobOf(st.Spec)
+	d := shard.TaskDone{Start: st.Start, Ran: w.between(50, 400)}
+	done := func(after time.Duration, o sched.Outcome) {
+		d.Outcome = o
+		w.after(after, func() { p.take(core.TaskDone{TaskDone: d}) })
+	}
+	arrives := w.between(0, 2)
+	if !w.chance(w.serverFaults) {
+		d.Output = st.Spec.Payloads[st.Start.Index]
+		w.after(arrives, func() { w.started(j, st) })
+		done(arrives+d.Ran, sched.OutcomeOK)
+		return
+	}
+	switch w.rng.IntN(6) {
+	case 0:
+		done(arrives, sched.OutcomeNotStarted)
+	case 1:
+		done(arrives, sched.OutcomeUnreachable)
+	case 2:
+		w.after(arrives, func() { w.started(j, st) })
+		d.Error = "failed"
+		done(arrives+d.Ran, sched.OutcomeFailed)
+	case 3: // it never arrives
+		done(arrives+d.Ran, sched.OutcomeLost)
+	case 4: // it arrives after it was given up
+		w.after(w.between(1000, 4000), func() { w.started(j, st) })
+		done(arrives+d.Ran, sched.OutcomeLost)
+	case 5: // its answer takes long
+		d.Output = st.Spec.Payloads[st.Start.Index]
+		w.after(arrives, func() { w.started(j, st) })
+		done(w.between(2000, 6000), sched.OutcomeOK)
+	}
+}
+
+func (w *world) started(j *job, st shard.StartTask) {
+	w.note("start %s/%d", j.name, st.Start.Index)
+	w.starts[j.task(st.Start.Index)]++
+	j.checkNotRun()
+}
+
+// checkAnswered checks that nobody waits for an answer any more.
+func (w *world) checkAnswered() {
+	for _, p := range w.running() {
+		for id := uint64(1); id <= p.nextID; id++ {
+			if q := p.asked[id]; q != nil {
+				w.describe(q.job)
+				w.fail("%s: request %d (operation %d) at %s was never answered", q.job.name, id, q.op, p.member.Incarnation)
+			}
+		}
+	}
+	for _, j := range w.jobs {
+		if !j.settled() {
+			w.fail("%s: its caller has no answer", j.name)
+		}
+		j.checkNotRun()
+	}
+}
+
+// describe notes what each instance knows of a job.
+func (w *world) describe(j *job) {
+	for _, p := range w.running() {
+		s := p.core.Status()
+		w.note("%s suspended %v open %d: %s", p.member.Incarnation, s.Suspended, s.OpenJobs, p.core.Explain(j.spec.Identity))
+	}
+}
+
+// checkServing checks that new jobs complete through every instance.
+func (w *world) checkServing() {
+	var list []*job
+	for _, p := range w.running() {
+		for _, home := range []model.Domain{"a", "b"} {
+			for range 2 * shards {
+				j := w.newJob(home, 2, false, 0)
+				j.submit(p)
+				list = append(list, j)
+			}
+		}
+	}
+	w.run(20 * time.Second)
+	for _, j := range list {
+		if j.final == nil || j.final.Status != peerpb.Status_STATUS_COMPLETE {
+			w.fail("%s: a new job did not complete after the faults: %v", j.name, j.final)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/coretest/platform_test.go
@@ -0,0 +1,195 @@
+package coretest
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	retryDelay  = 300 * time.Millisecond
+)
+
+// document is a value of the register.
+type document struct {
+	index uint64
+	value []byte
+}
+
+// lease is an entry of the list of instances.
+type lease struct {
+	info core.InstanceInfo
+	ends model.Time
+}
+
+// platform is the register, with a list of instances that lags.
+type platform struct {
+	w      *world
+	down   bool
+	late   int // per cent of writes that land late or never, their answers lost
+	index  uint64
+	docs   map[model.Domain]document
+	leases map[shard.Member]lease
+	order  []shard.Member
+}
+
+func newPlatform(w *world) *platform {
+	return &platform{
+		w:      w,
+		docs:   make(map[model.Domain]document),
+		leases: make(map[shard.Member]lease),
+	}
+}
+
+func (pl *platform) heal() {
+	pl.down = false
+	pl.late = 0
+}
+
+func (pl *platform) reachable(p *proc) bool { return !pl.down && !pl.w.cut[p.host.domain] }
+
+// serve renews the lease of a process and shows it what changed.
+func (pl *platform) serve(p *proc) {
+	pl.renew(p)
+	pl.watch(p, 0)
+}
+
+func (pl *platform) renew(p *proc) {
+	if p.dead {
+		return
+	}
+	if !p.paused && pl.reachable(p) {
+		pl.announce(p)
+	}
+	pl.w.after(500*time.Millisecond, func() { pl.renew(p) })
+}
+
+func (pl *platform) announce(p *proc) {
+	info := core.InstanceInfo{
+		Member:  p.member,
+		Domain:  p.host.domain,
+		Addr:    p.host.addr,
+		Leaving: p.leaving,
+	}
+	old, listed := pl.leases[p.member]
+	if !listed {
+		pl.order = append(pl.order, p.member)
+	}
+	if old.info != info || old.ends < pl.w.now {
+		pl.index++
+	}
+	pl.leases[p.member] = lease{info: info, ends: pl.w.now.Add(sessionTTL)}
+}
+
+func (pl *platform) list() []core.InstanceInfo {
+	var list []core.InstanceInfo
+	for _, m := range pl.order {
+		if l := pl.leases[m]; l.ends >= pl.w.now {
+			list = append(list, l.info)
+		}
+	}
+	return list
+}
+
+// watch shows the documents and the list to a process, whenever they have
+// changed and at times when a lease may have ended.
+func (pl *platform) watch(p *proc, seen uint64) {
+	if p.dead {
+		return
+	}
+	if pl.reachable(p) && !p.paused && (seen != pl.index || pl.w.chance(5)) {
+		seen = pl.index
+		list := pl.list()
+		views := pl.views()
+		pl.w.after(pl.w.between(1, 20), func() {
+			for _, v := range views {
+				p.take(v)
+			}
+			p.take(core.Instances{List: list})
+		})
+	}
+	pl.w.after(pl.w.between(20, 60), func() { pl.watch(p, seen) })
+}
+
+func (pl *platform) views() []core.Views {
+	var list []core.Views
+	for _, d := range []model.Domain{"a", "b"} {
+		list = append(list, pl.viewsOf(d))
+	}
+	return list
+}
+
+func (pl *platform) viewsOf(d model.Domain) core.Views {
+	v := core.Views{Domain: d, Index: pl.docs[d].index}
+	if pl.docs[d].index == 0 {
+		return v
+	}
+	if err := json.Unmarshal(pl.docs[d].value, &v.Doc); err != nil {
+		pl.w.fail("document of %s: %v", d, err)
+	}
+	return v
+}
+
+func (pl *platform) read(p *proc) {
+	began := p.clock()
+	if !pl.reachable(p) {
+		pl.w.after(retryDelay, func() { p.take(core.ReadFailed{}) })
+		return
+	}
+	pl.w.after(pl.w.between(1, 5), func() {
+		v := pl.viewsOf(p.host.domain)
+		v.ReadAt = began
+		pl.w.after(pl.w.between(1, 5), func() { p.take(v) })
+	})
+}
+
+// write is a compare-and-swap. One whose answer is lost may land long after
+// its writer has given it up.
+func (pl *platform) write(p *proc, e core.WriteViews) {
+	value, err := json.Marshal(e.Doc)
+	if err != nil {
+		pl.w.fail("encode document: %v", err)
+	}
+	d := p.host.domain
+	switch {
+	case !pl.reachable(p) && pl.w.chance(50):
+		pl.w.after(pl.w.between(1, 5), func() { p.take(core.ViewsWritten{Outcome: core.WriteFailed}) })
+	case !pl.reachable(p):
+		pl.w.after(callTimeout, func() { p.take(core.ViewsWritten{Outcome: core.WriteUnknown}) })
+	case pl.w.chance(pl.late):
+		pl.w.note("late write of %s on index %d", p.member.Incarnation, e.Index)
+		if pl.w.chance(80) {
+			pl.w.after(pl.w.between(0, 6000), func() { pl.land(d, e.Index, value) })
+		}
+		pl.w.after(callTimeout, func() { p.take(core.ViewsWritten{Outcome: core.WriteUnknown}) })
+	default:
+		pl.w.after(pl.w.between(1, 5), func() {
+			answer := core.ViewsWritten{Outcome: core.WriteConflict, Doc: e.Doc}
+			if index := pl.land(d, e.Index, value); index != 0 {
+				answer.Outcome = core.WriteApplied
+				answer.Index = index
+			}
+			pl.w.after(pl.w.between(1, 5), func() { p.take(answer) })
+		})
+	}
+}
+
+func (pl *platform) land(d model.Domain, index uint64, value []byte) uint64 {
+	if pl.docs[d].index != index {
+		return 0
+	}
+	pl.index++
+	pl.docs[d] = document{index: pl.index, value: value}
+	pl.noteViews(d)
+	return pl.index
+}
+
+func (pl *platform) noteViews(d model.Domain) {
+	for i, v := range pl.viewsOf(d).Doc.Shards {
+		pl.w.note("view %s/%d epoch %d members %v", d, i, v.Epoch, v.Members)
+	}
+}
--- /dev/null
+++ b/internal/core/coretest/replication_test.go
@@ -0,0 +1,165 @@
+package coretest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// fault is a row of the fault table.
+type fault struct {
+	name  string
+	begin func(w *world)
+	end   func(w *world)
+}
+
+func none(*world) {}
+
+// ownerOf returns the process that owns a shard of domain a by the platform's
+// document, or the first one.
+func ownerOf(w *world, shard int) *proc {
+	for _, p := range w.running() {
+		if p.member == w.platform.viewsOf("a").Doc.Shards[shard].Owner() {
+			return p
+		}
+	}
+	return w.running()[0]
+}
+
+func replicaOf(w *world, shard int) *proc {
+	members := w.platform.viewsOf("a").Doc.Shards[shard].Members
+	for _, p := range w.running() {
+		if len(members) > 1 && p.member == members[1] {
+			return p
+		}
+	}
+	return w.running()[0]
+}
+
+func bootAll(w *world) {
+	for _, h := range w.hosts {
+		if h.proc == nil {
+			w.boot(h)
+		}
+	}
+}
+
+func resumeAll(w *world) {
+	for _, p := range w.running() {
+		p.resume()
+	}
+}
+
+// faults is the fault table.
+var faults = []fault{
+	{"kill owner", func(w *world) { ownerOf(w, 0).kill() }, bootAll},
+	{"kill replica", func(w *world) { replicaOf(w, 1).kill() }, bootAll},
+	{"kill domain", func(w *world) {
+		for _, p := range w.running() {
+			if p.host.domain == "a" {
+				p.kill()
+			}
+		}
+	}, bootAll},
+	{"stop owner", func(w *world) { ownerOf(w, 0).stop() }, bootAll},
+	{"pause owner", func(w *world) { ownerOf(w, 0).pause() }, resumeAll},
+	{"pause owner before its effects", func(w *world) { ownerOf(w, 1).pauseMid = true }, resumeAll},
+	{"pause replica", func(w *world) { replicaOf(w, 0).pause() }, resumeAll},
+	{"pause domain", func(w *world) {
+		for _, p := range w.running() {
+			if p.host.domain == "a" {
+				p.pauseMid = true
+			}
+		}
+	}, resumeAll},
+	{"cut domain", func(w *world) { w.cut["b"] = true }, func(w *world) { w.cut["b"] = false }},
+	{"platform outage", func(w *world) { w.platform.down = true }, func(w *world) { w.platform.down = false }},
+	{"late writes", func(w *world) { w.platform.late = 60 }, func(w *world) { w.platform.late = 0 }},
+	{"slow links", func(w *world) { w.slow = true }, func(w *world) { w.slow = false }},
+	{"link resets", func(w *world) {
+		for _, p := range w.running() {
+			for _, l := range p.ordered() {
+				l.drop()
+			}
+		}
+	}, none},
+	{"failing servers", func(w *world) { w.serverFaults = 50 }, func(w *world) { w.serverFaults = 0 }},
+}
+
+// load submits jobs for a while, and some of them again.
+func load(w *world, n int) {
+	for range n {
+		home := model.Domain("a")
+		if w.chance(25) {
+			home = "b"
+		}
+		j := w.newJob(home, 1+w.rng.IntN(6), w.chance(30), 0)
+		for range 1 + w.rng.IntN(2) {
+			// A caller that was told "not run" takes a new key.
+			if list := w.running(); len(list) > 0 && !j.notRun {
+				j.submit(list[w.rng.IntN(len(list))])
+			}
+			w.run(w.between(0, 60))
+		}
+		if j.copies == 0 {
+			j.retry(time.Second)
+		}
+	}
+}
+
+// finish ends all faults and checks that everything is answered and served.
+func finish(w *world) {
+	w.heal()
+	w.run(40 * time.Second)
+	w.checkAnswered()
+	w.checkServing()
+	w.run(10 * time.Second)
+	w.checkAnswered()
+}
+
+func runFaults(t *testing.T, seed uint64, list ...fault) {
+	w := newWorld(t, seed)
+	load(w, 8)
+	for _, f := range list {
+		w.note("begin %s", f.name)
+		f.begin(w)
+		load(w, 6)
+	}
+	// Longer than the silence bound and a lease, so that members are replaced.
+	load(w, 60)
+	for _, f := range list {
+		w.note("end %s", f.name)
+		f.end(w)
+		load(w, 6)
+	}
+	finish(w)
+}
+
+func TestFaults(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seedsAlone) {
+				runFaults(t, seed+1, f)
+			}
+		})
+	}
+}
+
+func TestFaultPairs(t *testing.T) {
+	for i, f := range faults {
+		for j, g := range faults {
+			if i == j {
+				continue
+			}
+			t.Run(fmt.Sprint(f.name, ", ", g.name), func(t *testing.T) {
+				t.Parallel()
+				runFaults(t, uint64(100*i+j+1), f, g)
+			})
+		}
+	}
+}
+
+const seedsAlone = 3
--- /dev/null
+++ b/internal/core/coretest/world_test.go
@@ -0,0 +1,243 @@
+// Package coretest drives several reducers, joined by a network, a platform
+// register and backend servers in memory and in virtual time, through faults,
+// and checks what callers were told against the starts that the servers saw.
+package coretest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+const (
+	silence    = time.Second
+	skew       = 250 * time.Millisecond
+	sessionTTL = 4 * time.Second
+	shards     = 2 // of each domain
+	epochStart = model.Time(1_800_000_000 * int64(time.Second))
+)
+
+// reporter is the part of *testing.T and *rapid.T that a world needs.
+type reporter interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
+// action is something that happens at a time.
+type action struct {
+	at  model.Time
+	seq int
+	do  func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].seq < a[j].seq
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// host is an address at which one process at a time listens.
+type host struct {
+	name   model.Instance
+	domain model.Domain
+	addr   string
+	starts int
+	proc   *proc // nil while no process runs
+}
+
+// world is everything outside of the reducers.
+type world struct {
+	t    reporter
+	rng  *rand.Rand
+	now  model.Time
+	todo actions
+	seq  int
+
+	hosts    []*host
+	platform *platform
+	cut      map[model.Domain]bool // domains cut off from the others
+	slow     bool                  // messages take long
+
+	serverFaults int // per cent of starts that meet a fault
+	servers      []sched.Server
+
+	jobs   []*job
+	starts map[string]int // by task
+	trace  []string
+}
+
+// newWorld returns three instances in domain a and one in domain b, which
+// have settled.
+func newWorld(t reporter, seed uint64) *world {
+	w := &world{
+		t:      t,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		now:    epochStart,
+		cut:    make(map[model.Domain]bool),
+		starts: make(map[string]int),
+	}
+	w.platform = newPlatform(w)
+	for i, d := range []model.Domain{"a", "a", "a", "b"} {
+		w.hosts = append(w.hosts, &host{
+			name:   model.Instance(fmt.Sprintf("i%d", i)),
+			domain: d,
+			addr:   fmt.Sprintf("10.0.0.%d:1", i),
+		})
+	}
+	for i, d := range []model.Domain{"a", "a", "b"} {
+		w.servers = append(w.servers, sched.Server{
+			ID:     model.ServerID(fmt.Sprintf("s%d", i)),
+			Domain: d,
+			Addr:   fmt.Sprintf("10.0.1.%d:1", i),
+			Slots:  4,
+			Has:    model.Resources{CPUMilli: 8000, MemoryMB: 8000},
+		})
+	}
+	for _, h := range w.hosts {
+		w.boot(h)
+	}
+	w.run(8 * time.Second)
+	return w
+}
+
+func (w *world) note(format string, args ...any) {
+	at := w.now.Sub(epochStart).Round(time.Millisecond)
+	w.trace = append(w.trace, fmt.Sprintf("%9v ", at)+fmt.Sprintf(format, args...))
+}
+
+// fail reports a violated property with what happened before it.
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	for _, l := range w.trace {
+		w.t.Logf("%s", l)
+	}
+	w.t.Fatalf(format, args...)
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.todo, action{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.todo) > 0 && w.todo[0].at <= end {
+		a := heap.Pop(&w.todo).(action)
+		w.now = a.at
+		a.do()
+	}
+	w.now = end
+}
+
+// between returns a random duration in milliseconds.
+func (w *world) between(low, high int) time.Duration {
+	us := low*1000 + w.rng.IntN((high-low)*1000+1)
+	return time.Duration(us) * time.Microsecond
+}
+
+func (w *world) chance(percent int) bool { return w.rng.IntN(100) < percent }
+
+func (w *world) separated(a, b model.Domain) bool {
+	return a != b && (w.cut[a] || w.cut[b])
+}
+
+func (w *world) hostAt(addr string) *host {
+	for _, h := range w.hosts {
+		if h.addr == addr {
+			return h
+		}
+	}
+	return nil
+}
+
+// running returns the processes that live, paused ones too.
+func (w *world) running() []*proc {
+	var list []*proc
+	for _, h := range w.hosts {
+		if h.proc != nil {
+			list = append(list, h.proc)
+		}
+	}
+	return list
+}
+
+// boot starts a process at a host.
+func (w *world) boot(h *host) {
+	h.starts++
+	p := &proc{
+		w:    w,
+		host: h,
+		member: shard.Member{
+			Instance:    h.name,
+			Incarnation: model.Incarnation(fmt.Sprintf("%s.%d", h.name, h.starts)),
+		},
+		offset: w.between(0, 2*int(skew.Milliseconds())) - skew,
+		links:  make(map[string]*link),
+		byName: make(map[model.Instance]*link),
+		asked:  make(map[uint64]*request),
+	}
+	opts := shard.DefaultOptions()
+	opts.Skew = skew
+	p.core = core.New(core.Options{
+		Self:    p.member,
+		Domain:  h.domain,
+		Addr:    h.addr,
+		Shards:  shards,
+		Replica: true,
+		Silence: silence,
+		Seed:    uint64(h.starts),
+		Shard:   opts,
+		Policy:  policy{},
+	})
+	h.proc = p
+	w.note("boot %s", p.member.Incarnation)
+	p.take(core.Servers{List: w.servers})
+	p.tick()
+	w.platform.serve(p)
+}
+
+// policy is a table without limits.
+type policy struct{}
+
+func (policy) Row(model.Customer, model.Kind) sched.PolicyRow {
+	return sched.PolicyRow{Weight: 1}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.note("heal")
+	w.cut = make(map[model.Domain]bool)
+	w.slow = false
+	w.serverFaults = 0
+	w.platform.heal()
+	for _, h := range w.hosts {
+		if h.proc != nil && h.proc.leaving {
+			h.proc.kill()
+		}
+		if h.proc == nil {
+			w.boot(h)
+			continue
+		}
+		h.proc.resume()
+	}
+}
