Test recorded refusals and the determinism of the reducer

A kind with a tight queue bound has jobs refused for ever in the fault table and the state machine; two runs of one seed must give the same trace. Seen: all pass.

--- a/internal/core/coretest/machine_test.go
+++ b/internal/core/coretest/machine_test.go
@@ -67,8 +67,11 @@
 	n := rapid.IntRange(1, 6).Draw(t, "tasks")
 	repeatable := rapid.IntRange(0, 3).Draw(t, "repeatable") == 0
 	age := rapid.SampledFrom(ages).Draw(t, "age")
+	kind := rapid.SampledFrom([]string{"k", "k", "k", tightKind}).Draw(t, "kind")
 	for range rapid.IntRange(1, 4).Draw(t, "jobs") {
-		m.w.newJob(home, n, repeatable, age).submit(p)
+		j := m.w.newJob(home, n, repeatable, age)
+		j.spec.Kind = kind
+		j.submit(p)
 	}
 }
 
--- a/internal/core/coretest/replication_test.go
+++ b/internal/core/coretest/replication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +97,9 @@
 			home = "b"
 		}
 		j := w.newJob(home, 1+w.rng.IntN(6), w.chance(30), 0)
+		if w.chance(20) {
+			j.spec.Kind = tightKind
+		}
 		for range 1 + w.rng.IntN(2) {
 			// A caller that was told "not run" takes a new key.
 			if list := w.running(); len(list) > 0 && !j.notRun {
@@ -137,6 +141,23 @@
 	finish(w)
 }
 
+// TestDeterminism checks that the same inputs give the same effects.
+func TestDeterminism(t *testing.T) {
+	trace := func() []string {
+		w := newWorld(t, 1)
+		w.serverFaults = 30
+		w.platform.late = 30
+		load(w, 20)
+		ownerOf(w, 0).kill()
+		load(w, 20)
+		finish(w)
+		return w.trace
+	}
+	if a, b := trace(), trace(); !slices.Equal(a, b) {
+		t.Fatal("two runs of one seed differ")
+	}
+}
+
 func TestFaults(t *testing.T) {
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
--- a/internal/core/coretest/world_test.go
+++ b/internal/core/coretest/world_test.go
@@ -216,11 +216,18 @@
 	w.platform.serve(p)
 }
 
-// policy is a table without limits.
+// tightKind is refused while more than a few of its tasks are queued.
+const tightKind = "tight"
+
+// policy is a table that limits only tightKind.
 type policy struct{}
 
-func (policy) Row(model.Customer, model.Kind) sched.PolicyRow {
-	return sched.PolicyRow{Weight: 1}
+func (policy) Row(_ model.Customer, k model.Kind) sched.PolicyRow {
+	row := sched.PolicyRow{Weight: 1}
+	if k == tightKind {
+		row.QueueBound = 4
+	}
+	return row
 }
 
 // heal ends all faults.
