--- a/internal/core/coretest/callers_test.go
+++ b/internal/core/coretest/callers_test.go
@@ -292,7 +292,7 @@
 func (w *world) describe(j *job) {
 	for _, p := range w.running() {
 		s := p.core.Status()
-		w.note("%s suspended %v open %d: %s", p.member.Incarnation, s.Suspended, s.OpenJobs, p.core.Explain(j.spec.Identity))
+		w.note("%s suspended %v open %d: %s", p.member.Incarnation, s.Suspended, s.OpenJobs, p.core.Explain(p.clock(), j.spec.Identity))
 	}
 }
 
--- a/internal/core/coretest/proc_test.go
+++ b/internal/core/coretest/proc_test.go
@@ -142,12 +142,15 @@
 func (p *proc) stop() {
 	p.w.note("stop %s", p.member.Incarnation)
 	p.leaving = true
+	if p.w.platform.reachable(p) {
+		p.w.platform.announce(p)
+	}
 	p.take(core.Stop{})
 	p.w.after(10*time.Second, p.kill)
 }
 
 func (p *proc) exitIfDone() {
-	if p.leaving && !p.paused && p.core.Undone() == 0 && p.core.Unreplicated() == 0 && len(p.asked) == 0 {
+	if p.leaving && !p.paused && p.core.OpenJobs() == 0 && p.core.Unhanded() == 0 && len(p.asked) == 0 {
 		p.kill()
 	}
 }
--- a/internal/core/coretest/world_test.go
+++ b/internal/core/coretest/world_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/policy"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/table"
 )
 
 const (
@@ -207,7 +209,7 @@
 		Silence: silence,
 		Seed:    uint64(h.starts),
 		Shard:   opts,
-		Policy:  policy{},
+		Policy:  newPolicy(h.domain),
 	})
 	h.proc = p
 	w.note("boot %s", p.member.Incarnation)
@@ -219,15 +221,16 @@
 // tightKind is refused while more than a few of its tasks are queued.
 const tightKind = "tight"
 
-// policy is a table that limits only tightKind.
-type policy struct{}
-
-func (policy) Row(_ model.Customer, k model.Kind) sched.PolicyRow {
-	row := sched.PolicyRow{Weight: 1}
-	if k == tightKind {
-		row.QueueBound = 4
-	}
-	return row
+// newPolicy returns a table that limits only tightKind.
+func newPolicy(d model.Domain) *policy.Policy {
+	bound := 4
+	p := policy.New(d)
+	p.Set(table.NewSnapshot(1, []table.Row{{
+		Key:     table.Key{Customer: "c", Domain: d, Kind: tightKind},
+		Values:  table.Values{QueueBound: &bound},
+		Version: 1,
+	}}))
+	return p
 }
 
 // heal ends all faults.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -5,6 +5,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/table"
 )
 
 // Event is an input of the reducer.
@@ -79,6 +80,10 @@
 	Confirm uint64 `json:"confirm,omitempty"`
 }
 
+// Seeds are peer addresses from the settings, for a start while the platform
+// is down.
+type Seeds struct{ Addrs []string }
+
 // Instances is the platform's list of live entry instances.
 type Instances struct{ List []InstanceInfo }
 
@@ -121,6 +126,9 @@
 // Servers is the list of backend servers.
 type Servers struct{ List []sched.Server }
 
+// Table is a newer table of weights and limits.
+type Table struct{ Snapshot *table.Snapshot }
+
 // TaskDone is the outcome of a StartTask effect.
 type TaskDone struct{ shard.TaskDone }
 
@@ -135,11 +143,13 @@
 func (PeerDown) event()       {}
 func (PeerRefused) event()    {}
 func (PeerUnanswered) event() {}
+func (Seeds) event()          {}
 func (Instances) event()      {}
 func (Views) event()          {}
 func (ViewsWritten) event()   {}
 func (ReadFailed) event()     {}
 func (Servers) event()        {}
+func (Table) event()          {}
 func (TaskDone) event()       {}
 func (Stop) event()           {}
 
@@ -192,4 +202,5 @@
 	ReadViews  bool
 	Dial       []InstanceInfo // all peers to keep a link to, nil if unchanged
 	Notes      []Note
+	Peers      []sched.Peer // live instances, nil if unchanged
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -444,6 +444,27 @@
 	t.Fatalf("second starts not found: %v", rep.Findings)
 }
 
+func TestRunExplainsUnansweredJobs(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/explain") {
+			_, _ = w.Write([]byte("it waits for a slot"))
+			return
+		}
+		writeJSON(w, http.StatusAccepted, "application/json", api.Answer{Status: api.StatusPending})
+	}))
+	defer srv.Close()
+	w := parse(t, smallWorkload)
+	w.MaxJobs = 3
+	addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
+	rep, err := Run(context.Background(), w, Target{Entries: []Entry{{Addr: addr}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rep.All.Counts.Pending != 3 || len(rep.Unanswered) != 3 || rep.Unanswered[0].Explain != "it waits for a slot" {
+		t.Fatalf("%d pending, unanswered %v", rep.All.Counts.Pending, rep.Unanswered)
+	}
+}
+
 func TestRunEndsWithItsContext(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
@@ -461,11 +482,11 @@
 	j := &Job{At: time.Second, Kind: &Kind{DeadlineMs: 500}}
 	key := j.Key(r.begin.Add(j.At))
 	at := r.begin.Add(3 * time.Second)
-	if again, k := r.again(j, key, 0, at); k == key || again.Kind.DeadlineMs != 500 {
+	if again, k := r.again(j, key, at); k == key || again.Kind.DeadlineMs != 500 {
 		t.Errorf("a new job has key %s and deadline %d", k, again.Kind.DeadlineMs)
 	}
 	w.RetrySameKey = true
-	if again, k := r.again(j, key, 0, at); k != key || again.Kind.DeadlineMs != 2500 {
+	if again, k := r.again(j, key, at); k != key || again.Kind.DeadlineMs != 2500 {
 		t.Errorf("the same job has key %s and deadline %d, want %s and 2500", k, again.Kind.DeadlineMs, key)
 	}
 }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -42,6 +42,7 @@
 	PlatformError(op string, err error)
 	TaskDone(server model.ServerID, res backend.Result)
 	Servers(list []sched.Server)
+	Peers(list []sched.Peer)
 }
 
 // Runtime runs the reducer of one instance.
@@ -58,8 +59,8 @@
 	requests atomic.Uint64
 	inFlight atomic.Int64 // tasks started and not yet answered
 	stopping atomic.Bool
-	alone    atomic.Int64 // records that would be lost with this process
-	undone   atomic.Int64 // what a graceful stop waits for
+	open     atomic.Int64 // jobs that a graceful stop waits for
+	unhanded atomic.Int64 // shards that a graceful stop hands over
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *peerpb.Answer
@@ -184,12 +185,15 @@
 		began := r.clock.now()
 		r.wg.Go(func() { r.readViews(began) })
 	}
+	if e.Peers != nil {
+		r.opts.Observer.Peers(e.Peers)
+	}
 	for _, n := range e.Notes {
 		r.opts.Observer.Note(n)
 	}
 	if r.stopping.Load() {
-		r.undone.Store(int64(r.core.Undone()))
-		r.alone.Store(int64(r.core.Unreplicated()))
+		r.open.Store(int64(r.core.OpenJobs()))
+		r.unhanded.Store(int64(r.core.Unhanded()))
 	}
 }
 
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -51,7 +51,7 @@
 	r := &record{key: k, digest: digestOf(spec), job: newJob(spec)}
 	r.job.own()
 	h := s.env.register(s, r)
-	v := s.env.Queue.Submit(now, queueJob(h, spec, 0, false))
+	v := s.env.Queue.Submit(now, s.queueJob(h, spec, 0, false))
 	if v.Reason != sched.ReasonNone {
 		delete(s.env.jobs, h)
 		s.refuseForEver(now, r, w, v)
@@ -61,6 +61,7 @@
 	r.job.waiters = append(r.job.waiters, w)
 	s.addRecord(r)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Claim{Claim: spec}})
+	s.setNumber(r, s.seq)
 	if report {
 		s.answerAfter(s.seq, pending(), w)
 	}
@@ -110,18 +111,32 @@
 	return false
 }
 
-func queueJob(h model.JobHandle, spec *peerpb.JobSpec, first int, accepted bool) sched.Job {
+// deadline returns the deadline that the scheduler works to. A default is not
+// part of the content, so that a change of the table makes no mismatch.
+func (s *Shard) deadline(spec *peerpb.JobSpec) model.Time {
+	if spec.DeadlineUnixMs != 0 || s.env.Deadline == nil {
+		return model.Time(spec.DeadlineUnixMs * int64(time.Millisecond))
+	}
+	d := s.env.Deadline(model.Customer(spec.Identity.Customer), model.Kind(spec.Kind))
+	if d == 0 {
+		return 0
+	}
+	return keyOf(spec.Identity).key.Submitted().Add(d)
+}
+
+func (s *Shard) queueJob(h model.JobHandle, spec *peerpb.JobSpec, first int, accepted bool) sched.Job {
 	return sched.Job{
 		Handle:     h,
 		Customer:   model.Customer(spec.Identity.Customer),
 		Kind:       model.Kind(spec.Kind),
 		Tasks:      len(spec.Payloads),
 		Declared:   time.Duration(spec.DeclaredRunMs) * time.Millisecond,
-		Deadline:   model.Time(spec.DeadlineUnixMs * int64(time.Millisecond)),
+		Deadline:   s.deadline(spec),
 		Needs:      needsOf(spec),
 		Repeatable: spec.Repeatable,
 		Accepted:   accepted,
 		FirstIndex: first,
+		Token:      Token(spec.Identity),
 	}
 }
 
@@ -151,7 +166,7 @@
 		r.job.waiters = append(r.job.waiters, w)
 		return
 	}
-	s.answerAfter(r.seq, r.final, w)
+	s.answerAfter(r.seq, r.answer(), w)
 }
 
 func (s *Shard) refuse(w Waiter, problem string, ran peerpb.Ran, retry time.Duration) {
@@ -239,8 +254,8 @@
 	j.intent = uint32(min(index+1+ahead, len(j.results)))
 	s.appendUrgent(now, &peerpb.Operation{
 		Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{
-			Identity: j.spec.Identity,
-			Upto:     j.intent,
+			Record: r.number,
+			Upto:   j.intent,
 		}},
 	})
 	j.intentAt = s.seq
@@ -368,7 +383,7 @@
 		return false
 	}
 	h := s.env.register(s, r)
-	q := queueJob(h, j.spec, index, true)
+	q := s.queueJob(h, j.spec, index, true)
 	q.Tasks = index + 1
 	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
 		delete(s.env.jobs, h)
@@ -402,8 +417,8 @@
 	}
 	j.states[res.Index] = taskClosed
 	op := &peerpb.Operation{Body: &peerpb.Operation_Result{Result: &peerpb.Result{
-		Identity: j.spec.Identity,
-		Result:   res,
+		Record: r.number,
+		Result: res,
 	}}}
 	if a := j.complete(); a != nil {
 		s.appendUrgent(now, op)
@@ -431,8 +446,8 @@
 	}
 	a := r.job.fail(problem)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
-		Identity: r.job.spec.Identity,
-		Answer:   a,
+		Record: r.number,
+		Answer: a,
 	}}})
 	s.finish(now, r, a)
 }
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
@@ -23,9 +26,39 @@
 type record struct {
 	key    key
 	digest digest
-	job    *job           // nil once the answer is final
-	final  *peerpb.Answer // nil until the answer is final
-	seq    uint64         // operation that made the answer final
+	number uint64 // sequence number of the claim
+	job    *job   // nil once the answer is final
+	final  []byte // the final answer, encoded; nil until it is final
+	seq    uint64 // operation that made the answer final
+}
+
+// answer returns the final answer.
+func (r *record) answer() *peerpb.Answer {
+	a := &peerpb.Answer{}
+	if err := proto.Unmarshal(r.final, a); err != nil {
+		// It was encoded by encodeAnswer here or at the owner.
+		return &peerpb.Answer{
+			Status:  peerpb.Status_STATUS_FAILED,
+			Ran:     peerpb.Ran_RAN_UNKNOWN,
+			Problem: ProblemInternal,
+		}
+	}
+	return a
+}
+
+// encodeAnswer returns the form in which final answers are kept, which takes
+// a fraction of the memory of the message.
+func encodeAnswer(a *peerpb.Answer) []byte {
+	encoded, err := proto.Marshal(a)
+	if err != nil {
+		// Strings that are not UTF-8 are refused by the ports.
+		encoded, _ = proto.Marshal(&peerpb.Answer{
+			Status:  a.Status,
+			Ran:     a.Ran,
+			Problem: ProblemInternal,
+		})
+	}
+	return encoded
 }
 
 func (r *record) submitted() model.Time { return r.key.key.Submitted() }
@@ -235,12 +268,21 @@
 	}
 }
 
-// answerBytes estimates the memory of a kept answer.
-func answerBytes(a *peerpb.Answer) int64 {
-	const perResult, perAnswer = 64, 96
-	n := int64(perAnswer)
-	for _, r := range a.Results {
-		n += perResult + int64(len(r.Output)+len(r.Error))
+// Token hashes the customer and the random half of the key. A caller that
+// comes back after a refusal keeps that half and takes a new time, so that its
+// new key meets the same shard and the scheduler knows it again.
+func Token(id *peerpb.Identity) uint64 {
+	const randomHalf = 8
+	h := xxhash.New()
+	_, _ = h.WriteString(id.GetCustomer())
+	if k := id.GetKey(); len(k) > randomHalf {
+		_, _ = h.Write(k[randomHalf:])
 	}
-	return n
+	return h.Sum64()
+}
+
+// recordBytes estimates the memory of a record that is final.
+func recordBytes(r *record) int64 {
+	const perRecord = 300 // record, its places in map, order and expiry
+	return perRecord + int64(len(r.final)+len(r.key.customer))
 }
