Mend two faults of hand-overs that the fault table found

Operations of a takeover missed the replica (kill owner + failing servers: a job never answered). Cause: jobs were given up before the replica of the new view was a follower, so that their final answers were appended for nobody, yet counted as held by it. The replica then lacked a final answer that a caller had, and refused every later operation. A result lost when the shard came back twice while a task was in flight (kill owner + stop owner). Cause: the count of tasks in flight began anew with each takeover, and the job's handle was forgotten at zero.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -328,8 +328,9 @@
 
 // reportBack takes a result of this instance as an earlier owner.
 func (s *Shard) reportBack(now model.Time, r *record, d TaskDone) {
-	if s.records[r.key] != r {
-		delete(s.env.jobs, d.Start.Job)
+	r.job.started--
+	if s.records[r.key] != r && r.job.started == 0 {
+		s.unqueue(now, r.job)
 	}
 	res := resultOf(d)
 	if d.Outcome == sched.OutcomeNotStarted || d.Outcome == sched.OutcomeUnreachable {
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -103,7 +103,6 @@
 	n := len(j.results)
 	j.states = make([]taskState, n)
 	j.attempts = make([]uint8, n)
-	j.started = 0
 	for i, r := range j.results {
 		if r != nil {
 			j.states[i] = taskClosed
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -34,7 +34,10 @@
 		if !old.Has(s.env.Self) {
 			s.reset()
 		}
-		s.takeOver(now)
+		open := s.beginOwning()
+		// What the takeover appends has to reach the replica.
+		s.keepMembers()
+		s.resumeJobs(now, open)
 	}
 	s.keepMembers()
 	s.unseal(now)
@@ -84,10 +87,9 @@
 	s.markUrgent()
 }
 
-// takeOver makes a replica, or an instance without records, the owner. Only
-// tasks that no intent covers may start from here on; those that an intent
-// covers and no result closes may have run.
-func (s *Shard) takeOver(now model.Time) {
+// beginOwning makes a replica, or an instance without records, the owner. It
+// returns the tasks that the previous owner goes on with.
+func (s *Shard) beginOwning() map[key][]*peerpb.OpenTasks {
 	s.role = RoleOwner
 	s.followers = nil
 	s.log = nil
@@ -96,6 +98,12 @@
 	s.sealed = false
 	open := s.remoteTasks()
 	s.handOver = nil
+	return open
+}
+
+// resumeJobs goes on with the jobs. Only tasks that no intent covers may start
+// from here on; those that an intent covers and no result closes may have run.
+func (s *Shard) resumeJobs(now model.Time, open map[key][]*peerpb.OpenTasks) {
 	for _, r := range s.order {
 		if r.job != nil && s.records[r.key] == r {
 			s.resume(now, r, open[r.key])
@@ -476,7 +484,7 @@
 		s.dropFollower(now, m)
 	case RoleReplica:
 		if m == s.view.Owner() {
-			s.takeOver(now)
+			s.resumeJobs(now, s.beginOwning())
 		}
 	}
 }
