--- a/internal/core/coretest/proc_test.go
+++ b/internal/core/coretest/proc_test.go
@@ -142,6 +142,9 @@
 func (p *proc) stop() {
 	p.w.note("stop %s", p.member.Incarnation)
 	p.leaving = true
+	if p.w.platform.reachable(p) {
+		p.w.platform.announce(p)
+	}
 	p.take(core.Stop{})
 	p.w.after(10*time.Second, p.kill)
 }
--- a/internal/core/coretest/world_test.go
+++ b/internal/core/coretest/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/policy"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/table"
 )
 
 const (
@@ -208,7 +209,7 @@
 		Silence: silence,
 		Seed:    uint64(h.starts),
 		Shard:   opts,
-		Policy:  policy.New(h.domain),
+		Policy:  newPolicy(h.domain),
 	})
 	h.proc = p
 	w.note("boot %s", p.member.Incarnation)
@@ -217,6 +218,21 @@
 	w.platform.serve(p)
 }
 
+// tightKind is refused while more than a few of its tasks are queued.
+const tightKind = "tight"
+
+// newPolicy returns a table that limits only tightKind.
+func newPolicy(d model.Domain) *policy.Policy {
+	bound := 4
+	p := policy.New(d)
+	p.Set(table.NewSnapshot(1, []table.Row{{
+		Key:     table.Key{Customer: "c", Domain: d, Kind: tightKind},
+		Values:  table.Values{QueueBound: &bound},
+		Version: 1,
+	}}))
+	return p
+}
+
 // heal ends all faults.
 func (w *world) heal() {
 	w.note("heal")
