--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
+	leaving   map[shard.Member]bool // instances that have said that they stop
 	stopping  bool
 }
 
@@ -60,9 +61,10 @@
 			Seed:   o.Seed,
 			Policy: o.Policy,
 		}),
-		env:   shard.NewEnv(o.Self, o.Shard),
-		views: make(map[model.Domain][]shard.View),
-		route: newRouter(o.Self),
+		env:     shard.NewEnv(o.Self, o.Shard),
+		views:   make(map[model.Domain][]shard.View),
+		leaving: make(map[shard.Member]bool),
+		route:   newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
 	r.env.Deadline = o.Policy.Deadline
@@ -304,6 +306,10 @@
 	case *peerpb.Message_View:
 		r.viewFromOwner(now, b.View)
 	case *peerpb.Message_HandOver:
+		if b.HandOver.Leaving {
+			// Ahead of the platform's list, so that no shard goes back.
+			r.leaving[from] = true
+		}
 		if s := r.shard(b.HandOver.Domain, b.HandOver.Shard); s != nil {
 			s.HandleHandOver(from, b.HandOver)
 		}
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -291,7 +291,7 @@
 		list = append(list, r.opts.Self)
 	}
 	for _, i := range r.instances {
-		stays := i.Domain == r.opts.Domain && !i.Leaving && i.Member != r.opts.Self
+		stays := i.Domain == r.opts.Domain && !i.Leaving && !r.leaving[i.Member] && i.Member != r.opts.Self
 		if stays && r.peers.connected(i.Member) {
 			list = append(list, i.Member)
 		}
@@ -398,6 +398,7 @@
 
 func (r *Reducer) stop(now model.Time) {
 	r.stopping = true
+	r.env.Leaving = true
 	r.replanNow(now)
 }
 
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -85,6 +85,9 @@
 	// time of the key, 0 if there is none. It may be nil.
 	Deadline func(model.Customer, model.Kind) time.Duration
 
+	// Leaving is set while the instance stops.
+	Leaving bool
+
 	// Suspended is set after a gap in the instance's own ticks, until the
 	// views have been read freshly from the platform. While it is set the
 	// instance admits nothing, starts nothing and draws no conclusion from
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -271,9 +271,10 @@
 	s.target = target
 	s.releaseStarts(now)
 	h := &peerpb.HandOver{
-		Domain: string(s.id.Domain),
-		Shard:  s.id.Index,
-		Epoch:  s.view.Epoch,
+		Domain:  string(s.id.Domain),
+		Shard:   s.id.Index,
+		Epoch:   s.view.Epoch,
+		Leaving: s.env.Leaving,
 	}
 	for _, r := range s.order {
 		if r.job != nil && s.records[r.key] == r {
