--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,7 +138,7 @@
 	if p == nil {
 		p = i.httpPlatform()
 	}
-	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns})
+	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns, Watch: backend.DefaultWatch()})
 	i.observer = newObserver(i.log, i.metrics)
 	if err := i.assembleTable(p); err != nil {
 		return err
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -55,12 +55,14 @@
 type Options struct {
 	MaxRun  time.Duration // a start without an answer for so long is lost
 	MaxIdle int           // idle connections kept for each server
+	Watch   Watch
 }
 
 // Pool holds the connections to the backend servers.
 type Pool struct {
 	opts   Options
 	client *http.Client
+	fresh  *http.Client // opens a connection for each request
 
 	mu    sync.RWMutex
 	addrs map[model.ServerID]string
@@ -89,7 +91,11 @@
 	return &Pool{
 		opts:   o,
 		client: &http.Client{Transport: t, CheckRedirect: refuseRedirect},
-		addrs:  make(map[model.ServerID]string),
+		fresh: &http.Client{
+			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
+			CheckRedirect: refuseRedirect,
+		},
+		addrs: make(map[model.ServerID]string),
 	}
 }
 
@@ -132,6 +138,8 @@
 	ctx, cancel := context.WithTimeout(ctx, p.opts.MaxRun)
 	defer cancel()
 	began := time.Now()
+	stop := p.watch(ctx, cancel, addr, t.Identity)
+	defer stop()
 	res := p.exchange(ctx, addr, t)
 	res.Ran = time.Since(began)
 	return res
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,132 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/backendapi"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// fakeServer answers tasks and health as a test says.
+type fakeServer struct {
+	task   http.HandlerFunc
+	health string // body; empty leaves health unanswered
+}
+
+func (f *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == backendapi.PathTasks {
+		f.task(w, r)
+		return
+	}
+	if f.health == "" {
+		<-r.Context().Done()
+		return
+	}
+	_, _ = w.Write([]byte(f.health))
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func status(code int, started string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if started != "" {
+			w.Header().Set(backendapi.HeaderStarted, started)
+		}
+		w.WriteHeader(code)
+		_, _ = w.Write([]byte("7"))
+	}
+}
+
+func breakOff(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+func TestRunTellsHowAStartEnded(t *testing.T) {
+	cases := []struct {
+		name   string
+		server fakeServer
+		want   sched.Outcome
+	}{
+		{"success", fakeServer{task: status(200, "")}, sched.OutcomeOK},
+		{"failure", fakeServer{task: status(500, "")}, sched.OutcomeFailed},
+		{"refused before the start", fakeServer{task: status(503, "no")}, sched.OutcomeNotStarted},
+		{"503 without the mark", fakeServer{task: status(503, "")}, sched.OutcomeFailed},
+		{"connection broken", fakeServer{task: breakOff}, sched.OutcomeLost},
+		{"server silent", fakeServer{task: silent}, sched.OutcomeLost},
+		{"connection silent, server well", fakeServer{task: silent, health: `{"slots":8,"running":false}`}, sched.OutcomeLost},
+		{"idle by a server that knows no tasks", fakeServer{task: silent, health: `{"slots":8,"busy":0}`}, sched.OutcomeLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(&c.server)
+			defer s.Close()
+			p := newTestPool(s.Listener.Addr().String(), soon)
+			defer p.Close()
+			got := p.Run(context.Background(), "a", Task{Identity: "h/c/k/0", Attempt: 1, Payload: []byte("1")})
+			if got.Outcome != c.want {
+				t.Fatalf("outcome %d (%s), want %d", got.Outcome, got.Error, c.want)
+			}
+		})
+	}
+}
+
+// soon is a time of the watch; no verdict depends on its length.
+const soon = 20 * time.Millisecond
+
+// newTestPool returns a pool that takes a health check for unanswered after
+// the timeout.
+func newTestPool(addr string, timeout time.Duration) *Pool {
+	p := New(Options{
+		MaxRun:  time.Hour,
+		MaxIdle: 1,
+		Watch:   Watch{After: soon, Every: soon, Timeout: timeout},
+	})
+	p.SetServers([]sched.Server{{ID: "a", Addr: addr}})
+	return p
+}
+
+func TestRunWithoutAConnectionIsUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	got := newTestPool(addr, soon).Run(context.Background(), "a", Task{Identity: "h/c/k/0"})
+	if got.Outcome != sched.OutcomeUnreachable {
+		t.Fatalf("outcome %d (%s)", got.Outcome, got.Error)
+	}
+	got = newTestPool(addr, soon).Run(context.Background(), "unknown", Task{Identity: "h/c/k/0"})
+	if got.Outcome != sched.OutcomeUnreachable {
+		t.Fatalf("outcome %d (%s) of an unknown server", got.Outcome, got.Error)
+	}
+}
+
+// A task that runs for long is not given up while its server says so.
+func TestWatchKeepsRunningTasks(t *testing.T) {
+	asked := make(chan struct{}, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == backendapi.PathHealth {
+			asked <- struct{}{}
+			_, _ = w.Write([]byte(`{"slots":8,"running":true}`))
+			return
+		}
+		for range 2 * watchMisses {
+			<-asked
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer s.Close()
+	got := newTestPool(s.Listener.Addr().String(), time.Hour).Run(context.Background(), "a", Task{Identity: "h/c/k/0"})
+	if got.Outcome != sched.OutcomeOK {
+		t.Fatalf("outcome %d (%s)", got.Outcome, got.Error)
+	}
+}
--- /dev/null
+++ b/internal/backend/watch.go
@@ -0,0 +1,102 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/backendapi"
+)
+
+// Watch says when a start without an answer is asked after.
+type Watch struct {
+	After   time.Duration // how long a start runs unasked, so that most tasks cost no message
+	Every   time.Duration // time between two questions about one start
+	Timeout time.Duration // bound of one question
+}
+
+// DefaultWatch returns the times for tasks of up to a few seconds.
+func DefaultWatch() Watch {
+	return Watch{After: 3 * time.Second, Every: 2 * time.Second, Timeout: 2 * time.Second}
+}
+
+const (
+	// watchMisses is how many questions in a row have to find the task absent
+	// or get no answer before the start is taken to be lost. One alone may
+	// meet an answer that is on its way.
+	watchMisses = 2
+	maxHealth   = 4 << 10 // bytes
+)
+
+// watch asks a server, on fresh connections, whether a long start is still
+// running, and calls lost if it is not: a connection can go silent for good
+// while new ones work. The returned function ends the watch.
+func (p *Pool) watch(ctx context.Context, lost func(), addr, identity string) func() {
+	w := &watcher{
+		ctx:    ctx,
+		lost:   lost,
+		client: p.fresh,
+		url:    healthURL(addr, identity),
+		times:  p.opts.Watch,
+	}
+	w.timer = time.AfterFunc(w.times.After, w.ask)
+	return func() { w.timer.Stop() }
+}
+
+func healthURL(addr, identity string) string {
+	query := url.Values{backendapi.ParamTask: {identity}}
+	return "http://" + addr + backendapi.PathHealth + "?" + query.Encode()
+}
+
+// watcher is the watch of one start.
+type watcher struct {
+	ctx    context.Context
+	lost   func()
+	client *http.Client
+	url    string
+	times  Watch
+	timer  *time.Timer
+	misses int
+}
+
+func (w *watcher) ask() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	if w.running() {
+		w.misses = 0
+	} else {
+		w.misses++
+	}
+	if w.misses >= watchMisses {
+		w.lost()
+		return
+	}
+	w.timer.Reset(w.times.Every)
+}
+
+// running reports whether the server says that the task runs. A server that
+// does not know the question counts as running the task while it is busy.
+func (w *watcher) running() bool {
+	ctx, cancel := context.WithTimeout(w.ctx, w.times.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var h backendapi.Health
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxHealth)).Decode(&h); err != nil {
+		return false
+	}
+	if h.Running == nil {
+		return h.Busy > 0
+	}
+	return *h.Running
+}
--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -5,7 +5,9 @@
 // is a success whose body is the output. Status 503 with HeaderStarted set to
 // "no" means that the task was not started and never will be by this request.
 // Every other status means that the task ran and failed. GET of PathHealth
-// returns a Health document.
+// returns a Health document. With the query parameter ParamTask the document
+// says whether that task is running; entry instances ask so, on a fresh
+// connection, about starts that are long without an answer.
 package backendapi
 
 // Paths of a backend server.
@@ -39,4 +41,10 @@
 	Slots   int  `json:"slots"`
 	Busy    int  `json:"busy"`
 	Leaving bool `json:"leaving"`
+	// Running says whether the task of the query parameter "task" occupies a
+	// slot. It is absent where no task was asked for.
+	Running *bool `json:"running,omitempty"`
 }
+
+// ParamTask is the query parameter of PathHealth that names a task identity.
+const ParamTask = "task"
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -148,6 +148,10 @@
 		h.refuse(w, err)
 		return
 	}
+	if h.stopping.Load() {
+		h.refuse(w, stopping(spec))
+		return
+	}
 	ctx, cancel := h.waitContext(r, wait)
 	defer cancel()
 	start := time.Now()
@@ -156,6 +160,16 @@
 	h.answer(w, spec.Identity, answer, len(spec.Payloads), err, write)
 }
 
+// stopping refuses a submission while the instance stops. Unless it is the
+// only copy, an earlier one may have run.
+func stopping(spec *peerpb.JobSpec) error {
+	ran := api.RanUnknown
+	if spec.FirstAttempt {
+		ran = api.RanNo
+	}
+	return problem.New(problem.Stopping, "").WithRan(ran)
+}
+
 func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
 	id, err := h.identity(r)
 	if err != nil {
--- a/internal/caller/input.go
+++ b/internal/caller/input.go
@@ -27,7 +27,6 @@
 func (h *Handler) readSubmission(w http.ResponseWriter, r *http.Request) ([]byte, time.Duration, error) {
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		return nil, 0, problem.New(problem.Stopping, "")
 	}
 	wait, err := waitParam(r, DefaultWait)
 	if err != nil {
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -107,10 +107,14 @@
 // slack, others a part of it.
 func (s *Scheduler) tooLate(now model.Time, f *flow, j *Job, tasks int, delay float64, kept bool) float64 {
 	left := j.Deadline.Sub(now).Seconds()
-	if delay == 0 && left >= f.kindState.run.mean {
+	if delay == 0 && (left >= f.kindState.run.mean || !f.kindState.run.learned()) {
 		return 0
 	}
-	slack := left - s.ideal(f, tasks)
+	slack := left
+	// A declared run time alone refuses nothing: nothing would be learned.
+	if f.kindState.run.learned() {
+		slack -= s.ideal(f, tasks)
+	}
 	if !kept {
 		slack *= slackPart
 	}
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -40,6 +40,9 @@
 	r.dev += gain * (math.Abs(diff) - r.dev)
 }
 
+// learned reports whether a run time was measured.
+func (r *runTime) learned() bool { return r.samples > priorSamples }
+
 // high is a run time that most tasks of the kind stay below.
 func (r *runTime) high() float64 { return r.mean + highSpread*r.dev }
 
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -72,6 +72,8 @@
 	modes  Modes
 	busy   int
 	starts map[string]int
+
+	running map[string]int // starts in a slot, by task identity
 }
 
 // New returns a server.
@@ -82,7 +84,7 @@
 	if o.MaxConnections == 0 {
 		o.MaxConnections = backendapi.MaxConnections
 	}
-	s := &Server{opts: o, modes: o.Modes, starts: make(map[string]int)}
+	s := &Server{opts: o, modes: o.Modes, starts: make(map[string]int), running: make(map[string]int)}
 	s.router = s.routes()
 	return s
 }
@@ -187,9 +189,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	h := backendapi.Health{Slots: s.opts.Slots, Busy: s.busy, Leaving: s.modes.Leaving}
+	if task := r.URL.Query().Get(backendapi.ParamTask); task != "" {
+		running := s.running[task] > 0
+		h.Running = &running
+	}
 	s.mu.Unlock()
 	reply(w, h)
 }
@@ -207,7 +213,7 @@
 		http.Error(w, "every slot is busy or the server is leaving", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.release()
+	defer s.release(task)
 	if s.Modes().FailAll {
 		http.Error(w, "the server fails every task", http.StatusInternalServerError)
 		return
@@ -229,13 +235,18 @@
 	}
 	s.busy++
 	s.starts[task]++
+	s.running[task]++
 	return true
 }
 
-func (s *Server) release() {
+func (s *Server) release(task string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy--
+	s.running[task]--
+	if s.running[task] == 0 {
+		delete(s.running, task)
+	}
 }
 
 func (s *Server) runTime(p Payload) time.Duration {
