Leave first_attempt out once an attempt of a call has no answer

Cause: the client repeated the same body, so a resubmission after a lost answer still said that no other copy was unanswered, and a refusal could then claim "not run" untruly. nutmegctl sets the field for the keys it makes.

--- a/client/client.go
+++ b/client/client.go
@@ -152,7 +152,9 @@
 }
 
 // Submit submits a job and returns its complete answer. It repeats the call
-// with the same key while that can help and ctx lasts.
+// with the same key while that can help and ctx lasts. Set FirstAttempt of a
+// job whose key was not used before; it is left out of the calls that follow
+// one without an answer.
 func (c *Client) Submit(ctx context.Context, j *Job) (*Answer, error) {
 	a, err := c.Start(ctx, j, c.opts.PollWait)
 	if err != nil || a.Status != api.StatusPending {
@@ -168,7 +170,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the job")
 	}
-	return c.answer(ctx, call{method: http.MethodPost, path: api.PathJobs, body: body, wait: wait, waits: true})
+	again := *j
+	again.FirstAttempt = false
+	bodyAgain, err := json.Marshal(&again)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the job")
+	}
+	return c.answer(ctx, call{method: http.MethodPost, path: api.PathJobs, body: body, bodyAgain: bodyAgain, wait: wait, waits: true})
 }
 
 // Request submits a request, a job of one task, and returns its result.
@@ -241,11 +249,12 @@
 
 // call is one call of the API.
 type call struct {
-	method string
-	path   string
-	body   []byte
-	wait   time.Duration
-	waits  bool // wait is sent
+	method    string
+	path      string
+	body      []byte
+	bodyAgain []byte // in place of body once an attempt stayed without an answer
+	wait      time.Duration
+	waits     bool // wait is sent
 }
 
 func (k *call) url(base string) string {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+func TestFirstAttemptIsLeftOutAfterALostAnswer(t *testing.T) {
+	f := &fakeService{replies: []reply{soon(problem.Stopping), {drop: true}, done}}
+	job := testJob()
+	job.FirstAttempt = true
+	if _, err := newTestClient(t, f).Submit(context.Background(), job); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []bool{true, true, false} {
+		if got := strings.Contains(f.bodies[i], `"first_attempt":true`); got != want {
+			t.Errorf("attempt %d: %s", i+1, f.bodies[i])
+		}
+	}
+}
+
 func TestRetryWaitHonoursRetryAfter(t *testing.T) {
 	const asked = 400 * time.Millisecond
 	c := newTestClient(t, &fakeService{})
--- a/client/retry.go
+++ b/client/retry.go
@@ -41,7 +41,10 @@
 			return body, nil
 		}
 		e := asError(err)
-		uncertain = uncertain || e.Problem.Ran == api.RanUnknown
+		if e.Problem.Ran == api.RanUnknown {
+			uncertain = true
+			k.body = k.bodyAgain
+		}
 		if attempt == c.opts.Attempts || !worthRepeating(&e.Problem) || !pause(ctx, c.retryWait(&e.Problem, attempt)) {
 			return nil, combined(e, uncertain)
 		}
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -84,6 +84,7 @@
 		if job.Key, err = client.NewKey(); err != nil {
 			return err
 		}
+		job.FirstAttempt = true
 		fmt.Fprintf(env.Stderr, "key: %s\n", job.Key)
 	}
 	answer, err := c.submit(ctx, service, job)
