--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -150,7 +150,6 @@
 }
 
 func (c *checker) checkPeers() {
-	c.name("peers.service", c.s.Peers.Service)
 	if c.s.Peers.Advertise != "" {
 		c.target("peers.advertise", c.s.Peers.Advertise)
 	} else if addr, err := netip.ParseAddrPort(c.s.Listen.Peer); err == nil && addr.Addr().IsUnspecified() {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,7 +4,6 @@
 
 // Defaults of settings that a file may leave out.
 const (
-	DefaultPeerService     = "nutmegweir"
 	DefaultBackendService  = "backend"
 	DefaultReadsPerSecond  = 100
 	DefaultWritesPerSecond = 20
@@ -23,7 +22,6 @@
 // Default returns settings in which every field that has a default is set.
 func Default() Settings {
 	return Settings{
-		Peers:          Peers{Service: DefaultPeerService},
 		BackendService: DefaultBackendService,
 		Platform: Platform{
 			ReadsPerSecond:  DefaultReadsPerSecond,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,8 +42,6 @@
 	// Advertise is the IP:port that other instances connect to. Empty takes
 	// the peer listen address.
 	Advertise string `json:"advertise"`
-	// Service is the service name of entry instances in the platform's list.
-	Service string `json:"service"`
 	// Seeds are IP:port addresses of instances to try while the platform is
 	// down at start.
 	Seeds []string `json:"seeds"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Shards != Default().Shards || s.Limits != Default().Limits || s.Peers.Service != DefaultPeerService {
+	if s.Shards != Default().Shards || s.Limits != Default().Limits || s.BackendService != DefaultBackendService {
 		t.Errorf("defaults are not filled in: %+v", s)
 	}
 	if s.Domains[1] != "carrick" || s.AdvertisedPeer() != "10.0.0.1:7401" {
