--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -116,8 +117,8 @@
 
 // wants adds up the work of each customer over the instances.
 func (s *Scheduler) wants() []want {
-	var list []want
-	at := make(map[model.Customer]int)
+	list := make([]want, 0, len(s.queue.customers))
+	at := make(map[model.Customer]int, len(s.queue.customers))
 	add := func(c model.Customer, work float64) {
 		i, ok := at[c]
 		if !ok {
@@ -143,8 +144,11 @@
 // fill divides a capacity for work by weight, nobody getting more than it
 // has work for, and notes each customer's part.
 func (s *Scheduler) fill(wants []want, capacity float64) {
-	sort.SliceStable(wants, func(i, k int) bool {
-		return wants[i].work*wants[k].weight < wants[k].work*wants[i].weight
+	slices.SortFunc(wants, func(a, b want) int {
+		if c := cmp.Compare(a.work*b.weight, b.work*a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.customer, b.customer)
 	})
 	weights := 0.0
 	for i := range wants {
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 const (
@@ -13,7 +14,7 @@
 	shedBurst    = 2.0 // credit that a customer may save up, as time at its part, seconds
 	shedDamping  = 0.3 // change of the capacity by the queue's difference from its target
 	shedLearning = 0.1 // the same lastingly, a second
-	levelEvery   = 3   // ticks between divisions of the capacity
+	levelEvery   = 5   // ticks between divisions of the capacity
 	leastGain    = 0.5
 	mostGain     = 2.0
 )
@@ -85,9 +86,11 @@
 func (s *Scheduler) fairLevel(capacity float64) float64 {
 	x := &s.shed
 	x.order = append(x.order[:0], s.queue.customers...)
-	sort.SliceStable(x.order, func(i, k int) bool {
-		a, b := x.order[i], x.order[k]
-		return a.demand*b.weight < b.demand*a.weight
+	slices.SortFunc(x.order, func(a, b *customer) int {
+		if c := cmp.Compare(a.demand*b.weight, b.demand*a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
 	})
 	weights := 0.0
 	for _, c := range x.order {
