--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -61,6 +61,7 @@
 	r.job.waiters = append(r.job.waiters, w)
 	s.addRecord(r)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Claim{Claim: spec}})
+	s.setNumber(r, s.seq)
 	if report {
 		s.answerAfter(s.seq, pending(), w)
 	}
@@ -165,7 +166,7 @@
 		r.job.waiters = append(r.job.waiters, w)
 		return
 	}
-	s.answerAfter(r.seq, r.final, w)
+	s.answerAfter(r.seq, r.answer(), w)
 }
 
 func (s *Shard) refuse(w Waiter, problem string, ran peerpb.Ran, retry time.Duration) {
@@ -253,8 +254,8 @@
 	j.intent = uint32(min(index+1+ahead, len(j.results)))
 	s.appendUrgent(now, &peerpb.Operation{
 		Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{
-			Identity: j.spec.Identity,
-			Upto:     j.intent,
+			Record: r.number,
+			Upto:   j.intent,
 		}},
 	})
 	j.intentAt = s.seq
@@ -289,6 +290,10 @@
 		return
 	}
 	i := d.Start.Index
+	if s.returned(r, i) {
+		s.reportBack(now, r, d)
+		return
+	}
 	if j.states[i] != taskStarted {
 		return
 	}
@@ -312,6 +317,31 @@
 	s.releaseHandles(r)
 }
 
+// returned reports whether the shard went to another owner and came back while
+// the task was in flight.
+func (s *Shard) returned(r *record, i int) bool {
+	if s.role != RoleOwner {
+		return false
+	}
+	return s.records[r.key] != r || r.job.states[i] == taskRemote
+}
+
+// reportBack takes a result of this instance as an earlier owner.
+func (s *Shard) reportBack(now model.Time, r *record, d TaskDone) {
+	r.job.started--
+	if s.records[r.key] != r && r.job.started == 0 {
+		s.unqueue(now, r.job)
+	}
+	res := resultOf(d)
+	if d.Outcome == sched.OutcomeNotStarted || d.Outcome == sched.OutcomeUnreachable {
+		res = notStartedResult(d.Start.Index)
+	}
+	s.HandleRemoteResult(now, &peerpb.RemoteResult{
+		Identity: r.key.identity(s.id.Domain),
+		Result:   res,
+	})
+}
+
 // releaseHandles forgets the handles of a job that is owned elsewhere once
 // its last task in flight has ended.
 func (s *Shard) releaseHandles(r *record) {
@@ -388,8 +418,8 @@
 	}
 	j.states[res.Index] = taskClosed
 	op := &peerpb.Operation{Body: &peerpb.Operation_Result{Result: &peerpb.Result{
-		Identity: j.spec.Identity,
-		Result:   res,
+		Record: r.number,
+		Result: res,
 	}}}
 	if a := j.complete(); a != nil {
 		s.appendUrgent(now, op)
@@ -417,8 +447,8 @@
 	}
 	a := r.job.fail(problem)
 	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
-		Identity: r.job.spec.Identity,
-		Answer:   a,
+		Record: r.number,
+		Answer: a,
 	}}})
 	s.finish(now, r, a)
 }
