Start tasks of jobs at most once, whatever the caller marks

Cause: a load run found two tasks of repeatable jobs that had started twice after a failure; only single requests may. Also: the default bound of the records is 64 MiB, for 1 GiB is eight times the budget of control; a test for kinds that are declared too long; a data race of the script test's counter.

--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,11 +39,11 @@
 // backend servers as processes of their own. Each script has a loopback
 // address of its own, so that its ports are free.
 func TestScripts(t *testing.T) {
-	n := 0
+	var scripts atomic.Int32
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) error {
-			n++
+			n := scripts.Add(1)
 			e.Setenv("IP", fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()>>8%200, os.Getpid()%256, n))
 			return nil
 		},
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -162,3 +162,23 @@
 		t.Fatalf("starts after the sweep: %+v", got)
 	}
 }
+
+// A kind that was declared longer than its deadline allows is not refused by
+// an idle scheduler, which would never learn better.
+func TestDeclaredRunTimeAloneRefusesNothing(t *testing.T) {
+	s := newTest(1, 8)
+	now := testStart
+	for i := range 100 {
+		now = now.Add(20 * time.Millisecond)
+		s.Tick(now)
+		j := testJob(i+1, 1)
+		j.Declared = 6 * time.Second
+		j.Deadline = now.Add(5 * time.Second)
+		if v := s.Submit(now, j); v.Reason != ReasonNone {
+			t.Fatalf("job %d: refused for reason %d", i, v.Reason)
+		}
+		for _, st := range copyStarts(s) {
+			s.Done(now.Add(300*time.Millisecond), st, OutcomeOK, 300*time.Millisecond)
+		}
+	}
+}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -13,7 +13,7 @@
 	DefaultSkewBoundMs     = 250
 	DefaultSilenceBoundMs  = 2000
 	DefaultDedupWindowS    = 900
-	DefaultDedupMaxBytes   = 1 << 30
+	DefaultDedupMaxBytes   = 64 << 20
 	DefaultJSONDepth       = 32
 	DefaultStopBoundS      = 30
 	DefaultLogLevel        = "info"
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -124,6 +124,13 @@
 	return true
 }
 
+// retryable reports whether a task may be started again after a failure. Only
+// a single request that its caller marked as repeatable may; tasks of larger
+// jobs start at most once.
+func (j *job) retryable() bool {
+	return j.spec.Repeatable && len(j.spec.Payloads) == 1
+}
+
 // complete returns the whole answer, or nil while tasks are open or failed.
 func (j *job) complete() *peerpb.Answer {
 	if j.closed < len(j.results) || j.failed {
