Feed more metrics and events, and end waits before the bound of a stop

Callers' counters, platform calls, scheduler gauges, run times, takeovers and raised floors are reported; /readyz answers 503 while the instance stops; waits of callers end a second before the bound.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -53,6 +54,7 @@
 	store    *tablestore.Store
 	sync     *tablesync.Runner
 	cancel   context.CancelFunc // ends what runs beside the runtime
+	stopping atomic.Bool
 	wg       sync.WaitGroup
 
 	callerListener   net.Listener
@@ -174,6 +176,7 @@
 		CallTimeout:     time.Duration(i.set.Platform.TimeoutMs) * time.Millisecond,
 		ReadsPerSecond:  float64(i.set.Platform.ReadsPerSecond),
 		WritesPerSecond: float64(i.set.Platform.WritesPerSecond),
+		Counter:         i.metrics,
 	})
 }
 
@@ -214,6 +217,7 @@
 		Domains:    i.set.Domains,
 		Limits:     i.set.Limits,
 		Log:        i.log,
+		Metrics:    i.metrics,
 	})
 	i.callerServer = caller.NewServer(i.handler, i.set.Limits, callerTLS, i.log)
 	operators, err := i.operatorHandler()
@@ -272,6 +276,12 @@
 func (i *Instance) Shutdown(ctx context.Context) error {
 	i.log.Event(eventlog.InstanceStopping).Send()
 	i.handler.Stop()
+	i.stopping.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		// Callers that wait still hear what is known before the bound.
+		t := time.AfterFunc(time.Until(end)-endWaitsBefore, i.handler.EndWaits)
+		defer t.Stop()
+	}
 	i.runtime.Drain(ctx)
 	err := i.callerServer.Shutdown(ctx)
 	_ = i.operatorServer.Close()
@@ -280,6 +290,10 @@
 	return errors.Wrap(err, "requests were in flight at the bound of the stop; raise stop_bound_s")
 }
 
+// endWaitsBefore is how long before the bound of a stop the waits of callers
+// end.
+const endWaitsBefore = time.Second
+
 // Close stops at once.
 func (i *Instance) Close() {
 	_ = i.callerServer.Close()
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -47,7 +47,13 @@
 		Uint64("epoch", n.Epoch).
 		Str("member", string(n.Member.Instance)).
 		Send()
-	if n.Kind == core.NoteViewChanged {
+	switch n.Kind {
+	case core.NoteTakeover:
+		o.metrics.Takeovers.WithLabelValues("kept").Inc()
+	case core.NoteFloor:
+		o.metrics.Takeovers.WithLabelValues("lost").Inc()
+		o.metrics.FloorsRaised.Inc()
+	case core.NoteViewChanged:
 		o.metrics.ViewChanges.WithLabelValues("platform").Inc()
 		o.audit(audit.Record{
 			Action: audit.ActionView,
@@ -103,6 +109,8 @@
 		return eventlog.AdmissionResumed
 	case core.NoteTakeover:
 		return eventlog.ShardTakenOver
+	case core.NoteFloor:
+		return eventlog.FloorRaised
 	case core.NoteDead:
 		return eventlog.PeerDead
 	case core.NoteSilent:
@@ -119,6 +127,7 @@
 
 // Servers implements runtime.Observer.
 func (o *observer) Servers(list []sched.Server) {
+	o.metrics.SetServers(list)
 	domains := make(map[model.ServerID]string, len(list))
 	for _, s := range list {
 		domains[s.ID] = string(s.Domain)
@@ -130,7 +139,8 @@
 }
 
 // TaskDone implements runtime.Observer.
-func (o *observer) TaskDone(server model.ServerID, res backend.Result) {
+func (o *observer) TaskDone(server model.ServerID, kind model.Kind, res backend.Result) {
+	o.metrics.TaskDuration.WithLabelValues(string(kind)).Observe(res.Ran.Seconds())
 	o.mu.RLock()
 	domain := o.domains[server]
 	o.mu.RUnlock()
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -9,7 +9,6 @@
 	"net/http/pprof"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -31,7 +30,7 @@
 	})
 	r.Get("/readyz", i.readyz)
 	r.Get(api.PathStatus, i.status)
-	r.Handle("/metrics", promhttp.HandlerFor(i.metrics.Registry, promhttp.HandlerOpts{}))
+	r.Handle("/metrics", i.metrics.Handler(i.sample))
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -40,8 +39,20 @@
 	return r
 }
 
+// sample sets the scheduler's gauges and returns the status for the others.
+func (i *Instance) sample(ctx context.Context) *api.InstanceStatus {
+	if s, ok := i.runtime.SchedulerStats(ctx); ok {
+		i.metrics.SetScheduler(s)
+	}
+	return i.runtime.Status(ctx)
+}
+
 // readyz answers 200 while the instance can route submissions.
 func (i *Instance) readyz(w http.ResponseWriter, _ *http.Request) {
+	if i.stopping.Load() {
+		http.Error(w, "the instance is stopping", http.StatusServiceUnavailable)
+		return
+	}
 	if !i.runtime.Ready() {
 		http.Error(w, "views of the home domain are not known yet", http.StatusServiceUnavailable)
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,9 @@
 		r.send(s.To, s.Message)
 	}
 	r.out.Starts = append(r.out.Starts, out.Starts...)
+	for _, n := range out.Notes {
+		r.note(noteOf(n))
+	}
 	for _, rep := range out.Replies {
 		r.replyTo(now, rep)
 	}
@@ -240,6 +243,20 @@
 	r.out.Sends = append(r.out.Sends, Send{To: to, Message: m})
 }
 
+func noteOf(n shard.Note) Note {
+	kind := NoteTakeover
+	if n.Kind == shard.NoteFloor {
+		kind = NoteFloor
+	}
+	return Note{
+		Kind:   kind,
+		Domain: n.ID.Domain,
+		Shard:  n.ID.Index,
+		Epoch:  n.View.Epoch,
+		Member: n.View.Owner(),
+	}
+}
+
 func (r *Reducer) note(n Note) { r.out.Notes = append(r.out.Notes, n) }
 
 // Ready returns and clears the effects.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -191,6 +191,7 @@
 	NoteViewChanged
 	NoteDead
 	NoteSilent
+	NoteFloor
 )
 
 // Effects is what the runtime has to do after a step.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -2,9 +2,13 @@
 
 import (
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
 )
 
+// SchedulerStats returns the gauges of the scheduler.
+func (r *Reducer) SchedulerStats() sched.Stats { return r.sched.Stats() }
+
 // Status returns what the instance knows of itself and its domain.
 func (r *Reducer) Status() *api.InstanceStatus {
 	s := &api.InstanceStatus{
--- a/internal/runtime/dispatch.go
+++ b/internal/runtime/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
 )
 
 // stateTimeout bounds the question where a job stands once its caller's wait
@@ -100,6 +101,14 @@
 	return text, err
 }
 
+// SchedulerStats returns the gauges of the scheduler; it is false when the
+// instance is closing.
+func (r *Runtime) SchedulerStats(ctx context.Context) (sched.Stats, bool) {
+	var s sched.Stats
+	err := r.query(ctx, func() { s = r.core.SchedulerStats() })
+	return s, err == nil
+}
+
 // Status returns what the instance knows of itself and its domain, or nil
 // when it is closing.
 func (r *Runtime) Status(ctx context.Context) *api.InstanceStatus {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -40,7 +40,7 @@
 	Step(d time.Duration, events int)
 	Note(n core.Note)
 	PlatformError(op string, err error)
-	TaskDone(server model.ServerID, res backend.Result)
+	TaskDone(server model.ServerID, kind model.Kind, res backend.Result)
 	Servers(list []sched.Server)
 	Peers(list []sched.Peer)
 }
@@ -202,7 +202,7 @@
 	r.wg.Go(func() {
 		defer r.inFlight.Add(-1)
 		res := r.opts.Backends.Run(r.ctx, st.Start.Server, taskOf(st))
-		r.opts.Observer.TaskDone(st.Start.Server, res)
+		r.opts.Observer.TaskDone(st.Start.Server, model.Kind(st.Spec.Kind), res)
 		r.Post(core.TaskDone{TaskDone: shard.TaskDone{
 			Start:   st.Start,
 			Outcome: res.Outcome,
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -45,6 +45,25 @@
 	Sends   []Send
 	Replies []Reply
 	Starts  []StartTask
+	Notes   []Note
+}
+
+// NoteKind is the kind of a Note.
+type NoteKind uint8
+
+// Kinds of notes.
+const (
+	// NoteTakeover says that this instance owns the shard with its records.
+	NoteTakeover NoteKind = iota
+	// NoteFloor says that the records are lost and the floor was raised.
+	NoteFloor
+)
+
+// Note is something that operators want to know of a shard.
+type Note struct {
+	Kind NoteKind
+	ID   ID
+	View View
 }
 
 // Options are the settings that all shards of an instance share.
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -29,10 +29,17 @@
 	}
 }
 
+func (s *Shard) note(k NoteKind) {
+	s.env.Out.Notes = append(s.env.Out.Notes, Note{Kind: k, ID: s.id, View: s.view})
+}
+
 func (s *Shard) installOwner(now model.Time, old View) {
 	if s.role != RoleOwner {
 		if !old.Has(s.env.Self) {
 			s.reset()
+			if old.Epoch > 0 {
+				s.note(NoteFloor)
+			}
 		}
 		open := s.beginOwning()
 		// What the takeover appends has to reach the replica.
@@ -90,6 +97,9 @@
 // beginOwning makes a replica, or an instance without records, the owner. It
 // returns the tasks that the previous owner goes on with.
 func (s *Shard) beginOwning() map[key][]*peerpb.OpenTasks {
+	if len(s.records) > 0 {
+		s.note(NoteTakeover)
+	}
 	s.role = RoleOwner
 	s.followers = nil
 	s.log = nil
