Test the links between instances

Messages come once and in order, also over a link that was silent both ways or whose acknowledgements were lost; a new process gets nothing that was meant for the one before; a full queue resets the session; only a refusal and silence for the whole bound are evidence.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/core"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/link"
+)
+
+// testBound is the silence bound of the tests; no verdict depends on it.
+const testBound = 300 * time.Millisecond
+
+// node is a manager with its listener and events.
+type node struct {
+	*Manager
+	addr   string
+	events chan core.Event
+}
+
+func newNode(t *testing.T, name, incarnation string) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{addr: l.Addr().String(), events: make(chan core.Event, 4096)}
+	n.Manager = New(Options{
+		Self:    shard.Member{Instance: model.Instance(name), Incarnation: model.Incarnation(incarnation)},
+		Domain:  "d",
+		Events:  func(e core.Event) { n.events <- e },
+		Silence: testBound,
+	})
+	go func() { _ = n.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		n.Close()
+	})
+	return n
+}
+
+func (n *node) dial(addr string) { n.Dial([]core.InstanceInfo{{Addr: addr}}) }
+
+// next returns the next event that fits.
+func next[E core.Event](t *testing.T, n *node, fits func(E) bool) E {
+	t.Helper()
+	timeout := time.After(30 * time.Second)
+	for {
+		select {
+		case e := <-n.events:
+			if x, ok := e.(E); ok && fits(x) {
+				return x
+			}
+		case <-timeout:
+			t.Fatal("the event did not come")
+		}
+	}
+}
+
+func numbered(i int) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Answer{Answer: &peerpb.Answer{Request: uint64(i)}}}
+}
+
+// receive takes messages first to last, which must come once and in order.
+func receive(t *testing.T, n *node, first, last int) {
+	t.Helper()
+	for want := first; want <= last; want++ {
+		m := next(t, n, func(core.PeerMessage) bool { return true })
+		if got := m.Message.GetAnswer().GetRequest(); got != uint64(want) {
+			t.Fatalf("message %d came, want %d", got, want)
+		}
+	}
+}
+
+func anyUp(core.PeerUp) bool { return true }
+
+func TestMessagesComeOnceAndInOrder(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	a.dial(b.addr)
+	up := next(t, a, anyUp)
+	if up.Member.Incarnation != "b1" || up.Domain != "d" || !up.Reset {
+		t.Fatalf("first contact: %+v", up)
+	}
+	for i := 1; i <= 2000; i++ {
+		a.Send("b", numbered(i))
+	}
+	receive(t, b, 1, 2000)
+}
+
+// A link that goes silent both ways is given up and dialed again. What was
+// sent meanwhile comes once, and the session is not reset.
+func TestMessagesSurviveASilentLink(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	between, addr := newLinkTo(t, b.addr)
+	a.dial(addr)
+	next(t, a, anyUp)
+	a.Send("b", numbered(1))
+	receive(t, b, 1, 1)
+
+	between.SetMode(standin.Mode{Silent: true})
+	for i := 2; i <= 100; i++ {
+		a.Send("b", numbered(i))
+	}
+	next(t, a, func(core.PeerUnanswered) bool { return true })
+	between.SetMode(standin.Mode{})
+	if up := next(t, a, anyUp); up.Reset {
+		t.Fatal("the session was reset")
+	}
+	a.Send("b", numbered(101))
+	receive(t, b, 2, 101)
+}
+
+// Messages whose acknowledgement was lost are not taken twice.
+func TestLostAcknowledgementsRepeatNothing(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	between, addr := newLinkTo(t, b.addr)
+	a.dial(addr)
+	next(t, a, anyUp)
+	between.SetMode(standin.Mode{OneWay: true})
+	for i := 1; i <= 10; i++ {
+		a.Send("b", numbered(i))
+	}
+	receive(t, b, 1, 10)
+	next(t, a, func(core.PeerUnanswered) bool { return true })
+	between.SetMode(standin.Mode{})
+	next(t, a, anyUp)
+	a.Send("b", numbered(11))
+	receive(t, b, 11, 11)
+}
+
+func newLinkTo(t *testing.T, target string) (*standin.Link, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	between := standin.New(target)
+	go func() { _ = between.Serve(ctx, l) }()
+	return between, l.Addr().String()
+}
+
+func TestRefusedConnectionIsToldApart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	a := newNode(t, "a", "a1")
+	began := model.Time(time.Now().UnixNano())
+	a.dial(addr)
+	refused := next(t, a, func(core.PeerRefused) bool { return true })
+	if refused.Addr != addr || refused.Began < began {
+		t.Fatalf("%+v", refused)
+	}
+}
+
+// A process that accepts and never answers is silent, whatever its kernel says.
+func TestUnansweredHelloIsSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a := newNode(t, "a", "a1")
+	began := time.Now()
+	a.dial(l.Addr().String())
+	e := next(t, a, func(core.PeerUnanswered) bool { return true })
+	if time.Since(began) < testBound || e.Began < model.Time(began.UnixNano()) {
+		t.Fatalf("unanswered after %v, begun at %d", time.Since(began), e.Began)
+	}
+}
+
+// A message for a process that is gone never reaches the one that has its
+// address now.
+func TestNewProcessGetsNoMessageOfTheOld(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	between, addr := newLinkTo(t, b.addr)
+	a.dial(addr)
+	next(t, a, anyUp)
+	between.SetMode(standin.Mode{Silent: true})
+	a.Send("b", numbered(1))
+	c := newNode(t, "b", "b2")
+	between.SetTarget(c.addr)
+	next(t, a, func(core.PeerUnanswered) bool { return true })
+	between.SetMode(standin.Mode{})
+	up := next(t, a, func(e core.PeerUp) bool { return e.Member.Incarnation == "b2" })
+	if !up.Reset {
+		t.Fatal("the session goes on with another process")
+	}
+	a.Send("b", numbered(2))
+	receive(t, c, 2, 2)
+}
+
+func TestFullQueueResetsTheSession(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	between, addr := newLinkTo(t, b.addr)
+	a.dial(addr)
+	next(t, a, anyUp)
+	between.SetMode(standin.Mode{Silent: true})
+	for i := 1; i <= maxQueueMsgs+1; i++ {
+		a.Send("b", numbered(i))
+	}
+	next(t, a, func(core.PeerUnanswered) bool { return true })
+	between.SetMode(standin.Mode{})
+	if up := next(t, a, anyUp); !up.Reset {
+		t.Fatal("messages were dropped without a reset")
+	}
+}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -18,17 +18,17 @@
 
 // Mode is the fault that the link shows.
 type Mode struct {
-	Silent bool `json:"silent"` // bytes are held back in both directions, new connections too
+	Silent bool `json:"silent"`  // bytes are held back in both directions, new connections too
+	OneWay bool `json:"one_way"` // bytes from the target are held back
 }
 
 // Link is the stand-in.
 type Link struct {
+	mu     sync.Mutex
 	target string
-
-	mu    sync.Mutex
-	cond  *sync.Cond
-	mode  Mode
-	ended bool
+	cond   *sync.Cond
+	mode   Mode
+	ended  bool
 }
 
 // New returns a link to a target address.
@@ -47,6 +47,19 @@
 	l.cond.Broadcast()
 }
 
+// SetTarget changes where new connections go to.
+func (l *Link) SetTarget(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = addr
+}
+
+func (l *Link) to() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target
+}
+
 // Serve forwards connections until ctx ends.
 func (l *Link) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
@@ -74,10 +87,10 @@
 }
 
 // pass waits until bytes may go on, and reports whether the link still serves.
-func (l *Link) pass() bool {
+func (l *Link) pass(fromTarget bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.mode.Silent && !l.ended {
+	for (l.mode.Silent || fromTarget && l.mode.OneWay) && !l.ended {
 		l.cond.Wait()
 	}
 	return !l.ended
@@ -85,10 +98,10 @@
 
 func (l *Link) forward(ctx context.Context, c net.Conn) {
 	defer c.Close()
-	if !l.pass() {
+	if !l.pass(false) {
 		return
 	}
-	t, err := net.Dial("tcp", l.target)
+	t, err := net.Dial("tcp", l.to())
 	if err != nil {
 		return
 	}
@@ -98,15 +111,15 @@
 		_ = t.Close()
 	})
 	defer stop()
-	go l.copy(t, c)
-	l.copy(c, t)
+	go l.copy(t, c, false)
+	l.copy(c, t, true)
 }
 
-func (l *Link) copy(to, from net.Conn) {
+func (l *Link) copy(to, from net.Conn, fromTarget bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if !l.pass() {
+		if !l.pass(fromTarget) {
 			return
 		}
 		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
