--- /dev/null
+++ b/internal/core/peers_test.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+const (
+	testAddr  = "10.0.0.1:7000"
+	testStart = model.Time(1000)
+)
+
+func testMember(incarnation string) shard.Member {
+	return shard.Member{Instance: "b", Incarnation: model.Incarnation(incarnation)}
+}
+
+// TestLivenessTakesOnlyProof checks what each kind of evidence shows of two
+// processes: b1, known since time 1000, and b2, learned at 2000.
+func TestLivenessTakesOnlyProof(t *testing.T) {
+	b1, b2 := testMember("b1"), testMember("b2")
+	cases := []struct {
+		name   string
+		happen func(p *peers)
+		b1, b2 shard.Liveness
+	}{
+		{"nothing", func(*peers) {}, shard.Alive, shard.Alive},
+		{"refused before both were known", func(p *peers) {
+			p.refused(PeerRefused{Addr: testAddr, Began: 500})
+		}, shard.Alive, shard.Alive},
+		{"refused between", func(p *peers) {
+			p.refused(PeerRefused{Addr: testAddr, Began: 1500})
+		}, shard.Dead, shard.Alive},
+		{"refused after both", func(p *peers) {
+			p.refused(PeerRefused{Addr: testAddr, Began: 2500})
+		}, shard.Dead, shard.Dead},
+		{"refused at another address", func(p *peers) {
+			p.refused(PeerRefused{Addr: "10.0.0.2:7000", Began: 2500})
+		}, shard.Alive, shard.Alive},
+		{"the other one answers", func(p *peers) {
+			p.answered(PeerUp{Addr: testAddr, Member: b2, Began: 2500})
+		}, shard.Dead, shard.Alive},
+		{"an old hello comes late", func(p *peers) {
+			p.answered(PeerUp{Addr: testAddr, Member: b1, Began: 1500})
+		}, shard.Alive, shard.Alive},
+		{"unanswered", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
+		}, shard.Silent, shard.Silent},
+		{"unanswered, then answered", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
+			p.answered(PeerUp{Addr: testAddr, Member: b1, Began: 2600})
+		}, shard.Alive, shard.Dead},
+		{"unanswered before its confirm counter was known", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
+			p.now = 3000
+			p.know(b1, testAddr, 1)
+		}, shard.Alive, shard.Silent},
+		{"unanswered across an own pause", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 2700)
+		}, shard.Alive, shard.Alive},
+		{"unanswered, then an own pause", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
+			p.restartSilence()
+		}, shard.Alive, shard.Alive},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPeers(shard.Member{Instance: "a", Incarnation: "a1"}, "10.0.0.9:7000")
+			p.now = testStart
+			p.learn(InstanceInfo{Member: b1, Addr: testAddr})
+			p.now = 2 * testStart
+			p.learn(InstanceInfo{Member: b2, Addr: testAddr})
+			c.happen(p)
+			if got := p.Liveness(b1); got != c.b1 {
+				t.Errorf("b1 is %d, want %d", got, c.b1)
+			}
+			if got := p.Liveness(b2); got != c.b2 {
+				t.Errorf("b2 is %d, want %d", got, c.b2)
+			}
+		})
+	}
+}
+
+func TestOwnAddressProvesItsEarlierHolderDead(t *testing.T) {
+	p := newPeers(shard.Member{Instance: "b", Incarnation: "b2"}, testAddr)
+	p.learn(InstanceInfo{Member: testMember("b1"), Addr: testAddr})
+	if p.Liveness(testMember("b1")) != shard.Dead || len(p.dial()) != 0 {
+		t.Fatal("this process listens at the address itself")
+	}
+}
