Make a learner a member only once it holds what was committed without it

Cause: a view could name a learner that had not yet acknowledged operations which were committed, and answered, before commits began to wait for it. If the owner died next, the learner took over without them.

--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -64,15 +64,26 @@
 		return s.next(0, s.membership()...), true
 	}
 	if f := s.syncedLearner(); f != nil {
-		// Commits wait for the new member from before the change is written,
-		// for it may take over as soon as the change has taken effect.
-		f.required = true
-		return s.next(0, s.env.Self, f.member), true
+		return s.proposeMember(f)
 	}
 	s.moveToward(now, t)
 	return Proposal{}, false
 }
 
+// proposeMember makes a learner a member. It may take over as soon as the
+// change has taken effect, so before it is written, commits have to wait for
+// the learner, and it has to hold all that was committed without it.
+func (s *Shard) proposeMember(f *follower) (Proposal, bool) {
+	if !f.required {
+		f.required = true
+		f.joinedAt = s.seq
+	}
+	if f.acked < f.joinedAt {
+		return Proposal{}, false
+	}
+	return s.next(0, s.env.Self, f.member), true
+}
+
 // proposeHandOver makes the successor the owner once it holds everything.
 func (s *Shard) proposeHandOver() (Proposal, bool) {
 	f := s.follower(s.target.Instance)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -31,6 +31,7 @@
 	sent     uint64     // operations sent to it
 	sentAt   model.Time // time of the latest send
 	required bool       // commits wait for it
+	joinedAt uint64     // last operation before commits waited for it
 	learning uint64     // learner: number of the copy
 	chunk    uint32     // learner: chunk in flight
 	chunkAt  model.Time // learner: when the chunk was sent
