Test a lone owner's pause and a late write after it

Both directed, for the fault table does not reach them: without the notice of a pause TestPausedLoneOwner shows two starts of one task; with a read in place of the confirming write TestLateWriteAfterPause does. The fault table now lasts longer than a lease.

--- a/internal/core/coretest/platform_test.go
+++ b/internal/core/coretest/platform_test.go
@@ -30,7 +30,10 @@
 type platform struct {
 	w      *world
 	down   bool
-	late   int // per cent of writes that land late or never, their answers lost
+	late   int      // per cent of writes that land late or never, their answers lost
+	blind  *proc    // can't reach the platform
+	holds  *proc    // its writes are kept back
+	kept   []func() // lands a write that was kept back
 	index  uint64
 	docs   map[model.Domain]document
 	leases map[shard.Member]lease
@@ -48,9 +51,13 @@
 func (pl *platform) heal() {
 	pl.down = false
 	pl.late = 0
+	pl.blind = nil
+	pl.holds = nil
 }
 
-func (pl *platform) reachable(p *proc) bool { return !pl.down && !pl.w.cut[p.host.domain] }
+func (pl *platform) reachable(p *proc) bool {
+	return !pl.down && !pl.w.cut[p.host.domain] && pl.blind != p
+}
 
 // serve renews the lease of a process and shows it what changed.
 func (pl *platform) serve(p *proc) {
@@ -156,6 +163,9 @@
 	}
 	d := p.host.domain
 	switch {
+	case pl.holds == p:
+		pl.kept = append(pl.kept, func() { pl.land(d, e.Index, value) })
+		pl.w.after(callTimeout, func() { p.take(core.ViewsWritten{Outcome: core.WriteUnknown}) })
 	case !pl.reachable(p) && pl.w.chance(50):
 		pl.w.after(pl.w.between(1, 5), func() { p.take(core.ViewsWritten{Outcome: core.WriteFailed}) })
 	case !pl.reachable(p):
--- a/internal/core/coretest/replication_test.go
+++ b/internal/core/coretest/replication_test.go
@@ -133,6 +133,7 @@
 	}
 	// Longer than the silence bound and a lease, so that members are replaced.
 	load(w, 60)
+	w.run(sessionTTL / 2)
 	for _, f := range list {
 		w.note("end %s", f.name)
 		f.end(w)
@@ -158,6 +159,72 @@
 	}
 }
 
+// TestPausedLoneOwner pauses an owner without a replica, lets another instance
+// replace it without the records, and submits one key to both while the old
+// owner can't learn of its successor.
+func TestPausedLoneOwner(t *testing.T) {
+	w, old, successor := loneOwner(t)
+	w.run(sessionTTL + 2*silence)
+	if ownerOf(w, 0) != successor || ownerOf(w, 1) != successor {
+		w.fail("world: no takeover of a silent lone owner")
+	}
+	w.run(4 * skew) // past the floor
+	w.platform.down = true
+	old.resume()
+	submitToBoth(w, old, successor)
+}
+
+// TestLateWriteAfterPause has the write of a successor land after the old
+// owner, back from its pause, has read the views.
+func TestLateWriteAfterPause(t *testing.T) {
+	w, old, successor := loneOwner(t)
+	w.platform.holds = successor
+	w.run(sessionTTL + 2*silence)
+	if len(w.platform.kept) == 0 {
+		w.fail("world: no write of a takeover")
+	}
+	old.resume()
+	w.run(200 * time.Millisecond)
+	w.platform.blind = old
+	for _, land := range w.platform.kept {
+		land()
+	}
+	w.run(4 * skew) // past the floor
+	submitToBoth(w, old, successor)
+}
+
+// loneOwner returns a paused owner without a replica and its successor.
+func loneOwner(t *testing.T) (w *world, old, successor *proc) {
+	w = newWorld(t, 1)
+	for _, h := range w.hosts[1:3] {
+		h.proc.kill()
+	}
+	w.run(time.Second)
+	old = w.hosts[0].proc
+	old.pause()
+	w.boot(w.hosts[1])
+	return w, old, w.hosts[1].proc
+}
+
+// submitToBoth submits keys to two instances at once, each of which may take
+// itself for the owner.
+func submitToBoth(w *world, old, successor *proc) {
+	var jobs []*job
+	for range 2 * shards {
+		j := w.newJob("a", 1, false, 0)
+		j.submit(successor)
+		j.submit(old)
+		jobs = append(jobs, j)
+	}
+	w.run(2 * time.Second)
+	for _, j := range jobs {
+		if w.starts[j.task(0)] != 1 {
+			w.fail("%s: %d starts, want 1", j.name, w.starts[j.task(0)])
+		}
+	}
+	finish(w)
+}
+
 func TestFaults(t *testing.T) {
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
