--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -4,7 +4,6 @@
 
 // Defaults of settings that a file may leave out.
 const (
-	DefaultPeerService     = "nutmegweir"
 	DefaultBackendService  = "backend"
 	DefaultReadsPerSecond  = 100
 	DefaultWritesPerSecond = 20
@@ -14,7 +13,7 @@
 	DefaultSkewBoundMs     = 250
 	DefaultSilenceBoundMs  = 2000
 	DefaultDedupWindowS    = 900
-	DefaultDedupMaxBytes   = 1 << 30
+	DefaultDedupMaxBytes   = 64 << 20
 	DefaultJSONDepth       = 32
 	DefaultStopBoundS      = 30
 	DefaultLogLevel        = "info"
@@ -23,7 +22,6 @@
 // Default returns settings in which every field that has a default is set.
 func Default() Settings {
 	return Settings{
-		Peers:          Peers{Service: DefaultPeerService},
 		BackendService: DefaultBackendService,
 		Platform: Platform{
 			ReadsPerSecond:  DefaultReadsPerSecond,
