--- a/internal/core/coretest/callers_test.go
+++ b/internal/core/coretest/callers_test.go
@@ -211,7 +211,7 @@
 		if n > 0 && (j.notRun || j.noStart[i]) {
 			j.w.fail("%s: task %d was answered \"not run\" and has started", j.name, i)
 		}
-		if n > 1 && !j.spec.Repeatable {
+		if n > 1 && (!j.spec.Repeatable || len(j.spec.Payloads) > 1) {
 			j.w.fail("%s: task %d has started %d times", j.name, i, n)
 		}
 	}
