Mark first attempts in the load tool

An instance that is stopping says "not run" only of submissions marked first_attempt. The load tool never marked any, so its runs could not check that path, and a graceful stop would have shown as unknown answers only. A call is now marked when every earlier call of its key was answered as refused; calls beside an open, broken or possibly run one are not. The mark is taken under the same lock as the count of calls. Test in a table.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -140,7 +140,7 @@
 	return payload{RunMs: t.Run.Milliseconds(), Fail: t.Fail, ID: id, Echo: id}
 }
 
-func jobBody(j *Job, key uuid.UUID) ([]byte, error) {
+func jobBody(j *Job, key uuid.UUID, first bool) ([]byte, error) {
 	body := api.Job{
 		Customer:      j.Customer,
 		Home:          j.Home,
@@ -150,6 +150,7 @@
 		Repeatable:    j.Kind.Repeatable,
 		DeclaredRunMs: j.Declared.Milliseconds(),
 		Needs:         j.Kind.Needs,
+		FirstAttempt:  first,
 	}
 	for i, t := range j.Tasks {
 		raw, err := json.Marshal(newPayload(t, taskID(key, i)))
@@ -162,9 +163,9 @@
 }
 
 // submit posts the job and polls until the answer is final or the polls are
-// used up.
-func (c *client) submit(ctx context.Context, e Entry, j *Job, key uuid.UUID) Reply {
-	body, err := jobBody(j, key)
+// used up. first says that no other copy of the submission is unanswered.
+func (c *client) submit(ctx context.Context, e Entry, j *Job, key uuid.UUID, first bool) Reply {
+	body, err := jobBody(j, key, first)
 	if err != nil {
 		return Reply{Class: Unknown, Malformed: err.Error()}
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -490,3 +490,40 @@
 		t.Errorf("the same job has key %s and deadline %d, want %s and 2500", k, again.Kind.DeadlineMs, key)
 	}
 }
+
+func TestFirstAttemptOnlyWithoutOpenOrRunCalls(t *testing.T) {
+	job := &Job{Kind: &Kind{Name: "k"}, Tasks: []Task{{}}}
+	for _, c := range []struct {
+		name    string
+		replies []Reply // of the earlier calls
+		open    bool    // one more call has no answer yet
+		want    bool
+	}{
+		{"first call", nil, false, true},
+		{"after a refusal", []Reply{{Class: Refused}}, false, true},
+		{"beside an open call", nil, true, false},
+		{"after a refusal, beside an open call", []Reply{{Class: Refused}}, true, false},
+		{"after a broken call", []Reply{{Class: Unknown, Broken: true}}, false, false},
+		{"after a call that may have run", []Reply{{Class: Refused}, {Class: Unknown}}, false, false},
+	} {
+		tr := newTruth()
+		key := job.Key(time.UnixMilli(1))
+		for _, r := range c.replies {
+			tr.sent(job, key)
+			tr.answered(job, key, r)
+		}
+		if c.open {
+			tr.sent(job, key)
+		}
+		if got := tr.sent(job, key); got != c.want {
+			t.Errorf("%s: first attempt %t, want %t", c.name, got, c.want)
+		}
+		body, err := jobBody(job, key, c.want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := bytes.Contains(body, []byte(`"first_attempt":true`)); got != c.want {
+			t.Errorf("%s: body says %s", c.name, body)
+		}
+	}
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -156,8 +156,8 @@
 }
 
 func (r *runner) submit(ctx context.Context, j *Job, key uuid.UUID, offset int) Reply {
-	r.truth.sent(j, key)
-	reply := r.client.submit(ctx, r.entry(j, offset), j, key)
+	first := r.truth.sent(j, key)
+	reply := r.client.submit(ctx, r.entry(j, offset), j, key, first)
 	r.truth.answered(j, key, reply)
 	return reply
 }
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -68,8 +68,10 @@
 	return &truth{jobs: make(map[uuid.UUID]*jobTruth), found: make(map[Violation]*Finding)}
 }
 
-// sent notes that the key is about to be submitted.
-func (t *truth) sent(j *Job, key uuid.UUID) {
+// sent notes that the key is about to be submitted. It reports whether no
+// earlier call of the key can have run or may still run: each was answered as
+// refused.
+func (t *truth) sent(j *Job, key uuid.UUID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	jt := t.jobs[key]
@@ -77,8 +79,10 @@
 		jt = &jobTruth{job: j, key: key}
 		t.jobs[key] = jt
 	}
+	first := jt.calls == jt.refused
 	jt.calls++
 	jt.open++
+	return first
 }
 
 // answered checks an answer by itself and against earlier ones of its key.
