Answer at once while the home domain is out of reach

Cause: each request for an owner that could not be reached waited 3 s anew. The time for which the link has been down now counts.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,7 +142,7 @@
 }
 
 func (r *Reducer) suspend(now model.Time) {
-	r.peers.restartSilence()
+	r.peers.restartSilence(now)
 	r.plan.suspendedAt = now
 	r.plan.confirmed = 0
 	if !r.env.Suspended {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,11 +10,20 @@
 	info   InstanceInfo
 	up     bool
 	member shard.Member // who answered last
+	down   model.Time   // since when it is not up, 0 if it is or was never tried
 	// silent is when the latest connection began that stayed unanswered for
 	// the whole silence bound, 0 if one was answered or refused since.
 	silent model.Time
 }
 
+// lose notes that the link is down.
+func (l *link) lose(now model.Time) {
+	l.up = false
+	if l.down == 0 {
+		l.down = now
+	}
+}
+
 // known is what is known of one process.
 type known struct {
 	addr    string
@@ -87,6 +96,18 @@
 	return ""
 }
 
+// downSince returns since when m can't be reached, 0 if that is not known.
+func (p *peers) downSince(m shard.Member) model.Time {
+	k := p.members[m]
+	if k == nil {
+		return 0
+	}
+	if l := p.links[k.addr]; l != nil {
+		return l.down
+	}
+	return 0
+}
+
 // learn keeps the address of an instance.
 func (p *peers) learn(i InstanceInfo) {
 	if i.Member == p.self || i.Addr == "" || p.dead[i.Member] {
@@ -153,6 +174,7 @@
 	p.know(e.Member, e.Addr, 0)
 	p.byName[e.Member.Instance] = e.Member
 	l.up = true
+	l.down = 0
 	l.silent = 0
 	l.member = e.Member
 	l.info.Member = e.Member
@@ -178,7 +200,7 @@
 		return
 	}
 	p.deadAt(e.Addr, shard.Member{}, e.Began)
-	l.up = false
+	l.lose(p.now)
 	l.silent = 0
 }
 
@@ -187,18 +209,21 @@
 	if l == nil {
 		return
 	}
-	l.up = false
+	l.lose(p.now)
 	// A connection that spans a pause of this instance shows nothing.
 	if e.Began > suspendedAt {
 		l.silent = e.Began
 	}
 }
 
-// restartSilence forgets which peers were silent, for this instance has not
-// been watching.
-func (p *peers) restartSilence() {
+// restartSilence forgets which peers were silent and for how long links were
+// down, for this instance has not been watching.
+func (p *peers) restartSilence(now model.Time) {
 	for _, l := range p.links {
 		l.silent = 0
+		if l.down != 0 {
+			l.down = now
+		}
 	}
 }
 
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -61,7 +61,7 @@
 		}, shard.Alive, shard.Alive},
 		{"unanswered, then an own pause", func(p *peers) {
 			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
-			p.restartSilence()
+			p.restartSilence(2600)
 		}, shard.Alive, shard.Alive},
 	}
 	for _, c := range cases {
@@ -89,3 +89,25 @@
 		t.Fatal("this process listens at the address itself")
 	}
 }
+
+func TestDownSinceLastsUntilAnswered(t *testing.T) {
+	b := testMember("b1")
+	p := newPeers(shard.Member{Instance: "a", Incarnation: "a1"}, "10.0.0.9:7000")
+	p.now = testStart
+	p.learn(InstanceInfo{Member: b, Addr: testAddr})
+	if got := p.downSince(b); got != 0 {
+		t.Fatalf("never tried, down since %d", got)
+	}
+	p.answered(PeerUp{Addr: testAddr, Member: b, Began: 1100})
+	p.now = 2000
+	p.links[testAddr].lose(p.now)
+	p.now = 3000
+	p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2100}, 0)
+	if got := p.downSince(b); got != 2000 {
+		t.Fatalf("down since %d, want 2000", got)
+	}
+	p.answered(PeerUp{Addr: testAddr, Member: b, Began: 3100})
+	if got := p.downSince(b); got != 0 {
+		t.Fatalf("up again, down since %d", got)
+	}
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -118,6 +118,15 @@
 		r.remote(q, to)
 	default:
 		r.park(now, q)
+		r.countOutage(q, to)
+	}
+}
+
+// countOutage counts the time for which the owner has been out of reach
+// already, so that during a cut callers are answered at once.
+func (r *Reducer) countOutage(q *request, owner shard.Member) {
+	if down := r.peers.downSince(owner); down != 0 {
+		q.lost = min(q.lost, down)
 	}
 }
 
@@ -233,8 +242,11 @@
 		return
 	}
 	if a.Problem == shard.ProblemNotOwner {
-		// This attempt was certainly not admitted.
-		q.maybe = q.before
+		if a.Ran == peerpb.Ran_RAN_NO {
+			// This attempt was certainly not admitted. An owner that had
+			// admitted it and was replaced says that it does not know.
+			q.maybe = q.before
+		}
 		r.park(now, q)
 		return
 	}
@@ -391,6 +403,7 @@
 	r.send(w.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: &peerpb.Answer{
 		Request: w.Request,
 		Status:  peerpb.Status_STATUS_REFUSED,
+		Ran:     peerpb.Ran_RAN_NO,
 		Problem: shard.ProblemNotOwner,
 	}}})
 }
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -207,7 +207,7 @@
 
 func (r *Reducer) peerDown(now model.Time, addr string) {
 	if l := r.peers.links[addr]; l != nil {
-		l.up = false
+		l.lose(now)
 	}
 	r.replan(now)
 }
