--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -155,7 +155,8 @@
 	defer c.SetDeadline(time.Time{})
 	l.mu.Lock()
 	if l.reset || l.session == 0 {
-		l.session++
+		// Never a number that an earlier link to the same process has used.
+		l.session = l.m.sessions.Add(1)
 		l.clear()
 	}
 	hello := l.m.hello()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -69,6 +70,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	sessions atomic.Uint64 // numbers given to sessions
+
 	mu     sync.Mutex
 	links  map[string]*link         // by address
 	byName map[model.Instance]*link // by the process that answered last
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -133,6 +133,22 @@
 	receive(t, b, 11, 11)
 }
 
+// A link that was given up and made again goes on sending.
+func TestLinkMadeAgainSends(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	a.dial(b.addr)
+	next(t, a, anyUp)
+	a.Send("b", numbered(1))
+	receive(t, b, 1, 1)
+	a.Dial(nil)
+	a.dial(b.addr)
+	if up := next(t, a, anyUp); !up.Reset {
+		t.Fatal("the session of a link that was given up goes on")
+	}
+	a.Send("b", numbered(2))
+	receive(t, b, 2, 2)
+}
+
 func newLinkTo(t *testing.T, target string) (*standin.Link, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
