Replace a live replica only after its promise not to act

Cause: an owner that replaced its live replica by another one and died at once left two instances that took its death for their turn: the new replica, and the old one, which had not yet heard of the new view. Both started the same task. Ruled out: the order of view and results, which only let the trace show. Change: Release and its answer before the write; a released replica takes over by a write alone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -330,6 +330,10 @@
 		if s := r.shard(b.HandOver.Domain, b.HandOver.Shard); s != nil {
 			s.HandleHandOver(from, b.HandOver)
 		}
+	case *peerpb.Message_Release:
+		if s := r.shard(b.Release.Domain, b.Release.Shard); s != nil {
+			s.HandleRelease(now, from, b.Release)
+		}
 	case *peerpb.Message_RemoteResult:
 		if s := r.shard(b.RemoteResult.Domain, b.RemoteResult.Shard); s != nil {
 			s.HandleRemoteResult(now, b.RemoteResult)
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -64,7 +64,7 @@
 		return s.next(0, s.membership()...), true
 	}
 	if f := s.syncedLearner(); f != nil {
-		return s.proposeMember(f)
+		return s.proposeMember(now, f)
 	}
 	s.moveToward(now, t)
 	return Proposal{}, false
@@ -73,7 +73,7 @@
 // proposeMember makes a learner a member. It may take over as soon as the
 // change has taken effect, so before it is written, commits have to wait for
 // the learner, and it has to hold all that was committed without it.
-func (s *Shard) proposeMember(f *follower) (Proposal, bool) {
+func (s *Shard) proposeMember(now model.Time, f *follower) (Proposal, bool) {
 	if !f.required {
 		f.required = true
 		f.joinedAt = s.seq
@@ -81,6 +81,9 @@
 	if f.acked < f.joinedAt {
 		return Proposal{}, false
 	}
+	if old, ok := s.replaced(f); ok && !s.releasedBy(now, old) {
+		return Proposal{}, false
+	}
 	return s.next(0, s.env.Self, f.member), true
 }
 
@@ -166,7 +169,12 @@
 // proposeReplica takes over from a silent owner. The promise not to
 // acknowledge its operations comes before the change is written.
 func (s *Shard) proposeReplica() (Proposal, bool) {
-	if s.env.Peers.Liveness(s.view.Owner()) != Silent {
+	switch owner := s.env.Peers.Liveness(s.view.Owner()); {
+	case owner == Silent:
+	case owner == Dead && s.released == s.view.Epoch:
+		// The owner may have replaced this replica, unseen. If so the write
+		// conflicts.
+	default:
 		return s.proposeRenewal()
 	}
 	p := s.next(0, s.env.Self)
--- /dev/null
+++ b/internal/shard/release.go
@@ -0,0 +1,63 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// releaseRetry is the time after which a replica is asked again.
+const releaseRetry = 500 * time.Millisecond
+
+// replaced returns the live replica that a learner is about to replace.
+func (s *Shard) replaced(learner *follower) (Member, bool) {
+	for _, m := range s.view.Members[1:] {
+		if m != learner.member && s.env.Peers.Liveness(m) == Alive {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// releasedBy reports whether a live replica has promised not to act on the
+// death of this owner, and asks it to. Without the promise it could act under
+// the old view beside the new replica, if the owner died before it had heard
+// of the new view.
+func (s *Shard) releasedBy(now model.Time, m Member) bool {
+	if s.released == s.view.Epoch {
+		return true
+	}
+	if s.askedAt == 0 || now.Sub(s.askedAt) >= releaseRetry {
+		s.askedAt = now
+		s.sendRelease(m, false)
+	}
+	return false
+}
+
+func (s *Shard) sendRelease(to Member, done bool) {
+	s.env.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_Release{
+		Release: &peerpb.Release{
+			Domain: string(s.id.Domain),
+			Shard:  s.id.Index,
+			Epoch:  s.view.Epoch,
+			Done:   done,
+		},
+	}})
+}
+
+// HandleRelease takes the owner's question or the replica's promise. The
+// replica goes on acknowledging, and may still take over by a write, which
+// conflicts if the owner has written first.
+func (s *Shard) HandleRelease(now model.Time, from Member, m *peerpb.Release) {
+	if m.Epoch != s.view.Epoch {
+		return
+	}
+	switch {
+	case m.Done && s.role == RoleOwner && s.view.Has(from):
+		s.released = m.Epoch
+	case !m.Done && s.role == RoleReplica && from == s.from:
+		s.released = m.Epoch
+		s.sendRelease(from, true)
+	}
+}
--- /dev/null
+++ b/internal/shard/release_test.go
@@ -0,0 +1,106 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+const testNow = model.Time(1_800_000_000 * int64(time.Second))
+
+var (
+	memberA = Member{Instance: "a", Incarnation: "a1"}
+	memberB = Member{Instance: "b", Incarnation: "b1"}
+	memberC = Member{Instance: "c", Incarnation: "c1"}
+)
+
+// fakePeers says of each member what a test sets; all others are alive.
+type fakePeers map[Member]Liveness
+
+func (p fakePeers) Liveness(m Member) Liveness { return p[m] }
+
+// idleQueue admits everything and starts nothing.
+type idleQueue struct{}
+
+func (idleQueue) Submit(model.Time, sched.Job) sched.Verdict                 { return sched.Verdict{} }
+func (idleQueue) Cancel(model.Time, model.JobHandle)                         {}
+func (idleQueue) Done(model.Time, sched.Start, sched.Outcome, time.Duration) {}
+
+func newTestShard(self Member, peers fakePeers) *Shard {
+	e := NewEnv(self, DefaultOptions())
+	e.Queue = idleQueue{}
+	e.Peers = peers
+	return New(e, ID{Domain: "d"})
+}
+
+func view(epoch uint64, members ...Member) View { return View{Epoch: epoch, Members: members} }
+
+func lastRelease(s *Shard) *peerpb.Release {
+	var last *peerpb.Release
+	for _, x := range s.env.TakeEffects().Sends {
+		if r := x.Message.GetRelease(); r != nil {
+			last = r
+		}
+	}
+	return last
+}
+
+// A replica that is to be replaced while it lives must not act at once when
+// its owner dies: the owner may have written the new view already.
+func TestReleasedReplicaActsOnlyByAWrite(t *testing.T) {
+	peers := fakePeers{}
+	b := newTestShard(memberB, peers)
+	b.InstallView(testNow, view(3, memberA, memberB))
+	b.HandleRelease(testNow, memberA, &peerpb.Release{Domain: "d", Epoch: 3})
+	if r := lastRelease(b); r == nil || !r.Done {
+		t.Fatal("the replica does not promise")
+	}
+	peers[memberA] = Dead
+	b.MemberDead(testNow, memberA)
+	if b.Role() != RoleReplica {
+		t.Fatal("the released replica acts under the old view")
+	}
+	p, ok := b.Propose(testNow, Targets{Owner: memberB})
+	if !ok || len(p.View.Members) != 1 || p.View.Owner() != memberB || p.View.Epoch != 4 {
+		t.Fatalf("proposal %+v, %v", p, ok)
+	}
+}
+
+// The owner writes the view without a live replica only after its promise.
+func TestOwnerAsksTheReplicaThatItReplaces(t *testing.T) {
+	peers := fakePeers{}
+	a := newTestShard(memberA, peers)
+	a.InstallView(testNow, view(3, memberA, memberB))
+	targets := Targets{Owner: memberA, Replica: memberC}
+	a.Propose(testNow, targets)
+	a.HandleSnapshotAck(testNow, memberC, learnerAck(a))
+	if p, ok := a.Propose(testNow, targets); ok {
+		t.Fatalf("replaces a live replica unasked: %+v", p)
+	}
+	if r := lastRelease(a); r == nil || r.Done || r.Epoch != 3 {
+		t.Fatalf("the replica is not asked: %v", r)
+	}
+	a.HandleRelease(testNow, memberB, &peerpb.Release{Domain: "d", Epoch: 2, Done: true})
+	if _, ok := a.Propose(testNow, targets); ok {
+		t.Fatal("takes a promise of another epoch")
+	}
+	a.HandleRelease(testNow, memberB, &peerpb.Release{Domain: "d", Epoch: 3, Done: true})
+	p, ok := a.Propose(testNow, targets)
+	if !ok || len(p.View.Members) != 2 || p.View.Members[1] != memberC {
+		t.Fatalf("proposal %+v, %v", p, ok)
+	}
+}
+
+// learnerAck acknowledges the chunk that was sent last.
+func learnerAck(s *Shard) *peerpb.SnapshotAck {
+	ack := &peerpb.SnapshotAck{}
+	for _, x := range s.env.TakeEffects().Sends {
+		if c := x.Message.GetSnapshot(); c != nil {
+			ack = &peerpb.SnapshotAck{Domain: c.Domain, Shard: c.Shard, Epoch: c.Epoch, Chunk: c.Chunk, Learning: c.Learning}
+		}
+	}
+	return ack
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,6 +80,12 @@
 	copies    uint64   // copies to learners begun
 	runners   []Member // they have tasks of an earlier owner in flight
 
+	// released is the epoch in which this replica has promised not to act on
+	// the death of its owner, or, at the owner, the epoch in which its replica
+	// has promised that.
+	released uint64
+	askedAt  model.Time // owner: when the replica was asked for it
+
 	// replica
 	from     Member // the owner whose operations are applied
 	handOver *peerpb.HandOver
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -494,7 +494,7 @@
 	case RoleOwner:
 		s.dropFollower(now, m)
 	case RoleReplica:
-		if m == s.view.Owner() {
+		if m == s.view.Owner() && s.released != s.view.Epoch {
 			s.resumeJobs(now, s.beginOwning())
 		}
 	}
