Run domain-cut with link stand-ins

Links between processes on one loopback couldn't be cut. Now a workload that cuts a domain gets a link stand-in before the peer port of each instance (peers.advertise) and one a domain before the platform; other workloads start none.

--- a/scripts/local-cluster.sh
+++ b/scripts/local-cluster.sh
@@ -10,6 +10,12 @@
 #   SHARDS   shards of each failure domain (default 32)
 #   GOMAXPROCS_ENTRY  processors of an entry instance whose file names none (default 2)
 #
+# Where a workload cuts a domain, a link stand-in stands before the peer port of
+# each entry instance and one a domain before the platform. A cut silences those
+# of the domain: nobody reaches its instances through their peer port, also not
+# each other, and they don't reach the platform. Connections that they dialed to
+# instances of other domains go on, and so do those to backend servers.
+#
 # It leaves in OUTDIR: the load's report and plots, the settings and logs of
 # the processes, usage.csv (processor time and memory of each entry instance),
 # machine.txt (load average before and after) and events.log (the faults brought
@@ -51,6 +57,8 @@
 domains="$(printf '%s\n' "${entry_domains[@]}" | sort -u | sed 's/.*/"&"/' | paste -sd,)"
 
 platform="$net.0.1:9000"
+cuts=no
+case " ${events[*]-} " in *" cut-domain "*) cuts=yes ;; esac
 listed=()
 load_flags=()
 for i in "${!backends[@]}"; do
@@ -75,14 +83,38 @@
   curl -sS --retry 20 --retry-connrefused --retry-delay 1 -X PUT -d "$modes" "http://$net.1.$((i + 1)):9000/standin/modes" >/dev/null
 done
 
+# start_link starts a link stand-in at IP number $1 and port $2 to target $3, with
+# its control port at 9100.
+start_link() {
+  "$bin/nutmegweir" standin link --listen "$1:$2" --target "$3" --control "$1:9100" >"$out/link-$1.log" 2>&1 &
+  pids+=($!)
+}
+domain_list=()
+mapfile -t domain_list < <(printf '%s\n' "${entry_domains[@]}" | sort -u)
+# platform_link prints the IP number of the platform link of domain $1.
+platform_link() {
+  local i
+  for i in "${!domain_list[@]}"; do
+    if [ "${domain_list[$i]}" = "$1" ]; then echo "$net.4.$((i + 1))"; fi
+  done
+}
+if [ "$cuts" = yes ]; then
+  for i in "${!entry_domains[@]}"; do start_link "$net.3.$((i + 1))" 8002 "$net.2.$((i + 1)):8002"; done
+  for d in "${domain_list[@]}"; do start_link "$(platform_link "$d")" 9000 "$platform"; done
+fi
+
 # start_entry starts entry instance number $1.
 start_entry() {
-  local i="$1" ip="$net.2.$(($1 + 1))" procs="${entry_procs[$1]}"
+  local i="$1" ip="$net.2.$(($1 + 1))" procs="${entry_procs[$1]}" at="$platform" peers=""
+  if [ "$cuts" = yes ]; then
+    at="$(platform_link "${entry_domains[$i]}"):9000"
+    peers="\"peers\": {\"advertise\": \"$net.3.$((i + 1)):8002\"},"
+  fi
   cat >"$out/e$i.hujson" <<SETTINGS
 {
   "instance": "e$i", "domain": "${entry_domains[$i]}", "domains": [$domains],
   "listen": {"caller": "$ip:8001", "peer": "$ip:8002", "operator": "$ip:8003"},
-  "platform": {"addr": "$platform"},
+  "platform": {"addr": "$at"}, $peers
   "tls": {"caller": {"plain": true}, "peer": {"plain": true}, "operator": {"plain": true}},
   "shards": {"per_domain": $shards},
   "log_level": "warn",
@@ -129,6 +161,18 @@
 echo "at,instance,cpu_seconds,rss_kb" >"$out/usage.csv"
 usage before >>"$out/usage.csv"
 
+# silence_domain sets whether the links of domain $1 are silent ($2 true or false).
+silence_domain() {
+  local i ips
+  ips=("$(platform_link "$1")")
+  for i in "${!entry_domains[@]}"; do
+    if [ "${entry_domains[$i]}" = "$1" ]; then ips+=("$net.3.$((i + 1))"); fi
+  done
+  for i in "${ips[@]}"; do
+    curl -sS -X PUT -d "{\"silent\":$2}" "http://$i:9100/standin/mode" >>"$out/events.log" 2>&1
+  done
+}
+
 # happen brings about one fault.
 happen() {
   echo "$(date +%T.%3N) $1 $2" >>"$out/events.log"
@@ -140,6 +184,8 @@
     resume-entry) kill -CONT "$(cat "$out/e$2.pid")" ;;
     stop-platform) kill -STOP "$platform_pid" ;;
     start-platform) kill -CONT "$platform_pid" ;;
+    cut-domain) silence_domain "$2" true ;;
+    heal-domain) silence_domain "$2" false ;;
     *) echo "$1 cannot be brought about between processes on one loopback" >>"$out/events.log" ;;
   esac
 }
