Start only single requests again, and never beside a start that may run

Cause: a load run found three single-task jobs marked repeatable that had started twice, one of them after a lost connection, which does not show that the first start has ended. A job is never started again now, whatever its size; a request is, after a known failure or once its server refuses fresh connections. The client submits requests as requests.

--- a/client/client.go
+++ b/client/client.go
@@ -166,33 +166,62 @@
 // Start submits a job and returns its answer after at most wait, pending if
 // it is not complete.
 func (c *Client) Start(ctx context.Context, j *Job, wait time.Duration) (*Answer, error) {
-	body, err := json.Marshal(j)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode the job")
-	}
 	again := *j
 	again.FirstAttempt = false
-	bodyAgain, err := json.Marshal(&again)
+	k, err := submission(api.PathJobs, j, &again, wait)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode the job")
+		return nil, err
 	}
-	return c.answer(ctx, call{method: http.MethodPost, path: api.PathJobs, body: body, bodyAgain: bodyAgain, wait: wait, waits: true})
+	return c.answer(ctx, k)
+}
+
+// submission returns the call that submits a body, or the body again once an
+// attempt has stayed without an answer.
+func submission(path string, body, again any, wait time.Duration) (call, error) {
+	first, err := json.Marshal(body)
+	if err != nil {
+		return call{}, errors.Wrap(err, "encode the submission")
+	}
+	later, err := json.Marshal(again)
+	if err != nil {
+		return call{}, errors.Wrap(err, "encode the submission")
+	}
+	return call{method: http.MethodPost, path: path, body: first, bodyAgain: later, wait: wait, waits: true}, nil
 }
 
 // Request submits a request, a job of one task, and returns its result.
 func (c *Client) Request(ctx context.Context, r *Request) (*TaskResult, error) {
-	a, err := c.Submit(ctx, &Job{
-		Customer:      r.Customer,
-		Home:          r.Home,
-		Key:           r.Key,
-		Kind:          r.Kind,
-		Tasks:         []json.RawMessage{r.Payload},
-		DeadlineMs:    r.DeadlineMs,
-		Repeatable:    r.Repeatable,
-		DeclaredRunMs: r.DeclaredRunMs,
-		Needs:         r.Needs,
-		FirstAttempt:  r.FirstAttempt,
-	})
+	again := *r
+	again.FirstAttempt = false
+	k, err := submission(api.PathRequests, r, &again, c.opts.PollWait)
+	if err != nil {
+		return nil, err
+	}
+	body, err := c.repeat(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	var got requestAnswer
+	if err := json.Unmarshal(body, &got); err != nil {
+		return nil, lost(errors.Wrap(err, "the answer can't be decoded"))
+	}
+	if got.Status == api.StatusPending {
+		return c.waitRequest(ctx, r)
+	}
+	if got.Ran == "" {
+		return nil, lost(errors.New("the answer holds no result"))
+	}
+	return &got.TaskResult, nil
+}
+
+// requestAnswer is the answer to a request: its result, or that it is pending.
+type requestAnswer struct {
+	Status api.Status `json:"status"`
+	TaskResult
+}
+
+func (c *Client) waitRequest(ctx context.Context, r *Request) (*TaskResult, error) {
+	a, err := c.Wait(ctx, Identity{Home: r.Home, Customer: r.Customer, Key: r.Key})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 	Error   string
 	Ran     time.Duration
 	Leaving bool // the server says that it is leaving
+	Gone    bool // lost, and the server refuses fresh connections
 }
 
 // Options are the settings of a Pool.
@@ -142,9 +144,20 @@
 	defer stop()
 	res := p.exchange(ctx, addr, t)
 	res.Ran = time.Since(began)
+	res.Gone = res.Outcome == sched.OutcomeLost && refuses(addr)
 	return res
 }
 
+// refuses reports whether a fresh connection is refused, which proves that the
+// server's process is gone and with it every start on it.
+func refuses(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // exchange sends the request. A failure before a connection was at hand
 // proves that no byte left; after that the task may have run.
 func (p *Pool) exchange(ctx context.Context, addr string, t Task) Result {
--- a/internal/caller/convert.go
+++ b/internal/caller/convert.go
@@ -31,7 +31,7 @@
 	if len(r.Payload) == 0 {
 		return nil, problem.New(problem.InvalidRequest, "payload is missing")
 	}
-	return h.spec(&api.Job{
+	spec, err := h.spec(&api.Job{
 		Customer:      r.Customer,
 		Home:          r.Home,
 		Key:           r.Key,
@@ -43,6 +43,11 @@
 		Needs:         r.Needs,
 		FirstAttempt:  r.FirstAttempt,
 	})
+	if err != nil {
+		return nil, err
+	}
+	spec.Request = true
+	return spec, nil
 }
 
 // spec checks a job and converts it.
--- a/internal/core/coretest/callers_test.go
+++ b/internal/core/coretest/callers_test.go
@@ -54,6 +54,7 @@
 		},
 		Kind:       "k",
 		Repeatable: repeatable,
+		Request:    n == 1,
 	}
 	for i := range n {
 		j.spec.Payloads = append(j.spec.Payloads, []byte(fmt.Sprint(j.name, "/", i)))
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -209,6 +209,7 @@
 			Ran:     res.Ran,
 			Output:  res.Output,
 			Error:   res.Error,
+			Gone:    res.Gone,
 		}})
 	})
 }
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -231,8 +231,13 @@
 	Ran     time.Duration
 	Output  []byte
 	Error   string
+	Gone    bool // the server's process is proven to be gone
 }
 
+// ended reports whether the start is known to have ended, so that another one
+// would not run beside it.
+func (d TaskDone) ended() bool { return d.Outcome == sched.OutcomeFailed || d.Gone }
+
 func (e *Env) register(s *Shard, r *record) model.JobHandle {
 	e.nextHandle++
 	e.jobs[e.nextHandle] = jobRef{shard: s, rec: r}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -309,7 +309,7 @@
 		j.states[i] = taskQueued
 		return
 	case sched.OutcomeFailed, sched.OutcomeLost:
-		if j.retryable() && s.role == RoleOwner && s.retry(now, r, i) {
+		if d.ended() && j.retryable() && s.role == RoleOwner && s.retry(now, r, i) {
 			return
 		}
 	}
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -125,10 +125,10 @@
 }
 
 // retryable reports whether a task may be started again after a failure. Only
-// a single request that its caller marked as repeatable may; tasks of larger
-// jobs start at most once.
+// a single request that its caller marked as repeatable may; tasks of jobs
+// start at most once.
 func (j *job) retryable() bool {
-	return j.spec.Repeatable && len(j.spec.Payloads) == 1
+	return j.spec.Repeatable && j.spec.Request && len(j.spec.Payloads) == 1
 }
 
 // complete returns the whole answer, or nil while tasks are open or failed.
