--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -34,8 +34,22 @@
 	if payloads := int64(20 * 3 * 2 * 10); b.bytes <= payloads {
 		t.Fatalf("%d bytes to the replica, %d of payload and output", b.bytes, payloads)
 	}
-	if b.snapshotBytes() == 0 {
-		t.Fatal("the snapshot is empty")
+	if sum, sent := b.snapshotBytes(); sum == 0 || sent != 20 {
+		t.Fatalf("the snapshot has %d bytes and %d jobs, want 20 jobs", sum, sent)
+	}
+}
+
+func TestSnapshotOfSeveralChunksIsWhole(t *testing.T) {
+	b := newShardBench(ShardLoad{JobTasks: 1, JobsPerRound: 4, PayloadBytes: 10_000, OutputBytes: 10_000})
+	for b.jobs < 80 {
+		b.round(4)
+	}
+	for range roundsInUse + 50 {
+		b.round(0)
+	}
+	chunk := int64(b.ownerEnv.Opts.ChunkBytes)
+	if sum, sent := b.snapshotBytes(); sum <= 2*chunk || sent != 80 {
+		t.Fatalf("%d bytes and %d jobs, want more than %d bytes and 80 jobs", sum, sent, 2*chunk)
 	}
 }
 
--- a/internal/capacity/shard.go
+++ b/internal/capacity/shard.go
@@ -34,6 +34,7 @@
 	OwnerJobBytes    float64 `json:"owner_job_bytes"` // memory of a remembered job
 	ReplicaJobBytes  float64 `json:"replica_job_bytes"`
 	SnapshotJobBytes float64 `json:"snapshot_job_bytes"` // sent to a learner, a job
+	SnapshotJobs     int     `json:"snapshot_jobs"`      // sent to a learner, all jobs when it is whole
 }
 
 // ShardLoads returns the loads to measure.
@@ -97,7 +98,9 @@
 		BytesPerTask:    float64(b.bytes) / tasks,
 		AckBytesPerTask: float64(b.ackBytes) / tasks,
 	}
-	fig.SnapshotJobBytes = float64(b.snapshotBytes()) / float64(b.owner.Jobs())
+	snapshot, sent := b.snapshotBytes()
+	fig.SnapshotJobBytes = float64(snapshot) / float64(sent)
+	fig.SnapshotJobs = sent
 	fig.OwnerJobBytes, fig.ReplicaJobBytes = b.memory()
 	return fig
 }
@@ -253,23 +256,37 @@
 	return s
 }
 
-// snapshotBytes is what the owner sends to a new learner.
-func (b *shardBench) snapshotBytes() int64 {
-	var sum int64
+// snapshotBytes returns what the owner sends to a new learner, and the number
+// of jobs in it.
+func (b *shardBench) snapshotBytes() (sum int64, jobs int) {
 	b.owner.AddLearner(b.now, learnerMember)
-	for chunk := uint32(0); ; chunk++ {
-		last := true
-		for _, s := range b.ownerEnv.TakeEffects().Sends {
-			if c := s.Message.GetSnapshot(); c != nil {
-				sum += int64(proto.Size(s.Message))
-				last = c.Last
-			}
+	for {
+		c := snapshotOf(b.ownerEnv.TakeEffects())
+		if c == nil {
+			return sum, jobs
+		}
+		sum += int64(proto.Size(&peerpb.Message{Body: &peerpb.Message_Snapshot{Snapshot: c}}))
+		jobs += len(c.Records)
+		if c.Last {
+			return sum, jobs
 		}
-		if last {
-			return sum
+		b.owner.HandleSnapshotAck(b.now, learnerMember, &peerpb.SnapshotAck{
+			Domain:   shardName,
+			Epoch:    1,
+			Chunk:    c.Chunk,
+			Learning: c.Learning,
+		})
+	}
+}
+
+// snapshotOf returns the chunk among the messages, nil if there is none.
+func snapshotOf(e shard.Effects) *peerpb.Snapshot {
+	for _, s := range e.Sends {
+		if c := s.Message.GetSnapshot(); c != nil {
+			return c
 		}
-		b.owner.HandleSnapshotAck(b.now, learnerMember, &peerpb.SnapshotAck{Domain: shardName, Epoch: 1, Chunk: chunk})
 	}
+	return nil
 }
 
 // memory returns the bytes that a remembered job takes at owner and replica.
