--- /dev/null
+++ b/internal/shard/handover.go
@@ -0,0 +1,214 @@
+package shard
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// Seal stops new claims and starts, so that the shard can be handed over to
+// its replica. Intents beyond the started tasks are taken back, which only
+// the owner can do.
+func (s *Shard) Seal(now model.Time, target Member) {
+	if s.sealed || s.role != RoleOwner {
+		return
+	}
+	s.sealed = true
+	s.target = target
+	s.releaseStarts(now)
+	h := &peerpb.HandOver{
+		Domain:  string(s.id.Domain),
+		Shard:   s.id.Index,
+		Epoch:   s.view.Epoch,
+		Leaving: s.env.Leaving,
+	}
+	for _, r := range s.order {
+		if r.job != nil && s.records[r.key] == r {
+			s.sealJob(now, r, h)
+		}
+	}
+	// The acknowledgement of an operation that is sent after the note shows
+	// that the successor has the note.
+	s.sealNote = h
+	s.sendSealNote()
+	s.appendFloor(now)
+	s.markUrgent()
+}
+
+func (s *Shard) sendSealNote() {
+	s.env.send(s.target.Instance, &peerpb.Message{
+		Body: &peerpb.Message_HandOver{HandOver: s.sealNote},
+	})
+}
+
+func (s *Shard) releaseStarts(now model.Time) {
+	kept := s.waits[:0]
+	for _, w := range s.waits {
+		if w.rec == nil {
+			kept = append(kept, w)
+			continue
+		}
+		s.start(now, w.rec, w.start)
+	}
+	s.waits = kept
+}
+
+// sealJob takes back the intents of tasks that have not started. Tasks in
+// flight are listed for the successor.
+func (s *Shard) sealJob(now model.Time, r *record, h *peerpb.HandOver) {
+	j := r.job
+	for _, hd := range j.handles {
+		s.env.Queue.Cancel(now, hd)
+	}
+	upto := uint32(0)
+	for i := range j.states {
+		if !j.unstarted(i) {
+			upto = uint32(i) + 1
+		}
+	}
+	if upto < j.intent {
+		j.intent = upto
+		s.append(now, &peerpb.Operation{Body: &peerpb.Operation_Intent{
+			Intent: &peerpb.Intent{Record: r.number, Upto: upto},
+		}})
+	}
+	h.Open = append(h.Open, s.inFlight(j)...)
+}
+
+// inFlight lists the tasks of a job that are in flight, by who reports them.
+func (s *Shard) inFlight(j *job) []*peerpb.OpenTasks {
+	var list []*peerpb.OpenTasks
+	for i, st := range j.states {
+		var runner Member
+		switch st {
+		case taskStarted:
+			runner = s.env.Self
+		case taskRemote:
+			runner = j.runners[uint32(i)]
+		default:
+			continue
+		}
+		list = addOpen(list, j.spec.Identity, runner, uint32(i))
+	}
+	return list
+}
+
+func addOpen(list []*peerpb.OpenTasks, id *peerpb.Identity, runner Member, i uint32) []*peerpb.OpenTasks {
+	for _, o := range list {
+		if memberFromProto(o.Runner) == runner {
+			o.Indexes = append(o.Indexes, i)
+			return list
+		}
+	}
+	return append(list, &peerpb.OpenTasks{
+		Identity: id,
+		Indexes:  []uint32{i},
+		Runner:   memberProto(runner),
+	})
+}
+
+// unseal goes on as owner after a hand-over that did not take place.
+func (s *Shard) unseal(now model.Time) {
+	if !s.sealed {
+		return
+	}
+	s.sealed = false
+	held := s.held
+	s.held = nil
+	for _, h := range held {
+		switch {
+		case h.rec.job == nil:
+		case h.res.Ran == peerpb.Ran_RAN_NO:
+			h.rec.job.states[h.res.Index] = taskQueued
+		default:
+			s.result(now, h.rec, h.res)
+		}
+	}
+	for _, r := range s.order {
+		if r.job != nil && s.records[r.key] == r {
+			s.requeueOpen(now, r)
+		}
+	}
+	s.unpark(now)
+}
+
+// requeueOpen queues the tasks of a job that are neither in flight nor closed.
+func (s *Shard) requeueOpen(now model.Time, r *record) {
+	j := r.job
+	first := len(j.states)
+	for i := len(j.states) - 1; i >= 0 && (j.states[i] == taskQueued || j.states[i] == taskBound); i-- {
+		j.states[i] = taskQueued
+		first = i
+	}
+	if first < len(j.states) {
+		h := s.env.register(s, r)
+		j.handles = append(j.handles, h)
+		s.env.Queue.Submit(now, s.queueJob(h, j.spec, first, true))
+	}
+	for i := range first {
+		if j.states[i] == taskQueued || j.states[i] == taskBound {
+			s.requeueOne(now, r, i)
+		}
+	}
+}
+
+func (s *Shard) requeueOne(now model.Time, r *record, i int) {
+	j := r.job
+	j.states[i] = taskQueued
+	h := s.env.register(s, r)
+	j.handles = append(j.handles, h)
+	q := s.queueJob(h, j.spec, i, true)
+	q.Tasks = i + 1
+	s.env.Queue.Submit(now, q)
+}
+
+func (s *Shard) unpark(now model.Time) {
+	parked := s.parked
+	s.parked = nil
+	for _, p := range parked {
+		s.Submit(now, p.spec, p.waiter, p.report)
+	}
+}
+
+// HandleHandOver keeps the list of tasks that the owner has in flight.
+func (s *Shard) HandleHandOver(from Member, m *peerpb.HandOver) {
+	if s.role == RoleReplica && from == s.from && m.Epoch == s.view.Epoch {
+		s.handOver = m
+	}
+}
+
+// forwardResult sends the result of a task that this instance started as
+// owner to the present owner.
+func (s *Shard) forwardResult(r *record, res *peerpb.TaskResult) {
+	owner := s.view.Owner()
+	s.env.send(owner.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteResult{
+		RemoteResult: &peerpb.RemoteResult{
+			Domain:   string(s.id.Domain),
+			Shard:    s.id.Index,
+			Identity: r.key.identity(s.id.Domain),
+			Result:   res,
+		},
+	}})
+}
+
+// HandleRemoteResult takes the result of a task that an earlier owner started.
+func (s *Shard) HandleRemoteResult(now model.Time, m *peerpb.RemoteResult) {
+	if s.role != RoleOwner {
+		s.passOn(m)
+		return
+	}
+	r := s.openRecord(m.Identity)
+	if r == nil || r.job.states[m.Result.Index] != taskRemote {
+		return
+	}
+	s.result(now, r, m.Result)
+}
+
+// passOn sends a result to the owner that came after this one.
+func (s *Shard) passOn(m *peerpb.RemoteResult) {
+	owner := s.view.Owner()
+	if owner == (Member{}) || owner == s.env.Self {
+		return
+	}
+	s.sendView(owner)
+	s.env.send(owner.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteResult{RemoteResult: m}})
+}
--- /dev/null
+++ b/internal/shard/results.go
@@ -0,0 +1,210 @@
+package shard
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// taskDone takes the outcome of a start that has left.
+func (s *Shard) taskDone(now model.Time, r *record, d TaskDone) {
+	j := r.job
+	if j == nil {
+		return
+	}
+	i := d.Start.Index
+	if s.returned(r, i) {
+		s.reportBack(now, r, d)
+		return
+	}
+	if j.states[i] != taskStarted {
+		return
+	}
+	j.started--
+	switch d.Outcome {
+	case sched.OutcomeNotStarted, sched.OutcomeUnreachable:
+		if s.sealed || s.role != RoleOwner {
+			s.result(now, r, notStartedResult(i))
+			s.releaseHandles(r)
+			return
+		}
+		// The scheduler has queued the task again.
+		j.states[i] = taskQueued
+		return
+	case sched.OutcomeFailed, sched.OutcomeLost:
+		if d.ended() && j.retryable() && s.role == RoleOwner && s.retry(now, r, i) {
+			return
+		}
+	}
+	s.result(now, r, resultOf(d))
+	s.releaseHandles(r)
+}
+
+// returned reports whether the shard went to another owner and came back while
+// the task was in flight.
+func (s *Shard) returned(r *record, i int) bool {
+	if s.role != RoleOwner {
+		return false
+	}
+	return s.records[r.key] != r || r.job.states[i] == taskRemote
+}
+
+// reportBack takes a result of this instance as an earlier owner.
+func (s *Shard) reportBack(now model.Time, r *record, d TaskDone) {
+	r.job.started--
+	if s.records[r.key] != r && r.job.started == 0 {
+		s.unqueue(now, r.job)
+	}
+	res := resultOf(d)
+	if d.Outcome == sched.OutcomeNotStarted || d.Outcome == sched.OutcomeUnreachable {
+		res = notStartedResult(d.Start.Index)
+	}
+	s.HandleRemoteResult(now, &peerpb.RemoteResult{
+		Identity: r.key.identity(s.id.Domain),
+		Result:   res,
+	})
+}
+
+// releaseHandles forgets the handles of a job that is owned elsewhere once
+// its last task in flight has ended.
+func (s *Shard) releaseHandles(r *record) {
+	if s.role == RoleOwner || r.job == nil || r.job.started > 0 {
+		return
+	}
+	for _, h := range r.job.handles {
+		delete(s.env.jobs, h)
+	}
+	r.job.handles = nil
+}
+
+func resultOf(d TaskDone) *peerpb.TaskResult {
+	t := &peerpb.TaskResult{
+		Index:  uint32(d.Start.Index),
+		Ran:    peerpb.Ran_RAN_YES,
+		Ok:     d.Outcome == sched.OutcomeOK,
+		Output: d.Output,
+		Error:  d.Error,
+	}
+	if d.Outcome == sched.OutcomeLost {
+		t.Ran = peerpb.Ran_RAN_UNKNOWN
+	}
+	return t
+}
+
+// notStartedResult tells the present owner that a task in flight was refused
+// before its start, so that it may start elsewhere.
+func notStartedResult(i int) *peerpb.TaskResult {
+	return &peerpb.TaskResult{Index: uint32(i), Ran: peerpb.Ran_RAN_NO}
+}
+
+// maxAttempts bounds the starts of one repeatable task.
+const maxAttempts = 3
+
+// retry queues a repeatable task again, as a job of its own in the queue.
+func (s *Shard) retry(now model.Time, r *record, index int) bool {
+	j := r.job
+	if s.sealed || j.attempts[index] >= maxAttempts || !s.env.takeRetry() {
+		return false
+	}
+	h := s.env.register(s, r)
+	q := s.queueJob(h, j.spec, index, true)
+	q.Tasks = index + 1
+	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
+		delete(s.env.jobs, h)
+		return false
+	}
+	j.handles = append(j.handles, h)
+	j.states[index] = taskQueued
+	j.markRan(index)
+	return true
+}
+
+// result records the result of a task and closes the job if it was the last
+// one or a failure.
+func (s *Shard) result(now model.Time, r *record, res *peerpb.TaskResult) {
+	if s.role != RoleOwner {
+		s.forwardResult(r, res)
+		return
+	}
+	// The successor begins at the last operation before the hand-over.
+	if s.sealed {
+		s.held = append(s.held, heldResult{rec: r, res: res})
+		return
+	}
+	j := r.job
+	if res.Ran == peerpb.Ran_RAN_NO {
+		s.requeueOne(now, r, int(res.Index))
+		return
+	}
+	if !j.record(res) {
+		return
+	}
+	j.states[res.Index] = taskClosed
+	op := s.resultOperation(r, res)
+	if a := j.complete(); a != nil {
+		s.appendUrgent(now, op)
+		s.finish(now, r, a)
+		return
+	}
+	s.append(now, op)
+	if !res.Ok {
+		s.giveUp(now, r, failureOf(res))
+	}
+}
+
+func failureOf(res *peerpb.TaskResult) string {
+	if res.Ran == peerpb.Ran_RAN_UNKNOWN {
+		return ProblemUnknown
+	}
+	return ProblemJobFailed
+}
+
+// giveUp closes a job as failed. Tasks in flight go on, but the answer does
+// not wait for them.
+func (s *Shard) giveUp(now model.Time, r *record, problem string) {
+	if r.job == nil || s.role != RoleOwner || s.sealed {
+		return
+	}
+	a := r.job.fail(problem)
+	s.appendUrgent(now, &peerpb.Operation{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
+		Record: r.number,
+		Answer: a,
+	}}})
+	s.finish(now, r, a)
+}
+
+// finish makes an answer final and gives it to the waiters once it is
+// committed.
+func (s *Shard) finish(now model.Time, r *record, a *peerpb.Answer) {
+	j := r.job
+	s.unqueue(now, j)
+	s.setFinal(r, a)
+	s.answerAfter(s.seq, a, j.waiters...)
+}
+
+func (s *Shard) unqueue(now model.Time, j *job) {
+	for _, h := range j.handles {
+		s.env.Queue.Cancel(now, h)
+		delete(s.env.jobs, h)
+	}
+	j.handles = nil
+}
+
+// resultOperation returns the operation of a result. It is the most frequent
+// one: its parts share one allocation, and without followers it is nil, for
+// append only counts it then.
+func (s *Shard) resultOperation(r *record, res *peerpb.TaskResult) *peerpb.Operation {
+	if len(s.followers) == 0 {
+		return nil
+	}
+	var parts struct {
+		operation peerpb.Operation
+		body      peerpb.Operation_Result
+		result    peerpb.Result
+	}
+	parts.result.Record = r.number
+	parts.result.Result = res
+	parts.body.Result = &parts.result
+	parts.operation.Body = &parts.body
+	return &parts.operation
+}
