--- a/internal/capacity/views.go
+++ b/internal/capacity/views.go
@@ -265,10 +265,10 @@
 
 func (b *viewsBench) attempt(n *viewNode, addr string) {
 	if to := b.at(addr); to != nil {
-		b.step(n, core.PeerUp{Addr: addr, Member: to.info.Member, Domain: to.info.Domain, Reset: true})
+		b.step(n, core.PeerUp{Addr: addr, Member: to.info.Member, Domain: to.info.Domain, Began: b.agenda.now, Reset: true})
 		return
 	}
-	b.step(n, core.PeerRefused{Addr: addr})
+	b.step(n, core.PeerRefused{Addr: addr, Began: b.agenda.now})
 	if n.alive {
 		b.agenda.add(b.agenda.now.Add(redialEvery), func() { b.attempt(n, addr) })
 	}
