Report quarantine, links, servers and refusals; drop events and metrics that nothing feeds

The audit trail gets quarantines and refusals in numbers, the log links, backend servers and the platform's return; only the first of a row of platform failures is logged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,7 @@
 
 	observer *observer
 	trail    *audit.Trail
+	refusals audit.Refusals
 	store    *tablestore.Store
 	sync     *tablesync.Runner
 	cancel   context.CancelFunc // ends what runs beside the runtime
@@ -137,11 +138,11 @@
 	if err != nil {
 		return err
 	}
+	i.observer = newObserver(i.log, i.metrics)
 	if p == nil {
 		p = i.httpPlatform()
 	}
 	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns, Watch: backend.DefaultWatch()})
-	i.observer = newObserver(i.log, i.metrics)
 	if err := i.assembleTable(p); err != nil {
 		return err
 	}
@@ -176,7 +177,7 @@
 		CallTimeout:     time.Duration(i.set.Platform.TimeoutMs) * time.Millisecond,
 		ReadsPerSecond:  float64(i.set.Platform.ReadsPerSecond),
 		WritesPerSecond: float64(i.set.Platform.WritesPerSecond),
-		Counter:         i.metrics,
+		Counter:         i.observer,
 	})
 }
 
@@ -213,7 +214,7 @@
 		return err
 	}
 	i.handler = caller.New(caller.Options{
-		Dispatcher: dispatcher{i.runtime},
+		Dispatcher: dispatcher{Runtime: i.runtime, refusals: &i.refusals},
 		Domains:    i.set.Domains,
 		Limits:     i.set.Limits,
 		Log:        i.log,
@@ -252,6 +253,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.wg.Go(func() { i.sync.Run(ctx) })
+	i.wg.Go(func() { i.logReady(ctx) })
+	i.wg.Go(func() { i.sumRefusals(ctx) })
+	i.logPlain()
 	go i.serve(i.callerServer, i.callerListener)
 	go i.serve(i.operatorServer, i.operatorListener)
 	i.log.Event(eventlog.InstanceStarted).
@@ -286,6 +290,9 @@
 	err := i.callerServer.Shutdown(ctx)
 	_ = i.operatorServer.Close()
 	i.Close()
+	if err != nil {
+		i.log.Event(eventlog.InstanceStopForced).Err(err).Send()
+	}
 	i.log.Event(eventlog.InstanceStopped).Send()
 	return errors.Wrap(err, "requests were in flight at the bound of the stop; raise stop_bound_s")
 }
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/audit"
@@ -13,6 +14,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/operator"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/platform"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
 )
 
@@ -24,6 +26,9 @@
 	mu      sync.RWMutex
 	domains map[model.ServerID]string
 	servers []sched.Server
+	broken  map[model.ServerID]bool
+	linked  map[model.Instance]bool
+	lost    atomic.Bool // the platform did not answer last
 
 	// Set before the first event.
 	peers func([]sched.Peer)
@@ -31,7 +36,13 @@
 }
 
 func newObserver(l *eventlog.Log, m *metrics.Metrics) *observer {
-	return &observer{log: l, metrics: m, domains: make(map[model.ServerID]string)}
+	return &observer{
+		log:     l,
+		metrics: m,
+		domains: make(map[model.ServerID]string),
+		broken:  make(map[model.ServerID]bool),
+		linked:  make(map[model.Instance]bool),
+	}
 }
 
 // Step implements runtime.Observer.
@@ -41,12 +52,7 @@
 
 // Note implements runtime.Observer.
 func (o *observer) Note(n core.Note) {
-	o.log.Event(eventOf(n.Kind)).
-		Str("shard_domain", string(n.Domain)).
-		Uint32("shard", n.Shard).
-		Uint64("epoch", n.Epoch).
-		Str("member", string(n.Member.Instance)).
-		Send()
+	o.logNote(n)
 	switch n.Kind {
 	case core.NoteTakeover:
 		o.metrics.Takeovers.WithLabelValues("kept").Inc()
@@ -61,7 +67,56 @@
 			Row:    "shard " + strconv.Itoa(int(n.Shard)),
 			Note:   "epoch " + strconv.FormatUint(n.Epoch, 10) + ", owner " + string(n.Member.Instance),
 		})
+	case core.NoteQuarantined:
+		o.setQuarantine(n.Server, true)
+		o.audit(audit.Record{Action: audit.ActionQuarantine, Row: string(n.Server)})
+	case core.NoteRestored:
+		o.setQuarantine(n.Server, false)
+		o.audit(audit.Record{Action: audit.ActionRestore, Row: string(n.Server)})
+	}
+}
+
+func (o *observer) logNote(n core.Note) {
+	e := o.log.Event(eventOf(n.Kind))
+	if n.Server != "" {
+		e.Str("server", string(n.Server)).Send()
+		return
+	}
+	e.Str("shard_domain", string(n.Domain)).
+		Uint32("shard", n.Shard).
+		Uint64("epoch", n.Epoch).
+		Str("member", string(n.Member.Instance)).
+		Send()
+}
+
+func (o *observer) setQuarantine(id model.ServerID, in bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if in {
+		o.broken[id] = true
+		return
 	}
+	delete(o.broken, id)
+}
+
+func eventOf(k core.NoteKind) eventlog.Event {
+	switch k {
+	case core.NoteSuspended:
+		return eventlog.PauseDetected
+	case core.NoteResumed:
+		return eventlog.AdmissionResumed
+	case core.NoteTakeover:
+		return eventlog.ShardTakenOver
+	case core.NoteFloor:
+		return eventlog.FloorRaised
+	case core.NoteSilent:
+		return eventlog.PeerSilent
+	case core.NoteQuarantined:
+		return eventlog.ServerQuarantined
+	case core.NoteRestored:
+		return eventlog.ServerRestored
+	}
+	return eventlog.ViewChanged
 }
 
 // audit adds a record to the trail. The reducer's goroutine does not wait for
@@ -73,7 +128,19 @@
 
 // Peers implements runtime.Observer.
 func (o *observer) Peers(list []sched.Peer) {
-	o.metrics.PeerLinks.Set(float64(len(list)))
+	now := make(map[model.Instance]bool, len(list))
+	for _, p := range list {
+		now[p.ID] = true
+		if !o.linked[p.ID] {
+			o.log.Event(eventlog.PeerLinked).Str("peer", string(p.ID)).Send()
+		}
+	}
+	for id := range o.linked {
+		if !now[id] {
+			o.log.Event(eventlog.PeerLost).Str("peer", string(id)).Send()
+		}
+	}
+	o.linked = now
 	o.peers(list)
 }
 
@@ -89,6 +156,8 @@
 			Addr:   s.Addr,
 			Slots:  s.Slots,
 			Listed: listed(s.State),
+
+			Quarantined: o.broken[s.ID],
 		}
 	}
 	return list
@@ -101,28 +170,21 @@
 	return "active"
 }
 
-func eventOf(k core.NoteKind) eventlog.Event {
-	switch k {
-	case core.NoteSuspended:
-		return eventlog.PauseDetected
-	case core.NoteResumed:
-		return eventlog.AdmissionResumed
-	case core.NoteTakeover:
-		return eventlog.ShardTakenOver
-	case core.NoteFloor:
-		return eventlog.FloorRaised
-	case core.NoteDead:
-		return eventlog.PeerDead
-	case core.NoteSilent:
-		return eventlog.PeerSilent
+// PlatformError implements runtime.Observer. Only the first failure in a row
+// is logged.
+func (o *observer) PlatformError(op string, err error) {
+	o.metrics.PlatformUp.Set(0)
+	if !o.lost.Swap(true) {
+		o.log.Event(eventlog.PlatformLost).Str("call", op).Err(err).Send()
 	}
-	return eventlog.ViewChanged
 }
 
-// PlatformError implements runtime.Observer.
-func (o *observer) PlatformError(op string, err error) {
-	o.log.Event(eventlog.PlatformLost).Str("call", op).Err(err).Send()
-	o.metrics.PlatformUp.Set(0)
+// Count implements platform.Counter.
+func (o *observer) Count(c platform.Call) {
+	o.metrics.Count(c)
+	if c.Kind == platform.KindNone && o.lost.Swap(false) {
+		o.log.Event(eventlog.PlatformBack).Send()
+	}
 }
 
 // Servers implements runtime.Observer.
@@ -133,9 +195,32 @@
 		domains[s.ID] = string(s.Domain)
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	before := o.servers
 	o.domains = domains
 	o.servers = list
+	o.mu.Unlock()
+	o.logServers(before, list)
+}
+
+// logServers logs what has changed in the list.
+func (o *observer) logServers(before, now []sched.Server) {
+	states := make(map[model.ServerID]sched.ServerState, len(before))
+	for _, s := range before {
+		states[s.ID] = s.State
+	}
+	for _, s := range now {
+		state, known := states[s.ID]
+		delete(states, s.ID)
+		switch {
+		case !known:
+			o.log.Event(eventlog.ServerAdded).Str("server", string(s.ID)).Send()
+		case state != s.State && s.State == sched.ServerLeaving:
+			o.log.Event(eventlog.ServerLeaving).Str("server", string(s.ID)).Send()
+		}
+	}
+	for id := range states {
+		o.log.Event(eventlog.ServerGone).Str("server", string(id)).Send()
+	}
 }
 
 // TaskDone implements runtime.Observer.
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -11,12 +11,27 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/audit"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/runtime"
 )
 
 // dispatcher is the runtime as the caller port uses it.
-type dispatcher struct{ *runtime.Runtime }
+type dispatcher struct {
+	*runtime.Runtime
+	refusals *audit.Refusals
+}
+
+// Submit passes a submission on and counts it for the audit trail if it is
+// refused.
+func (d dispatcher) Submit(ctx context.Context, spec *peerpb.JobSpec, wait bool) (*peerpb.Answer, error) {
+	a, err := d.Runtime.Submit(ctx, spec, wait)
+	if err == nil && a.Status == peerpb.Status_STATUS_REFUSED {
+		d.refusals.Add(model.Customer(spec.Identity.Customer), a.Problem)
+	}
+	return a, err
+}
 
 // Explain says where a job stands.
 func (d dispatcher) Explain(ctx context.Context, id *peerpb.Identity) (string, error) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -43,6 +44,7 @@
 	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
+	broken    []model.ServerID      // backend servers in quarantine, when last looked
 	leaving   map[shard.Member]bool // instances that have said that they stop
 	stopping  bool
 }
@@ -98,7 +100,9 @@
 	case PeerRefused:
 		r.peerRefused(now, e)
 	case PeerUnanswered:
-		r.peers.unanswered(e, r.plan.suspendedAt)
+		if m, ok := r.peers.unanswered(e, r.plan.suspendedAt); ok {
+			r.note(Note{Kind: NoteSilent, Member: m})
+		}
 		r.peersChanged(now)
 	case Seeds:
 		for _, a := range e.Addrs {
@@ -164,11 +168,29 @@
 		return
 	}
 	r.lastSlow = now
+	r.noteQuarantine()
 	for _, s := range r.own {
 		s.TickSlow(now)
 	}
 }
 
+// noteQuarantine notes which backend servers went into quarantine and out of
+// it.
+func (r *Reducer) noteQuarantine() {
+	list := r.sched.Quarantined()
+	for _, id := range list {
+		if !slices.Contains(r.broken, id) {
+			r.note(Note{Kind: NoteQuarantined, Server: id})
+		}
+	}
+	for _, id := range r.broken {
+		if !slices.Contains(list, id) {
+			r.note(Note{Kind: NoteRestored, Server: id})
+		}
+	}
+	r.broken = list
+}
+
 // settle passes between scheduler, shards and router until nothing is left.
 func (r *Reducer) settle(now model.Time) {
 	for {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -178,6 +178,7 @@
 	Shard  uint32
 	Epoch  uint64
 	Member shard.Member
+	Server model.ServerID // NoteQuarantined and NoteRestored
 }
 
 // NoteKind is the kind of a Note.
@@ -189,9 +190,10 @@
 	NoteResumed
 	NoteTakeover
 	NoteViewChanged
-	NoteDead
 	NoteSilent
 	NoteFloor
+	NoteQuarantined
+	NoteRestored
 )
 
 // Effects is what the runtime has to do after a step.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -204,16 +204,21 @@
 	l.silent = 0
 }
 
-func (p *peers) unanswered(e PeerUnanswered, suspendedAt model.Time) {
+// unanswered takes a connection that stayed unanswered, and returns the member
+// at its address if it is silent from now on.
+func (p *peers) unanswered(e PeerUnanswered, suspendedAt model.Time) (shard.Member, bool) {
 	l := p.links[e.Addr]
 	if l == nil {
-		return
+		return shard.Member{}, false
 	}
 	l.lose(p.now)
 	// A connection that spans a pause of this instance shows nothing.
-	if e.Began > suspendedAt {
-		l.silent = e.Began
+	if e.Began <= suspendedAt {
+		return shard.Member{}, false
 	}
+	first := l.silent == 0
+	l.silent = e.Began
+	return l.info.Member, first
 }
 
 // restartSilence forgets which peers were silent and for how long links were
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -101,7 +101,7 @@
 	set.TLS.Caller.Plain = true
 	set.TLS.Peer.Plain = true
 	set.TLS.Operator.Plain = true
-	log, err := eventlog.New(stderr, "warn")
+	log, err := eventlog.New(stderr, "error")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,13 +27,10 @@
 	Refusals       *prometheus.CounterVec // by problem, ran
 	AnswerDuration *prometheus.HistogramVec
 	InFlight       prometheus.Gauge
-	CancelledTasks prometheus.Counter
-	DroppedTasks   *prometheus.CounterVec // by reason
 
 	// Scheduling.
 	Starts       *prometheus.CounterVec   // by server_domain, outcome
 	TaskDuration *prometheus.HistogramVec // by kind
-	QueueWait    *prometheus.HistogramVec // by kind
 	QueuedTasks  prometheus.Gauge
 	SlotsHeld    prometheus.Gauge
 	SlotsLent    prometheus.Gauge
@@ -41,12 +38,10 @@
 	Servers      *prometheus.GaugeVec // by state
 
 	// Shards.
-	ReplicationAppends *prometheus.CounterVec // by role
-	ReplicationAcks    *prometheus.CounterVec // by result
-	ViewChanges        *prometheus.CounterVec // by cause
-	Takeovers          *prometheus.CounterVec // by records
-	FloorsRaised       prometheus.Counter
-	ShardsOwned        prometheus.Gauge
+	ViewChanges  *prometheus.CounterVec // by cause
+	Takeovers    *prometheus.CounterVec // by records
+	FloorsRaised prometheus.Counter
+	ShardsOwned  prometheus.Gauge
 
 	// Peers.
 	PeerLinks    prometheus.Gauge
@@ -58,7 +53,6 @@
 	PlatformCalls *prometheus.CounterVec // by call, outcome
 	PlatformUp    prometheus.Gauge
 	TableVersion  prometheus.Gauge
-	Edits         *prometheus.CounterVec // by result
 
 	// The reducer.
 	StepDuration prometheus.Histogram
@@ -91,14 +85,11 @@
 	m.Refusals = b.counterVec("refusals_total", "Problems answered to callers, and whether the work was run.", "problem", "ran")
 	m.AnswerDuration = b.histogramVec("answer_duration_seconds", "Time from a valid submission to its answer at the caller port.", taskBuckets, "status")
 	m.InFlight = b.gauge("requests_in_flight", "Requests at the caller port that are not yet answered.")
-	m.CancelledTasks = b.counter("cancelled_tasks_total", "Tasks that were cancelled before their start.")
-	m.DroppedTasks = b.counterVec("dropped_tasks_total", "Queued tasks that were given up.", "reason")
 }
 
 func (m *Metrics) addScheduling(b *builder) {
 	m.Starts = b.counterVec("starts_total", "Starts sent to backend servers, by the server's failure domain.", "server_domain", "outcome")
 	m.TaskDuration = b.histogramVec("task_duration_seconds", "Time from start to answer of a task.", taskBuckets, "kind")
-	m.QueueWait = b.histogramVec("queue_wait_seconds", "Time from admission to start of a task.", taskBuckets, "kind")
 	m.QueuedTasks = b.gauge("queued_tasks", "Tasks that wait for a slot.")
 	m.SlotsHeld = b.gauge("slots_held", "Slots that this instance may use.")
 	m.SlotsLent = b.gauge("slots_lent", "Slots that this instance has lent to others.")
@@ -107,8 +98,6 @@
 }
 
 func (m *Metrics) addShards(b *builder) {
-	m.ReplicationAppends = b.counterVec("replication_appends_total", "Appends sent as owner or taken as replica.", "role")
-	m.ReplicationAcks = b.counterVec("replication_acks_total", "Acknowledgements received: ok or refused.", "result")
 	m.ViewChanges = b.counterVec("view_changes_total", "View changes made by this instance.", "cause")
 	m.Takeovers = b.counterVec("takeovers_total", "Shards taken over, with or without their records.", "records")
 	m.FloorsRaised = b.counter("floors_raised_total", "Admission floors raised because records were lost or dropped.")
@@ -126,7 +115,6 @@
 	m.PlatformCalls = b.counterVec("platform_calls_total", "Calls to the platform by operation, and none or the kind of error.", "call", "outcome")
 	m.PlatformUp = b.gauge("platform_up", "1 while the platform answers, else 0.")
 	m.TableVersion = b.gauge("table_version", "Version of the table in force on this instance.")
-	m.Edits = b.counterVec("edits_total", "Edits of the table: accepted, refused or conflict.", "result")
 }
 
 func (m *Metrics) addReducer(b *builder) {
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -1,5 +1,7 @@
 package sched
 
+import "github.com/nutmegweir/nutmegweir/internal/model"
+
 // Stats are gauges of one scheduler.
 type Stats struct {
 	Slots        int     // slots that this instance may use
@@ -20,6 +22,15 @@
 	PromisedJobs int     // refused jobs that are expected back
 }
 
+// Quarantined returns the backend servers in quarantine.
+func (s *Scheduler) Quarantined() []model.ServerID {
+	list := make([]model.ServerID, len(s.quarantined))
+	for i, v := range s.quarantined {
+		list[i] = v.ID
+	}
+	return list
+}
+
 // Stats returns the gauges.
 func (s *Scheduler) Stats() Stats {
 	borrowed := 0
