--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -92,16 +92,32 @@
 }
 
 // cutLink makes links silent, or lets them go on: cut on|off CONTROLPORT...
+// It waits for links that have not started yet.
 func cutLink(ts *testscript.TestScript, neg bool, args []string) {
 	body := fmt.Sprintf(`{"silent":%v}`, args[0] == "on")
 	for _, port := range args[1:] {
 		url := "http://" + ts.Getenv("IP") + ":" + port + link.PathMode
-		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
-		ts.Check(err)
-		resp, err := http.DefaultClient.Do(req)
-		ts.Check(err)
-		_ = resp.Body.Close()
+		deadline := time.Now().Add(scriptTimeout)
+		for !put(url, body) {
+			if time.Now().After(deadline) {
+				ts.Fatalf("the link at %s does not answer", url)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func put(url, body string) bool {
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return false
 	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // checkRefused submits a job that must be refused: refused PORT HOME KIND RAN
