--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,7 +142,7 @@
 }
 
 func (r *Reducer) suspend(now model.Time) {
-	r.peers.restartSilence()
+	r.peers.restartSilence(now)
 	r.plan.suspendedAt = now
 	r.plan.confirmed = 0
 	if !r.env.Suspended {
@@ -230,6 +230,9 @@
 		r.send(s.To, s.Message)
 	}
 	r.out.Starts = append(r.out.Starts, out.Starts...)
+	for _, n := range out.Notes {
+		r.note(noteOf(n))
+	}
 	for _, rep := range out.Replies {
 		r.replyTo(now, rep)
 	}
@@ -240,6 +243,20 @@
 	r.out.Sends = append(r.out.Sends, Send{To: to, Message: m})
 }
 
+func noteOf(n shard.Note) Note {
+	kind := NoteTakeover
+	if n.Kind == shard.NoteFloor {
+		kind = NoteFloor
+	}
+	return Note{
+		Kind:   kind,
+		Domain: n.ID.Domain,
+		Shard:  n.ID.Index,
+		Epoch:  n.View.Epoch,
+		Member: n.View.Owner(),
+	}
+}
+
 func (r *Reducer) note(n Note) { r.out.Notes = append(r.out.Notes, n) }
 
 // Ready returns and clears the effects.
@@ -313,6 +330,10 @@
 		if s := r.shard(b.HandOver.Domain, b.HandOver.Shard); s != nil {
 			s.HandleHandOver(from, b.HandOver)
 		}
+	case *peerpb.Message_Release:
+		if s := r.shard(b.Release.Domain, b.Release.Shard); s != nil {
+			s.HandleRelease(now, from, b.Release)
+		}
 	case *peerpb.Message_RemoteResult:
 		if s := r.shard(b.RemoteResult.Domain, b.RemoteResult.Shard); s != nil {
 			s.HandleRemoteResult(now, b.RemoteResult)
--- a/internal/core/coretest/callers_test.go
+++ b/internal/core/coretest/callers_test.go
@@ -54,6 +54,7 @@
 		},
 		Kind:       "k",
 		Repeatable: repeatable,
+		Request:    n == 1,
 	}
 	for i := range n {
 		j.spec.Payloads = append(j.spec.Payloads, []byte(fmt.Sprint(j.name, "/", i)))
@@ -211,7 +212,7 @@
 		if n > 0 && (j.notRun || j.noStart[i]) {
 			j.w.fail("%s: task %d was answered \"not run\" and has started", j.name, i)
 		}
-		if n > 1 && !j.spec.Repeatable {
+		if n > 1 && (!j.spec.Repeatable || len(j.spec.Payloads) > 1) {
 			j.w.fail("%s: task %d has started %d times", j.name, i, n)
 		}
 	}
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -45,6 +45,25 @@
 	Sends   []Send
 	Replies []Reply
 	Starts  []StartTask
+	Notes   []Note
+}
+
+// NoteKind is the kind of a Note.
+type NoteKind uint8
+
+// Kinds of notes.
+const (
+	// NoteTakeover says that this instance owns the shard with its records.
+	NoteTakeover NoteKind = iota
+	// NoteFloor says that the records are lost and the floor was raised.
+	NoteFloor
+)
+
+// Note is something that operators want to know of a shard.
+type Note struct {
+	Kind NoteKind
+	ID   ID
+	View View
 }
 
 // Options are the settings that all shards of an instance share.
@@ -212,8 +231,13 @@
 	Ran     time.Duration
 	Output  []byte
 	Error   string
+	Gone    bool // the server's process is proven to be gone
 }
 
+// ended reports whether the start is known to have ended, so that another one
+// would not run beside it.
+func (d TaskDone) ended() bool { return d.Outcome == sched.OutcomeFailed || d.Gone }
+
 func (e *Env) register(s *Shard, r *record) model.JobHandle {
 	e.nextHandle++
 	e.jobs[e.nextHandle] = jobRef{shard: s, rec: r}
