--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,7 +53,7 @@
 	trail    *audit.Trail
 	refusals audit.Refusals
 	store    *tablestore.Store
-	sync     *tablesync.Runner
+	spread   *tablesync.Runner
 	cancel   context.CancelFunc // ends what runs beside the runtime
 	stopping atomic.Bool
 	wg       sync.WaitGroup
@@ -252,7 +252,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	i.wg.Go(func() { i.sync.Run(ctx) })
+	i.wg.Go(func() { i.spread.Run(ctx) })
 	i.wg.Go(func() { i.logReady(ctx) })
 	i.wg.Go(func() { i.sumRefusals(ctx) })
 	i.logPlain()
--- /dev/null
+++ b/entry/example_test.go
@@ -0,0 +1,23 @@
+package entry_test
+
+import (
+	"context"
+	"log"
+	"os"
+	"os/signal"
+
+	"github.com/nutmegweir/nutmegweir/entry"
+)
+
+// A program of its own can serve as an entry instance.
+func ExampleOpen() {
+	i, err := entry.Open("settings.hujson", os.Stderr)
+	if err != nil {
+		log.Fatal(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := i.Run(ctx); err != nil {
+		log.Fatal(err)
+	}
+}
--- /dev/null
+++ b/entry/open.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/settings"
+)
+
+// Open reads a settings file, checks it and opens the listeners of an
+// instance. Log events go to log as JSON lines. The error lists every fault of
+// the file with its line and remedy.
+func Open(file string, log io.Writer) (*Instance, error) {
+	set, err := settings.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	events, err := eventlog.New(log, set.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	return New(Options{Settings: set, Log: events})
+}
+
+// Run serves until ctx ends, then stops gracefully within the bound of the
+// settings.
+func (i *Instance) Run(ctx context.Context) error {
+	i.Start()
+	<-ctx.Done()
+	bound := time.Duration(i.set.StopBoundS) * time.Second
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
+	defer cancel()
+	return i.Shutdown(stopping)
+}
--- a/entry/table.go
+++ b/entry/table.go
@@ -39,7 +39,7 @@
 		Prefix:   tablePrefix,
 		Rules:    table.Rules{Domains: i.set.Domains},
 	})
-	i.sync = tablesync.NewRunner(tablesync.RunnerOptions{
+	i.spread = tablesync.NewRunner(tablesync.RunnerOptions{
 		Core: tablesync.Options{
 			Self:    i.self.Instance,
 			Domain:  i.set.Domain,
@@ -79,14 +79,14 @@
 	for n, p := range list {
 		peers[n] = tablesync.Peer{ID: p.ID, Domain: p.Domain}
 	}
-	i.sync.SetPeers(peers)
+	i.spread.SetPeers(peers)
 }
 
 // event passes what the peers say to the table or to the reducer.
 func (i *Instance) event(e core.Event) {
 	if m, ok := e.(core.PeerMessage); ok {
 		if t := m.Message.GetTable(); t != nil {
-			i.sync.Receive(m.From.Instance, t)
+			i.spread.Receive(m.From.Instance, t)
 			return
 		}
 	}
@@ -100,7 +100,7 @@
 	}
 	return operator.New(operator.Options{
 		Store:   i.store,
-		Sync:    i.sync,
+		Sync:    i.spread,
 		Trail:   i.trail,
 		Auth:    auth,
 		Servers: i.observer.serverList,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,6 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/nutmegweir/nutmegweir/entry"
-	"github.com/nutmegweir/nutmegweir/internal/eventlog"
-	"github.com/nutmegweir/nutmegweir/internal/settings"
 )
 
 // Exit codes of the command.
@@ -79,21 +77,11 @@
 }
 
 func serve(ctx context.Context, a *serveArgs, stderr io.Writer) error {
-	set, err := settings.Load(a.Config)
+	i, err := entry.Open(a.Config, stderr)
 	if err != nil {
 		return err
 	}
-	log, err := eventlog.New(stderr, set.LogLevel)
-	if err != nil {
-		return err
-	}
-	i, err := entry.New(entry.Options{Settings: set, Log: log})
-	if err != nil {
-		return err
-	}
-	i.Start()
-	<-ctx.Done()
-	return shutdown(i, time.Duration(set.StopBoundS)*time.Second)
+	return i.Run(ctx)
 }
 
 func shutdown(i *entry.Instance, bound time.Duration) error {
