Let a learner stand in for a lost replica only once it has caught up

Cause, by reading: when the replica fell silent while a learner that commits waited for had not yet acknowledged what was committed before, the next view named it. Shown failing by TestLearnerStandsInOnlyOnceItHasCaughtUp.

--- /dev/null
+++ b/internal/shard/member_test.go
@@ -0,0 +1,118 @@
+package shard
+
+import (
+	"testing"
+
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+func testSpec(n byte, tasks int) *peerpb.JobSpec {
+	key := make([]byte, 16)
+	ms := testNow.UnixMilli()
+	for i := range 6 {
+		key[i] = byte(ms >> (8 * (5 - i)))
+	}
+	key[6], key[15] = 0x70, n
+	return &peerpb.JobSpec{
+		Identity: &peerpb.Identity{Customer: "c", Home: "d", Key: key},
+		Kind:     "k",
+		Payloads: make([][]byte, tasks),
+	}
+}
+
+// ownerWithLearner returns owner A whose learner C has its whole snapshot, and
+// one operation that C has not acknowledged.
+func ownerWithLearner(peers fakePeers, members ...Member) *Shard {
+	a := newTestShard(memberA, peers)
+	a.InstallView(testNow, view(3, members...))
+	a.AddLearner(testNow, memberC)
+	a.HandleSnapshotAck(testNow, memberC, learnerAck(a))
+	a.Submit(testNow, testSpec(1, 1), Waiter{Instance: "a", Request: 1}, false)
+	a.env.Flush(testNow)
+	return a
+}
+
+func ackAs(a *Shard, m Member) {
+	a.HandleAck(testNow, m, &peerpb.AppendAck{Domain: "d", Epoch: a.View().Epoch, Seq: a.seq})
+}
+
+// A view that names a learner before it holds what was committed without it
+// could lose that with the owner.
+func TestLearnerBecomesMemberOnceItHasCaughtUp(t *testing.T) {
+	a := ownerWithLearner(fakePeers{}, memberA)
+	targets := Targets{Owner: memberA, Replica: memberC}
+	if p, ok := a.Propose(testNow, targets); ok {
+		t.Fatalf("proposed with an operation missing: %+v", p)
+	}
+	ackAs(a, memberC)
+	p, ok := a.Propose(testNow, targets)
+	if !ok || !p.View.Has(memberC) {
+		t.Fatalf("proposal %+v, %v", p, ok)
+	}
+}
+
+// The same holds when the learner is to stand in for a lost replica.
+func TestLearnerStandsInOnlyOnceItHasCaughtUp(t *testing.T) {
+	peers := fakePeers{}
+	a := ownerWithLearner(peers, memberA, memberB)
+	targets := Targets{Owner: memberA, Replica: memberC}
+	a.Propose(testNow, targets) // commits wait for the learner from here on
+	peers[memberB] = Silent
+	p, ok := a.Propose(testNow, targets)
+	if !ok || p.View.Has(memberC) {
+		t.Fatalf("proposal %+v, %v, want the owner alone", p, ok)
+	}
+	ackAs(a, memberC)
+	if p, ok = a.Propose(testNow, targets); !ok || !p.View.Has(memberC) {
+		t.Fatalf("proposal %+v, %v, want the learner too", p, ok)
+	}
+}
+
+// A learner that commits wait for and that dies must not block them for ever.
+func TestDeadLearnerIsDropped(t *testing.T) {
+	peers := fakePeers{}
+	a := ownerWithLearner(peers, memberA)
+	a.Propose(testNow, Targets{Owner: memberA, Replica: memberC})
+	if a.committed() == a.seq {
+		t.Fatal("commits do not wait for the learner")
+	}
+	peers[memberC] = Dead
+	a.MemberDead(testNow, memberC)
+	if a.committed() != a.seq {
+		t.Fatal("commits wait for a dead learner")
+	}
+}
+
+// What a takeover appends has to reach the replica of the new view.
+func TestTakeoverReachesItsReplica(t *testing.T) {
+	b := newTestShard(memberB, fakePeers{})
+	b.InstallView(testNow, view(3, memberA, memberB))
+	b.HandleAppend(testNow, memberA, &peerpb.Append{
+		Domain: "d", Epoch: 3, FirstSeq: 1,
+		Operations: []*peerpb.Operation{
+			{Body: &peerpb.Operation_Claim{Claim: testSpec(1, 2)}},
+			{Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{Record: 1, Upto: 1}}},
+		},
+	})
+	b.env.TakeEffects()
+	b.InstallView(testNow, view(4, memberB, memberA))
+	b.env.Flush(testNow)
+	if a := sentFinal(b); a.GetProblem() != ProblemUnknown || len(a.Results) != 2 {
+		t.Fatalf("the replica gets the final answer %v", a)
+	}
+	if b.committed() == b.seq {
+		t.Fatal("the answer counts as held by the replica")
+	}
+}
+
+func sentFinal(s *Shard) *peerpb.Answer {
+	var last *peerpb.Answer
+	for _, x := range s.env.TakeEffects().Sends {
+		for _, op := range x.Message.GetAppend().GetOperations() {
+			if f := op.GetFinal(); f != nil {
+				last = f.Answer
+			}
+		}
+	}
+	return last
+}
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -127,15 +127,21 @@
 	return false
 }
 
-// membership returns this instance and the member that is left.
+// membership returns this instance and the member that is left: the present
+// one if it lives, or a learner that commits wait for already. A learner that
+// has not caught up is none yet, and no write names it.
 func (s *Shard) membership() []Member {
-	members := []Member{s.env.Self}
 	for _, f := range s.followers {
-		if f.required && s.env.Peers.Liveness(f.member) == Alive {
-			members = append(members, f.member)
+		if f.required && s.view.Has(f.member) && s.env.Peers.Liveness(f.member) == Alive {
+			return []Member{s.env.Self, f.member}
 		}
 	}
-	return members
+	for _, f := range s.followers {
+		if f.required && f.acked >= f.joinedAt && s.env.Peers.Liveness(f.member) == Alive {
+			return []Member{s.env.Self, f.member}
+		}
+	}
+	return []Member{s.env.Self}
 }
 
 func (s *Shard) syncedLearner() *follower {
