Shed only when an overload lasts

Cause: shedding began when the queue's delay was above 0.3 s for one tick, as after one job of 630 tasks, and refused others whose deadlines were met. Ruled out: a higher delay, which a large job exceeds all the same; letting the first ones pass by a credit, which lets a burst of many customers through.

--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -9,7 +9,8 @@
 const (
 	demandMemory = 2.0 // time constant of the work asked for, seconds
 	shedTarget   = 0.2 // delay of the whole queue that shedding aims at, seconds
-	shedOnAbove  = 0.3 // delay of the whole queue at which shedding begins, seconds
+	shedOnAbove  = 0.3 // delay of the whole queue above which shedding begins, seconds
+	shedOnAfter  = 1.5 // for how long the delay is above that before, seconds
 	shedOffAfter = 1.0 // shedding ends when the queue has been short for so long, seconds
 	shedBurst    = 2.0 // credit that a customer may save up, as time at its part, seconds
 	shedDamping  = 0.3 // change of the capacity by the queue's difference from its target
@@ -28,6 +29,7 @@
 	level float64 // seconds of work a second for a weight of one
 	gain  float64 // learned correction of the capacity
 	short float64 // for how long the queue has been short, seconds
+	long  float64 // for how long the delay has been above shedOnAbove, seconds
 	order []*customer
 }
 
@@ -40,9 +42,7 @@
 	x := &s.shed
 	delay := float64(s.unmet()) * s.meanWaiting() * s.usual / s.capacity()
 	if !x.on {
-		if delay > shedOnAbove && !s.opts.Mode.NoAdmission {
-			s.beginShedding()
-		}
+		s.watchOverload(delay, dt)
 		return
 	}
 	off := math.Max(-1, math.Min(1, (shedTarget-delay)/shedTarget))
@@ -63,7 +63,23 @@
 	x.on = x.short < shedOffAfter
 }
 
+// watchOverload begins shedding once the queue has been long for some time. A
+// burst, such as one large job, passes: the order of the queue keeps it from
+// others, and what can't meet its deadline is refused anyhow.
+func (s *Scheduler) watchOverload(delay, dt float64) {
+	x := &s.shed
+	if delay <= shedOnAbove {
+		x.long = 0
+		return
+	}
+	x.long += dt
+	if x.long >= shedOnAfter && !s.opts.Mode.NoAdmission {
+		s.beginShedding()
+	}
+}
+
 func (s *Scheduler) beginShedding() {
+	s.shed.long = 0
 	s.shed.on = true
 	s.shed.level = 0
 	s.shed.gain = 1
