Learn the address of an instance that connects

Cause: messages go over links that the sender dialed, so an instance that started while the platform was down could ask a seed for the table and never got an answer, for the seed did not know where to dial. The hello now carries the address. Script seed.txt fails without it (the link back never comes up).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -157,6 +157,7 @@
 	i.peers = peer.New(peer.Options{
 		Self:    i.self,
 		Domain:  i.set.Domain,
+		Addr:    i.advertised(),
 		Client:  clientTLS,
 		Events:  i.event,
 		Stats:   i.observer,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,6 +93,8 @@
 		r.callerGone(e.ID)
 	case PeerMessage:
 		r.peerMessage(now, e.From, e.Message)
+	case PeerHello:
+		r.peers.learn(e.Info)
 	case PeerUp:
 		r.peerUp(now, e)
 	case PeerDown:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -44,6 +44,10 @@
 	Message *peerpb.Message
 }
 
+// PeerHello says that another instance has connected to this one, and where it
+// takes connections itself. The platform may not have listed it yet.
+type PeerHello struct{ Info InstanceInfo }
+
 // PeerUp says that a fresh connection to Addr was answered by a process.
 type PeerUp struct {
 	Addr   string
@@ -139,6 +143,7 @@
 func (CallerRequest) event()  {}
 func (CallerGone) event()     {}
 func (PeerMessage) event()    {}
+func (PeerHello) event()      {}
 func (PeerUp) event()         {}
 func (PeerDown) event()       {}
 func (PeerRefused) event()    {}
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/ctl"
+	"github.com/nutmegweir/nutmegweir/internal/operator"
 	"github.com/nutmegweir/nutmegweir/internal/standin/backend"
 	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 )
@@ -54,6 +55,8 @@
 			"links":     waitLinks,
 			"pause":     pauseProcess,
 			"advertise": advertise,
+			"seed":      seedPeer,
+			"table":     waitTable,
 			"cut":       cutLink,
 			"refused":   checkRefused,
 			"job":       submitJob,
@@ -91,6 +94,40 @@
 	ts.Check(os.WriteFile(file, []byte(changed), 0o644))
 }
 
+// seedPeer gives the instance the peer port of another as a seed:
+// seed NAME PORT. It starts from what settings wrote.
+func seedPeer(ts *testscript.TestScript, neg bool, args []string) {
+	file := filepath.Join(ts.Getenv("WORK"), args[0]+".hujson")
+	text, err := os.ReadFile(file)
+	ts.Check(err)
+	peers := fmt.Sprintf("\"peers\": {\"seeds\": [\"%s:%s2\"]},\n\t\"shards\"", ts.Getenv("IP"), args[1])
+	changed := strings.Replace(string(text), "\"shards\"", peers, 1)
+	ts.Check(os.WriteFile(file, []byte(changed), 0o644))
+}
+
+// waitTable polls until the table at the port names a customer: table PORT
+// CUSTOMER.
+func waitTable(ts *testscript.TestScript, neg bool, args []string) {
+	url := "http://" + ts.Getenv("IP") + ":" + args[0] + "3" + operator.PathTable
+	deadline := time.Now().Add(scriptTimeout)
+	for !strings.Contains(getText(url), args[1]) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("the table at %s does not name %s", url, args[1])
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func getText(url string) string {
+	resp, err := http.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
 // cutLink makes links silent, or lets them go on: cut on|off CONTROLPORT...
 // It waits for links that have not started yet.
 func cutLink(ts *testscript.TestScript, neg bool, args []string) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,6 +49,7 @@
 type Options struct {
 	Self   shard.Member
 	Domain model.Domain
+	Addr   string           // own peer address, which others may dial
 	Client *tls.Config      // nil for plain TCP
 	Events func(core.Event) // takes events; may block
 	// Silence is how long a fresh connection stays unanswered before the
@@ -146,6 +147,7 @@
 		Instance:    string(m.opts.Self.Instance),
 		Incarnation: string(m.opts.Self.Incarnation),
 		Domain:      string(m.opts.Domain),
+		Addr:        m.opts.Addr,
 	}
 }
 
@@ -232,6 +234,11 @@
 		return shard.Member{}, nil, false
 	}
 	from := memberOf(hello)
+	m.opts.Events(core.PeerHello{Info: core.InstanceInfo{
+		Member: from,
+		Domain: model.Domain(hello.Domain),
+		Addr:   hello.Addr,
+	}})
 	b := m.inboxOf(from.Incarnation)
 	answer := m.hello()
 	answer.Received = b.begin(c, hello.Session)
