Queue admitted tasks through one function; drop what nothing reads

Four places registered a handle, built the queue's job and submitted it, with small variations: takeover, end of a hand-over (twice) and retry. They call enqueue now. Admitted jobs are never refused by the queue, so the check that only the retry made changes nothing for the others. Dropped: the peers' map by name, the runtime's list of domains, a wrapper of tls.NewListener and an unused function of the platform stand-in. No change of behaviour.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -132,7 +133,7 @@
 		return err
 	}
 	if serverTLS != nil {
-		i.peerListener = newTLSListener(i.peerListener, serverTLS)
+		i.peerListener = tls.NewListener(i.peerListener, serverTLS)
 	}
 	clientTLS, err := i.set.TLS.Peer.ClientConfig()
 	if err != nil {
@@ -148,7 +149,6 @@
 	}
 	i.runtime = runtime.New(runtime.Options{
 		Core:           i.coreOptions(),
-		Domains:        i.set.Domains,
 		Platform:       p,
 		BackendService: i.set.BackendService,
 		Backends:       i.pool,
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/pprof"
 
@@ -84,5 +82,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s)
 }
-
-func newTLSListener(l net.Listener, c *tls.Config) net.Listener { return tls.NewListener(l, c) }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -41,8 +41,7 @@
 	order   []string         // addresses, in the order they were learned
 	members map[shard.Member]*known
 	dead    map[shard.Member]bool
-	byName  map[model.Instance]shard.Member // latest process that answered
-	changed bool                            // the set of addresses has changed
+	changed bool // the set of addresses has changed
 }
 
 func newPeers(self shard.Member, addr string) *peers {
@@ -52,7 +51,6 @@
 		links:   make(map[string]*link),
 		members: make(map[shard.Member]*known),
 		dead:    make(map[shard.Member]bool),
-		byName:  make(map[model.Instance]shard.Member),
 	}
 }
 
@@ -172,7 +170,6 @@
 	}
 	p.deadAt(e.Addr, e.Member, e.Began)
 	p.know(e.Member, e.Addr, 0)
-	p.byName[e.Member.Instance] = e.Member
 	l.up = true
 	l.down = 0
 	l.silent = 0
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -27,7 +27,6 @@
 // Options are the parts of a Runtime.
 type Options struct {
 	Core           core.Options
-	Domains        []model.Domain
 	Platform       platform.Platform
 	BackendService string
 	Peers          *peer.Manager
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -140,9 +140,7 @@
 		first = i
 	}
 	if first < len(j.states) {
-		h := s.env.register(s, r)
-		j.handles = append(j.handles, h)
-		s.env.Queue.Submit(now, s.queueJob(h, j.spec, first, true))
+		s.enqueue(now, r, first, len(j.states))
 	}
 	for i := range first {
 		if j.states[i] == taskQueued || j.states[i] == taskBound {
@@ -152,13 +150,8 @@
 }
 
 func (s *Shard) requeueOne(now model.Time, r *record, i int) {
-	j := r.job
-	j.states[i] = taskQueued
-	h := s.env.register(s, r)
-	j.handles = append(j.handles, h)
-	q := s.queueJob(h, j.spec, i, true)
-	q.Tasks = i + 1
-	s.env.Queue.Submit(now, q)
+	r.job.states[i] = taskQueued
+	s.enqueue(now, r, i, i+1)
 }
 
 func (s *Shard) unpark(now model.Time) {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// enqueue puts tasks of an admitted job, from first up to and without last,
+// into the queue under a handle of their own. It reports whether the queue
+// took them.
+func (s *Shard) enqueue(now model.Time, r *record, first, last int) bool {
+	h := s.env.register(s, r)
+	q := s.queueJob(h, r.job.spec, first, true)
+	q.Tasks = last
+	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
+		delete(s.env.jobs, h)
+		return false
+	}
+	r.job.handles = append(r.job.handles, h)
+	return true
+}
+
 func needsOf(spec *peerpb.JobSpec) model.Resources {
 	return model.Resources{
 		CPUMilli:     spec.GetResources().GetCpuMilli(),
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -106,14 +106,9 @@
 	if s.sealed || j.attempts[index] >= maxAttempts || !s.env.takeRetry() {
 		return false
 	}
-	h := s.env.register(s, r)
-	q := s.queueJob(h, j.spec, index, true)
-	q.Tasks = index + 1
-	if v := s.env.Queue.Submit(now, q); v.Reason != sched.ReasonNone {
-		delete(s.env.jobs, h)
+	if !s.enqueue(now, r, index, index+1) {
 		return false
 	}
-	j.handles = append(j.handles, h)
 	j.states[index] = taskQueued
 	j.markRan(index)
 	return true
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -102,9 +102,7 @@
 	if int(j.intent) >= len(j.results) {
 		return
 	}
-	h := s.env.register(s, r)
-	j.handles = append(j.handles, h)
-	s.env.Queue.Submit(now, s.queueJob(h, j.spec, int(j.intent), true))
+	s.enqueue(now, r, int(j.intent), len(j.results))
 }
 
 // MemberDead takes the proof that a process is gone for ever. The owner leaves
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -253,6 +252,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
 }
-
-// URL joins the address of a listener to the form that the adapter takes.
-func URL(addr string) string { return "http://" + strings.TrimSuffix(addr, "/") }
