Give a new peer time to be heard of before it counts as cut off

A peer that has become known had never been heard of and counted as silent at once; its first announcement goes out when it becomes known and is lost when the link comes up later, the next one follows 5 s after. So an operator was told of a cut that was not there. Ruled out: the link itself ('links' saw it up on both sides), the version (the edit had landed as version 1). Before and after: TestReachOfAPeer, row 'just known, not heard of', fails without the change (cut off) and passes with it; the others pass both ways. Conclusion: the timing of the script no longer decides its verdict here.

--- a/internal/tablesync/core.go
+++ b/internal/tablesync/core.go
@@ -80,7 +80,7 @@
 type peer struct {
 	Peer
 	worked   model.Time // when its watch worked last, or it became known
-	heard    model.Time // 0 if never
+	heard    model.Time // when it was last heard of, or it became known
 	version  uint64
 	watching bool
 }
@@ -136,7 +136,7 @@
 			c.peers = append(c.peers, old[i])
 			continue
 		}
-		c.peers = append(c.peers, peer{Peer: p, worked: now})
+		c.peers = append(c.peers, peer{Peer: p, worked: now, heard: now})
 		c.send(p.ID, c.announcement())
 	}
 	slices.SortFunc(c.peers, func(a, b peer) int { return cmp.Compare(a.ID, b.ID) })
@@ -172,7 +172,7 @@
 	if now.Sub(p.worked) < watchBrokenWait {
 		return true
 	}
-	return p.watching && now.Sub(p.heard) < silentAfter
+	return p.watching && !p.silent(now)
 }
 
 // Loaded takes the table from the platform. edits are the newest ones up to
--- a/internal/tablesync/core_test.go
+++ b/internal/tablesync/core_test.go
@@ -223,3 +223,31 @@
 		t.Fatalf("reached %+v", got)
 	}
 }
+
+func TestReachOfAPeer(t *testing.T) {
+	const known = 100 * second
+	cases := []struct {
+		name  string
+		heard bool // of version 0, when it became known
+		at    model.Time
+		want  Reach
+	}{
+		{"just known, not heard of", false, known, ReachPending},
+		{"known for long, never heard of", false, known + model.Time(silentAfter), ReachCutOff},
+		{"heard of", true, known, ReachPending},
+		{"heard of long ago", true, known + model.Time(silentAfter), ReachCutOff},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := coreOf("a1")
+			c.SetPeers(known, peersOf("b1"))
+			if tc.heard {
+				c.Receive(known, "b1", announce(0, "b", false))
+			}
+			got := c.Status(tc.at, 1)[1]
+			if got.Reach != tc.want {
+				t.Fatalf("%s, want %s", got.Reach, tc.want)
+			}
+		})
+	}
+}
--- a/internal/tablesync/status.go
+++ b/internal/tablesync/status.go
@@ -11,7 +11,7 @@
 const (
 	ReachInForce Reach = "in force" // at every live instance
 	ReachPending Reach = "pending"  // not yet at every live instance
-	ReachCutOff  Reach = "cut off"  // no instance has been heard of
+	ReachCutOff  Reach = "cut off"  // no live instance has been heard of lately
 )
 
 // InstanceStatus is what is known of one instance.
@@ -47,8 +47,7 @@
 	}
 	for _, p := range c.peers {
 		if p.Domain == d {
-			silent := p.heard == 0 || now.Sub(p.heard) >= silentAfter
-			s.add(InstanceStatus{ID: p.ID, Version: p.version, Silent: silent, Watching: p.watching})
+			s.add(InstanceStatus{ID: p.ID, Version: p.version, Silent: p.silent(now), Watching: p.watching})
 		}
 	}
 	if s.Reach == ReachPending && s.Version >= version {
@@ -57,6 +56,13 @@
 	return s
 }
 
+// silent reports whether nothing was heard of a peer for too long. One that
+// has just become known has the same time to be heard of: its first
+// announcement may be lost while the link comes up, and it isn't cut off then.
+func (p peer) silent(now model.Time) bool {
+	return now.Sub(p.heard) >= silentAfter
+}
+
 func (s *DomainStatus) add(i InstanceStatus) {
 	s.Instances = append(s.Instances, i)
 	if i.Silent {
