Keep a link that was given up from taking the place of its successor

Cause: 48 instances started at once; a burst of 100 edits of the table was not in force everywhere 5 s after its last edit, one instance was 11 s behind (bound 8 s). While a fleet starts, the list of instances lags behind the hellos, so a link is made, given up and made again. The hello of the first one is answered late: it then registered itself as the link of that instance though given up, and everything sent to the instance went to its queue, which nobody empties. Its connection was never closed either. Everything that instances tell each other was concerned, not only the table. Ruled out: the platform's watch (other instances of the domain were in time), the fetch's time limit (2 s; repeated as meant), full queues (no reset). Change: a link that is given up closes its connection at once, is not registered any more, and ends before another one to the same address starts. A hello with an earlier session number that arrives late is refused: it would lose the place in the session under way. A full queue closes the connection, as its comment said, in place of dropping messages until something else breaks it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog"
 
 	"github.com/nutmegweir/nutmegweir/entry"
 )
@@ -38,8 +39,12 @@
 	Config string `arg:"--config,required" help:"settings file, JSON with comments" placeholder:"FILE"`
 }
 
+// logTimeFormat is the time of a log event, to the millisecond.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Main runs the command and returns its exit code.
 func Main(argv []string, stdout, stderr io.Writer) int {
+	zerolog.TimeFieldFormat = logTimeFormat
 	var a args
 	p, err := arg.NewParser(arg.Config{Program: "nutmegweir"}, &a)
 	if err != nil {
--- a/internal/peer/inbox.go
+++ b/internal/peer/inbox.go
@@ -26,16 +26,21 @@
 }
 
 // begin makes c the connection of the session and returns the number of the
-// latest frame received in it.
-func (b *inbox) begin(c net.Conn, session uint64) uint64 {
+// latest frame received in it. It fails for a hello of an earlier session that
+// comes late: a process numbers its sessions upwards, and going back would lose
+// the place in the one under way.
+func (b *inbox) begin(c net.Conn, session uint64) (seq uint64, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if session < b.session {
+		return 0, false
+	}
 	if b.session != session {
 		b.session = session
 		b.seq = 0
 	}
 	b.current = c
-	return b.seq
+	return b.seq, true
 }
 
 // take runs deliver if the frame is the next one of the current connection.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -24,6 +24,7 @@
 	m      *Manager
 	addr   string
 	cancel context.CancelFunc
+	ended  chan struct{} // closed when run has returned
 
 	mu      sync.Mutex
 	wake    chan struct{}
@@ -37,7 +38,7 @@
 }
 
 func newLink(m *Manager, addr string, cancel context.CancelFunc) *link {
-	return &link{m: m, addr: addr, cancel: cancel, wake: make(chan struct{}, 1)}
+	return &link{m: m, addr: addr, cancel: cancel, ended: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // enqueue adds messages. A link whose queue is full resets its session, which
@@ -51,9 +52,15 @@
 	if len(l.queue)+l.unacked+len(msgs) > maxQueueMsgs {
 		l.reset = true
 		l.clear()
+		l.rouse()
 		return
 	}
 	l.queue = append(l.queue, msgs...)
+	l.rouse()
+}
+
+// rouse lets transfer look at the link again.
+func (l *link) rouse() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -74,7 +81,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		c, err := l.connect(ctx, began)
-		if ctx.Err() != nil {
+		if err != nil && ctx.Err() != nil {
 			return
 		}
 		if err != nil {
@@ -117,12 +124,14 @@
 
 // connect opens a connection and exchanges hellos.
 func (l *link) connect(ctx context.Context, began time.Time) (*conn, error) {
-	ctx, cancel := context.WithDeadline(ctx, began.Add(l.m.opts.Silence+silenceSlack))
+	dialing, cancel := context.WithDeadline(ctx, began.Add(l.m.opts.Silence+silenceSlack))
 	defer cancel()
-	raw, err := l.dial(ctx)
+	raw, err := l.dial(dialing)
 	if err != nil {
 		return nil, err
 	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
 	if err := l.greet(raw, began); err != nil {
 		raw.Close()
 		return nil, err
@@ -227,7 +236,7 @@
 				return
 			}
 		}
-		if w.Flush() != nil {
+		if w.Flush() != nil || l.toReset() {
 			return
 		}
 		select {
@@ -240,6 +249,14 @@
 	}
 }
 
+// toReset reports whether the session is to begin anew, which takes a new
+// connection.
+func (l *link) toReset() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reset
+}
+
 func (l *link) readAcks(c *conn) {
 	for {
 		a := &peerpb.FrameAck{}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -76,6 +77,7 @@
 	mu     sync.Mutex
 	links  map[string]*link         // by address
 	byName map[model.Instance]*link // by the process that answered last
+	ending map[string]*link         // given up last, by address
 	inbox  map[model.Incarnation]*inbox
 }
 
@@ -88,6 +90,7 @@
 		cancel: cancel,
 		links:  make(map[string]*link),
 		byName: make(map[model.Instance]*link),
+		ending: make(map[string]*link),
 		inbox:  make(map[model.Incarnation]*inbox),
 	}
 }
@@ -111,17 +114,34 @@
 	}
 	for addr, l := range m.links {
 		if !keep[addr] {
-			l.cancel()
-			delete(m.links, addr)
+			m.giveUp(l)
 		}
 	}
 }
 
+// giveUp ends a link. Nothing is queued in it any more.
+func (m *Manager) giveUp(l *link) {
+	l.cancel()
+	delete(m.links, l.addr)
+	m.ending[l.addr] = l
+	maps.DeleteFunc(m.byName, func(_ model.Instance, x *link) bool { return x == l })
+}
+
+// startLink starts a link. One that was given up at the same address ends
+// first, so that its events and its session never follow those of the new one.
 func (m *Manager) startLink(addr string) {
 	ctx, cancel := context.WithCancel(m.ctx)
 	l := newLink(m, addr, cancel)
 	m.links[addr] = l
-	m.wg.Go(func() { l.run(ctx) })
+	before := m.ending[addr]
+	delete(m.ending, addr)
+	m.wg.Go(func() {
+		defer close(l.ended)
+		if before != nil {
+			<-before.ended
+		}
+		l.run(ctx)
+	})
 }
 
 // Send queues messages to an instance. Messages to an instance that was never
@@ -135,10 +155,13 @@
 	}
 }
 
+// named makes l the link to an instance, unless it was given up meanwhile.
 func (m *Manager) named(i model.Instance, l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.byName[i] = l
+	if m.links[l.addr] == l {
+		m.byName[i] = l
+	}
 }
 
 func (m *Manager) hello() *peerpb.Hello {
@@ -240,8 +263,12 @@
 		Addr:   hello.Addr,
 	}})
 	b := m.inboxOf(from.Incarnation)
+	received, ok := b.begin(c, hello.Session)
+	if !ok {
+		return from, b, false
+	}
 	answer := m.hello()
-	answer.Received = b.begin(c, hello.Session)
+	answer.Received = received
 	answer.Session = hello.Session
 	_, err := protodelim.MarshalTo(c, answer)
 	return from, b, err == nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -149,6 +150,48 @@
 	receive(t, b, 2, 2)
 }
 
+// A link that is given up while its hello is unanswered does not take the
+// place of the one made after it.
+func TestLinkGivenUpDuringHello(t *testing.T) {
+	a, b := newNode(t, "a", "a1"), newNode(t, "b", "b1")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a.dial(l.Addr().String())
+	first := accept(t, l)
+	a.Dial(nil)
+	a.dial(l.Addr().String())
+	second := accept(t, l)
+	go join(second, b.addr)
+	next(t, a, anyUp)
+	join(first, b.addr) // returns when a has closed the first connection
+	a.Send("b", numbered(1))
+	receive(t, b, 1, 1)
+}
+
+func accept(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// join forwards a connection to an address until its dialer closes it.
+func join(c net.Conn, addr string) {
+	to, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	go func() { _, _ = io.Copy(c, to) }()
+	_, _ = io.Copy(to, c)
+}
+
 func newLinkTo(t *testing.T, target string) (*standin.Link, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -35,7 +35,13 @@
 	faults Faults
 	reads  *rate.Limiter
 	writes *rate.Limiter
-	calls  uint64
+	calls  Calls
+}
+
+// Calls are the numbers of calls so far, refused ones too.
+type Calls struct {
+	Reads  uint64 `json:"reads"` // a waiting watch is one
+	Writes uint64 `json:"writes"`
 }
 
 // NewInjector returns an injector that shows f.
@@ -61,8 +67,8 @@
 	return i.faults
 }
 
-// Calls returns the number of calls so far.
-func (i *Injector) Calls() uint64 {
+// Calls returns the numbers of calls so far.
+func (i *Injector) Calls() Calls {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.calls
@@ -72,11 +78,19 @@
 func (i *Injector) Next(write bool) (Fate, time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.calls++
+	i.calls.add(write)
 	latency := time.Duration(i.faults.LatencyMs) * time.Millisecond
 	return i.fate(write), latency
 }
 
+func (c *Calls) add(write bool) {
+	if write {
+		c.Writes++
+		return
+	}
+	c.Reads++
+}
+
 func (i *Injector) fate(write bool) Fate {
 	if i.faults.Hang {
 		return FateHung
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -15,6 +15,9 @@
 // PathFaults reads (GET) and replaces (PUT) the Faults.
 const PathFaults = "/standin/faults"
 
+// PathCalls answers GET with the Calls.
+const PathCalls = "/standin/calls"
+
 const (
 	headerIndex       = "X-Consul-Index"
 	minSessionTTL     = 10 * time.Second
@@ -54,6 +57,7 @@
 	r := chi.NewRouter()
 	r.Get(PathFaults, h.getFaults)
 	r.Put(PathFaults, h.putFaults)
+	r.Get(PathCalls, h.getCalls)
 	r.Group(func(r chi.Router) {
 		r.Use(h.inject)
 		r.Get("/v1/kv/*", h.read)
@@ -71,6 +75,10 @@
 	reply(w, h.Faults.Faults())
 }
 
+func (h *Handler) getCalls(w http.ResponseWriter, _ *http.Request) {
+	reply(w, h.Faults.Calls())
+}
+
 func (h *Handler) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	d := json.NewDecoder(r.Body)
