Divide the connections to a backend server by the live instances

Cause: each instance kept up to 8 idle connections to each backend server, so that the bound of 64 over all instances held for eight of them at most, and for eight only without a question of the watch.

Ruled out: one http.Transport a server, swapped when the limit changes. A start that waits for a connection may be given another's while its own is dialed, and no number bounds those. The fields of a transport in use can't be changed.

Change: a start has a transport of at most one connection to itself, which is kept or closed when the start ends. An instance keeps (64 - 2*slots)/instances of them idle, rounded down, at most as many as slots; the second part of the slots pays for the questions of the watch. The reducer tells how many instances there may be: those listed by the platform and those that answer. While that is not known nothing is kept.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 	if p == nil {
 		p = i.httpPlatform()
 	}
-	i.pool = backend.New(backend.Options{MaxRun: maxRun, MaxIdle: maxIdleConns, Watch: backend.DefaultWatch()})
+	i.pool = backend.New(backend.Options{MaxRun: maxRun, Watch: backend.DefaultWatch()})
 	if err := i.assembleTable(p); err != nil {
 		return err
 	}
@@ -167,11 +167,6 @@
 	return i.assembleServers()
 }
 
-// maxIdleConns is the number of idle connections kept for each backend server:
-// with the eight instances of a deployment all of them stay within
-// backendapi.MaxConnections.
-const maxIdleConns = 8
-
 func (i *Instance) httpPlatform() platform.Platform {
 	return platform.NewHTTP(platform.HTTPOptions{
 		URL:             "http://" + i.set.Platform.Addr,
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -55,19 +55,26 @@
 
 // Options are the settings of a Pool.
 type Options struct {
-	MaxRun  time.Duration // a start without an answer for so long is lost
-	MaxIdle int           // idle connections kept for each server
-	Watch   Watch
+	MaxRun time.Duration // a start without an answer for so long is lost
+	Watch  Watch
 }
 
 // Pool holds the connections to the backend servers.
 type Pool struct {
 	opts   Options
-	client *http.Client
+	dialer *net.Dialer
 	fresh  *http.Client // opens a connection for each request
 
-	mu    sync.RWMutex
-	addrs map[model.ServerID]string
+	mu        sync.RWMutex
+	instances int // live entry instances, 0 while that is not known
+	servers   map[model.ServerID]*server
+}
+
+// server is a backend server and the idle connections to it.
+type server struct {
+	addr  string
+	slots int
+	conns *conns
 }
 
 // New returns a pool that knows no servers.
@@ -82,22 +89,14 @@
 		},
 		Control: setUserTimeout,
 	}
-	t := &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: o.MaxIdle,
-		MaxConnsPerHost:     backendapi.MaxConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
 	return &Pool{
 		opts:   o,
-		client: &http.Client{Transport: t, CheckRedirect: refuseRedirect},
+		dialer: d,
 		fresh: &http.Client{
 			Transport:     &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
 			CheckRedirect: refuseRedirect,
 		},
-		addrs: make(map[model.ServerID]string),
+		servers: make(map[model.ServerID]*server),
 	}
 }
 
@@ -115,36 +114,70 @@
 	return failed
 }
 
-// SetServers replaces the addresses.
+// SetServers replaces the list of servers. Connections to a server that has
+// left, or has another address, are closed once their starts have ended.
 func (p *Pool) SetServers(list []sched.Server) {
-	addrs := make(map[model.ServerID]string, len(list))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.servers
+	p.servers = make(map[model.ServerID]*server, len(list))
 	for _, s := range list {
-		addrs[s.ID] = s.Addr
+		p.servers[s.ID] = p.updated(before[s.ID], s)
 	}
+	for id, s := range before {
+		if now := p.servers[id]; now == nil || now.conns != s.conns {
+			s.conns.setLimit(0)
+		}
+	}
+	p.limitIdle()
+}
+
+// updated returns a server as it is listed now, with its connections if it is
+// still at the same address.
+func (p *Pool) updated(old *server, s sched.Server) *server {
+	if old != nil && old.addr == s.Addr {
+		return &server{addr: s.Addr, slots: s.Slots, conns: old.conns}
+	}
+	return &server{addr: s.Addr, slots: s.Slots, conns: &conns{dialer: p.dialer}}
+}
+
+// SetInstances tells how many entry instances are live, this one included.
+func (p *Pool) SetInstances(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addrs = addrs
+	p.instances = n
+	p.limitIdle()
 }
 
-// Close closes idle connections.
-func (p *Pool) Close() { p.client.CloseIdleConnections() }
+func (p *Pool) limitIdle() {
+	for _, s := range p.servers {
+		s.conns.setLimit(idleLimit(s.slots, p.instances))
+	}
+}
 
-// Run starts a task once and waits for its end.
-func (p *Pool) Run(ctx context.Context, server model.ServerID, t Task) Result {
+func (p *Pool) server(id model.ServerID) *server {
 	p.mu.RLock()
-	addr, ok := p.addrs[server]
-	p.mu.RUnlock()
-	if !ok {
+	defer p.mu.RUnlock()
+	return p.servers[id]
+}
+
+// Close closes idle connections, and the others as their starts end.
+func (p *Pool) Close() { p.SetServers(nil) }
+
+// Run starts a task once and waits for its end.
+func (p *Pool) Run(ctx context.Context, id model.ServerID, t Task) Result {
+	s := p.server(id)
+	if s == nil {
 		return Result{Outcome: sched.OutcomeUnreachable, Error: "backend server left the list"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.MaxRun)
 	defer cancel()
 	began := time.Now()
-	stop := p.watch(ctx, cancel, addr, t.Identity)
+	stop := p.watch(ctx, cancel, s.addr, t.Identity)
 	defer stop()
-	res := p.exchange(ctx, addr, t)
+	res := s.exchange(ctx, t)
 	res.Ran = time.Since(began)
-	res.Gone = res.Outcome == sched.OutcomeLost && refuses(addr)
+	res.Gone = res.Outcome == sched.OutcomeLost && refuses(s.addr)
 	return res
 }
 
@@ -158,9 +191,16 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// exchange sends the request on a connection of its own and gives that back.
+func (s *server) exchange(ctx context.Context, t Task) Result {
+	c := s.conns.take()
+	defer s.conns.give(c)
+	return c.exchange(ctx, s.addr, t)
+}
+
 // exchange sends the request. A failure before a connection was at hand
 // proves that no byte left; after that the task may have run.
-func (p *Pool) exchange(ctx context.Context, addr string, t Task) Result {
+func (c *conn) exchange(ctx context.Context, addr string, t Task) Result {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -169,7 +209,7 @@
 	if err != nil {
 		return Result{Outcome: sched.OutcomeUnreachable, Error: err.Error()}
 	}
-	resp, err := p.client.Do(req)
+	resp, err := c.client.Do(req)
 	if err != nil {
 		if connected.Load() {
 			return Result{Outcome: sched.OutcomeLost, Error: "no answer from the backend server: " + err.Error()}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -96,11 +96,11 @@
 // the timeout.
 func newTestPool(addr string, timeout time.Duration) *Pool {
 	p := New(Options{
-		MaxRun:  time.Hour,
-		MaxIdle: 1,
-		Watch:   Watch{After: soon, Every: soon, Timeout: timeout},
+		MaxRun: time.Hour,
+		Watch:  Watch{After: soon, Every: soon, Timeout: timeout},
 	})
-	p.SetServers([]sched.Server{{ID: "a", Addr: addr}})
+	p.SetServers([]sched.Server{{ID: "a", Addr: addr, Slots: 1}})
+	p.SetInstances(1)
 	return p
 }
 
--- /dev/null
+++ b/internal/backend/conns_test.go
@@ -0,0 +1,183 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/backendapi"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+const countedSlots = 8
+
+// countingServer counts its open connections. It answers starts once as many
+// run as it has slots.
+type countingServer struct {
+	*httptest.Server
+	mu      sync.Mutex
+	changed *sync.Cond
+	open    int
+	peak    int
+	running int
+	rounds  int
+}
+
+func newCountingServer(t *testing.T) *countingServer {
+	c := &countingServer{}
+	c.changed = sync.NewCond(&c.mu)
+	c.Server = httptest.NewUnstartedServer(http.HandlerFunc(c.start))
+	c.Config.ConnState = c.count
+	c.Start()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *countingServer) count(_ net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		c.open++
+		c.peak = max(c.peak, c.open)
+	case http.StateClosed:
+		c.open--
+	}
+	c.changed.Broadcast()
+}
+
+func (c *countingServer) start(http.ResponseWriter, *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	round := c.rounds
+	c.running++
+	if c.running == countedSlots {
+		c.running = 0
+		c.rounds++
+		c.changed.Broadcast()
+	}
+	for c.rounds == round {
+		c.changed.Wait()
+	}
+}
+
+// awaitOpen waits until at most so many connections are open. The server
+// learns of a closed one a moment after the client.
+func (c *countingServer) awaitOpen(t *testing.T, most int) {
+	t.Helper()
+	stop := time.AfterFunc(30*time.Second, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.rounds = -1
+		c.changed.Broadcast()
+	})
+	defer stop.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.open > most && c.rounds >= 0 {
+		c.changed.Wait()
+	}
+	if c.open > most {
+		t.Fatalf("%d connections are open, want at most %d", c.open, most)
+	}
+}
+
+func (c *countingServer) pool(instances int) *Pool {
+	p := New(Options{MaxRun: time.Hour, Watch: Watch{After: time.Hour, Every: time.Hour, Timeout: time.Hour}})
+	p.SetServers([]sched.Server{{ID: "a", Addr: c.Listener.Addr().String(), Slots: countedSlots}})
+	p.SetInstances(instances)
+	return p
+}
+
+// useAll runs as many starts at once as the server has slots.
+func (c *countingServer) useAll(t *testing.T, p *Pool) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range countedSlots {
+		wg.Go(func() {
+			res := p.Run(context.Background(), "a", Task{Identity: "h/c/k/" + strconv.Itoa(i)})
+			if res.Outcome != sched.OutcomeOK {
+				t.Errorf("outcome %d (%s)", res.Outcome, res.Error)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestConnectionsStayBounded lets all slots of a server pass from one instance
+// to the next, so that each of them leaves as many idle connections as it may.
+func TestConnectionsStayBounded(t *testing.T) {
+	for _, instances := range []int{2, 8, 48, 64} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			c := newCountingServer(t)
+			idle := instances * idleLimit(countedSlots, instances)
+			for range instances {
+				p := c.pool(instances)
+				t.Cleanup(p.Close)
+				c.useAll(t, p)
+				c.awaitOpen(t, idle)
+			}
+			// Each running start may have a question of the watch beside it.
+			if most := backendapi.MaxConnections - countedSlots; c.peak > most {
+				t.Fatalf("%d connections at once, want at most %d", c.peak, most)
+			}
+		})
+	}
+}
+
+func TestIdleLimit(t *testing.T) {
+	cases := []struct{ slots, instances, want int }{
+		{8, 0, 0}, // not known
+		{8, 1, 8}, // no more than slots
+		{8, 2, 8},
+		{8, 8, 6},
+		{8, 48, 1},
+		{8, 49, 0},
+		{8, 64, 0},
+		{1, 1, 1},
+		{24, 8, 2},
+		{32, 1, 0},
+		{64, 1, 0},
+	}
+	for _, c := range cases {
+		got := idleLimit(c.slots, c.instances)
+		if got != c.want {
+			t.Errorf("%d slots, %d instances: %d idle connections, want %d", c.slots, c.instances, got, c.want)
+		}
+		if c.slots <= backendapi.MaxConnections/2 && 2*c.slots+c.instances*got > backendapi.MaxConnections {
+			t.Errorf("%d slots, %d instances: bound exceeded", c.slots, c.instances)
+		}
+	}
+}
+
+// TestIdleLimitFollowsInstances changes the number of instances, and the
+// list of servers, while connections are idle and in use.
+func TestIdleLimitFollowsInstances(t *testing.T) {
+	c := newCountingServer(t)
+	p := c.pool(2)
+	defer p.Close()
+	c.useAll(t, p)
+	c.awaitOpen(t, countedSlots)
+	p.SetInstances(48)
+	c.awaitOpen(t, 1)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := range 200 {
+			p.SetInstances(n)
+		}
+	})
+	c.useAll(t, p)
+	wg.Wait()
+	p.SetInstances(64)
+	c.awaitOpen(t, 0)
+	p.SetInstances(1)
+	c.useAll(t, p)
+	p.SetServers(nil)
+	c.awaitOpen(t, 0)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,8 @@
 	route router
 
 	instances []InstanceInfo
+	listed    bool           // the platform has listed the instances
+	counted   int            // instances that the runtime was told of last
 	servers   []sched.Server // as the platform lists them
 	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
@@ -285,6 +287,7 @@
 
 // Ready returns and clears the effects.
 func (r *Reducer) Ready() Effects {
+	r.countInstances()
 	if r.peers.changed {
 		r.peers.changed = false
 		r.out.Dial = r.peers.dial()
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -211,4 +211,5 @@
 	Dial       []InstanceInfo // all peers to keep a link to, nil if unchanged
 	Notes      []Note
 	Peers      []sched.Peer // live instances, nil if unchanged
+	Instances  int          // entry instances that may live, with this one, 0 if unchanged
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -28,9 +28,22 @@
 		}
 	}
 	r.peers.forget(keep)
+	r.listed = true
 	r.replanNow(now)
 }
 
+// countInstances tells how many instances may live, once the platform has
+// listed them. One that can't be reached counts until the platform no longer
+// lists it, for it may still use backend servers.
+func (r *Reducer) countInstances() {
+	n := 1 + len(r.peers.order)
+	if !r.listed || n == r.counted {
+		return
+	}
+	r.counted = n
+	r.out.Instances = n
+}
+
 func (r *Reducer) peerUp(now model.Time, e PeerUp) {
 	if r.peers.answered(e) == nil {
 		return
--- /dev/null
+++ b/internal/core/members_test.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/policy"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// testStep is the time between two steps of newTestCore's tests.
+const testStep = time.Millisecond
+
+// testCore is one reducer in virtual time. Its own instance is a, at testAddr
+// of its domain d, and of two shards.
+type testCore struct {
+	*Reducer
+	now model.Time
+}
+
+func newTestCore(replica bool) *testCore {
+	return &testCore{
+		now: model.Time(time.Hour),
+		Reducer: New(Options{
+			Self:    shard.Member{Instance: "a", Incarnation: "a2"},
+			Domain:  "d",
+			Addr:    testAddr,
+			Shards:  2,
+			Replica: replica,
+			Silence: time.Hour,
+			Shard:   shard.DefaultOptions(),
+			Policy:  policy.New("d"),
+		}),
+	}
+}
+
+// step takes events and returns the effects.
+func (c *testCore) step(events ...Event) Effects {
+	for _, e := range events {
+		c.now = c.now.Add(testStep)
+		c.Step(c.now, e)
+	}
+	return c.Ready()
+}
+
+func testInstance(name string) InstanceInfo {
+	return InstanceInfo{
+		Member: shard.Member{Instance: model.Instance(name), Incarnation: model.Incarnation(name + "1")},
+		Domain: "d",
+		Addr:   name + ":7000",
+	}
+}
+
+// TestInstancesAreCounted checks how many instances may live, 0 where nothing
+// has changed.
+func TestInstancesAreCounted(t *testing.T) {
+	b, c, d := testInstance("b"), testInstance("c"), testInstance("d")
+	up := func(i InstanceInfo) Event { return PeerUp{Addr: i.Addr, Member: i.Member, Domain: i.Domain} }
+	steps := []struct {
+		name string
+		e    Event
+		want int
+	}{
+		{"not listed yet", PeerHello{Info: b}, 0},
+		{"listed", Instances{List: []InstanceInfo{b, c}}, 3},
+		{"one answers", up(c), 0},
+		{"one comes ahead of the list", PeerHello{Info: d}, 4},
+		{"it answers", up(d), 0},
+		{"one is cut off", PeerUnanswered{Addr: b.Addr}, 0},
+		{"the platform no longer lists that", Instances{List: []InstanceInfo{c, d}}, 3},
+		{"nor those that answer", Instances{}, 0},
+		{"one of them ends", PeerRefused{Addr: d.Addr}, 0},
+		{"the next list", Instances{}, 2},
+	}
+	r := newTestCore(true)
+	for _, s := range steps {
+		if got := r.step(s.e).Instances; got != s.want {
+			t.Fatalf("%s: %d instances, want %d", s.name, got, s.want)
+		}
+	}
+}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -185,6 +185,9 @@
 		began := r.clock.now()
 		r.wg.Go(func() { r.readViews(began) })
 	}
+	if e.Instances != 0 {
+		r.opts.Backends.SetInstances(e.Instances)
+	}
 	if e.Peers != nil {
 		r.opts.Observer.Peers(e.Peers)
 	}
