Pass views on between instances while the platform is down

Cause: an instance that started during an outage of the platform got the table from its peers, but no views, so that it routed nothing and never became ready.

Ruled out: installing a peer's views as the platform's.

Change: while the watch of the platform fails, an instance asks its peers for documents newer than those it holds, by the platform's index. What they tell is kept apart and used only to find the owner of a request. An instance that owns no shard is ready while it is suspended, if it reaches every owner.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,6 +36,7 @@
 	env   *shard.Env
 	own   []*shard.Shard                // shards of the home domain
 	views map[model.Domain][]shard.View // views of all domains
+	relay relay
 	plan  planner
 	route router
 
@@ -68,6 +69,7 @@
 		env:     shard.NewEnv(o.Self, o.Shard),
 		views:   make(map[model.Domain][]shard.View),
 		leaving: make(map[shard.Member]bool),
+		relay:   newRelay(),
 		route:   newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
@@ -118,6 +120,8 @@
 		r.setViews(now, e)
 	case ViewsWritten:
 		r.viewsWritten(now, e)
+	case WatchFailed:
+		r.relay.blind = true
 	case ReadFailed:
 		r.plan.reading = false
 	case Servers:
@@ -173,6 +177,7 @@
 	}
 	r.lastSlow = now
 	r.noteQuarantine()
+	r.askNextPeer()
 	for _, s := range r.own {
 		s.TickSlow(now)
 	}
@@ -322,6 +327,10 @@
 		r.remoteLookup(now, from, b.Lookup)
 	case *peerpb.Message_Cancel:
 		r.remoteCancel(now, from, b.Cancel)
+	case *peerpb.Message_ViewsRequest:
+		r.passViews(from, b.ViewsRequest)
+	case *peerpb.Message_DomainViews:
+		r.viewsFromPeer(now, b.DomainViews)
 	case *peerpb.Message_Sched:
 		r.sched.Receive(now, from.Instance, b.Sched)
 	default:
@@ -369,18 +378,23 @@
 }
 
 // Routable reports whether every shard of the home domain has an owner that
-// this instance can reach.
+// this instance can reach. An instance that owns none can route also while it
+// may not serve itself.
 func (r *Reducer) Routable() bool {
 	for i := range r.own {
 		to, ok := r.owner(shard.ID{Domain: r.opts.Domain, Index: uint32(i)})
-		if !ok {
-			return false
-		}
-		if to != r.opts.Self && !r.peers.connected(to) {
+		if !ok || !r.reachable(to) {
 			return false
 		}
 	}
-	return !r.env.Suspended
+	return true
+}
+
+func (r *Reducer) reachable(owner shard.Member) bool {
+	if owner == r.opts.Self {
+		return !r.env.Suspended
+	}
+	return r.peers.connected(owner)
 }
 
 // Explain says where a job stands at this instance.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -124,6 +124,10 @@
 	Doc     Doc
 }
 
+// WatchFailed says that the platform does not answer the watch of instances
+// and views. The next Instances ends it.
+type WatchFailed struct{}
+
 // ReadFailed says that a ReadViews effect got no answer.
 type ReadFailed struct{}
 
@@ -152,6 +156,7 @@
 func (Instances) event()      {}
 func (Views) event()          {}
 func (ViewsWritten) event()   {}
+func (WatchFailed) event()    {}
 func (ReadFailed) event()     {}
 func (Servers) event()        {}
 func (Table) event()          {}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -29,6 +29,7 @@
 	}
 	r.peers.forget(keep)
 	r.listed = true
+	r.relay.blind = false
 	r.replanNow(now)
 }
 
@@ -54,6 +55,7 @@
 		}
 		r.rerouteFrom(now, e.Member)
 		r.noticeReset(e.Member)
+		r.askViews(e.Member.Instance)
 	}
 	r.peersChanged(now)
 }
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// relay passes views on between instances while the platform does not answer.
+//
+// What a peer tells is used for one thing: to find the owner that a request is
+// sent to. It is kept apart from the views that the shards hold, so that it
+// makes this instance neither owner nor replica, confirms nothing, and proves
+// no process dead. An owner that it names wrongly answers that it is not the
+// owner.
+type relay struct {
+	blind  bool                          // the platform does not answer
+	newest map[model.Domain]Views        // the newest known, whoever told
+	told   map[model.Domain][]shard.View // by peers, newer than the platform's when they came
+	turn   int                           // which peer is asked next
+}
+
+func newRelay() relay {
+	return relay{
+		blind:  true,
+		newest: make(map[model.Domain]Views),
+		told:   make(map[model.Domain][]shard.View),
+	}
+}
+
+// read takes views from the platform, which replace those that peers have told
+// unless those are newer.
+func (y *relay) read(v Views) {
+	if v.Index < y.newest[v.Domain].Index {
+		return
+	}
+	y.newest[v.Domain] = v
+	delete(y.told, v.Domain)
+}
+
+// newer returns the view that peers have told of a shard, if it is newer than
+// the one that the platform has shown.
+func (y *relay) newer(id shard.ID, v shard.View) shard.View {
+	views := y.told[id.Domain]
+	if int(id.Index) < len(views) && views[id.Index].Epoch > v.Epoch {
+		return views[id.Index]
+	}
+	return v
+}
+
+// askNextPeer asks the peers in turn while the platform does not answer.
+func (r *Reducer) askNextPeer() {
+	up := r.schedPeers()
+	if len(up) == 0 {
+		return
+	}
+	r.relay.turn = (r.relay.turn + 1) % len(up)
+	r.askViews(up[r.relay.turn].ID)
+}
+
+// askViews asks one peer for newer views, if the platform does not answer.
+func (r *Reducer) askViews(peer model.Instance) {
+	if !r.relay.blind {
+		return
+	}
+	m := &peerpb.ViewsRequest{}
+	for _, d := range slices.Sorted(maps.Keys(r.relay.newest)) {
+		m.Held = append(m.Held, &peerpb.HeldViews{
+			Domain: string(d),
+			Index:  r.relay.newest[d].Index,
+		})
+	}
+	r.send(peer, &peerpb.Message{Body: &peerpb.Message_ViewsRequest{ViewsRequest: m}})
+}
+
+// passViews answers with the views that are newer than those a peer holds.
+func (r *Reducer) passViews(to shard.Member, m *peerpb.ViewsRequest) {
+	held := make(map[model.Domain]uint64, len(m.Held))
+	for _, h := range m.Held {
+		held[model.Domain(h.Domain)] = h.Index
+	}
+	for _, d := range slices.Sorted(maps.Keys(r.relay.newest)) {
+		v := r.relay.newest[d]
+		if v.Index <= held[d] {
+			continue
+		}
+		r.send(to.Instance, &peerpb.Message{
+			Body: &peerpb.Message_DomainViews{DomainViews: viewsProto(v)},
+		})
+	}
+}
+
+// viewsFromPeer takes views that a peer passes on.
+func (r *Reducer) viewsFromPeer(now model.Time, p *peerpb.DomainViews) {
+	v := viewsFromProto(p)
+	if v.Index <= r.relay.newest[v.Domain].Index {
+		return
+	}
+	r.relay.newest[v.Domain] = v
+	r.relay.told[v.Domain] = r.routable(v.Doc)
+	for _, i := range v.Doc.Instances {
+		if i.Addr != r.opts.Addr {
+			r.peers.learn(i)
+		}
+	}
+	for i := range v.Doc.Shards {
+		r.reroute(now, shard.ID{Domain: v.Domain, Index: uint32(i)})
+	}
+}
+
+// routable returns the views without the members that listened at this
+// instance's own address before: nothing can be sent to them.
+func (r *Reducer) routable(doc Doc) []shard.View {
+	gone := make(map[shard.Member]bool)
+	for _, i := range doc.Instances {
+		if i.Addr == r.opts.Addr && i.Member != r.opts.Self {
+			gone[i.Member] = true
+		}
+	}
+	views := slices.Clone(doc.Shards)
+	for n, v := range views {
+		views[n].Members = slices.DeleteFunc(slices.Clone(v.Members), func(m shard.Member) bool {
+			return gone[m]
+		})
+	}
+	return views
+}
+
+func viewsProto(v Views) *peerpb.DomainViews {
+	p := &peerpb.DomainViews{Domain: string(v.Domain), Index: v.Index}
+	for _, i := range v.Doc.Instances {
+		p.Members = append(p.Members, &peerpb.MemberAddr{
+			Instance:    string(i.Member.Instance),
+			Incarnation: string(i.Member.Incarnation),
+			Domain:      string(i.Domain),
+			Addr:        i.Addr,
+		})
+	}
+	for n, s := range v.Doc.Shards {
+		p.Shards = append(p.Shards, s.Proto(shard.ID{Domain: v.Domain, Index: uint32(n)}))
+	}
+	return p
+}
+
+func viewsFromProto(p *peerpb.DomainViews) Views {
+	v := Views{Domain: model.Domain(p.Domain), Index: p.Index}
+	for _, m := range p.Members {
+		v.Doc.Instances = append(v.Doc.Instances, InstanceInfo{
+			Member: shard.Member{
+				Instance:    model.Instance(m.Instance),
+				Incarnation: model.Incarnation(m.Incarnation),
+			},
+			Domain: model.Domain(m.Domain),
+			Addr:   m.Addr,
+		})
+	}
+	for _, s := range p.Shards {
+		v.Doc.Shards = append(v.Doc.Shards, shard.ViewFromProto(s))
+	}
+	return v
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -96,13 +96,13 @@
 
 func (r *Reducer) viewOf(id shard.ID) shard.View {
 	if id.Domain == r.opts.Domain {
-		return r.own[id.Index].View()
+		return r.relay.newer(id, r.own[id.Index].View())
 	}
 	views := r.views[id.Domain]
 	if int(id.Index) >= len(views) {
-		return shard.View{}
+		return r.relay.newer(id, shard.View{})
 	}
-	return views[id.Index]
+	return r.relay.newer(id, views[id.Index])
 }
 
 // forward sends a request to the owner of its shard, or leaves it for the
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -9,6 +9,7 @@
 // setViews installs a document. Views only ever go forward, whatever the
 // order in which documents come.
 func (r *Reducer) setViews(now model.Time, v Views) {
+	r.relay.read(v)
 	if v.Domain != r.opts.Domain {
 		r.installForeign(now, v)
 		return
--- a/internal/runtime/cluster.go
+++ b/internal/runtime/cluster.go
@@ -142,6 +142,7 @@
 		l, err := r.opts.Platform.List(r.ctx, clusterPrefix, index, watchWait)
 		if err != nil {
 			r.platformError("watch", err)
+			r.Post(core.WatchFailed{})
 			index = 0
 			r.pause(retryDelay)
 			continue
