Ask quarantined backend servers for their health

Cause: work that is not repeatable was never used as a probe, and nothing called ServerHealthy, so that a server whose work is all of that kind stayed in quarantine for ever.

Ruled out: letting health checks count like successful probes, as ServerHealthy did. Two good answers brought a server back to full use; one that answers well and fails all work would take four ordinary tasks every 8 s.

Change: where no repeatable work has come 2 s after a probe was due, the owner asks the health endpoint on a fresh connection, once a second, while it holds a free slot of the server. A good answer lets the next probe be work that is not repeatable, one task at a time, for 5 s. The server leaves quarantine by two successful probes only.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -141,3 +141,43 @@
 		t.Fatalf("outcome %d (%s)", got.Outcome, got.Error)
 	}
 }
+
+func TestHealthy(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		body   string // empty leaves the question unanswered
+		want   bool
+	}{
+		{"well", 200, `{"slots":8}`, true},
+		{"well and busy", 200, `{"slots":8,"busy":8}`, true},
+		{"leaving", 200, `{"slots":8,"leaving":true}`, false},
+		{"not well", 503, `{"slots":8}`, false},
+		{"no document", 200, `ok`, false},
+		{"silent", 0, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if c.body == "" {
+					<-r.Context().Done()
+					return
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer s.Close()
+			timeout := time.Hour
+			if c.body == "" {
+				timeout = soon
+			}
+			p := newTestPool(s.Listener.Addr().String(), timeout)
+			if got := p.Healthy(context.Background(), "a"); got != c.want {
+				t.Errorf("healthy: %v, want %v", got, c.want)
+			}
+			if p.Healthy(context.Background(), "unknown") {
+				t.Error("an unknown server is healthy")
+			}
+		})
+	}
+}
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/backendapi"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // Watch says when a start without an answer is asked after.
@@ -80,23 +81,47 @@
 // running reports whether the server says that the task runs. A server that
 // does not know the question counts as running the task while it is busy.
 func (w *watcher) running() bool {
-	ctx, cancel := context.WithTimeout(w.ctx, w.times.Timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url, nil)
-	if err != nil {
-		return false
-	}
-	resp, err := w.client.Do(req)
+	h, err := askHealth(w.ctx, w.client, w.url, w.times.Timeout)
 	if err != nil {
 		return false
 	}
-	defer resp.Body.Close()
-	var h backendapi.Health
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxHealth)).Decode(&h); err != nil {
-		return false
-	}
 	if h.Running == nil {
 		return h.Busy > 0
 	}
 	return *h.Running
 }
+
+// Healthy asks a server for its health, on a fresh connection, and reports
+// whether it answers that it is well.
+func (p *Pool) Healthy(ctx context.Context, id model.ServerID) bool {
+	s := p.server(id)
+	if s == nil {
+		return false
+	}
+	url := "http://" + s.addr + backendapi.PathHealth
+	h, err := askHealth(ctx, p.fresh, url, p.opts.Watch.Timeout)
+	return err == nil && h.status == http.StatusOK && !h.Leaving
+}
+
+// healthAnswer is an answer of the health endpoint.
+type healthAnswer struct {
+	status int // of HTTP
+	backendapi.Health
+}
+
+func askHealth(ctx context.Context, client *http.Client, url string, timeout time.Duration) (*healthAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	a := &healthAnswer{status: resp.StatusCode}
+	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxHealth)).Decode(&a.Health)
+	return a, err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,7 +47,8 @@
 	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
-	broken    []model.ServerID      // backend servers in quarantine, when last looked
+	broken    []model.ServerID // backend servers in quarantine, when last looked
+	checking  map[model.ServerID]bool
 	leaving   map[shard.Member]bool // instances that have said that they stop
 	stopping  bool
 }
@@ -66,11 +67,12 @@
 			Seed:   o.Seed,
 			Policy: o.Policy,
 		}),
-		env:     shard.NewEnv(o.Self, o.Shard),
-		views:   make(map[model.Domain][]shard.View),
-		leaving: make(map[shard.Member]bool),
-		relay:   newRelay(),
-		route:   newRouter(o.Self),
+		env:      shard.NewEnv(o.Self, o.Shard),
+		views:    make(map[model.Domain][]shard.View),
+		leaving:  make(map[shard.Member]bool),
+		checking: make(map[model.ServerID]bool),
+		relay:    newRelay(),
+		route:    newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
 	r.env.Deadline = o.Policy.Deadline
@@ -127,6 +129,8 @@
 	case Servers:
 		r.servers = e.List
 		r.applyServers(now)
+	case ServerChecked:
+		r.serverChecked(now, e)
 	case Table:
 		if r.opts.Policy.Set(e.Snapshot) {
 			r.applyServers(now)
@@ -177,6 +181,7 @@
 	}
 	r.lastSlow = now
 	r.noteQuarantine()
+	r.checkServers(now)
 	r.askNextPeer()
 	for _, s := range r.own {
 		s.TickSlow(now)
@@ -200,6 +205,25 @@
 	r.broken = list
 }
 
+// checkServers asks for the health of backend servers that are to be probed,
+// one question a server at a time.
+func (r *Reducer) checkServers(now model.Time) {
+	for _, id := range r.sched.ChecksDue(now) {
+		if r.checking[id] {
+			continue
+		}
+		r.checking[id] = true
+		r.out.Checks = append(r.out.Checks, id)
+	}
+}
+
+func (r *Reducer) serverChecked(now model.Time, e ServerChecked) {
+	delete(r.checking, e.Server)
+	if e.Healthy {
+		r.sched.ServerHealthy(now, e.Server)
+	}
+}
+
 // settle passes between scheduler, shards and router until nothing is left.
 func (r *Reducer) settle(now model.Time) {
 	for {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -134,6 +134,13 @@
 // Servers is the list of backend servers.
 type Servers struct{ List []sched.Server }
 
+// ServerChecked is the outcome of a question for a server's health, which
+// Effects.Checks has asked for.
+type ServerChecked struct {
+	Server  model.ServerID
+	Healthy bool
+}
+
 // Table is a newer table of weights and limits.
 type Table struct{ Snapshot *table.Snapshot }
 
@@ -159,6 +166,7 @@
 func (WatchFailed) event()    {}
 func (ReadFailed) event()     {}
 func (Servers) event()        {}
+func (ServerChecked) event()  {}
 func (Table) event()          {}
 func (TaskDone) event()       {}
 func (Stop) event()           {}
@@ -213,7 +221,8 @@
 	Starts     []shard.StartTask
 	WriteViews *WriteViews
 	ReadViews  bool
-	Dial       []InstanceInfo // all peers to keep a link to, nil if unchanged
+	Checks     []model.ServerID // backend servers to ask for their health; a ServerChecked each follows
+	Dial       []InstanceInfo   // all peers to keep a link to, nil if unchanged
 	Notes      []Note
 	Peers      []sched.Peer // live instances, nil if unchanged
 	Instances  int          // entry instances that may live, with this one, 0 if unchanged
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -49,18 +49,20 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"settings":  writeSettings,
-			"ready":     waitReady,
-			"members":   waitMembers,
-			"links":     waitLinks,
-			"pause":     pauseProcess,
-			"advertise": advertise,
-			"seed":      seedPeer,
-			"table":     waitTable,
-			"cut":       cutLink,
-			"refused":   checkRefused,
-			"job":       submitJob,
-			"starts":    checkStarts,
+			"settings":   writeSettings,
+			"ready":      waitReady,
+			"members":    waitMembers,
+			"links":      waitLinks,
+			"pause":      pauseProcess,
+			"advertise":  advertise,
+			"seed":       seedPeer,
+			"table":      waitTable,
+			"cut":        cutLink,
+			"refused":    checkRefused,
+			"job":        submitJob,
+			"starts":     checkStarts,
+			"modes":      setModes,
+			"quarantine": waitQuarantine,
 		},
 	})
 }
@@ -157,6 +159,39 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// setModes sets the faults of the backend server at a port: modes PORT JSON.
+func setModes(ts *testscript.TestScript, neg bool, args []string) {
+	if !put("http://"+ts.Getenv("IP")+":"+args[0]+backend.PathModes, args[1]) {
+		ts.Fatalf("the backend server at port %s does not take %s", args[0], args[1])
+	}
+}
+
+// waitQuarantine submits work that is not repeatable until the instance at the
+// port has the backend server in quarantine, or with ! no longer has:
+// [!] quarantine PORT SERVER.
+func waitQuarantine(ts *testscript.TestScript, neg bool, args []string) {
+	deadline := time.Now().Add(scriptTimeout)
+	for isQuarantined(ts, args[0], args[1]) == neg {
+		if time.Now().After(deadline) {
+			ts.Fatalf("server %s does not change its quarantine", args[1])
+		}
+		post(ts, args[0], scriptJob("muttrah", 20, jobKey(ts, nil)))
+	}
+}
+
+func isQuarantined(ts *testscript.TestScript, port, id string) bool {
+	var list []operator.Server
+	text := getText("http://" + ts.Getenv("IP") + ":" + port + "3" + operator.PathServers)
+	ts.Check(json.Unmarshal([]byte(text), &list))
+	for _, s := range list {
+		if string(s.ID) == id {
+			return s.Quarantined
+		}
+	}
+	ts.Fatalf("server %s is not listed", id)
+	return false
+}
+
 // checkRefused submits a job that must be refused: refused PORT HOME KIND RAN
 // KEYFILE.
 func checkRefused(ts *testscript.TestScript, neg bool, args []string) {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -174,6 +174,9 @@
 	for _, st := range e.Starts {
 		r.start(st)
 	}
+	for _, id := range e.Checks {
+		r.check(id)
+	}
 	for _, rep := range e.Replies {
 		r.deliver(rep)
 	}
@@ -218,6 +221,16 @@
 	})
 }
 
+// check asks a backend server for its health.
+func (r *Runtime) check(id model.ServerID) {
+	r.wg.Go(func() {
+		r.Post(core.ServerChecked{
+			Server:  id,
+			Healthy: r.opts.Backends.Healthy(r.ctx, id),
+		})
+	})
+}
+
 func taskOf(st shard.StartTask) backend.Task {
 	id := st.Spec.Identity
 	var key model.Key
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -177,7 +177,8 @@
 	s.out.Starts = append(s.out.Starts, Start{Job: j.Handle, Index: i, Server: v.ID})
 }
 
-// probe starts real, repeatable work on quarantined servers that are due.
+// probe starts real work on quarantined servers that are due: repeatable work,
+// or other work where a health check has succeeded.
 func (s *Scheduler) probe(now model.Time) {
 	for s.nextProbe(now) {
 	}
@@ -188,12 +189,12 @@
 	if f == nil {
 		return false
 	}
-	v := s.probeServer(now, f)
-	if v == nil {
+	j := s.head(now, f)
+	if j == nil || (f.limit != nil && !f.limit.admits(now)) {
 		return false
 	}
-	j := s.head(now, f)
-	if j == nil || !j.Repeatable || (f.limit != nil && !f.limit.admits(now)) {
+	v := s.probeServer(now, f, j.Repeatable)
+	if v == nil {
 		return false
 	}
 	v.health.probing = true
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -14,6 +14,8 @@
 	quarantineScore  = 17.0 // log likelihood ratio at which a server is quarantined
 	probeAfter       = 8 * time.Second
 	maxProbeAfter    = 64 * time.Second
+	checkAfter       = 2 * time.Second // a probe is due so long before the health endpoint is asked
+	checkedFor       = 5 * time.Second // a good answer of the health endpoint holds so long
 	probesToReturn   = 2
 	refusalPause     = 20 * time.Millisecond
 	maxRefusalPause  = time.Second
@@ -30,7 +32,8 @@
 	wait        time.Duration
 	probing     bool
 	passed      int
-	paused      bool // refused a start a moment ago
+	checkedAt   model.Time // latest good answer of the health endpoint, 0 if none since the latest failed probe
+	paused      bool       // refused a start a moment ago
 	pausedUntil model.Time
 	refusals    int
 	starts      uint64
@@ -102,12 +105,16 @@
 	h := &v.health
 	if failed {
 		h.passed = 0
+		h.checkedAt = 0
 		h.wait = min(2*h.wait, maxProbeAfter)
 		h.probeAt = now.Add(h.wait)
 		return
 	}
 	h.passed++
 	h.probeAt = now
+	if h.checkedAt != 0 {
+		h.checkedAt = now
+	}
 	if h.passed >= probesToReturn {
 		s.release(v)
 	}
@@ -179,25 +186,52 @@
 	s.paused = keep
 }
 
-// probeServer returns a quarantined server that is due for a probe.
-func (s *Scheduler) probeServer(now model.Time, f *flow) *server {
+// checked reports whether the health endpoint has answered well of late.
+func (h *health) checked(now model.Time) bool {
+	return h.checkedAt != 0 && now.Sub(h.checkedAt) < checkedFor
+}
+
+// probeServer returns a quarantined server that is due for a probe. One whose
+// health endpoint has answered well may be probed by work that is not
+// repeatable.
+func (s *Scheduler) probeServer(now model.Time, f *flow, repeatable bool) *server {
 	for _, v := range s.quarantined {
-		h := &v.health
-		due := now >= h.probeAt && !h.probing && !h.paused
-		if due && v.owned && v.known && v.State == ServerActive && v.held() > v.busy && f.needs.Fits(v.Has) {
+		if v.probeDue(now) && f.needs.Fits(v.Has) && (repeatable || v.health.checked(now)) {
 			return v
 		}
 	}
 	return nil
 }
 
-// ServerHealthy tells that a check of a quarantined server's health endpoint
-// succeeded. It counts like a probe.
+// probeDue reports whether a slot of a quarantined server may take a probe.
+func (v *server) probeDue(now model.Time) bool {
+	h := &v.health
+	due := now >= h.probeAt && !h.probing && !h.paused
+	return due && v.owned && v.known && v.State == ServerActive && v.held() > v.busy
+}
+
+// ChecksDue returns the quarantined servers whose health endpoint is to be
+// asked: those for which no repeatable work has come since a probe was due.
+// Each has a free slot, whose connection the question may take.
+func (s *Scheduler) ChecksDue(now model.Time) []model.ServerID {
+	var list []model.ServerID
+	for _, v := range s.quarantined {
+		waited := now.Sub(v.health.probeAt) >= checkAfter
+		if waited && v.probeDue(now) && !v.health.checked(now) {
+			list = append(list, v.ID)
+		}
+	}
+	return list
+}
+
+// ServerHealthy tells that the health endpoint of a quarantined server has
+// answered well. The server stays in quarantine, for one that fails all work
+// may answer well; but the next probe may be work that is not repeatable.
 func (s *Scheduler) ServerHealthy(now model.Time, id model.ServerID) {
 	v := s.servers[id]
-	if v == nil || !v.health.quarantined || now < v.health.probeAt {
+	if v == nil || !v.health.quarantined || !v.probeDue(now) {
 		return
 	}
-	s.judgeProbe(now, v, false)
+	v.health.checkedAt = now
 	s.bind(now)
 }
