Check for logic that stands twice, and mend what it finds

Waits that end with a context stood eight times, and the two requests of callers that name a job without parameters began with the same lines.

Change: internal/duplicate compares the tokens of all functions outside of tests and generated files; make check fails where two places share 6 lines, comments and lone punctuation not counted. internal/wait holds Sleep and Every. The requests of callers, the TLS settings of both ends and the two firstError are one piece of code each.

Ruled out: comparing with names, strings and numbers replaced. At 12 lines it finds the queue of timed events three times, which is the same logic; at 10 and below it finds switches that turn an enumeration into texts, which are not.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets that a contributor needs; .ci/run calls `make check`.
 GO ?= go
 
-.PHONY: build test fmt vet lint generate generated spec check
+.PHONY: build test fmt vet lint duplicates generate generated spec check
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,6 +19,10 @@
 lint:
 	$(GO) tool staticcheck ./...
 
+# duplicates fails where the same logic stands in two places.
+duplicates:
+	$(GO) run ./internal/duplicate/cmd/duplicate
+
 generate:
 	bash scripts/generate.sh
 
@@ -30,7 +34,7 @@
 spec:
 	bash spec/check.sh
 
-check: fmt vet lint generated test spec
+check: fmt vet lint duplicates generated test spec
 
 .PHONY: capacity
 # capacity measures the pure cores and writes the raw figures of docs/CAPACITY.md.
--- a/client/retry.go
+++ b/client/retry.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/problem"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // maxJitter is the largest part of a wait that is added to it at random, so
@@ -45,7 +46,7 @@
 			uncertain = true
 			k.body = k.bodyAgain
 		}
-		if attempt == c.opts.Attempts || !worthRepeating(&e.Problem) || !pause(ctx, c.retryWait(&e.Problem, attempt)) {
+		if attempt == c.opts.Attempts || !worthRepeating(&e.Problem) || !wait.Sleep(ctx, c.retryWait(&e.Problem, attempt)) {
 			return nil, combined(e, uncertain)
 		}
 	}
@@ -80,21 +81,9 @@
 // retryWait returns the wait that the service asked for, or an exponential
 // backoff, with jitter.
 func (c *Client) retryWait(p *Problem, attempt int) time.Duration {
-	wait := time.Duration(p.RetryAfterMs) * time.Millisecond
-	if wait <= 0 {
-		wait = c.opts.Backoff << min(attempt-1, maxDoublings)
-	}
-	return wait + time.Duration(rand.Float64()*maxJitter*float64(wait))
-}
-
-// pause waits for d and reports whether ctx still lasts.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	d := time.Duration(p.RetryAfterMs) * time.Millisecond
+	if d <= 0 {
+		d = c.opts.Backoff << min(attempt-1, maxDoublings)
 	}
+	return d + time.Duration(rand.Float64()*maxJitter*float64(d))
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/settings"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // refusalInterval is the time between two sums of refusals in the audit trail.
@@ -20,18 +21,11 @@
 
 // sumRefusals puts refused submissions into the audit trail, in numbers.
 func (i *Instance) sumRefusals(ctx context.Context) {
-	t := time.NewTicker(refusalInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, refusalInterval, func() {
 		for _, r := range i.refusals.Flush() {
 			i.observer.audit(r)
 		}
-	}
+	})
 }
 
 // logPlain logs which ports go without TLS.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -86,8 +86,8 @@
 	r.Post(api.PathJobs, h.submitJob)
 	r.Post(api.PathRequests, h.submitRequest)
 	r.Get(api.PathJob, h.getJob)
-	r.Delete(api.PathJob, h.cancelJob)
-	r.Get(api.PathExplain, h.explainJob)
+	r.Delete(api.PathJob, h.onJob(h.cancelJob))
+	r.Get(api.PathExplain, h.onJob(h.explainJob))
 	return r
 }
 
@@ -187,17 +187,24 @@
 	h.answer(w, id, answer, anyTasks, err, writeAnswer)
 }
 
-func (h *Handler) cancelJob(w http.ResponseWriter, r *http.Request) {
-	id, err := h.identity(r)
-	if err == nil {
-		err = noParams(r)
-	}
-	if err != nil {
-		h.refuse(w, err)
-		return
+// onJob serves a request that names a job and takes no parameters.
+func (h *Handler) onJob(serve func(ctx context.Context, w http.ResponseWriter, id *peerpb.Identity)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id, err := h.identity(r)
+		if err == nil {
+			err = noParams(r)
+		}
+		if err != nil {
+			h.refuse(w, err)
+			return
+		}
+		ctx, cancel := h.waitContext(r, 0)
+		defer cancel()
+		serve(ctx, w, id)
 	}
-	ctx, cancel := h.waitContext(r, 0)
-	defer cancel()
+}
+
+func (h *Handler) cancelJob(ctx context.Context, w http.ResponseWriter, id *peerpb.Identity) {
 	answer, err := h.opts.Dispatcher.Cancel(ctx, id)
 	if err == nil && answer.GetProblem() == string(problem.Cancelled) {
 		h.opts.Log.Event(eventlog.JobCancelled).Str("job", jobPath(id)).Send()
@@ -205,17 +212,7 @@
 	h.answer(w, id, answer, anyTasks, err, writeAnswer)
 }
 
-func (h *Handler) explainJob(w http.ResponseWriter, r *http.Request) {
-	id, err := h.identity(r)
-	if err == nil {
-		err = noParams(r)
-	}
-	if err != nil {
-		h.refuse(w, err)
-		return
-	}
-	ctx, cancel := h.waitContext(r, 0)
-	defer cancel()
+func (h *Handler) explainJob(ctx context.Context, w http.ResponseWriter, id *peerpb.Identity) {
 	text, err := h.opts.Dispatcher.Explain(ctx, id)
 	if err != nil {
 		h.refuse(w, noAnswer(err))
--- a/internal/capacity/write.go
+++ b/internal/capacity/write.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"cmp"
 	"encoding/csv"
 	"encoding/json"
 	"fmt"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write the figures; give a writable directory")
 	}
-	defer func() { err = firstError(err, file.Close()) }()
+	defer func() { err = cmp.Or(err, file.Close()) }()
 	w := csv.NewWriter(file)
 	var zero F
 	if err := w.Write(columns(reflect.TypeOf(zero))); err != nil {
@@ -48,15 +49,6 @@
 	return w.Error()
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // columns returns the JSON names of a struct's fields, embedded ones inlined.
 func columns(t reflect.Type) []string {
 	var names []string
--- /dev/null
+++ b/internal/duplicate/duplicate.go
@@ -0,0 +1,193 @@
+// Package duplicate finds logic that stands twice in a tree of Go files.
+//
+// Two places are duplicates if they hold the same tokens on at least so many
+// lines in a row. Only lines of functions count, without comments, white space
+// and lines of nothing but punctuation. Tests and generated files are left out.
+package duplicate
+
+import (
+	"cmp"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/scanner"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+)
+
+// Place is where a run of lines stands.
+type Place struct {
+	File  string
+	First int
+	Last  int
+}
+
+// String implements fmt.Stringer.
+func (p Place) String() string { return fmt.Sprintf("%s:%d-%d", p.File, p.First, p.Last) }
+
+// Pair is two places that hold the same code.
+type Pair struct {
+	A, B  Place
+	Lines int // lines that count
+}
+
+// Find returns the pairs of places below dir that share at least least lines.
+func Find(dir string, least int) ([]Pair, error) {
+	var all []source
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && path != dir && skipDir(d.Name()) {
+			return filepath.SkipDir
+		}
+		if d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		s, err := read(path)
+		all = append(all, s)
+		return err
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "read the Go files; mend those that do not parse")
+	}
+	return pairs(all, least), nil
+}
+
+func skipDir(name string) bool {
+	return strings.HasPrefix(name, ".") || strings.HasPrefix(name, "_") || name == "testdata" || name == "vendor"
+}
+
+// source is a file as the lines that count.
+type source struct {
+	file  string
+	lines []line
+}
+
+// line is one line of code. Its text is its tokens.
+type line struct {
+	number int
+	text   string
+}
+
+func read(path string) (source, error) {
+	s := source{file: path}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	files := token.NewFileSet()
+	f, err := parser.ParseFile(files, path, text, parser.ParseComments|parser.SkipObjectResolution)
+	if err != nil || ast.IsGenerated(f) {
+		return s, err
+	}
+	lines := scan(text)
+	for _, d := range f.Decls {
+		if fn, ok := d.(*ast.FuncDecl); ok {
+			s.lines = append(s.lines, between(lines, files.Position(fn.Pos()).Line, files.Position(fn.End()).Line)...)
+		}
+	}
+	return s, nil
+}
+
+// between returns the lines that count from first to last.
+func between(lines []line, first, last int) []line {
+	var list []line
+	for _, l := range lines {
+		if l.number >= first && l.number <= last && strings.ContainsFunc(l.text, isWord) {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// isWord reports whether a character stands in names, numbers or strings only.
+func isWord(r rune) bool {
+	return unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("_\"'`", r)
+}
+
+// scan returns the lines of a file that hold tokens.
+func scan(text []byte) []line {
+	var lines []line
+	files := token.NewFileSet()
+	f := files.AddFile("", files.Base(), len(text))
+	var sc scanner.Scanner
+	sc.Init(f, text, nil, 0)
+	for {
+		pos, tok, lit := sc.Scan()
+		if tok == token.EOF {
+			return lines
+		}
+		if tok == token.SEMICOLON && lit == "\n" {
+			continue
+		}
+		if lit == "" {
+			lit = tok.String()
+		}
+		n := f.Line(pos)
+		if len(lines) == 0 || lines[len(lines)-1].number != n {
+			lines = append(lines, line{number: n})
+		}
+		lines[len(lines)-1].text += lit + " "
+	}
+}
+
+// position is a line of a source.
+type position struct{ source, line int }
+
+// pairs compares all runs of least lines.
+func pairs(all []source, least int) []Pair {
+	places := make(map[string][]position)
+	var found []Pair
+	for n, s := range all {
+		for i := range len(s.lines) - least + 1 {
+			at := position{n, i}
+			key := window(s.lines[i : i+least])
+			for _, before := range places[key] {
+				if p, ok := longest(all, before, at, least); ok {
+					found = append(found, p)
+				}
+			}
+			places[key] = append(places[key], at)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Pair) int { return cmp.Compare(b.Lines, a.Lines) })
+	return found
+}
+
+func window(lines []line) string {
+	var b strings.Builder
+	for _, l := range lines {
+		b.WriteString(l.text)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// longest returns the whole run that begins at two positions. It is false where
+// an earlier pair holds the run already, or where the places overlap.
+func longest(all []source, a, b position, least int) (Pair, bool) {
+	x, y := all[a.source], all[b.source]
+	if a.line > 0 && b.line > 0 && x.lines[a.line-1].text == y.lines[b.line-1].text {
+		return Pair{}, false
+	}
+	n := 0
+	for a.line+n < len(x.lines) && b.line+n < len(y.lines) && x.lines[a.line+n].text == y.lines[b.line+n].text {
+		n++
+	}
+	if a.source == b.source {
+		n = min(n, b.line-a.line)
+	}
+	return Pair{A: x.place(a.line, n), B: y.place(b.line, n), Lines: n}, n >= least
+}
+
+func (s source) place(first, n int) Place {
+	return Place{File: s.file, First: s.lines[first].number, Last: s.lines[first+n-1].number}
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // maxRetryAfter bounds how long a refused job waits before it is offered
@@ -102,14 +104,7 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.Sleep(ctx, d)
 }
 
 func (r *runner) send(ctx context.Context, ev Event) {
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -333,7 +334,7 @@
 	if k.DeadlineMs < 0 || k.ResubmitMs < 0 || k.CancelMs < 0 {
 		return &WorkloadError{field, "has a negative time", "give 0 or more milliseconds"}
 	}
-	return firstError(checkSum(field+".sizes", sizes), checkSum(field+".runs", runs), checkSum(field+".declared", declared))
+	return cmp.Or(checkSum(field+".sizes", sizes), checkSum(field+".runs", runs), checkSum(field+".declared", declared))
 }
 
 func (w *Workload) checkWaves() error {
@@ -352,15 +353,6 @@
 	return &WorkloadError{field, "have no shares", "give at least one entry with a share above 0"}
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func isShare(v float64) bool { return v >= 0 && v <= 1 }
 
 func isRate(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // link is the sending end of a session with the process at one address.
@@ -79,7 +80,7 @@
 		}
 		if err != nil {
 			l.m.opts.Events(l.failure(began, err))
-			sleep(ctx, delay)
+			wait.Sleep(ctx, delay)
 			delay = min(2*delay, retryMax)
 			continue
 		}
@@ -106,15 +107,6 @@
 	return core.PeerDown{Addr: l.addr}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // connect opens a connection and exchanges hellos.
 func (l *link) connect(ctx context.Context, began time.Time) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, began.Add(l.m.opts.Silence+silenceSlack))
--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/platform"
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Fake is the port straight on a store, without HTTP. Several fakes may share
@@ -29,12 +30,12 @@
 // bytes received and the kind of its failure.
 func (f *Fake) call(ctx context.Context, op platform.Op, key string, sent int, effect func() (int, platform.Kind)) error {
 	fate, latency := f.Faults.Next(op.IsWrite())
-	if err := pause(ctx, latency); err != nil {
+	if latency > 0 && !wait.Sleep(ctx, latency) {
 		if op.IsWrite() && fate == standin.FateServed {
 			// The request is on its way and takes effect after the caller gave up.
 			time.AfterFunc(latency, func() { effect() })
 		}
-		return f.done(op, key, sent, 0, broken(op), err)
+		return f.done(op, key, sent, 0, broken(op), ctx.Err())
 	}
 	switch fate {
 	case standin.FateHung:
@@ -52,20 +53,6 @@
 	return f.done(op, key, sent, received, kind, nil)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func broken(op platform.Op) platform.Kind {
 	if op.IsWrite() {
 		return platform.KindUnknown
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Delays between attempts to resolve an unknown outcome.
@@ -56,13 +58,7 @@
 }
 
 func sleep(ctx context.Context, delay *time.Duration) bool {
-	t := time.NewTimer(*delay)
-	defer t.Stop()
-	*delay = min(*delay*2, resolveMaxDelay)
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	d := *delay
+	*delay = min(2*d, resolveMaxDelay)
+	return wait.Sleep(ctx, d)
 }
--- a/internal/runtime/cluster.go
+++ b/internal/runtime/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/platform"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Keys in the platform's service.
@@ -126,14 +127,7 @@
 	}
 }
 
-func (r *Runtime) pause(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-r.ctx.Done():
-	case <-t.C:
-	}
-}
+func (r *Runtime) pause(d time.Duration) { wait.Sleep(r.ctx, d) }
 
 // watchCluster follows the list of instances and the views of all domains.
 func (r *Runtime) watchCluster() {
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -11,25 +11,24 @@
 // ServerConfig returns the TLS configuration of a listener, or nil when the
 // port is plain. With a CA, clients must present a certificate.
 func (p *Port) ServerConfig() (*tls.Config, error) {
-	if p.Plain {
-		return nil, nil
-	}
-	cert, pool, err := p.load()
-	if err != nil {
-		return nil, err
-	}
-	c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
-	if pool != nil {
-		c.ClientCAs = pool
-		c.ClientAuth = tls.RequireAndVerifyClientCert
-	}
-	return c, nil
+	return p.config(func(c *tls.Config, pool *x509.CertPool) {
+		if pool != nil {
+			c.ClientCAs = pool
+			c.ClientAuth = tls.RequireAndVerifyClientCert
+		}
+	})
 }
 
 // ClientConfig returns the TLS configuration of an outgoing connection, or
 // nil when the port is plain. The server's certificate must be valid for the
 // IP number that is connected to.
 func (p *Port) ClientConfig() (*tls.Config, error) {
+	return p.config(func(c *tls.Config, pool *x509.CertPool) { c.RootCAs = pool })
+}
+
+// config returns the configuration that both ends share, with the CA set by
+// trust.
+func (p *Port) config(trust func(*tls.Config, *x509.CertPool)) (*tls.Config, error) {
 	if p.Plain {
 		return nil, nil
 	}
@@ -37,7 +36,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, RootCAs: pool}, nil
+	c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
+	trust(c, pool)
+	return c, nil
 }
 
 func (p *Port) load() (tls.Certificate, *x509.CertPool, error) {
--- a/internal/tablestore/edit.go
+++ b/internal/tablestore/edit.go
@@ -7,6 +7,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/platform"
 	"github.com/nutmegweir/nutmegweir/internal/table"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Delays between attempts to write an edit.
@@ -240,15 +241,9 @@
 }
 
 func (w *writer) pause(ctx context.Context) bool {
-	t := time.NewTimer(w.delay)
-	defer t.Stop()
-	w.delay = min(2*w.delay, maxRetryDelay)
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	d := w.delay
+	w.delay = min(2*d, maxRetryDelay)
+	return wait.Sleep(ctx, d)
 }
 
 func withBefore(snap *table.Snapshot, changes []table.Change) []table.Change {
--- a/internal/tablesync/runner.go
+++ b/internal/tablesync/runner.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/table"
 	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Times of the watch of the platform.
@@ -105,16 +106,9 @@
 }
 
 func (r *Runner) tick(ctx context.Context) {
-	t := time.NewTicker(TickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.do(func(now model.Time, c *Core) { c.Tick(now) })
-		}
-	}
+	wait.Every(ctx, TickInterval, func() {
+		r.do(func(now model.Time, c *Core) { c.Tick(now) })
+	})
 }
 
 func (r *Runner) watch(ctx context.Context) {
@@ -122,7 +116,7 @@
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		if !r.shouldWatch() {
-			pause(ctx, idleCheck)
+			wait.Sleep(ctx, idleCheck)
 			continue
 		}
 		next, err := r.read(ctx, index)
@@ -132,13 +126,13 @@
 		if err != nil {
 			r.failed(err)
 			index = 0
-			pause(ctx, delay)
+			wait.Sleep(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
 		index = next
 		delay = minRetryDelay
-		pause(ctx, watchGap)
+		wait.Sleep(ctx, watchGap)
 	}
 }
 
@@ -168,12 +162,3 @@
 	}
 	r.do(func(_ model.Time, c *Core) { c.WatchFailed() })
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/wait/wait_test.go
@@ -0,0 +1,46 @@
+package wait
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestSleep(t *testing.T) {
+	cases := []struct {
+		name string
+		ends time.Duration // of the context
+		want bool
+		took time.Duration
+	}{
+		{"to the end", 2 * time.Second, true, time.Second},
+		{"the context ends first", time.Second / 2, false, time.Second / 2},
+		{"the context has ended", 0, false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), c.ends)
+				defer cancel()
+				began := time.Now()
+				got := Sleep(ctx, time.Second)
+				if took := time.Since(began); got != c.want || took != c.took {
+					t.Fatalf("%v after %v, want %v after %v", got, took, c.want, c.took)
+				}
+			})
+		})
+	}
+}
+
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		Every(ctx, time.Second, func() { calls++ })
+		if calls != 3 {
+			t.Fatalf("%d calls, want 3", calls)
+		}
+	})
+}
