Keep the queue of timed items of two packages once

Cause: load and capacity each had a heap of items by time and order of adding; internal/sched/schedbench and internal/core/coretest have two more.

Change: internal/agenda holds it, for any time and item. The two packages above can take it too; they were left alone while others change them.

--- /dev/null
+++ b/internal/agenda/agenda.go
@@ -0,0 +1,63 @@
+// Package agenda orders what is due by time.
+package agenda
+
+import (
+	"cmp"
+	"container/heap"
+)
+
+// Queue holds what is due at a time. What is due at the same time comes in the
+// order in which it was added. The zero value is empty.
+type Queue[At cmp.Ordered, T any] struct {
+	items items[At, T]
+	added uint64
+}
+
+// Len returns the number of items.
+func (q *Queue[At, T]) Len() int { return len(q.items) }
+
+// Add puts an item in.
+func (q *Queue[At, T]) Add(at At, v T) {
+	q.added++
+	heap.Push(&q.items, item[At, T]{at: at, order: q.added, value: v})
+}
+
+// NextAt returns when the next item is due. The queue must not be empty.
+func (q *Queue[At, T]) NextAt() At { return q.items[0].at }
+
+// Take removes the next item. The queue must not be empty.
+func (q *Queue[At, T]) Take() (At, T) {
+	x := heap.Pop(&q.items).(item[At, T])
+	return x.at, x.value
+}
+
+type item[At cmp.Ordered, T any] struct {
+	at    At
+	order uint64
+	value T
+}
+
+// items implements heap.Interface.
+type items[At cmp.Ordered, T any] []item[At, T]
+
+func (s items[At, T]) Len() int { return len(s) }
+
+func (s items[At, T]) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].order < s[j].order
+}
+
+func (s items[At, T]) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+func (s *items[At, T]) Push(x any) { *s = append(*s, x.(item[At, T])) }
+
+func (s *items[At, T]) Pop() any {
+	old := *s
+	last := len(old) - 1
+	x := old[last]
+	old[last] = item[At, T]{}
+	*s = old[:last]
+	return x
+}
--- a/internal/capacity/sched.go
+++ b/internal/capacity/sched.go
@@ -74,7 +74,7 @@
 // schedBench holds schedulers, fake backend servers and a fake network.
 type schedBench struct {
 	fleet    Fleet
-	agenda   agenda
+	timeline timeline
 	rng      *rand.Rand
 	nodes    []*sched.Scheduler
 	domains  []model.Domain // of each node
@@ -100,7 +100,7 @@
 		index: make(map[model.Instance]int),
 		busy:  make(map[model.ServerID]int),
 	}
-	b.agenda.now = model.Time(time.Hour)
+	b.timeline.now = model.Time(time.Hour)
 	for i := range f.Instances {
 		d := domainName(i % f.Domains)
 		b.domains = append(b.domains, d)
@@ -129,12 +129,12 @@
 func (b *schedBench) start() {
 	servers := b.servers()
 	for i, n := range b.nodes {
-		n.SetPeers(b.agenda.now, b.peersOf(i))
-		n.SetServers(b.agenda.now, servers)
+		n.SetPeers(b.timeline.now, b.peersOf(i))
+		n.SetServers(b.timeline.now, servers)
 		b.flush(i)
 		// Ticks of the instances are spread over the interval.
 		phase := sched.TickInterval * time.Duration(i) / time.Duration(len(b.nodes))
-		b.agenda.add(b.agenda.now.Add(phase), func() { b.tick(i) })
+		b.timeline.add(b.timeline.now.Add(phase), func() { b.tick(i) })
 	}
 }
 
@@ -149,8 +149,8 @@
 }
 
 func (b *schedBench) tick(i int) {
-	b.step(i, func(n *sched.Scheduler) { n.Tick(b.agenda.now) })
-	b.agenda.add(b.agenda.now.Add(sched.TickInterval), func() { b.tick(i) })
+	b.step(i, func(n *sched.Scheduler) { n.Tick(b.timeline.now) })
+	b.timeline.add(b.timeline.now.Add(sched.TickInterval), func() { b.tick(i) })
 }
 
 // offer adds Poisson arrivals of jobs over the instances.
@@ -158,16 +158,16 @@
 	mean := (maxRun - minRun).Seconds() / math.Log(maxRun.Seconds()/minRun.Seconds())
 	slots := float64(b.fleet.Workers * slotsPerServer)
 	rate := offeredLoad * slots / mean / float64(b.fleet.JobTasks)
-	end := b.agenda.now.Add(length)
+	end := b.timeline.now.Add(length)
 	var next func()
 	next = func() {
 		b.submit(b.rng.IntN(len(b.nodes)))
 		gap := time.Duration(b.rng.ExpFloat64() / rate * float64(time.Second))
-		if at := b.agenda.now.Add(gap); at < end {
-			b.agenda.add(at, next)
+		if at := b.timeline.now.Add(gap); at < end {
+			b.timeline.add(at, next)
 		}
 	}
-	b.agenda.add(b.agenda.now, next)
+	b.timeline.add(b.timeline.now, next)
 }
 
 func (b *schedBench) submit(i int) {
@@ -180,7 +180,7 @@
 		Needs:    model.Resources{CPUMilli: 1000, MemoryMB: 1000},
 	}
 	b.step(i, func(n *sched.Scheduler) {
-		if n.Submit(b.agenda.now, j).Reason != sched.ReasonNone {
+		if n.Submit(b.timeline.now, j).Reason != sched.ReasonNone {
 			b.rejected++
 		}
 	})
@@ -217,13 +217,13 @@
 	b.busy[st.Server]++
 	b.starts++
 	run := time.Duration(float64(minRun) * math.Exp(b.rng.Float64()*math.Log(float64(maxRun)/float64(minRun))))
-	b.agenda.add(b.agenda.now.Add(oneWayDelay+run), func() { b.busy[st.Server]-- })
+	b.timeline.add(b.timeline.now.Add(oneWayDelay+run), func() { b.busy[st.Server]-- })
 	b.done(i, st, sched.OutcomeOK, 2*oneWayDelay+run)
 }
 
 func (b *schedBench) done(i int, st sched.Start, o sched.Outcome, after time.Duration) {
-	b.agenda.add(b.agenda.now.Add(after), func() {
-		b.step(i, func(n *sched.Scheduler) { n.Done(b.agenda.now, st, o, after) })
+	b.timeline.add(b.timeline.now.Add(after), func() {
+		b.step(i, func(n *sched.Scheduler) { n.Done(b.timeline.now, st, o, after) })
 	})
 }
 
@@ -232,8 +232,8 @@
 	b.bytes += int64(proto.Size(frameOf(s.Message)))
 	to := b.index[s.To]
 	message := proto.Clone(s.Message).(*peerpb.SchedMessage)
-	b.agenda.add(b.agenda.now.Add(oneWayDelay), func() {
-		b.step(to, func(n *sched.Scheduler) { n.Receive(b.agenda.now, instanceName(from), message) })
+	b.timeline.add(b.timeline.now.Add(oneWayDelay), func() {
+		b.step(to, func(n *sched.Scheduler) { n.Receive(b.timeline.now, instanceName(from), message) })
 	})
 }
 
@@ -244,11 +244,11 @@
 
 // run goes to the end and counts from the warm-up's end on.
 func (b *schedBench) run(from, to time.Duration) {
-	begin := b.agenda.now
-	b.agenda.runUntil(begin.Add(from))
+	begin := b.timeline.now
+	b.timeline.runUntil(begin.Add(from))
 	b.watch = stopwatch{}
 	b.starts, b.refusals, b.rejected, b.messages, b.bytes = 0, 0, 0, 0, 0
-	b.agenda.runUntil(begin.Add(to))
+	b.timeline.runUntil(begin.Add(to))
 }
 
 func (b *schedBench) figure(sweep string, cost time.Duration) SchedFigure {
@@ -274,7 +274,7 @@
 
 // heap returns the memory of one scheduler at the end of the run.
 func (b *schedBench) heap() int64 {
-	b.agenda.items = nil
+	b.timeline = timeline{}
 	with := heapBytes()
 	n := int64(len(b.nodes))
 	b.nodes = nil
--- a/internal/capacity/views.go
+++ b/internal/capacity/views.go
@@ -54,9 +54,9 @@
 	var figures []ViewFigure
 	measure := func(change string, act func()) {
 		b.counts = viewCounts{}
-		begin := b.agenda.now
+		begin := b.timeline.now
 		act()
-		b.agenda.runUntil(b.agenda.now.Add(settleTime + leaseTTL))
+		b.timeline.runUntil(b.timeline.now.Add(settleTime + leaseTTL))
 		figures = append(figures, b.figure(change, begin))
 	}
 	measure("all start", func() {
@@ -84,15 +84,15 @@
 
 // viewsBench holds the reducers of one domain, a fake platform and fake links.
 type viewsBench struct {
-	load   ViewLoad
-	agenda agenda
-	nodes  []*viewNode // by instance, the latest process
-	doc    core.Doc
-	index  uint64
-	change uint64 // counts all changes that watches see
-	listed []core.InstanceInfo
-	counts viewCounts
-	starts int
+	load     ViewLoad
+	timeline timeline
+	nodes    []*viewNode // by instance, the latest process
+	doc      core.Doc
+	index    uint64
+	change   uint64 // counts all changes that watches see
+	listed   []core.InstanceInfo
+	counts   viewCounts
+	starts   int
 }
 
 type viewNode struct {
@@ -106,7 +106,7 @@
 
 func newViewsBench(l ViewLoad) *viewsBench {
 	b := &viewsBench{load: l, nodes: make([]*viewNode, l.Instances)}
-	b.agenda.now = model.Time(firstKeyTime * int64(time.Millisecond))
+	b.timeline.now = model.Time(firstKeyTime * int64(time.Millisecond))
 	return b
 }
 
@@ -127,7 +127,7 @@
 	})
 	b.nodes[i] = n
 	b.list(info)
-	b.agenda.add(b.agenda.now, func() { b.tick(n) })
+	b.timeline.add(b.timeline.now, func() { b.tick(n) })
 	b.watch(n)
 }
 
@@ -136,7 +136,7 @@
 		return
 	}
 	b.step(n, core.Tick{})
-	b.agenda.add(b.agenda.now.Add(viewsTick), func() { b.tick(n) })
+	b.timeline.add(b.timeline.now.Add(viewsTick), func() { b.tick(n) })
 }
 
 func (b *viewsBench) list(info core.InstanceInfo) {
@@ -166,7 +166,7 @@
 			b.dial(n, dead.info.Addr)
 		}
 	}
-	b.agenda.add(b.agenda.now.Add(leaseTTL), func() {
+	b.timeline.add(b.timeline.now.Add(leaseTTL), func() {
 		b.unlist(dead.info.Member.Instance)
 		b.changed()
 	})
@@ -195,7 +195,7 @@
 	if n.watching || !n.alive {
 		return
 	}
-	b.agenda.add(b.agenda.now.Add(platformDelay), func() {
+	b.timeline.add(b.timeline.now.Add(platformDelay), func() {
 		n.seen = b.change
 		b.call(&b.counts.wakes)
 		b.step(n, core.Instances{List: b.listed})
@@ -209,14 +209,14 @@
 	if b.counts.perSecond == nil {
 		b.counts.perSecond = make(map[int64]int)
 	}
-	b.counts.perSecond[int64(b.agenda.now)/int64(time.Second)]++
+	b.counts.perSecond[int64(b.timeline.now)/int64(time.Second)]++
 }
 
 func (b *viewsBench) step(n *viewNode, e core.Event) {
 	if !n.alive {
 		return
 	}
-	n.core.Step(b.agenda.now, e)
+	n.core.Step(b.timeline.now, e)
 	b.apply(n, n.core.Ready())
 }
 
@@ -229,11 +229,11 @@
 	}
 	if out.WriteViews != nil {
 		w := *out.WriteViews
-		b.agenda.add(b.agenda.now.Add(platformDelay), func() { b.write(n, w) })
+		b.timeline.add(b.timeline.now.Add(platformDelay), func() { b.write(n, w) })
 	}
 	if out.ReadViews {
-		began := b.agenda.now
-		b.agenda.add(b.agenda.now.Add(platformDelay), func() {
+		began := b.timeline.now
+		b.timeline.add(b.timeline.now.Add(platformDelay), func() {
 			b.call(&b.counts.reads)
 			b.step(n, core.Views{Domain: n.info.Domain, Index: b.index, Doc: b.doc, ReadAt: began})
 		})
@@ -248,7 +248,7 @@
 	}
 	b.index++
 	b.doc = w.Doc
-	b.counts.lastWrite = b.agenda.now
+	b.counts.lastWrite = b.timeline.now
 	b.call(&b.counts.writes)
 	b.changed()
 	b.step(n, core.ViewsWritten{Outcome: core.WriteApplied, Index: b.index, Doc: w.Doc})
@@ -260,17 +260,17 @@
 		return
 	}
 	n.dialed[addr] = true
-	b.agenda.add(b.agenda.now.Add(2*oneWayDelay), func() { b.attempt(n, addr) })
+	b.timeline.add(b.timeline.now.Add(2*oneWayDelay), func() { b.attempt(n, addr) })
 }
 
 func (b *viewsBench) attempt(n *viewNode, addr string) {
 	if to := b.at(addr); to != nil {
-		b.step(n, core.PeerUp{Addr: addr, Member: to.info.Member, Domain: to.info.Domain, Began: b.agenda.now, Reset: true})
+		b.step(n, core.PeerUp{Addr: addr, Member: to.info.Member, Domain: to.info.Domain, Began: b.timeline.now, Reset: true})
 		return
 	}
-	b.step(n, core.PeerRefused{Addr: addr, Began: b.agenda.now})
+	b.step(n, core.PeerRefused{Addr: addr, Began: b.timeline.now})
 	if n.alive {
-		b.agenda.add(b.agenda.now.Add(redialEvery), func() { b.attempt(n, addr) })
+		b.timeline.add(b.timeline.now.Add(redialEvery), func() { b.attempt(n, addr) })
 	}
 }
 
@@ -284,7 +284,7 @@
 }
 
 func (b *viewsBench) send(from *viewNode, s core.Send) {
-	b.agenda.add(b.agenda.now.Add(oneWayDelay), func() {
+	b.timeline.add(b.timeline.now.Add(oneWayDelay), func() {
 		for _, n := range b.nodes {
 			if n != nil && n.info.Member.Instance == s.To {
 				b.step(n, core.PeerMessage{From: from.info.Member, Message: s.Message})
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -1,13 +1,14 @@
 package load
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/nutmegweir/nutmegweir/internal/agenda"
 )
 
 // Op is what an event asks the runner to do.
@@ -94,8 +95,7 @@
 	seq      int
 	ended    bool
 	next     *Event // the next arrival, when known
-	later    eventHeap
-	order    uint64
+	later    agenda.Queue[time.Duration, Event]
 }
 
 // NewGenerator returns a generator at the start of the workload.
@@ -112,8 +112,9 @@
 	if g.next == nil && !g.ended {
 		g.arrive()
 	}
-	if len(g.later) > 0 && (g.next == nil || g.later[0].At <= g.next.At) {
-		return heap.Pop(&g.later).(timed).Event, true
+	if g.later.Len() > 0 && (g.next == nil || g.later.NextAt() <= g.next.At) {
+		_, ev := g.later.Take()
+		return ev, true
 	}
 	if g.next == nil {
 		return Event{}, false
@@ -264,10 +265,7 @@
 	return time.Duration(rng.Float64() * float64(ms) * float64(time.Millisecond))
 }
 
-func (g *Generator) push(ev Event) {
-	g.order++
-	heap.Push(&g.later, timed{ev, g.order})
-}
+func (g *Generator) push(ev Event) { g.later.Add(ev.At, ev) }
 
 // pick returns an index with a chance in proportion to its share.
 func pick(rng *rand.Rand, n int, share func(int) float64) int {
@@ -284,27 +282,3 @@
 	}
 	return n - 1
 }
-
-type timed struct {
-	Event
-	order uint64
-}
-
-// eventHeap orders events by time, then by the order of generation.
-type eventHeap []timed
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].At != h[j].At {
-		return h[i].At < h[j].At
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(v any)   { *h = append(*h, v.(timed)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	v := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return v
-}
