Join what tests of the table repeat; tell the contract of health checks

Tests: reading the whole history, filling a table, editing one row again and setting the faults of all domains stood two to four times in the tests of tablestore and tablesync.

--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -7,7 +7,8 @@
 // Every other status means that the task ran and failed. GET of PathHealth
 // returns a Health document. With the query parameter ParamTask the document
 // says whether that task is running; entry instances ask so, on a fresh
-// connection, about starts that are long without an answer.
+// connection, about starts that are long without an answer. Without it they ask
+// whether a server whose work has failed is well: status 200 and not leaving.
 package backendapi
 
 // Paths of a backend server.
--- a/internal/tablestore/store_test.go
+++ b/internal/tablestore/store_test.go
@@ -41,6 +41,22 @@
 	return res
 }
 
+// fill adds the rows from to to-1, each by an edit of its own.
+func fill(t *testing.T, s *tablestore.Store, from, to int) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		mustEdit(t, s, request(fmt.Sprintf("fill-%d", i), change(fmt.Sprintf("c%d", i), 0, i)))
+	}
+}
+
+// editAgain edits the row of customer a, which has version 1, n times.
+func editAgain(t *testing.T, s *tablestore.Store, n int) {
+	t.Helper()
+	for i := range n {
+		mustEdit(t, s, request(fmt.Sprintf("o-%d", i), change("a", uint64(i+1), i)))
+	}
+}
+
 func TestEditChecksBaseAndKeepsBothSides(t *testing.T) {
 	s, _ := newStore(standin.NewStore(0))
 	mustEdit(t, s, request("e1", change("a", 0, 1)))
@@ -87,9 +103,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				backing := standin.NewStore(0)
 				s, f := newStore(backing)
-				for i := range c.before {
-					mustEdit(t, s, request(fmt.Sprintf("fill-%d", i), change(fmt.Sprintf("c%d", i), 0, 1)))
-				}
+				fill(t, s, 0, c.before)
 				for i := range 40 {
 					f.Faults.Set(standin.Faults{LoseAnswers: c.lose})
 					r := request(fmt.Sprintf("e-%d", i), change("a", lastVersion(t, backing, "a"), i))
@@ -158,21 +172,10 @@
 	for i := range edits {
 		mustEdit(t, s, request(fmt.Sprintf("e-%d", i), change(fmt.Sprintf("c%d", i%50), lastVersion(t, backing, fmt.Sprintf("c%d", i%50)), i)))
 	}
-	var versions []uint64
-	var cursor tablestore.Cursor
-	for more := true; more; {
-		h, err := s.History(t.Context(), cursor)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, e := range h.Edits {
-			versions = append(versions, e.Version)
-		}
-		cursor, more = h.Next, h.More
-	}
-	for i, v := range versions {
-		if v != uint64(edits-i) {
-			t.Fatalf("version %d at place %d", v, i)
+	kept := readHistory(t, s)
+	for i, e := range kept {
+		if e.Version != uint64(edits-i) {
+			t.Fatalf("version %d at place %d", e.Version, i)
 		}
 	}
 	list := backing.List(t.Context(), "t/", 0, 0)
@@ -185,8 +188,8 @@
 			pages++
 		}
 	}
-	if pages > 21 || len(versions) < 20 || len(versions) == edits {
-		t.Fatalf("%d pages, %d edits left", pages, len(versions))
+	if pages > 21 || len(kept) < 20 || len(kept) == edits {
+		t.Fatalf("%d pages, %d edits left", pages, len(kept))
 	}
 }
 
@@ -248,8 +251,8 @@
 	f.snap = news.Table
 }
 
-// requireWholeHistory reads all edits below the log and fails on a gap.
-func requireWholeHistory(t *testing.T, s *tablestore.Store) []table.Edit {
+// readHistory reads all edits that the history has, the newest first.
+func readHistory(t *testing.T, s *tablestore.Store) []table.Edit {
 	t.Helper()
 	var edits []table.Edit
 	var cursor tablestore.Cursor
@@ -261,6 +264,13 @@
 		edits = append(edits, h.Edits...)
 		cursor, more = h.Next, h.More
 	}
+	return edits
+}
+
+// requireWholeHistory reads all edits and fails on a gap.
+func requireWholeHistory(t *testing.T, s *tablestore.Store) []table.Edit {
+	t.Helper()
+	edits := readHistory(t, s)
 	for i, e := range edits {
 		if e.Version != uint64(len(edits)-i) {
 			t.Fatalf("version %d at place %d of %d", e.Version, i, len(edits))
@@ -277,16 +287,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				backing := standin.NewStore(0)
 				s, _ := newStore(backing)
-				fill := func(from, to int) {
-					for i := from; i < to; i++ {
-						mustEdit(t, s, request(fmt.Sprintf("e-%d", i), change(fmt.Sprintf("c%d", i), 0, i)))
-					}
-				}
-				fill(0, 60)
+				fill(t, s, 0, 60)
 				slow, f := newStore(backing)
 				f.Faults.Set(standin.Faults{LatencyMs: 10})
 				var wg sync.WaitGroup
-				wg.Go(func() { time.Sleep(time.Duration(delay) * time.Millisecond); fill(60, 120) })
+				wg.Go(func() { time.Sleep(time.Duration(delay) * time.Millisecond); fill(t, s, 60, 120) })
 				snap, err := slow.Load(t.Context())
 				wg.Wait()
 				if err != nil || snap.Len() != int(snap.Version()) {
@@ -318,9 +323,7 @@
 					time.Sleep(25 * time.Millisecond)
 					f.Faults.Set(standin.Faults{Refuse: true})
 					other, _ := newStore(backing)
-					for i := range c.others {
-						mustEdit(t, other, request(fmt.Sprintf("o-%d", i), change("a", uint64(i+1), i)))
-					}
+					editAgain(t, other, c.others)
 					f.Faults.Set(standin.Faults{})
 				}()
 				res, err := s.Edit(t.Context(), request("e", change("a", 0, 1)))
@@ -362,9 +365,7 @@
 	s, _ := newStore(standin.NewStore(0))
 	r := request("e", change("a", 0, 1))
 	mustEdit(t, s, r)
-	for i := range 30 {
-		mustEdit(t, s, request(fmt.Sprintf("o-%d", i), change("a", uint64(i+1), i)))
-	}
+	editAgain(t, s, 30)
 	if res := mustEdit(t, s, r); !res.Repeated || res.Edit.Version != 1 {
 		t.Fatalf("result %+v", res)
 	}
--- a/internal/tablesync/core_test.go
+++ b/internal/tablesync/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +41,17 @@
 	return s
 }
 
+// sends counts the messages that a core wants sent and that fit.
+func sends(c *Core, fits func(Send) bool) int {
+	n := 0
+	for _, s := range c.Ready().Sends {
+		if fits(s) {
+			n++
+		}
+	}
+	return n
+}
+
 func TestOlderTablesAreIgnored(t *testing.T) {
 	edits := history(5)
 	old := tableOf(edits[:3])
@@ -106,12 +118,9 @@
 	c.Loaded(tableOf(history(2)), history(2))
 	c.Ready()
 	c.Loaded(tableOf(history(3)), history(3))
-	pushed := 0
-	for _, s := range c.Ready().Sends {
-		if e := s.Message.GetEdits(); e != nil && len(e.GetEdits()) == 1 && s.To != "b1" {
-			pushed++
-		}
-	}
+	pushed := sends(c, func(s Send) bool {
+		return len(s.Message.GetEdits().GetEdits()) == 1 && s.To != "b1"
+	})
 	if pushed != 2 {
 		t.Fatalf("pushed to %d peers", pushed)
 	}
@@ -123,13 +132,7 @@
 	c.Ready()
 	fetches := func(at model.Time, from model.Instance) int {
 		c.Receive(at, from, announce(4, "a", false))
-		n := 0
-		for _, s := range c.Ready().Sends {
-			if s.Message.GetFetch() != nil {
-				n++
-			}
-		}
-		return n
+		return sends(c, func(s Send) bool { return s.Message.GetFetch() != nil })
 	}
 	if fetches(second, "a2") != 1 || fetches(second, "b1") != 0 || fetches(4*second, "b1") != 1 {
 		t.Fatal("one fetch at a time, and another after the timeout")
@@ -176,13 +179,9 @@
 }
 
 func step(now model.Time, ids []model.Instance, cores map[model.Instance]*Core, broken []model.Instance) {
-	fails := make(map[model.Instance]bool)
-	for _, id := range broken {
-		fails[id] = true
-	}
 	for _, id := range ids {
 		c := cores[id]
-		if c.ShouldWatch(now) && fails[id] {
+		if c.ShouldWatch(now) && slices.Contains(broken, id) {
 			c.WatchFailed()
 		} else if c.ShouldWatch(now) {
 			c.Loaded(table.Empty(), nil)
--- a/internal/tablesync/runner_test.go
+++ b/internal/tablesync/runner_test.go
@@ -165,10 +165,10 @@
 	})
 }
 
-// faults sets the faults of a domain's links to the platform.
+// faults sets the faults of a domain's links to the platform, or of all.
 func (f *fleet) faults(d model.Domain, faults standin.Faults) {
 	for _, n := range f.nodes {
-		if n.domain == d {
+		if d == table.Any || n.domain == d {
 			n.fake.Faults.Set(faults)
 		}
 	}
@@ -291,18 +291,14 @@
 		f.faults("d3", outage)
 		v := f.edit(0)
 		f.requireInForce(v, "d3")
-		for _, d := range f.domains {
-			f.faults(d, outage)
-		}
+		f.faults(table.Any, outage)
 		f.cutLinks("d3", false)
 		f.requireInForce(v)
 	}},
 	{"restart while the platform is down", func(f *fleet) {
 		v := f.edit(0)
 		f.requireInForce(v)
-		for _, d := range f.domains {
-			f.faults(d, outage)
-		}
+		f.faults(table.Any, outage)
 		for _, id := range []model.Instance{"d3-0", "d3-1"} {
 			f.stop(id)
 			f.start(id).fake.Faults.Set(outage)
@@ -313,13 +309,9 @@
 	{"platform restored late", func(f *fleet) {
 		v := f.edit(0)
 		f.requireInForce(v)
-		for _, d := range f.domains {
-			f.faults(d, outage)
-		}
+		f.faults(table.Any, outage)
 		time.Sleep(10 * time.Minute)
-		for _, d := range f.domains {
-			f.faults(d, standin.Faults{})
-		}
+		f.faults(table.Any, standin.Faults{})
 		time.Sleep(settle)
 		f.requireInForce(f.edit(1))
 	}},
