--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,15 +36,19 @@
 	env   *shard.Env
 	own   []*shard.Shard                // shards of the home domain
 	views map[model.Domain][]shard.View // views of all domains
+	relay relay
 	plan  planner
 	route router
 
 	instances []InstanceInfo
+	listed    bool           // the platform has listed the instances
+	counted   int            // instances that the runtime was told of last
 	servers   []sched.Server // as the platform lists them
 	held      []sched.Start  // starts that wait for the end of a suspension
 	lastTick  model.Time
 	lastSlow  model.Time
-	broken    []model.ServerID      // backend servers in quarantine, when last looked
+	broken    []model.ServerID // backend servers in quarantine, when last looked
+	checking  map[model.ServerID]bool
 	leaving   map[shard.Member]bool // instances that have said that they stop
 	stopping  bool
 }
@@ -63,10 +67,12 @@
 			Seed:   o.Seed,
 			Policy: o.Policy,
 		}),
-		env:     shard.NewEnv(o.Self, o.Shard),
-		views:   make(map[model.Domain][]shard.View),
-		leaving: make(map[shard.Member]bool),
-		route:   newRouter(o.Self),
+		env:      shard.NewEnv(o.Self, o.Shard),
+		views:    make(map[model.Domain][]shard.View),
+		leaving:  make(map[shard.Member]bool),
+		checking: make(map[model.ServerID]bool),
+		relay:    newRelay(),
+		route:    newRouter(o.Self),
 	}
 	r.env.Queue = r.sched
 	r.env.Deadline = o.Policy.Deadline
@@ -116,11 +122,15 @@
 		r.setViews(now, e)
 	case ViewsWritten:
 		r.viewsWritten(now, e)
+	case WatchFailed:
+		r.relay.blind = true
 	case ReadFailed:
 		r.plan.reading = false
 	case Servers:
 		r.servers = e.List
 		r.applyServers(now)
+	case ServerChecked:
+		r.serverChecked(now, e)
 	case Table:
 		if r.opts.Policy.Set(e.Snapshot) {
 			r.applyServers(now)
@@ -171,6 +181,8 @@
 	}
 	r.lastSlow = now
 	r.noteQuarantine()
+	r.checkServers(now)
+	r.askNextPeer()
 	for _, s := range r.own {
 		s.TickSlow(now)
 	}
@@ -193,6 +205,25 @@
 	r.broken = list
 }
 
+// checkServers asks for the health of backend servers that are to be probed,
+// one question a server at a time.
+func (r *Reducer) checkServers(now model.Time) {
+	for _, id := range r.sched.ChecksDue(now) {
+		if r.checking[id] {
+			continue
+		}
+		r.checking[id] = true
+		r.out.Checks = append(r.out.Checks, id)
+	}
+}
+
+func (r *Reducer) serverChecked(now model.Time, e ServerChecked) {
+	delete(r.checking, e.Server)
+	if e.Healthy {
+		r.sched.ServerHealthy(now, e.Server)
+	}
+}
+
 // settle passes between scheduler, shards and router until nothing is left.
 func (r *Reducer) settle(now model.Time) {
 	for {
@@ -285,6 +316,7 @@
 
 // Ready returns and clears the effects.
 func (r *Reducer) Ready() Effects {
+	r.countInstances()
 	if r.peers.changed {
 		r.peers.changed = false
 		r.out.Dial = r.peers.dial()
@@ -319,6 +351,10 @@
 		r.remoteLookup(now, from, b.Lookup)
 	case *peerpb.Message_Cancel:
 		r.remoteCancel(now, from, b.Cancel)
+	case *peerpb.Message_ViewsRequest:
+		r.passViews(from, b.ViewsRequest)
+	case *peerpb.Message_DomainViews:
+		r.viewsFromPeer(now, b.DomainViews)
 	case *peerpb.Message_Sched:
 		r.sched.Receive(now, from.Instance, b.Sched)
 	default:
@@ -366,18 +402,23 @@
 }
 
 // Routable reports whether every shard of the home domain has an owner that
-// this instance can reach.
+// this instance can reach. An instance that owns none can route also while it
+// may not serve itself.
 func (r *Reducer) Routable() bool {
 	for i := range r.own {
 		to, ok := r.owner(shard.ID{Domain: r.opts.Domain, Index: uint32(i)})
-		if !ok {
-			return false
-		}
-		if to != r.opts.Self && !r.peers.connected(to) {
+		if !ok || !r.reachable(to) {
 			return false
 		}
 	}
-	return !r.env.Suspended
+	return true
+}
+
+func (r *Reducer) reachable(owner shard.Member) bool {
+	if owner == r.opts.Self {
+		return !r.env.Suspended
+	}
+	return r.peers.connected(owner)
 }
 
 // Explain says where a job stands at this instance.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -124,12 +124,23 @@
 	Doc     Doc
 }
 
+// WatchFailed says that the platform does not answer the watch of instances
+// and views. The next Instances ends it.
+type WatchFailed struct{}
+
 // ReadFailed says that a ReadViews effect got no answer.
 type ReadFailed struct{}
 
 // Servers is the list of backend servers.
 type Servers struct{ List []sched.Server }
 
+// ServerChecked is the outcome of a question for a server's health, which
+// Effects.Checks has asked for.
+type ServerChecked struct {
+	Server  model.ServerID
+	Healthy bool
+}
+
 // Table is a newer table of weights and limits.
 type Table struct{ Snapshot *table.Snapshot }
 
@@ -152,8 +163,10 @@
 func (Instances) event()      {}
 func (Views) event()          {}
 func (ViewsWritten) event()   {}
+func (WatchFailed) event()    {}
 func (ReadFailed) event()     {}
 func (Servers) event()        {}
+func (ServerChecked) event()  {}
 func (Table) event()          {}
 func (TaskDone) event()       {}
 func (Stop) event()           {}
@@ -208,7 +221,9 @@
 	Starts     []shard.StartTask
 	WriteViews *WriteViews
 	ReadViews  bool
-	Dial       []InstanceInfo // all peers to keep a link to, nil if unchanged
+	Checks     []model.ServerID // backend servers to ask for their health; a ServerChecked each follows
+	Dial       []InstanceInfo   // all peers to keep a link to, nil if unchanged
 	Notes      []Note
 	Peers      []sched.Peer // live instances, nil if unchanged
+	Instances  int          // entry instances that may live, with this one, 0 if unchanged
 }
