Pause longer and apart between calls to a platform that fails; read a burst once

Each change of the list of instances woke every watch at once, and retries paused for a fixed 300 ms. Change: after an answer of the cluster's watch an instance waits 100 to 200 ms before it watches again, so that a burst of changes is read once; the first change is seen at once as before. Pauses after failures double from 150 ms to 3 s and are lengthened at random. wait.Backoff replaces five copies of a pause that doubles. Ruled out: the table's watch (one a domain). Shown: tests of wait, platform, tablestore, tablesync, peer, daemon pass.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -78,7 +78,7 @@
 // run dials until the link is closed. Every attempt is a fresh connection, so
 // its outcome is evidence of whether the process lives.
 func (l *link) run(ctx context.Context) {
-	delay := retryMin
+	retry := wait.Backoff{Min: retryMin, Max: retryMax}
 	for ctx.Err() == nil {
 		began := time.Now()
 		c, err := l.connect(ctx, began)
@@ -87,14 +87,13 @@
 		}
 		if err != nil {
 			l.m.opts.Events(l.failure(began, err))
-			wait.Sleep(ctx, delay)
-			delay = min(2*delay, retryMax)
+			retry.Sleep(ctx)
 			continue
 		}
 		l.transfer(ctx, c)
 		l.m.opts.Events(core.PeerDown{Addr: l.addr})
 		if time.Since(began) > retryMax {
-			delay = retryMin
+			retry.Reset()
 		}
 	}
 }
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -19,7 +19,7 @@
 // must keep the ids of recent writes. Writing again is safe, because both
 // attempts name the same index and at most one of them can take effect.
 func CASResolve(ctx context.Context, p Platform, key string, value []byte, index uint64, carries func([]byte) bool) (uint64, error) {
-	delay := resolveMinDelay
+	pause := &wait.Backoff{Min: resolveMinDelay, Max: resolveMaxDelay}
 	var unknown error // set once an attempt may have taken effect
 	for {
 		next, err := p.CAS(ctx, key, value, index)
@@ -29,7 +29,7 @@
 		if err == nil || unknown == nil {
 			return next, err
 		}
-		current, err := readBack(ctx, p, key, &delay)
+		current, err := readBack(ctx, p, key, pause)
 		if err != nil {
 			return 0, unknown
 		}
@@ -39,26 +39,20 @@
 		if current.Index != index {
 			return 0, &Error{Kind: KindConflict, Op: OpCAS, Key: key}
 		}
-		if !sleep(ctx, &delay) {
+		if !pause.Sleep(ctx) {
 			return 0, unknown
 		}
 	}
 }
 
-func readBack(ctx context.Context, p Platform, key string, delay *time.Duration) (Entry, error) {
+func readBack(ctx context.Context, p Platform, key string, pause *wait.Backoff) (Entry, error) {
 	for {
 		e, err := p.Get(ctx, key)
 		if err == nil {
 			return e, nil
 		}
-		if !sleep(ctx, delay) {
+		if !pause.Sleep(ctx) {
 			return Entry{}, err
 		}
 	}
 }
-
-func sleep(ctx context.Context, delay *time.Duration) bool {
-	d := *delay
-	*delay = min(2*d, resolveMaxDelay)
-	return wait.Sleep(ctx, d)
-}
--- a/internal/runtime/cluster.go
+++ b/internal/runtime/cluster.go
@@ -25,7 +25,10 @@
 	sessionTTL   = 15 * time.Second
 	renewEvery   = 5 * time.Second
 	watchWait    = 30 * time.Second
-	retryDelay   = 300 * time.Millisecond
+	minRetry     = 150 * time.Millisecond
+	maxRetry     = 3 * time.Second
+	watchGap     = 100 * time.Millisecond // after an answer of the watch: one call shows all changes meanwhile
+	spread       = 1.0                    // of pauses: instances that lost the platform together come back apart
 	callTimeout  = 2 * time.Second
 	leaveTimeout = time.Second
 )
@@ -57,17 +60,23 @@
 
 // runSession keeps this instance in the list of instances.
 func (r *Runtime) runSession() {
+	retry := newRetry()
 	for r.ctx.Err() == nil {
-		if err := r.keepSession(); err != nil {
+		if err := r.keepSession(&retry); err != nil {
 			r.platformError("session", err)
 		}
-		r.pause(retryDelay)
+		retry.Sleep(r.ctx)
 	}
 	r.endSession()
 }
 
+// newRetry returns the pauses between calls that fail.
+func newRetry() wait.Backoff {
+	return wait.Backoff{Min: minRetry, Max: maxRetry, Spread: spread}
+}
+
 // keepSession announces the instance and renews the session until that fails.
-func (r *Runtime) keepSession() error {
+func (r *Runtime) keepSession(retry *wait.Backoff) error {
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 	defer cancel()
 	id, err := r.opts.Platform.CreateSession(ctx, string(r.opts.Core.Self.Instance), sessionTTL)
@@ -81,6 +90,7 @@
 		_ = r.opts.Platform.DestroySession(ctx, id)
 		return err
 	}
+	retry.Reset()
 	for {
 		r.pause(renewEvery)
 		if r.ctx.Err() != nil {
@@ -132,17 +142,20 @@
 // watchCluster follows the list of instances and the views of all domains.
 func (r *Runtime) watchCluster() {
 	var index uint64
+	retry := newRetry()
 	for r.ctx.Err() == nil {
 		l, err := r.opts.Platform.List(r.ctx, clusterPrefix, index, watchWait)
 		if err != nil {
 			r.platformError("watch", err)
 			r.Post(core.WatchFailed{})
 			index = 0
-			r.pause(retryDelay)
+			retry.Sleep(r.ctx)
 			continue
 		}
+		retry.Reset()
 		if l.Index != index {
 			r.postListing(l)
+			r.pause(wait.Spread(watchGap, spread))
 		}
 		index = l.Index
 	}
@@ -191,7 +204,7 @@
 	e, err := r.opts.Platform.Get(ctx, r.viewsKey())
 	if err != nil {
 		r.platformError("read views", err)
-		r.pause(retryDelay)
+		r.pause(wait.Spread(minRetry, spread))
 		r.Post(core.ReadFailed{})
 		return
 	}
@@ -232,13 +245,15 @@
 // watchServers follows the lagging list of backend servers.
 func (r *Runtime) watchServers() {
 	var index uint64
+	retry := newRetry()
 	for r.ctx.Err() == nil {
 		l, err := r.opts.Platform.Services(r.ctx, r.opts.BackendService, index, watchWait)
 		if err != nil {
 			r.platformError("watch services", err)
-			r.pause(retryDelay)
+			retry.Sleep(r.ctx)
 			continue
 		}
+		retry.Reset()
 		if l.Index != index {
 			r.setServers(l.Instances)
 		}
--- a/internal/tablestore/edit.go
+++ b/internal/tablestore/edit.go
@@ -40,13 +40,13 @@
 	if faults := s.opts.Rules.Check(r.Changes); len(faults) > 0 {
 		return Result{}, &table.InvalidError{Faults: faults}
 	}
-	w := &writer{store: s, req: r, delay: minRetryDelay}
+	w := &writer{store: s, req: r, backoff: wait.Backoff{Min: minRetryDelay, Max: maxRetryDelay}}
 	for {
 		res, done, err := w.attempt(ctx)
 		if done {
 			return res, w.outcome(err)
 		}
-		if !w.pause(ctx) {
+		if !w.backoff.Sleep(ctx) {
 			return Result{}, w.outcome(err)
 		}
 	}
@@ -72,7 +72,7 @@
 type writer struct {
 	store   *Store
 	req     Request
-	delay   time.Duration
+	backoff wait.Backoff
 	unknown error  // set while an attempt may have taken effect
 	tried   uint64 // table version of that attempt
 	fresh   bool   // the log was read for this edit, not remembered
@@ -240,12 +240,6 @@
 	return err
 }
 
-func (w *writer) pause(ctx context.Context) bool {
-	d := w.delay
-	w.delay = min(2*d, maxRetryDelay)
-	return wait.Sleep(ctx, d)
-}
-
 func withBefore(snap *table.Snapshot, changes []table.Change) []table.Change {
 	list := slices.Clone(changes)
 	for i := range list {
--- a/internal/tablesync/runner.go
+++ b/internal/tablesync/runner.go
@@ -113,7 +113,7 @@
 
 func (r *Runner) watch(ctx context.Context) {
 	var index uint64
-	delay := minRetryDelay
+	retry := wait.Backoff{Min: minRetryDelay, Max: maxRetryDelay}
 	for ctx.Err() == nil {
 		if !r.shouldWatch() {
 			wait.Sleep(ctx, idleCheck)
@@ -126,12 +126,11 @@
 		if err != nil {
 			r.failed(err)
 			index = 0
-			wait.Sleep(ctx, delay)
-			delay = min(2*delay, maxRetryDelay)
+			retry.Sleep(ctx)
 			continue
 		}
 		index = next
-		delay = minRetryDelay
+		retry.Reset()
 		wait.Sleep(ctx, watchGap)
 	}
 }
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -44,3 +44,35 @@
 		}
 	})
 }
+
+func TestBackoff(t *testing.T) {
+	cases := []struct {
+		name   string
+		spread float64
+		reset  bool // after the third pause
+		want   []time.Duration
+	}{
+		{"doubles to the longest", 0, false, []time.Duration{1, 2, 4, 5, 5}},
+		{"begins anew", 0, true, []time.Duration{1, 2, 4, 1, 2}},
+		{"spread", 0.5, false, []time.Duration{1, 2, 4, 5, 5}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := Backoff{Min: time.Second, Max: 5 * time.Second, Spread: c.spread}
+				for i, w := range c.want {
+					if c.reset && i == 3 {
+						b.Reset()
+					}
+					least := w * time.Second
+					most := least + time.Duration(c.spread*float64(least))
+					began := time.Now()
+					b.Sleep(t.Context())
+					if took := time.Since(began); took < least || took > most {
+						t.Fatalf("pause %d took %v, want %v to %v", i, took, least, most)
+					}
+				}
+			})
+		})
+	}
+}
