--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -2,8 +2,12 @@
  * Replication of claims and start intents for one shard and one job
  * identity. See README.md for what is modelled and what is abstracted.
  *
+ * REPLACE adds the replacement of a live replica by a learner, HANDOVER the
+ * planned hand-over of ownership.
+ *
  * Macros M_* each seed one mutation; W_* each switch one rule back to the
- * weaker form that it replaced. Both must be caught.
+ * weaker form that it replaced. Both must be caught. Those of REPLACE and
+ * HANDOVER have that word in their name.
  */
 
 /* Bounds. */
@@ -20,7 +24,9 @@
 #define NONE 3          /* no instance */
 #define SKEW 1          /* bound of a clock's distance from true time */
 #define SUBMITTED 4     /* submission time of the identity */
+#ifndef MINNOW
 #define MINNOW 1        /* first value of true time */
+#endif
 #define MAXNOW 2        /* last value of true time */
 #define ALL ((1 << NT) - 1)
 
@@ -41,6 +47,11 @@
 #define FAILED 2
 #define REFUSED 3
 
+/* How far a learner of an owner is (REPLACE). */
+#define COPYING 0
+#define JOINING 1       /* commits wait for it; it may lack some that did not */
+#define JOINED 2        /* it holds all that was committed */
+
 /* A record is one byte: claim, intent prefix, result mask, final answer. */
 #define CLAIM 1
 #define ONE_INTENT 2
@@ -64,6 +75,24 @@
 	byte acked;     /* record that the peer has acknowledged */
 	byte floor;
 	byte sent;      /* mask of tasks whose start it decided */
+#ifdef REPLACE
+	byte next;      /* owner: learner */
+	bit nextinc;
+	byte copy;      /* how far the learner is */
+	byte nextacked; /* record that the learner has acknowledged */
+	bit released;   /* the replica has promised not to act on a death */
+#endif
+#ifdef HANDOVER
+	bit sealed;
+	bit held;       /* sealed: the target has the note and all operations */
+	byte flight;      /* mask of its starts, as any owner, with an open outcome */
+	byte unsent;    /* those that have not left yet */
+	byte remote;    /* mask of tasks that an earlier owner reports */
+	byte runner;    /* who reports them */
+	bit noted;      /* replica: it has a note of tasks in flight */
+	byte note;      /* mask of tasks in the note */
+	byte noterunner;
+#endif
 	byte pc
 }
 Inst p[NI];
@@ -102,6 +131,9 @@
 byte started;    /* mask of tasks started */
 byte notrun;     /* mask of tasks that a caller was told never ran */
 byte answered;   /* first final answer, as a record */
+#ifdef HANDOVER
+byte taker;      /* scratch, 0 between steps */
+#endif
 
 #ifdef W_SILENCE_FIRST
 byte suspect[NI];       /* mask of instances once seen silent */
@@ -121,18 +153,28 @@
 #define MUSTACK(x) (!LONE(x))
 #endif
 
+#ifdef REPLACE
+#ifdef M_REPLACE_LATE
+#define NEXTACKS(x, c) 1
+#else
+#define NEXTACKS(x, c) (p[x].next == NONE || p[x].copy == COPYING || (c))
+#endif
+#else
+#define NEXTACKS(x, c) 1
+#endif
+
 #ifdef M_START_EARLY
 #define MAYSTART(x, i) (!MUSTACK(x) || (p[x].acked & CLAIM))
 #elif defined(M_LEASE)
 #define MAYSTART(x, i) (now < MAXNOW || !MUSTACK(x))
 #else
-#define MAYSTART(x, i) (!MUSTACK(x) || UPTO(p[x].acked) > i)
+#define MAYSTART(x, i) ((!MUSTACK(x) || UPTO(p[x].acked) > i) && NEXTACKS(x, UPTO(p[x].nextacked) > i))
 #endif
 
 #ifdef M_ANSWER_EARLY
 #define MAYANSWER(x) 1
 #else
-#define MAYANSWER(x) (!MUSTACK(x) || FINAL(p[x].acked) != 0)
+#define MAYANSWER(x) ((!MUSTACK(x) || FINAL(p[x].acked) != 0) && NEXTACKS(x, FINAL(p[x].nextacked) != 0))
 #endif
 
 #ifdef M_FLOOR_LOW
@@ -143,6 +185,15 @@
 #define FLOOR(clock) ((clock) + 3 * SKEW + 1)
 #endif
 
+#ifdef HANDOVER
+#define SEALED(x) p[x].sealed
+/* Starts that a sealed or former owner may not decide, by what it knows. */
+#define STARTED(x) (DONE(p[x].rec) | p[x].sent | p[x].remote)
+#define COVERED(m) ((m) & 2 -> 2 : ((m) & 1 -> 1 : 0))
+#else
+#define SEALED(x) 0
+#endif
+
 /* observe: y is paused longer than the bound and an observer sees it
  * silent. y notices at its next event and is unconfirmed from then on. */
 inline observe(y) {
@@ -180,17 +231,56 @@
 	cas.fresh = 1
 }
 
-/* takeover: x goes on with the records that it holds. */
-inline takeover(x) {
+inline forgetLearner(x) {
+#ifdef REPLACE
+	p[x].next = NONE;
+	p[x].nextinc = 0;
+	p[x].copy = COPYING;
+	p[x].nextacked = 0;
+#endif
+	skip
+}
+
+inline forgetNote(x) {
+#ifdef HANDOVER
+	p[x].noted = 0;
+	p[x].note = 0;
+	p[x].noterunner = NONE;
+#endif
+	skip
+}
+
+inline unseal(x) {
+#ifdef HANDOVER
+	p[x].sealed = 0;
+	p[x].held = 0;
+#endif
+	skip
+}
+
+/* The tasks that the intents of a record cover. */
+#define COVER(r) ((1 << UPTO(r)) - 1)
+
+/* takeover: x goes on with the records that it holds. After a view that makes
+ * it the owner, it also goes by the note that it has. */
+inline takeover(x, handed) {
 	p[x].role = OWNER;
 	p[x].peer = NONE;
 	p[x].peerinc = 0;
 	p[x].learning = 0;
 	p[x].promised = 0;
 	p[x].acked = 0;
+	forgetLearner(x);
+#ifdef HANDOVER
+	p[x].remote = (handed && p[x].noted -> p[x].note & ~DONE(p[x].rec) : 0);
+	p[x].runner = (p[x].remote -> p[x].noterunner : NONE);
+	forgetNote(x);
+	p[x].sent = DONE(p[x].rec) | p[x].remote;
+#else
 	p[x].sent = DONE(p[x].rec);
+#endif
 	if
-	:: FINAL(p[x].rec) == 0 && DONE(p[x].rec) != (1 << UPTO(p[x].rec)) - 1 ->
+	:: FINAL(p[x].rec) == 0 && (p[x].sent & COVER(p[x].rec)) != COVER(p[x].rec) ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED)
 	:: else -> skip
 	fi
@@ -204,6 +294,16 @@
 	p[x].promised = 0;
 	p[x].acked = 0;
 	p[x].sent = 0;
+	forgetLearner(x);
+	forgetNote(x);
+	unseal(x);
+#ifdef REPLACE
+	p[x].released = 0;
+#endif
+#ifdef HANDOVER
+	p[x].remote = 0;
+	p[x].runner = NONE;
+#endif
 #ifndef W_KEEP_RECORDS
 	p[x].rec = 0;
 #endif
@@ -211,21 +311,55 @@
 	p[x].confirmed = 1
 }
 
+/* keepMembers: the owner x takes the replica of a newer view. */
+inline keepMembers(x) {
+#ifdef REPLACE
+	if
+	:: vreplica != NONE && vreplica == p[x].peer && vreplicainc == p[x].peerinc -> skip
+	:: vreplica != NONE && vreplica == p[x].next && vreplicainc == p[x].nextinc -> p[x].acked = p[x].nextacked
+	:: else -> p[x].acked = 0
+	fi;
+	if
+	:: p[x].next != NONE && (p[x].copy != COPYING || (vreplica == p[x].next && vreplicainc == p[x].nextinc)) -> forgetLearner(x)
+	:: else -> skip
+	fi;
+#else
+	p[x].acked = 0;
+#endif
+	p[x].peer = vreplica;
+	p[x].peerinc = vreplicainc;
+	p[x].learning = 0
+}
+
 /* adopt: x reads a newer view. */
 inline adopt(x) {
 	if
+#ifdef REPLACE
+	:: p[x].role == LEARNER && !ISREPLICA(x) && vowner == p[x].peer && vownerinc == p[x].peerinc ->
+		p[x].ver = ver          /* it goes on learning */
+	:: (p[x].role != LEARNER || vowner != p[x].peer || vownerinc != p[x].peerinc) && !ISOWNER(x) && !ISREPLICA(x) ->
+#else
 	:: !ISOWNER(x) && !ISREPLICA(x) ->
+#endif
 		leave(x);
 		p[x].ver = 0
 	:: else ->
+#if defined(REPLACE) && !defined(M_REPLACE_OLD_RELEASE)
+		p[x].released = 0;
+#endif
 		if
 		:: ISOWNER(x) && p[x].role == OWNER ->
-			p[x].peer = vreplica;
-			p[x].peerinc = vreplicainc;
-			p[x].learning = 0;
-			p[x].acked = 0
+			keepMembers(x);
+			unseal(x)
 		:: ISOWNER(x) && p[x].role == REPLICA ->
-			takeover(x)
+#ifdef HANDOVER
+			/* A hand-over alone makes no task "may have run". */
+			assert(vreplica == NONE || FINAL(p[x].rec) != 0 ||
+				((DONE(p[x].rec) | p[x].note) & COVER(p[x].rec)) == COVER(p[x].rec));
+#endif
+			takeover(x, 1);
+			p[x].peer = vreplica;
+			p[x].peerinc = vreplicainc
 		:: ISOWNER(x) && (p[x].role == OUT || p[x].role == LEARNER) ->
 			p[x].peer = NONE;
 			p[x].peerinc = 0;
@@ -236,12 +370,23 @@
 			p[x].floor = vfloor
 		:: ISREPLICA(x) ->
 			assert(p[x].role != OUT);       /* a new member holds the records */
+#ifdef HANDOVER
+			if
+			:: p[x].role == OWNER ->
+				p[x].sent = 0;
+				p[x].remote = 0;
+				p[x].runner = NONE;
+				unseal(x)
+			:: else -> skip
+			fi;
+#endif
 			p[x].role = REPLICA;
 			p[x].peer = vowner;
 			p[x].peerinc = vownerinc;
 			p[x].learning = 0;
 			p[x].promised = 0;
-			p[x].acked = 0
+			p[x].acked = 0;
+			forgetLearner(x)
 		fi;
 		p[x].ver = ver;
 		if
@@ -251,22 +396,36 @@
 	fi
 }
 
-/* learn: y becomes a learner of x and x needs its acknowledgements. */
+/* learn: y becomes a learner of x and x needs its acknowledgements. With
+ * REPLACE x needs them only later. */
 inline learn(x, y) {
 	p[y].role = LEARNER;
 	p[y].ver = p[x].ver;
 	p[y].peer = x;
 	p[y].peerinc = p[x].inc;
 	p[y].promised = 0;
-	p[y].rec = 0;
 	p[y].floor = p[x].floor;
+#ifdef REPLACE
+	p[y].rec = p[x].rec;    /* the snapshot */
+	p[x].next = y;
+	p[x].nextinc = p[y].inc
+#else
+	p[y].rec = 0;
 	p[x].peer = y;
 	p[x].peerinc = p[y].inc;
 	p[x].learning = 1;
 	p[x].acked = 0
+#endif
 }
 
-#define CANLEARN(x, y) (x != y && p[y].alive && p[y].pc == IDLE && p[y].role == OUT)
+#ifdef REPLACE
+#define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && (p[y].role == OUT || p[y].role == LEARNER) && y != p[x].peer)
+#define CANGAIN(x) (OWNS(x) && p[x].confirmed && p[x].next == NONE && ver == p[x].ver && ISOWNER(x) && \
+	vreplica == p[x].peer && !SEALED(x))
+#else
+#define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && p[y].role == OUT)
+#define CANGAIN(x) (OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE)
+#endif
 
 inline send(i) {
 	assert((started & (1 << i)) == 0);      /* one start per task */
@@ -288,9 +447,113 @@
 
 #define AT(x, c) (p[x].alive && p[x].pc == c)
 #define OWNS(x) (AT(x, IDLE) && p[x].role == OWNER)
-#define CANACK(x, y) (!DEAD(y, p[x].peerinc) && p[y].pc == IDLE && \
+#define CANACK(x, y, i) (!DEAD(y, i) && p[y].pc == IDLE && \
 	(p[y].role == REPLICA || p[y].role == LEARNER) && p[y].peer == x && \
-	p[y].peerinc == p[x].inc && p[y].ver == p[x].ver && !p[y].promised)
+	p[y].peerinc == p[x].inc && p[y].ver == p[x].ver && KEEPSACKING(y))
+
+#ifdef W_ACK_AFTER_PROMISE
+#define KEEPSACKING(y) 1
+#else
+#define KEEPSACKING(y) (!p[y].promised)
+#endif
+
+#ifdef REPLACE
+#define FOLLOWED(x) (OWNS(x) && p[x].next != NONE)
+#define HASREPLICA(x) (p[x].peer != NONE && !DEAD(p[x].peer, p[x].peerinc) && p[p[x].peer].pc == IDLE && \
+	p[p[x].peer].role == REPLICA && p[p[x].peer].peer == x && p[p[x].peer].peerinc == p[x].inc && \
+	p[p[x].peer].ver == p[x].ver)
+#if defined(M_REPLACE_EARLY)
+#define CAUGHTUP(x) (p[x].copy != COPYING)
+#elif defined(M_REPLACE_LATE)
+#define CAUGHTUP(x) (p[x].nextacked == p[x].rec)
+#else
+#define CAUGHTUP(x) (p[x].copy == JOINED)
+#endif
+#define NAMES(x) (FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && CAUGHTUP(x))
+#ifdef M_REPLACE_UNASKED
+#define MAYREPLACE(x) 1
+#else
+#define MAYREPLACE(x) p[x].released
+#endif
+#if defined(M_REPLACE_ACTS)
+#define MAYACT(x) 1
+#else
+#define MAYACT(x) !p[x].released
+#endif
+#else
+#define MAYACT(x) 1
+#endif
+
+#ifdef HANDOVER
+#ifdef REPLACE
+#define HANDABLE(x) (p[x].peer != NONE && vreplica == p[x].peer && (p[x].next == NONE || p[x].copy == COPYING))
+#else
+#define HANDABLE(x) (p[x].peer != NONE && vreplica == p[x].peer && !p[x].learning)
+#endif
+#ifdef M_HANDOVER_TAKES_STARTED
+#define TAKEBACK(x) COVERED(DONE(p[x].rec))
+#else
+#define TAKEBACK(x) COVERED(STARTED(x))
+#endif
+#ifdef M_HANDOVER_UNLISTED
+#define INFLIGHT(x) 0
+#else
+#define INFLIGHT(x) ((p[x].sent | p[x].remote) & ~DONE(p[x].rec))
+#endif
+#ifdef M_HANDOVER_UNACKED
+#define MAYHAND(x) 1
+#else
+#define MAYHAND(x) p[x].held
+#endif
+
+inline decide(x, i) {
+	p[x].sent = p[x].sent | (1 << i);
+	p[x].flight = p[x].flight | (1 << i);
+	p[x].unsent = p[x].unsent | (1 << i)
+}
+
+/* The present owner that waits for the report of x, or the owner x itself. */
+#define WAITS(y, x) (OWNS(y) && !p[y].sealed && p[y].remote && p[y].runner == x)
+#define REPORTS(x) ((p[x].role == OWNER && p[x].pc == IDLE && !p[x].sealed) || \
+	(p[x].role != OWNER && (WAITS((x + 1) % NI, x) || WAITS((x + 2) % NI, x))))
+#define TAKER(x) (p[x].role == OWNER -> x : (WAITS((x + 1) % NI, x) -> (x + 1) % NI : (x + 2) % NI))
+
+inline taken(x, i) {
+	p[x].flight = p[x].flight & ~(1 << i);
+	p[x].unsent = p[x].unsent & ~(1 << i)
+}
+
+/* refused: the start of task i by x never leaves; its owner queues it again. */
+inline refused(x, i) {
+	taker = TAKER(x);
+	if
+	:: taker == x || (p[taker].remote & (1 << i)) ->
+		p[taker].sent = p[taker].sent & ~(1 << i);
+		unawait(i)
+	:: else -> skip
+	fi;
+	taken(x, i);
+	taker = 0
+}
+
+inline unawait(i) {
+	p[taker].remote = p[taker].remote & ~(1 << i);
+	p[taker].runner = (p[taker].remote -> p[taker].runner : NONE)
+}
+
+/* reported: the result of task i, which x started, reaches the owner. */
+inline reported(x, i) {
+	taker = TAKER(x);
+	if
+	:: FINAL(p[taker].rec) == 0 && UPTO(p[taker].rec) > i && (taker == x || (p[taker].remote & (1 << i))) ->
+		p[taker].rec = p[taker].rec | RESULT(i);
+		unawait(i)
+	:: else -> skip
+	fi;
+	taken(x, i);
+	taker = 0
+}
+#endif
 
 #ifdef W_SILENCE_FIRST
 #define GONE(x, y, i) (DEAD(y, i) || (suspect[x] & (1 << y)))
@@ -317,9 +580,10 @@
 proctype Instance(byte x) {
 	do
 	/* A submission arrives: first copy, resubmission or late duplicate. */
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
 		now + SKEW >= SUBMITTED - SKEW -> p[x].pc = ADMIT }
 	:: d_step { AT(x, ADMIT) -> p[x].rec = CLAIM; p[x].pc = IDLE }
+#ifndef REPLACE
 	:: d_step { AT(x, ADMIT) -> p[x].pc = IDLE;
 #ifdef W_REFUSAL_UNRECORDED
 		assert(started == 0); notrun = ALL
@@ -327,14 +591,23 @@
 		p[x].rec = CLAIM | FINAL_IS(REFUSED)
 #endif
 		}
+#endif
 #ifdef W_AHEAD_NOT_RUN
 	:: d_step { OWNS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
 		now - SKEW + SKEW < SUBMITTED && notrun != ALL -> assert(started == 0); notrun = ALL }
 #endif
 
 	/* The owner's work on the job. */
-	:: d_step { OWNS(x) && p[x].confirmed && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) < NT ->
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) < NT ->
 		p[x].rec = p[x].rec + ONE_INTENT }
+#ifdef HANDOVER
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 0 &&
+		!(STARTED(x) & 1) && MAYSTART(x, 0) -> decide(x, 0) }
+#if NT > 1
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 1 &&
+		!(STARTED(x) & 2) && MAYSTART(x, 1) -> decide(x, 1) }
+#endif
+#else
 	:: d_step { OWNS(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 0 &&
 		!(p[x].sent & 1) && MAYSTART(x, 0) -> p[x].sent = p[x].sent | 1; p[x].pc = START }
 	:: d_step { AT(x, START) -> p[x].pc = IDLE; send(0) }
@@ -347,15 +620,18 @@
 	:: d_step { OWNS(x) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 1 && (p[x].sent & 2) && !(DONE(p[x].rec) & 2) ->
 		p[x].rec = p[x].rec | RESULT(1) }
 #endif
-	:: d_step { OWNS(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
-	:: d_step { OWNS(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL ->
+#endif
+	:: d_step { OWNS(x) && !SEALED(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
+#ifndef REPLACE
+	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED) }        /* cancelled, or past its deadline */
+#endif
 	:: d_step { OWNS(x) && FINAL(p[x].rec) != 0 && MAYANSWER(x) && answered != p[x].rec -> tell(x) }
 
 	/* Replication: the peer takes the record; the acknowledgement may be lost. */
-	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer) && p[p[x].peer].rec != p[x].rec ->
+	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) && p[p[x].peer].rec != p[x].rec ->
 		p[p[x].peer].rec = p[x].rec }
-	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer) &&
+	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) &&
 		p[p[x].peer].rec == p[x].rec && p[x].acked != p[x].rec -> p[x].acked = p[x].rec }
 #ifdef M_PROMISE_BROKEN
 	/* The replica acknowledges the old version though it has promised not to;
@@ -365,10 +641,10 @@
 #endif
 
 	/* Proof of death. */
-	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && DEAD(p[x].peer, p[x].peerinc) -> p[x].pc = ACT }
-	:: d_step { AT(x, ACT) -> p[x].pc = IDLE; takeover(x) }
+	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && DEAD(p[x].peer, p[x].peerinc) && MAYACT(x) -> p[x].pc = ACT }
+	:: d_step { AT(x, ACT) -> p[x].pc = IDLE; takeover(x, 0) }
 	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer != NONE && DEAD(p[x].peer, p[x].peerinc) ->
-		p[x].peer = NONE; p[x].peerinc = 0; p[x].learning = 0; p[x].acked = 0 }
+		p[x].peer = NONE; p[x].peerinc = 0; p[x].learning = 0; p[x].acked = 0; unseal(x) }
 #ifdef M_SILENCE_IS_DEATH
 	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && !DEAD(p[x].peer, p[x].peerinc) ->
 		observe(p[x].peer); p[x].pc = ACT }
@@ -419,17 +695,90 @@
 	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && !p[x].promised -> p[x].promised = 1 }
 
 	/* A member is gained. */
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE &&
-		CANLEARN(x, (x + 1) % NI) -> learn(x, (x + 1) % NI) }
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE &&
-		CANLEARN(x, (x + 2) % NI) -> learn(x, (x + 2) % NI) }
+	:: d_step { CANGAIN(x) && CANLEARN(x, (x + 1) % NI) -> learn(x, (x + 1) % NI) }
+	:: d_step { CANGAIN(x) && CANLEARN(x, (x + 2) % NI) -> learn(x, (x + 2) % NI) }
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].learning && p[x].acked == p[x].rec &&
 		p[p[x].peer].rec == p[x].rec ->
 		issue(x, x, p[x].inc, p[x].peer, p[x].peerinc, vfloor) }
+
+#ifdef REPLACE
+	/* A learner catches up, is lost, or is given up before commits wait for it. */
+	:: d_step { FOLLOWED(x) && p[x].copy != COPYING && CANACK(x, p[x].next, p[x].nextinc) &&
+		p[p[x].next].rec != p[x].rec -> p[p[x].next].rec = p[x].rec }
+	:: d_step { FOLLOWED(x) && p[x].copy != COPYING && CANACK(x, p[x].next, p[x].nextinc) &&
+		p[p[x].next].rec == p[x].rec && (p[x].nextacked != p[x].rec || p[x].copy == JOINING) ->
+		p[x].nextacked = p[x].rec;
+		p[x].copy = JOINED }
+	:: d_step { FOLLOWED(x) && p[x].confirmed && DEAD(p[x].next, p[x].nextinc) -> forgetLearner(x) }
+	:: d_step { FOLLOWED(x) && p[x].copy == COPYING -> forgetLearner(x) }
+#ifdef W_REPLACE_GIVEN_UP
+	:: d_step { FOLLOWED(x) && p[x].confirmed -> forgetLearner(x) }
+#endif
+	:: d_step { FOLLOWED(x) && p[x].confirmed && p[x].copy == COPYING -> p[x].copy = JOINING }
+
+	/* The replica promises not to act on the death of its owner; the answer may be lost. */
+	:: d_step { FOLLOWED(x) && p[x].copy == JOINED && HASREPLICA(x) && !p[p[x].peer].released -> p[p[x].peer].released = 1 }
+	:: d_step { FOLLOWED(x) && HASREPLICA(x) && p[p[x].peer].released && !p[x].released -> p[x].released = 1 }
+
+	/* The learner becomes a member, in place of the replica if there is one. */
+	:: d_step { NAMES(x) && (p[x].peer == NONE || MAYREPLACE(x)) ->
+		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
+	:: d_step { NAMES(x) && p[x].peer != NONE -> observeIfAlive(p[x].peer, p[x].peerinc);
+		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
+	/* It is lost while commits wait for it. */
+	:: d_step { FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].copy != COPYING ->
+		observeIfAlive(p[x].next, p[x].nextinc);
+		issue(x, x, p[x].inc, p[x].peer, p[x].peerinc, vfloor) }
+#endif
+
+#ifdef HANDOVER
+	/* The owner seals and takes back the intents of tasks that it has not started. */
+	:: d_step { OWNS(x) && p[x].confirmed && !p[x].sealed && ver == p[x].ver && ISOWNER(x) && HANDABLE(x) ->
+		p[x].sealed = 1; p[x].held = 0;
+		if
+		:: FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > TAKEBACK(x) ->
+			p[x].rec = (p[x].rec & ~6) | (TAKEBACK(x) << 1)
+		:: else -> skip
+		fi }
+	/* The target acknowledges what follows the note, and so has both. */
+	:: d_step { OWNS(x) && p[x].sealed && !p[x].held && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) &&
+		p[p[x].peer].rec == p[x].rec ->
+		p[x].acked = p[x].rec;
+		p[x].held = 1;
+		p[p[x].peer].noted = 1;
+		p[p[x].peer].note = INFLIGHT(x);
+		p[p[x].peer].noterunner = (p[x].remote -> p[x].runner : x) }
+	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].sealed && p[x].peer != NONE && MAYHAND(x) ->
+		issue(x, p[x].peer, p[x].peerinc, x, p[x].inc, vfloor) }
+#ifdef M_HANDOVER_UNSEALED
+	:: d_step { OWNS(x) && p[x].sealed -> unseal(x) }
+#endif
+#ifdef M_HANDOVER_STARTS
+	:: d_step { OWNS(x) && p[x].sealed && p[x].confirmed && p[x].held && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 &&
+		!(STARTED(x) & 1) -> decide(x, 0) }
+#endif
+
+	/* Starts leave later than they were decided, or not at all. */
+	:: d_step { p[x].alive && (p[x].unsent & 1) -> p[x].unsent = p[x].unsent & ~1; send(0) }
+	:: d_step { p[x].alive && (p[x].unsent & 1) && REPORTS(x) -> refused(x, 0) }
+	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 1) && REPORTS(x) -> reported(x, 0) }
+	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 1) && p[x].role != OWNER -> p[x].flight = p[x].flight & ~1 }    /* lost */
+#if NT > 1
+	:: d_step { p[x].alive && (p[x].unsent & 2) -> p[x].unsent = p[x].unsent & ~2; send(1) }
+	:: d_step { p[x].alive && (p[x].unsent & 2) && REPORTS(x) -> refused(x, 1) }
+	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 2) && REPORTS(x) -> reported(x, 1) }
+	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 2) && p[x].role != OWNER -> p[x].flight = p[x].flight & ~2 }
+#endif
+#endif
 	od
 }
 
 inline land() {
+#ifdef HANDOVER
+	/* At a hand-over both hold the same, so that sequence numbers go on. */
+	assert(cas.owner == vowner || cas.replica != vowner || cas.replicainc != vownerinc ||
+		DEAD(cas.owner, cas.ownerinc) || DEAD(vowner, vownerinc) || p[cas.owner].rec == p[vowner].rec);
+#endif
 	vowner = cas.owner;
 	vownerinc = cas.ownerinc;
 	vreplica = cas.replica;
@@ -453,6 +802,10 @@
 inline kill(x) {
 	kills++;
 	leave(x);
+#ifdef HANDOVER
+	p[x].flight = 0;
+	p[x].unsent = 0;
+#endif
 	p[x].rec = 0;
 	p[x].alive = 0;
 	p[x].ver = 0;
@@ -486,6 +839,19 @@
 		p[0].peer = NONE;
 		p[1].peer = NONE;
 		p[2].peer = NONE;
+#ifdef REPLACE
+		p[0].next = NONE;
+		p[1].next = NONE;
+		p[2].next = NONE;
+#endif
+#ifdef HANDOVER
+		p[0].runner = NONE;
+		p[1].runner = NONE;
+		p[2].runner = NONE;
+		p[0].noterunner = NONE;
+		p[1].noterunner = NONE;
+		p[2].noterunner = NONE;
+#endif
 		p[0].role = OWNER;
 		p[0].ver = 1;
 		p[1].ver = 1;
@@ -493,7 +859,9 @@
 	}
 	if
 	:: d_step { true -> vreplica = 1; p[0].peer = 1; p[1].role = REPLICA; p[1].peer = 0 }
+#if !defined(REPLACE) && !defined(HANDOVER)
 	:: skip
+#endif
 	fi;
 	atomic {
 		run Instance(0);
