--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -87,6 +87,7 @@
 	bit held;       /* sealed: the target has the note and all operations */
 	byte flight;      /* mask of its starts, as any owner, with an open outcome */
 	byte unsent;    /* those that have not left yet */
+	byte spared;    /* sealed: mask of covered tasks that have not started */
 	byte remote;    /* mask of tasks that an earlier owner reports */
 	byte runner;    /* who reports them */
 	bit noted;      /* replica: it has a note of tasks in flight */
@@ -254,6 +255,7 @@
 #ifdef HANDOVER
 	p[x].sealed = 0;
 	p[x].held = 0;
+	p[x].spared = 0;
 #endif
 	skip
 }
@@ -296,11 +298,12 @@
 	p[x].sent = 0;
 	forgetLearner(x);
 	forgetNote(x);
-	unseal(x);
 #ifdef REPLACE
 	p[x].released = 0;
 #endif
 #ifdef HANDOVER
+	p[x].sealed = 0;
+	p[x].held = 0;
 	p[x].remote = 0;
 	p[x].runner = NONE;
 #endif
@@ -376,7 +379,8 @@
 				p[x].sent = 0;
 				p[x].remote = 0;
 				p[x].runner = NONE;
-				unseal(x)
+				p[x].sealed = 0;
+				p[x].held = 0
 			:: else -> skip
 			fi;
 #endif
@@ -498,7 +502,12 @@
 #ifdef M_HANDOVER_UNLISTED
 #define INFLIGHT(x) 0
 #else
-#define INFLIGHT(x) ((p[x].sent | p[x].remote) & ~DONE(p[x].rec))
+#define INFLIGHT(x) ((p[x].sent | p[x].remote | p[x].spared) & ~DONE(p[x].rec))
+#endif
+#ifdef W_HANDOVER_NOT_SPARED
+#define SPARED(x) 0
+#else
+#define SPARED(x) (COVER(p[x].rec) & ~STARTED(x))
 #endif
 #ifdef M_HANDOVER_UNACKED
 #define MAYHAND(x) 1
@@ -520,14 +529,18 @@
 
 inline taken(x, i) {
 	p[x].flight = p[x].flight & ~(1 << i);
-	p[x].unsent = p[x].unsent & ~(1 << i)
+	p[x].unsent = p[x].unsent & ~(1 << i);
+	p[x].spared = p[x].spared & ~(1 << i)
 }
 
+/* The owner still waits for the outcome of task i, which x started. */
+#define AWAITED(x, i) ((p[taker].sent & (1 << (i))) && (taker == x || (p[taker].remote & (1 << (i)))))
+
 /* refused: the start of task i by x never leaves; its owner queues it again. */
 inline refused(x, i) {
 	taker = TAKER(x);
 	if
-	:: taker == x || (p[taker].remote & (1 << i)) ->
+	:: AWAITED(x, i) ->
 		p[taker].sent = p[taker].sent & ~(1 << i);
 		unawait(i)
 	:: else -> skip
@@ -545,7 +558,7 @@
 inline reported(x, i) {
 	taker = TAKER(x);
 	if
-	:: FINAL(p[taker].rec) == 0 && UPTO(p[taker].rec) > i && (taker == x || (p[taker].remote & (1 << i))) ->
+	:: FINAL(p[taker].rec) == 0 && AWAITED(x, i) ->
 		p[taker].rec = p[taker].rec | RESULT(i);
 		unawait(i)
 	:: else -> skip
@@ -737,7 +750,12 @@
 		p[x].sealed = 1; p[x].held = 0;
 		if
 		:: FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > TAKEBACK(x) ->
-			p[x].rec = (p[x].rec & ~6) | (TAKEBACK(x) << 1)
+			p[x].rec = (p[x].rec & ~6) | (TAKEBACK(x) << 1);
+			p[x].acked = 0
+		:: else -> skip
+		fi;
+		if
+		:: FINAL(p[x].rec) == 0 -> p[x].spared = SPARED(x)
 		:: else -> skip
 		fi }
 	/* The target acknowledges what follows the note, and so has both. */
@@ -760,14 +778,14 @@
 
 	/* Starts leave later than they were decided, or not at all. */
 	:: d_step { p[x].alive && (p[x].unsent & 1) -> p[x].unsent = p[x].unsent & ~1; send(0) }
-	:: d_step { p[x].alive && (p[x].unsent & 1) && REPORTS(x) -> refused(x, 0) }
+	:: d_step { p[x].alive && ((p[x].unsent | p[x].spared) & 1) && REPORTS(x) -> refused(x, 0) }
 	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 1) && REPORTS(x) -> reported(x, 0) }
-	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 1) && p[x].role != OWNER -> p[x].flight = p[x].flight & ~1 }    /* lost */
+	:: d_step { p[x].alive && ((p[x].flight & ~p[x].unsent | p[x].spared) & 1) && p[x].role != OWNER -> taken(x, 0) }    /* lost */
 #if NT > 1
 	:: d_step { p[x].alive && (p[x].unsent & 2) -> p[x].unsent = p[x].unsent & ~2; send(1) }
-	:: d_step { p[x].alive && (p[x].unsent & 2) && REPORTS(x) -> refused(x, 1) }
+	:: d_step { p[x].alive && ((p[x].unsent | p[x].spared) & 2) && REPORTS(x) -> refused(x, 1) }
 	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 2) && REPORTS(x) -> reported(x, 1) }
-	:: d_step { p[x].alive && (p[x].flight & ~p[x].unsent & 2) && p[x].role != OWNER -> p[x].flight = p[x].flight & ~2 }
+	:: d_step { p[x].alive && ((p[x].flight & ~p[x].unsent | p[x].spared) & 2) && p[x].role != OWNER -> taken(x, 1) }
 #endif
 #endif
 	od
@@ -805,6 +823,7 @@
 #ifdef HANDOVER
 	p[x].flight = 0;
 	p[x].unsent = 0;
+	p[x].spared = 0;
 #endif
 	p[x].rec = 0;
 	p[x].alive = 0;
