--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -148,6 +148,8 @@
 
 #if defined(M_NO_ACK) || defined(M_LEASE)
 #define MUSTACK(x) 0
+#elif defined(M_REPLACE_OLD_DROPPED)
+#define MUSTACK(x) (!LONE(x) && p[x].copy != JOINED)
 #elif defined(M_LEARNER_LATE)
 #define MUSTACK(x) (!LONE(x) && !p[x].learning)
 #else
@@ -189,10 +191,25 @@
 #ifdef HANDOVER
 #define SEALED(x) p[x].sealed
 /* Starts that a sealed or former owner may not decide, by what it knows. */
+#ifdef M_HANDOVER_RESTARTS
+#define STARTED(x) (DONE(p[x].rec) | p[x].sent & ~p[x].remote)
+#else
 #define STARTED(x) (DONE(p[x].rec) | p[x].sent | p[x].remote)
+#endif
+#ifdef M_HANDOVER_ADMITS
+#define ADMITS(x) 1
+#else
+#define ADMITS(x) !p[x].sealed
+#endif
+#ifdef M_HANDOVER_RECORDS
+#define RECORDS(x) 1
+#else
+#define RECORDS(x) !p[x].sealed
+#endif
 #define COVERED(m) ((m) & 2 -> 2 : ((m) & 1 -> 1 : 0))
 #else
 #define SEALED(x) 0
+#define ADMITS(x) 1
 #endif
 
 /* observe: y is paused longer than the bound and an observer sees it
@@ -200,6 +217,7 @@
 inline observe(y) {
 #ifndef M_IGNORE_GAP
 	p[y].confirmed = 0;
+#ifndef W_CONFIRM_OLD_WRITE
 	if
 	:: cas.on && cas.by == y && cas.byinc == p[y].inc -> cas.fresh = 0
 	:: else -> skip
@@ -211,6 +229,9 @@
 #else
 	skip
 #endif
+#else
+	skip
+#endif
 }
 
 inline observeIfAlive(y, i) {
@@ -455,7 +476,7 @@
 	(p[y].role == REPLICA || p[y].role == LEARNER) && p[y].peer == x && \
 	p[y].peerinc == p[x].inc && p[y].ver == p[x].ver && KEEPSACKING(y))
 
-#ifdef W_ACK_AFTER_PROMISE
+#ifdef N_ACK_AFTER_PROMISE
 #define KEEPSACKING(y) 1
 #else
 #define KEEPSACKING(y) (!p[y].promised)
@@ -522,8 +543,12 @@
 }
 
 /* The present owner that waits for the report of x, or the owner x itself. */
+#ifdef M_HANDOVER_ANY_RESULT
+#define WAITS(y, x) (OWNS(y) && !p[y].sealed)
+#else
 #define WAITS(y, x) (OWNS(y) && !p[y].sealed && p[y].remote && p[y].runner == x)
-#define REPORTS(x) ((p[x].role == OWNER && p[x].pc == IDLE && !p[x].sealed) || \
+#endif
+#define REPORTS(x) ((p[x].role == OWNER && p[x].pc == IDLE && RECORDS(x)) || \
 	(p[x].role != OWNER && (WAITS((x + 1) % NI, x) || WAITS((x + 2) % NI, x))))
 #define TAKER(x) (p[x].role == OWNER -> x : (WAITS((x + 1) % NI, x) -> (x + 1) % NI : (x + 2) % NI))
 
@@ -534,7 +559,11 @@
 }
 
 /* The owner still waits for the outcome of task i, which x started. */
+#ifdef M_HANDOVER_ANY_RESULT
+#define AWAITED(x, i) 1
+#else
 #define AWAITED(x, i) ((p[taker].sent & (1 << (i))) && (taker == x || (p[taker].remote & (1 << (i)))))
+#endif
 
 /* refused: the start of task i by x never leaves; its owner queues it again. */
 inline refused(x, i) {
@@ -593,7 +622,7 @@
 proctype Instance(byte x) {
 	do
 	/* A submission arrives: first copy, resubmission or late duplicate. */
-	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
+	:: d_step { OWNS(x) && ADMITS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
 		now + SKEW >= SUBMITTED - SKEW -> p[x].pc = ADMIT }
 	:: d_step { AT(x, ADMIT) -> p[x].rec = CLAIM; p[x].pc = IDLE }
 #ifndef REPLACE
