--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -5,6 +5,8 @@
  * REPLACE adds the replacement of a live replica by a learner, HANDOVER the
  * planned hand-over of ownership.
  *
+ * CALM lets the faults stop at some step, after which an answer must come.
+ *
  * Macros M_* each seed one mutation; W_* each switch one rule back to the
  * weaker form that it replaced. Both must be caught. Those of REPLACE and
  * HANDOVER have that word in their name.
@@ -20,6 +22,9 @@
 #ifndef MAXKILL
 #define MAXKILL 2       /* processes killed */
 #endif
+#ifndef FAULTVER
+#define FAULTVER 2      /* CALM: highest version before the faults stop */
+#endif
 #define NI 3            /* instances of the home domain */
 #define NONE 3          /* no instance */
 #define SKEW 1          /* bound of a clock's distance from true time */
@@ -70,6 +75,7 @@
 	bit peerinc;
 	bit learning;   /* the peer is a learner, not yet a member */
 	bit confirmed;  /* no gap since its last own write of the view */
+	bit landed;     /* such a write has landed, which it may not know yet */
 	bit promised;   /* acknowledges the version no more */
 	byte rec;
 	byte acked;     /* record that the peer has acknowledged */
@@ -122,9 +128,10 @@
 byte vreplica = NONE;
 bit vreplicainc;
 byte vfloor;
+#ifdef HANDOVER
 byte vby = NONE;
 bit vbyinc;
-bit vfresh;
+#endif
 
 /* The world outside. */
 byte now = MINNOW;
@@ -135,6 +142,9 @@
 #ifdef HANDOVER
 byte taker;      /* scratch, 0 between steps */
 #endif
+#ifdef CALM
+bit calm;        /* no faults from here on */
+#endif
 
 #ifdef W_SILENCE_FIRST
 byte suspect[NI];       /* mask of instances once seen silent */
@@ -144,7 +154,14 @@
 #define ISOWNER(x) (vowner == x && vownerinc == p[x].inc)
 #define ISREPLICA(x) (vreplica == x && vreplicainc == p[x].inc)
 #define LONE(x) (p[x].peer == NONE)
-#define CANWRITE (ver < MAXVER && !cas.on)
+#ifdef CALM
+#define FAULTY !calm
+#define LASTVER (calm -> MAXVER : FAULTVER)
+#else
+#define FAULTY 1
+#define LASTVER MAXVER
+#endif
+#define CANWRITE (ver < LASTVER && !cas.on)
 
 #if defined(M_NO_ACK) || defined(M_LEASE)
 #define MUSTACK(x) 0
@@ -216,18 +233,15 @@
  * silent. y notices at its next event and is unconfirmed from then on. */
 inline observe(y) {
 #ifndef M_IGNORE_GAP
+#ifdef W_CONFIRM_OLD_WRITE
+	p[y].confirmed = 0
+#else
 	p[y].confirmed = 0;
-#ifndef W_CONFIRM_OLD_WRITE
 	if
 	:: cas.on && cas.by == y && cas.byinc == p[y].inc -> cas.fresh = 0
 	:: else -> skip
 	fi;
-	if
-	:: vby == y && vbyinc == p[y].inc -> vfresh = 0
-	:: else -> skip
-	fi
-#else
-	skip
+	p[y].landed = 0
 #endif
 #else
 	skip
@@ -332,7 +346,8 @@
 	p[x].rec = 0;
 #endif
 	p[x].floor = 0;
-	p[x].confirmed = 1
+	p[x].confirmed = 1;
+	p[x].landed = 0
 }
 
 /* keepMembers: the owner x takes the replica of a newer view. */
@@ -414,10 +429,8 @@
 			forgetLearner(x)
 		fi;
 		p[x].ver = ver;
-		if
-		:: vby == x && vbyinc == p[x].inc && vfresh -> p[x].confirmed = 1
-		:: else -> skip
-		fi
+		p[x].confirmed = (p[x].landed -> 1 : p[x].confirmed);
+		p[x].landed = 0
 	fi
 }
 
@@ -445,11 +458,11 @@
 
 #ifdef REPLACE
 #define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && (p[y].role == OUT || p[y].role == LEARNER) && y != p[x].peer)
-#define CANGAIN(x) (OWNS(x) && p[x].confirmed && p[x].next == NONE && ver == p[x].ver && ISOWNER(x) && \
+#define CANGAIN(x) (OWNS(x) && FAULTY && p[x].confirmed && p[x].next == NONE && ver == p[x].ver && ISOWNER(x) && \
 	vreplica == p[x].peer && !SEALED(x))
 #else
 #define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && p[y].role == OUT)
-#define CANGAIN(x) (OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE)
+#define CANGAIN(x) (OWNS(x) && FAULTY && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE)
 #endif
 
 inline send(i) {
@@ -509,6 +522,13 @@
 #define MAYACT(x) 1
 #endif
 
+/* Without faults nobody cancels, but the owner gives up results that are lost. */
+#if defined(HANDOVER) && !defined(M_CALM_AWAITS_LOST)
+#define MAYCANCEL(x) (FAULTY || (p[x].remote && (p[x].remote & ~(p[p[x].runner].running | p[p[x].runner].queued))))
+#else
+#define MAYCANCEL(x) FAULTY
+#endif
+
 #ifdef HANDOVER
 #ifdef REPLACE
 #define HANDABLE(x) (p[x].peer != NONE && vreplica == p[x].peer && (p[x].next == NONE || p[x].copy == COPYING))
@@ -606,7 +626,7 @@
 #ifdef W_SILENCE_FIRST
 #define GONE(x, y, i) (DEAD(y, i) || (suspect[x] & (1 << y)))
 #else
-#define GONE(x, y, i) 1
+#define GONE(x, y, i) (FAULTY || DEAD(y, i))
 #endif
 #define CANREPLACE(x) (AT(x, IDLE) && CANWRITE && !ISOWNER(x) && !ISREPLICA(x) && \
 	(p[x].role == OUT || p[x].ver == ver) && GONE(x, vowner, vownerinc) && \
@@ -671,7 +691,7 @@
 #endif
 	:: d_step { OWNS(x) && !SEALED(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
 #ifndef REPLACE
-	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL ->
+	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL && MAYCANCEL(x) ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED) }        /* cancelled, or past its deadline */
 #endif
 	:: d_step { OWNS(x) && FINAL(p[x].rec) != 0 && MAYANSWER(x) && answered != p[x].rec -> tell(x) }
@@ -715,6 +735,11 @@
 #ifndef W_CONFIRM_BY_READ
 	:: d_step { AT(x, IDLE) && CANWRITE && ver == p[x].ver && !p[x].confirmed && (ISOWNER(x) || ISREPLICA(x)) ->
 		issue(x, vowner, vownerinc, vreplica, vreplicainc, vfloor) }
+#endif
+#ifndef M_CALM_NO_RENEWAL
+	/* A promise that led to no takeover ends with a view of the same members. */
+	:: d_step { AT(x, IDLE) && CANWRITE && ver == p[x].ver && p[x].confirmed && p[x].promised && p[x].role == REPLICA &&
+		ISREPLICA(x) && vowner == p[x].peer -> issue(x, vowner, vownerinc, vreplica, vreplicainc, vfloor) }
 #endif
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].peer != NONE &&
 		GONE(x, p[x].peer, p[x].peerinc) ->
@@ -740,7 +765,7 @@
 	:: d_step { AT(x, IDLE) && !(suspect[x] & (1 << ((x + 2) % NI))) -> observe((x + 2) % NI); suspect[x] = suspect[x] | (1 << ((x + 2) % NI)) }
 #endif
 
-	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && !p[x].promised -> p[x].promised = 1 }
+	:: d_step { AT(x, IDLE) && FAULTY && p[x].role == REPLICA && !p[x].promised -> p[x].promised = 1 }
 
 	/* A member is gained. */
 	:: d_step { CANGAIN(x) && CANLEARN(x, (x + 1) % NI) -> learn(x, (x + 1) % NI) }
@@ -757,8 +782,10 @@
 		p[p[x].next].rec == p[x].rec && (p[x].nextacked != p[x].rec || p[x].copy == JOINING) ->
 		p[x].nextacked = p[x].rec;
 		p[x].copy = JOINED }
+#ifndef M_CALM_KEEPS_DEAD
 	:: d_step { FOLLOWED(x) && p[x].confirmed && DEAD(p[x].next, p[x].nextinc) -> forgetLearner(x) }
-	:: d_step { FOLLOWED(x) && p[x].copy == COPYING -> forgetLearner(x) }
+#endif
+	:: d_step { FOLLOWED(x) && FAULTY && p[x].copy == COPYING -> forgetLearner(x) }
 #ifdef W_REPLACE_GIVEN_UP
 	:: d_step { FOLLOWED(x) && p[x].confirmed -> forgetLearner(x) }
 #endif
@@ -771,17 +798,17 @@
 	/* The learner becomes a member, in place of the replica if there is one. */
 	:: d_step { NAMES(x) && (p[x].peer == NONE || MAYREPLACE(x)) ->
 		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
-	:: d_step { NAMES(x) && p[x].peer != NONE -> observeIfAlive(p[x].peer, p[x].peerinc);
+	:: d_step { NAMES(x) && p[x].peer != NONE && GONE(x, p[x].peer, p[x].peerinc) -> observeIfAlive(p[x].peer, p[x].peerinc);
 		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
 	/* It is lost while commits wait for it. */
-	:: d_step { FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].copy != COPYING ->
-		observeIfAlive(p[x].next, p[x].nextinc);
+	:: d_step { FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].copy != COPYING &&
+		GONE(x, p[x].next, p[x].nextinc) -> observeIfAlive(p[x].next, p[x].nextinc);
 		issue(x, x, p[x].inc, p[x].peer, p[x].peerinc, vfloor) }
 #endif
 
 #ifdef HANDOVER
 	/* The owner seals and takes back the intents of tasks that it has not started. */
-	:: d_step { OWNS(x) && p[x].confirmed && !p[x].sealed && ver == p[x].ver && ISOWNER(x) && HANDABLE(x) ->
+	:: d_step { OWNS(x) && FAULTY && p[x].confirmed && !p[x].sealed && ver == p[x].ver && ISOWNER(x) && HANDABLE(x) ->
 		p[x].sealed = 1; p[x].ready = 0;
 		if
 		:: FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > TAKEBACK(x) ->
@@ -804,7 +831,7 @@
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].sealed && p[x].peer != NONE && MAYHAND(x) ->
 		issue(x, p[x].peer, p[x].peerinc, x, p[x].inc, vfloor) }
 	/* A write that certainly failed ends the hand-over. */
-	:: d_step { OWNS(x) && p[x].sealed && MAYUNSEAL(x) -> unseal(x) }
+	:: d_step { OWNS(x) && FAULTY && p[x].sealed && MAYUNSEAL(x) -> unseal(x) }
 #ifdef M_HANDOVER_STARTS
 	:: d_step { OWNS(x) && p[x].sealed && p[x].confirmed && p[x].ready && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 &&
 		!(STARTED(x) & 1) -> decide(x, 0) }
@@ -814,12 +841,12 @@
 	:: d_step { p[x].alive && (p[x].unsent & 1) -> p[x].unsent = p[x].unsent & ~1; send(0) }
 	:: d_step { p[x].alive && ((p[x].unsent | p[x].queued) & 1) && REPORTS(x) -> refused(x, 0) }
 	:: d_step { p[x].alive && (p[x].running & ~p[x].unsent & 1) && REPORTS(x) -> reported(x, 0) }
-	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 1) && p[x].role != OWNER -> taken(x, 0) }    /* lost */
+	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 1) && p[x].role != OWNER && FAULTY -> taken(x, 0) }    /* lost */
 #if NT > 1
 	:: d_step { p[x].alive && (p[x].unsent & 2) -> p[x].unsent = p[x].unsent & ~2; send(1) }
 	:: d_step { p[x].alive && ((p[x].unsent | p[x].queued) & 2) && REPORTS(x) -> refused(x, 1) }
 	:: d_step { p[x].alive && (p[x].running & ~p[x].unsent & 2) && REPORTS(x) -> reported(x, 1) }
-	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 2) && p[x].role != OWNER -> taken(x, 1) }
+	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 2) && p[x].role != OWNER && FAULTY -> taken(x, 1) }
 #endif
 #endif
 	od
@@ -836,9 +863,14 @@
 	vreplica = cas.replica;
 	vreplicainc = cas.replicainc;
 	vfloor = (cas.floor > vfloor -> cas.floor : vfloor);
+#ifdef HANDOVER
 	vby = cas.by;
 	vbyinc = cas.byinc;
-	vfresh = cas.fresh;
+#endif
+	if
+	:: cas.fresh && !DEAD(cas.by, cas.byinc) -> p[cas.by].landed = 1
+	:: else -> skip
+	fi;
 	ver++;
 	cas.on = 0;
 	cas.owner = 0;
@@ -862,7 +894,6 @@
 	p[x].rec = 0;
 	p[x].alive = 0;
 	p[x].ver = 0;
-	p[x].confirmed = 1;
 	p[x].pc = IDLE
 }
 
@@ -870,14 +901,19 @@
 	do
 	:: d_step { now < MAXNOW -> now++ }
 	:: d_step { cas.on -> land() }
-	:: d_step { !DEAD(vowner, vownerinc) && p[vowner].confirmed -> observe(vowner) }
-	:: d_step { vreplica != NONE && !DEAD(vreplica, vreplicainc) && p[vreplica].confirmed -> observe(vreplica) }
-	:: d_step { kills < MAXKILL && p[0].alive -> kill(0) }
-	:: d_step { kills < MAXKILL && p[1].alive -> kill(1) }
-	:: d_step { kills < MAXKILL && p[2].alive -> kill(2) }
+	:: d_step { FAULTY && !DEAD(vowner, vownerinc) && p[vowner].confirmed -> observe(vowner) }
+	:: d_step { FAULTY && vreplica != NONE && !DEAD(vreplica, vreplicainc) && p[vreplica].confirmed -> observe(vreplica) }
+	:: d_step { FAULTY && kills < MAXKILL && p[0].alive -> kill(0) }
+	:: d_step { FAULTY && kills < MAXKILL && p[1].alive -> kill(1) }
+	:: d_step { FAULTY && kills < MAXKILL && p[2].alive -> kill(2) }
 	:: d_step { !p[0].alive && p[0].inc == 0 -> p[0].alive = 1; p[0].inc = 1 }
 	:: d_step { !p[1].alive && p[1].inc == 0 -> p[1].alive = 1; p[1].inc = 1 }
 	:: d_step { !p[2].alive && p[2].inc == 0 -> p[2].alive = 1; p[2].inc = 1 }
+#ifdef CALM
+	:: d_step { !calm -> calm = 1 }
+	/* Nobody can do any more: the job was answered, or its key is too old. */
+	:: d_step { timeout -> assert(answered != 0 || (vfloor > SUBMITTED && p[vowner].rec == 0)) }
+#endif
 	od
 }
 
