--- a/spec/check.sh
+++ b/spec/check.sh
@@ -50,6 +50,7 @@
 base="-DNT=1 -DMAXVER=3 -DMAXKILL=2"
 replace="-DREPLACE -DMINNOW=2 -DNT=1 -DMAXVER=3 -DMAXKILL=1"
 handover="-DHANDOVER -DMINNOW=2 -DNT=2 -DMAXVER=2 -DMAXKILL=1"
+calm="-DCALM -DMINNOW=2 -DMAXVER=7 -DMAXKILL=1"
 
 # runs lists all runs, the longest first.
 runs() {
@@ -62,6 +63,8 @@
   echo "one-task-two-kills holds $base"
   echo "N_ACK_AFTER_PROMISE holds $base -DN_ACK_AFTER_PROMISE"
   echo "handover-two-tasks holds -DHANDOVER -DMINNOW=2 -DNT=2 -DMAXVER=2 -DMAXKILL=2"
+  echo "calm-replace holds $calm -DREPLACE -DNT=1"
+  echo "calm-handover holds $calm -DHANDOVER -DNT=1"
   echo "two-tasks-two-kills holds -DNT=2 -DMAXVER=2 -DMAXKILL=2"
   grep -oE '\b[MW]_[A-Z]+(_[A-Z]+)*\b' "$model" | sort -u | while read -r m; do
     case $m in
@@ -76,6 +79,8 @@
   echo "deep-replace-and-handover holds -DREPLACE -DHANDOVER -DMINNOW=2 -DNT=1 -DMAXVER=3 -DMAXKILL=1"
   echo "deep-handover-two-tasks holds -DHANDOVER -DMINNOW=2 -DNT=2 -DMAXVER=3 -DMAXKILL=1"
   echo "deep-replace-two-kills holds -DREPLACE -DMINNOW=2 -DNT=1 -DMAXVER=3 -DMAXKILL=2"
+  echo "deep-calm-both holds $calm -DREPLACE -DHANDOVER -DNT=1"
+  echo "deep-calm-two-tasks holds $calm -DHANDOVER -DNT=2"
   echo "deep-replace-acks holds $replace -DN_ACK_AFTER_PROMISE"
   echo "deep-handover-acks holds $handover -DN_ACK_AFTER_PROMISE"
 }
@@ -85,6 +90,7 @@
   case $1 in
     *_REPLACE_*) bounds=$replace ;;
     *_HANDOVER_*) bounds=$handover ;;
+    *_CALM_*) bounds="$calm -DREPLACE -DHANDOVER -DNT=1" ;;
   esac
   echo "$1 violated $bounds -D$1"
 }
--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -518,15 +518,27 @@
 #else
 #define MAYACT(x) !p[x].released
 #endif
+#ifdef M_CALM_RELEASED_WAITS
+#define MAYTAKE(x) !p[x].released
+#else
+#define MAYTAKE(x) 1
+#endif
 #else
 #define MAYACT(x) 1
+#define MAYTAKE(x) 1
 #endif
 
-/* Without faults nobody cancels, but the owner gives up results that are lost. */
+/* The owner gives up results that are lost. Callers cancel too, but not
+ * without faults, lest the answers hide that one is missing. */
 #if defined(HANDOVER) && !defined(M_CALM_AWAITS_LOST)
-#define MAYCANCEL(x) (FAULTY || (p[x].remote && (p[x].remote & ~(p[p[x].runner].running | p[p[x].runner].queued))))
+#define LOST(x) (p[x].remote && (p[x].remote & ~(p[p[x].runner].running | p[p[x].runner].queued)))
+#else
+#define LOST(x) 0
+#endif
+#ifdef REPLACE
+#define MAYGIVEUP(x) LOST(x)
 #else
-#define MAYCANCEL(x) FAULTY
+#define MAYGIVEUP(x) (FAULTY || LOST(x))
 #endif
 
 #ifdef HANDOVER
@@ -690,10 +702,8 @@
 #endif
 #endif
 	:: d_step { OWNS(x) && !SEALED(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
-#ifndef REPLACE
-	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL && MAYCANCEL(x) ->
+	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL && MAYGIVEUP(x) ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED) }        /* cancelled, or past its deadline */
-#endif
 	:: d_step { OWNS(x) && FINAL(p[x].rec) != 0 && MAYANSWER(x) && answered != p[x].rec -> tell(x) }
 
 	/* Replication: the peer takes the record; the acknowledgement may be lost. */
@@ -754,7 +764,7 @@
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && p[x].peer == NONE && (ISREPLICA(x) || (ISOWNER(x) && vreplica != NONE)) ->
 		issue(x, x, p[x].inc, NONE, 0, vfloor) }
 	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && CANWRITE && ver == p[x].ver && ISREPLICA(x) &&
-		GONE(x, vowner, vownerinc) -> p[x].promised = 1;
+		GONE(x, vowner, vownerinc) && MAYTAKE(x) -> p[x].promised = 1;
 #ifndef W_SILENCE_FIRST
 		observeIfAlive(vowner, vownerinc);
 #endif
@@ -782,9 +792,7 @@
 		p[p[x].next].rec == p[x].rec && (p[x].nextacked != p[x].rec || p[x].copy == JOINING) ->
 		p[x].nextacked = p[x].rec;
 		p[x].copy = JOINED }
-#ifndef M_CALM_KEEPS_DEAD
 	:: d_step { FOLLOWED(x) && p[x].confirmed && DEAD(p[x].next, p[x].nextinc) -> forgetLearner(x) }
-#endif
 	:: d_step { FOLLOWED(x) && FAULTY && p[x].copy == COPYING -> forgetLearner(x) }
 #ifdef W_REPLACE_GIVEN_UP
 	:: d_step { FOLLOWED(x) && p[x].confirmed -> forgetLearner(x) }
