--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -736,6 +736,9 @@
 
 	/* The view is read, also after a write with a lost answer. */
 	:: d_step { AT(x, IDLE) && ver > p[x].ver && (p[x].role != OUT || ISOWNER(x) || ISREPLICA(x)) -> adopt(x) }
+	/* An instance that the view does not name resumes by a read. */
+	:: d_step { AT(x, IDLE) && !p[x].confirmed && p[x].role == LEARNER && p[x].ver == ver &&
+		!ISOWNER(x) && !ISREPLICA(x) -> p[x].confirmed = 1 }
 #ifdef W_CONFIRM_BY_READ
 	:: d_step { AT(x, IDLE) && ver == p[x].ver && !p[x].confirmed && (ISOWNER(x) || ISREPLICA(x)) -> p[x].confirmed = 1 }
 #endif
