--- a/spec/replication.pml
+++ b/spec/replication.pml
@@ -2,8 +2,14 @@
  * Replication of claims and start intents for one shard and one job
  * identity. See README.md for what is modelled and what is abstracted.
  *
+ * REPLACE adds the replacement of a live replica by a learner, HANDOVER the
+ * planned hand-over of ownership.
+ *
+ * CALM lets the faults stop at some step, after which an answer must come.
+ *
  * Macros M_* each seed one mutation; W_* each switch one rule back to the
- * weaker form that it replaced. Both must be caught.
+ * weaker form that it replaced. Both must be caught. Those of REPLACE and
+ * HANDOVER have that word in their name.
  */
 
 /* Bounds. */
@@ -16,11 +22,16 @@
 #ifndef MAXKILL
 #define MAXKILL 2       /* processes killed */
 #endif
+#ifndef FAULTVER
+#define FAULTVER 2      /* CALM: highest version before the faults stop */
+#endif
 #define NI 3            /* instances of the home domain */
 #define NONE 3          /* no instance */
 #define SKEW 1          /* bound of a clock's distance from true time */
 #define SUBMITTED 4     /* submission time of the identity */
+#ifndef MINNOW
 #define MINNOW 1        /* first value of true time */
+#endif
 #define MAXNOW 2        /* last value of true time */
 #define ALL ((1 << NT) - 1)
 
@@ -41,6 +52,11 @@
 #define FAILED 2
 #define REFUSED 3
 
+/* How far a learner of an owner is (REPLACE). */
+#define COPYING 0
+#define JOINING 1       /* commits wait for it; it may lack some that did not */
+#define JOINED 2        /* it holds all that was committed */
+
 /* A record is one byte: claim, intent prefix, result mask, final answer. */
 #define CLAIM 1
 #define ONE_INTENT 2
@@ -59,11 +75,31 @@
 	bit peerinc;
 	bit learning;   /* the peer is a learner, not yet a member */
 	bit confirmed;  /* no gap since its last own write of the view */
+	bit landed;     /* such a write has landed, which it may not know yet */
 	bit promised;   /* acknowledges the version no more */
 	byte rec;
 	byte acked;     /* record that the peer has acknowledged */
 	byte floor;
 	byte sent;      /* mask of tasks whose start it decided */
+#ifdef REPLACE
+	byte next;      /* owner: learner */
+	bit nextinc;
+	byte copy;      /* how far the learner is */
+	byte nextacked; /* record that the learner has acknowledged */
+	bit released;   /* the replica has promised not to act on a death */
+#endif
+#ifdef HANDOVER
+	bit sealed;
+	bit ready;      /* sealed: the target has the note and all operations */
+	byte running;   /* mask of its starts, as any owner, with an open outcome */
+	byte unsent;    /* those that have not left yet */
+	byte queued;    /* sealed: mask of covered tasks that have not started */
+	byte remote;    /* mask of tasks that an earlier owner reports */
+	byte runner;    /* who reports them */
+	bit noted;      /* replica: it has a note of tasks in flight */
+	byte note;      /* mask of tasks in the note */
+	byte noterunner;
+#endif
 	byte pc
 }
 Inst p[NI];
@@ -92,9 +128,10 @@
 byte vreplica = NONE;
 bit vreplicainc;
 byte vfloor;
+#ifdef HANDOVER
 byte vby = NONE;
 bit vbyinc;
-bit vfresh;
+#endif
 
 /* The world outside. */
 byte now = MINNOW;
@@ -102,6 +139,12 @@
 byte started;    /* mask of tasks started */
 byte notrun;     /* mask of tasks that a caller was told never ran */
 byte answered;   /* first final answer, as a record */
+#ifdef HANDOVER
+byte taker;      /* scratch, 0 between steps */
+#endif
+#ifdef CALM
+bit calm;        /* no faults from here on */
+#endif
 
 #ifdef W_SILENCE_FIRST
 byte suspect[NI];       /* mask of instances once seen silent */
@@ -111,28 +154,47 @@
 #define ISOWNER(x) (vowner == x && vownerinc == p[x].inc)
 #define ISREPLICA(x) (vreplica == x && vreplicainc == p[x].inc)
 #define LONE(x) (p[x].peer == NONE)
-#define CANWRITE (ver < MAXVER && !cas.on)
+#ifdef CALM
+#define FAULTY !calm
+#define LASTVER (calm -> MAXVER : FAULTVER)
+#else
+#define FAULTY 1
+#define LASTVER MAXVER
+#endif
+#define CANWRITE (ver < LASTVER && !cas.on)
 
 #if defined(M_NO_ACK) || defined(M_LEASE)
 #define MUSTACK(x) 0
+#elif defined(M_REPLACE_OLD_DROPPED)
+#define MUSTACK(x) (!LONE(x) && p[x].copy != JOINED)
 #elif defined(M_LEARNER_LATE)
 #define MUSTACK(x) (!LONE(x) && !p[x].learning)
 #else
 #define MUSTACK(x) (!LONE(x))
 #endif
 
+#ifdef REPLACE
+#ifdef M_REPLACE_LATE
+#define NEXTACKS(x, c) 1
+#else
+#define NEXTACKS(x, c) (p[x].next == NONE || p[x].copy == COPYING || (c))
+#endif
+#else
+#define NEXTACKS(x, c) 1
+#endif
+
 #ifdef M_START_EARLY
 #define MAYSTART(x, i) (!MUSTACK(x) || (p[x].acked & CLAIM))
 #elif defined(M_LEASE)
 #define MAYSTART(x, i) (now < MAXNOW || !MUSTACK(x))
 #else
-#define MAYSTART(x, i) (!MUSTACK(x) || UPTO(p[x].acked) > i)
+#define MAYSTART(x, i) ((!MUSTACK(x) || UPTO(p[x].acked) > i) && NEXTACKS(x, UPTO(p[x].nextacked) > i))
 #endif
 
 #ifdef M_ANSWER_EARLY
 #define MAYANSWER(x) 1
 #else
-#define MAYANSWER(x) (!MUSTACK(x) || FINAL(p[x].acked) != 0)
+#define MAYANSWER(x) ((!MUSTACK(x) || FINAL(p[x].acked) != 0) && NEXTACKS(x, FINAL(p[x].nextacked) != 0))
 #endif
 
 #ifdef M_FLOOR_LOW
@@ -143,19 +205,44 @@
 #define FLOOR(clock) ((clock) + 3 * SKEW + 1)
 #endif
 
+#ifdef HANDOVER
+#define SEALED(x) p[x].sealed
+/* Starts that a sealed or former owner may not decide, by what it knows. */
+#ifdef M_HANDOVER_RESTARTS
+#define STARTED(x) (DONE(p[x].rec) | p[x].sent & ~p[x].remote)
+#else
+#define STARTED(x) (DONE(p[x].rec) | p[x].sent | p[x].remote)
+#endif
+#ifdef M_HANDOVER_ADMITS
+#define ADMITS(x) 1
+#else
+#define ADMITS(x) !p[x].sealed
+#endif
+#ifdef M_HANDOVER_RECORDS
+#define RECORDS(x) 1
+#else
+#define RECORDS(x) !p[x].sealed
+#endif
+#define COVERED(m) ((m) & 2 -> 2 : ((m) & 1 -> 1 : 0))
+#else
+#define SEALED(x) 0
+#define ADMITS(x) 1
+#endif
+
 /* observe: y is paused longer than the bound and an observer sees it
  * silent. y notices at its next event and is unconfirmed from then on. */
 inline observe(y) {
 #ifndef M_IGNORE_GAP
+#ifdef W_CONFIRM_OLD_WRITE
+	p[y].confirmed = 0
+#else
 	p[y].confirmed = 0;
 	if
 	:: cas.on && cas.by == y && cas.byinc == p[y].inc -> cas.fresh = 0
 	:: else -> skip
 	fi;
-	if
-	:: vby == y && vbyinc == p[y].inc -> vfresh = 0
-	:: else -> skip
-	fi
+	p[y].landed = 0
+#endif
 #else
 	skip
 #endif
@@ -180,17 +267,57 @@
 	cas.fresh = 1
 }
 
-/* takeover: x goes on with the records that it holds. */
-inline takeover(x) {
+inline forgetLearner(x) {
+#ifdef REPLACE
+	p[x].next = NONE;
+	p[x].nextinc = 0;
+	p[x].copy = COPYING;
+	p[x].nextacked = 0;
+#endif
+	skip
+}
+
+inline forgetNote(x) {
+#ifdef HANDOVER
+	p[x].noted = 0;
+	p[x].note = 0;
+	p[x].noterunner = NONE;
+#endif
+	skip
+}
+
+inline unseal(x) {
+#ifdef HANDOVER
+	p[x].sealed = 0;
+	p[x].ready = 0;
+	p[x].queued = 0;
+#endif
+	skip
+}
+
+/* The tasks that the intents of a record cover. */
+#define COVER(r) ((1 << UPTO(r)) - 1)
+
+/* takeover: x goes on with the records that it holds. After a view that makes
+ * it the owner, it also goes by the note that it has. */
+inline takeover(x, handed) {
 	p[x].role = OWNER;
 	p[x].peer = NONE;
 	p[x].peerinc = 0;
 	p[x].learning = 0;
 	p[x].promised = 0;
 	p[x].acked = 0;
+	forgetLearner(x);
+#ifdef HANDOVER
+	p[x].remote = (handed && p[x].noted -> p[x].note & ~DONE(p[x].rec) : 0);
+	p[x].runner = (p[x].remote -> p[x].noterunner : NONE);
+	forgetNote(x);
+	p[x].sent = DONE(p[x].rec) | p[x].remote;
+#else
 	p[x].sent = DONE(p[x].rec);
+#endif
 	if
-	:: FINAL(p[x].rec) == 0 && DONE(p[x].rec) != (1 << UPTO(p[x].rec)) - 1 ->
+	:: FINAL(p[x].rec) == 0 && (p[x].sent & COVER(p[x].rec)) != COVER(p[x].rec) ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED)
 	:: else -> skip
 	fi
@@ -204,28 +331,74 @@
 	p[x].promised = 0;
 	p[x].acked = 0;
 	p[x].sent = 0;
+	forgetLearner(x);
+	forgetNote(x);
+#ifdef REPLACE
+	p[x].released = 0;
+#endif
+#ifdef HANDOVER
+	p[x].sealed = 0;
+	p[x].ready = 0;
+	p[x].remote = 0;
+	p[x].runner = NONE;
+#endif
 #ifndef W_KEEP_RECORDS
 	p[x].rec = 0;
 #endif
 	p[x].floor = 0;
-	p[x].confirmed = 1
+	p[x].confirmed = 1;
+	p[x].landed = 0
+}
+
+/* keepMembers: the owner x takes the replica of a newer view. */
+inline keepMembers(x) {
+#ifdef REPLACE
+	if
+	:: vreplica != NONE && vreplica == p[x].peer && vreplicainc == p[x].peerinc -> skip
+	:: vreplica != NONE && vreplica == p[x].next && vreplicainc == p[x].nextinc -> p[x].acked = p[x].nextacked
+	:: else -> p[x].acked = 0
+	fi;
+	if
+	:: p[x].next != NONE && (p[x].copy != COPYING || (vreplica == p[x].next && vreplicainc == p[x].nextinc)) -> forgetLearner(x)
+	:: else -> skip
+	fi;
+#else
+	p[x].acked = 0;
+#endif
+	p[x].peer = vreplica;
+	p[x].peerinc = vreplicainc;
+	p[x].learning = 0
 }
 
 /* adopt: x reads a newer view. */
 inline adopt(x) {
 	if
+#ifdef REPLACE
+	:: p[x].role == LEARNER && !ISREPLICA(x) && vowner == p[x].peer && vownerinc == p[x].peerinc ->
+		p[x].ver = ver          /* it goes on learning */
+	:: (p[x].role != LEARNER || vowner != p[x].peer || vownerinc != p[x].peerinc) && !ISOWNER(x) && !ISREPLICA(x) ->
+#else
 	:: !ISOWNER(x) && !ISREPLICA(x) ->
+#endif
 		leave(x);
 		p[x].ver = 0
 	:: else ->
+#if defined(REPLACE) && !defined(M_REPLACE_OLD_RELEASE)
+		p[x].released = 0;
+#endif
 		if
 		:: ISOWNER(x) && p[x].role == OWNER ->
-			p[x].peer = vreplica;
-			p[x].peerinc = vreplicainc;
-			p[x].learning = 0;
-			p[x].acked = 0
+			keepMembers(x);
+			unseal(x)
 		:: ISOWNER(x) && p[x].role == REPLICA ->
-			takeover(x)
+#ifdef HANDOVER
+			/* A hand-over alone makes no task "may have run". */
+			assert(vreplica == NONE || FINAL(p[x].rec) != 0 ||
+				((DONE(p[x].rec) | p[x].note) & COVER(p[x].rec)) == COVER(p[x].rec));
+#endif
+			takeover(x, 1);
+			p[x].peer = vreplica;
+			p[x].peerinc = vreplicainc
 		:: ISOWNER(x) && (p[x].role == OUT || p[x].role == LEARNER) ->
 			p[x].peer = NONE;
 			p[x].peerinc = 0;
@@ -236,37 +409,61 @@
 			p[x].floor = vfloor
 		:: ISREPLICA(x) ->
 			assert(p[x].role != OUT);       /* a new member holds the records */
+#ifdef HANDOVER
+			if
+			:: p[x].role == OWNER ->
+				p[x].sent = 0;
+				p[x].remote = 0;
+				p[x].runner = NONE;
+				p[x].sealed = 0;
+				p[x].ready = 0
+			:: else -> skip
+			fi;
+#endif
 			p[x].role = REPLICA;
 			p[x].peer = vowner;
 			p[x].peerinc = vownerinc;
 			p[x].learning = 0;
 			p[x].promised = 0;
-			p[x].acked = 0
+			p[x].acked = 0;
+			forgetLearner(x)
 		fi;
 		p[x].ver = ver;
-		if
-		:: vby == x && vbyinc == p[x].inc && vfresh -> p[x].confirmed = 1
-		:: else -> skip
-		fi
+		p[x].confirmed = (p[x].landed -> 1 : p[x].confirmed);
+		p[x].landed = 0
 	fi
 }
 
-/* learn: y becomes a learner of x and x needs its acknowledgements. */
+/* learn: y becomes a learner of x and x needs its acknowledgements. With
+ * REPLACE x needs them only later. */
 inline learn(x, y) {
 	p[y].role = LEARNER;
 	p[y].ver = p[x].ver;
 	p[y].peer = x;
 	p[y].peerinc = p[x].inc;
 	p[y].promised = 0;
-	p[y].rec = 0;
 	p[y].floor = p[x].floor;
+#ifdef REPLACE
+	p[y].rec = p[x].rec;    /* the snapshot */
+	p[x].next = y;
+	p[x].nextinc = p[y].inc
+#else
+	p[y].rec = 0;
 	p[x].peer = y;
 	p[x].peerinc = p[y].inc;
 	p[x].learning = 1;
 	p[x].acked = 0
+#endif
 }
 
-#define CANLEARN(x, y) (x != y && p[y].alive && p[y].pc == IDLE && p[y].role == OUT)
+#ifdef REPLACE
+#define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && (p[y].role == OUT || p[y].role == LEARNER) && y != p[x].peer)
+#define CANGAIN(x) (OWNS(x) && FAULTY && p[x].confirmed && p[x].next == NONE && ver == p[x].ver && ISOWNER(x) && \
+	vreplica == p[x].peer && !SEALED(x))
+#else
+#define CANLEARN(x, y) (p[y].alive && p[y].pc == IDLE && p[y].role == OUT)
+#define CANGAIN(x) (OWNS(x) && FAULTY && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE)
+#endif
 
 inline send(i) {
 	assert((started & (1 << i)) == 0);      /* one start per task */
@@ -288,14 +485,160 @@
 
 #define AT(x, c) (p[x].alive && p[x].pc == c)
 #define OWNS(x) (AT(x, IDLE) && p[x].role == OWNER)
-#define CANACK(x, y) (!DEAD(y, p[x].peerinc) && p[y].pc == IDLE && \
+#define CANACK(x, y, i) (!DEAD(y, i) && p[y].pc == IDLE && \
 	(p[y].role == REPLICA || p[y].role == LEARNER) && p[y].peer == x && \
-	p[y].peerinc == p[x].inc && p[y].ver == p[x].ver && !p[y].promised)
+	p[y].peerinc == p[x].inc && p[y].ver == p[x].ver && KEEPSACKING(y))
+
+#ifdef N_ACK_AFTER_PROMISE
+#define KEEPSACKING(y) 1
+#else
+#define KEEPSACKING(y) (!p[y].promised)
+#endif
+
+#ifdef REPLACE
+#define FOLLOWED(x) (OWNS(x) && p[x].next != NONE)
+#define HASREPLICA(x) (p[x].peer != NONE && !DEAD(p[x].peer, p[x].peerinc) && p[p[x].peer].pc == IDLE && \
+	p[p[x].peer].role == REPLICA && p[p[x].peer].peer == x && p[p[x].peer].peerinc == p[x].inc && \
+	p[p[x].peer].ver == p[x].ver)
+#if defined(M_REPLACE_EARLY)
+#define CAUGHTUP(x) (p[x].copy != COPYING)
+#elif defined(M_REPLACE_LATE)
+#define CAUGHTUP(x) (p[x].nextacked == p[x].rec)
+#else
+#define CAUGHTUP(x) (p[x].copy == JOINED)
+#endif
+#define NAMES(x) (FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && CAUGHTUP(x))
+#ifdef M_REPLACE_UNASKED
+#define MAYREPLACE(x) 1
+#else
+#define MAYREPLACE(x) p[x].released
+#endif
+#if defined(M_REPLACE_ACTS)
+#define MAYACT(x) 1
+#else
+#define MAYACT(x) !p[x].released
+#endif
+#ifdef M_CALM_RELEASED_WAITS
+#define MAYTAKE(x) !p[x].released
+#else
+#define MAYTAKE(x) 1
+#endif
+#else
+#define MAYACT(x) 1
+#define MAYTAKE(x) 1
+#endif
+
+/* The owner gives up results that are lost. Callers cancel too, but not
+ * without faults, lest the answers hide that one is missing. */
+#if defined(HANDOVER) && !defined(M_CALM_AWAITS_LOST)
+#define LOST(x) (p[x].remote && (p[x].remote & ~(p[p[x].runner].running | p[p[x].runner].queued)))
+#else
+#define LOST(x) 0
+#endif
+#ifdef REPLACE
+#define MAYGIVEUP(x) LOST(x)
+#else
+#define MAYGIVEUP(x) (FAULTY || LOST(x))
+#endif
+
+#ifdef HANDOVER
+#ifdef REPLACE
+#define HANDABLE(x) (p[x].peer != NONE && vreplica == p[x].peer && (p[x].next == NONE || p[x].copy == COPYING))
+#else
+#define HANDABLE(x) (p[x].peer != NONE && vreplica == p[x].peer && !p[x].learning)
+#endif
+#ifdef M_HANDOVER_TAKES_STARTED
+#define TAKEBACK(x) COVERED(DONE(p[x].rec))
+#else
+#define TAKEBACK(x) COVERED(STARTED(x))
+#endif
+#ifdef M_HANDOVER_UNLISTED
+#define INFLIGHT(x) 0
+#else
+#define INFLIGHT(x) ((p[x].sent | p[x].remote | p[x].queued) & ~DONE(p[x].rec))
+#endif
+#ifdef W_HANDOVER_QUEUED_UNLISTED
+#define QUEUED(x) 0
+#else
+#define QUEUED(x) (COVER(p[x].rec) & ~STARTED(x))
+#endif
+#ifdef M_HANDOVER_UNSEALED
+#define MAYUNSEAL(x) 1
+#else
+#define MAYUNSEAL(x) (!(cas.on && cas.by == x && cas.byinc == p[x].inc) && \
+	(ver == p[x].ver || ver == p[x].ver + 1 && (vby != x || vbyinc != p[x].inc)))
+#endif
+#ifdef M_HANDOVER_UNACKED
+#define MAYHAND(x) 1
+#else
+#define MAYHAND(x) p[x].ready
+#endif
+
+inline decide(x, i) {
+	p[x].sent = p[x].sent | (1 << i);
+	p[x].running = p[x].running | (1 << i);
+	p[x].unsent = p[x].unsent | (1 << i)
+}
+
+/* The present owner that waits for the report of x, or the owner x itself. */
+#ifdef M_HANDOVER_ANY_RESULT
+#define WAITS(y, x) (OWNS(y) && !p[y].sealed)
+#else
+#define WAITS(y, x) (OWNS(y) && !p[y].sealed && p[y].remote && p[y].runner == x)
+#endif
+#define REPORTS(x) ((p[x].role == OWNER && p[x].pc == IDLE && RECORDS(x)) || \
+	(p[x].role != OWNER && (WAITS((x + 1) % NI, x) || WAITS((x + 2) % NI, x))))
+#define TAKER(x) (p[x].role == OWNER -> x : (WAITS((x + 1) % NI, x) -> (x + 1) % NI : (x + 2) % NI))
+
+inline taken(x, i) {
+	p[x].running = p[x].running & ~(1 << i);
+	p[x].unsent = p[x].unsent & ~(1 << i);
+	p[x].queued = p[x].queued & ~(1 << i)
+}
+
+/* The owner still waits for the outcome of task i, which x started. */
+#ifdef M_HANDOVER_ANY_RESULT
+#define AWAITED(x, i) 1
+#else
+#define AWAITED(x, i) ((p[taker].sent & (1 << (i))) && (taker == x || (p[taker].remote & (1 << (i)))))
+#endif
+
+/* refused: the start of task i by x never leaves; its owner queues it again. */
+inline refused(x, i) {
+	taker = TAKER(x);
+	if
+	:: AWAITED(x, i) ->
+		p[taker].sent = p[taker].sent & ~(1 << i);
+		unawait(i)
+	:: else -> skip
+	fi;
+	taken(x, i);
+	taker = 0
+}
+
+inline unawait(i) {
+	p[taker].remote = p[taker].remote & ~(1 << i);
+	p[taker].runner = (p[taker].remote -> p[taker].runner : NONE)
+}
+
+/* reported: the result of task i, which x started, reaches the owner. */
+inline reported(x, i) {
+	taker = TAKER(x);
+	if
+	:: FINAL(p[taker].rec) == 0 && AWAITED(x, i) ->
+		p[taker].rec = p[taker].rec | RESULT(i);
+		unawait(i)
+	:: else -> skip
+	fi;
+	taken(x, i);
+	taker = 0
+}
+#endif
 
 #ifdef W_SILENCE_FIRST
 #define GONE(x, y, i) (DEAD(y, i) || (suspect[x] & (1 << y)))
 #else
-#define GONE(x, y, i) 1
+#define GONE(x, y, i) (FAULTY || DEAD(y, i))
 #endif
 #define CANREPLACE(x) (AT(x, IDLE) && CANWRITE && !ISOWNER(x) && !ISREPLICA(x) && \
 	(p[x].role == OUT || p[x].ver == ver) && GONE(x, vowner, vownerinc) && \
@@ -317,9 +660,10 @@
 proctype Instance(byte x) {
 	do
 	/* A submission arrives: first copy, resubmission or late duplicate. */
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
+	:: d_step { OWNS(x) && ADMITS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
 		now + SKEW >= SUBMITTED - SKEW -> p[x].pc = ADMIT }
 	:: d_step { AT(x, ADMIT) -> p[x].rec = CLAIM; p[x].pc = IDLE }
+#ifndef REPLACE
 	:: d_step { AT(x, ADMIT) -> p[x].pc = IDLE;
 #ifdef W_REFUSAL_UNRECORDED
 		assert(started == 0); notrun = ALL
@@ -327,14 +671,23 @@
 		p[x].rec = CLAIM | FINAL_IS(REFUSED)
 #endif
 		}
+#endif
 #ifdef W_AHEAD_NOT_RUN
 	:: d_step { OWNS(x) && p[x].confirmed && p[x].rec == 0 && p[x].floor <= SUBMITTED &&
 		now - SKEW + SKEW < SUBMITTED && notrun != ALL -> assert(started == 0); notrun = ALL }
 #endif
 
 	/* The owner's work on the job. */
-	:: d_step { OWNS(x) && p[x].confirmed && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) < NT ->
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) < NT ->
 		p[x].rec = p[x].rec + ONE_INTENT }
+#ifdef HANDOVER
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 0 &&
+		!(STARTED(x) & 1) && MAYSTART(x, 0) -> decide(x, 0) }
+#if NT > 1
+	:: d_step { OWNS(x) && !SEALED(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 1 &&
+		!(STARTED(x) & 2) && MAYSTART(x, 1) -> decide(x, 1) }
+#endif
+#else
 	:: d_step { OWNS(x) && p[x].confirmed && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 0 &&
 		!(p[x].sent & 1) && MAYSTART(x, 0) -> p[x].sent = p[x].sent | 1; p[x].pc = START }
 	:: d_step { AT(x, START) -> p[x].pc = IDLE; send(0) }
@@ -347,15 +700,16 @@
 	:: d_step { OWNS(x) && FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > 1 && (p[x].sent & 2) && !(DONE(p[x].rec) & 2) ->
 		p[x].rec = p[x].rec | RESULT(1) }
 #endif
-	:: d_step { OWNS(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
-	:: d_step { OWNS(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL ->
+#endif
+	:: d_step { OWNS(x) && !SEALED(x) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) == ALL -> p[x].rec = p[x].rec | FINAL_IS(COMPLETE) }
+	:: d_step { OWNS(x) && !SEALED(x) && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 && DONE(p[x].rec) != ALL && MAYGIVEUP(x) ->
 		p[x].rec = p[x].rec | FINAL_IS(FAILED) }        /* cancelled, or past its deadline */
 	:: d_step { OWNS(x) && FINAL(p[x].rec) != 0 && MAYANSWER(x) && answered != p[x].rec -> tell(x) }
 
 	/* Replication: the peer takes the record; the acknowledgement may be lost. */
-	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer) && p[p[x].peer].rec != p[x].rec ->
+	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) && p[p[x].peer].rec != p[x].rec ->
 		p[p[x].peer].rec = p[x].rec }
-	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer) &&
+	:: d_step { OWNS(x) && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) &&
 		p[p[x].peer].rec == p[x].rec && p[x].acked != p[x].rec -> p[x].acked = p[x].rec }
 #ifdef M_PROMISE_BROKEN
 	/* The replica acknowledges the old version though it has promised not to;
@@ -365,10 +719,10 @@
 #endif
 
 	/* Proof of death. */
-	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && DEAD(p[x].peer, p[x].peerinc) -> p[x].pc = ACT }
-	:: d_step { AT(x, ACT) -> p[x].pc = IDLE; takeover(x) }
+	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && DEAD(p[x].peer, p[x].peerinc) && MAYACT(x) -> p[x].pc = ACT }
+	:: d_step { AT(x, ACT) -> p[x].pc = IDLE; takeover(x, 0) }
 	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer != NONE && DEAD(p[x].peer, p[x].peerinc) ->
-		p[x].peer = NONE; p[x].peerinc = 0; p[x].learning = 0; p[x].acked = 0 }
+		p[x].peer = NONE; p[x].peerinc = 0; p[x].learning = 0; p[x].acked = 0; unseal(x) }
 #ifdef M_SILENCE_IS_DEATH
 	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && p[x].confirmed && !DEAD(p[x].peer, p[x].peerinc) ->
 		observe(p[x].peer); p[x].pc = ACT }
@@ -382,6 +736,9 @@
 
 	/* The view is read, also after a write with a lost answer. */
 	:: d_step { AT(x, IDLE) && ver > p[x].ver && (p[x].role != OUT || ISOWNER(x) || ISREPLICA(x)) -> adopt(x) }
+	/* An instance that the view does not name resumes by a read. */
+	:: d_step { AT(x, IDLE) && !p[x].confirmed && p[x].role == LEARNER && p[x].ver == ver &&
+		!ISOWNER(x) && !ISREPLICA(x) -> p[x].confirmed = 1 }
 #ifdef W_CONFIRM_BY_READ
 	:: d_step { AT(x, IDLE) && ver == p[x].ver && !p[x].confirmed && (ISOWNER(x) || ISREPLICA(x)) -> p[x].confirmed = 1 }
 #endif
@@ -391,6 +748,11 @@
 #ifndef W_CONFIRM_BY_READ
 	:: d_step { AT(x, IDLE) && CANWRITE && ver == p[x].ver && !p[x].confirmed && (ISOWNER(x) || ISREPLICA(x)) ->
 		issue(x, vowner, vownerinc, vreplica, vreplicainc, vfloor) }
+#endif
+#ifndef M_CALM_NO_RENEWAL
+	/* A promise that led to no takeover ends with a view of the same members. */
+	:: d_step { AT(x, IDLE) && CANWRITE && ver == p[x].ver && p[x].confirmed && p[x].promised && p[x].role == REPLICA &&
+		ISREPLICA(x) && vowner == p[x].peer -> issue(x, vowner, vownerinc, vreplica, vreplicainc, vfloor) }
 #endif
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].peer != NONE &&
 		GONE(x, p[x].peer, p[x].peerinc) ->
@@ -405,7 +767,7 @@
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && p[x].peer == NONE && (ISREPLICA(x) || (ISOWNER(x) && vreplica != NONE)) ->
 		issue(x, x, p[x].inc, NONE, 0, vfloor) }
 	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && CANWRITE && ver == p[x].ver && ISREPLICA(x) &&
-		GONE(x, vowner, vownerinc) -> p[x].promised = 1;
+		GONE(x, vowner, vownerinc) && MAYTAKE(x) -> p[x].promised = 1;
 #ifndef W_SILENCE_FIRST
 		observeIfAlive(vowner, vownerinc);
 #endif
@@ -416,28 +778,110 @@
 	:: d_step { AT(x, IDLE) && !(suspect[x] & (1 << ((x + 2) % NI))) -> observe((x + 2) % NI); suspect[x] = suspect[x] | (1 << ((x + 2) % NI)) }
 #endif
 
-	:: d_step { AT(x, IDLE) && p[x].role == REPLICA && !p[x].promised -> p[x].promised = 1 }
+	:: d_step { AT(x, IDLE) && FAULTY && p[x].role == REPLICA && !p[x].promised -> p[x].promised = 1 }
 
 	/* A member is gained. */
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE &&
-		CANLEARN(x, (x + 1) % NI) -> learn(x, (x + 1) % NI) }
-	:: d_step { OWNS(x) && p[x].confirmed && p[x].peer == NONE && ver == p[x].ver && ISOWNER(x) && vreplica == NONE &&
-		CANLEARN(x, (x + 2) % NI) -> learn(x, (x + 2) % NI) }
+	:: d_step { CANGAIN(x) && CANLEARN(x, (x + 1) % NI) -> learn(x, (x + 1) % NI) }
+	:: d_step { CANGAIN(x) && CANLEARN(x, (x + 2) % NI) -> learn(x, (x + 2) % NI) }
 	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].learning && p[x].acked == p[x].rec &&
 		p[p[x].peer].rec == p[x].rec ->
 		issue(x, x, p[x].inc, p[x].peer, p[x].peerinc, vfloor) }
+
+#ifdef REPLACE
+	/* A learner catches up, is lost, or is given up before commits wait for it. */
+	:: d_step { FOLLOWED(x) && p[x].copy != COPYING && CANACK(x, p[x].next, p[x].nextinc) &&
+		p[p[x].next].rec != p[x].rec -> p[p[x].next].rec = p[x].rec }
+	:: d_step { FOLLOWED(x) && p[x].copy != COPYING && CANACK(x, p[x].next, p[x].nextinc) &&
+		p[p[x].next].rec == p[x].rec && (p[x].nextacked != p[x].rec || p[x].copy == JOINING) ->
+		p[x].nextacked = p[x].rec;
+		p[x].copy = JOINED }
+	:: d_step { FOLLOWED(x) && p[x].confirmed && DEAD(p[x].next, p[x].nextinc) -> forgetLearner(x) }
+	:: d_step { FOLLOWED(x) && FAULTY && p[x].copy == COPYING -> forgetLearner(x) }
+#ifdef W_REPLACE_GIVEN_UP
+	:: d_step { FOLLOWED(x) && p[x].confirmed -> forgetLearner(x) }
+#endif
+	:: d_step { FOLLOWED(x) && p[x].confirmed && p[x].copy == COPYING -> p[x].copy = JOINING }
+
+	/* The replica promises not to act on the death of its owner; the answer may be lost. */
+	:: d_step { FOLLOWED(x) && p[x].copy == JOINED && HASREPLICA(x) && !p[p[x].peer].released -> p[p[x].peer].released = 1 }
+	:: d_step { FOLLOWED(x) && HASREPLICA(x) && p[p[x].peer].released && !p[x].released -> p[x].released = 1 }
+
+	/* The learner becomes a member, in place of the replica if there is one. */
+	:: d_step { NAMES(x) && (p[x].peer == NONE || MAYREPLACE(x)) ->
+		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
+	:: d_step { NAMES(x) && p[x].peer != NONE && GONE(x, p[x].peer, p[x].peerinc) -> observeIfAlive(p[x].peer, p[x].peerinc);
+		issue(x, x, p[x].inc, p[x].next, p[x].nextinc, vfloor) }
+	/* It is lost while commits wait for it. */
+	:: d_step { FOLLOWED(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].copy != COPYING &&
+		GONE(x, p[x].next, p[x].nextinc) -> observeIfAlive(p[x].next, p[x].nextinc);
+		issue(x, x, p[x].inc, p[x].peer, p[x].peerinc, vfloor) }
+#endif
+
+#ifdef HANDOVER
+	/* The owner seals and takes back the intents of tasks that it has not started. */
+	:: d_step { OWNS(x) && FAULTY && p[x].confirmed && !p[x].sealed && ver == p[x].ver && ISOWNER(x) && HANDABLE(x) ->
+		p[x].sealed = 1; p[x].ready = 0;
+		if
+		:: FINAL(p[x].rec) == 0 && UPTO(p[x].rec) > TAKEBACK(x) ->
+			p[x].rec = (p[x].rec & ~6) | (TAKEBACK(x) << 1);
+			p[x].acked = 0
+		:: else -> skip
+		fi;
+		if
+		:: FINAL(p[x].rec) == 0 -> p[x].queued = QUEUED(x)
+		:: else -> skip
+		fi }
+	/* The target acknowledges what follows the note, and so has both. */
+	:: d_step { OWNS(x) && p[x].sealed && !p[x].ready && p[x].peer != NONE && CANACK(x, p[x].peer, p[x].peerinc) &&
+		p[p[x].peer].rec == p[x].rec ->
+		p[x].acked = p[x].rec;
+		p[x].ready = 1;
+		p[p[x].peer].noted = 1;
+		p[p[x].peer].note = INFLIGHT(x);
+		p[p[x].peer].noterunner = (p[x].remote -> p[x].runner : x) }
+	:: d_step { OWNS(x) && CANWRITE && ver == p[x].ver && ISOWNER(x) && p[x].sealed && p[x].peer != NONE && MAYHAND(x) ->
+		issue(x, p[x].peer, p[x].peerinc, x, p[x].inc, vfloor) }
+	/* A write that certainly failed ends the hand-over. */
+	:: d_step { OWNS(x) && FAULTY && p[x].sealed && MAYUNSEAL(x) -> unseal(x) }
+#ifdef M_HANDOVER_STARTS
+	:: d_step { OWNS(x) && p[x].sealed && p[x].confirmed && p[x].ready && (p[x].rec & CLAIM) && FINAL(p[x].rec) == 0 &&
+		!(STARTED(x) & 1) -> decide(x, 0) }
+#endif
+
+	/* Starts leave later than they were decided, or not at all. */
+	:: d_step { p[x].alive && (p[x].unsent & 1) -> p[x].unsent = p[x].unsent & ~1; send(0) }
+	:: d_step { p[x].alive && ((p[x].unsent | p[x].queued) & 1) && REPORTS(x) -> refused(x, 0) }
+	:: d_step { p[x].alive && (p[x].running & ~p[x].unsent & 1) && REPORTS(x) -> reported(x, 0) }
+	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 1) && p[x].role != OWNER && FAULTY -> taken(x, 0) }    /* lost */
+#if NT > 1
+	:: d_step { p[x].alive && (p[x].unsent & 2) -> p[x].unsent = p[x].unsent & ~2; send(1) }
+	:: d_step { p[x].alive && ((p[x].unsent | p[x].queued) & 2) && REPORTS(x) -> refused(x, 1) }
+	:: d_step { p[x].alive && (p[x].running & ~p[x].unsent & 2) && REPORTS(x) -> reported(x, 1) }
+	:: d_step { p[x].alive && ((p[x].running & ~p[x].unsent | p[x].queued) & 2) && p[x].role != OWNER && FAULTY -> taken(x, 1) }
+#endif
+#endif
 	od
 }
 
 inline land() {
+#ifdef HANDOVER
+	/* At a hand-over both hold the same, so that sequence numbers go on. */
+	assert(cas.owner == vowner || cas.replica != vowner || cas.replicainc != vownerinc ||
+		DEAD(cas.owner, cas.ownerinc) || DEAD(vowner, vownerinc) || p[cas.owner].rec == p[vowner].rec);
+#endif
 	vowner = cas.owner;
 	vownerinc = cas.ownerinc;
 	vreplica = cas.replica;
 	vreplicainc = cas.replicainc;
 	vfloor = (cas.floor > vfloor -> cas.floor : vfloor);
+#ifdef HANDOVER
 	vby = cas.by;
 	vbyinc = cas.byinc;
-	vfresh = cas.fresh;
+#endif
+	if
+	:: cas.fresh && !DEAD(cas.by, cas.byinc) -> p[cas.by].landed = 1
+	:: else -> skip
+	fi;
 	ver++;
 	cas.on = 0;
 	cas.owner = 0;
@@ -453,10 +897,14 @@
 inline kill(x) {
 	kills++;
 	leave(x);
+#ifdef HANDOVER
+	p[x].running = 0;
+	p[x].unsent = 0;
+	p[x].queued = 0;
+#endif
 	p[x].rec = 0;
 	p[x].alive = 0;
 	p[x].ver = 0;
-	p[x].confirmed = 1;
 	p[x].pc = IDLE
 }
 
@@ -464,14 +912,19 @@
 	do
 	:: d_step { now < MAXNOW -> now++ }
 	:: d_step { cas.on -> land() }
-	:: d_step { !DEAD(vowner, vownerinc) && p[vowner].confirmed -> observe(vowner) }
-	:: d_step { vreplica != NONE && !DEAD(vreplica, vreplicainc) && p[vreplica].confirmed -> observe(vreplica) }
-	:: d_step { kills < MAXKILL && p[0].alive -> kill(0) }
-	:: d_step { kills < MAXKILL && p[1].alive -> kill(1) }
-	:: d_step { kills < MAXKILL && p[2].alive -> kill(2) }
+	:: d_step { FAULTY && !DEAD(vowner, vownerinc) && p[vowner].confirmed -> observe(vowner) }
+	:: d_step { FAULTY && vreplica != NONE && !DEAD(vreplica, vreplicainc) && p[vreplica].confirmed -> observe(vreplica) }
+	:: d_step { FAULTY && kills < MAXKILL && p[0].alive -> kill(0) }
+	:: d_step { FAULTY && kills < MAXKILL && p[1].alive -> kill(1) }
+	:: d_step { FAULTY && kills < MAXKILL && p[2].alive -> kill(2) }
 	:: d_step { !p[0].alive && p[0].inc == 0 -> p[0].alive = 1; p[0].inc = 1 }
 	:: d_step { !p[1].alive && p[1].inc == 0 -> p[1].alive = 1; p[1].inc = 1 }
 	:: d_step { !p[2].alive && p[2].inc == 0 -> p[2].alive = 1; p[2].inc = 1 }
+#ifdef CALM
+	:: d_step { !calm -> calm = 1 }
+	/* Nobody can do any more: the job was answered, or its key is too old. */
+	:: d_step { timeout -> assert(answered != 0 || (vfloor > SUBMITTED && p[vowner].rec == 0)) }
+#endif
 	od
 }
 
@@ -486,6 +939,19 @@
 		p[0].peer = NONE;
 		p[1].peer = NONE;
 		p[2].peer = NONE;
+#ifdef REPLACE
+		p[0].next = NONE;
+		p[1].next = NONE;
+		p[2].next = NONE;
+#endif
+#ifdef HANDOVER
+		p[0].runner = NONE;
+		p[1].runner = NONE;
+		p[2].runner = NONE;
+		p[0].noterunner = NONE;
+		p[1].noterunner = NONE;
+		p[2].noterunner = NONE;
+#endif
 		p[0].role = OWNER;
 		p[0].ver = 1;
 		p[1].ver = 1;
@@ -493,7 +959,9 @@
 	}
 	if
 	:: d_step { true -> vreplica = 1; p[0].peer = 1; p[1].role = REPLICA; p[1].peer = 0 }
+#if !defined(REPLACE) && !defined(HANDOVER)
 	:: skip
+#endif
 	fi;
 	atomic {
 		run Instance(0);
