Keep results of tasks run for other owners until they are taken

Cause: after a hand-over the instance that runs a task sends its result to the new owner once. If the session was lost while that owner was sealed for a further hand-over, its successor awaited a result that was gone, until the runner's process ended. Outside of that window a lost session failed the job as "may have run" although its runner lived. Found on the way: a task in flight while its shard left, came back and left again had its result dropped, and a job closed by a later owner left its handles behind, so that a graceful stop waited for its time-out.

Ruled out: an acknowledgement of each result (a message a task, and the owner may hand over between taking and committing it); results sent again by the runner on its own (it does not know what the owner has); sending "not started" twice (the second could be taken for that of a later start).

Change: the runner keeps results, bounded in time and bytes. The owner lists to each runner what it still awaits, every second, after a lost session and once when nothing is awaited. What neither runs nor is kept is reported as "may have run". Also: the three functions for requests of other instances are one.

Tests: TestResultsLostBeforeHandOver fails before the change (job3 never answered) and completes every job with it. New rows "lost results", "kill rack", "pause rack", "stop rack"; all rows with four instances too. Rows draw random numbers for other things than before; no check is weaker.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -312,13 +312,16 @@
 func (r *Reducer) peerMessage(now model.Time, from shard.Member, m *peerpb.Message) {
 	switch b := m.Body.(type) {
 	case *peerpb.Message_Submit:
-		r.remoteSubmit(now, from, b.Submit)
+		m := b.Submit
+		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpSubmit, Spec: m.Spec, Report: m.ReportAdmission})
 	case *peerpb.Message_Answer:
 		r.answered(now, from, b.Answer)
 	case *peerpb.Message_Lookup:
-		r.remoteLookup(now, from, b.Lookup)
+		m := b.Lookup
+		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpLookup, Identity: m.Identity, Wait: m.Wait})
 	case *peerpb.Message_Cancel:
-		r.remoteCancel(now, from, b.Cancel)
+		m := b.Cancel
+		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpCancel, Identity: m.Identity})
 	case *peerpb.Message_Sched:
 		r.sched.Receive(now, from.Instance, b.Sched)
 	default:
@@ -362,6 +365,10 @@
 		if s := r.shard(b.RemoteResult.Domain, b.RemoteResult.Shard); s != nil {
 			s.HandleRemoteResult(now, b.RemoteResult)
 		}
+	case *peerpb.Message_RemoteAsk:
+		if s := r.shard(b.RemoteAsk.Domain, b.RemoteAsk.Shard); s != nil {
+			s.HandleAsk(now, from, b.RemoteAsk)
+		}
 	}
 }
 
--- a/internal/core/coretest/callers_test.go
+++ b/internal/core/coretest/callers_test.go
@@ -232,7 +232,7 @@
 func (p *proc) start(st shard.StartTask) {
 	w := p.w
 	j := w.jobOf(st.Spec)
-	d := shard.TaskDone{Start: st.Start, Ran: w.between(50, 400)}
+	d := shard.TaskDone{Start: st.Start, Ran: w.between(50, w.longest)}
 	done := func(after time.Duration, o sched.Outcome) {
 		d.Outcome = o
 		w.after(after, func() { p.take(core.TaskDone{TaskDone: d}) })
--- a/internal/core/coretest/proc_test.go
+++ b/internal/core/coretest/proc_test.go
@@ -336,6 +336,11 @@
 	if l.reset {
 		return
 	}
+	if l.p.w.lossy > 0 && m.GetRemoteResult() != nil && l.p.w.chance(l.p.w.lossy) {
+		l.p.w.note("lose session %s to %s", l.p.member.Incarnation, l.addr)
+		l.drop()
+		return
+	}
 	l.queue = append(l.queue, proto.Clone(m).(*peerpb.Message))
 	l.pump()
 }
--- /dev/null
+++ b/internal/core/coretest/remote_test.go
@@ -0,0 +1,85 @@
+package coretest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// runUntil lets virtual time pass until a condition holds.
+func (w *world) runUntil(what string, limit time.Duration, holds func() bool) {
+	w.t.Helper()
+	for end := w.now.Add(limit); !holds(); {
+		if w.now >= end {
+			w.fail("world: %s did not happen", what)
+		}
+		w.run(time.Millisecond)
+	}
+}
+
+// jobsOf submits jobs of a few tasks until n of them are of shard 0.
+func jobsOf(w *world, at *proc, n int) []*job {
+	var list []*job
+	for len(list) < n {
+		j := w.newJob("a", 3, false, 0)
+		j.submit(at)
+		if at.core.ShardOf(j.spec.Identity).Index == 0 {
+			list = append(list, j)
+		}
+	}
+	return list
+}
+
+// TestResultsLostBeforeHandOver moves a shard twice while tasks of its first
+// owner run. Their results reach the second owner once it is sealed, and are
+// lost with their sessions; the third owner has to get them all the same.
+func TestResultsLostBeforeHandOver(t *testing.T) {
+	w := newWorld(t, 1)
+	first, second, third := successiveOwners(w)
+	w.longest = 9000
+	jobs := jobsOf(w, first, 3)
+	w.run(100 * time.Millisecond)
+	w.boot(second)
+	w.runUntil("the first hand-over", 6*time.Second, func() bool { return ownerOf(w, 0) == second.proc })
+	w.boot(third)
+	w.runUntil("the copy to the third owner", 6*time.Second, func() bool {
+		return replicaOf(w, 0) == third.proc && ownerOf(w, 0) == second.proc
+	})
+	w.platform.holds = second.proc
+	w.runUntil("the seal", time.Second, func() bool { return len(w.platform.kept) > 0 })
+	w.lossy = 100
+	w.run(10 * time.Second) // all tasks end meanwhile
+	w.lossy = 0
+	w.longest = 400 // those that have not started yet
+	w.platform.holds = nil
+	for _, land := range w.platform.kept {
+		land()
+	}
+	w.runUntil("the second hand-over", 6*time.Second, func() bool { return ownerOf(w, 0) == third.proc })
+	w.run(3 * time.Second)
+	for _, j := range jobs {
+		if j.final.GetStatus() != peerpb.Status_STATUS_COMPLETE {
+			w.fail("%s: answered %v, want complete", j.name, j.final)
+		}
+	}
+	finish(w)
+}
+
+// successiveOwners leaves one instance that owns every shard of domain a, and
+// returns it and the hosts that own shard 0 once the second alone, then both
+// have been started.
+func successiveOwners(w *world) (first *proc, second, third *host) {
+	third = ownerOf(w, 0).host
+	second = replicaOf(w, 0).host
+	for _, h := range w.hosts[:3] {
+		if h != second && h != third {
+			first = h.proc
+		}
+	}
+	second.proc.kill()
+	third.proc.kill()
+	w.runUntil("the lone owner", 20*time.Second, func() bool { return ownerOf(w, 0) == first && ownerOf(w, 1) == first })
+	w.run(4 * skew) // past the floor
+	return first, second, third
+}
--- a/internal/core/coretest/replication_test.go
+++ b/internal/core/coretest/replication_test.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// eachInRack does something to two instances of domain a, the owner of shard 0
+// and another one.
+func eachInRack(w *world, do func(*proc)) {
+	first := ownerOf(w, 0)
+	second := replicaOf(w, 0)
+	do(first)
+	do(second)
+}
+
 // faults is the fault table.
 var faults = []fault{
 	{"kill owner", func(w *world) { ownerOf(w, 0).kill() }, bootAll},
@@ -87,6 +96,10 @@
 		}
 	}, none},
 	{"failing servers", func(w *world) { w.serverFaults = 50 }, func(w *world) { w.serverFaults = 0 }},
+	{"lost results", func(w *world) { w.lossy = 60 }, func(w *world) { w.lossy = 0 }},
+	{"kill rack", func(w *world) { eachInRack(w, (*proc).kill) }, bootAll},
+	{"pause rack", func(w *world) { eachInRack(w, (*proc).pause) }, resumeAll},
+	{"stop rack", func(w *world) { eachInRack(w, (*proc).stop) }, bootAll},
 }
 
 // load submits jobs for a while, and some of them again.
@@ -124,7 +137,10 @@
 }
 
 func runFaults(t *testing.T, seed uint64, list ...fault) {
-	w := newWorld(t, seed)
+	playFaults(newWorld(t, seed), list...)
+}
+
+func playFaults(w *world, list ...fault) {
 	load(w, 8)
 	for _, f := range list {
 		w.note("begin %s", f.name)
@@ -236,6 +252,19 @@
 	}
 }
 
+// TestFaultsOfFour has four instances in domain a, so that the loss of two
+// leaves a pair.
+func TestFaultsOfFour(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seedsAlone) {
+				playFaults(newWorldOf(t, seed+1, "a", "a", "a", "a", "b"), f)
+			}
+		})
+	}
+}
+
 func TestFaultPairs(t *testing.T) {
 	for i, f := range faults {
 		for j, g := range faults {
--- a/internal/core/coretest/world_test.go
+++ b/internal/core/coretest/world_test.go
@@ -78,6 +78,8 @@
 	platform *platform
 	cut      map[model.Domain]bool // domains cut off from the others
 	slow     bool                  // messages take long
+	lossy    int                   // per cent of task results whose session is lost with them
+	longest  int                   // run time of the longest tasks, milliseconds
 
 	serverFaults int // per cent of starts that meet a fault
 	servers      []sched.Server
@@ -90,15 +92,22 @@
 // newWorld returns three instances in domain a and one in domain b, which
 // have settled.
 func newWorld(t reporter, seed uint64) *world {
+	return newWorldOf(t, seed, "a", "a", "a", "b")
+}
+
+// newWorldOf returns an instance in each of the domains named, which have
+// settled.
+func newWorldOf(t reporter, seed uint64, domains ...model.Domain) *world {
 	w := &world{
-		t:      t,
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		now:    epochStart,
-		cut:    make(map[model.Domain]bool),
-		starts: make(map[string]int),
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		now:     epochStart,
+		cut:     make(map[model.Domain]bool),
+		starts:  make(map[string]int),
+		longest: 400,
 	}
 	w.platform = newPlatform(w)
-	for i, d := range []model.Domain{"a", "a", "a", "b"} {
+	for i, d := range domains {
 		w.hosts = append(w.hosts, &host{
 			name:   model.Instance(fmt.Sprintf("i%d", i)),
 			domain: d,
@@ -238,6 +247,7 @@
 	w.note("heal")
 	w.cut = make(map[model.Domain]bool)
 	w.slow = false
+	w.lossy = 0
 	w.serverFaults = 0
 	w.platform.heal()
 	for _, h := range w.hosts {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -50,11 +50,7 @@
 }
 
 func (r *Reducer) callerRequest(now model.Time, c CallerRequest) {
-	id := c.Identity
-	if c.Op == OpSubmit {
-		id = c.Spec.Identity
-	}
-	q := &request{CallerRequest: c, shard: r.ShardOf(id)}
+	q := &request{CallerRequest: c, shard: r.ShardOf(c.identity())}
 	q.entry = r.route.order.PushBack(q)
 	r.route.byID[c.ID] = q
 	r.forward(now, q)
@@ -152,15 +148,29 @@
 	r.begin(q, r.opts.Self)
 	q.lost = 0
 	w := shard.Waiter{Instance: r.opts.Self.Instance, Request: q.attempt}
-	switch q.Op {
-	case OpSubmit:
+	if q.Op == OpSubmit {
 		q.maybe = true
-		s.Submit(now, q.Spec, w, q.Report)
+	}
+	q.ask(now, s, w)
+}
+
+// ask passes the request to its shard at this instance.
+func (c CallerRequest) ask(now model.Time, s *shard.Shard, w shard.Waiter) {
+	switch c.Op {
+	case OpSubmit:
+		s.Submit(now, c.Spec, w, c.Report)
 	case OpLookup:
-		s.Lookup(now, q.Identity, w, q.Wait)
+		s.Lookup(now, c.Identity, w, c.Wait)
 	case OpCancel:
-		s.Cancel(now, q.Identity, w)
+		s.Cancel(now, c.Identity, w)
+	}
+}
+
+func (c CallerRequest) identity() *peerpb.Identity {
+	if c.Op == OpSubmit {
+		return c.Spec.GetIdentity()
 	}
+	return c.Identity
 }
 
 func (r *Reducer) remote(q *request, to shard.Member) {
@@ -225,12 +235,12 @@
 	}}})
 }
 
-// messagesLost asks again for answers that a peer may have sent, and gives up
-// task results that it may have sent.
+// messagesLost asks again for answers and task results that a peer may have
+// sent.
 func (r *Reducer) messagesLost(now model.Time, from shard.Member) {
 	r.rerouteFrom(now, from)
 	for _, s := range r.own {
-		s.LoseRunner(now, from)
+		s.AskRunner(now, from)
 	}
 }
 
@@ -362,34 +372,16 @@
 	}
 }
 
-func (r *Reducer) remoteSubmit(now model.Time, from shard.Member, m *peerpb.Submit) {
-	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
-	s := r.serving(m.Spec.GetIdentity())
-	if s == nil {
-		r.notOwner(w)
-		return
-	}
-	s.Submit(now, m.Spec, w, m.ReportAdmission)
-}
-
-func (r *Reducer) remoteLookup(now model.Time, from shard.Member, m *peerpb.Lookup) {
-	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
-	s := r.serving(m.Identity)
-	if s == nil {
-		r.notOwner(w)
-		return
-	}
-	s.Lookup(now, m.Identity, w, m.Wait)
-}
-
-func (r *Reducer) remoteCancel(now model.Time, from shard.Member, m *peerpb.Cancel) {
-	w := shard.Waiter{Instance: from.Instance, Request: m.Request}
-	s := r.serving(m.Identity)
+// peerRequest takes a request that another instance has forwarded, under the
+// number of its attempt.
+func (r *Reducer) peerRequest(now model.Time, from shard.Member, attempt uint64, c CallerRequest) {
+	w := shard.Waiter{Instance: from.Instance, Request: attempt}
+	s := r.serving(c.identity())
 	if s == nil {
 		r.notOwner(w)
 		return
 	}
-	s.Cancel(now, m.Identity, w)
+	c.ask(now, s, w)
 }
 
 func (r *Reducer) serving(id *peerpb.Identity) *shard.Shard {
--- a/internal/shard/env.go
+++ b/internal/shard/env.go
@@ -120,6 +120,7 @@
 	links      map[Member]linkState
 	tokens     float64 // retries that the budget allows now
 	bytes      int64   // answers kept
+	unasked    unaskedResults
 }
 
 type jobRef struct {
@@ -185,8 +186,9 @@
 	e.links[m] = l
 }
 
-// OpenJobs returns the number of queued jobs and of jobs with tasks in flight.
-func (e *Env) OpenJobs() int { return len(e.jobs) }
+// OpenJobs returns the number of queued jobs, of jobs with tasks in flight,
+// and of results that another owner may not have received.
+func (e *Env) OpenJobs() int { return len(e.jobs) + len(e.unasked.list) }
 
 // TakeEffects returns and clears what the shards want done.
 func (e *Env) TakeEffects() Effects {
--- a/internal/shard/install.go
+++ b/internal/shard/install.go
@@ -121,7 +121,7 @@
 	s.parked = nil
 	s.sealed = false
 	for _, h := range s.held {
-		s.forwardResult(h.rec, h.res)
+		s.forwardResult(now, h.rec, h.res)
 	}
 	s.held = nil
 }
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -88,6 +88,7 @@
 	started  int                  // owner: tasks in flight
 	waiters  []Waiter             // owner
 	runners  map[uint32]Member    // owner: who reports tasks in state taskRemote
+	away     map[uint32]bool      // in flight here since before another instance owned the job
 	ranOnce  map[int]bool         // owner: queued again after a start that may have run
 }
 
@@ -101,6 +102,7 @@
 // own prepares the owner's part.
 func (j *job) own() {
 	n := len(j.results)
+	j.keepAway()
 	j.states = make([]taskState, n)
 	j.attempts = make([]uint8, n)
 	for i, r := range j.results {
@@ -183,14 +185,55 @@
 	j.ranOnce[i] = true
 }
 
-// awaits reports whether a task in flight is reported by m.
-func (j *job) awaits(m Member) bool {
-	for i, runner := range j.runners {
-		if runner == m && j.states[i] == taskRemote {
-			return true
+// keepAway remembers the tasks in flight of an earlier ownership.
+func (j *job) keepAway() {
+	for i, st := range j.states {
+		if st != taskStarted {
+			continue
+		}
+		if j.away == nil {
+			j.away = make(map[uint32]bool)
+		}
+		j.away[uint32(i)] = true
+	}
+}
+
+// inFlight reports whether this instance has the task in flight.
+func (j *job) inFlight(i int) bool {
+	return j.states[i] == taskStarted || j.away[uint32(i)]
+}
+
+// land notes that a task which this instance ran for another owner has ended.
+func (j *job) land(i uint32) {
+	delete(j.away, i)
+	if j.states[i] == taskStarted {
+		j.states[i] = taskClosed
+	}
+}
+
+// runnerOf returns who has the task in flight: an instance that reports it to
+// this one as the owner, or self.
+func (j *job) runnerOf(i uint32, self Member) Member {
+	if j.states[i] == taskRemote {
+		return j.runners[i]
+	}
+	return self
+}
+
+// awaitsTask reports whether the result of a task is awaited from m.
+func (j *job) awaitsTask(i uint32, m Member) bool {
+	return int(i) < len(j.states) && j.states[i] == taskRemote && j.runners[i] == m
+}
+
+// awaitedFrom lists the tasks whose results are awaited from m.
+func (j *job) awaitedFrom(m Member) []uint32 {
+	var list []uint32
+	for i := range uint32(len(j.states)) {
+		if j.awaitsTask(i, m) {
+			list = append(list, i)
 		}
 	}
-	return false
+	return list
 }
 
 // openIntents counts tasks that an intent covers and no result closes, apart
--- /dev/null
+++ b/internal/shard/remote.go
@@ -0,0 +1,184 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// taskID names a task within its shard.
+type taskID struct {
+	key   key
+	index uint32
+}
+
+// forwardResult sends the result of a task that an earlier owner started to
+// the present owner. The instance that ran the task keeps the result until
+// that owner no longer asks for it, for the message may be lost with its
+// session.
+func (s *Shard) forwardResult(now model.Time, r *record, res *peerpb.TaskResult) {
+	m := s.remoteResult(r.key, res)
+	runner := r.job.runnerOf(res.Index, s.env.Self)
+	if runner == s.env.Self {
+		r.job.land(res.Index)
+		s.env.unasked.keep(now, s, m)
+	}
+	m.Runner = memberProto(runner)
+	s.sendResult(s.view.Owner(), m)
+}
+
+func (s *Shard) remoteResult(k key, res *peerpb.TaskResult) *peerpb.RemoteResult {
+	return &peerpb.RemoteResult{
+		Domain:   string(s.id.Domain),
+		Shard:    s.id.Index,
+		Identity: k.identity(s.id.Domain),
+		Result:   res,
+		Runner:   memberProto(s.env.Self),
+	}
+}
+
+func (s *Shard) sendResult(to Member, m *peerpb.RemoteResult) {
+	s.env.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteResult{RemoteResult: m}})
+}
+
+// HandleRemoteResult takes the result of a task that an earlier owner started.
+func (s *Shard) HandleRemoteResult(now model.Time, m *peerpb.RemoteResult) {
+	if s.role != RoleOwner {
+		s.passOn(m)
+		return
+	}
+	runner := memberFromProto(m.Runner)
+	r := s.openRecord(m.Identity)
+	if r != nil && r.job.awaitsTask(m.Result.Index, runner) {
+		s.result(now, r, m.Result)
+	}
+	if !s.sealed && len(s.awaited(runner)) == 0 {
+		s.ask(now, runner)
+	}
+}
+
+// passOn sends a result to the owner that came after this one.
+func (s *Shard) passOn(m *peerpb.RemoteResult) {
+	owner := s.view.Owner()
+	if owner == (Member{}) || owner == s.env.Self {
+		return
+	}
+	s.sendView(owner)
+	s.sendResult(owner, m)
+}
+
+// askRunners asks for the results that are still awaited.
+func (s *Shard) askRunners(now model.Time) {
+	for _, m := range slices.Clone(s.runners) {
+		s.AskRunner(now, m)
+	}
+}
+
+// AskRunner asks an instance for the results that this owner awaits from it.
+// While the shard is sealed nobody is asked: its successor will.
+func (s *Shard) AskRunner(now model.Time, m Member) {
+	if s.role == RoleOwner && !s.sealed && slices.Contains(s.runners, m) {
+		s.ask(now, m)
+	}
+}
+
+func (s *Shard) ask(now model.Time, m Member) {
+	ask := &peerpb.RemoteAsk{
+		Domain: string(s.id.Domain),
+		Shard:  s.id.Index,
+		Epoch:  s.view.Epoch,
+		Open:   s.awaited(m),
+	}
+	if len(ask.Open) == 0 {
+		s.dropRunner(m)
+	}
+	if m == s.env.Self {
+		s.HandleAsk(now, m, ask)
+		return
+	}
+	s.env.send(m.Instance, &peerpb.Message{Body: &peerpb.Message_RemoteAsk{RemoteAsk: ask}})
+}
+
+func (s *Shard) dropRunner(m Member) {
+	s.runners = slices.DeleteFunc(s.runners, func(x Member) bool { return x == m })
+}
+
+// awaited lists the tasks whose results an instance has still to report.
+func (s *Shard) awaited(runner Member) []*peerpb.OpenTasks {
+	var list []*peerpb.OpenTasks
+	for _, number := range slices.Sorted(maps.Keys(s.open)) {
+		j := s.open[number].job
+		if indexes := j.awaitedFrom(runner); len(indexes) > 0 {
+			list = append(list, &peerpb.OpenTasks{
+				Identity: j.spec.Identity,
+				Indexes:  indexes,
+				Runner:   memberProto(runner),
+			})
+		}
+	}
+	return list
+}
+
+// HandleAsk sends the results of the tasks that an owner still awaits and that
+// have ended. A task that this instance neither runs nor has a result of may
+// have run. Owners of earlier epochs wait for nothing.
+func (s *Shard) HandleAsk(now model.Time, from Member, m *peerpb.RemoteAsk) {
+	if m.Epoch < s.view.Epoch {
+		return
+	}
+	kept := s.env.unasked.only(s, askedTasks(m.Open))
+	running := s.runningHere()
+	for _, o := range m.Open {
+		k := keyOf(o.Identity)
+		for _, i := range o.Indexes {
+			id := taskID{key: k, index: i}
+			switch {
+			case kept[id] != nil:
+				s.resendResult(now, from, kept[id])
+			case !running[id]:
+				s.resendResult(now, from, s.remoteResult(k, unknownResult(i)))
+			}
+		}
+	}
+}
+
+func (s *Shard) resendResult(now model.Time, to Member, m *peerpb.RemoteResult) {
+	if to == s.env.Self {
+		s.HandleRemoteResult(now, m)
+		return
+	}
+	s.sendResult(to, m)
+}
+
+func askedTasks(list []*peerpb.OpenTasks) map[taskID]bool {
+	asked := make(map[taskID]bool)
+	for _, o := range list {
+		for _, i := range o.Indexes {
+			asked[taskID{key: keyOf(o.Identity), index: i}] = true
+		}
+	}
+	return asked
+}
+
+// runningHere returns the tasks of the shard that this instance has in flight.
+func (s *Shard) runningHere() map[taskID]bool {
+	running := make(map[taskID]bool)
+	for _, ref := range s.env.jobs {
+		if ref.shard != s || ref.rec.job == nil {
+			continue
+		}
+		for i := range ref.rec.job.states {
+			if ref.rec.job.inFlight(i) {
+				running[taskID{key: ref.rec.key, index: uint32(i)}] = true
+			}
+		}
+	}
+	return running
+}
+
+// unknownResult tells the owner that a task may have run.
+func unknownResult(i uint32) *peerpb.TaskResult {
+	return &peerpb.TaskResult{Index: i, Ran: peerpb.Ran_RAN_UNKNOWN}
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -17,7 +17,7 @@
 		s.reportBack(now, r, d)
 		return
 	}
-	if j.states[i] != taskStarted {
+	if !j.inFlight(i) {
 		return
 	}
 	j.started--
@@ -52,6 +52,7 @@
 // reportBack takes a result of this instance as an earlier owner.
 func (s *Shard) reportBack(now model.Time, r *record, d TaskDone) {
 	r.job.started--
+	r.job.land(uint32(d.Start.Index))
 	if s.records[r.key] != r && r.job.started == 0 {
 		s.unqueue(now, r.job)
 	}
@@ -59,10 +60,7 @@
 	if d.Outcome == sched.OutcomeNotStarted || d.Outcome == sched.OutcomeUnreachable {
 		res = notStartedResult(d.Start.Index)
 	}
-	s.HandleRemoteResult(now, &peerpb.RemoteResult{
-		Identity: r.key.identity(s.id.Domain),
-		Result:   res,
-	})
+	s.HandleRemoteResult(now, s.remoteResult(r.key, res))
 }
 
 // releaseHandles forgets the handles of a job that is owned elsewhere once
@@ -118,7 +116,7 @@
 // one or a failure.
 func (s *Shard) result(now model.Time, r *record, res *peerpb.TaskResult) {
 	if s.role != RoleOwner {
-		s.forwardResult(r, res)
+		s.forwardResult(now, r, res)
 		return
 	}
 	// The successor begins at the last operation before the hand-over.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -140,11 +140,23 @@
 func (s *Shard) keepFinal(r *record, encoded []byte) {
 	r.final = encoded
 	r.seq = s.seq
+	s.dropHandles(r)
 	r.job = nil
 	delete(s.open, r.number)
 	s.env.bytes += recordBytes(r)
 }
 
+// dropHandles forgets the handles of a job that a later owner has closed while
+// tasks of it are in flight here.
+func (s *Shard) dropHandles(r *record) {
+	if r.job == nil {
+		return
+	}
+	for _, h := range r.job.handles {
+		delete(s.env.jobs, h)
+	}
+}
+
 // setNumber makes an open job known by its record number.
 func (s *Shard) setNumber(r *record, number uint64) {
 	r.number = number
@@ -261,5 +273,7 @@
 // TickSlow does what need not happen often.
 func (s *Shard) TickSlow(now model.Time) {
 	s.expire(now)
+	s.env.unasked.expire(now)
 	s.CheckMembers(now)
+	s.askRunners(now)
 }
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -20,6 +20,9 @@
 	s.waits = nil
 	s.sealed = false
 	open := s.remoteTasks()
+	if !slices.Contains(s.runners, s.env.Self) {
+		s.env.unasked.only(s, nil)
+	}
 	s.handOver = nil
 	return open
 }
@@ -160,15 +163,14 @@
 	}
 }
 
-// LoseRunner fails the jobs with tasks that an instance would have reported
-// whose reports are lost.
+// LoseRunner fails the jobs with tasks in flight at an instance that is gone.
 func (s *Shard) LoseRunner(now model.Time, m Member) {
 	if s.role != RoleOwner || s.sealed || !slices.Contains(s.runners, m) {
 		return
 	}
-	s.runners = slices.DeleteFunc(s.runners, func(x Member) bool { return x == m })
+	s.dropRunner(m)
 	for _, r := range s.order {
-		if r.job != nil && r.job.awaits(m) {
+		if r.job != nil && len(r.job.awaitedFrom(m)) > 0 {
 			s.giveUp(now, r, ProblemUnknown)
 		}
 	}
