--- a/internal/shard/member_test.go
+++ b/internal/shard/member_test.go
@@ -77,7 +77,7 @@
 		t.Fatal("commits do not wait for the learner")
 	}
 	peers[memberC] = Dead
-	a.MemberDead(testNow, memberC)
+	a.CheckMembers(testNow)
 	if a.committed() != a.seq {
 		t.Fatal("commits wait for a dead learner")
 	}
--- /dev/null
+++ b/internal/shard/remote_test.go
@@ -0,0 +1,253 @@
+package shard
+
+import (
+	"testing"
+
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// startedOwner returns owner A with replica B and a job whose first tasks are
+// in flight.
+func startedOwner(tasks, started int) *Shard {
+	a := newTestShard(memberA, fakePeers{})
+	a.InstallView(testNow, view(3, memberA, memberB))
+	a.Submit(testNow, testSpec(1, tasks), Waiter{Instance: "a", Request: 1}, false)
+	for i := range started {
+		a.env.Bind(testNow, sched.Start{Job: 1, Index: i})
+	}
+	a.env.Flush(testNow)
+	ackAs(a, memberB)
+	return a
+}
+
+// handTo moves the shard of owner A to B.
+func handTo(a *Shard, epoch uint64) {
+	a.Seal(testNow, memberB)
+	a.InstallView(testNow, view(epoch, memberB, memberA))
+}
+
+// handBack moves the shard from B to A, whose tasks B still awaits.
+func handBack(a *Shard, epoch uint64, indexes ...uint32) {
+	a.HandleHandOver(memberB, &peerpb.HandOver{
+		Epoch: epoch - 1,
+		Open:  []*peerpb.OpenTasks{{Identity: testSpec(1, 0).Identity, Indexes: indexes, Runner: memberProto(memberA)}},
+	})
+	a.InstallView(testNow, view(epoch, memberA, memberB))
+}
+
+func ends(a *Shard, index int, o sched.Outcome) {
+	a.env.TaskDone(testNow, TaskDone{Start: sched.Start{Job: 1, Index: index}, Outcome: o})
+}
+
+func asks(a *Shard, epoch uint64, indexes ...uint32) {
+	ask := &peerpb.RemoteAsk{Epoch: epoch}
+	if len(indexes) > 0 {
+		ask.Open = []*peerpb.OpenTasks{{Identity: testSpec(1, 0).Identity, Indexes: indexes}}
+	}
+	a.HandleAsk(testNow, memberB, ask)
+}
+
+// sentResults returns the results sent to B since the last call.
+func sentResults(a *Shard) []peerpb.Ran {
+	var list []peerpb.Ran
+	for _, x := range a.env.TakeEffects().Sends {
+		if m := x.Message.GetRemoteResult(); m != nil && x.To == "b" && memberFromProto(m.Runner) == memberA {
+			list = append(list, m.Result.Ran)
+		}
+	}
+	return list
+}
+
+func TestRunnerSendsLostResultsAgain(t *testing.T) {
+	const no, yes, unknown = peerpb.Ran_RAN_NO, peerpb.Ran_RAN_YES, peerpb.Ran_RAN_UNKNOWN
+	cases := []struct {
+		name   string
+		happen func(a *Shard)
+		want   []peerpb.Ran
+	}{
+		{"in flight", func(a *Shard) { asks(a, 4, 0) }, nil},
+		{"ended", func(a *Shard) { ends(a, 0, sched.OutcomeOK) }, []peerpb.Ran{yes}},
+		{"asked after its end", func(a *Shard) {
+			ends(a, 0, sched.OutcomeOK)
+			asks(a, 4, 0)
+		}, []peerpb.Ran{yes, yes}},
+		{"a refused start is not told twice", func(a *Shard) {
+			ends(a, 0, sched.OutcomeNotStarted)
+			asks(a, 4, 0)
+		}, []peerpb.Ran{no, unknown}},
+		{"an owner of an earlier epoch asks", func(a *Shard) {
+			ends(a, 0, sched.OutcomeOK)
+			asks(a, 3)
+			asks(a, 4, 0)
+		}, []peerpb.Ran{yes, yes}},
+		{"no longer listed", func(a *Shard) {
+			ends(a, 0, sched.OutcomeOK)
+			asks(a, 4)
+			asks(a, 4, 0)
+		}, []peerpb.Ran{yes, unknown}},
+		{"not asked for in time", func(a *Shard) {
+			ends(a, 0, sched.OutcomeOK)
+			a.TickSlow(testNow.Add(unaskedTime))
+			asks(a, 4, 0)
+		}, []peerpb.Ran{yes, unknown}},
+		{"never started here", func(a *Shard) { asks(a, 4, 2) }, []peerpb.Ran{unknown}},
+		{"in flight since before the shard came and left again", func(a *Shard) {
+			handBack(a, 5, 0, 1)
+			handTo(a, 6)
+			ends(a, 0, sched.OutcomeOK)
+		}, []peerpb.Ran{yes}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := startedOwner(3, 2)
+			handTo(a, 4)
+			a.env.TakeEffects()
+			c.happen(a)
+			got := sentResults(a)
+			if len(got) != len(c.want) {
+				t.Fatalf("sent %v, want %v", got, c.want)
+			}
+			for i := range got {
+				if got[i] != c.want[i] {
+					t.Fatalf("sent %v, want %v", got, c.want)
+				}
+			}
+		})
+	}
+}
+
+func TestKeptResultsAreBounded(t *testing.T) {
+	a := startedOwner(2, 2)
+	handTo(a, 4)
+	big := TaskDone{Start: sched.Start{Job: 1}, Outcome: sched.OutcomeOK, Output: make([]byte, unaskedBytes)}
+	a.env.TaskDone(testNow, big)
+	ends(a, 1, sched.OutcomeOK)
+	if u := a.env.unasked; len(u.list) != 1 || u.bytes > unaskedBytes {
+		t.Fatalf("%d results of %d bytes are kept, want the latest alone", len(u.list), u.bytes)
+	}
+}
+
+// A stopping instance must not wait for tasks of a job that a later owner has
+// closed, nor leave before its results are taken.
+func TestOpenJobsOfRunner(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(a *Shard)
+		want   int
+	}{
+		{"in flight", func(*Shard) {}, 1},
+		{"ended", func(a *Shard) { ends(a, 0, sched.OutcomeOK) }, 1},
+		{"result taken", func(a *Shard) {
+			ends(a, 0, sched.OutcomeOK)
+			asks(a, 4)
+		}, 0},
+		{"job closed", func(a *Shard) {
+			a.HandleAppend(testNow, memberB, &peerpb.Append{
+				Epoch: 4, FirstSeq: a.seq + 1,
+				Operations: []*peerpb.Operation{{Body: &peerpb.Operation_Final{Final: &peerpb.Final{
+					Record: 1, Answer: &peerpb.Answer{Status: peerpb.Status_STATUS_FAILED},
+				}}}},
+			})
+			ends(a, 0, sched.OutcomeOK)
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := startedOwner(1, 1)
+			handTo(a, 4)
+			c.happen(a)
+			if got := a.env.OpenJobs(); got != c.want {
+				t.Fatalf("%d open, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// ownerOfRemote returns owner A with replica C that awaits a task of B.
+func ownerOfRemote(tasks int) *Shard {
+	a := newTestShard(memberA, fakePeers{})
+	a.InstallView(testNow, view(3, memberB, memberA))
+	a.HandleAppend(testNow, memberB, &peerpb.Append{
+		Epoch: 3, FirstSeq: 1,
+		Operations: []*peerpb.Operation{
+			{Body: &peerpb.Operation_Claim{Claim: testSpec(1, tasks)}},
+			{Body: &peerpb.Operation_Intent{Intent: &peerpb.Intent{Record: 1, Upto: 1}}},
+		},
+	})
+	a.HandleHandOver(memberB, &peerpb.HandOver{
+		Epoch: 3,
+		Open:  []*peerpb.OpenTasks{{Identity: testSpec(1, 0).Identity, Indexes: []uint32{0}, Runner: memberProto(memberB)}},
+	})
+	a.InstallView(testNow, view(4, memberA, memberC))
+	a.Submit(testNow, testSpec(1, tasks), Waiter{Instance: "a", Request: 1}, false)
+	a.env.TakeEffects()
+	return a
+}
+
+func comes(a *Shard, runner Member, res *peerpb.TaskResult) {
+	a.HandleRemoteResult(testNow, &peerpb.RemoteResult{
+		Identity: testSpec(1, 0).Identity, Result: res, Runner: memberProto(runner),
+	})
+}
+
+// asked returns the numbers of tasks in the asks to B since the last call.
+func asked(a *Shard) []int {
+	var list []int
+	for _, x := range a.env.TakeEffects().Sends {
+		if m := x.Message.GetRemoteAsk(); m != nil && x.To == "b" {
+			n := 0
+			for _, o := range m.Open {
+				n += len(o.Indexes)
+			}
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func TestOwnerAsksForWhatItAwaits(t *testing.T) {
+	ok := &peerpb.TaskResult{Ran: peerpb.Ran_RAN_YES, Ok: true}
+	cases := []struct {
+		name   string
+		happen func(a *Shard)
+		want   []int
+	}{
+		{"nothing yet", func(*Shard) {}, nil},
+		{"time passes", func(a *Shard) { a.TickSlow(testNow) }, []int{1}},
+		{"a session with its runner is lost", func(a *Shard) { a.AskRunner(testNow, memberB) }, []int{1}},
+		{"a session with another is lost", func(a *Shard) { a.AskRunner(testNow, memberC) }, nil},
+		{"the result is taken", func(a *Shard) { comes(a, memberB, ok) }, []int{0}},
+		{"taken, then time passes", func(a *Shard) {
+			comes(a, memberB, ok)
+			a.TickSlow(testNow)
+		}, []int{0}},
+		{"of another runner", func(a *Shard) {
+			comes(a, memberC, ok)
+			a.TickSlow(testNow)
+		}, []int{1}},
+		{"sealed", func(a *Shard) {
+			a.Seal(testNow, memberC)
+			comes(a, memberB, ok)
+			a.TickSlow(testNow)
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := ownerOfRemote(1)
+			c.happen(a)
+			got := asked(a)
+			if len(got) != len(c.want) || len(got) > 0 && got[0] != c.want[0] {
+				t.Fatalf("asked for %v tasks, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func replies(s *Shard) []*peerpb.Answer {
+	var list []*peerpb.Answer
+	for _, r := range s.env.TakeEffects().Replies {
+		list = append(list, r.Answer)
+	}
+	return list
+}
