--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -34,6 +34,9 @@
 	if payloads := int64(20 * 3 * 2 * 10); b.bytes <= payloads {
 		t.Fatalf("%d bytes to the replica, %d of payload and output", b.bytes, payloads)
 	}
+	if n := b.answerBytes(); n < float64(3*l.OutputBytes) {
+		t.Fatalf("%v bytes an answer, less than its outputs", n)
+	}
 	if sum, sent := b.snapshotBytes(); sum == 0 || sent != 20 {
 		t.Fatalf("the snapshot has %d bytes and %d jobs, want 20 jobs", sum, sent)
 	}
--- a/internal/capacity/cmd/capacity/main.go
+++ b/internal/capacity/cmd/capacity/main.go
@@ -12,7 +12,8 @@
 )
 
 type options struct {
-	Out string `arg:"--out" default:"docs/capacity" help:"directory of the raw figures"`
+	Out  string `arg:"--out" default:"docs/capacity" help:"directory of the raw figures"`
+	Only string `arg:"--only" help:"part to measure: table, store, views, shard or sched; all if not given"`
 }
 
 func main() {
@@ -24,9 +25,25 @@
 	}
 }
 
+// part is one table of figures.
+type part struct {
+	name    string
+	measure func(options) error
+}
+
 func run(o options) error {
-	for _, measure := range []func(options) error{measureTable, measureStore, measureViews, measureShards, measureSched} {
-		if err := measure(o); err != nil {
+	parts := []part{
+		{"table", measureTable},
+		{"store", measureStore},
+		{"views", measureViews},
+		{"shard", measureShards},
+		{"sched", measureSched},
+	}
+	for _, p := range parts {
+		if o.Only != "" && o.Only != p.name {
+			continue
+		}
+		if err := p.measure(o); err != nil {
 			return err
 		}
 	}
--- a/internal/capacity/shard.go
+++ b/internal/capacity/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"runtime"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,6 +34,9 @@
 	AckBytesPerTask  float64 `json:"ack_bytes_per_task"`
 	OwnerJobBytes    float64 `json:"owner_job_bytes"` // memory of a remembered job
 	ReplicaJobBytes  float64 `json:"replica_job_bytes"`
+	AnswerBytes      float64 `json:"answer_bytes"`     // of these for the encoded answer
+	OwnerBareBytes   float64 `json:"owner_bare_bytes"` // memory of a remembered job without the answer
+	ReplicaBareBytes float64 `json:"replica_bare_bytes"`
 	SnapshotJobBytes float64 `json:"snapshot_job_bytes"` // sent to a learner, a job
 	SnapshotJobs     int     `json:"snapshot_jobs"`      // sent to a learner, all jobs when it is whole
 }
@@ -101,7 +105,10 @@
 	snapshot, sent := b.snapshotBytes()
 	fig.SnapshotJobBytes = float64(snapshot) / float64(sent)
 	fig.SnapshotJobs = sent
+	fig.AnswerBytes = b.answerBytes()
 	fig.OwnerJobBytes, fig.ReplicaJobBytes = b.memory()
+	fig.OwnerBareBytes = fig.OwnerJobBytes - fig.AnswerBytes
+	fig.ReplicaBareBytes = fig.ReplicaJobBytes - fig.AnswerBytes
 	return fig
 }
 
@@ -114,6 +121,7 @@
 	queue                                          *fakeQueue
 	due                                            [][]shard.StartTask // starts by the round in which they end
 	jobs                                           int
+	answer                                         *peerpb.Answer // of the latest job
 	messages, bytes, ackBytes                      int64
 	ownerTime, replicaTime, encodeTime, decodeTime stopwatch
 }
@@ -207,6 +215,9 @@
 // acknowledgements back, through the codec.
 func (b *shardBench) deliver(owner *stopwatch) ([]shard.StartTask, bool) {
 	out := b.ownerEnv.TakeEffects()
+	for _, r := range out.Replies {
+		b.answer = r.Answer
+	}
 	for _, s := range out.Sends {
 		a, ok := s.Message.Body.(*peerpb.Message_Append)
 		if !ok {
@@ -289,6 +300,18 @@
 	return nil
 }
 
+// answerBytes returns the bytes that one encoded answer takes in memory.
+func (b *shardBench) answerBytes() float64 {
+	answers := make([][]byte, b.jobs)
+	before := heapBytes()
+	for i := range answers {
+		answers[i], _ = proto.Marshal(b.answer)
+	}
+	after := heapBytes()
+	runtime.KeepAlive(answers)
+	return float64(after-before) / float64(len(answers))
+}
+
 // memory returns the bytes that a remembered job takes at owner and replica.
 func (b *shardBench) memory() (owner, replica float64) {
 	jobs := float64(b.jobs)
--- a/internal/shard/log.go
+++ b/internal/shard/log.go
@@ -118,6 +118,7 @@
 func (s *Shard) advance(now model.Time) {
 	for len(s.waits) > 0 && s.waits[0].seq <= s.committed() {
 		w := s.waits[0]
+		s.waits[0] = wait{}
 		s.waits = s.waits[1:]
 		if w.rec != nil {
 			s.start(now, w.rec, w.start)
@@ -135,7 +136,9 @@
 		low = min(low, f.acked)
 	}
 	if low > s.logBase {
-		s.log = s.log[low-s.logBase:]
+		held := low - s.logBase
+		clear(s.log[:held])
+		s.log = s.log[held:]
 		s.logBase = low
 	}
 }
