Kill entry instances at four steps, and let connections go silent for good

Cause: scripts of whole processes killed an instance only after its answers, and no script had connections that go silent while new ones work.

Change: scripts kill and silent; commands that make a key for an owner, wait for starts, and compare an answer with what the backend server has started. The link stand-in can forget the connections that are open.

On mutations: covered tasks answered "not run" (kill: task 0 was answered "no" and has 1 starts), a takeover that starts covered tasks again (kill: started 2 times), no keep-alive (silent: no answer).

Not deterministic and so left open in the script: whether the results of a killed owner still reach its paused replica. Complete and failed are both true there.

--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -61,6 +61,14 @@
 			"refused":   checkRefused,
 			"job":       submitJob,
 			"starts":    checkStarts,
+			"owns":      waitOwns,
+			"keyfor":    makeKeyFor,
+			"begin":     beginJob,
+			"known":     waitKnown,
+			"started":   waitStarted,
+			"idle":      waitIdle,
+			"truth":     checkTruth,
+			"forget":    forgetLinks,
 		},
 	})
 }
@@ -294,9 +302,14 @@
 }
 
 func scriptJob(home string, tasks int, key string) *api.Job {
-	job := &api.Job{Customer: "rosehill", Home: home, Kind: "route-plan", Key: key}
+	return jobOfLength(home, tasks, 20, key)
+}
+
+// jobOfLength returns a job whose tasks run for so many milliseconds.
+func jobOfLength(home string, tasks, runMs int, key string) *api.Job {
+	job := &api.Job{Customer: scriptCustomer, Home: home, Kind: "route-plan", Key: key}
 	for i := range tasks {
-		payload := fmt.Sprintf(`{"run_ms":20,"echo":{"task":%d}}`, i)
+		payload := fmt.Sprintf(`{"run_ms":%d,"echo":{"task":%d}}`, runMs, i)
 		job.Tasks = append(job.Tasks, json.RawMessage(payload))
 	}
 	return job
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -20,6 +20,7 @@
 type Mode struct {
 	Silent bool `json:"silent"`  // bytes are held back in both directions, new connections too
 	OneWay bool `json:"one_way"` // bytes from the target are held back
+	Forget bool `json:"forget"`  // connections that are open now pass nothing any more; new ones work
 }
 
 // Link is the stand-in.
@@ -28,6 +29,7 @@
 	target string
 	cond   *sync.Cond
 	mode   Mode
+	age    int // connections that began before the latest Forget have a lower one
 	ended  bool
 }
 
@@ -44,6 +46,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = m
+	if m.Forget {
+		l.age++
+	}
 	l.cond.Broadcast()
 }
 
@@ -86,19 +91,32 @@
 	l.cond.Broadcast()
 }
 
-// pass waits until bytes may go on, and reports whether the link still serves.
-func (l *Link) pass(fromTarget bool) bool {
+// born returns the age of a connection that begins now.
+func (l *Link) born() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for (l.mode.Silent || fromTarget && l.mode.OneWay) && !l.ended {
+	return l.age
+}
+
+// pass waits until bytes of a connection may go on, and reports whether the
+// link still serves.
+func (l *Link) pass(born int, fromTarget bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.holds(born, fromTarget) && !l.ended {
 		l.cond.Wait()
 	}
 	return !l.ended
 }
 
+func (l *Link) holds(born int, fromTarget bool) bool {
+	return l.mode.Silent || fromTarget && l.mode.OneWay || born < l.age
+}
+
 func (l *Link) forward(ctx context.Context, c net.Conn) {
 	defer c.Close()
-	if !l.pass(false) {
+	born := l.born()
+	if !l.pass(born, false) {
 		return
 	}
 	t, err := net.Dial("tcp", l.to())
@@ -111,15 +129,15 @@
 		_ = t.Close()
 	})
 	defer stop()
-	go l.copy(t, c, false)
-	l.copy(c, t, true)
+	go l.copy(born, t, c, false)
+	l.copy(born, c, t, true)
 }
 
-func (l *Link) copy(to, from net.Conn, fromTarget bool) {
+func (l *Link) copy(born int, to, from net.Conn, fromTarget bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if !l.pass(fromTarget) {
+		if !l.pass(born, fromTarget) {
 			return
 		}
 		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
