Record that tasks can wait for ever beside free slots

The asker sends one ask a second, each to the first peer, which owns no slot.

The fault is in the scheduler and not mended here.

Also: a result from another instance looks for further awaited ones without sorting the open jobs.

--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -225,8 +225,21 @@
 	return int(i) < len(j.states) && j.states[i] == taskRemote && j.runners[i] == m
 }
 
+// awaits reports whether the result of any task is awaited from m.
+func (j *job) awaits(m Member) bool {
+	for i := range j.runners {
+		if j.awaitsTask(i, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitedFrom lists the tasks whose results are awaited from m.
 func (j *job) awaitedFrom(m Member) []uint32 {
+	if len(j.runners) == 0 {
+		return nil
+	}
 	var list []uint32
 	for i := range uint32(len(j.states)) {
 		if j.awaitsTask(i, m) {
--- a/internal/shard/remote.go
+++ b/internal/shard/remote.go
@@ -54,11 +54,21 @@
 	if r != nil && r.job.awaitsTask(m.Result.Index, runner) {
 		s.result(now, r, m.Result)
 	}
-	if !s.sealed && len(s.awaited(runner)) == 0 {
+	if !s.sealed && !s.awaits(runner) {
 		s.ask(now, runner)
 	}
 }
 
+// awaits reports whether an instance has results to report.
+func (s *Shard) awaits(runner Member) bool {
+	for _, r := range s.open {
+		if r.job.awaits(runner) {
+			return true
+		}
+	}
+	return false
+}
+
 // passOn sends a result to the owner that came after this one.
 func (s *Shard) passOn(m *peerpb.RemoteResult) {
 	owner := s.view.Owner()
--- a/internal/shard/takeover.go
+++ b/internal/shard/takeover.go
@@ -170,7 +170,7 @@
 	}
 	s.dropRunner(m)
 	for _, r := range s.order {
-		if r.job != nil && len(r.job.awaitedFrom(m)) > 0 {
+		if r.job != nil && r.job.awaits(m) {
 			s.giveUp(now, r, ProblemUnknown)
 		}
 	}
