Mend a crash of the owner on an acknowledgement that comes late

Cause: after a lost session, after 500 ms without an acknowledgement, or after a refusal, the owner marks operations to be sent again. If the acknowledgement of them came before the next batch, the log was trimmed past that mark and the next batch reached before its start: slice bounds out of range in sendLog, the process ends.

Change: an acknowledgement moves the mark along.

--- a/internal/core/coretest/machine_test.go
+++ b/internal/core/coretest/machine_test.go
@@ -107,11 +107,13 @@
 func (m *machine) resume(t *rapid.T) { m.proc(t).resume() }
 
 func (m *machine) network(t *rapid.T) {
-	switch rapid.IntRange(0, 3).Draw(t, "network") {
+	switch rapid.IntRange(0, 4).Draw(t, "network") {
 	case 0:
 		m.w.cut["b"] = !m.w.cut["b"]
 	case 1:
 		m.w.slow = !m.w.slow
+	case 2:
+		m.w.lossy = rapid.SampledFrom([]int{0, 50, 100}).Draw(t, "lost results")
 	default:
 		if list := m.proc(t).ordered(); len(list) > 0 {
 			rapid.SampledFrom(list).Draw(t, "link").drop()
--- a/internal/shard/log.go
+++ b/internal/shard/log.go
@@ -236,6 +236,8 @@
 	}
 	if m.Seq > f.acked && m.Seq <= s.seq {
 		f.acked = m.Seq
+		// It may have been marked to be sent again.
+		f.sent = max(f.sent, f.acked)
 	}
 	s.advance(now)
 }
--- a/internal/shard/rules_test.go
+++ b/internal/shard/rules_test.go
@@ -172,3 +172,36 @@
 		t.Fatalf("%d starts, want 1", n)
 	}
 }
+
+// An acknowledgement that arrives after operations were marked to be sent again
+// shows that they need not be.
+func TestAckThatComesBeforeTheResend(t *testing.T) {
+	cases := []struct {
+		name string
+		mark func(a *Shard)
+	}{
+		{"after a lost session", func(a *Shard) { a.PeerReset(testNow, memberB) }},
+		{"after a time", func(a *Shard) { a.resend(testNow.Add(a.env.Opts.Resend)) }},
+		{"after a refusal", func(a *Shard) {
+			a.HandleAck(testNow, memberB, &peerpb.AppendAck{Epoch: 3, Refused: true})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := newTestShard(memberA, fakePeers{})
+			a.InstallView(testNow, view(3, memberA, memberB))
+			a.Submit(testNow, testSpec(1, 1), Waiter{}, false)
+			a.env.Flush(testNow)
+			c.mark(a)
+			ackAs(a, memberB)
+			a.env.TakeEffects()
+			a.Submit(testNow, testSpec(2, 1), Waiter{}, false)
+			a.env.Flush(testNow.Add(linkTimeout))
+			for _, x := range a.env.TakeEffects().Sends {
+				if m := x.Message.GetAppend(); m != nil && (m.FirstSeq != 2 || len(m.Operations) != 1) {
+					t.Fatalf("sends %d operations from %d on, want the second alone", len(m.Operations), m.FirstSeq)
+				}
+			}
+		})
+	}
+}
