--- a/internal/capacity/cmd/capacity/main.go
+++ b/internal/capacity/cmd/capacity/main.go
@@ -14,6 +14,7 @@
 
 type options struct {
 	Out   string        `arg:"--out" default:"docs/capacity" help:"directory of the raw figures"`
+	Only  string        `arg:"--only" help:"part to measure: table, store, views, shard or sched; all if not given"`
 	Force *forceOptions `arg:"subcommand:force" help:"time changes of the table of a running fleet"`
 }
 
@@ -26,12 +27,28 @@
 	}
 }
 
+// part is one table of figures.
+type part struct {
+	name    string
+	measure func(options) error
+}
+
 func run(o options) error {
 	if o.Force != nil {
 		return measureForce(*o.Force)
 	}
-	for _, measure := range []func(options) error{measureTable, measureStore, measureViews, measureShards, measureSched} {
-		if err := measure(o); err != nil {
+	parts := []part{
+		{"table", measureTable},
+		{"store", measureStore},
+		{"views", measureViews},
+		{"shard", measureShards},
+		{"sched", measureSched},
+	}
+	for _, p := range parts {
+		if o.Only != "" && o.Only != p.name {
+			continue
+		}
+		if err := p.measure(o); err != nil {
 			return err
 		}
 	}
