Use no confirm counter twice; begin silence anew when a view names an instance

Cause: two faults that the model of replacement and hand-over showed in the code. (2) An instance that no view names goes on after a pause by a read alone; silence from that pause still counted when a view named it later. Ruled out for (2): counting silence by shard. A member that another view named all the time confirmed by a write, which begins its silence anew already. Change: the highest counter ever issued is kept, the first one after the latest pause is what confirms; documents, and views that an owner passes on, begin the silence anew of those that the latest document did not name. Before and after: TestConfirmingWritesOfEarlierPauses and TestNamedAnewIsNotSilent fail with either mutation and pass with the change; core and coretest pass. Conclusion: model and code agree on both; W_CONFIRM_OLD_WRITE and W_SILENCE_FIRST are the mutations.

--- a/internal/core/confirm.go
+++ b/internal/core/confirm.go
@@ -47,10 +47,13 @@
 	}
 	doc := r.plan.doc
 	doc.Instances = append([]InstanceInfo(nil), doc.Instances...)
-	r.plan.confirmed = max(own.Confirm, r.plan.confirmed) + 1
+	r.plan.issued = max(own.Confirm, r.plan.issued) + 1
+	if r.plan.confirmed == 0 {
+		r.plan.confirmed = r.plan.issued
+	}
 	for i := range doc.Instances {
 		if doc.Instances[i].Member == r.opts.Self {
-			doc.Instances[i].Confirm = r.plan.confirmed
+			doc.Instances[i].Confirm = r.plan.issued
 		}
 	}
 	r.plan.writing = true
--- /dev/null
+++ b/internal/core/confirm_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// confirmed returns a document that names this instance with a counter.
+func confirmed(index, confirm uint64) Views {
+	self := InstanceInfo{Member: shard.Member{Instance: "a", Incarnation: "a2"}, Domain: "d", Addr: testAddr, Confirm: confirm}
+	v := relayViews("d", index, 1, self)
+	v.ReadAt = model.Time(2 * time.Hour)
+	return v
+}
+
+// pausedCore returns an instance that was paused for long after it had read the
+// document, and the counter of its confirming write.
+func pausedCore(t *testing.T) (*testCore, uint64) {
+	t.Helper()
+	c := newTestCore(false)
+	c.step(confirmed(5, 0), Tick{})
+	return c, c.pause(t)
+}
+
+// pause leaves the outcome of the write under way unknown, lets the instance
+// sleep, and returns the counter of the write that it issues when it wakes.
+func (c *testCore) pause(t *testing.T) uint64 {
+	t.Helper()
+	c.step(ViewsWritten{Outcome: WriteUnknown})
+	c.now = c.now.Add(time.Hour)
+	w := c.step(Tick{}, confirmed(c.plan.index, 0)).WriteViews
+	if w == nil || !c.env.Suspended {
+		t.Fatal("no confirming write after a pause")
+	}
+	return w.Doc.Instances[0].Confirm
+}
+
+// TestConfirmingWritesOfEarlierPauses checks which counter in the document ends
+// a suspension: only one of a write that was issued after the latest pause.
+func TestConfirmingWritesOfEarlierPauses(t *testing.T) {
+	c, first := pausedCore(t)
+	second := c.pause(t)
+	if second <= first {
+		t.Fatalf("counter %d is used after %d", second, first)
+	}
+	c.step(confirmed(6, first))
+	if !c.env.Suspended {
+		t.Fatal("resumed by a write from before the latest pause")
+	}
+	c.step(confirmed(7, second))
+	if c.env.Suspended {
+		t.Fatal("still suspended after the confirming write")
+	}
+}
+
+// TestNamedAnewIsNotSilent checks that silence from before a document named an
+// instance does not count, and that it does while the document names it on.
+func TestNamedAnewIsNotSilent(t *testing.T) {
+	b := testInstance("b")
+	c := newTestCore(true)
+	c.step(Instances{List: []InstanceInfo{b}}, confirmed(5, 0))
+	unanswered := func() Event { return PeerUnanswered{Addr: b.Addr, Began: c.now} }
+	c.step(unanswered())
+	c.step(relayViews("d", 6, 1, relaySelf, b))
+	if c.peers.Liveness(b.Member) != shard.Alive {
+		t.Fatal("silent by a connection from before it was named")
+	}
+	c.step(unanswered())
+	c.step(relayViews("d", 7, 1, relaySelf, b))
+	if c.peers.Liveness(b.Member) != shard.Silent {
+		t.Fatal("not silent though it was named all the time")
+	}
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -29,7 +29,7 @@
 	addr    string
 	since   model.Time // when the address was learned
 	confirm uint64     // its latest confirm counter
-	at      model.Time // when that counter was learned
+	at      model.Time // when that counter was learned, or a view named the process anew
 }
 
 // peers tells who is alive, from the answers to fresh connections.
@@ -148,6 +148,13 @@
 	}
 }
 
+// renew lets silence from before now no longer count for a process.
+func (p *peers) renew(m shard.Member) {
+	if k := p.members[m]; k != nil {
+		k.at = p.now
+	}
+}
+
 // forget drops addresses whose process is dead and that keep does not name.
 func (p *peers) forget(keep map[string]bool) {
 	order := p.order[:0]
--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -56,6 +56,11 @@
 			p.now = 3000
 			p.know(b1, testAddr, 1)
 		}, shard.Alive, shard.Silent},
+		{"unanswered before a view named it anew", func(p *peers) {
+			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 0)
+			p.now = 3000
+			p.renew(b1)
+		}, shard.Alive, shard.Silent},
 		{"unanswered across an own pause", func(p *peers) {
 			p.unanswered(PeerUnanswered{Addr: testAddr, Began: 2500}, 2700)
 		}, shard.Alive, shard.Alive},
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -20,11 +20,15 @@
 	planAt  model.Time
 
 	suspendedAt model.Time // when the latest pause was noticed
-	// confirmed is the counter of the latest confirming write that was issued
+	// confirmed is the counter of the first confirming write that was issued
 	// after the latest pause, 0 if there was none. The views count again once
-	// it is known to have taken effect: from then on no write that others
-	// based on an earlier document can take effect any more.
+	// it or a later one is known to have taken effect: from then on no write
+	// that others based on an earlier document can take effect any more.
 	confirmed uint64
+	// issued is the highest counter of all confirming writes. None is used
+	// twice: one issued before the latest pause may land after it, and shows
+	// nothing of the time since (spec/replication.pml, W_CONFIRM_OLD_WRITE).
+	issued uint64
 	// unknownAt is the index on which a write was based whose outcome is not
 	// known. While the document has that index the write may still land.
 	unknownAt uint64
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
@@ -17,22 +19,40 @@
 	if v.ReadAt != 0 {
 		r.plan.reading = false
 	}
+	for _, i := range v.Doc.Instances {
+		r.peers.learn(i)
+	}
 	if !r.plan.known || v.Index > r.plan.index {
 		r.plan.known = true
 		r.plan.index = v.Index
+		r.noteNamed(v.Doc.Instances)
 		r.plan.doc = v.Doc
 	}
 	if r.plan.unknown && r.plan.index > r.plan.unknownAt {
 		r.plan.unknown = false
 	}
-	for _, i := range v.Doc.Instances {
-		r.peers.learn(i)
-	}
 	r.installOwn(now, v.Doc.Shards)
 	r.resume(now, v.ReadAt)
 	r.replanNow(now)
 }
 
+// noteNamed begins the silence anew of instances that the views did not name
+// before: while none names it an instance goes on after a pause without a
+// confirming write, so that silence from then shows nothing of it now
+// (spec/replication.pml, W_SILENCE_FIRST).
+func (r *Reducer) noteNamed(list []InstanceInfo) {
+	for _, i := range list {
+		if !r.named(i.Member) {
+			r.peers.renew(i.Member)
+		}
+	}
+}
+
+// named reports whether the latest document has the instance.
+func (r *Reducer) named(m shard.Member) bool {
+	return slices.ContainsFunc(r.plan.doc.Instances, func(i InstanceInfo) bool { return i.Member == m })
+}
+
 func (r *Reducer) installOwn(now model.Time, views []shard.View) {
 	for i, v := range views {
 		if i >= len(r.own) {
@@ -79,6 +99,12 @@
 	if s == nil {
 		return
 	}
-	s.InstallView(now, shard.ViewFromProto(p))
+	v := shard.ViewFromProto(p)
+	for _, m := range v.Members {
+		if !r.named(m) {
+			r.peers.renew(m)
+		}
+	}
+	s.InstallView(now, v)
 	r.reroute(now, shard.ID{Domain: r.opts.Domain, Index: p.Shard})
 }
