Report refused tasks to the successor of a planned hand-over

Cause: shown by the model: a task that a backend server refused is queued again below a later one that has started; its intent can't be taken back, and the note listed started tasks only. The successor answered the job as 'may have run' though nothing had gone wrong. Ruled out: listing the task as free to start: the note may be of a hand-over that failed, after which the owner started it. Change: the owner lists it as in flight with itself as the runner and holds the result 'not started', which goes to the successor with the others held, or queues the task again if the hand-over fails. Before and after: TestRefusedTaskSurvivesAHandOver fails without the change and passes with it; shard and coretest pass. Conclusion: the code has the rule of the model (W_HANDOVER_QUEUED_UNLISTED).

--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -71,9 +71,23 @@
 			Intent: &peerpb.Intent{Record: r.number, Upto: upto},
 		}})
 	}
+	s.holdRefused(r, upto)
 	h.Open = append(h.Open, s.inFlight(j)...)
 }
 
+// holdRefused holds the result "not started" of the tasks that a backend server
+// refused and whose intent can't be taken back, for a later task has started.
+// They count as in flight here: the successor starts them once it has the
+// result (spec/replication.pml, W_HANDOVER_QUEUED_UNLISTED). To list them as
+// free to start would not do, for the note may be of a hand-over that failed.
+func (s *Shard) holdRefused(r *record, upto uint32) {
+	for i := range int(upto) {
+		if r.job.unstarted(i) {
+			s.held = append(s.held, heldResult{rec: r, res: notStartedResult(i)})
+		}
+	}
+}
+
 // inFlight lists the tasks of a job that are in flight, by who reports them.
 func (s *Shard) inFlight(j *job) []*peerpb.OpenTasks {
 	var list []*peerpb.OpenTasks
@@ -85,7 +99,10 @@
 		case taskRemote:
 			runner = j.runners[uint32(i)]
 		default:
-			continue
+			if uint32(i) >= j.intent || !j.unstarted(i) {
+				continue
+			}
+			runner = s.env.Self // see holdRefused
 		}
 		list = addOpen(list, j.spec.Identity, runner, uint32(i))
 	}
--- a/internal/shard/rules_test.go
+++ b/internal/shard/rules_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -173,6 +174,48 @@
 	}
 }
 
+// A task that its server refused, below one that has started, is reported to
+// the successor as not started, and queued again if the hand-over fails.
+func TestRefusedTaskSurvivesAHandOver(t *testing.T) {
+	refused := func() *Shard {
+		a := startedOwner(2, 2)
+		ends(a, 0, sched.OutcomeNotStarted)
+		a.env.TakeEffects()
+		return a
+	}
+	t.Run("succeeds", func(t *testing.T) {
+		a := refused()
+		handTo(a, 4)
+		var open []uint32
+		sends := a.env.TakeEffects().Sends
+		for _, x := range sends {
+			for _, o := range x.Message.GetHandOver().GetOpen() {
+				open = append(open, o.Indexes...)
+			}
+		}
+		if !slices.Equal(open, []uint32{0, 1}) {
+			t.Fatalf("tasks %v are listed as in flight, want both", open)
+		}
+		for _, x := range sends {
+			m := x.Message.GetRemoteResult()
+			if m != nil && m.Result.Index == 0 && m.Result.Ran == peerpb.Ran_RAN_NO {
+				return
+			}
+		}
+		t.Fatal("the successor is not told that task 0 has not started")
+	})
+	t.Run("fails", func(t *testing.T) {
+		a := refused()
+		a.Seal(testNow, memberB)
+		a.Abandon(testNow)
+		a.env.TakeEffects()
+		a.env.Bind(testNow, sched.Start{Job: 2})
+		if n := len(a.env.TakeEffects().Starts); n != 1 {
+			t.Fatalf("%d starts, want 1", n)
+		}
+	})
+}
+
 // An acknowledgement that arrives after operations were marked to be sent again
 // shows that they need not be.
 func TestAckThatComesBeforeTheResend(t *testing.T) {
