Cut a failure domain from the others only, by who dials

Cause: the domain-cut workload silenced a domain's peer ports for everybody, its own instances among them: outside the fault model, and some of its answers (keys too old) came from that. Change: an instance dials its links from the IP number of its peer port; the link stand-in can be silent for chosen dialers; local-cluster.sh cuts with that. Shown: TestLinksAreDialedFromTheirSource; the workload itself is run later.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,6 +158,7 @@
 		Self:    i.self,
 		Domain:  i.set.Domain,
 		Addr:    i.advertised(),
+		Source:  i.peerSource(),
 		Client:  clientTLS,
 		Events:  i.event,
 		Stats:   i.observer,
@@ -204,6 +205,17 @@
 	return i.peerListener.Addr().String()
 }
 
+// peerSource is the IP number that links are dialed from, so that firewalls and
+// test links can tell who dials: that of the peer port, nil where it listens on
+// all.
+func (i *Instance) peerSource() net.IP {
+	addr, ok := i.peerListener.Addr().(*net.TCPAddr)
+	if !ok || addr.IP.IsUnspecified() {
+		return nil
+	}
+	return addr.IP
+}
+
 func (i *Instance) assembleServers() error {
 	callerTLS, err := i.set.TLS.Caller.ServerConfig()
 	if err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -142,6 +142,9 @@
 
 func (l *link) dial(ctx context.Context) (net.Conn, error) {
 	d := &net.Dialer{}
+	if l.m.opts.Source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: l.m.opts.Source}
+	}
 	if l.m.opts.Client == nil {
 		return d.DialContext(ctx, "tcp", l.addr)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,6 +51,7 @@
 	Self   shard.Member
 	Domain model.Domain
 	Addr   string           // own peer address, which others may dial
+	Source net.IP           // where links are dialed from, nil for any
 	Client *tls.Config      // nil for plain TCP
 	Events func(core.Event) // takes events; may block
 	// Silence is how long a fresh connection stays unanswered before the
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -237,6 +237,20 @@
 	}
 }
 
+// A link that is silent for one dialer, told by its IP number, serves another.
+func TestLinksAreDialedFromTheirSource(t *testing.T) {
+	a, b, c := newNode(t, "a", "a1"), newNode(t, "b", "b1"), newNode(t, "c", "c1")
+	a.opts.Source, c.opts.Source = net.IPv4(127, 0, 0, 2), net.IPv4(127, 0, 0, 3)
+	between, addr := newLinkTo(t, b.addr)
+	between.SetMode(standin.Mode{SilentFrom: []string{"127.0.0.2"}})
+	a.dial(addr)
+	c.dial(addr)
+	next(t, c, anyUp)
+	next(t, a, func(core.PeerUnanswered) bool { return true })
+	between.SetMode(standin.Mode{})
+	next(t, a, anyUp)
+}
+
 // A message for a process that is gone never reaches the one that has its
 // address now.
 func TestNewProcessGetsNoMessageOfTheOld(t *testing.T) {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -16,11 +17,14 @@
 // PathMode is the path of the control port: GET and PUT of a Mode.
 const PathMode = "/standin/mode"
 
+const maxModeBytes = 64 << 10
+
 // Mode is the fault that the link shows.
 type Mode struct {
-	Silent bool `json:"silent"`  // bytes are held back in both directions, new connections too
-	OneWay bool `json:"one_way"` // bytes from the target are held back
-	Forget bool `json:"forget"`  // connections that are open now pass nothing any more; new ones work
+	Silent     bool     `json:"silent"`      // bytes are held back in both directions, new connections too
+	OneWay     bool     `json:"one_way"`     // bytes from the target are held back
+	SilentFrom []string `json:"silent_from"` // silent for connections from these IP numbers only
+	Forget     bool     `json:"forget"`      // connections that are open now pass nothing any more; new ones work
 }
 
 // Link is the stand-in.
@@ -91,32 +95,42 @@
 	l.cond.Broadcast()
 }
 
-// born returns the age of a connection that begins now.
-func (l *Link) born() int {
+// flow is one connection through the link.
+type flow struct {
+	born int    // age of the link when it began
+	from string // IP number of the dialer
+}
+
+// begin returns the flow of a connection that begins now.
+func (l *Link) begin(c net.Conn) flow {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.age
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	return flow{born: l.age, from: from}
 }
 
 // pass waits until bytes of a connection may go on, and reports whether the
 // link still serves.
-func (l *Link) pass(born int, fromTarget bool) bool {
+func (l *Link) pass(f flow, fromTarget bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.holds(born, fromTarget) && !l.ended {
+	for l.holds(f, fromTarget) && !l.ended {
 		l.cond.Wait()
 	}
 	return !l.ended
 }
 
-func (l *Link) holds(born int, fromTarget bool) bool {
-	return l.mode.Silent || fromTarget && l.mode.OneWay || born < l.age
+func (l *Link) holds(f flow, fromTarget bool) bool {
+	if l.mode.Silent || f.born < l.age {
+		return true
+	}
+	return fromTarget && l.mode.OneWay || slices.Contains(l.mode.SilentFrom, f.from)
 }
 
 func (l *Link) forward(ctx context.Context, c net.Conn) {
 	defer c.Close()
-	born := l.born()
-	if !l.pass(born, false) {
+	f := l.begin(c)
+	if !l.pass(f, false) {
 		return
 	}
 	t, err := net.Dial("tcp", l.to())
@@ -129,15 +143,15 @@
 		_ = t.Close()
 	})
 	defer stop()
-	go l.copy(born, t, c, false)
-	l.copy(born, c, t, true)
+	go l.copy(f, t, c, false)
+	l.copy(f, c, t, true)
 }
 
-func (l *Link) copy(born int, to, from net.Conn, fromTarget bool) {
+func (l *Link) copy(f flow, to, from net.Conn, fromTarget bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if !l.pass(born, fromTarget) {
+		if !l.pass(f, fromTarget) {
 			return
 		}
 		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
@@ -160,7 +174,7 @@
 		return
 	}
 	var m Mode
-	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<10))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxModeBytes))
 	if err == nil {
 		err = json.Unmarshal(body, &m)
 	}
--- a/scripts/local-cluster.sh
+++ b/scripts/local-cluster.sh
@@ -11,10 +11,9 @@
 #   GOMAXPROCS_ENTRY  processors of an entry instance whose file names none (default 2)
 #
 # Where a workload cuts a domain, a link stand-in stands before the peer port of
-# each entry instance and one a domain before the platform. A cut silences those
-# of the domain: nobody reaches its instances through their peer port, also not
-# each other, and they don't reach the platform. Connections that they dialed to
-# instances of other domains go on, and so do those to backend servers.
+# each entry instance and one a domain before the platform. A cut silences the
+# platform's and, by the IP number that dials, those between the domain and the
+# others. Connections to backend servers go on.
 #
 # It leaves in OUTDIR: the load's report and plots, the settings and logs of
 # the processes, usage.csv (processor time and memory of each entry instance),
@@ -161,17 +160,33 @@
 echo "at,instance,cpu_seconds,rss_kb" >"$out/usage.csv"
 usage before >>"$out/usage.csv"
 
-# silence_domain sets whether the links of domain $1 are silent ($2 true or false).
-silence_domain() {
-  local i ips
-  ips=("$(platform_link "$1")")
+# ips_of prints the IP numbers of the instances of domain $1, or with $2 "others"
+# of all other domains, as the members of a JSON list.
+ips_of() {
+  local i list=()
   for i in "${!entry_domains[@]}"; do
-    if [ "${entry_domains[$i]}" = "$1" ]; then ips+=("$net.3.$((i + 1))"); fi
+    if [ "$2" = others ] && [ "${entry_domains[$i]}" = "$1" ]; then continue; fi
+    if [ "$2" = own ] && [ "${entry_domains[$i]}" != "$1" ]; then continue; fi
+    list+=("\"$net.2.$((i + 1))\"")
   done
-  for i in "${ips[@]}"; do
-    curl -sS -X PUT -d "{\"silent\":$2}" "http://$i:9100/standin/mode" >>"$out/events.log" 2>&1
+  (IFS=, && echo "${list[*]}")
+}
+set_link() { curl -sS -X PUT -d "$2" "http://$1:9100/standin/mode" >>"$out/events.log" 2>&1; }
+# cut_domain makes the links between domain $1 and the others, and to the
+# platform, silent.
+cut_domain() {
+  local i from
+  set_link "$(platform_link "$1")" '{"silent":true}'
+  for i in "${!entry_domains[@]}"; do
+    if [ "${entry_domains[$i]}" = "$1" ]; then from="$(ips_of "$1" others)"; else from="$(ips_of "$1" own)"; fi
+    set_link "$net.3.$((i + 1))" "{\"silent_from\":[$from]}"
   done
 }
+heal_domain() {
+  local i
+  set_link "$(platform_link "$1")" '{}'
+  for i in "${!entry_domains[@]}"; do set_link "$net.3.$((i + 1))" '{}'; done
+}
 
 # happen brings about one fault.
 happen() {
@@ -184,8 +199,8 @@
     resume-entry) kill -CONT "$(cat "$out/e$2.pid")" ;;
     stop-platform) kill -STOP "$platform_pid" ;;
     start-platform) kill -CONT "$platform_pid" ;;
-    cut-domain) silence_domain "$2" true ;;
-    heal-domain) silence_domain "$2" false ;;
+    cut-domain) cut_domain "$2" ;;
+    heal-domain) heal_domain "$2" ;;
     *) echo "$1 cannot be brought about between processes on one loopback" >>"$out/events.log" ;;
   esac
 }
