Test that a graceful stop ends no job and hands its shards over

Cause: a stopping instance that stayed a candidate for its shards passed all tests: it was killed after its bound, and its replica took over. Change: TestGracefulStopEndsNoJob stops an owner with tasks in flight and queued at eight seeds: every job complete, and the process ended before it would be killed. It fails on that mutation and passes without.

--- /dev/null
+++ b/internal/core/coretest/stop_test.go
@@ -0,0 +1,31 @@
+package coretest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+)
+
+// TestGracefulStopEndsNoJob stops the owner of a shard while tasks of its jobs
+// are in flight and queued. Nothing else goes wrong, so that every job has to be
+// complete, and the process to end.
+func TestGracefulStopEndsNoJob(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed+1)
+		w.run(3 * time.Second)
+		w.longest = 2000
+		owner := ownerOf(w, 0)
+		jobs := jobsOf(w, owner, 6)
+		w.run(100 * time.Millisecond)
+		owner.stop()
+		// It would be killed after 10 s.
+		w.runUntil("the end of the stopped process", 8*time.Second, func() bool { return owner.dead })
+		w.run(10 * time.Second)
+		for _, j := range jobs {
+			if j.final.GetStatus() != peerpb.Status_STATUS_COMPLETE {
+				w.fail("%s: answered %v, want complete", j.name, j.final)
+			}
+		}
+	}
+}
