--- /dev/null
+++ b/internal/core/answers.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/peerpb"
+	"github.com/nutmegweir/nutmegweir/internal/shard"
+)
+
+// replyTo passes an answer of a shard at this instance to whoever waits.
+func (r *Reducer) replyTo(now model.Time, rep shard.Reply) {
+	if rep.To.Instance == r.opts.Self.Instance {
+		r.deliver(now, rep.To.Request, rep.Answer)
+		return
+	}
+	a := &peerpb.Answer{
+		Request:      rep.To.Request,
+		Status:       rep.Answer.Status,
+		Ran:          rep.Answer.Ran,
+		Problem:      rep.Answer.Problem,
+		Detail:       rep.Answer.Detail,
+		RetryAfterMs: rep.Answer.RetryAfterMs,
+		Recorded:     rep.Answer.Recorded,
+		Results:      rep.Answer.Results,
+	}
+	r.send(rep.To.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: a}})
+}
+
+func (r *Reducer) answered(now model.Time, from shard.Member, a *peerpb.Answer) {
+	if a.Problem == shard.ProblemLinkReset {
+		r.messagesLost(now, from)
+		return
+	}
+	r.deliver(now, a.Request, a)
+}
+
+// noticeReset tells a peer that messages to it were lost, or could not be sent
+// before there was a link.
+func (r *Reducer) noticeReset(to shard.Member) {
+	r.send(to.Instance, &peerpb.Message{Body: &peerpb.Message_Answer{Answer: &peerpb.Answer{
+		Problem: shard.ProblemLinkReset,
+	}}})
+}
+
+// messagesLost asks again for answers and task results that a peer may have
+// sent.
+func (r *Reducer) messagesLost(now model.Time, from shard.Member) {
+	r.rerouteFrom(now, from)
+	for _, s := range r.own {
+		s.AskRunner(now, from)
+	}
+}
+
+// deliver gives an answer to the caller. Answers to attempts that were given
+// up, and second answers to one attempt, find no request.
+func (r *Reducer) deliver(now model.Time, attempt uint64, a *peerpb.Answer) {
+	q := r.route.byAttempt[attempt]
+	if q == nil {
+		return
+	}
+	if a.Problem == shard.ProblemNotOwner {
+		if a.Ran == peerpb.Ran_RAN_NO {
+			// This attempt was certainly not admitted. An owner that had
+			// admitted it and was replaced says that it does not know.
+			q.maybe = q.before
+		}
+		r.park(now, q)
+		return
+	}
+	r.reply(q, r.truthful(q, a))
+}
+
+// truthful keeps a refusal that is not recorded from saying "not run" while
+// another copy of the submission may be admitted: an earlier attempt of this
+// request, or a copy that the caller has sent before.
+func (r *Reducer) truthful(q *request, a *peerpb.Answer) *peerpb.Answer {
+	refused := a.Status == peerpb.Status_STATUS_REFUSED && a.Ran == peerpb.Ran_RAN_NO
+	if !refused || a.Recorded || q.Op != OpSubmit || !q.before && q.Spec.FirstAttempt {
+		return a
+	}
+	return &peerpb.Answer{
+		Status:       a.Status,
+		Ran:          peerpb.Ran_RAN_UNKNOWN,
+		Problem:      a.Problem,
+		Detail:       a.Detail,
+		RetryAfterMs: a.RetryAfterMs,
+	}
+}
+
+func (r *Reducer) reply(q *request, a *peerpb.Answer) {
+	r.out.Replies = append(r.out.Replies, Reply{ID: q.ID, Answer: a})
+	if a.Status == peerpb.Status_STATUS_PENDING && q.Op == OpSubmit {
+		return
+	}
+	r.route.drop(q)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,7 +4,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -143,31 +142,6 @@
 	r.settle(now)
 }
 
-// watchGap suspends this instance if it was not running for half of the
-// silence bound, for others may have replaced it. The views it holds count
-// again once it has confirmed them by a write.
-func (r *Reducer) watchGap(now model.Time) {
-	gap := now.Sub(r.lastTick)
-	if r.lastTick != 0 && gap < r.opts.Silence/2 {
-		return
-	}
-	if r.lastTick != 0 {
-		r.suspend(now)
-	}
-	r.lastTick = now
-}
-
-func (r *Reducer) suspend(now model.Time) {
-	r.peers.restartSilence(now)
-	r.plan.suspendedAt = now
-	r.plan.confirmed = 0
-	if !r.env.Suspended {
-		r.note(Note{Kind: NoteSuspended})
-	}
-	r.env.Suspended = true
-	r.readViews()
-}
-
 func (r *Reducer) tick(now model.Time) {
 	r.lastTick = now
 	r.sched.Tick(now)
@@ -188,42 +162,6 @@
 	}
 }
 
-// noteQuarantine notes which backend servers went into quarantine and out of
-// it.
-func (r *Reducer) noteQuarantine() {
-	list := r.sched.Quarantined()
-	for _, id := range list {
-		if !slices.Contains(r.broken, id) {
-			r.note(Note{Kind: NoteQuarantined, Server: id})
-		}
-	}
-	for _, id := range r.broken {
-		if !slices.Contains(list, id) {
-			r.note(Note{Kind: NoteRestored, Server: id})
-		}
-	}
-	r.broken = list
-}
-
-// checkServers asks for the health of backend servers that are to be probed,
-// one question a server at a time.
-func (r *Reducer) checkServers(now model.Time) {
-	for _, id := range r.sched.ChecksDue(now) {
-		if r.checking[id] {
-			continue
-		}
-		r.checking[id] = true
-		r.out.Checks = append(r.out.Checks, id)
-	}
-}
-
-func (r *Reducer) serverChecked(now model.Time, e ServerChecked) {
-	delete(r.checking, e.Server)
-	if e.Healthy {
-		r.sched.ServerHealthy(now, e.Server)
-	}
-}
-
 // settle passes between scheduler, shards and router until nothing is left.
 func (r *Reducer) settle(now model.Time) {
 	for {
@@ -249,36 +187,6 @@
 	return len(out.Starts)+len(out.Drops)+len(out.Sends) > 0
 }
 
-// applyServers gives the scheduler the listed servers. One that an operator
-// has drained counts as leaving.
-func (r *Reducer) applyServers(now model.Time) {
-	list := append([]sched.Server(nil), r.servers...)
-	for i := range list {
-		if list[i].State == sched.ServerActive && r.opts.Policy.Drained(list[i].ID) {
-			list[i].State = sched.ServerLeaving
-		}
-	}
-	r.sched.SetServers(now, list)
-}
-
-// bind passes a start on. While the instance is suspended the start waits with
-// its slot, for the scheduler would bind it again at once.
-func (r *Reducer) bind(now model.Time, st sched.Start) {
-	if r.env.Suspended {
-		r.held = append(r.held, st)
-		return
-	}
-	r.env.Bind(now, st)
-}
-
-func (r *Reducer) bindHeld(now model.Time) {
-	held := r.held
-	r.held = nil
-	for _, st := range held {
-		r.env.Bind(now, st)
-	}
-}
-
 func (r *Reducer) settleShards(now model.Time) bool {
 	out := r.env.TakeEffects()
 	for _, s := range out.Sends {
@@ -341,73 +249,6 @@
 	return r.own[index]
 }
 
-func (r *Reducer) peerMessage(now model.Time, from shard.Member, m *peerpb.Message) {
-	switch b := m.Body.(type) {
-	case *peerpb.Message_Submit:
-		m := b.Submit
-		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpSubmit, Spec: m.Spec, Report: m.ReportAdmission})
-	case *peerpb.Message_Answer:
-		r.answered(now, from, b.Answer)
-	case *peerpb.Message_Lookup:
-		m := b.Lookup
-		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpLookup, Identity: m.Identity, Wait: m.Wait})
-	case *peerpb.Message_Cancel:
-		m := b.Cancel
-		r.peerRequest(now, from, m.Request, CallerRequest{Op: OpCancel, Identity: m.Identity})
-	case *peerpb.Message_ViewsRequest:
-		r.passViews(from, b.ViewsRequest)
-	case *peerpb.Message_DomainViews:
-		r.viewsFromPeer(now, b.DomainViews)
-	case *peerpb.Message_Sched:
-		r.sched.Receive(now, from.Instance, b.Sched)
-	default:
-		r.shardMessage(now, from, m)
-	}
-}
-
-func (r *Reducer) shardMessage(now model.Time, from shard.Member, m *peerpb.Message) {
-	switch b := m.Body.(type) {
-	case *peerpb.Message_Append:
-		if s := r.shard(b.Append.Domain, b.Append.Shard); s != nil {
-			s.HandleAppend(now, from, b.Append)
-		}
-	case *peerpb.Message_AppendAck:
-		if s := r.shard(b.AppendAck.Domain, b.AppendAck.Shard); s != nil {
-			s.HandleAck(now, from, b.AppendAck)
-		}
-	case *peerpb.Message_Snapshot:
-		if s := r.shard(b.Snapshot.Domain, b.Snapshot.Shard); s != nil {
-			s.HandleSnapshot(now, from, b.Snapshot)
-		}
-	case *peerpb.Message_SnapshotAck:
-		if s := r.shard(b.SnapshotAck.Domain, b.SnapshotAck.Shard); s != nil {
-			s.HandleSnapshotAck(now, from, b.SnapshotAck)
-		}
-	case *peerpb.Message_View:
-		r.viewFromOwner(now, b.View)
-	case *peerpb.Message_HandOver:
-		if b.HandOver.Leaving {
-			// Ahead of the platform's list, so that no shard goes back.
-			r.leaving[from] = true
-		}
-		if s := r.shard(b.HandOver.Domain, b.HandOver.Shard); s != nil {
-			s.HandleHandOver(from, b.HandOver)
-		}
-	case *peerpb.Message_Release:
-		if s := r.shard(b.Release.Domain, b.Release.Shard); s != nil {
-			s.HandleRelease(now, from, b.Release)
-		}
-	case *peerpb.Message_RemoteResult:
-		if s := r.shard(b.RemoteResult.Domain, b.RemoteResult.Shard); s != nil {
-			s.HandleRemoteResult(now, b.RemoteResult)
-		}
-	case *peerpb.Message_RemoteAsk:
-		if s := r.shard(b.RemoteAsk.Domain, b.RemoteAsk.Shard); s != nil {
-			s.HandleAsk(now, from, b.RemoteAsk)
-		}
-	}
-}
-
 // Routable reports whether every shard of the home domain has an owner that
 // this instance can reach. An instance that owns none can route also while it
 // may not serve itself.
--- /dev/null
+++ b/internal/core/pause.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// watchGap suspends this instance if it was not running for half of the
+// silence bound, for others may have replaced it. The views it holds count
+// again once it has confirmed them by a write.
+func (r *Reducer) watchGap(now model.Time) {
+	gap := now.Sub(r.lastTick)
+	if r.lastTick != 0 && gap < r.opts.Silence/2 {
+		return
+	}
+	if r.lastTick != 0 {
+		r.suspend(now)
+	}
+	r.lastTick = now
+}
+
+func (r *Reducer) suspend(now model.Time) {
+	r.peers.restartSilence(now)
+	r.plan.suspendedAt = now
+	r.plan.confirmed = 0
+	if !r.env.Suspended {
+		r.note(Note{Kind: NoteSuspended})
+	}
+	r.env.Suspended = true
+	r.readViews()
+}
+
+// bind passes a start on. While the instance is suspended the start waits with
+// its slot, for the scheduler would bind it again at once.
+func (r *Reducer) bind(now model.Time, st sched.Start) {
+	if r.env.Suspended {
+		r.held = append(r.held, st)
+		return
+	}
+	r.env.Bind(now, st)
+}
+
+func (r *Reducer) bindHeld(now model.Time) {
+	held := r.held
+	r.held = nil
+	for _, st := range held {
+		r.env.Bind(now, st)
+	}
+}
--- /dev/null
+++ b/internal/core/servers.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/sched"
+)
+
+// applyServers gives the scheduler the listed servers. One that an operator
+// has drained counts as leaving.
+func (r *Reducer) applyServers(now model.Time) {
+	list := append([]sched.Server(nil), r.servers...)
+	for i := range list {
+		if list[i].State == sched.ServerActive && r.opts.Policy.Drained(list[i].ID) {
+			list[i].State = sched.ServerLeaving
+		}
+	}
+	r.sched.SetServers(now, list)
+}
+
+// noteQuarantine notes which backend servers went into quarantine and out of
+// it.
+func (r *Reducer) noteQuarantine() {
+	list := r.sched.Quarantined()
+	for _, id := range list {
+		if !slices.Contains(r.broken, id) {
+			r.note(Note{Kind: NoteQuarantined, Server: id})
+		}
+	}
+	for _, id := range r.broken {
+		if !slices.Contains(list, id) {
+			r.note(Note{Kind: NoteRestored, Server: id})
+		}
+	}
+	r.broken = list
+}
+
+// checkServers asks for the health of backend servers that are to be probed,
+// one question a server at a time.
+func (r *Reducer) checkServers(now model.Time) {
+	for _, id := range r.sched.ChecksDue(now) {
+		if r.checking[id] {
+			continue
+		}
+		r.checking[id] = true
+		r.out.Checks = append(r.out.Checks, id)
+	}
+}
+
+func (r *Reducer) serverChecked(now model.Time, e ServerChecked) {
+	delete(r.checking, e.Server)
+	if e.Healthy {
+		r.sched.ServerHealthy(now, e.Server)
+	}
+}
