Lend borrowed slots on, search at once, bound long work by its backlog

(1) Most free slots elsewhere were borrowed, and could not be lent on: 7 to 14 lendable. (2) Long tasks beyond their bound counted as short of a slot while they stood in the ready heap: asks of 9 to 15 slots, 5 once this was mended. (3) After one vain ask nobody was believed to have slots, and the instance was patient for 30 ms: then, in 70 to 81% of the waiting samples the queue was older than 5 ms and no peer was believed free. (4) The load of long work was averaged over the time before the start too, so that its bound was a matter of the instance's age.

Change: a borrower may lend on what the owner itself lent it (one hand at most); the search begins after 2 ms and is paid from savings, of which up to 200 messages are kept (the floor is now part of the average); unmet counts long tasks up to their bound; the loads are means over little more than the instance's age at first; long work holds half a square root less than its load, and what ends its queue in 60 s, and does not take the last free slots (one square root of the load of short work) unless slots have been short for 300 ms. A grant that cannot be taken is told to the lender.

--- a/internal/sched/asks.go
+++ b/internal/sched/asks.go
@@ -7,18 +7,24 @@
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
 
-// unmet is the number of waiting tasks that only lack a slot.
+// unmet is the number of waiting tasks that only lack a slot: neither held
+// back by a limit nor beyond the bound of long work.
 func (s *Scheduler) unmet() int {
-	n := s.queue.waiting
-	for _, f := range s.parkedLong.items {
-		n -= f.waiting
-	}
+	long := s.queue.long
+	short := s.queue.waiting - long
 	for _, l := range s.limits.list {
 		for _, f := range l.parked.items {
-			n -= f.waiting
+			if f.kindState.long {
+				long -= f.waiting
+			} else {
+				short -= f.waiting
+			}
 		}
 	}
-	return max(0, n)
+	if !s.opts.Mode.NoReserve {
+		long = min(long, s.runs.longCap-s.runs.long)
+	}
+	return max(0, short) + max(0, long)
 }
 
 // spareElsewhere is the number of free slots that peers told of lately.
@@ -133,30 +139,56 @@
 	back := n
 	s.returnFree(p, &back)
 	p.ask.want -= n - back
-	n = min(back, s.lendable())
+	n = s.lendOwn(p, min(back, s.lendable()))
+	s.passOn(p, n)
+}
+
+// lendOwn lends free own slots to a peer, and returns how many are missing.
+func (s *Scheduler) lendOwn(p *peer, n int) int {
 	for _, v := range s.list {
 		if n <= 0 {
-			return
+			return 0
 		}
-		if !v.owned {
-			continue
+		if v.owned {
+			n -= s.lendFree(p, v, n)
 		}
-		if k := min(n, v.free()); k > 0 {
-			s.lendSlot(p, v, k)
-			n -= k
+	}
+	return n
+}
+
+// passOn lends free borrowed slots to a peer. Slots that the peer owns or that
+// were passed on before are left out.
+func (s *Scheduler) passOn(p *peer, n int) {
+	for _, q := range s.live {
+		for _, v := range q.borrows {
+			if n <= 0 {
+				return
+			}
+			if q != p && v.lendable() {
+				n -= s.lendFree(p, v, n)
+			}
 		}
 	}
 }
 
+// lendFree lends up to n free slots of a server, and returns how many.
+func (s *Scheduler) lendFree(p *peer, v *server, n int) int {
+	k := min(n, v.free())
+	if k > 0 {
+		s.lendSlot(p, v, k)
+	}
+	return k
+}
+
 func (s *Scheduler) refill(now model.Time) {
 	l := &s.lend
-	if l.refilled != 0 {
-		l.tokens += messageFloor * now.Sub(l.refilled).Seconds()
+	if l.refilled == 0 {
+		l.tokens = messageStart
 	} else {
-		l.tokens = messageBurst
+		least := messageFloor * now.Sub(l.refilled).Seconds()
+		l.tokens += math.Max(least, messageBudget*float64(s.starts-l.counted))
 	}
 	l.refilled = now
-	l.tokens += messageBudget * float64(s.starts-l.counted)
 	l.counted = s.starts
 	l.tokens = math.Min(l.tokens, messageBurst)
 }
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -11,8 +11,11 @@
 	slowMargin     = 1.5              // a free server is taken without thought up to this multiple of the usual slowness
 	shortMemory    = 5 * time.Second  // time constant of the load of short work
 	longMemory     = 20 * time.Second // time constant of the load of long work
+	leastMemory    = 10 * time.Second // time constant of the loads at the start of an instance
 	reserveSpread  = 5.0              // slots kept for short work above its mean load, in square roots of that load
-	longSpread     = 0.25             // slots that long work may always hold above its mean load, in square roots of that load
+	longBelow      = 0.5              // slots that long work leaves below its mean load while none of it waits, in square roots of that load
+	longDrain      = 60 * time.Second // waiting long work gets the slots that end it in this time
+	longKeepFree   = 1.0              // free slots below which no long work starts, in square roots of the load of short work
 	firstRunsSpace = 1024
 )
 
@@ -46,6 +49,7 @@
 	shortNew   float64 // work submitted since the last tick, seconds
 	longNew    float64
 	ticked     model.Time
+	began      model.Time // first tick
 }
 
 // bind starts tasks while there are free slots and flows that may use them.
@@ -85,8 +89,17 @@
 	s.start(now, j, v, false)
 }
 
+// reserved reports whether the free slots are kept for short work.
 func (s *Scheduler) reserved(f *flow) bool {
-	return f.kindState.long && !s.opts.Mode.NoReserve && s.runs.long >= s.runs.longCap
+	if !f.kindState.long || s.opts.Mode.NoReserve {
+		return false
+	}
+	if s.runs.long >= s.runs.longCap {
+		return true
+	}
+	// With short work waiting all the time no slot stays free: the bound alone
+	// divides the slots.
+	return !s.overloaded() && s.index.total <= int(longKeepFree*math.Sqrt(s.runs.shortLoad))
 }
 
 // choose finds the server for the flow's next task: the fastest free one,
@@ -287,11 +300,13 @@
 func (s *Scheduler) classify(ks *kindState) {
 	const leave = 0.75
 	bound := longFactor * s.typical.seconds()
-	if ks.run.mean > bound {
+	if !ks.long && ks.run.mean > bound {
 		ks.long = true
+		s.queue.long += ks.waiting
 	}
-	if ks.run.mean < leave*bound {
+	if ks.long && ks.run.mean < leave*bound {
 		ks.long = false
+		s.queue.long -= ks.waiting
 	}
 }
 
@@ -340,31 +355,53 @@
 }
 
 // updateReserve sets how many slots long work may hold: what the load of
-// short work and its variation leave, but never less than its own load, or
-// its part of the slots when they are too few for all.
+// short work and its variation leave, but never less than what keeps its own
+// queue from growing, or its part of the slots when they are too few for all.
 func (s *Scheduler) updateReserve(now model.Time) {
 	r := &s.runs
+	if r.began == 0 {
+		r.began = now
+	}
 	dt := now.Sub(r.ticked).Seconds()
 	r.ticked = now
 	if dt <= 0 {
 		return
 	}
-	r.shortLoad += (1 - math.Exp(-dt/shortMemory.Seconds())) * (r.shortNew/dt - r.shortLoad)
-	r.longLoad += (1 - math.Exp(-dt/longMemory.Seconds())) * (r.longNew/dt - r.longLoad)
+	age := now.Sub(r.began)
+	r.shortLoad += loadGain(dt, age, shortMemory) * (r.shortNew/dt - r.shortLoad)
+	r.longLoad += loadGain(dt, age, longMemory) * (r.longNew/dt - r.longLoad)
 	r.shortNew, r.longNew = 0, 0
 	r.longCap = s.longBound(float64(s.index.held))
 }
 
+// loadGain is the weight of the newest sample of a load. A young instance
+// remembers little more than its own age, so that the empty time before its
+// start does not pull the load down.
+func loadGain(dt float64, age, memory time.Duration) float64 {
+	return 1 - math.Exp(-dt/min(memory, age+leastMemory).Seconds())
+}
+
 func (s *Scheduler) longBound(held float64) int {
 	r := &s.runs
 	left := held - r.shortLoad - reserveSpread*math.Sqrt(r.shortLoad)
-	least := r.longLoad + longSpread*math.Sqrt(r.longLoad)
+	least := r.longLoad - longBelow*math.Sqrt(r.longLoad) + s.longBacklog()/longDrain.Seconds()
 	if sum := r.shortLoad + r.longLoad; sum > 0 {
 		least = math.Min(least, held*r.longLoad/sum)
 	}
 	return max(1, int(math.Ceil(math.Max(left, least))))
 }
 
+// longBacklog is the long work that waits, seconds.
+func (s *Scheduler) longBacklog() float64 {
+	sum := 0.0
+	for _, f := range s.queue.flowList {
+		if f.kindState.long {
+			sum += f.work()
+		}
+	}
+	return sum
+}
+
 func (s *Scheduler) offered(f *flow, work float64) {
 	f.cust.offered += work
 	if f.kindState.long {
--- a/internal/sched/lending.go
+++ b/internal/sched/lending.go
@@ -17,23 +17,24 @@
 	reclaimGone    = time.Second            // a lender takes slots back from a borrower that left the list
 	beliefAge      = time.Second            // what a peer said about its free slots counts for so long
 	hintAge        = 300 * time.Millisecond // what is known of a third instance is passed on for so long
-	queuePatience  = 30 * time.Millisecond  // own queue older than this makes an instance ask peers that said they have nothing
+	queuePatience  = 2 * time.Millisecond   // own queue older than this makes an instance ask peers that said they have nothing
 	recallEvery    = 200 * time.Millisecond
 	returnEvery    = 60 * time.Millisecond  // interval of the messages that return recalled slots
 	shareEvery     = 200 * time.Millisecond // interval of the comparison of slots with weighted demand
 	sharePatience  = 300 * time.Millisecond // own queue older than this makes an instance compare and recall
 	grantEvery     = 100 * time.Millisecond // interval of small grants to one asker
-	largeGrant     = 4                      // slots that are granted without waiting for the interval
+	largeGrant     = 8                      // slots that are granted without waiting for the interval
 	maxAsk         = 64                     // slots asked of one peer at a time
-	headroomSpread = 0.5                    // free slots kept for the next tasks, in square roots of the load
+	headroomSpread = 0.25                   // free slots kept for the next tasks, in square roots of the load
 	shareSlack     = 0.05                   // part above its share that an instance keeps before it gives way
-	messageBudget  = 0.2                    // messages a start, on average
-	messageBurst   = 30.0
-	messageFloor   = 1.0 // messages a second without any start
-	tokensAsk      = 1.0 // messages left in the budget that an ask needs
-	tokensSearch   = 15  // the same for an ask to a peer that is not known to have free slots
-	tokensReturn   = 0   // the same for a grant to a standing ask, and for the return of idle slots
-	unknownFree    = 4   // free slots expected of a peer that said nothing
+	messageBudget  = 0.19                   // messages a start, on average
+	messageBurst   = 200.0                  // most messages that may be saved up
+	messageStart   = 30.0                   // messages that a new instance may send
+	messageFloor   = 1.0                    // least messages a second that the budget allows
+	tokensAsk      = 1.0                    // messages left in the budget that an ask needs
+	tokensSearch   = 50                     // the same for an ask to a peer that is not known to have free slots
+	tokensReturn   = 0                      // the same for a grant to a standing ask, and for the return of idle slots
+	unknownFree    = 4                      // free slots expected of a peer that said nothing
 )
 
 // lending is this instance's part in the lending of slots.
--- a/internal/sched/loans.go
+++ b/internal/sched/loans.go
@@ -17,6 +17,7 @@
 	if v.lender == nil {
 		return
 	}
+	s.forgetLoans(v)
 	s.giveBack(v, v.borrowed)
 }
 
@@ -89,7 +90,7 @@
 // slotFreed gives a slot that has just become free to the lender that
 // recalled it or to the peer that it is due to, and indexes the rest.
 func (s *Scheduler) slotFreed(v *server) {
-	if p := v.lender; p != nil && p.recall > 0 && v.borrowed > v.busy {
+	if p := v.lender; p != nil && p.recall > 0 && v.held() > v.busy {
 		p.recall--
 		s.giveBack(v, 1)
 		return
@@ -147,24 +148,27 @@
 	if s.noLending() || s.unmet() > 0 {
 		return 0
 	}
-	return max(0, min(s.index.own, s.index.total-s.headroom()))
+	return max(0, min(s.index.lendable, s.index.total-s.headroom()))
 }
 
-// available is the number of slots that a peer would get if it asked: own
-// ones, and idle ones that are its own.
+// available is the number of slots that a peer would get if it asked:
+// lendable ones, and idle ones that it lent itself.
 func (s *Scheduler) available(p *peer) int {
 	spare := s.index.total - s.headroom()
 	if s.noLending() || s.unmet() > 0 || spare <= 0 {
 		return 0
 	}
-	return min(spare, s.index.own+p.idleBorrowed())
+	return min(spare, s.index.lendable+p.idlePassedOn())
 }
 
-// idleBorrowed is the number of slots borrowed from the peer that are free.
-func (p *peer) idleBorrowed() int {
+// idlePassedOn is the number of free slots that the peer had borrowed itself
+// and passed on.
+func (p *peer) idlePassedOn() int {
 	n := 0
 	for _, v := range p.borrows {
-		n += max(0, v.borrowed-v.busy)
+		if !v.lendable() {
+			n += max(0, v.held()-v.busy)
+		}
 	}
 	return n
 }
@@ -236,6 +240,7 @@
 func (s *Scheduler) borrow(p *peer, c *peerpb.SlotCount) {
 	v := s.servers[model.ServerID(c.Server)]
 	if v == nil || !v.known || v.owned || (v.lender != nil && v.lender != p) {
+		p.changed = true
 		return
 	}
 	if v.lender == nil {
@@ -263,7 +268,7 @@
 func (s *Scheduler) returnFree(p *peer, n *int) {
 	for i := len(p.borrows) - 1; i >= 0 && *n > 0; i-- {
 		v := p.borrows[i]
-		if k := min(*n, v.borrowed-v.busy); k > 0 {
+		if k := min(*n, v.held()-v.busy); k > 0 {
 			*n -= k
 			s.giveBack(v, k)
 		}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -100,8 +100,9 @@
 
 // kindState is what is learned about a customer's kind.
 type kindState struct {
-	run  runTime
-	long bool
+	run     runTime
+	long    bool
+	waiting int // tasks to start
 }
 
 // customer shares service with the other customers by weight.
@@ -142,6 +143,7 @@
 	ready     heap[*customer]
 	floor     float64 // virtual time of the customer served last
 	waiting   int     // tasks to start
+	long      int     // of these, long work
 	weights   float64 // sum of the weights of customers with waiting tasks
 	work      float64 // expected run time of the waiting tasks, seconds
 	seq       uint64
@@ -304,6 +306,10 @@
 	f.waiting += tasks
 	f.cust.waiting += tasks
 	s.queue.waiting += tasks
+	f.kindState.waiting += tasks
+	if f.kindState.long {
+		s.queue.long += tasks
+	}
 	if s.queue.waiting == 0 {
 		s.queue.work = 0
 	}
--- a/internal/sched/servers.go
+++ b/internal/sched/servers.go
@@ -17,24 +17,24 @@
 // server is a backend server with this instance's view of its slots.
 type server struct {
 	Server
-	known     bool // in the current list
-	class     int  // resource class
-	remote    bool // in another failure domain
-	owner     model.Instance
-	owned     bool
-	share     int // slots owned by this instance
-	lent      int // of these, lent to others
-	lender    *peer
-	borrowed  int
-	busy      int // running starts of this instance
-	speed     slowness
-	speedRank int
-	health    health
-	counted   int // its part of freeIndex.total
-	countOwn  int // its part of freeIndex.own
-	heldCount int // its part of heldSlots
-	bucket    int // place in the free index, absent if none
-	slot      int
+	known         bool // in the current list
+	class         int  // resource class
+	remote        bool // in another failure domain
+	owner         model.Instance
+	owned         bool
+	share         int // slots owned by this instance
+	lent          int // of the owned or borrowed ones, lent to others
+	lender        *peer
+	borrowed      int
+	busy          int // running starts of this instance
+	speed         slowness
+	speedRank     int
+	health        health
+	counted       int // its part of freeIndex.total
+	countLendable int // its part of freeIndex.lendable
+	heldCount     int // its part of heldSlots
+	bucket        int // place in the free index, absent if none
+	slot          int
 }
 
 // held is the number of slots that this instance may use.
@@ -42,7 +42,13 @@
 	if v.owned {
 		return v.share - v.lent
 	}
-	return v.borrowed
+	return v.borrowed - v.lent
+}
+
+// lendable reports whether peers may borrow the server's slots: own ones, and
+// those that the owner lent, so that a loan passes through one hand at most.
+func (v *server) lendable() bool {
+	return v.owned || (v.lender != nil && v.lender.ID == v.owner)
 }
 
 // free is the number of slots that could take a start now.
@@ -67,11 +73,11 @@
 
 // freeIndex finds a free slot on the fastest server in constant time.
 type freeIndex struct {
-	classes []resourceClass
-	total   int // free slots
-	own     int // of these, slots that this instance owns
-	held    int // slots of usable servers that this instance may use
-	minimum int // smallest total since the last reset
+	classes  []resourceClass
+	total    int // free slots
+	lendable int // of these, slots that peers may borrow
+	held     int // slots of usable servers that this instance may use
+	minimum  int // smallest total since the last reset
 }
 
 func (x *freeIndex) class(has model.Resources) int {
@@ -90,12 +96,12 @@
 	x.total += free - v.counted
 	v.counted = free
 	x.minimum = min(x.minimum, x.total)
-	own := 0
-	if v.owned {
-		own = free
+	lendable := 0
+	if v.lendable() {
+		lendable = free
 	}
-	x.own += own - v.countOwn
-	v.countOwn = own
+	x.lendable += lendable - v.countLendable
+	v.countLendable = lendable
 	held := 0
 	if v.usable() {
 		held = max(0, v.held())
