Keep the shares at a crest: credit less the queue, parts of kinds by demand

(1) Everybody is admitted alike until shedding begins; what a small customer then has in the queue came on top of its part. (2) A job was taken with any credit left, so each customer overdrew by half a job or more, which weighs most for the smallest. (3) The largest customer was refused 214 to 327 s of work for the deadline and 45 to 154 s by its part, of 2,000: its estimate gave each kind an even part of the customer's rate although its small kinds ask for less, and took half of the slack though its turn comes early.

Change: the first credit is the customer's part of the queue that shedding aims at less what waits; a job needs half of its work as credit; a kind's rate is at least what the customer's other kinds leave; a job that is covered by credit may use all of its slack.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -95,7 +95,7 @@
 		}
 		return s.refuse(now, f, j, r, work, over), duration(delay)
 	}
-	if !kept && s.shed.refuses(f.cust) {
+	if !kept && s.shed.refuses(f.cust, work) {
 		return s.refuse(now, f, j, ReasonShed, work, 0), duration(delay)
 	}
 	f.cust.credit -= work
@@ -115,7 +115,7 @@
 	if f.kindState.run.learned() {
 		slack -= s.ideal(f, tasks)
 	}
-	if !kept {
+	if !kept && !s.shed.covers(f.cust, float64(tasks)*f.kindState.run.mean) {
 		slack *= slackPart
 	}
 	return math.Max(0, delay-slack)
@@ -158,14 +158,17 @@
 	return r * c.weight / math.Max(c.weight, customers)
 }
 
-// rate is the same for a flow.
+// rate is the same for a flow: its part by weight, or what the customer's
+// other kinds ask for less.
 func (s *Scheduler) rate(f *flow) float64 {
 	kinds := f.cust.weights
 	if f.waiting == 0 {
 		kinds += f.weight
 	}
-	r := s.customerRate(f.cust) * f.weight / math.Max(f.weight, kinds)
-	return s.limitedRate(f, r)
+	r := s.customerRate(f.cust)
+	part := r * f.weight / math.Max(f.weight, kinds)
+	left := r - (f.cust.demand - f.demand)
+	return s.limitedRate(f, math.Max(part, left))
 }
 
 // delay estimates the time until a job of this flow starts, seconds. When
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -404,6 +404,7 @@
 
 func (s *Scheduler) offered(f *flow, work float64) {
 	f.cust.offered += work
+	f.offered += work
 	if f.kindState.long {
 		s.runs.longNew += work
 		return
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -82,6 +82,8 @@
 	bound     int
 	failures  failureRate
 	idleSince model.Time
+	offered   float64 // work submitted since the last tick, seconds
+	demand    float64 // work submitted lately, seconds a second
 }
 
 func (f *flow) before(o *flow) bool {
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -33,8 +33,17 @@
 	order []*customer
 }
 
-// refuses reports whether the customer has used up its part.
-func (x *shedding) refuses(c *customer) bool { return x.on && c.credit <= 0 }
+// refuses reports whether the customer has used up its part. Work is taken
+// when at least half of it is covered, so that large jobs bring no customer
+// more than its part.
+func (x *shedding) refuses(c *customer, work float64) bool {
+	return x.on && c.credit <= work/2
+}
+
+// covers reports whether work is shed and the customer has not used its part.
+func (x *shedding) covers(c *customer, work float64) bool {
+	return x.on && c.credit > work
+}
 
 // updateShedding divides the capacity and adds to each customer's credit.
 func (s *Scheduler) updateShedding(dt float64) {
@@ -49,9 +58,13 @@
 	x.gain *= math.Exp(shedLearning * off * dt)
 	x.gain = math.Max(leastGain, math.Min(mostGain, x.gain))
 	capacity := s.capacity() / math.Max(s.usual, 0.01) * x.gain * (1 + shedDamping*off)
-	if x.level == 0 || s.ticks%levelEvery == 0 {
+	first := x.level == 0
+	if first || s.ticks%levelEvery == 0 {
 		x.level = s.fairLevel(capacity)
 	}
+	if first {
+		s.firstCredit()
+	}
 	for _, c := range s.queue.customers {
 		part := x.level * c.weight
 		c.credit = math.Min(c.credit+part*dt, part*shedBurst)
@@ -78,15 +91,20 @@
 	}
 }
 
+// firstCredit sets what each customer may be admitted at first: its part of
+// the queue that shedding aims at, less what it has in the queue already.
+func (s *Scheduler) firstCredit() {
+	for _, c := range s.queue.customers {
+		c.credit = s.shed.level*c.weight*shedTarget - c.work()
+	}
+}
+
 func (s *Scheduler) beginShedding() {
 	s.shed.long = 0
 	s.shed.on = true
 	s.shed.level = 0
 	s.shed.gain = 1
 	s.shed.short = 0
-	for _, c := range s.queue.customers {
-		c.credit = 0
-	}
 }
 
 func (s *Scheduler) measureDemand(dt float64) {
@@ -95,6 +113,10 @@
 		c.demand += gain * (c.offered/dt - c.demand)
 		c.offered = 0
 	}
+	for _, f := range s.queue.flowList {
+		f.demand += gain * (f.offered/dt - f.demand)
+		f.offered = 0
+	}
 }
 
 // fairLevel returns the level at which the customers' parts, none above its
