Let other domains own the servers of a domain without live instances

Cause: ownerOf looks only at instances of the server's domain, so a domain without one left its servers idle.

Change: after 3 s without a live instance, all live instances own these servers by the same rendezvous rule. As the domain may only be cut off, such a server begins in quarantine with a probe due: repeatable tasks are tried one at a time, and two that succeed (or a health check) open it. When an instance of the domain is back the rule gives its servers back to it.

Ruled out: opening the servers at once, as each start on one that is cut off costs a task a second (reasoned, not run).

--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -320,3 +320,51 @@
 		t.Fatalf("probe starts %+v", got)
 	}
 }
+
+// usableOn is the number of slots on the servers of a domain that an instance
+// may use for ordinary work.
+func usableOn(s *Scheduler, d model.Domain) int {
+	n := 0
+	for _, v := range s.list {
+		if v.Domain == d && v.usable() {
+			n += v.held()
+		}
+	}
+	return n
+}
+
+func TestUnservedDomainIsAdopted(t *testing.T) {
+	n := newNet(t, fixedPolicy{}, "a1", "a2", "b1")
+	n.servers(append(testServers("a", netServers/2, netSlots), testServers("b", netServers/2, netSlots)...))
+	n.peers("a1", "a2")
+	n.run(adoptAfter - time.Second)
+	adopted := func() int { return usableOn(n.nodes["a1"], "b") + usableOn(n.nodes["a2"], "b") }
+	if got := adopted(); got != 0 || len(n.nodes["a1"].Quarantined()) != 0 {
+		t.Fatalf("%d slots of a domain that may only be late", got)
+	}
+	n.run(2 * time.Second)
+	probed := len(n.nodes["a1"].Quarantined()) + len(n.nodes["a2"].Quarantined())
+	if got := adopted(); got != 0 || probed != netServers/2 {
+		t.Fatalf("%d slots and %d servers to probe, want 0 and %d", got, probed, netServers/2)
+	}
+	for round := range 2 * probesToReturn {
+		for i, name := range []model.Instance{"a1", "a2"} {
+			n.nodes[name].Submit(n.now, testJob(10*round+i+1, netTotal))
+		}
+		n.settle()
+		n.run(TickInterval)
+		n.end("a1")
+		n.end("a2")
+	}
+	if got := adopted(); got != netTotal/2 {
+		t.Fatalf("%d slots after the probes, want %d", got, netTotal/2)
+	}
+	n.peers("a1", "a2", "b1")
+	n.settle()
+	if got := adopted(); got != 0 {
+		t.Fatalf("%d slots are still held without a loan", got)
+	}
+	if got := usableOn(n.nodes["b1"], "b"); got != netTotal/2 {
+		t.Fatalf("the instance that is back has %d slots, want %d", got, netTotal/2)
+	}
+}
--- a/internal/sched/owners.go
+++ b/internal/sched/owners.go
@@ -1,26 +1,86 @@
 package sched
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
+// adoptAfter is the time for which a domain has been without a live instance
+// before the instances of other domains own its servers.
+const adoptAfter = 3 * time.Second
+
+// unservedDomain is a failure domain with servers and without a live instance.
+type unservedDomain struct {
+	domain  model.Domain
+	since   model.Time
+	adopted bool // other domains own its servers
+}
+
 // assign computes the owner of each server: the live instance of the
-// server's domain that ranks first by rendezvous hashing.
+// server's domain that ranks first by rendezvous hashing, or the one of all
+// domains for a domain that has been unserved for some time.
 func (s *Scheduler) assign(now model.Time) {
+	s.findUnserved(now)
 	for _, v := range s.list {
 		if s.opts.Mode.EvenSplit {
 			s.split(v)
 		} else {
-			s.setOwner(v, s.ownerOf(v))
+			s.setOwner(now, v, s.ownerOf(v))
 		}
 		s.index.update(v)
 	}
 }
 
-func (s *Scheduler) setOwner(v *server, owner model.Instance) {
+// findUnserved lists the unserved domains, and keeps since when they are.
+func (s *Scheduler) findUnserved(now model.Time) {
+	was := s.unserved
+	s.unserved = nil
+	for _, v := range s.list {
+		if s.domainLive(v.Domain) || s.unservedOf(v.Domain) != nil {
+			continue
+		}
+		e := unservedDomain{domain: v.Domain, since: now}
+		for _, old := range was {
+			if old.domain == v.Domain {
+				e = old
+			}
+		}
+		s.unserved = append(s.unserved, e)
+	}
+}
+
+func (s *Scheduler) unservedOf(d model.Domain) *unservedDomain {
+	for i := range s.unserved {
+		if s.unserved[i].domain == d {
+			return &s.unserved[i]
+		}
+	}
+	return nil
+}
+
+// adoptUnserved takes over the servers of domains that stay unserved.
+func (s *Scheduler) adoptUnserved(now model.Time) {
+	due := false
+	for i := range s.unserved {
+		e := &s.unserved[i]
+		if !e.adopted && now.Sub(e.since) >= adoptAfter {
+			e.adopted = true
+			due = true
+		}
+	}
+	if due {
+		s.assign(now)
+	}
+}
+
+func (s *Scheduler) setOwner(now model.Time, v *server, owner model.Instance) {
 	owned := owner == s.opts.Self
+	if owned != v.owned && v.Domain != s.opts.Domain {
+		s.setAdopted(now, v, owned)
+	}
 	if v.owner != owner || owned {
 		s.dropLoan(v)
 	}
@@ -35,14 +95,32 @@
 	}
 }
 
+// setAdopted puts a server of an unserved domain into quarantine, as it may be out
+// of reach: the first tasks on it are probes. It leaves quarantine when an
+// instance of its domain is back.
+func (s *Scheduler) setAdopted(now model.Time, v *server, adopted bool) {
+	if v.health.quarantined {
+		s.release(v)
+	}
+	if !adopted {
+		return
+	}
+	v.health.quarantined = true
+	v.health.wait = probeAfter / 2
+	v.health.probeAt = now
+	s.quarantined = append(s.quarantined, v)
+}
+
 func (s *Scheduler) ownerOf(v *server) model.Instance {
+	e := s.unservedOf(v.Domain)
+	anyDomain := e != nil && e.adopted
 	var best model.Instance
 	var high uint64
-	if v.Domain == s.opts.Domain {
+	if anyDomain || v.Domain == s.opts.Domain {
 		best, high = s.opts.Self, rendezvous(v.ID, s.opts.Self)
 	}
 	for _, p := range s.live {
-		if p.Domain != v.Domain {
+		if !anyDomain && p.Domain != v.Domain {
 			continue
 		}
 		h := rendezvous(v.ID, p.ID)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,8 +22,9 @@
 	boot model.Time
 
 	servers     map[model.ServerID]*server
-	list        []*server // known servers, in the order of SetServers
-	leftover    []*server // servers that left the list and still have runs or a record of health
+	list        []*server        // known servers, in the order of SetServers
+	unserved    []unservedDomain // failure domains with servers and without a live instance
+	leftover    []*server        // servers that left the list and still have runs or a record of health
 	index       freeIndex
 	quarantined []*server
 	paused      []*server
@@ -142,6 +143,7 @@
 	s.updateReserve(now)
 	s.updateShedding(TickInterval.Seconds())
 	s.endPromises(now)
+	s.adoptUnserved(now)
 	if s.ticks%rowsEvery == 0 {
 		s.applyRows(now)
 	}
--- a/internal/sched/schedbench/scenarios.go
+++ b/internal/sched/schedbench/scenarios.go
@@ -67,6 +67,7 @@
 	{"fails-everything", failsEverything},
 	{"unreachable", unreachableServer},
 	{"leaving", leaving},
+	{"domain-lost", domainLost},
 	{"cancel-wave", cancelWave},
 	{"limit-concurrency", concurrencyLimit(nil)},
 	{"limit-cut", concurrencyLimit(cutLimited)},
--- a/internal/sched/schedbench/trouble.go
+++ b/internal/sched/schedbench/trouble.go
@@ -73,6 +73,44 @@
 	return []Figure{{"starts", float64(v.starts - at)}, {"503", m.R.RefusalRate()}}
 }
 
+const lostFrom = troubleAt + 10*time.Second // long after the loss is known
+
+// domainLost kills all instances of one domain, while its servers stay. The
+// others are offered 82.5% of the whole fleet, which is more than the servers
+// of their own domains can do.
+func domainLost(mode sched.Mode, seed uint64) []Figure {
+	m := NewSim(Today, mode, Weights{}, seed)
+	w := mixed(1.1)
+	lost := domainName(1)
+	m.At(troubleAt, func() {
+		for _, in := range m.instances {
+			if in.domain == lost {
+				m.Kill(in)
+			}
+		}
+	})
+	before := 0
+	starts := func() int {
+		n := 0
+		for _, v := range m.servers {
+			if v.Domain == lost {
+				n += v.starts
+			}
+		}
+		return n
+	}
+	m.At(lostFrom, func() { before = starts() })
+	m.R.From = virtualZero.Add(lostFrom)
+	m.Drive(w)
+	m.Run(w.Until + settle)
+	return []Figure{
+		{"mean", Mean(m.R.All())},
+		{"short-p99", Quantile(m.R.Short, 0.99)},
+		{"lost-starts", float64(starts() - before)},
+		{"503", m.R.RefusalRate()},
+	}
+}
+
 const (
 	waveJobs  = 5000
 	waveDelay = 2 * time.Second // from the submissions to the cancels
