Let a shard whose members are all dead be replaced by who has the proof

Cause: only the instance that ranks first replaced lost members. It may never get the proof of their death: an address where the next process already answers is not connected to again, so a member heard of after that connection counts as alive for ever. The shard then has no owner until some process ends.

Ruled out: taking the later of two processes at an address for proof, for which of them is the later is not known; a connection made again for each member heard of late (would mend the cause at the first, but is the peer link's part).

Change: if all members are proven dead, any other instance that is not leaving writes the view after 2 s. The process at the dead one's address always has the proof. Races are settled by compare-and-swap as before.

--- a/internal/shard/member_test.go
+++ b/internal/shard/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 )
@@ -116,3 +117,41 @@
 	}
 	return last
 }
+
+// Members that are all gone are replaced by the first target, or later by any
+// instance with proof of their death, for the first target may have none.
+func TestWhoReplacesLostMembers(t *testing.T) {
+	cases := []struct {
+		name    string
+		members Liveness
+		target  Member
+		after   time.Duration
+		leaving bool
+		want    bool
+	}{
+		{"first target", Dead, memberC, 0, false, true},
+		{"first target, silent", Silent, memberC, 0, false, true},
+		{"first target, alive", Alive, memberC, lostPatience, false, false},
+		{"another, at once", Dead, memberB, 0, false, false},
+		{"another, later", Dead, memberB, lostPatience, false, true},
+		{"another, silent", Silent, memberB, lostPatience, false, false},
+		{"another, alive", Alive, memberB, lostPatience, false, false},
+		{"another, leaving", Dead, memberB, lostPatience, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestShard(memberC, fakePeers{memberA: c.members})
+			s.env.Leaving = c.leaving
+			s.InstallView(testNow, view(3, memberA))
+			targets := Targets{Owner: c.target}
+			s.Propose(testNow, targets)
+			p, ok := s.Propose(testNow.Add(c.after), targets)
+			if ok != c.want {
+				t.Fatalf("proposal %+v, %v", p, ok)
+			}
+			if ok && (p.View.Owner() != memberC || p.View.Floor <= testNow.Add(c.after)) {
+				t.Fatalf("proposal %+v", p)
+			}
+		})
+	}
+}
--- a/internal/shard/propose.go
+++ b/internal/shard/propose.go
@@ -203,15 +203,43 @@
 // proposeLost replaces members that are all gone. Their records are lost, so
 // the floor passes every submission time that they can have admitted.
 func (s *Shard) proposeLost(now model.Time, t Targets) (Proposal, bool) {
-	if t.Owner != s.env.Self {
+	if s.membersBelow(Silent) {
+		s.lostSince = 0
+		return Proposal{}, false
+	}
+	if t.Owner != s.env.Self && !s.standsIn(now) {
 		return Proposal{}, false
 	}
+	return s.next(now.Add(lostFloor(s.env.Opts.Skew)), s.env.Self), true
+}
+
+// lostPatience is the time that the first target has to replace members that
+// are all gone.
+const lostPatience = 2 * time.Second
+
+// standsIn reports whether this instance, which is not the first target, has
+// known for long that all members are dead. The first target may lack the
+// proof: it may have heard of a member only after it had connected to the next
+// process at that address.
+func (s *Shard) standsIn(now model.Time) bool {
+	if s.env.Leaving || s.membersBelow(Dead) {
+		s.lostSince = 0
+		return false
+	}
+	if s.lostSince == 0 {
+		s.lostSince = now
+	}
+	return now.Sub(s.lostSince) >= lostPatience
+}
+
+// membersBelow reports whether less than that is known of any member.
+func (s *Shard) membersBelow(l Liveness) bool {
 	for _, m := range s.view.Members {
-		if s.env.Peers.Liveness(m) == Alive {
-			return Proposal{}, false
+		if s.env.Peers.Liveness(m) < l {
+			return true
 		}
 	}
-	return s.next(now.Add(lostFloor(s.env.Opts.Skew)), s.env.Self), true
+	return false
 }
 
 // lostFloor is how far the floor lies past the present time once records are
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -86,6 +86,8 @@
 	released uint64
 	askedAt  model.Time // owner: when the replica was asked for it
 
+	lostSince model.Time // since when all members are known to be dead, 0 if they are not
+
 	// replica
 	from     Member // the owner whose operations are applied
 	handOver *peerpb.HandOver
