Ask the peer for slots that was asked longest ago

Cause: an instance without slots and without news of its peers' asked the first of them again and again, one of its own domain before the others: by its next ask, one a second, the answer was out of date. Change: while nobody is known to have free slots the one asked longest ago comes first, whatever its domain; among equals too. Before and after: TestSearchAsksEveryPeer fails before (one of three peers never asked in five minutes) and passes.

--- a/internal/sched/asks.go
+++ b/internal/sched/asks.go
@@ -96,7 +96,10 @@
 }
 
 // bestLender returns the peer without a standing ask that can meet most of
-// the need, one of the own domain among equals.
+// the need, one of the own domain among equals. While nobody is known to have
+// free slots, and among equals else, the one asked longest ago comes first: what
+// a peer answers may be out of date before the next ask, and asking the same one
+// again would leave tasks waiting beside the free slots of others.
 func (s *Scheduler) bestLender(now model.Time, need int, patient bool) *peer {
 	var best *peer
 	score := 0
@@ -108,11 +111,11 @@
 		if free == 0 && (patient || s.lend.tokens < tokensSearch) {
 			continue
 		}
-		x := 2 + 2*min(free, need)
-		if p.Domain == s.opts.Domain {
+		x := 2 * min(free, need)
+		if free > 0 && p.Domain == s.opts.Domain {
 			x++
 		}
-		if x > score {
+		if best == nil || x > score || x == score && p.askedAt < best.askedAt {
 			best, score = p, x
 		}
 	}
