--- a/spec/check.sh
+++ b/spec/check.sh
@@ -8,12 +8,12 @@
 #   spec/check.sh deep                run the deep runs, minutes and gigabytes each
 #   spec/check.sh one NAME WANT ...   one run; the rest are macros of the model
 #
-# JOBS sets how many verifiers run at once.
+# JOBS sets how many verifiers run at once, MEMORY_MB the memory of each.
 set -euo pipefail
 cd "$(dirname "$0")"
 model=$PWD/replication.pml
 max_depth=100000        # steps; a longer path makes a run fail
-memory_mb=4096          # bound of one verifier's memory
+memory_mb=${MEMORY_MB:-4096}    # bound of one verifier's memory
 
 # one runs a verifier and prints its name, its states and its verdict.
 one() {
