--- a/spec/check.sh
+++ b/spec/check.sh
@@ -79,6 +79,7 @@
   echo "deep-replace-and-handover holds -DREPLACE -DHANDOVER -DMINNOW=2 -DNT=1 -DMAXVER=3 -DMAXKILL=1"
   echo "deep-handover-two-tasks holds -DHANDOVER -DMINNOW=2 -DNT=2 -DMAXVER=3 -DMAXKILL=1"
   echo "deep-replace-two-kills holds -DREPLACE -DMINNOW=2 -DNT=1 -DMAXVER=3 -DMAXKILL=2"
+  echo "deep-handover-four-versions holds -DHANDOVER -DMINNOW=2 -DNT=1 -DMAXVER=4 -DMAXKILL=1"
   echo "deep-calm-both holds $calm -DREPLACE -DHANDOVER -DNT=1"
   echo "deep-calm-two-tasks holds $calm -DHANDOVER -DNT=2"
   echo "deep-replace-acks holds $replace -DN_ACK_AFTER_PROMISE"
@@ -103,6 +104,7 @@
 list=runs
 if [ "${1:-}" = deep ]; then
   list=deep_runs
+  export MEMORY_MB=${MEMORY_MB:-6144}
 fi
 if ! $list | xargs -P "${JOBS:-4}" -L 1 "$PWD/check.sh" one; then
   echo "spec: a run did not end as expected; see the lines marked WANT" >&2
