Count silence of a member only from its present view on

Cause: left from the rule for instances that a document names anew: an observer that missed the documents in between still counted silence from before. Change: a view whose epoch is new here, from the platform or from its owner, begins the silence of its members anew. That replaces the comparison of documents. Before and after: the third case of TestNamedAnewIsNotSilent fails with the earlier rule, the first without any; core and coretest pass.

--- a/internal/core/confirm_test.go
+++ b/internal/core/confirm_test.go
@@ -56,21 +56,26 @@
 	}
 }
 
-// TestNamedAnewIsNotSilent checks that silence from before a document named an
-// instance does not count, and that it does while the document names it on.
+// TestNamedAnewIsNotSilent checks that silence from before a member's present
+// view does not count, and that silence since does.
 func TestNamedAnewIsNotSilent(t *testing.T) {
 	b := testInstance("b")
 	c := newTestCore(true)
 	c.step(Instances{List: []InstanceInfo{b}}, confirmed(5, 0))
 	unanswered := func() Event { return PeerUnanswered{Addr: b.Addr, Began: c.now} }
 	c.step(unanswered())
-	c.step(relayViews("d", 6, 1, relaySelf, b))
+	c.step(relayViews("d", 6, 2, relaySelf, b))
 	if c.peers.Liveness(b.Member) != shard.Alive {
 		t.Fatal("silent by a connection from before it was named")
 	}
 	c.step(unanswered())
-	c.step(relayViews("d", 7, 1, relaySelf, b))
+	c.step(relayViews("d", 7, 2, relaySelf, b))
 	if c.peers.Liveness(b.Member) != shard.Silent {
-		t.Fatal("not silent though it was named all the time")
+		t.Fatal("not silent though the views are the same")
+	}
+	// The documents in between, which left it out, were missed.
+	c.step(relayViews("d", 9, 4, relaySelf, b))
+	if c.peers.Liveness(b.Member) != shard.Alive {
+		t.Fatal("silent by a connection from before its present view")
 	}
 }
--- a/internal/core/views.go
+++ b/internal/core/views.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"slices"
-
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
@@ -25,7 +23,6 @@
 	if !r.plan.known || v.Index > r.plan.index {
 		r.plan.known = true
 		r.plan.index = v.Index
-		r.noteNamed(v.Doc.Instances)
 		r.plan.doc = v.Doc
 	}
 	if r.plan.unknown && r.plan.index > r.plan.unknownAt {
@@ -36,21 +33,19 @@
 	r.replanNow(now)
 }
 
-// noteNamed begins the silence anew of instances that the views did not name
-// before: while none names it an instance goes on after a pause without a
-// confirming write, so that silence from then shows nothing of it now
-// (spec/replication.pml, W_SILENCE_FIRST).
-func (r *Reducer) noteNamed(list []InstanceInfo) {
-	for _, i := range list {
-		if !r.named(i.Member) {
-			r.peers.renew(i.Member)
+// installView installs a view, and begins the silence of its members anew if it
+// is new here: silence from before shows nothing of them now, for while no view
+// names an instance that goes on after a pause without a confirming write
+// (spec/replication.pml, W_SILENCE_FIRST). It reports whether the view was new.
+func (r *Reducer) installView(now model.Time, s *shard.Shard, v shard.View) bool {
+	before := s.View().Epoch
+	if v.Epoch > before {
+		for _, m := range v.Members {
+			r.peers.renew(m)
 		}
 	}
-}
-
-// named reports whether the latest document has the instance.
-func (r *Reducer) named(m shard.Member) bool {
-	return slices.ContainsFunc(r.plan.doc.Instances, func(i InstanceInfo) bool { return i.Member == m })
+	s.InstallView(now, v)
+	return s.View().Epoch != before
 }
 
 func (r *Reducer) installOwn(now model.Time, views []shard.View) {
@@ -58,10 +53,7 @@
 		if i >= len(r.own) {
 			return
 		}
-		s := r.own[i]
-		before := s.View().Epoch
-		s.InstallView(now, v)
-		if s.View().Epoch != before {
+		if r.installView(now, r.own[i], v) {
 			r.note(Note{
 				Kind:   NoteViewChanged,
 				Domain: r.opts.Domain,
@@ -99,12 +91,6 @@
 	if s == nil {
 		return
 	}
-	v := shard.ViewFromProto(p)
-	for _, m := range v.Members {
-		if !r.named(m) {
-			r.peers.renew(m)
-		}
-	}
-	s.InstallView(now, v)
+	r.installView(now, s, shard.ViewFromProto(p))
 	r.reroute(now, shard.ID{Domain: r.opts.Domain, Index: p.Shard})
 }
