--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -12,7 +12,7 @@
 	shortMemory    = 5 * time.Second  // time constant of the load of short work
 	longMemory     = 20 * time.Second // time constant of the load of long work
 	leastMemory    = 10 * time.Second // time constant of the loads at the start of an instance
-	reserveSpread  = 5.0              // slots kept for short work above its mean load, in square roots of that load
+	reserveSpread  = 4.0              // slots kept for short work above its mean load, in square roots of that load
 	longBelow      = 0.5              // slots that long work leaves below its mean load while none of it waits, in square roots of that load
 	longDrain      = 60 * time.Second // waiting long work gets the slots that end it in this time
 	longKeepFree   = 1.0              // free slots below which no long work starts, in square roots of the load of short work
--- a/internal/sched/shed.go
+++ b/internal/sched/shed.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	demandMemory = 2.0 // time constant of the work asked for, seconds
-	shedTarget   = 0.2 // delay of the whole queue that shedding aims at, seconds
-	shedOnAbove  = 0.3 // delay of the whole queue above which shedding begins, seconds
-	shedOnAfter  = 1.5 // for how long the delay is above that before, seconds
-	shedOffAfter = 1.0 // shedding ends when the queue has been short for so long, seconds
-	shedBurst    = 2.0 // credit that a customer may save up, as time at its part, seconds
-	shedDamping  = 0.3 // change of the capacity by the queue's difference from its target
-	shedLearning = 0.1 // the same lastingly, a second
-	levelEvery   = 5   // ticks between divisions of the capacity
+	demandMemory = 2.0  // time constant of the work asked for, seconds
+	shedTarget   = 0.25 // delay of the whole queue that shedding aims at, seconds
+	shedOnAbove  = 0.3  // delay of the whole queue above which shedding begins, seconds
+	shedOnAfter  = 1.5  // for how long the delay is above that before, seconds
+	shedOffAfter = 1.0  // shedding ends when the queue has been short for so long, seconds
+	shedBurst    = 2.0  // credit that a customer may save up, as time at its part, seconds
+	shedDamping  = 0.3  // change of the capacity by the queue's difference from its target
+	shedLearning = 0.1  // the same lastingly, a second
+	levelEvery   = 5    // ticks between divisions of the capacity
 	leastGain    = 0.5
 	mostGain     = 2.0
 )
