--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -368,3 +369,47 @@
 		t.Fatalf("the instance that is back has %d slots, want %d", got, netTotal/2)
 	}
 }
+
+// A borrower passes free slots on, one that got them so does not, and the
+// owner gets all of them back.
+func TestLoansPassThroughOneHand(t *testing.T) {
+	n := newNet(t, fixedPolicy{}, "a1", "b1", "c1")
+	n.servers(testServers("a", 1, netSlots))
+	owner, first, second := n.nodes["a1"], n.nodes["b1"], n.nodes["c1"]
+	v := first.list[0]
+	owner.lendSlot(owner.peers["b1"], owner.list[0], netSlots)
+	owner.flush(n.now)
+	n.settle()
+	if got := first.Stats().Slots; got != netSlots || !v.lendable() {
+		t.Fatalf("the borrower has %d slots, lendable %v", got, v.lendable())
+	}
+	first.lendFree(first.peers["c1"], v, 1)
+	first.flush(n.now)
+	n.settle()
+	if got := second.Stats().Slots; got != 1 || second.list[0].lendable() {
+		t.Fatalf("the second borrower has %d slots, lendable %v", got, second.list[0].lendable())
+	}
+	if got := n.usable(); got != netSlots {
+		t.Fatalf("%d slots are usable, want %d", got, netSlots)
+	}
+	n.run(4 * loanIdle) // two hands, each of which notices within two windows
+	if got := owner.Stats().Slots; got != netSlots {
+		t.Fatalf("the owner has %d slots back, want %d", got, netSlots)
+	}
+}
+
+func TestHintsNameThePeersWithMostFreeSlots(t *testing.T) {
+	s := newTest(1, 1)
+	var list []Peer
+	for i := range 2 * maxHints {
+		list = append(list, Peer{ID: model.Instance(fmt.Sprintf("p%02d", i)), Domain: "a"})
+	}
+	s.SetPeers(testStart, list)
+	for i, p := range s.live {
+		p.free, p.freeAt = i%maxHints, testStart
+	}
+	hints := s.hints(testStart, s.live[0])
+	if len(hints) != maxHints || hints[0].Free != maxHints-1 || hints[maxHints-1].Free != maxHints/2 {
+		t.Fatalf("hints: %v", hints)
+	}
+}
