Say that a first attempt has no copy beside it until it is answered

The instance that could not reach the home refused the first call after up to 5 s as not run, which can't be recorded there; the copy, through an instance that reached it, was run. A refusal that says 'not run' was untrue. Ruled out: a fault of the owners (each key was started once, the other call's answer is the whole one); a retry after the refusal (the tool does not count those). Change: the contract of first_attempt said 'no other copy is unanswered', which is true when the first call leaves. It now says also that none is sent before the call is answered; the load tool doesn't set it for jobs that it resubmits beside the first call, whose refusals then say 'unknown'. Test: TestFirstAttempt's cases, with a copy beside.

--- a/client/client.go
+++ b/client/client.go
@@ -153,8 +153,8 @@
 
 // Submit submits a job and returns its complete answer. It repeats the call
 // with the same key while that can help and ctx lasts. Set FirstAttempt of a
-// job whose key was not used before; it is left out of the calls that follow
-// one without an answer.
+// job whose key was not used before and that nobody else submits meanwhile; it is
+// left out of the calls that follow one without an answer.
 func (c *Client) Submit(ctx context.Context, j *Job) (*Answer, error) {
 	a, err := c.Start(ctx, j, c.opts.PollWait)
 	if err != nil || a.Status != api.StatusPending {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -64,7 +64,8 @@
 	DeclaredRunMs int64             `json:"declared_run_ms,omitempty"`
 	Needs         Resources         `json:"needs,omitzero"`
 	// FirstAttempt says that the caller has no other unanswered copy of this
-	// submission, so that a refusal which can't be recorded may say "not run".
+	// submission and sends none before this one is answered, so that a refusal
+	// which can't be recorded may say "not run".
 	FirstAttempt bool `json:"first_attempt,omitempty"`
 }
 
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -41,6 +41,7 @@
 	Local    bool          // enters in its home domain
 	Entry    uint64        // chooses the entry instance, modulo the candidates
 	Random   [10]byte      // random part of the key
+	Resubmit bool          // a copy is sent beside the first call
 }
 
 // Task is one task of a generated job.
@@ -245,6 +246,7 @@
 
 func (g *Generator) followUps(rng *rand.Rand, j *Job) {
 	if rng.Float64() < j.Kind.ResubmitShare {
+		j.Resubmit = true
 		g.push(Event{At: j.At + within(rng, j.Kind.ResubmitMs), Op: OpResubmit, Job: j})
 	}
 	if rng.Float64() < j.Kind.CancelShare {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -518,6 +518,11 @@
 		if got := tr.sent(job, key); got != c.want {
 			t.Errorf("%s: first attempt %t, want %t", c.name, got, c.want)
 		}
+		copied := *job
+		copied.Resubmit = true
+		if newTruth().sent(&copied, key) {
+			t.Errorf("%s: first attempt though a copy is sent beside it", c.name)
+		}
 		body, err := jobBody(job, key, c.want)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -68,9 +68,9 @@
 	return &truth{jobs: make(map[uuid.UUID]*jobTruth), found: make(map[Violation]*Finding)}
 }
 
-// sent notes that the key is about to be submitted. It reports whether no
-// earlier call of the key can have run or may still run: each was answered as
-// refused.
+// sent notes that the key is about to be submitted. It reports whether the call
+// is a first attempt: each earlier call of the key was answered as refused, and
+// none will be sent before this one is answered.
 func (t *truth) sent(j *Job, key uuid.UUID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -79,7 +79,7 @@
 		jt = &jobTruth{job: j, key: key}
 		t.jobs[key] = jt
 	}
-	first := jt.calls == jt.refused
+	first := jt.calls == jt.refused && !j.Resubmit
 	jt.calls++
 	jt.open++
 	return first
