Keep only a small part of few slots free for short work

Cause: BenchmarkPath/replicated at three processors fell from 52 to 464 us a task and then did not end within 25 s (-benchtime 40000x). Bisected to the rule that long work does not take the last free slots, one square root of the load of short work, for up to 300 ms. An instance that holds few slots, the others being lent, could start nothing while they were idle. Ruled out by trials on copies, each at 40000x: loans passed on (stalls still), the savings of the budget (stalls), the patience of the search (stalls); without the rule 57 us. Change: at most an eighth of the slots at hand is kept free. Conclusion: the workloads of docs/LOAD.md, taken before this, hold 400 slots, where the rule gives what it gave; they were not run again.

--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -16,6 +16,7 @@
 	longBelow      = 0.5              // slots that long work leaves below its mean load while none of it waits, in square roots of that load
 	longDrain      = 60 * time.Second // waiting long work gets the slots that end it in this time
 	longKeepFree   = 1.0              // free slots below which no long work starts, in square roots of the load of short work
+	longKeepPart   = 8                // at most the part 1/longKeepPart of the slots is kept free for that
 	firstRunsSpace = 1024
 )
 
@@ -99,7 +100,15 @@
 	}
 	// With short work waiting all the time no slot stays free: the bound alone
 	// divides the slots.
-	return !s.overloaded() && s.index.total <= int(longKeepFree*math.Sqrt(s.runs.shortLoad))
+	return !s.overloaded() && s.index.total <= s.keptFree()
+}
+
+// keptFree is the number of free slots below which no long work starts. It is
+// a small part of the slots at hand: an instance that holds few would else leave
+// them idle while its long work waits.
+func (s *Scheduler) keptFree() int {
+	spread := int(longKeepFree * math.Sqrt(s.runs.shortLoad))
+	return min(spread, s.index.held/longKeepPart)
 }
 
 // choose finds the server for the flow's next task: the fastest free one,
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -424,3 +424,20 @@
 		t.Fatalf("hints: %v", hints)
 	}
 }
+
+// TestKeptFreeIsASmallPart checks that an instance with few slots keeps none of
+// them idle beside waiting long work.
+func TestKeptFreeIsASmallPart(t *testing.T) {
+	cases := []struct {
+		slots     int
+		shortLoad float64
+		want      int
+	}{{4, 16, 0}, {8, 16, 1}, {64, 16, 4}, {64, 0, 0}, {64, 400, 8}}
+	for _, c := range cases {
+		s := newTest(1, c.slots)
+		s.runs.shortLoad = c.shortLoad
+		if got := s.keptFree(); got != c.want {
+			t.Errorf("%d slots, load %g: %d slots are kept free, want %d", c.slots, c.shortLoad, got, c.want)
+		}
+	}
+}
