Order what is due in both simulators by internal/agenda

The second reading found it: schedbench and coretest each had a heap of their own for what is due at a time, in the order of internal/agenda, which came since.

--- a/internal/core/coretest/world_test.go
+++ b/internal/core/coretest/world_test.go
@@ -4,11 +4,11 @@
 package coretest
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/nutmegweir/nutmegweir/internal/agenda"
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/policy"
@@ -32,31 +32,6 @@
 	Logf(format string, args ...any)
 }
 
-// action is something that happens at a time.
-type action struct {
-	at  model.Time
-	seq int
-	do  func()
-}
-
-type actions []action
-
-func (a actions) Len() int { return len(a) }
-func (a actions) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *actions) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return x
-}
-
 // host is an address at which one process at a time listens.
 type host struct {
 	name   model.Instance
@@ -71,8 +46,7 @@
 	t    reporter
 	rng  *rand.Rand
 	now  model.Time
-	todo actions
-	seq  int
+	todo agenda.Queue[model.Time, func()]
 
 	hosts    []*host
 	platform *platform
@@ -145,17 +119,16 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.todo, action{at: w.now.Add(d), seq: w.seq, do: do})
+	w.todo.Add(w.now.Add(d), do)
 }
 
 // run lets virtual time pass.
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.todo) > 0 && w.todo[0].at <= end {
-		a := heap.Pop(&w.todo).(action)
-		w.now = a.at
-		a.do()
+	for w.todo.Len() > 0 && w.todo.NextAt() <= end {
+		at, do := w.todo.Take()
+		w.now = at
+		do()
 	}
 	w.now = end
 }
--- a/internal/sched/schedbench/sim.go
+++ b/internal/sched/schedbench/sim.go
@@ -4,11 +4,11 @@
 package schedbench
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/nutmegweir/nutmegweir/internal/agenda"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/sched"
@@ -26,30 +26,6 @@
 	simStream   = 7
 )
 
-type event struct {
-	at  model.Time
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, k int) bool {
-	if e[i].at != e[k].at {
-		return e[i].at < e[k].at
-	}
-	return e[i].seq < e[k].seq
-}
-func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // fakeServer runs tasks on its slots and refuses what exceeds them.
 type fakeServer struct {
 	sched.Server
@@ -98,8 +74,7 @@
 type Sim struct {
 	Now         model.Time
 	rng         *rand.Rand
-	events      events
-	seq         uint64
+	events      agenda.Queue[model.Time, func()]
 	servers     []*fakeServer
 	byID        map[model.ServerID]*fakeServer
 	instances   []*instance
@@ -205,23 +180,21 @@
 }
 
 func (m *Sim) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.events, event{m.Now.Add(d), m.seq, do})
+	m.events.Add(m.Now.Add(d), do)
 }
 
 // At runs do at a time after the start.
 func (m *Sim) At(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.events, event{virtualZero.Add(d), m.seq, do})
+	m.events.Add(virtualZero.Add(d), do)
 }
 
 // Run goes on until a time after the start.
 func (m *Sim) Run(until time.Duration) {
 	end := virtualZero.Add(until)
-	for len(m.events) > 0 && m.events[0].at <= end {
-		e := heap.Pop(&m.events).(event)
-		m.Now = e.at
-		e.do()
+	for m.events.Len() > 0 && m.events.NextAt() <= end {
+		at, do := m.events.Take()
+		m.Now = at
+		do()
 	}
 	m.Now = end
 }
