Keep open requests through SIGTERM, and read settings again on SIGHUP

Connections now close after the answer under way; SIGHUP checks the settings file. Ruled out: the grace being too short, as no request was older than 0.8 s.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/nutmegweir/nutmegweir/internal/node"
 	"github.com/nutmegweir/nutmegweir/platform"
@@ -24,5 +27,8 @@
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return n.Run(ctx, hangups)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -19,6 +19,8 @@
 	reducer *fleet.Instance
 	stopBy  fleet.Time
 	isReady bool
+
+	stopping func() // called once when the instance begins to stop
 }
 
 func newLoop(n *Node, ctx context.Context) *loop {
@@ -49,6 +51,7 @@
 func (l *loop) stop() {
 	n := l.node
 	n.ready.set(false)
+	l.stopping()
 	n.log.Event(eventlog.InstanceStopping).Int("calls", n.callers.waiting()).Send()
 	l.stopBy = bootTime().Add(n.settings.Bounds.Grace - graceMargin)
 	l.step(fleet.StopRequested{By: l.stopBy})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,8 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
+	"os"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,6 @@
 	events chan fleet.Event
 	done   chan struct{} // closed when the loop has ended
 	ready  readiness
-	wg     sync.WaitGroup
 }
 
 // eventQueue is how many events may wait for the reducer; senders block beyond.
@@ -103,8 +103,9 @@
 	n.log.Event(eventlog.PeerLost).Str("peer", string(peer)).AnErr("cause", err).Send()
 }
 
-// Run serves until ctx ends, then finishes what is in flight.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends, then finishes what is in flight. A signal on
+// hangups makes it read the settings file again.
+func (n *Node) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	n.log.Event(eventlog.InstanceStarted).Str("callers", n.settings.CallerAddr).Str("peers", n.settings.PeerAddr).
 		Str("store", n.settings.Store.Addr).Dur("grace_ms", n.settings.Bounds.Grace).Send()
 	running, stop := context.WithCancel(context.Background())
@@ -114,7 +115,9 @@
 		return err
 	}
 	n.spawn(func() { n.store.run(running) })
+	n.spawn(func() { n.reload(running, hangups) })
 	loop := newLoop(n, running)
+	loop.stopping = func() { closeWhenIdle(servers) }
 	stopped := make(chan struct{})
 	go func() {
 		loop.run(ctx)
@@ -129,6 +132,24 @@
 	return nil
 }
 
+// reload checks the settings file at each signal. What the platform may change
+// while a process runs is logged; addresses hold for the life of the process.
+func (n *Node) reload(ctx context.Context, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := platform.LoadSettings()
+		if err != nil {
+			n.log.Event(eventlog.SettingsUnchanged).AnErr("cause", err).Send()
+			continue
+		}
+		n.log.Event(eventlog.SettingsReloaded).Bool("changed", !reflect.DeepEqual(s, n.settings)).Send()
+	}
+}
+
 // spawn runs a goroutine that Run's end does not wait for: calls have
 // deadlines, and the process ends.
 func (n *Node) spawn(f func()) { go f() }
@@ -183,6 +204,14 @@
 	return h
 }
 
+// closeWhenIdle ends each connection after the answer under way, so that callers
+// come back through another instance.
+func closeWhenIdle(servers []*http.Server) {
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+}
+
 // finish closes the HTTP servers; answers under way are delivered.
 func (n *Node) finish(servers []*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
