Play a fleet in virtual time, and keep runs of a reborn server until a look shows their absence

internal/fleet/fleetsim plays instances, backend servers, the store and links with faults, and checks capacity, doubled runs and refusals.

Absence is now told by a look that was sent after the start's answer. Ruled out: the lease, as the new life had none of the old one.

--- /dev/null
+++ b/internal/fleet/fleetsim/workload.go
@@ -0,0 +1,164 @@
+package fleetsim
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Service is the service of all servers and jobs of a world.
+const Service = "picker"
+
+// Class is a kind of job.
+type Class struct {
+	Name     string
+	PerS     float64 // jobs a second
+	Width    int     // tasks, mean
+	MaxWidth int
+	Work     time.Duration // of a task at speed 1, mean
+	CPU      uint32        // of a task, mean, milli-cores
+	MaxCPU   uint32
+	Priority int
+	Attempts int
+}
+
+// Site is a deployment.
+type Site struct {
+	Domains   []model.Domain
+	Instances []int // of each domain
+	Servers   int   // of each domain
+	CPU       uint32
+	Classes   []Class
+}
+
+// Glenbrae returns a deployment of the size of Glenbrae's.
+func Glenbrae() Site {
+	return Site{
+		Domains: []model.Domain{"tayside", "carrick", "ardmore", "fife"}, Instances: []int{2, 2, 1, 1}, Servers: 12, CPU: 32000,
+		Classes: []Class{
+			{Name: "route", PerS: 30.3, Width: 8, MaxWidth: 32, Work: 51 * time.Millisecond, CPU: 14000, MaxCPU: 20000, Attempts: 2},
+			{Name: "calib", PerS: 5.5, Width: 4, MaxWidth: 16, Work: 760 * time.Millisecond, CPU: 14000, MaxCPU: 20000, Priority: 2, Attempts: 4},
+			{Name: "quality", PerS: 87.9, Width: 2, MaxWidth: 8, Work: 170 * time.Millisecond, CPU: 14000, MaxCPU: 20000, Priority: 1, Attempts: 4},
+		},
+	}
+}
+
+// AlHadhira returns a deployment of the size of Al Hadhira's.
+func AlHadhira() Site {
+	s := Glenbrae()
+	s.Domains, s.Instances, s.Servers, s.CPU = []model.Domain{"muttrah", "seeb", "ruwi"}, []int{3, 3, 2}, 16, 16000
+	for i := range s.Classes {
+		s.Classes[i].CPU, s.Classes[i].MaxCPU = 6800, 10000
+	}
+	return s
+}
+
+// Build adds the instances and servers of a site; a third of the servers is
+// half as large again, and speeds differ.
+func (w *World) Build(s Site) {
+	for d, domain := range s.Domains {
+		for i := range s.Instances[d] {
+			w.AddInstance(model.Instance(fmt.Sprintf("%s-%d", domain, i)), domain, 0.4)
+		}
+		for i := range s.Servers {
+			cpu := s.CPU
+			if i%3 == 2 {
+				cpu = cpu * 3 / 2
+			}
+			w.AddServer(fleet.ServerEntry{
+				ID: model.ServerID(fmt.Sprintf("%s-s%02d", domain, i)), Service: Service, Domain: domain, Addr: "a",
+				Capacity: model.Resources{CPUMilli: cpu, MemoryMB: 65536},
+			}, []float64{0.6, 1, 1.6}[i%3])
+		}
+	}
+}
+
+// Offer hands in the jobs of a site for a time, load times the usual rate, at
+// instances that live.
+func (w *World) Offer(s Site, load float64, d time.Duration) {
+	for _, c := range s.Classes {
+		w.offerClass(c, load, w.now.Add(d))
+	}
+}
+
+func (w *World) offerClass(c Class, load float64, end fleet.Time) {
+	gap := time.Duration(w.Rand.ExpFloat64() / (c.PerS * load) * float64(time.Second))
+	if w.now.Add(gap) > end {
+		return
+	}
+	w.After(gap, func() {
+		w.submitOne(c)
+		w.offerClass(c, load, end)
+	})
+}
+
+func (w *World) submitOne(c Class) {
+	var alive []*node
+	for _, n := range w.nodes {
+		if n.alive && !n.frozen {
+			alive = append(alive, n)
+		}
+	}
+	if len(alive) == 0 {
+		return
+	}
+	work := time.Duration(float64(c.Work) * w.logNormal(0.4))
+	if w.Rand.Float64() < 0.03 {
+		work *= 7
+	}
+	spec := w.Job(c, min(work, 12*c.Work))
+	j := w.Submit(alive[w.Rand.IntN(len(alive))].member.Instance, spec)
+	j.work = min(work, 12*c.Work)
+}
+
+// Job draws a job of a class whose tasks take about work.
+func (w *World) Job(c Class, work time.Duration) fleet.JobSpec {
+	width := int(math.Round(float64(c.Width) * w.logNormal(0.4)))
+	return fleet.JobSpec{
+		ID: fmt.Sprintf("%016x", w.Rand.Uint64()), Route: c.Name, Service: Service, Spec: "work",
+		Priority: c.Priority, Attempts: c.Attempts,
+		Objective: fleet.Objective{Allowance: 60 * time.Millisecond, Stretch: 1.6},
+		Timeout:   1500*time.Millisecond + 3*(60*time.Millisecond+time.Duration(1.6*float64(work))),
+		Steps: []fleet.StepSpec{{
+			Count:    min(max(width, 1), c.MaxWidth),
+			Need:     model.Resources{CPUMilli: min(uint32(float64(c.CPU)*w.logNormal(0.2)), c.MaxCPU), MemoryMB: 64},
+			Estimate: time.Duration(float64(work) * w.logNormal(0.4)),
+		}},
+	}
+}
+
+// logNormal draws a factor with median 1.
+func (w *World) logNormal(spread float64) float64 { return math.Exp(spread * w.Rand.NormFloat64()) }
+
+// Tally is what became of the jobs of a world.
+type Tally struct{ Jobs, InTime, Completed, Failed, NotRun, Unknown, Open int }
+
+// Tally counts the jobs that were handed in since a time.
+func (w *World) Tally(since fleet.Time) Tally {
+	var t Tally
+	for _, j := range w.order {
+		if j.Sent < since {
+			continue
+		}
+		t.Jobs++
+		switch {
+		case j.Answered == 0:
+			t.Open++
+		case j.InTime():
+			t.InTime++
+			t.Completed++
+		case j.Result.Kind == fleet.Completed:
+			t.Completed++
+		case j.Result.Kind == fleet.Failed:
+			t.Failed++
+		case j.Result.Kind == fleet.NotRun:
+			t.NotRun++
+		default:
+			t.Unknown++
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/fleet/fleetsim/world.go
@@ -0,0 +1,410 @@
+// Package fleetsim plays a fleet in virtual time: instances of package fleet,
+// backend servers, the store's ownerships and the links between them, with
+// faults. It checks what must hold while it plays.
+package fleetsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/agenda"
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Delays of the world, those of the deployments that the project serves.
+const (
+	hop       = 900 * time.Microsecond // one way between domains
+	nearHop   = 200 * time.Microsecond // one way in a domain
+	storeTime = 4 * time.Millisecond
+	memberTTL = 1500 * time.Millisecond
+	callLimit = 200 * time.Millisecond
+	// Lease is what servers grant to runs.
+	Lease = time.Second
+	// stopTime is how long a stop takes.
+	stopTime = 30 * time.Millisecond
+)
+
+// World is a fleet in virtual time.
+type World struct {
+	Rand    *rand.Rand
+	now     fleet.Time
+	due     agenda.Queue[fleet.Time, func()]
+	nodes   []*node
+	servers []*Server
+	owners  map[model.ServerID]fleet.Ownership
+	rev     uint64
+	storeUp bool
+
+	jobs   map[string]*JobRecord
+	order  []*JobRecord
+	Broken []string // rules that were broken
+}
+
+// JobRecord is what became of a job.
+type JobRecord struct {
+	Spec     fleet.JobSpec
+	Sent     fleet.Time
+	Answered fleet.Time // 0 while it is not
+	Result   fleet.Result
+	Starts   int
+	first    fleet.Time // of the first start
+	work     time.Duration
+}
+
+// Waited returns the time from submission to the first start.
+func (j *JobRecord) Waited() time.Duration { return j.first.Sub(j.Sent) }
+
+// InTime reports whether the job was completed within its objective, by the
+// work that its tasks really had.
+func (j *JobRecord) InTime() bool {
+	o := j.Spec.Objective
+	due := j.Sent.Add(o.Allowance + time.Duration(o.Stretch*float64(j.work)))
+	return j.Result.Kind == fleet.Completed && j.Answered <= due
+}
+
+// node is an instance in the world.
+type node struct {
+	member  fleet.Member
+	inst    *fleet.Instance
+	alive   bool
+	frozen  bool
+	cut     bool // from the other instances
+	noStore bool // cut from the store
+	life    int
+	calls   map[fleet.CallID]*JobRecord
+	next    fleet.CallID
+}
+
+// New returns a world without instances; the seed decides all luck.
+func New(seed uint64) *World {
+	return &World{
+		Rand: rand.New(rand.NewPCG(seed, 1)), owners: map[model.ServerID]fleet.Ownership{}, jobs: map[string]*JobRecord{},
+		storeUp: true, now: fleet.Time(time.Second),
+	}
+}
+
+// Now returns the time.
+func (w *World) Now() fleet.Time { return w.now }
+
+// After calls f when d has passed.
+func (w *World) After(d time.Duration, f func()) { w.due.Add(w.now.Add(d), f) }
+
+// Run plays for d.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for w.due.Len() > 0 && w.due.NextAt() <= end {
+		at, f := w.due.Take()
+		w.now = at
+		f()
+	}
+	w.now = end
+}
+
+// broke notes a broken rule.
+func (w *World) broke(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%.3f s: ", float64(w.now)/1e9)+fmt.Sprintf(format, args...))
+}
+
+// AddInstance adds an instance of a domain.
+func (w *World) AddInstance(name model.Instance, d model.Domain, weight float64) {
+	n := &node{member: fleet.Member{Instance: name, Domain: d, Addr: string(name), Weight: weight}}
+	w.nodes = append(w.nodes, n)
+	w.Start(name)
+}
+
+func (w *World) node(name model.Instance) *node {
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.member.Instance == name })
+	return w.nodes[i]
+}
+
+// Start starts an instance, or starts it again after Kill.
+func (w *World) Start(name model.Instance) {
+	n := w.node(name)
+	n.life++
+	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
+	n.alive, n.frozen = true, false
+	n.calls = map[fleet.CallID]*JobRecord{}
+	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease}, w.now)
+	life := n.life
+	w.After(storeTime, func() { w.storeView(n, life) })
+	w.After(10*time.Millisecond, func() { w.tick(n, life) })
+	for _, o := range w.nodes {
+		if o != n && o.alive {
+			w.link(n, o)
+			w.link(o, n)
+		}
+	}
+}
+
+// storeView tells a node what the store holds, and again from time to time.
+func (w *World) storeView(n *node, life int) {
+	if n.life != life || !n.alive {
+		return
+	}
+	up := w.storeUp && !n.noStore
+	w.step(n, fleet.StoreReached{Up: up})
+	if up {
+		w.step(n, fleet.MembersSeen{Members: w.members()})
+		w.step(n, fleet.ServersSeen{Servers: w.entries()})
+		w.step(n, fleet.OwnersSeen{Owners: w.ownerList()})
+	}
+	w.After(200*time.Millisecond, func() { w.storeView(n, life) })
+}
+
+// members lists the instances that the store knows: those that live, and those
+// that died less than a lease ago.
+func (w *World) members() []fleet.Member {
+	var out []fleet.Member
+	for _, n := range w.nodes {
+		if n.alive {
+			out = append(out, n.member)
+		}
+	}
+	return out
+}
+
+func (w *World) ownerList() []fleet.Ownership {
+	var out []fleet.Ownership
+	for _, s := range w.servers {
+		if o, ok := w.owners[s.Entry.ID]; ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (w *World) entries() []fleet.ServerEntry {
+	var out []fleet.ServerEntry
+	for _, s := range w.servers {
+		if !s.Gone {
+			out = append(out, s.Entry)
+		}
+	}
+	return out
+}
+
+func (w *World) tick(n *node, life int) {
+	if n.life != life || !n.alive {
+		return
+	}
+	w.step(n, fleet.Tick{})
+	w.After(n.inst.TickPause(), func() { w.tick(n, life) })
+}
+
+// step hands an event to an instance and carries out its effects.
+func (w *World) step(n *node, e fleet.Event) {
+	if !n.alive {
+		return
+	}
+	if n.frozen {
+		life := n.life
+		w.After(5*time.Millisecond, func() {
+			if n.life == life {
+				w.step(n, e)
+			}
+		})
+		return
+	}
+	for _, x := range n.inst.Step(w.now, e) {
+		w.carryOut(n, x)
+	}
+}
+
+func (w *World) carryOut(n *node, x fleet.Effect) {
+	switch x := x.(type) {
+	case fleet.StartRun:
+		w.startRun(n, x)
+	case fleet.StopRun:
+		w.stopRun(n, x)
+	case fleet.Look:
+		w.look(n, x)
+	case fleet.Claim:
+		w.claim(n, x)
+	case fleet.SendPeer:
+		w.send(n, x)
+	case fleet.Relink:
+		w.link(n, w.node(x.Peer.Instance))
+	case fleet.Answer:
+		w.answered(n, x)
+	}
+}
+
+func (w *World) delay(a, b model.Domain) time.Duration {
+	if a == b {
+		return nearHop
+	}
+	return hop
+}
+
+// later runs f for a node unless its life has ended by then.
+func (w *World) later(n *node, d time.Duration, f func()) {
+	life := n.life
+	w.After(d, func() {
+		if n.life == life && n.alive {
+			f()
+		}
+	})
+}
+
+// link connects one node to another, or tells it that nobody is there.
+func (w *World) link(a, b *node) {
+	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
+		switch {
+		case a.cut || b.cut || b.frozen:
+			w.step(a, fleet.PeerLost{Peer: b.member})
+		case !b.alive:
+			w.step(a, fleet.PeerLost{Peer: b.member, Refused: true})
+		default:
+			w.step(a, fleet.PeerLinked{Peer: b.member})
+		}
+	})
+}
+
+func (w *World) send(n *node, x fleet.SendPeer) {
+	to := w.node(x.To.Instance)
+	from := n.member
+	if n.cut || to.cut {
+		return
+	}
+	w.later(to, w.delay(n.member.Domain, to.member.Domain), func() {
+		if to.member.Incarnation == x.To.Incarnation {
+			w.step(to, fleet.PeerMessage{From: from, Message: x.Message})
+		}
+	})
+}
+
+func (w *World) claim(n *node, x fleet.Claim) {
+	if !w.storeUp || n.noStore {
+		w.later(n, callLimit, func() { w.step(n, fleet.ClaimAnswered{}) })
+		return
+	}
+	member := n.member
+	w.After(storeTime/2, func() {
+		for _, o := range x.Current {
+			if w.owners[o.Server].Revision != o.Revision {
+				w.later(n, storeTime/2, func() { w.step(n, fleet.ClaimAnswered{OK: true, Owners: w.ownerList()}) })
+				return
+			}
+		}
+		w.rev++
+		var now []fleet.Ownership
+		for _, o := range x.Current {
+			o.Owner, o.Life, o.Revision = x.Owner, member.Incarnation, w.rev
+			w.owners[o.Server] = o
+			now = append(now, o)
+		}
+		w.later(n, storeTime/2, func() { w.step(n, fleet.ClaimAnswered{OK: true, Owners: now}) })
+	})
+}
+
+// Kill ends an instance; the others see their connections refused.
+func (w *World) Kill(name model.Instance) {
+	n := w.node(name)
+	n.alive = false
+	for _, o := range w.nodes {
+		if o.alive {
+			w.step(o, fleet.PeerLost{Peer: n.member, Refused: true})
+		}
+	}
+	for _, j := range w.order {
+		if j.Answered == 0 && n.holds(j) {
+			j.Answered, j.Result = w.now, fleet.Result{Kind: fleet.Unknown}
+		}
+	}
+}
+
+func (n *node) holds(j *JobRecord) bool {
+	for _, c := range n.calls {
+		if c == j {
+			return true
+		}
+	}
+	return false
+}
+
+// Freeze lets an instance stand still for d.
+func (w *World) Freeze(name model.Instance, d time.Duration) {
+	n := w.node(name)
+	n.frozen = true
+	w.After(d, func() { n.frozen = false })
+}
+
+// Cut separates an instance from the others for d.
+func (w *World) Cut(name model.Instance, d time.Duration) {
+	n := w.node(name)
+	n.cut = true
+	w.After(d, func() { n.cut = false; w.relinkAll(n) })
+}
+
+func (w *World) relinkAll(n *node) {
+	for _, o := range w.nodes {
+		if o != n {
+			w.link(n, o)
+			w.link(o, n)
+		}
+	}
+}
+
+// CutStore separates an instance from the store for d.
+func (w *World) CutStore(name model.Instance, d time.Duration) {
+	n := w.node(name)
+	n.noStore = true
+	w.After(d, func() { n.noStore = false })
+}
+
+// StoreDown takes the store away for d.
+func (w *World) StoreDown(d time.Duration) {
+	w.storeUp = false
+	w.After(d, func() { w.storeUp = true })
+}
+
+// Stop asks an instance to leave.
+func (w *World) Stop(name model.Instance) {
+	w.step(w.node(name), fleet.StopRequested{By: w.now.Add(5 * time.Second)})
+}
+
+// Idle reports whether an instance has nothing left to finish.
+func (w *World) Idle(name model.Instance) bool { return w.node(name).inst.Idle() }
+
+// Submit hands a job in at an instance, now.
+func (w *World) Submit(at model.Instance, spec fleet.JobSpec) *JobRecord {
+	n := w.node(at)
+	n.next++
+	spec.Received = w.now
+	j := &JobRecord{Spec: spec, Sent: w.now}
+	w.jobs[spec.ID] = j
+	w.order = append(w.order, j)
+	n.calls[n.next] = j
+	w.step(n, fleet.Submitted{Call: n.next, Job: spec})
+	return j
+}
+
+// Leave lets the caller of a job go away.
+func (w *World) Leave(at model.Instance, j *JobRecord) {
+	n := w.node(at)
+	for id, c := range n.calls {
+		if c == j {
+			j.Answered = w.now
+			w.step(n, fleet.CallerGone{Call: id})
+		}
+	}
+}
+
+func (w *World) answered(n *node, x fleet.Answer) {
+	j := n.calls[x.Call]
+	if j == nil || j.Answered != 0 {
+		w.broke("call %d was answered twice or never asked", x.Call)
+		return
+	}
+	delete(n.calls, x.Call)
+	j.Answered, j.Result = w.now, x.Result
+	if x.Result.Kind == fleet.NotRun && j.Starts > 0 {
+		w.broke("job %s was said not to have run after %d starts", j.Spec.ID, j.Starts)
+	}
+}
+
+// Jobs returns all jobs in the order in which they were handed in.
+func (w *World) Jobs() []*JobRecord { return w.order }
--- /dev/null
+++ b/internal/fleet/fleetsim/world_test.go
@@ -0,0 +1,202 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+const settle = 2 * time.Second // of a new fleet, until every server is owned
+
+// checkRules fails the test for each broken rule.
+func checkRules(t *testing.T, w *World) {
+	t.Helper()
+	for i, b := range w.Broken {
+		if i == 5 {
+			t.Errorf("and %d more", len(w.Broken)-i)
+			return
+		}
+		t.Error(b)
+	}
+}
+
+func TestCalmFleetServesAll(t *testing.T) {
+	for name, site := range map[string]Site{"glenbrae": Glenbrae(), "al-hadhira": AlHadhira()} {
+		t.Run(name, func(t *testing.T) {
+			w := New(1)
+			w.Build(site)
+			w.Run(settle)
+			w.Offer(site, 0.6, 10*time.Second)
+			w.Run(25 * time.Second)
+			checkRules(t, w)
+			if got := w.Tally(0); float64(got.Completed) < 0.999*float64(got.Jobs) || float64(got.InTime) < 0.98*float64(got.Jobs) {
+				t.Errorf("tally %+v, want 0.999 completed and 0.98 in time", got)
+			}
+		})
+	}
+}
+
+// faults are troubles that may come at any moment; each starts at the call.
+var faults = []struct {
+	name string
+	hit  func(w *World)
+}{
+	{"instance killed", func(w *World) { w.Kill("carrick-0"); w.After(2*time.Second, func() { w.Start("carrick-0") }) }},
+	{"all killed", func(w *World) {
+		for _, n := range w.nodes {
+			name := n.member.Instance
+			w.Kill(name)
+			w.After(time.Second, func() { w.Start(name) })
+		}
+	}},
+	{"instance frozen", func(w *World) { w.Freeze("tayside-0", 3*time.Second) }},
+	{"instance cut off", func(w *World) { w.Cut("ardmore-0", 5*time.Second) }},
+	{"cut from the store", func(w *World) { w.CutStore("fife-0", 5*time.Second) }},
+	{"store down", func(w *World) { w.StoreDown(4 * time.Second) }},
+	{"store down, instance killed", func(w *World) {
+		w.StoreDown(4 * time.Second)
+		w.Kill("fife-0")
+		w.After(3*time.Second, func() { w.Start("fife-0") })
+	}},
+	{"planned stop", func(w *World) {
+		w.Stop("tayside-1")
+		w.After(5*time.Second, func() { w.Kill("tayside-1") })
+		w.After(6*time.Second, func() { w.Start("tayside-1") })
+	}},
+	{"late orders", func(w *World) {
+		for _, s := range w.servers[:12] {
+			s.Late = 0.3
+			w.After(5*time.Second, func() { s.Late = 0 })
+		}
+	}},
+	{"silent servers", func(w *World) {
+		for _, s := range w.servers[6:12] {
+			s.Silent = true
+			w.After(4*time.Second, func() { s.Silent = false })
+		}
+	}},
+	{"servers reborn", func(w *World) {
+		for _, s := range w.servers[3:9] {
+			s.Restart()
+		}
+	}},
+	{"servers fail", func(w *World) {
+		for _, s := range w.servers[20:24] {
+			s.Fails = 1
+			w.After(5*time.Second, func() { s.Fails = 0 })
+		}
+	}},
+	{"servers leave", func(w *World) {
+		for _, s := range w.servers[30:33] {
+			s.Entry.State = fleet.ServerDraining
+			w.After(3*time.Second, func() { s.Gone, s.Silent = true, true })
+		}
+	}},
+}
+
+// TestRulesHoldUnderFaults plays each fault, and pairs of them, under load.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	site := Glenbrae()
+	for i, f := range faults {
+		for _, second := range []int{-1, (i*5 + 3) % len(faults)} {
+			name := f.name
+			if second >= 0 {
+				name += ", " + faults[second].name
+			}
+			t.Run(name, func(t *testing.T) {
+				w := New(uint64(i + 1))
+				w.Build(site)
+				w.Run(settle)
+				w.Offer(site, 0.8, 20*time.Second)
+				w.Run(3 * time.Second)
+				f.hit(w)
+				if second >= 0 {
+					w.Run(700 * time.Millisecond)
+					faults[second].hit(w)
+				}
+				w.Run(12 * time.Second)
+				calm := w.Now()
+				w.Run(30 * time.Second)
+				checkRules(t, w)
+				if got := w.Tally(0); got.Open > 0 {
+					t.Errorf("%d jobs have no answer: %+v", got.Open, got)
+				}
+				if got := w.Tally(calm); float64(got.Completed) < 0.98*float64(got.Jobs) {
+					t.Errorf("after the trouble %+v, want 0.98 completed", got)
+				}
+			})
+		}
+	}
+}
+
+// TestServedAgainAfterLoss checks that most jobs are completed soon after an
+// owner is lost.
+func TestServedAgainAfterLoss(t *testing.T) {
+	w := New(3)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	w.Offer(site, 0.6, 10*time.Second)
+	w.Run(3 * time.Second)
+	w.Kill("ardmore-0")
+	w.Run(3 * time.Second)
+	since := w.Now()
+	w.Run(20 * time.Second)
+	checkRules(t, w)
+	if got := w.Tally(since); float64(got.Completed) < 0.9*float64(got.Jobs) {
+		t.Errorf("from 3 s after the loss %+v, want 0.9 completed", got)
+	}
+}
+
+// TestEveryServerHasOneOwner checks ownership after instances came and went.
+func TestEveryServerHasOneOwner(t *testing.T) {
+	w := New(4)
+	site := AlHadhira()
+	w.Build(site)
+	w.Run(settle)
+	w.Kill("seeb-0")
+	w.Kill("seeb-1")
+	w.Kill("seeb-2")
+	w.Run(3 * time.Second)
+	owned := map[model.ServerID]model.Instance{}
+	for _, s := range w.servers {
+		o := w.owners[s.Entry.ID]
+		if o.Owner == "" || !w.node(o.Owner).alive {
+			t.Errorf("server %s is owned by %q", s.Entry.ID, o.Owner)
+		}
+		owned[s.Entry.ID] = o.Owner
+	}
+	if len(owned) != 48 {
+		t.Errorf("%d servers have an owner", len(owned))
+	}
+}
+
+func TestCallerGoneStopsRuns(t *testing.T) {
+	w := New(5)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	j := w.Submit("carrick-1", w.Job(site.Classes[1], 2*time.Second))
+	w.Run(100 * time.Millisecond)
+	w.Leave("carrick-1", j)
+	w.Run(100 * time.Millisecond)
+	for _, s := range w.servers {
+		if len(s.runs) > 0 {
+			t.Errorf("%d runs are left at %s", len(s.runs), s.Entry.ID)
+		}
+	}
+	checkRules(t, w)
+}
+
+func ExampleWorld_Tally() {
+	w := New(1)
+	w.Build(Glenbrae())
+	w.Run(settle)
+	w.Submit("fife-0", w.Job(Glenbrae().Classes[0], 50*time.Millisecond))
+	w.Run(time.Second)
+	fmt.Println(w.Tally(0).Completed)
+	// Output: 1
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		if e.Addr != s.entry.Addr || e.Born != s.entry.Born && s.born != 0 && e.Born > s.born {
-			p.reborn(s, e.Born, now)
+			p.reborn(s, e.Born)
 		}
 		s.entry = e
 		if e.State == ServerDraining {
@@ -117,20 +117,16 @@
 	}
 }
 
-// reborn notes that a server has started anew: it runs and remembers nothing.
-func (p *pool) reborn(s *server, born int64, now Time) {
-	p.effect(Note{Kind: NoteServerReborn, Server: s.entry.ID, Value: uint64(born)})
+// reborn notes that a server has started anew and remembers nothing. Which runs
+// are gone is told by the next look: a start may have reached the new life
+// before anything was heard of it.
+func (p *pool) reborn(s *server, born int64) {
+	p.effect(Note{Kind: NoteServerReborn, Server: s.entry.ID, Value: uint64(born), Count: len(s.runs)})
 	s.born, s.seen, s.acked, s.leaseEnd = born, 0, 0, 0
 	s.clock = remoteClock{}
 	s.drains = false
 	s.phase = phaseLooking
 	s.health = health{}
-	for _, r := range s.sorted() {
-		// A start that is unanswered may have reached the new life.
-		if r.state != runStarting {
-			p.lost(s, r, now)
-		}
-	}
 }
 
 // offer takes a job in. bounced tells that it should be tried elsewhere.
@@ -484,7 +480,7 @@
 	}
 	if e.Born != s.born && e.Born != 0 {
 		if s.born != 0 {
-			p.reborn(s, e.Born, now)
+			p.reborn(s, e.Born)
 		}
 		s.born = e.Born
 	}
