Speak with the platform through one client, also from the older entry instance

The port of internal/platform is implemented by the top-level adapter on the store's client; the stand-in serves the same protocol (keys, ranges, watches, conditional changes, leases, entries of backend servers).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/shard"
 	"github.com/nutmegweir/nutmegweir/internal/tablestore"
 	"github.com/nutmegweir/nutmegweir/internal/tablesync"
+	adapter "github.com/nutmegweir/nutmegweir/platform"
 )
 
 // Options are the parts of an Instance.
@@ -169,8 +170,8 @@
 }
 
 func (i *Instance) httpPlatform() platform.Platform {
-	return platform.NewHTTP(platform.HTTPOptions{
-		URL:             "http://" + i.set.Platform.Addr,
+	return adapter.NewPort(adapter.PortOptions{
+		Addr:            i.set.Platform.Addr,
 		CallTimeout:     time.Duration(i.set.Platform.TimeoutMs) * time.Millisecond,
 		ReadsPerSecond:  float64(i.set.Platform.ReadsPerSecond),
 		WritesPerSecond: float64(i.set.Platform.WritesPerSecond),
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -15,6 +15,7 @@
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
 	"github.com/nutmegweir/nutmegweir/internal/table"
 	"github.com/nutmegweir/nutmegweir/internal/tablestore"
+	adapter "github.com/nutmegweir/nutmegweir/platform"
 )
 
 // TableFigure is what the table of weights and limits costs at a number of
@@ -152,7 +153,7 @@
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
 	counts := &platform.Counts{}
-	p := platform.NewHTTP(platform.HTTPOptions{URL: "http://" + l.Addr().String(), Counter: counts})
+	p := adapter.NewPort(adapter.PortOptions{Addr: l.Addr().String(), Counter: counts})
 	s := tablestore.New(tablestore.Options{Platform: p, Prefix: "table/"})
 	return makeEdits(s, counts, customers, edits)
 }
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -54,6 +54,7 @@
 	State    ServerState
 	Capacity model.Resources
 	Labels   []string
+	Slots    int   // that it announces; capacity decides
 	Born     int64 // Unix milliseconds of its start, tells its lives apart
 }
 
