Lend tasks between owners, and let one owner keep the queue

Cause: at the crest each owner queued for its own 12 to 16 servers; heads of four queues shared the servers and were all late.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -322,6 +322,7 @@
 	Loads   []Load        // one a service
 	Config  uint64        // version in force
 	Heard   time.Duration // since the last message of the receiver
+	Parts   float64       // milli-cores of parts that came from the receiver on its present link
 }
 
 // Load is how busy an owner's backend servers of a service are.
@@ -331,6 +332,8 @@
 	Capacity float64 // milli-cores
 	Free     float64 // milli-cores in parts large enough for a task
 	Wait     time.Duration
+	Waiting  int // tasks of the owner's own jobs
+	Staged   int // tasks of other owners that wait for the next room
 }
 
 // Offer hands a job to the instance that orders at backend servers.
@@ -348,8 +351,10 @@
 type Outcome struct {
 	Call    CallID
 	Result  Result
-	Bounced bool // not taken; offer it elsewhere
+	Bounced bool   // not taken; offer it elsewhere
+	Attempt uint32 // of a part: its last start
 	Load    Load
+	Parts   float64 // as in Beat, if Load is set
 }
 
 // Resync lists the calls that the sender still waits for, after a link to the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,8 @@
 	Objective Objective     // of the route
 	Timeout   time.Duration // the caller waits no longer, from Received
 	Received  Time          // by the instance that holds the call
+
+	Part *Part // set for a single task that another owner offers
 }
 
 // Objective is when a job should have ended: Allowance after its arrival, and
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -10,7 +10,8 @@
 
 // Bounds of how a job finds its owner.
 const (
-	maxOffers = 3 // owners that are asked for a start at once, before the job is queued or refused
+	maxOffers = 2 // owners that are asked for a start at once, before the job is queued or refused
+	maxQueued = 3 // offers to queues, whose owner may be leaving
 	// minRetryAfter is the least that a refused caller is told to wait: about
 	// the time in which a burst is worked off.
 	minRetryAfter = time.Second
@@ -18,11 +19,12 @@
 
 // call is a job whose caller waits at this instance.
 type call struct {
-	id    CallID
-	job   JobSpec
-	owner Member
-	tried []model.Instance
-	final bool
+	id     CallID
+	job    JobSpec
+	owner  Member
+	tried  []model.Instance // that could not start it at once
+	final  bool             // it goes to a queue
+	queued int              // offers to a queue so far
 }
 
 // home holds the calls of this instance and finds an owner for each.
@@ -114,23 +116,32 @@
 	h.route(c, now)
 }
 
-// route offers a job to the best owner that is left.
+// route offers a job to the owner that can start it at once. One that has to
+// wait goes to the owner that keeps the queue.
 func (h *home) route(c *call, now Time) {
+	service := c.job.Service
+	keeper := h.members.queueKeeper(service, h.pool.serverCount(service), now)
 	options := h.options(c, now)
-	if !c.final && (len(c.tried) >= maxOffers || len(options) == 0) {
-		c.final, c.tried = true, nil
-		options = h.options(c, now)
+	waiting := h.pool.waitingTasks(service)
+	if keeper != nil {
+		waiting = keeper.load(service).Waiting
 	}
-	if len(options) == 0 {
-		h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
+	if c.final = c.final || waiting > 0 || len(c.tried) >= maxOffers; !c.final && len(options) > 0 {
+		h.offer(c, options[0], now)
 		return
 	}
-	if c.final {
-		slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.load.Wait, b.load.Wait) })
-	} else if len(options) == 1 {
-		c.final = true
+	c.final = true
+	c.queued++
+	switch {
+	case c.queued > maxQueued:
+		h.finish(c, Result{Kind: NotRun, Reason: ReasonBusy, RetryAfter: minRetryAfter})
+	case keeper != nil:
+		h.offer(c, option{peer: keeper}, now)
+	case h.pool.serverCount(service) > 0:
+		h.offer(c, option{}, now)
+	default:
+		h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
 	}
-	h.offer(c, options[0], now)
 }
 
 func (h *home) offer(c *call, o option, now Time) {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -42,7 +42,7 @@
 	emit := func(e Effect) { i.effects = append(i.effects, e) }
 	i.members = newMembers(o.Self, emit)
 	i.owners = newOwners(o.Self, now, emit)
-	i.pool = newPool(o.Self, o.Lease, emit)
+	i.pool = newPool(o.Self, i.members, o.Lease, emit)
 	i.home = newHome(o.Self, i.members, i.pool, emit)
 	return i
 }
@@ -54,7 +54,11 @@
 	}
 	i.last = now
 	i.handle(now, e)
-	return i.take(now)
+	out := i.take(now)
+	for _, p := range i.pool.tellRoom(now) {
+		i.sendBeat(p, now)
+	}
+	return append(out, i.take(now)...)
 }
 
 // take returns the effects, and routes outcomes of the own pool to the own calls.
@@ -138,6 +142,7 @@
 func (i *Instance) maintain(now Time) {
 	for _, p := range i.members.judge(now) {
 		i.home.ownerLost(p.member.Instance)
+		i.pool.lenderLost(p.member.Instance, now)
 		i.pool.originLost(p.member.Instance, now)
 	}
 	i.beat(now, false)
@@ -209,10 +214,13 @@
 	}
 	p.linked, p.refused, p.dead = true, false, false
 	p.linkedAt, p.heardAt, p.everHeard, p.hearsMe = now, now, true, 0
-	i.effects = append(i.effects, SendPeer{To: p.member, Message: i.home.resync(p.member.Instance)})
+	p.partsSent, p.partsHeard = 0, 0
+	open := i.home.resync(p.member.Instance)
+	open.Calls = append(open.Calls, i.pool.lentTo(p.member.Instance)...)
+	i.effects = append(i.effects, SendPeer{To: p.member, Message: open})
 	for _, f := range i.pool.recent {
 		if f.key.origin == p.member.Instance && f.key.life == p.member.Incarnation {
-			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: f.key.call, Result: f.result}})
+			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: f.key.call, Result: f.result, Attempt: f.attempt}})
 		}
 	}
 	i.sendBeat(p, now)
@@ -238,7 +246,9 @@
 	p.everHeard, p.heardAt, p.dead, p.refused = true, now, false, false
 	switch m := e.Message.(type) {
 	case Beat:
-		p.leaving, p.loads, p.hearsMe = m.Leaving, m.Loads, m.Heard
+		p.leaving, p.loads, p.hearsMe, p.partsHeard = m.Leaving, m.Loads, m.Heard, m.Parts
+		p.bouncedAt = 0
+		i.pool.dispatch(now)
 	case Offer:
 		i.offered(p, m, now)
 	case Withdraw:
@@ -246,15 +256,24 @@
 	case Outcome:
 		if m.Load.Service != "" {
 			p.setLoad(m.Load)
+			p.partsHeard = m.Parts
+		}
+		if m.Call >= partCalls {
+			i.pool.lentOutcome(p, m, now)
+			return
 		}
 		i.home.outcome(p.member.Instance, m, now)
 	case Resync:
+		p.partsCame = 0
 		i.resynced(p, m, now)
 	}
 }
 
 func (i *Instance) offered(p *peer, m Offer, now Time) {
 	m.Job.Received = now.Add(-m.Age)
+	if m.Job.Part != nil {
+		p.partsCame += float64(m.Job.Steps[0].Need.CPUMilli)
+	}
 	if i.leaving || i.pool.offer(p.member, m.Call, m.Job, m.Final, now) {
 		i.bounce(p, m.Call, m.Job.Service, now)
 	}
@@ -263,7 +282,7 @@
 func (i *Instance) bounce(p *peer, c CallID, service string, now Time) {
 	o := Outcome{Call: c, Bounced: true}
 	if service != "" && !i.leaving {
-		o.Load = i.pool.load(service, now)
+		o.Load, o.Parts = i.pool.load(service, now), p.partsCame
 	}
 	i.effects = append(i.effects, SendPeer{To: p.member, Message: o})
 }
@@ -292,7 +311,7 @@
 
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
-	b := Beat{Leaving: i.leaving, Config: i.config}
+	b := Beat{Leaving: i.leaving, Config: i.config, Parts: p.partsCame}
 	if p.everHeard {
 		b.Heard = now.Sub(p.heardAt)
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -15,6 +15,8 @@
 	starts int // runs that were ordered so far
 	live   int // runs that occupy room
 	over   bool
+	part   *task // the only task, of a part
+	until  Time  // a part that has not started goes back
 }
 
 // step is a step of a job.
@@ -99,3 +101,11 @@
 	}
 	return w
 }
+
+// lastAttempt returns the last start of a part, 0 for whole jobs.
+func (j *job) lastAttempt() uint32 {
+	if j.part == nil {
+		return 0
+	}
+	return j.part.attempt
+}
--- /dev/null
+++ b/internal/fleet/lend.go
@@ -0,0 +1,275 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Bounds of tasks that run on other owners' servers.
+const (
+	// bouncedPause is how long an owner that had no room is passed over,
+	// unless it tells of new room.
+	bouncedPause = 20 * time.Millisecond
+	// stagedParts is how many tasks of others wait at an owner for its next
+	// room, so that no room stands empty while it is told of.
+	stagedParts = 3
+	// stagedFor is how long they wait at most.
+	stagedFor = 15 * time.Millisecond
+	// roomPause is the least time between two messages that tell a peer of
+	// room, or of tasks that wait.
+	roomPause = 2 * time.Millisecond
+	// partCalls is the first call ID of parts; those of callers are below.
+	partCalls CallID = 1 << 62
+)
+
+// Part says that an offered job is a single task of a job that another owner
+// keeps.
+type Part struct {
+	Step    int
+	Index   int
+	Attempt uint32 // of the last start so far
+}
+
+// lentTask is a task that runs on another owner's servers.
+type lentTask struct {
+	task *task
+	to   Member
+}
+
+// lend offers waiting tasks to owners that have room for them at once.
+func (p *pool) lend(now Time) {
+	for _, j := range p.queue {
+		if j.spec.Part != nil {
+			continue
+		}
+		for _, st := range j.steps {
+			if st.ready {
+				p.lendStep(j, st, now)
+			}
+		}
+	}
+}
+
+func (p *pool) lendStep(j *job, st *step, now Time) {
+	for len(st.waiting) > 0 {
+		lender := p.lender(j.spec.Service, st.spec.Need, now)
+		if lender == nil {
+			return
+		}
+		t := st.waiting[0]
+		st.waiting = st.waiting[1:]
+		p.lendTask(t, lender, now)
+	}
+}
+
+// lender returns the owner with the most room of which a task may be offered to.
+func (p *pool) lender(service string, need model.Resources, now Time) *peer {
+	var best *peer
+	for _, x := range p.members.order {
+		if !x.reachable(now) || x.leaving || now.Sub(x.bouncedAt) < bouncedPause {
+			continue
+		}
+		if room := p.stageRoom(x, service); room >= float64(need.CPUMilli) && (best == nil || room > p.stageRoom(best, service)) {
+			best = x
+		}
+	}
+	return best
+}
+
+// stageRoom returns a peer's room for tasks, with those that may wait there.
+func (p *pool) stageRoom(x *peer, service string) float64 {
+	l := x.load(service)
+	if l.Servers == 0 || l.Waiting > 0 {
+		return 0
+	}
+	return x.room(service) + float64(stagedParts-l.Staged)*p.typical
+}
+
+func (p *pool) lendTask(t *task, to *peer, now Time) {
+	p.lastPart++
+	id := partCalls + p.lastPart
+	t.job.starts++
+	p.lent[id] = lentTask{t, to.member}
+	spec := t.job.spec
+	spec.Part = &Part{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt}
+	spec.Steps = []StepSpec{t.step.spec}
+	spec.Steps[0].Count, spec.Steps[0].After = 1, nil
+	to.partsSent += float64(t.step.spec.Need.CPUMilli)
+	p.effect(SendPeer{To: to.member, Message: Offer{Call: id, Job: spec, Age: now.Sub(spec.Received)}})
+}
+
+// newPart returns the job of a single task of another owner's job.
+func newPart(spec JobSpec, origin Member, call CallID) *job {
+	j := newJob(spec, origin, call)
+	t := j.steps[0].waiting[0]
+	t.id = TaskID{spec.ID, spec.Part.Step, spec.Part.Index}
+	t.attempt = spec.Part.Attempt
+	j.spec.Attempts = 1
+	j.part = t
+	return j
+}
+
+// offerPart takes a task of another owner that can start at once or soon.
+func (p *pool) offerPart(origin Member, call CallID, spec JobSpec, now Time) (bounced bool) {
+	j := newPart(spec, origin, call)
+	if s := p.place(j.part, now); s != nil && !p.waitsInTime(now) {
+		p.jobs[j.key()] = j
+		j.steps[0].waiting = nil
+		p.start(j.part, s, now)
+		return false
+	}
+	if p.staged() >= 2*stagedParts {
+		return true
+	}
+	j.until = now.Add(stagedFor)
+	p.jobs[j.key()] = j
+	p.queue = append(p.queue, j)
+	return false
+}
+
+// staged counts the tasks of others that wait.
+func (p *pool) staged() int {
+	n := 0
+	for _, j := range p.queue {
+		if j.part != nil && j.waits() {
+			n++
+		}
+	}
+	return n
+}
+
+// unstage sends parts back that found no room in time.
+func (p *pool) unstage(now Time) {
+	for _, j := range slices.Clone(p.queue) {
+		if j.part == nil || j.over || j.starts > 0 || now < j.until || !j.waits() {
+			continue
+		}
+		j.over = true
+		delete(p.jobs, j.key())
+		p.effect(outcomeReady{origin: j.origin, outcome: Outcome{Call: j.call, Bounced: true, Attempt: j.part.attempt}})
+	}
+}
+
+// lentOutcome takes in what became of a lent task.
+func (p *pool) lentOutcome(from *peer, o Outcome, now Time) {
+	l, ok := p.lent[o.Call]
+	if !ok || l.to.Instance != from.member.Instance {
+		return
+	}
+	delete(p.lent, o.Call)
+	t := l.task
+	if t.job.over {
+		return
+	}
+	t.attempt = max(t.attempt, o.Attempt)
+	switch {
+	case o.Bounced:
+		from.bouncedAt = now
+		t.job.starts--
+		t.requeue()
+		p.enqueue(t.job)
+	case o.Result.Kind == Completed:
+		p.taskDone(t, now)
+	case o.Result.Kind == Failed:
+		p.countFailure(t, now)
+	default:
+		p.end(t.job, Result{Kind: Unknown, Reason: o.Result.Reason}, now)
+	}
+	p.dispatch(now)
+}
+
+// lenderLost gives up the jobs of which a task ran on the servers of an owner
+// that is gone or silent.
+func (p *pool) lenderLost(i model.Instance, now Time) {
+	for _, id := range p.lentTo(i) {
+		l, ok := p.lent[id]
+		if !ok { // given up with another task of its job
+			continue
+		}
+		delete(p.lent, id)
+		p.end(l.task.job, Result{Kind: Unknown, Reason: ReasonOwnerLost}, now)
+	}
+}
+
+// lentTo returns the calls of the tasks that were lent to an owner, in order.
+func (p *pool) lentTo(i model.Instance) []CallID {
+	var out []CallID
+	for id, l := range p.lent {
+		if l.to.Instance == i {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// withdrawLent gives up the lent tasks of a job.
+func (p *pool) withdrawLent(j *job) {
+	var calls []CallID
+	for id, l := range p.lent {
+		if l.task.job == j {
+			calls = append(calls, id)
+		}
+	}
+	slices.Sort(calls)
+	for _, id := range calls {
+		p.effect(SendPeer{To: p.lent[id].to, Message: Withdraw{Call: id}})
+		delete(p.lent, id)
+	}
+}
+
+// waitingTasks counts the tasks that wait for a start.
+func (p *pool) waitingTasks(service string) int {
+	n := 0
+	for _, j := range p.queue {
+		if j.spec.Service == service && j.part == nil {
+			for _, st := range j.steps {
+				if st.ready {
+					n += len(st.waiting)
+				}
+			}
+		}
+	}
+	return n
+}
+
+// tellRoom returns the peers that should hear at once how busy this pool is:
+// those with waiting tasks if it has room, all if tasks have begun to wait.
+func (p *pool) tellRoom(now Time) []*peer {
+	waits := slices.ContainsFunc(p.queue, func(j *job) bool { return j.part == nil })
+	began := waits && !p.told
+	p.told = waits
+	if !began && (waits || p.staged() >= stagedParts) {
+		return nil
+	}
+	var out []*peer
+	for _, x := range p.members.order {
+		if x.reachable(now) && now.Sub(x.beatAt) >= roomPause && (began || x.waits()) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// waits reports whether the peer has told of waiting tasks.
+func (p *peer) waits() bool {
+	return slices.ContainsFunc(p.loads, func(l Load) bool { return l.Waiting > 0 })
+}
+
+// fleetWait estimates how long a job waits if all owners share their room.
+func (p *pool) fleetWait(service string, now Time) time.Duration {
+	own := p.load(service, now)
+	capacity, work := own.Capacity, own.Capacity*milliseconds(own.Wait)
+	for _, x := range p.members.order {
+		if l := x.load(service); x.reachable(now) && !x.leaving && l.Servers > 0 {
+			capacity += l.Capacity
+			work += l.Capacity * milliseconds(l.Wait)
+		}
+	}
+	if capacity == 0 {
+		return own.Wait
+	}
+	return min(own.Wait, time.Duration(work/capacity*float64(time.Millisecond)))
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -29,22 +29,28 @@
 
 // peer is what is known of another member.
 type peer struct {
-	member     Member
-	linked     bool // messages to it can be sent
-	everHeard  bool
-	heardAt    Time
-	refusedAt  Time
-	refused    bool
-	inStore    bool
-	missingAt  Time // since when the store doesn't list it
-	dead       bool
-	deadAt     Time
-	leaving    bool
-	hearsMe    time.Duration // since it last heard of this instance
-	loads      []Load
-	beatAt     Time // of the last beat sent
-	linkedAt   Time // of the last link, or the last try to replace it
-	lostCalled bool // its loss was handled
+	member    Member
+	linked    bool // messages to it can be sent
+	everHeard bool
+	heardAt   Time
+	refusedAt Time
+	refused   bool
+	inStore   bool
+	missingAt Time // since when the store doesn't list it
+	dead      bool
+	deadAt    Time
+	leaving   bool
+	hearsMe   time.Duration // since it last heard of this instance
+	loads     []Load
+	bouncedAt Time // it last had no room for a task
+
+	// Milli-cores of parts: sent on the present link, those that the peer said
+	// it has received, and those received from it. What is under way counts as
+	// taken of the room that the peer tells of.
+	partsSent, partsHeard, partsCame float64
+	beatAt                           Time // of the last beat sent
+	linkedAt                         Time // of the last link, or the last try to replace it
+	lostCalled                       bool // its loss was handled
 }
 
 // heard reports whether the peer was heard of lately.
@@ -65,6 +71,11 @@
 	return Load{Service: service}
 }
 
+// room returns the room for tasks of a service that no part under way takes.
+func (p *peer) room(service string) float64 {
+	return p.load(service).Free - max(0, p.partsSent-p.partsHeard)
+}
+
 func (p *peer) setLoad(l Load) {
 	for i := range p.loads {
 		if p.loads[i].Service == l.Service {
@@ -221,6 +232,66 @@
 	return out
 }
 
+// groupServers is the most servers whose owners share one queue: a queue sees
+// each task that has to wait for one of them.
+const groupServers = 100
+
+// queueKeeper returns the owner whose queue takes the jobs that can't start at
+// once, nil for this instance. All owners of a group pick the same one while
+// they reach each other; nothing breaks if they don't.
+func (m *members) queueKeeper(service string, own int, now Time) *peer {
+	best, bestRank, found := (*peer)(nil), uint64(0), false
+	total := own
+	if own > 0 {
+		best, bestRank, found = nil, queueRank(m.self), true
+	}
+	for _, p := range m.order {
+		n := p.load(service).Servers
+		if n == 0 || p.leaving || !p.reachable(now) {
+			continue
+		}
+		total += n
+		if r := queueRank(p.member); !found || r < bestRank {
+			best, bestRank, found = p, r, true
+		}
+	}
+	switch {
+	case total <= groupServers:
+		return best
+	case own > 0:
+		return nil
+	}
+	return m.leastBusy(service, now)
+}
+
+// leastBusy returns the owner with the shortest wait, one of the own domain if
+// there is any.
+func (m *members) leastBusy(service string, now Time) *peer {
+	var best *peer
+	for _, p := range m.order {
+		if p.load(service).Servers == 0 || p.leaving || !p.reachable(now) {
+			continue
+		}
+		if best == nil || m.prefers(p, best, service) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (m *members) prefers(a, b *peer, service string) bool {
+	if aNear, bNear := a.member.Domain == m.self.Domain, b.member.Domain == m.self.Domain; aNear != bNear {
+		return aNear
+	}
+	return a.load(service).Wait < b.load(service).Wait
+}
+
+// queueRank prefers the strongest instances.
+func queueRank(m Member) uint64 {
+	const strength = 1 << 40
+	return uint64(strength/max(m.Weight, 0.001))<<8 | rank("queue", m.Instance)>>56
+}
+
 // beatEvery returns the time between beats to a peer.
 func (m *members) beatEvery() time.Duration {
 	return max(beatPause, time.Duration(len(m.order))*beatPausePerPeer)
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -36,16 +36,18 @@
 
 // finished is an outcome that its origin may not have heard.
 type finished struct {
-	key    jobKey
-	result Result
-	at     Time
+	key     jobKey
+	result  Result
+	attempt uint32 // of a part
+	at      Time
 }
 
 // pool runs jobs on the backend servers that this instance owns.
 type pool struct {
-	self   Member
-	lease  time.Duration
-	effect func(Effect)
+	self    Member
+	members *members
+	lease   time.Duration
+	effect  func(Effect)
 
 	servers map[model.ServerID]*server
 	order   []*server // by ID
@@ -54,11 +56,16 @@
 	queue   []*job // jobs with tasks that wait
 	recent  []finished
 	typical float64 // CPU of a task, milli-cores, moving mean
+
+	lent     map[CallID]lentTask
+	lastPart CallID
+	told     bool // peers know that tasks wait
 }
 
-func newPool(self Member, lease time.Duration, effect func(Effect)) *pool {
+func newPool(self Member, m *members, lease time.Duration, effect func(Effect)) *pool {
 	return &pool{
-		self: self, lease: lease, effect: effect,
+		self: self, members: m, lease: lease, effect: effect,
+		lent:    map[CallID]lentTask{},
 		servers: map[model.ServerID]*server{},
 		jobs:    map[jobKey]*job{},
 		byID:    map[string]*job{},
@@ -136,16 +143,19 @@
 		return false
 	}
 	if i := slices.IndexFunc(p.recent, func(f finished) bool { return f.key == key }); i >= 0 {
-		p.answer(origin, call, p.recent[i].result)
+		p.answer(origin, call, p.recent[i].result, p.recent[i].attempt)
 		return false
 	}
+	if spec.Part != nil {
+		return p.offerPart(origin, call, spec, now)
+	}
 	if old := p.byID[spec.ID]; old != nil {
 		p.end(old, Result{Kind: Unknown, Reason: ReasonReplaced}, now)
 	}
 	j := newJob(spec, origin, call)
 	p.learnSize(spec)
 	switch verdict, wait := p.admit(j, now); {
-	case !final && verdict != admitNow:
+	case !final && (verdict != admitNow || p.othersWait(spec.Service, now)):
 		return true
 	case verdict == admitRefuse:
 		p.effect(Note{Kind: NoteJobQueued, Job: spec.ID, Reason: string(ReasonBusy), Age: wait})
@@ -179,7 +189,7 @@
 	if !p.waitsInTime(now) && p.fitsNow(j, now) {
 		return admitNow, 0
 	}
-	wait := p.expectedWait(now)
+	wait := p.fleetWait(j.spec.Service, now)
 	end := now.Add(wait + j.rest())
 	limit := j.spec.Received.Add(lateFactor * j.spec.Due().Sub(j.spec.Received))
 	if end > min(limit, j.spec.Deadline()) {
@@ -188,6 +198,24 @@
 	return admitQueue, wait
 }
 
+// othersWait reports whether jobs wait at the owner that keeps the queue; what
+// comes later waits behind them.
+func (p *pool) othersWait(service string, now Time) bool {
+	keeper := p.members.queueKeeper(service, p.serverCount(service), now)
+	return keeper != nil && keeper.load(service).Waiting > 0
+}
+
+// serverCount returns the number of servers of a service.
+func (p *pool) serverCount(service string) int {
+	n := 0
+	for _, s := range p.order {
+		if s.entry.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // waitsInTime reports whether a job waits that can still be in time.
 func (p *pool) waitsInTime(now Time) bool {
 	return slices.ContainsFunc(p.queue, func(j *job) bool { return j.waits() && j.latestStart() >= now })
@@ -254,7 +282,7 @@
 
 // load tells how busy the pool is for jobs of a service.
 func (p *pool) load(service string, now Time) Load {
-	l := Load{Service: service, Wait: p.expectedWait(now)}
+	l := Load{Service: service, Wait: p.expectedWait(now), Waiting: p.waitingTasks(service), Staged: p.staged()}
 	need := uint32(p.typical)
 	for _, s := range p.order {
 		if s.entry.Service != service || !s.takesWork(now) {
@@ -293,7 +321,9 @@
 			}
 		}
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return !j.waits() })
+	p.lend(now)
+	p.unstage(now)
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.over || !j.waits() })
 }
 
 // startStep starts as many waiting tasks of a step as fit.
@@ -562,6 +592,11 @@
 	if s.health.failed(now) {
 		p.effect(Note{Kind: NoteServerQuarantined, Server: s.entry.ID, Count: s.health.failures})
 	}
+	p.countFailure(t, now)
+}
+
+// countFailure lets a failed task start again, or gives its job up.
+func (p *pool) countFailure(t *task, now Time) {
 	t.failures++
 	if t.failures >= t.job.spec.Attempts {
 		p.end(t.job, Result{Kind: Failed, Reason: ReasonAttempts}, now)
@@ -673,6 +708,7 @@
 	}
 	if result.Kind != Completed {
 		p.stopJob(j, now)
+		p.withdrawLent(j)
 	}
 	if result.Kind == Unknown && j.starts == 0 {
 		result.Kind = NotRun
@@ -704,13 +740,13 @@
 // finish sends the result of a job and keeps it for a while.
 func (p *pool) finish(j *job, result Result, now Time) {
 	if j.origin.Instance != p.self.Instance {
-		p.recent = append(p.recent, finished{j.key(), result, now})
+		p.recent = append(p.recent, finished{j.key(), result, j.lastAttempt(), now})
 	}
-	p.answer(j.origin, j.call, result)
+	p.answer(j.origin, j.call, result, j.lastAttempt())
 }
 
-func (p *pool) answer(origin Member, call CallID, result Result) {
-	p.effect(outcomeReady{origin: origin, outcome: Outcome{Call: call, Result: result}})
+func (p *pool) answer(origin Member, call CallID, result Result, attempt uint32) {
+	p.effect(outcomeReady{origin: origin, outcome: Outcome{Call: call, Result: result, Attempt: attempt}})
 }
 
 // outcomeReady is an outcome on its way to the instance that holds the call.
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -44,6 +44,7 @@
 		out.Body = &fleetpb.Message_Outcome{Outcome: &fleetpb.Outcome{
 			Call: uint64(m.Call), Result: int32(m.Result.Kind), Reason: string(m.Result.Reason),
 			RetryAfterNs: int64(m.Result.RetryAfter), Bounced: m.Bounced, Load: loadToPB(m.Load),
+			Attempt: m.Attempt, PartsMillicores: m.Parts,
 		}}
 	case fleet.Resync:
 		r := &fleetpb.Resync{}
@@ -86,7 +87,7 @@
 }
 
 func beatToPB(m fleet.Beat) *fleetpb.Beat {
-	b := &fleetpb.Beat{Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard)}
+	b := &fleetpb.Beat{Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard), PartsMillicores: m.Parts}
 	for _, l := range m.Loads {
 		b.Loads = append(b.Loads, loadToPB(l))
 	}
@@ -94,7 +95,10 @@
 }
 
 func beatFromPB(b *fleetpb.Beat) fleet.Beat {
-	m := fleet.Beat{Leaving: b.GetLeaving(), Config: b.GetConfigVersion(), Heard: time.Duration(b.GetHeardNs())}
+	m := fleet.Beat{
+		Leaving: b.GetLeaving(), Config: b.GetConfigVersion(), Heard: time.Duration(b.GetHeardNs()),
+		Parts: b.GetPartsMillicores(),
+	}
 	for _, l := range b.GetLoads() {
 		m.Loads = append(m.Loads, loadFromPB(l))
 	}
@@ -104,20 +108,21 @@
 func loadToPB(l fleet.Load) *fleetpb.Load {
 	return &fleetpb.Load{
 		Service: l.Service, Servers: int32(l.Servers), CapacityMillicores: l.Capacity,
-		FreeMillicores: l.Free, WaitNs: int64(l.Wait),
+		FreeMillicores: l.Free, WaitNs: int64(l.Wait), Waiting: int32(l.Waiting), Staged: int32(l.Staged),
 	}
 }
 
 func loadFromPB(l *fleetpb.Load) fleet.Load {
 	return fleet.Load{
 		Service: l.GetService(), Servers: int(l.GetServers()), Capacity: l.GetCapacityMillicores(),
-		Free: l.GetFreeMillicores(), Wait: time.Duration(l.GetWaitNs()),
+		Free: l.GetFreeMillicores(), Wait: time.Duration(l.GetWaitNs()), Waiting: int(l.GetWaiting()), Staged: int(l.GetStaged()),
 	}
 }
 
 func outcomeFromPB(o *fleetpb.Outcome) fleet.Outcome {
 	return fleet.Outcome{
 		Call: fleet.CallID(o.GetCall()), Bounced: o.GetBounced(), Load: loadFromPB(o.GetLoad()),
+		Attempt: o.GetAttempt(), Parts: o.GetPartsMillicores(),
 		Result: fleet.Result{
 			Kind: fleet.ResultKind(o.GetResult()), Reason: fleet.Reason(o.GetReason()),
 			RetryAfter: time.Duration(o.GetRetryAfterNs()),
@@ -131,6 +136,9 @@
 		Attempts: int32(j.Attempts), AllowanceNs: int64(j.Objective.Allowance), Stretch: j.Objective.Stretch,
 		TimeoutNs: int64(j.Timeout),
 	}
+	if p := j.Part; p != nil {
+		out.Part = &fleetpb.Part{Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt}
+	}
 	for _, s := range j.Steps {
 		step := &fleetpb.Step{
 			Count: int32(s.Count), CpuMillicores: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB,
@@ -152,6 +160,9 @@
 		Objective: fleet.Objective{Allowance: time.Duration(b.GetAllowanceNs()), Stretch: b.GetStretch()},
 		Timeout:   time.Duration(b.GetTimeoutNs()),
 	}
+	if p := b.GetPart(); p != nil {
+		j.Part = &fleet.Part{Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt()}
+	}
 	for _, s := range b.GetSteps() {
 		step := fleet.StepSpec{
 			Count:    int(s.GetCount()),
