Answer until the end of the grace, and take own servers back at once after a restart

It now serves until 0.5 s before the end of the grace, refuses jobs that would outlast it as not run, and answers whatever is left.

Servers of an earlier life of the same instance are claimed at once; jobs wait up to 400 ms for the first owner.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -150,6 +150,7 @@
 	ReasonLate      Reason = "deadline"        // it was not done within the caller's time
 	ReasonAttempts  Reason = "attempts"        // a task failed too often
 	ReasonOwnerLost Reason = "owner-lost"      // the instance that ran it is gone
+	ReasonStopping  Reason = "stopping"        // the instance that held the call has ended
 	ReasonCancelled Reason = "caller-gone"     // nobody waits for it
 	ReasonReplaced  Reason = "submitted-again" // the same job came again
 )
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -218,3 +218,39 @@
 		t.Errorf("%+v, want 0.95 completed", got)
 	}
 }
+
+// TestStopAnswersEveryCall checks that an instance that ends has answered
+// whoever waited for it, also for work that takes longer than its grace.
+func TestStopAnswersEveryCall(t *testing.T) {
+	w := New(7)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	long := w.Job(site.Classes[1], 20*time.Second)
+	long.Timeout = time.Minute
+	j := w.Submit("carrick-0", long)
+	w.Stop("carrick-0")
+	w.Run(5100 * time.Millisecond)
+	if j.Answered == 0 || j.Result.Kind != fleet.Unknown {
+		t.Errorf("answered at %v with %v, want given up at the end of the grace", j.Answered, j.Result)
+	}
+	checkRules(t, w)
+}
+
+// TestJobsDuringARestartOfAllAreServed hands jobs in just after all instances
+// have started again, when nobody owns a server yet.
+func TestJobsDuringARestartOfAllAreServed(t *testing.T) {
+	w := New(8)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	faults[1].hit(w) // all are killed, and start a second later
+	w.Run(1010 * time.Millisecond)
+	since := w.Now()
+	w.Offer(site, 0.5, 500*time.Millisecond)
+	w.Run(10 * time.Second)
+	checkRules(t, w)
+	if got := w.Tally(since); got.Completed != got.Jobs {
+		t.Errorf("%+v, want all completed", got)
+	}
+}
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -12,6 +12,9 @@
 const (
 	maxOffers = 2 // owners that are asked for a start at once, before the job is queued or refused
 	maxQueued = 3 // offers to queues, whose owner may be leaving
+	// noOwnerHold is how long a job waits for the first owner: a fleet that
+	// starts has owners within that time.
+	noOwnerHold = 400 * time.Millisecond
 	// minRetryAfter is the least that a refused caller is told to wait: about
 	// the time in which a burst is worked off.
 	minRetryAfter = time.Second
@@ -25,6 +28,7 @@
 	tried  []model.Instance // that could not start it at once
 	final  bool             // it goes to a queue
 	queued int              // offers to a queue so far
+	held   bool             // there was no owner to offer it to
 }
 
 // home holds the calls of this instance and finds an owner for each.
@@ -139,11 +143,30 @@
 		h.offer(c, option{peer: keeper}, now)
 	case h.pool.serverCount(service) > 0:
 		h.offer(c, option{}, now)
+	case now.Sub(c.job.Received) < noOwnerHold:
+		c.held, c.queued = true, 0
 	default:
 		h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
 	}
 }
 
+// retryHeld offers the jobs again for which there was no owner.
+func (h *home) retryHeld(now Time) {
+	for _, c := range h.sorted() {
+		if c.held {
+			c.held = false
+			h.route(c, now)
+		}
+	}
+}
+
+// giveUp answers all calls that are left when the instance ends.
+func (h *home) giveUp() {
+	for _, c := range h.sorted() {
+		h.finish(c, Result{Kind: Unknown, Reason: ReasonStopping})
+	}
+}
+
 func (h *home) offer(c *call, o option, now Time) {
 	age := now.Sub(c.job.Received)
 	if o.peer == nil {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -99,6 +99,7 @@
 		i.owners.claiming = false
 		i.learnOwners(e.Owners, now)
 		i.maintain(now)
+		i.home.retryHeld(now)
 	case PeerLinked:
 		i.peerLinked(e, now)
 	case PeerLost:
@@ -124,6 +125,10 @@
 	case Tick:
 		i.maintain(now)
 		i.pool.tick(now)
+		i.home.retryHeld(now)
+		if i.leaving && now >= i.stopBy {
+			i.home.giveUp()
+		}
 	}
 }
 
@@ -249,6 +254,7 @@
 		p.leaving, p.loads, p.hearsMe, p.partsHeard = m.Leaving, m.Loads, m.Heard, m.Parts
 		p.bouncedAt = 0
 		i.pool.dispatch(now)
+		i.home.retryHeld(now)
 	case Offer:
 		i.offered(p, m, now)
 	case Withdraw:
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -105,7 +105,11 @@
 	if o.claiming && now.Sub(o.claimAt) < claimTimeout {
 		return nil
 	}
-	if !o.loaded || !m.storeUp || now.Sub(o.startedAt) < settleTime {
+	if !o.loaded || !m.storeUp {
+		return nil
+	}
+	if now.Sub(o.startedAt) < settleTime {
+		o.reclaim(leaving, now)
 		return nil
 	}
 	var want []Ownership
@@ -128,6 +132,22 @@
 	return release
 }
 
+// reclaim claims the servers that an earlier life of this instance owned. Others
+// may not do so before they know that it has ended.
+func (o *owners) reclaim(leaving bool, now Time) {
+	var want []Ownership
+	for _, d := range o.domains() {
+		for _, e := range o.domainServers(d) {
+			if x := o.known[e.ID]; x.Owner == o.self.Instance && x.Life != o.self.Incarnation {
+				want = append(want, x)
+			}
+		}
+	}
+	if len(want) > 0 && !leaving {
+		o.claim(want[:min(len(want), claimBatch)], o.self.Instance, now)
+	}
+}
+
 func (o *owners) split(servers []ServerEntry, m *members, now Time) (owned []model.ServerID, orphans []model.ServerID) {
 	for _, e := range servers {
 		switch {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -20,6 +20,7 @@
 	calls  map[fleet.CallID]chan fleet.Result
 	lastAt fleet.Time // of the last request
 	open   int        // requests under way
+	end    fleet.Time // of the process, once it is known
 }
 
 func newCallers(n *Node) *callers {
@@ -33,6 +34,27 @@
 	return len(c.calls)
 }
 
+// stopBy tells when the process ends.
+func (c *callers) stopBy(t fleet.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = t
+}
+
+// Jobs that come while the process stops are taken if they are likely to end
+// before it: estimates are rough, and stragglers take several times as long.
+const (
+	stopFactor = 3
+	stopMargin = 300 * time.Millisecond
+)
+
+// tooLate reports whether a job may not end before the process.
+func (c *callers) tooLate(j *fleet.JobSpec) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end != 0 && j.Received.Add(stopFactor*j.Chain()+stopMargin) > c.end
+}
+
 // quietFor is how long no request may have come before a stopping instance ends.
 const quietFor = 300 * time.Millisecond
 
@@ -118,6 +140,13 @@
 	s.Job.Priority, s.Job.Attempts = route.Priority, route.Attempts
 	s.Job.Objective, s.Job.Received = route.Objective, received
 	s.Job.Timeout = timeout(route, platform.Deadline(r))
+	if c.tooLate(&s.Job) {
+		c.refuse(w, id, platform.Refusal{
+			Status: platform.StatusNotRun, RetryAfter: time.Second,
+			Problem: "this instance is about to end; the job has not run", Remedy: "Come back after the wait, by another instance.",
+		})
+		return
+	}
 	call, result := c.register()
 	c.node.post(fleet.Submitted{Call: call, Job: s.Job})
 	select {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,8 +9,8 @@
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
-// graceMargin is left of the platform's grace for closing connections.
-const graceMargin = time.Second
+// graceMargin is left of the platform's grace for last answers.
+const graceMargin = 500 * time.Millisecond
 
 // loop feeds the reducer, one event after the other.
 type loop struct {
@@ -54,6 +54,7 @@
 	l.stopping()
 	n.log.Event(eventlog.InstanceStopping).Int("calls", n.callers.waiting()).Send()
 	l.stopBy = bootTime().Add(n.settings.Bounds.Grace - graceMargin)
+	n.callers.stopBy(l.stopBy)
 	l.step(fleet.StopRequested{By: l.stopBy})
 }
 
@@ -65,6 +66,7 @@
 	}
 	now := bootTime()
 	if now >= l.stopBy {
+		l.step(fleet.Tick{}) // answers what is left
 		l.node.log.Event(eventlog.InstanceStopForced).Int("calls", l.node.callers.waiting()).Send()
 		return true
 	}
