--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -270,8 +270,7 @@
 	return n
 }
 
-// expectedWait estimates how long a job that comes now and can be in time waits
-// for its start. Jobs that are late come after it.
+// expectedWait estimates how long a job that comes now waits for its start.
 func (p *pool) expectedWait(now Time) time.Duration {
 	rate := 0.0
 	for _, s := range p.order {
@@ -284,9 +283,7 @@
 	}
 	work := 0.0
 	for _, j := range p.queue {
-		if j.latestStart() >= now {
-			work += j.waitingWork()
-		}
+		work += j.waitingWork()
 	}
 	return time.Duration(work / rate * float64(time.Millisecond))
 }
