--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -19,7 +19,7 @@
 	renewPause     = 500 * time.Millisecond  // three renewals in a lease
 	callTimeout    = 700 * time.Millisecond  // a slow store takes a quarter of a second
 	watchWait      = 1000 * time.Millisecond // half of the time until a configuration must be in force
-	watchPause     = 200 * time.Millisecond  // between watches, so that heartbeats come in batches
+	watchPause     = 350 * time.Millisecond  // between watches, so that heartbeats come in batches
 	storeRetryMin  = 100 * time.Millisecond
 	storeRetryMax  = 500 * time.Millisecond
 	retrySpread    = 0.5
