--- /dev/null
+++ b/internal/fleet/fleetsim/crest.go
@@ -0,0 +1,114 @@
+package fleetsim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+)
+
+// Crest is a load pattern: a usual load, a crest of a few seconds, and the
+// usual load again.
+type Crest struct {
+	Site  Site
+	Load  float64 // at the crest, times the usual rate
+	Seeds int
+}
+
+// Times and loads of a Crest.
+const (
+	crestLasts = 4 * time.Second
+	usualLoad  = 0.8
+)
+
+// Shares are the results of a Crest, for the jobs that came during it and
+// after it.
+type Shares struct {
+	Jobs      int
+	InTime    float64
+	Completed float64
+	NotRun    float64
+	Bound     float64            // more can't be in time, see bound
+	ByClass   map[string]float64 // in time
+}
+
+// Play plays the pattern under a policy.
+func (c Crest) Play(p fleet.Policy) (Shares, []string) {
+	var sum Tally
+	var broken []string
+	var bounds float64
+	classes := map[string][2]int{}
+	for seed := range c.Seeds {
+		w := New(uint64(seed + 1))
+		w.Policy = p
+		w.Build(c.Site)
+		w.Run(2 * time.Second)
+		w.Offer(c.Site, usualLoad, crestLasts)
+		w.Run(crestLasts)
+		since := w.Now()
+		w.Offer(c.Site, c.Load, crestLasts)
+		w.Run(crestLasts)
+		w.Offer(c.Site, usualLoad, crestLasts)
+		w.Run(5 * crestLasts)
+		t := w.Tally(since)
+		sum.Jobs, sum.InTime = sum.Jobs+t.Jobs, sum.InTime+t.InTime
+		sum.Completed, sum.NotRun = sum.Completed+t.Completed, sum.NotRun+t.NotRun
+		bounds += w.bound(since) * float64(t.Jobs)
+		w.countClasses(since, classes)
+		broken = append(broken, w.Broken...)
+	}
+	n := float64(sum.Jobs)
+	s := Shares{
+		Jobs: sum.Jobs, InTime: float64(sum.InTime) / n, Completed: float64(sum.Completed) / n,
+		NotRun: float64(sum.NotRun) / n, Bound: bounds / n, ByClass: map[string]float64{},
+	}
+	for name, k := range classes {
+		s.ByClass[name] = float64(k[0]) / float64(k[1])
+	}
+	return s, broken
+}
+
+func (w *World) countClasses(since fleet.Time, classes map[string][2]int) {
+	for _, j := range w.order {
+		if j.Sent < since {
+			continue
+		}
+		k := classes[j.Spec.Route]
+		k[1]++
+		if j.InTime() {
+			k[0]++
+		}
+		classes[j.Spec.Route] = k
+	}
+}
+
+// bound returns a share of the jobs since a time that no scheduler could
+// exceed: all servers are taken as one that is never idle and has no room that
+// no task fits, which does the smallest jobs first between the first arrival
+// and the last due time.
+func (w *World) bound(since fleet.Time) float64 {
+	rate := 0.0
+	for _, s := range w.servers {
+		rate += float64(s.Entry.Capacity.CPUMilli) * s.Speed
+	}
+	var work []float64
+	last := since
+	for _, j := range w.order {
+		if j.Sent < since {
+			continue
+		}
+		st := j.Spec.Steps[0]
+		work = append(work, float64(st.Count)*float64(st.Need.CPUMilli)*float64(j.work))
+		last = max(last, j.due())
+	}
+	slices.SortFunc(work, func(a, b float64) int { return cmp.Compare(a, b) })
+	left, done := rate*float64(last.Sub(since)), 0
+	for _, x := range work {
+		if left -= x; left < 0 {
+			break
+		}
+		done++
+	}
+	return float64(done) / float64(max(len(work), 1))
+}
--- /dev/null
+++ b/internal/fleet/fleetsim/crest_test.go
@@ -0,0 +1,44 @@
+package fleetsim
+
+import (
+	"testing"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+)
+
+// TestCrestAgainstBaselines replays crests of both deployments. Goals: nine
+// tenths of what the capacity could serve at the usual load, eight tenths at
+// the crest, and more than each baseline.
+func TestCrestAgainstBaselines(t *testing.T) {
+	baselines := map[string]fleet.Policy{
+		"arrival":   {Order: fleet.OrderArrival},
+		"first fit": {Place: fleet.PlaceFirstFit},
+		"random":    {Place: fleet.PlaceRandom},
+		"all three": {Order: fleet.OrderArrival, Place: fleet.PlaceRandom},
+	}
+	for name, site := range map[string]Site{"glenbrae": Glenbrae(), "al-hadhira": AlHadhira()} {
+		for _, c := range []struct{ load, goal float64 }{{0.8, 0.9}, {1.5, 0.8}} {
+			own := play(t, Crest{site, c.load, 3}, fleet.Policy{})
+			t.Logf("%s at %.1f: in time %.3f of %d jobs, bound %.3f, %v", name, c.load, own.InTime, own.Jobs, own.Bound, own.ByClass)
+			if own.InTime < c.goal*own.Bound {
+				t.Errorf("%s at %.1f: in time %.3f, want %.1f of the bound %.3f", name, c.load, own.InTime, c.goal, own.Bound)
+			}
+			for b, p := range baselines {
+				base := play(t, Crest{site, c.load, 3}, p)
+				t.Logf("%s at %.1f, %s: in time %.3f, %v", name, c.load, b, base.InTime, base.ByClass)
+				if base.InTime > own.InTime {
+					t.Errorf("%s at %.1f: baseline %s has %.3f in time, own %.3f", name, c.load, b, base.InTime, own.InTime)
+				}
+			}
+		}
+	}
+}
+
+func play(t *testing.T, c Crest, p fleet.Policy) Shares {
+	t.Helper()
+	s, broken := c.Play(p)
+	if len(broken) > 0 {
+		t.Errorf("%d rules broken, first: %s", len(broken), broken[0])
+	}
+	return s
+}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -30,6 +30,7 @@
 // World is a fleet in virtual time.
 type World struct {
 	Rand    *rand.Rand
+	Policy  fleet.Policy // of instances that start from now on
 	now     fleet.Time
 	due     agenda.Queue[fleet.Time, func()]
 	nodes   []*node
@@ -60,9 +61,13 @@
 // InTime reports whether the job was completed within its objective, by the
 // work that its tasks really had.
 func (j *JobRecord) InTime() bool {
+	return j.Result.Kind == fleet.Completed && j.Answered <= j.due()
+}
+
+// due returns when the job should have ended, by the work of its tasks.
+func (j *JobRecord) due() fleet.Time {
 	o := j.Spec.Objective
-	due := j.Sent.Add(o.Allowance + time.Duration(o.Stretch*float64(j.work)))
-	return j.Result.Kind == fleet.Completed && j.Answered <= due
+	return j.Sent.Add(o.Allowance + time.Duration(o.Stretch*float64(j.work)))
 }
 
 // node is an instance in the world.
@@ -127,7 +132,7 @@
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
 	n.alive, n.frozen = true, false
 	n.calls = map[fleet.CallID]*JobRecord{}
-	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime}, w.now)
+	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
 	life := n.life
 	w.After(storeTime, func() { w.storeView(n, life) })
 	w.After(10*time.Millisecond, func() { w.tick(n, life) })
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -13,6 +13,8 @@
 	Lease time.Duration // of runs at backend servers
 	// StopTimeout is the longest time from a stop to the end of the run.
 	StopTimeout time.Duration
+	// Policy replaces decisions by simpler ones, for comparison.
+	Policy Policy
 }
 
 // Bounds of the instance's own time.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -3,27 +3,60 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-// sortQueue puts jobs in the order in which they may start: first those that
-// can still be in time, the one with the least slack first; then the late ones,
-// the one that came last first, as it has the best chance to be of use.
-func sortQueue(queue []*job, now Time) {
-	slices.SortStableFunc(queue, func(a, b *job) int {
-		aStart, bStart := a.latestStart(), b.latestStart()
-		aLate, bLate := aStart < now, bStart < now
-		if aLate != bLate {
-			if aLate {
-				return 1
-			}
-			return -1
-		}
-		if aLate {
-			return cmp.Compare(bStart, aStart)
-		}
-		return cmp.Or(cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
-	})
+// Policy selects how jobs are ordered and placed. The zero value is what
+// instances do; the others are baselines for comparison.
+type Policy struct {
+	Order OrderPolicy
+	Place PlacePolicy
+}
+
+// OrderPolicy is the order in which waiting jobs start.
+type OrderPolicy int
+
+// Orders of waiting jobs.
+const (
+	OrderLeastSlack OrderPolicy = iota
+	OrderArrival                // first come, first served
+)
+
+// PlacePolicy is the choice among servers with room.
+type PlacePolicy int
+
+// Choices among servers.
+const (
+	PlaceLeastCost PlacePolicy = iota
+	PlaceFirstFit              // the first in the order of their names
+	PlaceRandom                // by a hash of the task and the server
+)
+
+// sort puts jobs in the order in which they may start.
+func (p Policy) sort(queue []*job, now Time) {
+	compare := func(a, b *job) int { return compareSlack(a, b, now) }
+	if p.Order == OrderArrival {
+		compare = func(a, b *job) int { return cmp.Compare(a.spec.Received, b.spec.Received) }
+	}
+	slices.SortStableFunc(queue, compare)
+}
+
+// compareSlack puts those first that can still be in time, the one with the
+// least slack before the others; then the late ones, the one that came last
+// first, as it has the best chance to be of use.
+func compareSlack(a, b *job, now Time) int {
+	aStart, bStart := a.latestStart(), b.latestStart()
+	aLate, bLate := aStart < now, bStart < now
+	switch {
+	case aLate != bLate:
+		return boolOrder(bLate, aLate)
+	case aLate:
+		return cmp.Compare(bStart, aStart)
+	}
+	return cmp.Or(cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
 }
 
 // Weights of what speaks against a server, in shares of the task's time.
@@ -65,6 +98,12 @@
 
 // cost compares servers for a task; the least is best.
 func (p *pool) cost(t *task, s *server, now Time) float64 {
+	switch p.policy.Place {
+	case PlaceFirstFit:
+		return 0
+	case PlaceRandom:
+		return float64(rank(model.Domain(t.id.Job+strconv.Itoa(t.id.Index)), model.Instance(s.entry.ID)) >> 11)
+	}
 	takes := s.pace.expect(t.step.spec.Estimate)
 	c := ratio(takes, t.step.spec.Estimate)
 	if now.Add(takes) > t.job.spec.Due() {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -49,6 +49,7 @@
 	lease   time.Duration
 	// goneAfter is when runs are gone for certain that nobody renews.
 	goneAfter time.Duration
+	policy    Policy
 	effect    func(Effect)
 
 	servers map[model.ServerID]*server
@@ -67,7 +68,7 @@
 
 func newPool(o Options, m *members, effect func(Effect)) *pool {
 	return &pool{
-		self: o.Self, members: m, lease: o.Lease, goneAfter: RunsGoneWithin(o.Lease, o.StopTimeout), effect: effect,
+		self: o.Self, members: m, lease: o.Lease, goneAfter: RunsGoneWithin(o.Lease, o.StopTimeout), policy: o.Policy, effect: effect,
 		lent:    map[CallID]lentTask{},
 		servers: map[model.ServerID]*server{},
 		jobs:    map[jobKey]*job{},
@@ -321,7 +322,7 @@
 	if len(p.queue) == 0 {
 		return
 	}
-	sortQueue(p.queue, now)
+	p.policy.sort(p.queue, now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready {
