--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/mesh"
+	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
@@ -27,7 +28,7 @@
 	self     fleet.Member
 	log      *eventlog.Log
 	notes    *noteLog
-	metrics  *Metrics
+	metrics  *metrics.Fleet
 
 	store   *storeSide
 	servers *platform.Servers
@@ -56,7 +57,7 @@
 	n := &Node{
 		settings: s, self: self,
 		log:     log.ForInstance(self.Instance, self.Domain, self.Incarnation),
-		metrics: NewMetrics(),
+		metrics: metrics.NewFleet(),
 		servers: platform.NewServers(),
 		config:  &configBox{},
 		events:  make(chan fleet.Event, eventQueue),
@@ -199,7 +200,7 @@
 func (n *Node) handlers() map[string]http.Handler {
 	h := map[string]http.Handler{n.settings.CallerAddr: n.callers, n.settings.ReadyAddr: &n.ready}
 	if a := n.settings.MetricsAddr; a != "" {
-		h[a] = n.metrics.handler()
+		h[a] = n.metrics.Handler()
 	}
 	return h
 }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
@@ -18,7 +19,7 @@
 // noteLog writes decisions to the log, so many a second at most.
 type noteLog struct {
 	log     *eventlog.Log
-	metrics *Metrics
+	metrics *metrics.Fleet
 
 	mu      sync.Mutex
 	second  int64
@@ -26,7 +27,7 @@
 	dropped int
 }
 
-func newNoteLog(l *eventlog.Log, m *Metrics) *noteLog { return &noteLog{log: l, metrics: m} }
+func newNoteLog(l *eventlog.Log, m *metrics.Fleet) *noteLog { return &noteLog{log: l, metrics: m} }
 
 // admit reports whether a line may be written now.
 func (n *noteLog) admit() bool {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -44,7 +44,7 @@
 
 func newStoreSide(n *Node) *storeSide {
 	s := &storeSide{node: n, members: map[model.Instance]fleet.Member{}, servers: map[model.ServerID]fleet.ServerEntry{}}
-	s.store = platform.NewStore(n.settings.Store, n.metrics.storeCall)
+	s.store = platform.NewStore(n.settings.Store, n.metrics.StoreCall)
 	return s
 }
 
