Owners tell each other of claims and releases at once

Ruled out: the stop itself (empty servers are released within 1 ms) and the new owner's first look (5 ms). What is left comes from servers that are not released before their long runs end.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -65,6 +65,7 @@
 type ClaimAnswered struct {
 	Owners []Ownership // as they are in the store now
 	OK     bool        // false: nothing is known
+	Done   bool        // the claim took effect
 }
 
 // PeerLinked tells that a link to a member is up.
@@ -362,11 +363,16 @@
 // receiver broke.
 type Resync struct{ Calls []CallID }
 
-func (Beat) message()     {}
-func (Offer) message()    {}
-func (Withdraw) message() {}
-func (Outcome) message()  {}
-func (Resync) message()   {}
+// OwnersTold passes on ownerships that the sender has just written, so that the
+// others need not wait for the store to tell them.
+type OwnersTold struct{ Owners []Ownership }
+
+func (Beat) message()       {}
+func (Offer) message()      {}
+func (Withdraw) message()   {}
+func (Outcome) message()    {}
+func (Resync) message()     {}
+func (OwnersTold) message() {}
 
 // String implements fmt.Stringer.
 func (o StartOutcome) String() string {
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -301,7 +301,7 @@
 			w.owners[o.Server] = o
 			now = append(now, o)
 		}
-		w.later(n, storeTime/2, func() { w.step(n, fleet.ClaimAnswered{OK: true, Owners: now}) })
+		w.later(n, storeTime/2, func() { w.step(n, fleet.ClaimAnswered{OK: true, Done: true, Owners: now}) })
 	})
 }
 
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -293,3 +293,22 @@
 	}
 	return at
 }
+
+// TestPlannedStopHandsServersOver checks that the servers of an instance that
+// stops are served again by another long before its entry in the store ends.
+func TestPlannedStopHandsServersOver(t *testing.T) {
+	w := New(10)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	w.Stop("tayside-0")
+	w.Stop("tayside-1")
+	w.Run(50 * time.Millisecond)
+	for _, s := range w.servers {
+		o := w.owners[s.Entry.ID]
+		if o.Owner == "" || o.Owner == "tayside-0" || o.Owner == "tayside-1" {
+			t.Errorf("server %s is owned by %q", s.Entry.ID, o.Owner)
+		}
+	}
+	checkRules(t, w)
+}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -102,6 +102,9 @@
 	case ClaimAnswered:
 		i.owners.claiming = false
 		i.learnOwners(e.Owners, now)
+		if e.Done {
+			i.tellOwners(e.Owners, now)
+		}
 		i.maintain(now)
 		i.home.retryHeld(now)
 	case PeerLinked:
@@ -187,6 +190,15 @@
 	i.owners.claim(empty, "", now)
 }
 
+// tellOwners passes ownerships on that were just written.
+func (i *Instance) tellOwners(list []Ownership, now Time) {
+	for _, p := range i.members.order {
+		if p.reachable(now) {
+			i.effects = append(i.effects, SendPeer{To: p.member, Message: OwnersTold{Owners: list}})
+		}
+	}
+}
+
 // learnOwners takes in ownerships and follows them in the pool.
 func (i *Instance) learnOwners(list []Ownership, now Time) {
 	i.owners.learn(list)
@@ -275,6 +287,9 @@
 			return
 		}
 		i.home.outcome(p.member.Instance, m, now)
+	case OwnersTold:
+		i.learnOwners(m.Owners, now)
+		i.maintain(now)
 	case Resync:
 		p.partsCame = 0
 		i.resynced(p, m, now)
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -52,6 +52,8 @@
 			r.Calls = append(r.Calls, uint64(c))
 		}
 		out.Body = &fleetpb.Message_Resync{Resync: r}
+	case fleet.OwnersTold:
+		out.Body = &fleetpb.Message_Owners{Owners: ownersToPB(m)}
 	case Config:
 		out.Body = &fleetpb.Message_Config{Config: &fleetpb.Config{Data: m.Data}}
 	default:
@@ -80,12 +82,35 @@
 			r.Calls = append(r.Calls, fleet.CallID(c))
 		}
 		return r, nil
+	case *fleetpb.Message_Owners:
+		return ownersFromPB(b.Owners), nil
 	case *fleetpb.Message_Config:
 		return Config{Data: b.Config.GetData()}, nil
 	}
 	return nil, errors.New("message of an unknown type; run the same version on all instances")
 }
 
+func ownersToPB(m fleet.OwnersTold) *fleetpb.Owners {
+	b := &fleetpb.Owners{}
+	for _, o := range m.Owners {
+		b.Owners = append(b.Owners, &fleetpb.Ownership{
+			Server: string(o.Server), Owner: string(o.Owner), Incarnation: string(o.Life), Revision: o.Revision,
+		})
+	}
+	return b
+}
+
+func ownersFromPB(b *fleetpb.Owners) fleet.OwnersTold {
+	var m fleet.OwnersTold
+	for _, o := range b.GetOwners() {
+		m.Owners = append(m.Owners, fleet.Ownership{
+			Server: model.ServerID(o.GetServer()), Owner: model.Instance(o.GetOwner()),
+			Life: model.Incarnation(o.GetIncarnation()), Revision: o.GetRevision(),
+		})
+	}
+	return m
+}
+
 func beatToPB(m fleet.Beat) *fleetpb.Beat {
 	b := &fleetpb.Beat{Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard), PartsMillicores: m.Parts}
 	for _, l := range m.Loads {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -301,25 +301,25 @@
 func (s *storeSide) claim(ctx context.Context, c fleet.Claim) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	owners, err := s.commitClaim(ctx, c)
+	owners, done, err := s.commitClaim(ctx, c)
 	if err != nil {
 		s.node.notes.callFailed("claim", "", err)
 		owners, err = s.readOwners(ctx, c)
 	}
-	s.node.post(fleet.ClaimAnswered{Owners: owners, OK: err == nil})
+	s.node.post(fleet.ClaimAnswered{Owners: owners, OK: err == nil, Done: done})
 }
 
-func (s *storeSide) commitClaim(ctx context.Context, c fleet.Claim) ([]fleet.Ownership, error) {
+func (s *storeSide) commitClaim(ctx context.Context, c fleet.Claim) (owners []fleet.Ownership, done bool, err error) {
 	txn, err := platform.OwnerTxn(c.Owner, s.node.self.Incarnation, c.Current)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	r, err := s.store.Commit(ctx, txn)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if !r.Done {
-		return s.ownerships(r.Current), nil
+		return s.ownerships(r.Current), false, nil
 	}
 	out := slices.Clone(c.Current)
 	for i := range out {
@@ -328,7 +328,7 @@
 			out[i].Life = ""
 		}
 	}
-	return out, nil
+	return out, true, nil
 }
 
 func (s *storeSide) ownerships(items []platform.Item) []fleet.Ownership {
