--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -107,6 +107,9 @@
 			w.broke("task %v runs at %s and %s", x.Run.Task, o, s.Entry.ID)
 		}
 		s.needs[x.Run] = step.Need
+		if w.onStart != nil {
+			w.onStart(s, x.Run)
+		}
 		j.Starts++
 		if j.first == 0 {
 			j.first = w.now
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -42,6 +42,8 @@
 	jobs   map[string]*JobRecord
 	order  []*JobRecord
 	Broken []string // rules that were broken
+
+	onStart func(*Server, fleet.RunID) // told of each start, may be nil
 }
 
 // JobRecord is what became of a job.
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -312,3 +312,59 @@
 	}
 	checkRules(t, w)
 }
+
+// TestStepsFollowTheirConditions runs jobs with steps, labels, racks and bounds
+// a server, and checks each start.
+func TestStepsFollowTheirConditions(t *testing.T) {
+	w := New(11)
+	site := Glenbrae()
+	w.Build(site)
+	for i, s := range w.servers {
+		s.Entry.Labels = []string{[]string{"plain", "fast"}[i%2], fmt.Sprintf("rack-%d", i/6)}
+	}
+	w.Run(settle)
+	spec := w.Job(site.Classes[0], 50*time.Millisecond)
+	need := spec.Steps[0].Need
+	spec.Steps = []fleet.StepSpec{
+		{Count: 3, Need: need, Estimate: 50 * time.Millisecond, Label: "fast"},
+		{Count: 4, Need: need, Estimate: 50 * time.Millisecond, MaxPerServer: 1, After: []int{0}},
+		{Count: 1, Need: need, Estimate: 50 * time.Millisecond, Rack: "rack-3", After: []int{0, 1}},
+	}
+	var starts []startSeen
+	w.onStart = func(s *Server, id fleet.RunID) { starts = append(starts, startSeen{w.now, s, id}) }
+	j := w.Submit("tayside-0", spec)
+	w.Run(3 * time.Second)
+	checkRules(t, w)
+	if j.Result.Kind != fleet.Completed || len(starts) != 8 {
+		t.Fatalf("%v after %d starts", j.Result, len(starts))
+	}
+	perServer := map[model.ServerID]int{}
+	lastOf := map[int]fleet.Time{}
+	for _, x := range starts {
+		step := x.id.Task.Step
+		lastOf[step] = max(lastOf[step], x.at)
+		switch {
+		case step == 0 && x.server.Entry.Labels[0] != "fast":
+			t.Errorf("%v on a server without its label", x.id)
+		case step == 2 && x.server.Entry.Labels[1] != "rack-3":
+			t.Errorf("%v away from its data, though there is room", x.id)
+		case step > 0 && x.at.Sub(lastOf[step-1]) < 30*time.Millisecond:
+			t.Errorf("%v starts before the step before it has ended", x.id)
+		}
+		if step == 1 {
+			perServer[x.server.Entry.ID]++
+		}
+	}
+	for id, n := range perServer {
+		if n > 1 {
+			t.Errorf("%d tasks of a step at %s", n, id)
+		}
+	}
+}
+
+// startSeen is a start at a server.
+type startSeen struct {
+	at     fleet.Time
+	server *Server
+	id     fleet.RunID
+}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -46,7 +46,7 @@
 	emit := func(e Effect) { i.effects = append(i.effects, e) }
 	i.members = newMembers(o.Self, emit)
 	i.owners = newOwners(o.Self, now, emit)
-	i.pool = newPool(o, i.members, emit)
+	i.pool = newPool(o, i.members, i.owners, emit)
 	i.home = newHome(o.Self, i.members, i.owners, i.pool, emit)
 	return i
 }
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -78,6 +78,25 @@
 	return best
 }
 
+// rackLender returns the owner of servers near a task's data if there are none
+// here and it has room, else nil.
+func (p *pool) rackLender(t *task, now Time) *peer {
+	rack := t.step.spec.Rack
+	if rack == "" || t.job.part != nil {
+		return nil
+	}
+	if slices.ContainsFunc(p.order, func(s *server) bool { return slices.Contains(s.entry.Labels, rack) }) {
+		return nil
+	}
+	for _, x := range p.members.order {
+		owns := slices.Contains(p.owners.racksOf(x.member), rack)
+		if owns && x.reachable(now) && !x.leaving && x.room(t.job.spec.Service) >= float64(t.step.spec.Need.CPUMilli) {
+			return x
+		}
+	}
+	return nil
+}
+
 // stageRoom returns a peer's room for tasks, with those that may wait there.
 func (p *pool) stageRoom(x *peer, service string) float64 {
 	l := x.load(service)
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -81,6 +81,17 @@
 	return false
 }
 
+// racksOf returns the labels of the servers that a member owns.
+func (o *owners) racksOf(m Member) []string {
+	var out []string
+	for id, e := range o.entries {
+		if x := o.known[id]; x.Owner == m.Instance && x.Life == m.Incarnation {
+			out = append(out, e.Labels...)
+		}
+	}
+	return out
+}
+
 // mine reports whether this life of the instance owns a server.
 func (o *owners) mine(s model.ServerID) bool {
 	x := o.known[s]
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -46,6 +46,7 @@
 type pool struct {
 	self    Member
 	members *members
+	owners  *owners
 	lease   time.Duration
 	// goneAfter is when runs are gone for certain that nobody renews.
 	goneAfter time.Duration
@@ -66,9 +67,9 @@
 	told     bool // peers know that tasks wait
 }
 
-func newPool(o Options, m *members, effect func(Effect)) *pool {
+func newPool(o Options, m *members, w *owners, effect func(Effect)) *pool {
 	return &pool{
-		self: o.Self, members: m, lease: o.Lease, goneAfter: RunsGoneWithin(o.Lease, o.StopTimeout), policy: o.Policy, effect: effect,
+		self: o.Self, members: m, owners: w, lease: o.Lease, goneAfter: RunsGoneWithin(o.Lease, o.StopTimeout), policy: o.Policy, effect: effect,
 		lent:    map[CallID]lentTask{},
 		servers: map[model.ServerID]*server{},
 		jobs:    map[jobKey]*job{},
@@ -339,6 +340,11 @@
 func (p *pool) startStep(j *job, st *step, now Time) {
 	for len(st.waiting) > 0 {
 		t := st.waiting[0]
+		if near := p.rackLender(t, now); near != nil {
+			st.waiting = st.waiting[1:]
+			p.lendTask(t, near, now)
+			continue
+		}
 		s := p.place(t, now)
 		if s == nil {
 			return
