--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/nutmegweir/nutmegweir/internal/node"
@@ -15,12 +16,17 @@
 // environment.
 type fleetArgs struct{}
 
+// gcPercent trades processor time for memory: an instance allocates little, and
+// its machine has a few hundred megabytes.
+const gcPercent = 50
+
 // serveFleet runs one instance on the users' platform until ctx ends.
 func serveFleet(ctx context.Context, stdout io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	logs, closeLogs := node.LogWriter(stdout)
 	defer closeLogs()
 	n, err := node.New(s, logs)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -201,10 +201,14 @@
 }
 
 // pace is how long a server takes for work, against the estimates.
-type pace struct{ log float64 }
+type pace struct {
+	log  float64
+	runs int // that were learned from
+}
 
 const (
-	paceShare = 0.12 // weight of a new sample, so that about ten runs decide
+	paceShare = 0.12 // least weight of a new sample, so that about ten runs decide
+	pacePrior = 1    // runs that the first guess, the speed of the estimates, counts for
 	paceLimit = 2.0  // bound on one sample, as estimates are rough and stragglers exist
 )
 
@@ -214,7 +218,8 @@
 	}
 	sample := math.Log(float64(took) / float64(estimate))
 	sample = min(max(sample, -paceLimit), paceLimit)
-	p.log += paceShare * (sample - p.log)
+	p.runs++
+	p.log += max(paceShare, 1/float64(p.runs+pacePrior)) * (sample - p.log)
 }
 
 // expect returns how long work with an estimate will take.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -33,7 +33,7 @@
 	redialMax     = 500 * time.Millisecond
 	redialSpread  = 0.3
 	maxFrameBytes = 4 << 20
-	queueLength   = 4096 // messages that wait for a slow link
+	queueLength   = 512 // messages that wait for a slow link: some seconds of a crest
 )
 
 // Options are the settings of a Mesh.
--- a/internal/node/logwriter.go
+++ b/internal/node/logwriter.go
@@ -8,7 +8,7 @@
 
 // logBuffer is how many lines may wait for a slow reader of the log; beyond
 // that the oldest are lost.
-const logBuffer = 4096
+const logBuffer = 1024
 
 // LogWriter returns a writer that never blocks on w.
 func LogWriter(w io.Writer) (io.Writer, func()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,7 @@
 }
 
 // eventQueue is how many events may wait for the reducer; senders block beyond.
-const eventQueue = 4096
+const eventQueue = 1024
 
 // New returns a node. logs takes structured logs.
 func New(s platform.Settings, logs io.Writer) (*Node, error) {
