Stop runs that stand still, and close their servers

A look lists how far each run has come; one without progress for 300 ms and four times as long as a percent has taken is stopped, and its server gets one run as a probe two seconds later.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -81,7 +81,7 @@
 	RunUnanswered     = warn(8010, "run-unanswered", "a start was not answered; the run is stopped before its task starts again")
 	RunLost           = warn(8011, "run-lost", "a run is gone without an end; its task starts again")
 	RunFailed         = info(8012, "run-failed", "a run has failed")
-	RunOverdue        = warn(8013, "run-overdue", "a run takes far longer than expected and is stopped")
+	RunOverdue        = warn(8013, "run-overdue", "a run stands still and is stopped; its task starts elsewhere")
 	JobRouted         = info(8014, "job-routed", "a job was offered to an owner of backend servers")
 	JobBounced        = info(8015, "job-bounced", "an owner could not start a job at once; it is offered elsewhere")
 	JobQueued         = info(8016, "job-queued", "a job waits, or was refused, because of the work before it")
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -161,7 +161,7 @@
 // checkStart notes starts that break a rule.
 func (w *World) checkStart(s *Server, id fleet.RunID, j *JobRecord, need model.Resources) {
 	used := need
-	for _, r := range s.state.Running() {
+	for _, r := range s.state.Running(w.now) {
 		if r.Run != id {
 			used = used.Plus(s.needs[r.Run])
 		}
@@ -248,6 +248,6 @@
 		e.Outcome = fleet.LookFenced
 		return e
 	}
-	e.Running, e.Ended = s.state.Running(), s.state.Ended()
+	e.Running, e.Ended = s.state.Running(s.world.now), s.state.Ended()
 	return e
 }
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -89,6 +89,12 @@
 			w.After(5*time.Second, func() { s.Fails = 0 })
 		}
 	}},
+	{"servers hang", func(w *World) {
+		for _, s := range w.servers[14:17] {
+			s.Hangs = true
+			w.After(5*time.Second, func() { s.Hangs = false })
+		}
+	}},
 	{"servers leave", func(w *World) {
 		for _, s := range w.servers[30:33] {
 			s.Entry.State = fleet.ServerDraining
@@ -184,7 +190,7 @@
 	w.Leave("carrick-1", j)
 	w.Run(100 * time.Millisecond)
 	for _, s := range w.servers {
-		if n := len(s.state.Running()); n > 0 {
+		if n := len(s.state.Running(w.now)); n > 0 {
 			t.Errorf("%d runs are left at %s", n, s.Entry.ID)
 		}
 	}
@@ -368,3 +374,23 @@
 	server *Server
 	id     fleet.RunID
 }
+
+// TestHungServersAreLeft lets tasks on some servers stand still: they go on
+// elsewhere while their callers wait.
+func TestHungServersAreLeft(t *testing.T) {
+	w := New(12)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	w.Offer(site, 0.8, 8*time.Second)
+	w.Run(time.Second)
+	for _, s := range w.servers[10:14] {
+		s.Hangs = true
+		w.After(5*time.Second, func() { s.Hangs = false })
+	}
+	w.Run(20 * time.Second)
+	checkRules(t, w)
+	if got := w.Tally(0); float64(got.Completed) < 0.995*float64(got.Jobs) {
+		t.Errorf("%+v, want 0.995 completed", got)
+	}
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -634,8 +634,11 @@
 			s.add(r)
 			p.effect(Note{Kind: NoteForeignRun, Server: s.entry.ID, Run: row.Run})
 		}
-		if r.task == nil && r.state != runStopping {
+		switch stalled := r.listed(row.Percent, now); {
+		case r.task == nil && r.state != runStopping:
 			p.stop(s, r, now)
+		case stalled && r.task != nil:
+			p.stalled(s, r, now)
 		}
 	}
 	for _, r := range s.sorted() {
@@ -651,6 +654,13 @@
 	}
 }
 
+// stalled stops a run that stands still, so that its task starts elsewhere.
+func (p *pool) stalled(s *server, r *run, now Time) {
+	p.effect(Note{Kind: NoteRunOverdue, Server: s.entry.ID, Run: r.id, Age: now.Sub(r.progressAt), Count: r.percent})
+	s.health.stalled(now)
+	p.stop(s, r, now)
+}
+
 // resolve settles a run whose start got no answer: one that runs goes on, one
 // that doesn't is forbidden, as its start may still come.
 func (p *pool) resolve(s *server, r *run, present bool, now Time) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,6 +46,29 @@
 	doubtedAt Time
 	stopSent  Time
 	expected  time.Duration
+
+	percent    int  // of its work, as last listed
+	progressAt Time // when that changed
+}
+
+// Bounds of a run that stands still.
+const (
+	stallAfter  = 300 * time.Millisecond // at least: a little more than the pause between two looks
+	stallSteps  = 4                      // times as long as a percent has taken so far
+	stallUnseen = 2                      // part of its expected time in which a run must show progress
+)
+
+// listed notes how far a run has come and reports whether it stands still.
+func (r *run) listed(percent int, now Time) (stalled bool) {
+	if r.progressAt == 0 || percent != r.percent {
+		r.percent, r.progressAt = percent, now
+		return false
+	}
+	patience := r.expected / stallUnseen
+	if percent > 0 {
+		patience = stallSteps * r.progressAt.Sub(r.sentAt) / time.Duration(percent)
+	}
+	return r.state == runConfirmed && percent < 100 && now.Sub(r.progressAt) > max(patience, stallAfter)
 }
 
 // remoteClock follows the clock of a backend server. Its reading is never ahead
@@ -259,6 +282,12 @@
 	return true
 }
 
+// stalled notes a run that stood still: the server gets no more work.
+func (h *health) stalled(now Time) {
+	h.failures, h.probing = failuresToClose, false
+	h.closedTill = now.Add(closedFor)
+}
+
 // started notes that a run was sent.
 func (h *health) started() {
 	if h.failures >= failuresToClose {
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -260,8 +260,8 @@
 		out["remainingMs"] = 0
 	}
 	running, ended := [][]any{}, [][]any{}
-	for _, r := range s.state.Running() {
-		running = append(running, []any{taskName(r.Run.Task), r.Run.Attempt, "", 0})
+	for _, r := range s.state.Running(now()) {
+		running = append(running, []any{taskName(r.Run.Task), r.Run.Attempt, "", r.Percent})
 	}
 	for _, e := range s.state.Ended() {
 		ended = append(ended, []any{e.Number, taskName(e.Run.Task), e.Run.Attempt, howName(e.How), ""})
--- a/internal/standin/worker/state.go
+++ b/internal/standin/worker/state.go
@@ -34,6 +34,7 @@
 // Run is a run at a server.
 type Run struct {
 	ID     fleet.RunID
+	began  fleet.Time
 	endsAt fleet.Time // 0: never by itself
 	how    fleet.EndHow
 	stops  bool
@@ -87,7 +88,7 @@
 		return fleet.StartRefused, false
 	}
 	s.fence = o.Fence
-	r := &Run{ID: o.Run, how: o.How}
+	r := &Run{ID: o.Run, began: now, how: o.How}
 	if o.Work > 0 {
 		r.endsAt = now.Add(o.Work)
 	}
@@ -135,14 +136,23 @@
 func (s *State) Fenced(fence uint64) bool { return fence < s.fence }
 
 // Running lists the runs in order.
-func (s *State) Running() []fleet.RunningRow {
+func (s *State) Running(now fleet.Time) []fleet.RunningRow {
 	out := make([]fleet.RunningRow, 0, len(s.runs))
 	for _, r := range s.sorted() {
-		out = append(out, fleet.RunningRow{Run: r.ID})
+		out = append(out, fleet.RunningRow{Run: r.ID, Percent: r.percent(now)})
 	}
 	return out
 }
 
+// percent returns how much of its work a run has done; one that never ends
+// stands still.
+func (r *Run) percent(now fleet.Time) int {
+	if r.endsAt <= r.began {
+		return 0
+	}
+	return int(100 * now.Sub(r.began) / r.endsAt.Sub(r.began))
+}
+
 // Ended lists the ends that are not acknowledged.
 func (s *State) Ended() []fleet.EndedRow { return slices.Clone(s.ended) }
 
