--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,7 @@
 	case a.Serve != nil:
 		return serve(ctx, a.Serve, stderr)
 	case a.Fleet != nil:
-		return serveFleet(ctx, stdout)
+		return serveFleet(ctx, a.Fleet, stdout)
 	case a.Dev != nil:
 		return dev(ctx, a.Dev, stdout, stderr)
 	case a.Standin != nil:
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -12,20 +13,25 @@
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
-// fleetArgs has no flags: the platform names the settings file in the
-// environment.
-type fleetArgs struct{}
+// fleetArgs has no file: the platform names its settings in the environment.
+type fleetArgs struct {
+	Check bool `arg:"--check" help:"check the platform's settings file and exit"`
+}
 
 // gcPercent trades processor time for memory: an instance allocates little, and
 // its machine has a few hundred megabytes.
 const gcPercent = 50
 
 // serveFleet runs one instance on the users' platform until ctx ends.
-func serveFleet(ctx context.Context, stdout io.Writer) error {
+func serveFleet(ctx context.Context, a *fleetArgs, stdout io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	if a.Check {
+		_, err := fmt.Fprintf(stdout, "settings of %s in %s can be served\n", s.Instance, s.Domain)
+		return err
+	}
 	debug.SetGCPercent(gcPercent)
 	logs, closeLogs := node.LogWriter(stdout)
 	defer closeLogs()
--- /dev/null
+++ b/internal/fleet/admission.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+func (p *pool) learnSize(spec JobSpec) {
+	const share = 0.02 // of a job in the moving mean
+	for _, s := range spec.Steps {
+		p.typical += share * (float64(s.Need.CPUMilli) - p.typical)
+	}
+}
+
+// verdict says what becomes of an offered job.
+type verdict int
+
+const (
+	admitNow    verdict = iota // all that is ready can start at once
+	admitQueue                 // it is expected to be of use after a wait
+	admitRefuse                // it would come too late
+)
+
+// admit decides on a job by the work that waits before it.
+func (p *pool) admit(j *job, now Time) (verdict, time.Duration) {
+	if !p.waitsInTime(now) && p.fitsNow(j, now) {
+		return admitNow, 0
+	}
+	wait := p.fleetWait(j.spec.Service, now)
+	end := now.Add(wait + j.rest())
+	limit := j.spec.Received.Add(lateFactor * j.spec.Due().Sub(j.spec.Received))
+	if end > min(limit, j.spec.Deadline()) {
+		return admitRefuse, wait
+	}
+	return admitQueue, wait
+}
+
+// othersWait reports whether jobs wait at the owner that keeps the queue; what
+// comes later waits behind them.
+func (p *pool) othersWait(service string, now Time) bool {
+	keeper := p.members.queueKeeper(service, p.serverCount(service), now)
+	return keeper != nil && keeper.load(service).Waiting > 0
+}
+
+// serverCount returns the number of servers of a service.
+func (p *pool) serverCount(service string) int {
+	n := 0
+	for _, s := range p.order {
+		if s.entry.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// waitsInTime reports whether a job waits that can still be in time.
+func (p *pool) waitsInTime(now Time) bool {
+	return slices.ContainsFunc(p.queue, func(j *job) bool { return j.waits() && j.latestStart() >= now })
+}
+
+// fitsNow reports whether all ready tasks of a job can start at once.
+func (p *pool) fitsNow(j *job, now Time) bool {
+	for _, st := range j.steps {
+		if !st.ready {
+			continue
+		}
+		room := 0
+		for _, s := range p.order {
+			if s.takesWork(now) && s.entry.serves(j.spec.Service, st.spec) {
+				room += timesFits(st.spec.Need, s.free(), st.spec.MaxPerServer)
+			}
+		}
+		if room < st.spec.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// serves reports whether tasks of a step may run on the server.
+func (e *ServerEntry) serves(service string, st StepSpec) bool {
+	return e.Service == service && (st.Label == "" || slices.Contains(e.Labels, st.Label))
+}
+
+// timesFits returns how many times need fits into room, limit at most if it is
+// above 0.
+func timesFits(need, room model.Resources, limit int) int {
+	n := math.MaxInt32
+	if limit > 0 {
+		n = limit
+	}
+	for _, d := range [][2]uint32{
+		{need.CPUMilli, room.CPUMilli}, {need.MemoryMB, room.MemoryMB}, {need.Accelerators, room.Accelerators},
+	} {
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return n
+}
+
+// expectedWait estimates how long a job that comes now waits for its start.
+func (p *pool) expectedWait(now Time) time.Duration {
+	rate := 0.0
+	for _, s := range p.order {
+		if s.takesWork(now) {
+			rate += float64(s.entry.Capacity.CPUMilli) * packedShare / math.Exp(s.pace.log)
+		}
+	}
+	if rate == 0 {
+		return time.Second
+	}
+	work := 0.0
+	for _, j := range p.queue {
+		work += j.waitingWork()
+	}
+	return time.Duration(work / rate * float64(time.Millisecond))
+}
+
+// load tells how busy the pool is for jobs of a service.
+func (p *pool) load(service string, now Time) Load {
+	l := Load{Service: service, Wait: p.expectedWait(now), Waiting: p.waitingTasks(service), Staged: p.staged()}
+	need := uint32(p.typical)
+	for _, s := range p.order {
+		if s.entry.Service != service || !s.takesWork(now) {
+			continue
+		}
+		l.Servers++
+		l.Capacity += float64(s.entry.Capacity.CPUMilli)
+		l.Free += float64(s.free().CPUMilli / need * need)
+	}
+	return l
+}
+
+// services returns the services of the pool's servers, in order.
+func (p *pool) services() []string {
+	var out []string
+	for _, s := range p.order {
+		if !slices.Contains(out, s.entry.Service) {
+			out = append(out, s.entry.Service)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
