Count a replaced life as lost, and let a job that comes again wait for its first runs

A life that a later one replaces now counts as lost from that moment. TestQuickRestart. - A job that came again at the same owner was started while its first runs were only being stopped. It waits until they are gone. TestJobThatComesTwice. Ruled out as guards: the resync of links, which only tells what the new life does not know, and the 1,300 ms before callers send again, which don't bind other deployments.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -18,6 +18,11 @@
 	Weight      float64
 }
 
+// same reports whether two members are the same life of an instance.
+func (m Member) same(o Member) bool {
+	return m.Instance == o.Instance && m.Incarnation == o.Incarnation
+}
+
 // MembersSeen tells which members the store lists. Fresh is false while the
 // store doesn't answer.
 type MembersSeen struct{ Members []Member }
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -309,13 +309,18 @@
 
 // Kill ends an instance; the others see their connections refused.
 func (w *World) Kill(name model.Instance) {
-	n := w.node(name)
-	n.alive = false
+	w.PowerOff(name)
 	for _, o := range w.nodes {
 		if o.alive {
-			w.step(o, fleet.PeerLost{Peer: n.member, Refused: true})
+			w.step(o, fleet.PeerLost{Peer: w.node(name).member, Refused: true})
 		}
 	}
+}
+
+// PowerOff ends an instance; the others only hear no more of it.
+func (w *World) PowerOff(name model.Instance) {
+	n := w.node(name)
+	n.alive = false
 	for _, j := range w.order {
 		if j.Answered == 0 && n.holds(j) {
 			j.Answered, j.Result = w.now, fleet.Result{Kind: fleet.Unknown}
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -394,3 +394,45 @@
 		t.Errorf("%+v, want 0.995 completed", got)
 	}
 }
+
+// TestQuickRestart lets each owner in turn lose power and start again before
+// anybody has noticed, while jobs are with it and its runs go on.
+func TestQuickRestart(t *testing.T) {
+	for seed := range uint64(6) {
+		w := New(20 + seed)
+		site := Glenbrae()
+		w.Build(site)
+		w.Run(settle)
+		w.Offer(site, 1.2, 6*time.Second)
+		w.Run(time.Second)
+		for _, n := range []model.Instance{"carrick-0", "tayside-0", "ardmore-0", "carrick-1"} {
+			w.PowerOff(n)
+			w.After(time.Duration(100+100*seed%500)*time.Millisecond, func() { w.Start(n) })
+			w.Run(1200 * time.Millisecond)
+		}
+		w.Run(20 * time.Second)
+		checkRules(t, w)
+		if got := w.Tally(0); got.Open > 0 {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
+// TestJobThatComesTwice hands a job in again while it runs: the first runs end
+// before the second start.
+func TestJobThatComesTwice(t *testing.T) {
+	w := New(30)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	spec := w.Job(site.Classes[1], 2*time.Second)
+	spec.Timeout = 20 * time.Second
+	w.Submit("ardmore-0", spec)
+	w.Run(100 * time.Millisecond)
+	again := w.Submit("ardmore-0", spec)
+	w.Run(15 * time.Second)
+	checkRules(t, w)
+	if again.Result.Kind != fleet.Completed {
+		t.Errorf("%v", again.Result)
+	}
+}
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -208,13 +208,13 @@
 }
 
 // outcome takes in what an owner says of an offer.
-func (h *home) outcome(from model.Instance, o Outcome, now Time) {
+func (h *home) outcome(from Member, o Outcome, now Time) {
 	c := h.calls[o.Call]
-	if c == nil || c.owner.Instance != from {
+	if c == nil || !c.owner.same(from) {
 		return
 	}
 	if o.Bounced {
-		h.effect(Note{Kind: NoteJobBounced, Call: c.id, Job: c.job.ID, Peer: from})
+		h.effect(Note{Kind: NoteJobBounced, Call: c.id, Job: c.job.ID, Peer: from.Instance})
 		h.route(c, now)
 		return
 	}
@@ -263,9 +263,9 @@
 // ownerLost takes the calls back whose owner is gone or silent. Their runs may
 // go on until a time, after which they are offered again; calls whose callers
 // don't wait that long are answered.
-func (h *home) ownerLost(i model.Instance, gone, now Time) {
+func (h *home) ownerLost(owner Member, gone, now Time) {
 	for _, c := range h.sorted() {
-		if c.owner.Instance != i || c.resumeAt != 0 {
+		if !c.owner.same(owner) || c.resumeAt != 0 {
 			continue
 		}
 		if gone.Add(c.job.Chain()) > c.job.Deadline() {
@@ -273,7 +273,7 @@
 			continue
 		}
 		h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: c.id}})
-		h.effect(Note{Kind: NoteJobTakenBack, Call: c.id, Job: c.job.ID, Peer: i, Age: gone.Sub(now)})
+		h.effect(Note{Kind: NoteJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: gone.Sub(now)})
 		c.owner, c.resumeAt = Member{}, max(gone, now)
 	}
 }
@@ -290,10 +290,10 @@
 }
 
 // resync returns the calls that an owner should still have.
-func (h *home) resync(i model.Instance) Resync {
+func (h *home) resync(owner Member) Resync {
 	var out Resync
 	for _, c := range h.sorted() {
-		if c.owner.Instance == i {
+		if c.owner.same(owner) {
 			out.Calls = append(out.Calls, c.id)
 		}
 	}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -77,7 +77,7 @@
 			case !ok:
 				out = append(out, e)
 			case o.origin.Instance == i.opts.Self.Instance:
-				i.home.outcome(i.opts.Self.Instance, o.outcome, now)
+				i.home.outcome(i.opts.Self, o.outcome, now)
 			default:
 				out = append(out, SendPeer{To: o.origin, Message: o.outcome})
 			}
@@ -153,12 +153,7 @@
 
 // maintain does what follows from who lives.
 func (i *Instance) maintain(now Time) {
-	for _, p := range i.members.judge(now) {
-		gone := p.lastSign(now).Add(i.pool.goneAfter)
-		i.home.ownerLost(p.member.Instance, gone, now)
-		i.pool.lenderLost(p.member.Instance, gone, now)
-		i.pool.originLost(p.member.Instance, now)
-	}
+	i.dropLost(now)
 	i.beat(now, false)
 	i.members.relink(now)
 	for _, s := range i.owners.plan(i.members, i.leaving, now) {
@@ -169,6 +164,16 @@
 	i.release(now)
 }
 
+// dropLost gives up what lost members asked for, and takes back what they ran.
+func (i *Instance) dropLost(now Time) {
+	for _, p := range i.members.judge(now) {
+		gone := p.lastSign(now).Add(i.pool.goneAfter)
+		i.home.ownerLost(p.member, gone, now)
+		i.pool.lenderLost(p.member, gone, now)
+		i.pool.originLost(p.member, now)
+	}
+}
+
 // release gives up servers that are to be released and run nothing.
 func (i *Instance) release(now Time) {
 	if i.owners.claiming || !i.members.storeUp {
@@ -235,11 +240,12 @@
 	if p == nil {
 		return
 	}
+	i.dropLost(now) // before the new life is told which calls are open
 	p.linked, p.refused, p.dead = true, false, false
 	p.linkedAt, p.heardAt, p.everHeard, p.hearsMe = now, now, true, 0
 	p.partsSent, p.partsHeard = 0, 0
-	open := i.home.resync(p.member.Instance)
-	open.Calls = append(open.Calls, i.pool.lentTo(p.member.Instance)...)
+	open := i.home.resync(p.member)
+	open.Calls = append(open.Calls, i.pool.lentTo(p.member)...)
 	i.effects = append(i.effects, SendPeer{To: p.member, Message: open})
 	for _, f := range i.pool.recent {
 		if f.key.origin == p.member.Instance && f.key.life == p.member.Incarnation {
@@ -266,6 +272,7 @@
 	if p == nil {
 		return
 	}
+	i.dropLost(now)
 	p.everHeard, p.heardAt, p.dead, p.refused = true, now, false, false
 	switch m := e.Message.(type) {
 	case Beat:
@@ -286,7 +293,7 @@
 			i.pool.lentOutcome(p, m, now)
 			return
 		}
-		i.home.outcome(p.member.Instance, m, now)
+		i.home.outcome(p.member, m, now)
 	case OwnersTold:
 		i.learnOwners(m.Owners, now)
 		i.maintain(now)
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -174,7 +174,7 @@
 // lentOutcome takes in what became of a lent task.
 func (p *pool) lentOutcome(from *peer, o Outcome, now Time) {
 	l, ok := p.lent[o.Call]
-	if !ok || l.to.Instance != from.member.Instance {
+	if !ok || !l.to.same(from.member) {
 		return
 	}
 	delete(p.lent, o.Call)
@@ -201,8 +201,8 @@
 
 // lenderLost takes the tasks back that ran on the servers of an owner that is
 // gone or silent. They wait until their runs are gone.
-func (p *pool) lenderLost(i model.Instance, gone, now Time) {
-	for _, id := range p.lentTo(i) {
+func (p *pool) lenderLost(lender Member, gone, now Time) {
+	for _, id := range p.lentTo(lender) {
 		l := p.lent[id]
 		delete(p.lent, id)
 		p.effect(SendPeer{To: l.to, Message: Withdraw{Call: id}})
@@ -223,6 +223,16 @@
 	p.limbo = append(p.limbo, limboTask{t, till})
 }
 
+// waitAll lets all tasks of a new job wait until a time.
+func (p *pool) waitAll(j *job, till Time) {
+	for _, st := range j.steps {
+		for _, t := range st.waiting {
+			p.waitFor(t, till)
+		}
+		st.waiting = nil
+	}
+}
+
 // leaveLimbo lets tasks start again whose last run is gone.
 func (p *pool) leaveLimbo(now Time) {
 	p.limbo = slices.DeleteFunc(p.limbo, func(l limboTask) bool {
@@ -238,10 +248,10 @@
 }
 
 // lentTo returns the calls of the tasks that were lent to an owner, in order.
-func (p *pool) lentTo(i model.Instance) []CallID {
+func (p *pool) lentTo(lender Member) []CallID {
 	var out []CallID
 	for id, l := range p.lent {
-		if l.to.Instance == i {
+		if l.to.same(lender) {
 			out = append(out, id)
 		}
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -38,6 +38,7 @@
 	inStore   bool
 	missingAt Time // since when the store doesn't list it
 	dead      bool
+	replaced  bool // by a later life
 	deadAt    Time
 	leaving   bool
 	hearsMe   time.Duration // since it last heard of this instance
@@ -59,7 +60,7 @@
 // lastSign returns when the peer may have acted last on what this instance asked
 // of it. A peer that lives but does not hear of this instance gives its jobs up.
 func (p *peer) lastSign(now Time) Time {
-	if p.refused {
+	if p.refused || p.replaced {
 		return now // it may have ended just now
 	}
 	return p.heardAt
@@ -103,6 +104,9 @@
 	inStore bool // the store lists this instance
 	peers   map[model.Instance]*peer
 	order   []*peer // by name
+	// replaced are lives that a later one has followed and whose loss was not
+	// handled yet.
+	replaced []*peer
 }
 
 func newMembers(self Member, effect func(Effect)) *members {
@@ -126,6 +130,9 @@
 		return p
 	case p.member.Incarnation > x.Incarnation:
 		return nil
+	case !p.lostCalled:
+		p.dead, p.replaced = true, true
+		m.replaced = append(m.replaced, p)
 	}
 	p = &peer{member: x, missingAt: now}
 	m.peers[x.Instance] = p
@@ -157,6 +164,7 @@
 // judge marks members as dead, and returns those that were lost since the last
 // call: dead, or not heard of for too long.
 func (m *members) judge(now Time) (lost []*peer) {
+	lost, m.replaced = m.replaced, nil
 	for _, p := range m.order {
 		if !p.dead && m.isDead(p, now) {
 			p.dead, p.deadAt = true, now
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -129,10 +129,13 @@
 	if spec.Part != nil {
 		return p.offerPart(origin, call, spec, now)
 	}
+	j := newJob(spec, origin, call)
 	if old := p.byID[spec.ID]; old != nil {
 		p.end(old, Result{Kind: Unknown, Reason: ReasonReplaced}, now)
+		if old.starts > 0 {
+			p.waitAll(j, now.Add(p.goneAfter)) // its runs are only being stopped
+		}
 	}
-	j := newJob(spec, origin, call)
 	p.learnSize(spec)
 	verdict, wait := p.admit(j, now)
 	switch {
@@ -203,9 +206,9 @@
 	}
 }
 
-// originLost gives up all jobs of an instance that is gone or silent.
-func (p *pool) originLost(m model.Instance, now Time) {
-	p.dropJobs(func(k jobKey) bool { return k.origin == m }, now)
+// originLost gives up all jobs of a member that is gone or silent.
+func (p *pool) originLost(m Member, now Time) {
+	p.dropJobs(func(k jobKey) bool { return k.origin == m.Instance && k.life == m.Incarnation }, now)
 }
 
 // resync gives up the jobs of an origin that it no longer waits for.
