Answers of earlier lives of a server are ignored, and hopeless jobs close no servers

Found by reading, each with a test that failed first: - A look's answer of an earlier life that arrived after a later one's set the server's life back; runs of the new life were then judged by the old one. TestAnswerOfAnEarlierLifeIsIgnored. - Runs at a server whose address another server has taken stayed booked until their callers left, as an answer of the wrong server counted as an answer. A job counts once against a server; a task that stands still again counts as failed. TestHopelessJobsCloseNoServers.

--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -122,8 +122,10 @@
 // fate decides how a run goes.
 func (s *Server) fate(j *JobRecord, step fleet.StepSpec) (time.Duration, fleet.EndHow) {
 	switch {
-	case s.Hangs:
+	case s.Hangs || j.Hangs:
 		return 0, fleet.EndDone
+	case j.Fails:
+		return time.Millisecond, fleet.EndFailed
 	case s.Fails > 0 && s.world.Rand.Float64() < s.Fails:
 		return time.Millisecond, fleet.EndFailed
 	}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -43,6 +43,8 @@
 	order  []*JobRecord
 	Broken []string // rules that were broken
 
+	closed int // times that an instance gave a server no more work
+
 	onStart func(*Server, fleet.RunID) // told of each start, may be nil
 }
 
@@ -53,6 +55,8 @@
 	Answered fleet.Time // 0 while it is not
 	Result   fleet.Result
 	Starts   int
+	Fails    bool       // each of its runs fails
+	Hangs    bool       // each of its runs stands still
 	first    fleet.Time // of the first start
 	work     time.Duration
 }
@@ -232,6 +236,10 @@
 		w.claim(n, x)
 	case fleet.SendPeer:
 		w.send(n, x)
+	case fleet.Note:
+		if x.Kind == fleet.NoteServerQuarantined {
+			w.closed++
+		}
 	case fleet.Relink:
 		w.link(n, w.node(x.Peer.Instance))
 	case fleet.Answer:
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -436,3 +436,33 @@
 		t.Errorf("%v", again.Result)
 	}
 }
+
+// TestHopelessJobsCloseNoServers hands jobs in that fail or stand still
+// wherever they run: they are given up, and the servers go on.
+func TestHopelessJobsCloseNoServers(t *testing.T) {
+	w := New(40)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	w.Offer(site, 0.5, 4*time.Second)
+	var hopeless []*JobRecord
+	for i := range 12 {
+		w.Run(200 * time.Millisecond)
+		j := w.Submit("carrick-1", w.Job(site.Classes[i%2], 400*time.Millisecond))
+		j.Fails, j.Hangs = i%3 > 0, i%3 == 0
+		hopeless = append(hopeless, j)
+	}
+	w.Run(20 * time.Second)
+	checkRules(t, w)
+	for i, j := range hopeless {
+		if j.Result.Kind != fleet.Failed && j.Result.Kind != fleet.Unknown {
+			t.Errorf("hopeless job %d ended with %v", i, j.Result)
+		}
+	}
+	if got := w.Tally(0); got.Completed < got.Jobs-len(hopeless) {
+		t.Errorf("%+v, want all but the %d hopeless ones completed", got, len(hopeless))
+	}
+	if w.closed > 4 {
+		t.Errorf("%d times a sound server got no more work", w.closed)
+	}
+}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -7,16 +7,17 @@
 
 // job is a job at the owner that runs it.
 type job struct {
-	spec   JobSpec
-	origin Member // holds the caller
-	call   CallID
-	steps  []*step
-	left   int // tasks that have not ended well
-	starts int // runs that were ordered so far
-	live   int // runs that occupy room
-	over   bool
-	part   *task // the only task, of a part
-	until  Time  // a part that has not started goes back
+	spec    JobSpec
+	origin  Member // holds the caller
+	call    CallID
+	steps   []*step
+	left    int // tasks that have not ended well
+	starts  int // runs that were ordered so far
+	live    int // runs that occupy room
+	over    bool
+	stalled bool  // a run of it stood still
+	part    *task // the only task, of a part
+	until   Time  // a part that has not started goes back
 }
 
 // step is a step of a job.
@@ -34,6 +35,7 @@
 	step     *step
 	attempt  uint32
 	failures int
+	stalls   int // runs that stood still
 	run      *run
 	server   *server // of the run
 }
--- /dev/null
+++ b/internal/fleet/pool_test.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// oneServer returns an instance that owns one server and has looked at it, with
+// a time to go on from.
+func oneServer(t *testing.T, born int64) (*Instance, Time) {
+	t.Helper()
+	self := Member{Instance: "n1", Incarnation: "01", Domain: "d", Weight: 1}
+	now := Time(time.Second)
+	i := NewInstance(Options{Self: self, Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
+	entry := ServerEntry{ID: "s1", Service: "svc", Addr: "a", Domain: "d", State: ServerReady, Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+	own := Ownership{Server: "s1", Owner: "n1", Life: "01", Revision: 7}
+	i.Step(now, StoreReached{Up: true})
+	i.Step(now, ServersSeen{Servers: []ServerEntry{entry}})
+	i.Step(now, OwnersSeen{Owners: []Ownership{own}})
+	now = now.Add(time.Millisecond)
+	i.Step(now, look(now, born))
+	return i, now.Add(time.Millisecond)
+}
+
+func look(now Time, born int64, running ...RunningRow) LookAnswered {
+	return LookAnswered{Server: "s1", Outcome: LookDone, SentAt: now.Add(-time.Millisecond), ClockMs: 100, Born: born, Running: running}
+}
+
+// startOne hands a job of one task in and confirms its start.
+func startOne(t *testing.T, i *Instance, now Time) RunID {
+	t.Helper()
+	spec := JobSpec{
+		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Objective: Objective{Stretch: 2},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	for _, e := range i.Step(now, Submitted{Call: 1, Job: spec}) {
+		if s, ok := e.(StartRun); ok {
+			i.Step(now, StartAnswered{Server: "s1", Run: s.Run, Outcome: StartDone, ClockMs: 100, SentAt: now})
+			return s.Run
+		}
+	}
+	t.Fatal("nothing was started")
+	return RunID{}
+}
+
+func TestAnswerOfAnEarlierLifeIsIgnored(t *testing.T) {
+	i, now := oneServer(t, 500)
+	i.Step(now, look(now, 600)) // it has started anew
+	now = now.Add(10 * time.Millisecond)
+	run := startOne(t, i, now)
+	now = now.Add(10 * time.Millisecond)
+	i.Step(now, look(now, 500)) // was on its way since before
+	if s := i.pool.servers["s1"]; s.born != 600 || s.runs[run] == nil {
+		t.Errorf("born %d, run %v", s.born, s.runs[run])
+	}
+}
+
+func TestRunsLapseWhenAnotherServerAnswers(t *testing.T) {
+	i, now := oneServer(t, 500)
+	run := startOne(t, i, now)
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		i.Step(now, LookAnswered{Server: "s1", Outcome: LookReborn, SentAt: now.Add(-time.Millisecond)})
+		i.Step(now, Tick{})
+	}
+	if i.pool.servers["s1"].runs[run] != nil {
+		t.Error("the run is still booked two seconds after its server was gone")
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -206,11 +206,17 @@
 		p.look(s, now)
 		return
 	case LookReborn:
+		// Another server answers at the address: nothing renews the runs.
 		s.phase = phaseLooking
+		p.suspect(s, e.SentAt, now)
 		s.lookAt = now.Add(lookRetryPause)
 		return
 	}
-	if e.Born != s.born && e.Born != 0 {
+	if e.Born != 0 && e.Born < s.born {
+		p.look(s, now) // an answer of an earlier life, overtaken by a later one's
+		return
+	}
+	if e.Born > s.born {
 		if s.born != 0 {
 			p.reborn(s, e.Born)
 		}
@@ -252,6 +258,10 @@
 	case EndFailed:
 		p.taskFailed(s, t, now)
 	default:
+		if r.fault {
+			p.countFailure(t, now)
+			return
+		}
 		t.requeue()
 		p.enqueue(t.job)
 	}
@@ -273,7 +283,7 @@
 
 func (p *pool) taskFailed(s *server, t *task, now Time) {
 	p.effect(Note{Kind: NoteRunFailed, Server: s.entry.ID, Run: RunID{t.id, t.attempt}, Count: t.failures + 1})
-	if s.health.failed(now) {
+	if s.health.failed(t.job.spec.ID, now) {
 		p.effect(Note{Kind: NoteServerQuarantined, Server: s.entry.ID, Count: s.health.failures})
 	}
 	p.countFailure(t, now)
@@ -293,12 +303,10 @@
 // compare matches what a server lists as running with what is booked there.
 func (p *pool) compare(s *server, e LookAnswered, now Time) {
 	present := make(map[RunID]bool, len(e.Running))
-	foreign := 0
 	for _, row := range e.Running {
 		present[row.Run] = true
 		r := s.runs[row.Run]
 		if r == nil {
-			foreign++
 			r = &run{id: row.Run, sentAt: now}
 			s.add(r)
 			p.effect(Note{Kind: NoteForeignRun, Server: s.entry.ID, Run: row.Run})
@@ -323,10 +331,18 @@
 	}
 }
 
-// stalled stops a run that stands still, so that its task starts elsewhere.
+// stalled stops a run that stands still, so that its task starts elsewhere. The
+// first run of a job to do so speaks against the server; a task that stands
+// still again counts as failed.
 func (p *pool) stalled(s *server, r *run, now Time) {
 	p.effect(Note{Kind: NoteRunOverdue, Server: s.entry.ID, Run: r.id, Age: now.Sub(r.progressAt), Count: r.percent})
-	s.health.stalled(now)
+	r.fault = r.task.stalls > 0
+	if !r.task.job.stalled {
+		s.health.stalled(now)
+		p.effect(Note{Kind: NoteServerQuarantined, Server: s.entry.ID, Run: r.id, Reason: "the run stands still"})
+	}
+	r.task.stalls++
+	r.task.job.stalled = true
 	p.stop(s, r, now)
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -47,6 +47,7 @@
 	stopSent  Time
 	expected  time.Duration
 
+	fault      bool // it was stopped by the task's own fault
 	percent    int  // of its work, as last listed
 	progressAt Time // when that changed
 }
@@ -252,9 +253,10 @@
 
 // health watches for servers that fail what they start.
 type health struct {
-	failures   int  // in a row
-	closedTill Time // no starts until then
-	probing    bool // one run decides whether it opens again
+	failures   int    // of other jobs in a row
+	lastJob    string // that failed here
+	closedTill Time   // no starts until then
+	probing    bool   // one run decides whether it opens again
 }
 
 const (
@@ -271,9 +273,13 @@
 	return restored
 }
 
-// failed notes a failed run and reports whether the server gets no more work.
-func (h *health) failed(now Time) (closed bool) {
-	h.failures++
+// failed notes a failed run of a job and reports whether the server gets no more
+// work. The tasks of one job may all fail by its own fault, and count once.
+func (h *health) failed(job string, now Time) (closed bool) {
+	if h.probing || job != h.lastJob {
+		h.failures++
+	}
+	h.lastJob = job
 	if h.failures < failuresToClose {
 		return false
 	}
