--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,15 +88,6 @@
 	return n
 }
 
-// Work returns the job's CPU time in milli-core-milliseconds by its estimates.
-func (j *JobSpec) Work() float64 {
-	w := 0.0
-	for _, s := range j.Steps {
-		w += float64(s.Count) * float64(s.Need.CPUMilli) * milliseconds(s.Estimate)
-	}
-	return w
-}
-
 // Chain returns the estimated time of the longest chain of steps.
 func (j *JobSpec) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -111,9 +111,6 @@
 			w.onStart(s, x.Run)
 		}
 		j.Starts++
-		if j.first == 0 {
-			j.first = w.now
-		}
 		s.schedule()
 	}
 	return outcome
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -55,15 +55,11 @@
 	Answered fleet.Time // 0 while it is not
 	Result   fleet.Result
 	Starts   int
-	Fails    bool       // each of its runs fails
-	Hangs    bool       // each of its runs stands still
-	first    fleet.Time // of the first start
+	Fails    bool // each of its runs fails
+	Hangs    bool // each of its runs stands still
 	work     time.Duration
 }
 
-// Waited returns the time from submission to the first start.
-func (j *JobRecord) Waited() time.Duration { return j.first.Sub(j.Sent) }
-
 // InTime reports whether the job was completed within its objective, by the
 // work that its tasks really had.
 func (j *JobRecord) InTime() bool {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -36,8 +36,6 @@
 	attempt  uint32
 	failures int
 	stalls   int // runs that stood still
-	run      *run
-	server   *server // of the run
 }
 
 func newJob(spec JobSpec, origin Member, call CallID) *job {
@@ -70,7 +68,6 @@
 
 // requeue lets a task start again.
 func (t *task) requeue() {
-	t.run, t.server = nil, nil
 	t.step.waiting = append(t.step.waiting, t)
 }
 
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -219,7 +219,6 @@
 // waitFor lets a task wait until its last run is gone for certain.
 func (p *pool) waitFor(t *task, till Time) {
 	p.effect(Note{Kind: NoteRunLost, Run: RunID{t.id, t.attempt}, Reason: "waits until it has lapsed"})
-	t.run, t.server = nil, nil
 	p.limbo = append(p.limbo, limboTask{t, till})
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -101,7 +101,6 @@
 	self    Member
 	effect  func(Effect)
 	storeUp bool
-	inStore bool // the store lists this instance
 	peers   map[model.Instance]*peer
 	order   []*peer // by name
 	// replaced are lives that a later one has followed and whose loss was not
@@ -151,7 +150,6 @@
 		present[x.Instance] = x.Incarnation
 		m.meet(x, now)
 	}
-	m.inStore = present[m.self.Instance] == m.self.Incarnation
 	for _, p := range m.order {
 		in := present[p.member.Instance] == p.member.Incarnation
 		if p.inStore && !in {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -274,7 +274,6 @@
 			if r.task == nil || r.task.job != j {
 				continue
 			}
-			r.task.run, r.task.server = nil, nil
 			r.task = nil
 			if r.state != runStopping {
 				p.stop(s, r, now)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -35,7 +35,6 @@
 		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, sentAt: now,
 		expected: s.pace.expect(t.step.spec.Estimate),
 	}
-	t.run, t.server = r, s
 	t.job.starts++
 	t.job.live++
 	s.add(r)
@@ -111,7 +110,6 @@
 	s.remove(r)
 	if r.task != nil {
 		r.task.job.live--
-		r.task.run, r.task.server = nil, nil
 	}
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -37,9 +37,8 @@
 	servers map[model.ServerID]fleet.ServerEntry
 	lease   platform.LeaseID
 
-	fails     int
-	up        bool
-	upAgainAt time.Time
+	fails int
+	up    bool
 }
 
 func newStoreSide(n *Node) *storeSide {
@@ -75,7 +74,7 @@
 	if ok {
 		s.fails = 0
 		if !s.up {
-			s.up, s.upAgainAt = true, time.Now()
+			s.up = true
 			s.node.log.Event(eventlog.PlatformBack).Send()
 			s.node.post(fleet.StoreReached{Up: true})
 		}
@@ -148,9 +147,7 @@
 		case platform.RecordServer:
 			servers = s.applyServer(it) || servers
 		case platform.RecordOwner:
-			if o, ok := s.ownership(it); ok {
-				owners = append(owners, o)
-			}
+			owners = append(owners, s.ownership(it))
 		case platform.RecordConfig:
 			if !it.Removed {
 				config = it.Value
@@ -208,13 +205,14 @@
 		a.Capacity == b.Capacity && a.Born == b.Born && slices.Equal(a.Labels, b.Labels)
 }
 
-func (s *storeSide) ownership(it platform.Item) (fleet.Ownership, bool) {
+// ownership decodes who orders at a server.
+func (s *storeSide) ownership(it platform.Item) fleet.Ownership {
 	o, err := platform.ParseOwner(it)
 	if err != nil {
 		// Another writer's bytes name no owner; a claim overwrites them.
 		s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
 	}
-	return o, true
+	return o
 }
 
 func (s *storeSide) memberList() []fleet.Member {
@@ -334,9 +332,7 @@
 func (s *storeSide) ownerships(items []platform.Item) []fleet.Ownership {
 	var out []fleet.Ownership
 	for _, it := range items {
-		if o, ok := s.ownership(it); ok {
-			out = append(out, o)
-		}
+		out = append(out, s.ownership(it))
 	}
 	return out
 }
