Let a server that is new to its owner count as fast as its kind

Cause: an owner knows nothing of a server's speed at its start and after each takeover, and sends long tasks to slow ones until it has learned.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -107,7 +107,7 @@
 	rate := 0.0
 	for _, s := range p.order {
 		if s.takesWork(now) {
-			rate += float64(s.entry.Capacity.CPUMilli) * packedShare / math.Exp(s.pace.log)
+			rate += float64(s.entry.Capacity.CPUMilli) * packedShare / s.pace.factor()
 		}
 	}
 	if rate == 0 {
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -59,8 +59,9 @@
 	State    ServerState
 	Capacity model.Resources
 	Labels   []string
-	Slots    int   // that it announces; capacity decides
-	Born     int64 // Unix milliseconds of its start, tells its lives apart
+	Kind     string // servers of a kind are alike, empty if unknown
+	Slots    int    // that it announces; capacity decides
+	Born     int64  // Unix milliseconds of its start, tells its lives apart
 }
 
 // ServersSeen tells of the backend servers that the store lists.
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -70,6 +70,7 @@
 			}
 			w.AddServer(fleet.ServerEntry{
 				ID: model.ServerID(fmt.Sprintf("%s-s%02d", domain, i)), Service: Service, Domain: domain, Addr: "a",
+				Kind:     string(rune('a' + i%3)),
 				Capacity: model.Resources{CPUMilli: cpu, MemoryMB: 65536},
 			}, []float64{0.6, 1, 1.6}[i%3])
 		}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -59,6 +59,7 @@
 	queue   []*job // jobs with tasks that wait
 	recent  []finished
 	typical float64 // CPU of a task, milli-cores, moving mean
+	paces   paces
 
 	limbo    []limboTask
 	lent     map[CallID]lentTask
@@ -74,6 +75,7 @@
 		jobs:    map[jobKey]*job{},
 		byID:    map[string]*job{},
 		typical: wideTask,
+		paces:   paces{},
 	}
 }
 
@@ -85,7 +87,7 @@
 		}
 		p.drop(s, now)
 	}
-	s := newServer(e, o)
+	s := newServer(e, o, p.paces.of(e))
 	p.servers[e.ID] = s
 	p.order = append(p.order, s)
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -114,12 +113,12 @@
 	misses     int  // unanswered calls since the last answer
 	answeredAt Time // of the last answer
 
-	pace   pace
+	pace   *pace
 	health health
 }
 
-func newServer(e ServerEntry, own Ownership) *server {
-	return &server{entry: e, own: own, listed: true, runs: map[RunID]*run{}, drains: e.State == ServerDraining}
+func newServer(e ServerEntry, own Ownership, p *pace) *server {
+	return &server{entry: e, own: own, pace: p, listed: true, runs: map[RunID]*run{}, drains: e.State == ServerDraining}
 }
 
 // takesWork reports whether new runs may start.
@@ -224,33 +223,6 @@
 	return s.misses == missesSilent
 }
 
-// pace is how long a server takes for work, against the estimates.
-type pace struct {
-	log  float64
-	runs int // that were learned from
-}
-
-const (
-	paceShare = 0.12 // least weight of a new sample, so that about ten runs decide
-	pacePrior = 1    // runs that the first guess, the speed of the estimates, counts for
-	paceLimit = 2.0  // bound on one sample, as estimates are rough and stragglers exist
-)
-
-func (p *pace) learn(took, estimate time.Duration) {
-	if estimate <= 0 || took <= 0 {
-		return
-	}
-	sample := math.Log(float64(took) / float64(estimate))
-	sample = min(max(sample, -paceLimit), paceLimit)
-	p.runs++
-	p.log += max(paceShare, 1/float64(p.runs+pacePrior)) * (sample - p.log)
-}
-
-// expect returns how long work with an estimate will take.
-func (p *pace) expect(estimate time.Duration) time.Duration {
-	return time.Duration(float64(estimate) * math.Exp(p.log))
-}
-
 // health watches for servers that fail what they start.
 type health struct {
 	failures   int    // of other jobs in a row
