Watch the servers apart from what the operator and the instances write

Cause: one watch over the whole store returned at each heartbeat of a server, every 0.35 s, and would bring the records of kept jobs to every instance. Heartbeats are now read every 0.9 s; a configuration or an ownership is heard of at once.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -18,8 +18,10 @@
 	memberTTL      = 1500 * time.Millisecond // how long a dead instance may seem alive
 	renewPause     = 500 * time.Millisecond  // three renewals in a lease
 	callTimeout    = 700 * time.Millisecond  // a slow store takes a quarter of a second
-	watchWait      = 1000 * time.Millisecond // half of the time until a configuration must be in force
-	watchPause     = 350 * time.Millisecond  // between watches, so that heartbeats come in batches
+	configWait     = 1000 * time.Millisecond // half of the time until a configuration must be in force
+	recordWait     = 2000 * time.Millisecond // peers tell of each other sooner than a silent watch is noticed
+	serverPause    = 900 * time.Millisecond  // between watches of servers, so that their heartbeats come in batches
+	recordPause    = 50 * time.Millisecond   // between watches of what changes seldom, for changes that come together
 	storeRetryMin  = 100 * time.Millisecond
 	storeRetryMax  = 500 * time.Millisecond
 	retrySpread    = 0.5
@@ -36,9 +38,25 @@
 	members map[model.Instance]fleet.Member
 	servers map[model.ServerID]fleet.ServerEntry
 	lease   platform.LeaseID
+	fails   int // reads in a row
+	up      bool
+}
 
-	fails int
-	up    bool
+// watched is a part of the store that an instance follows.
+type watched struct {
+	prefix string
+	wait   time.Duration // of a watch without news
+	pause  time.Duration // between two watches
+}
+
+// follows returns what an instance follows. The servers' heartbeats are apart
+// from what changes seldom, which is heard of at once.
+func follows() []watched {
+	return []watched{
+		{platform.OperatorPrefix, configWait, recordPause},
+		{platform.FleetPrefix, recordWait, recordPause},
+		{platform.ServerPrefix, configWait, serverPause},
+	}
 }
 
 func newStoreSide(n *Node) *storeSide {
@@ -50,13 +68,22 @@
 // run follows the store until ctx ends.
 func (s *storeSide) run(ctx context.Context) {
 	go s.stayListed(ctx)
+	var all sync.WaitGroup
+	for _, w := range follows() {
+		all.Go(func() { s.track(ctx, w) })
+	}
+	all.Wait()
+}
+
+// track reads a part of the store and follows its changes until ctx ends.
+func (s *storeSide) track(ctx context.Context, w watched) {
 	retry := s.backoff()
 	for ctx.Err() == nil {
-		at, err := s.load(ctx)
+		at, err := s.load(ctx, w.prefix)
 		if err == nil {
 			retry.Reset()
 			s.reached(true, nil)
-			err = s.follow(ctx, at)
+			err = s.follow(ctx, w, at)
 		}
 		if err != nil {
 			s.reached(false, err)
@@ -71,6 +98,8 @@
 
 // reached notes whether the store answers.
 func (s *storeSide) reached(ok bool, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if ok {
 		s.fails = 0
 		if !s.up {
@@ -88,28 +117,32 @@
 	}
 }
 
-// load reads everything.
-func (s *storeSide) load(ctx context.Context) (platform.Revision, error) {
+// load reads a part of the store whole.
+func (s *storeSide) load(ctx context.Context, prefix string) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := s.store.List(ctx, platform.WatchPrefix)
+	r, err := s.store.List(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
-	clear(s.members)
-	clear(s.servers)
+	switch prefix {
+	case platform.FleetPrefix:
+		clear(s.members)
+	case platform.ServerPrefix:
+		clear(s.servers)
+	}
 	s.mu.Unlock()
-	s.apply(r.Items, true)
+	s.apply(prefix, r.Items, true)
 	return r.At, nil
 }
 
 // follow applies changes until the store forgets them or does not answer.
-func (s *storeSide) follow(ctx context.Context, at platform.Revision) error {
+func (s *storeSide) follow(ctx context.Context, w watched, at platform.Revision) error {
 	retry := s.backoff()
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-		changes, forgotten, err := s.store.Watch(call, platform.WatchPrefix, at, watchWait)
+		call, cancel := context.WithTimeout(ctx, w.wait+callTimeout)
+		changes, forgotten, err := s.store.Watch(call, w.prefix, at, w.wait)
 		cancel()
 		switch {
 		case err != nil:
@@ -124,19 +157,20 @@
 		retry.Reset()
 		s.reached(true, nil)
 		at = changes.At
-		s.apply(changes.Items, false)
-		if !wait.Sleep(ctx, watchPause) {
+		s.apply(w.prefix, changes.Items, false)
+		if !wait.Sleep(ctx, w.pause) {
 			return ctx.Err()
 		}
 	}
 	return ctx.Err()
 }
 
-// apply takes changes in and tells the reducer. whole means that they are all
-// there is.
-func (s *storeSide) apply(items []platform.Item, whole bool) {
+// apply takes changes of a part in and tells the reducer. whole means that they
+// are all there is.
+func (s *storeSide) apply(prefix string, items []platform.Item, whole bool) {
 	var owners []fleet.Ownership
-	members, servers := whole, whole
+	members, servers := whole && prefix == platform.FleetPrefix, whole && prefix == platform.ServerPrefix
+	allOwners := members
 	var config []byte
 	s.mu.Lock()
 	for _, it := range items {
@@ -165,7 +199,7 @@
 	if servers {
 		s.node.post(fleet.ServersSeen{Servers: entries})
 	}
-	if whole || len(owners) > 0 {
+	if allOwners || len(owners) > 0 {
 		s.node.post(fleet.OwnersSeen{Owners: owners})
 	}
 }
