--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -96,6 +96,9 @@
 	SettingsUnchanged = warn(8025, "settings-unchanged", "the settings file could not be read again; the old settings stay")
 	JobEnded          = info(8026, "job-ended", "an owner of backend servers has finished with a job")
 	JobTakenBack      = warn(8027, "job-taken-back", "the owner of a job is gone or silent; the job is offered again once its runs are gone")
+	JobAdopted        = info(8028, "job-adopted", "a kept job without a living holder is taken over")
+	JobLost           = warn(8029, "job-lost", "the store names another holder of a kept job; this instance drops it")
+	HoldDoubted       = warn(8030, "hold-doubted", "another instance may take kept jobs over, or that is over")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -180,6 +180,38 @@
 	Ended   []EndedRow
 }
 
+// JobSaved tells what became of a SaveJob.
+type JobSaved struct {
+	ID       string
+	Revision uint64  // of the write
+	Conflict bool    // another instance has written; nothing was done
+	Current  *Record // then: what the store holds, nil if that is nothing readable
+}
+
+// JobsFound tells of the open jobs in the store.
+type JobsFound struct {
+	Records []Record
+	OK      bool // false: the store didn't answer
+}
+
+// JobCancelled tells that the store holds a job as cancelled.
+type JobCancelled struct{ ID string }
+
+// Renewed tells that the store has renewed this instance's entry.
+type Renewed struct{ SentAt Time }
+
+// StateAsked asks how far a kept job is.
+type StateAsked struct {
+	Call CallID
+	ID   string
+}
+
+// PendingAsked asks how many kept jobs of a route have not begun.
+type PendingAsked struct {
+	Call  CallID
+	Route string
+}
+
 // ConfigSeen tells which configuration is in force.
 type ConfigSeen struct{ Version uint64 }
 
@@ -202,6 +234,12 @@
 func (StartAnswered) event() {}
 func (StopAnswered) event()  {}
 func (LookAnswered) event()  {}
+func (JobSaved) event()      {}
+func (JobsFound) event()     {}
+func (JobCancelled) event()  {}
+func (Renewed) event()       {}
+func (StateAsked) event()    {}
+func (PendingAsked) event()  {}
 func (ConfigSeen) event()    {}
 func (StopRequested) event() {}
 func (Tick) event()          {}
@@ -245,6 +283,13 @@
 	Current []Ownership
 }
 
+// SaveJob writes a kept job if the store still holds it at the record's
+// revision. It is tried until the store has answered.
+type SaveJob struct{ Record Record }
+
+// ScanJobs asks for the open jobs in the store.
+type ScanJobs struct{}
+
 // SendPeer sends a message to a member.
 type SendPeer struct {
 	To      Member
@@ -285,6 +330,8 @@
 func (StopRun) effect()    {}
 func (Look) effect()       {}
 func (Claim) effect()      {}
+func (SaveJob) effect()    {}
+func (ScanJobs) effect()   {}
 func (SendPeer) effect()   {}
 func (Connect) effect()    {}
 func (Disconnect) effect() {}
@@ -317,6 +364,9 @@
 	NoteJobQueued
 	NoteJobEnded
 	NoteJobTakenBack
+	NoteJobAdopted
+	NoteJobLost
+	NoteHoldDoubted
 	NotePaused
 )
 
@@ -331,6 +381,14 @@
 	Config  uint64        // version in force
 	Heard   time.Duration // since the last message of the receiver
 	Parts   float64       // milli-cores of parts that came from the receiver on its present link
+	Keeps   bool          // some job is kept in the fleet
+	Pending []RouteCount  // kept jobs of the sender of which nothing has started
+}
+
+// RouteCount is a number of jobs of a route.
+type RouteCount struct {
+	Route string
+	Count int
 }
 
 // Load is how busy an owner's backend servers of a service are.
@@ -373,12 +431,26 @@
 // others need not wait for the store to tell them.
 type OwnersTold struct{ Owners []Ownership }
 
-func (Beat) message()       {}
-func (Offer) message()      {}
-func (Withdraw) message()   {}
-func (Outcome) message()    {}
-func (Resync) message()     {}
-func (OwnersTold) message() {}
+// JobsReleased tells that the sender has released kept jobs, which the receiver
+// should take over.
+type JobsReleased struct{}
+
+// JobEnded tells the instance that took a kept job in how it has ended, once the
+// store holds that.
+type JobEnded struct {
+	ID    string
+	State KeptState
+}
+
+func (JobsReleased) message() {}
+func (JobEnded) message()     {}
+func (JobEnded) effect()      {}
+func (Beat) message()         {}
+func (Offer) message()        {}
+func (Withdraw) message()     {}
+func (Outcome) message()      {}
+func (Resync) message()       {}
+func (OwnersTold) message()   {}
 
 // String implements fmt.Stringer.
 func (o StartOutcome) String() string {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,9 @@
 //   - A run occupies its room until its end is listed, its absence is seen by a
 //     look that was sent after its start was answered, or its lease has lapsed.
 //   - A task is started again only when its earlier run no longer occupies room.
+//   - A kept job is started only by the instance that the store names as its
+//     holder, and the end of a run of it is acknowledged only once it is stored,
+//     or after the leases at its server have lapsed.
 package fleet
 
 import (
@@ -59,6 +62,7 @@
 	Received  Time          // by the instance that holds the call
 
 	Part *Part // set for a single task that another owner offers
+	Keep bool  // it is stored before it is accepted, and goes on whatever happens
 }
 
 // Objective is when a job should have ended: Allowance after its arrival, and
@@ -116,6 +120,7 @@
 	Kind       ResultKind
 	RetryAfter time.Duration // when to come back, for jobs that were not run
 	Reason     Reason
+	Count      int // of kept jobs
 }
 
 // ResultKind says how a job ended.
@@ -127,6 +132,11 @@
 	Failed                          // a task has failed too often
 	NotRun                          // refused; no task has started or ever will
 	Unknown                         // given up; tasks may have run
+	Accepted                        // the store holds the job, which goes on
+	Queued                          // a kept job of which nothing has started
+	Running                         // a kept job of which something has started
+	NotHeld                         // this instance holds no such job
+	Counted                         // answer to PendingAsked
 )
 
 // Reason says why a job was not completed.
@@ -144,6 +154,7 @@
 	ReasonStopping  Reason = "stopping"        // the instance that held the call has ended
 	ReasonCancelled Reason = "caller-gone"     // nobody waits for it
 	ReasonReplaced  Reason = "submitted-again" // the same job came again
+	ReasonStore     Reason = "store"           // it can't be stored now
 )
 
 // RunsGoneWithin returns how long runs may last at most after the instance
@@ -179,6 +190,8 @@
 		return "failed"
 	case NotRun:
 		return "not-run"
+	case Accepted:
+		return "accepted"
 	}
 	return "unknown"
 }
--- /dev/null
+++ b/internal/fleet/fleetsim/kept.go
@@ -0,0 +1,140 @@
+package fleetsim
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+)
+
+// keptStore holds the kept jobs, and what servers have said of their tasks.
+type keptStore struct {
+	records   map[string]fleet.Record
+	revision  uint64
+	done      map[fleet.TaskID]bool // has ended well
+	doneNoted map[fleet.TaskID]bool // and that end was taken note of
+	failed    map[fleet.TaskID]int  // ends that were taken note of
+}
+
+func newKeptStore() *keptStore {
+	return &keptStore{
+		records: map[string]fleet.Record{}, done: map[fleet.TaskID]bool{}, doneNoted: map[fleet.TaskID]bool{},
+		failed: map[fleet.TaskID]int{},
+	}
+}
+
+func (k *keptStore) ended(e fleet.EndedRow) {
+	if e.How == fleet.EndDone {
+		k.done[e.Run.Task] = true
+	}
+}
+
+// noted takes note of an end for which the fleet answers. Jobs that aren't kept
+// may run again from the start.
+func (k *keptStore) noted(e fleet.EndedRow) {
+	if _, ok := k.records[e.Run.Task.Job]; !ok {
+		return
+	}
+	switch e.How {
+	case fleet.EndDone:
+		k.doneNoted[e.Run.Task] = true
+	case fleet.EndFailed:
+		k.failed[e.Run.Task]++
+	}
+}
+
+// reachesStore reports whether an instance reaches the store.
+func (w *World) reachesStore(n *node) bool { return w.storeUp && !n.noStore }
+
+// saveJob writes a record, and tries again until the store has answered.
+func (w *World) saveJob(n *node, r fleet.Record) {
+	if !w.reachesStore(n) {
+		w.later(n, callLimit, func() { w.saveJob(n, r) })
+		return
+	}
+	life := n.life
+	w.After(storeTime/2, func() {
+		e := w.commitJob(r)
+		if w.Rand.Float64() < w.LostAnswers {
+			w.later(n, callLimit, func() { w.saveJob(n, r) })
+			return
+		}
+		if n.life == life {
+			w.later(n, storeTime/2, func() { w.step(n, e) })
+		}
+	})
+}
+
+func (w *World) commitJob(r fleet.Record) fleet.JobSaved {
+	k := w.kept
+	current, ok := k.records[r.ID]
+	switch {
+	case ok && current.SameWrite(r):
+		return fleet.JobSaved{ID: r.ID, Revision: current.Revision}
+	case current.Revision != r.Revision:
+		e := fleet.JobSaved{ID: r.ID, Conflict: true}
+		if ok {
+			e.Current = &current
+		}
+		return e
+	}
+	k.revision++
+	r.Revision = k.revision
+	k.records[r.ID] = r
+	w.checkRecord(r)
+	return fleet.JobSaved{ID: r.ID, Revision: r.Revision}
+}
+
+// checkRecord notes a job that is called completed before it is.
+func (w *World) checkRecord(r fleet.Record) {
+	if r.State != fleet.KeptCompleted {
+		return
+	}
+	for n, st := range w.jobs[r.ID].Spec.Steps {
+		for i := range st.Count {
+			if !w.kept.done[fleet.TaskID{Job: r.ID, Step: n, Index: i}] {
+				w.broke("job %s is stored as completed, and task %d.%d has not ended", r.ID, n, i)
+			}
+		}
+	}
+}
+
+// scanJobs tells an instance which jobs are open.
+func (w *World) scanJobs(n *node) {
+	if !w.reachesStore(n) {
+		w.later(n, callLimit, func() { w.step(n, fleet.JobsFound{}) })
+		return
+	}
+	w.later(n, storeTime, func() {
+		e := fleet.JobsFound{OK: true}
+		for _, r := range w.kept.records {
+			if r.State == fleet.KeptOpen {
+				e.Records = append(e.Records, r)
+			}
+		}
+		slices.SortFunc(e.Records, func(a, b fleet.Record) int { return strings.Compare(a.ID, b.ID) })
+		w.step(n, e)
+	})
+}
+
+// Cancel writes that a job is cancelled, and tells the instances soon after.
+func (w *World) Cancel(id string) {
+	r, ok := w.kept.records[id]
+	if !ok || r.State != fleet.KeptOpen {
+		return
+	}
+	w.kept.revision++
+	r.State, r.Revision, r.Holder, r.Life = fleet.KeptCancelled, w.kept.revision, "", ""
+	w.kept.records[id] = r
+	for _, n := range w.nodes {
+		w.later(n, 50*time.Millisecond, func() { w.step(n, fleet.JobCancelled{ID: id}) })
+	}
+}
+
+// Kept returns what the store holds of a job; ok is false if it was never
+// accepted.
+func (w *World) Kept(id string) (r fleet.Record, ok bool) {
+	r, ok = w.kept.records[id]
+	return r, ok
+}
--- /dev/null
+++ b/internal/fleet/fleetsim/kept_test.go
@@ -0,0 +1,108 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+)
+
+// checkKept checks that every accepted job is known and has ended.
+func checkKept(t *testing.T, w *World) {
+	t.Helper()
+	states := map[fleet.KeptState]int{}
+	lost, open := 0, 0
+	for _, j := range w.Jobs() {
+		r, ok := w.Kept(j.Spec.ID)
+		states[r.State]++
+		switch {
+		case !ok && j.Result.Kind == fleet.Accepted:
+			lost++
+		case ok && r.State == fleet.KeptOpen:
+			open++
+		}
+	}
+	t.Logf("states %v", states)
+	if lost > 0 || open > 0 || states[fleet.KeptCompleted] == 0 {
+		t.Errorf("%d accepted jobs are not known, %d are open, %d completed", lost, open, states[fleet.KeptCompleted])
+	}
+}
+
+func TestKeptJobsOnACalmDay(t *testing.T) {
+	w := New(1)
+	site := Glenbrae().Keeping()
+	w.Build(site)
+	w.Run(settle)
+	w.Offer(site, 0.6, 10*time.Second)
+	w.Run(25 * time.Second)
+	checkRules(t, w)
+	checkKept(t, w)
+	for _, j := range w.Jobs() {
+		if j.Result.Kind != fleet.Accepted {
+			t.Errorf("job %s: %v", j.Spec.ID, j.Result)
+		}
+	}
+}
+
+// TestKeptJobsUnderFaults plays each fault, and pairs of them, with jobs that
+// have to be kept and a store that loses answers.
+func TestKeptJobsUnderFaults(t *testing.T) {
+	site := Glenbrae().Keeping()
+	for i, f := range faults {
+		for _, second := range []int{-1, (i*5 + 3) % len(faults)} {
+			name := f.name
+			if second >= 0 {
+				name += ", " + faults[second].name
+			}
+			t.Run(name, func(t *testing.T) {
+				w := New(uint64(i + 1))
+				w.LostAnswers = 0.05
+				w.Build(site)
+				w.Run(settle)
+				w.Offer(site, 0.6, 12*time.Second)
+				w.Run(3 * time.Second)
+				f.hit(w)
+				if second >= 0 {
+					w.Run(700 * time.Millisecond)
+					faults[second].hit(w)
+				}
+				w.Run(40 * time.Second)
+				checkRules(t, w)
+				checkKept(t, w)
+			})
+		}
+	}
+}
+
+// TestKeptJobsAreCancelled cancels jobs, of which nothing may run for long.
+func TestKeptJobsAreCancelled(t *testing.T) {
+	w := New(3)
+	site := Glenbrae().Keeping()
+	w.Build(site)
+	w.Run(settle)
+	cancelled := map[string]fleet.Time{}
+	w.onStart = func(_ *Server, r fleet.RunID) {
+		if at, ok := cancelled[r.Task.Job]; ok && w.Now().Sub(at) > 300*time.Millisecond {
+			t.Errorf("%v starts %v after the job was cancelled", r, w.Now().Sub(at))
+		}
+	}
+	w.Offer(site, 0.8, 6*time.Second)
+	for range 40 {
+		w.Run(150 * time.Millisecond)
+		for _, j := range w.Jobs() {
+			if r, ok := w.Kept(j.Spec.ID); ok && r.State == fleet.KeptOpen && w.Rand.IntN(4) == 0 {
+				w.Cancel(j.Spec.ID)
+				cancelled[j.Spec.ID] = w.Now()
+				break
+			}
+		}
+	}
+	w.Run(20 * time.Second)
+	checkRules(t, w)
+	checkKept(t, w)
+	for id := range cancelled {
+		if r, _ := w.Kept(id); r.State != fleet.KeptCancelled {
+			t.Errorf("job %s is %v", id, r.State)
+		}
+	}
+}
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -43,7 +43,9 @@
 // boot forgets everything, as a start does.
 func (s *Server) boot() {
 	s.Entry.Born = int64(s.world.now / 1e6)
-	s.state = worker.New(worker.Options{MaxLease: Lease, StopTime: stopTime, Rate: slowClock}, s.world.now, s.Entry.Born)
+	s.state = worker.New(worker.Options{
+		MaxLease: Lease, StopTime: stopTime, Rate: slowClock, OnEnd: s.world.kept.ended, OnNoted: s.world.kept.noted,
+	}, s.world.now, s.Entry.Born)
 	s.needs = map[fleet.RunID]model.Resources{}
 	s.release()
 }
@@ -168,6 +170,12 @@
 	if !used.Fits(s.Entry.Capacity) {
 		w.broke("server %s is over its capacity with %v", s.Entry.ID, id)
 	}
+	if w.kept.doneNoted[id.Task] {
+		w.broke("task %v starts again after its end was taken note of", id.Task)
+	}
+	if w.kept.failed[id.Task] >= j.Spec.Attempts {
+		w.broke("task %v starts again after %d failed runs", id.Task, w.kept.failed[id.Task])
+	}
 	if j.Result.Kind == fleet.NotRun {
 		w.broke("job %s starts after it was refused", j.Spec.ID)
 	}
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
@@ -23,6 +24,7 @@
 	MaxCPU   uint32
 	Priority int
 	Attempts int
+	Keep     bool // jobs are stored before they are accepted
 }
 
 // Site is a deployment.
@@ -56,6 +58,15 @@
 	return s
 }
 
+// Keeping returns the site with jobs that are kept.
+func (s Site) Keeping() Site {
+	s.Classes = slices.Clone(s.Classes)
+	for i := range s.Classes {
+		s.Classes[i].Keep = true
+	}
+	return s
+}
+
 // Build adds the instances and servers of a site; a third of the servers is
 // half as large again, and speeds differ.
 func (w *World) Build(s Site) {
@@ -120,7 +131,7 @@
 	width := int(math.Round(float64(c.Width) * w.logNormal(0.4)))
 	return fleet.JobSpec{
 		ID: fmt.Sprintf("%016x", w.Rand.Uint64()), Route: c.Name, Service: Service, Spec: "work",
-		Priority: c.Priority, Attempts: c.Attempts,
+		Priority: c.Priority, Attempts: c.Attempts, Keep: c.Keep,
 		Objective: fleet.Objective{Allowance: 60 * time.Millisecond, Stretch: 1.6},
 		Timeout:   1500*time.Millisecond + 3*(60*time.Millisecond+time.Duration(1.6*float64(work))),
 		Steps: []fleet.StepSpec{{
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -43,6 +43,10 @@
 	order  []*JobRecord
 	Broken []string // rules that were broken
 
+	LostAnswers float64 // share of the writes of kept jobs whose answers are lost
+
+	kept *keptStore
+
 	closed int // times that an instance gave a server no more work
 
 	onStart func(*Server, fleet.RunID) // told of each start, may be nil
@@ -74,22 +78,23 @@
 
 // node is an instance in the world.
 type node struct {
-	member  fleet.Member
-	inst    *fleet.Instance
-	alive   bool
-	frozen  bool
-	cut     bool // from the other instances
-	noStore bool // cut from the store
-	life    int
-	calls   map[fleet.CallID]*JobRecord
-	next    fleet.CallID
+	member    fleet.Member
+	inst      *fleet.Instance
+	alive     bool
+	frozen    bool
+	cut       bool       // from the other instances
+	noStore   bool       // cut from the store
+	renewedAt fleet.Time // its entry in the store
+	life      int
+	calls     map[fleet.CallID]*JobRecord
+	next      fleet.CallID
 }
 
 // New returns a world without instances; the seed decides all luck.
 func New(seed uint64) *World {
 	return &World{
 		Rand: rand.New(rand.NewPCG(seed, 1)), owners: map[model.ServerID]fleet.Ownership{}, jobs: map[string]*JobRecord{},
-		storeUp: true, now: fleet.Time(time.Second),
+		storeUp: true, now: fleet.Time(time.Second), kept: newKeptStore(),
 	}
 }
 
@@ -133,6 +138,7 @@
 	n.life++
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
 	n.alive, n.frozen = true, false
+	n.renewedAt = w.now
 	n.calls = map[fleet.CallID]*JobRecord{}
 	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
 	life := n.life
@@ -154,6 +160,8 @@
 	up := w.storeUp && !n.noStore
 	w.step(n, fleet.StoreReached{Up: up})
 	if up {
+		n.renewedAt = w.now
+		w.step(n, fleet.Renewed{SentAt: w.now})
 		w.step(n, fleet.MembersSeen{Members: w.members()})
 		w.step(n, fleet.ServersSeen{Servers: w.entries()})
 		w.step(n, fleet.OwnersSeen{Owners: w.ownerList()})
@@ -161,12 +169,12 @@
 	w.After(200*time.Millisecond, func() { w.storeView(n, life) })
 }
 
-// members lists the instances that the store knows: those that live, and those
-// that died less than a lease ago.
+// members lists the instances that the store knows: those that live and have
+// renewed their entries.
 func (w *World) members() []fleet.Member {
 	var out []fleet.Member
 	for _, n := range w.nodes {
-		if n.alive {
+		if n.alive && w.now.Sub(n.renewedAt) < memberTTL {
 			out = append(out, n.member)
 		}
 	}
@@ -230,6 +238,10 @@
 		w.look(n, x)
 	case fleet.Claim:
 		w.claim(n, x)
+	case fleet.SaveJob:
+		w.saveJob(n, x.Record)
+	case fleet.ScanJobs:
+		w.scanJobs(n)
 	case fleet.SendPeer:
 		w.send(n, x)
 	case fleet.Note:
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -131,6 +131,10 @@
 // route offers a job to the owner that can start it at once. One that has to
 // wait goes to the owner that keeps the queue.
 func (h *home) route(c *call, now Time) {
+	if c.job.Keep {
+		h.routeKept(c, now)
+		return
+	}
 	service := c.job.Service
 	keeper := h.members.queueKeeper(service, h.pool.serverCount(service), now)
 	options := h.options(c, now)
@@ -158,6 +162,27 @@
 	}
 }
 
+// routeKept offers a job that is to be kept to the owner whose servers can run
+// all of it and are expected to begin soonest.
+func (h *home) routeKept(c *call, now Time) {
+	c.final = true
+	for _, o := range h.options(c, now) {
+		m := h.self
+		if o.peer != nil {
+			m = o.peer.member
+		}
+		if h.owners.canServe(m, &c.job) {
+			h.offer(c, o, now)
+			return
+		}
+	}
+	if now.Sub(c.job.Received) < noOwnerHold {
+		c.held, c.tried = true, nil
+		return
+	}
+	h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
+}
+
 // retryHeld offers the jobs again for which there was no owner.
 func (h *home) retryHeld(now Time) {
 	for _, c := range h.sorted() {
@@ -268,7 +293,7 @@
 		if !c.owner.same(owner) || c.resumeAt != 0 {
 			continue
 		}
-		if gone.Add(c.job.Chain()) > c.job.Deadline() {
+		if c.job.Keep || gone.Add(c.job.Chain()) > c.job.Deadline() {
 			h.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -32,6 +32,7 @@
 	owners  *owners
 	pool    *pool
 	home    *home
+	keeper  *keeper
 
 	effects []Effect
 	last    Time
@@ -47,6 +48,8 @@
 	i.members = newMembers(o.Self, emit)
 	i.owners = newOwners(o.Self, now, emit)
 	i.pool = newPool(o, i.members, i.owners, emit)
+	i.keeper = newKeeper(o.Self, i.members, i.owners, i.pool, now, emit)
+	i.pool.keeper = i.keeper
 	i.home = newHome(o.Self, i.members, i.owners, i.pool, emit)
 	return i
 }
@@ -58,6 +61,10 @@
 	}
 	i.last = now
 	i.handle(now, e)
+	if i.keeper.inUse && !i.keeper.told {
+		i.keeper.told = true
+		i.beat(now, true)
+	}
 	out := i.take(now)
 	for _, p := range i.pool.tellRoom(now) {
 		i.sendBeat(p, now)
@@ -123,14 +130,29 @@
 		i.pool.stopAnswered(e, now)
 	case LookAnswered:
 		i.pool.lookAnswered(e, now)
+	case JobSaved:
+		i.keeper.saved(e, now)
+	case JobsFound:
+		i.keeper.found(e, now)
+	case JobCancelled:
+		i.keeper.cancelled(e.ID, now)
+	case Renewed:
+		i.keeper.renewedAt = e.SentAt
+		i.keeper.guard(now)
+	case StateAsked:
+		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.keeper.state(e.ID)}})
+	case PendingAsked:
+		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: Counted, Count: i.pending(e.Route, now)}})
 	case ConfigSeen:
 		i.config = max(i.config, e.Version)
 	case StopRequested:
 		i.leaving, i.stopBy = true, e.By
 		i.beat(now, true)
+		i.keeper.leave(now)
 		i.maintain(now)
 	case Tick:
 		i.maintain(now)
+		i.keeper.tick(now)
 		i.pool.tick(now)
 		i.home.retryHeld(now)
 		i.home.resume(now)
@@ -172,6 +194,21 @@
 		i.pool.lenderLost(p.member, gone, now)
 		i.pool.originLost(p.member, now)
 	}
+	for _, p := range i.members.died() {
+		i.keeper.memberLost(p, now)
+	}
+}
+
+// pending counts the kept jobs of a route of which nothing has started, over
+// all instances that are heard.
+func (i *Instance) pending(route string, now Time) int {
+	n := i.keeper.pending(route)
+	for _, p := range i.members.order {
+		if p.heard(now) {
+			n += p.pending[route]
+		}
+	}
+	return n
 }
 
 // release gives up servers that are to be released and run nothing.
@@ -277,6 +314,8 @@
 	switch m := e.Message.(type) {
 	case Beat:
 		p.leaving, p.loads, p.hearsMe, p.partsHeard = m.Leaving, m.Loads, m.Heard, m.Parts
+		p.takePending(m.Pending)
+		i.keeper.inUse = i.keeper.inUse || m.Keeps
 		p.bouncedAt = 0
 		i.pool.dispatch(now)
 		i.home.retryHeld(now)
@@ -297,6 +336,10 @@
 	case OwnersTold:
 		i.learnOwners(m.Owners, now)
 		i.maintain(now)
+	case JobEnded:
+		i.effects = append(i.effects, m)
+	case JobsReleased:
+		i.keeper.scan(now.Add(releasedScanAfter), true)
 	case Resync:
 		p.partsCame = 0
 		i.resynced(p, m, now)
@@ -345,7 +388,10 @@
 
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
-	b := Beat{Leaving: i.leaving, Config: i.config, Parts: p.partsCame}
+	b := Beat{
+		Leaving: i.leaving, Config: i.config, Parts: p.partsCame,
+		Keeps: i.keeper.inUse, Pending: i.keeper.pendingRoutes(),
+	}
 	if p.everHeard {
 		b.Heard = now.Sub(p.heardAt)
 	}
@@ -374,5 +420,5 @@
 
 // Idle reports whether nothing is left to finish before the process may end.
 func (i *Instance) Idle() bool {
-	return len(i.home.calls) == 0 && len(i.pool.jobs) == 0 && len(i.pool.order) == 0
+	return len(i.home.calls) == 0 && len(i.pool.jobs) == 0 && len(i.pool.order) == 0 && len(i.keeper.jobs) == 0
 }
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -15,9 +15,10 @@
 	starts  int // runs that were ordered so far
 	live    int // runs that occupy room
 	over    bool
-	stalled bool  // a run of it stood still
-	part    *task // the only task, of a part
-	until   Time  // a part that has not started goes back
+	stalled bool     // a run of it stood still
+	part    *task    // the only task, of a part
+	until   Time     // a part that has not started goes back
+	kept    *keptJob // set for kept jobs
 }
 
 // step is a step of a job.
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -41,8 +41,8 @@
 // lend offers waiting tasks to owners that have room for them at once.
 func (p *pool) lend(now Time) {
 	for _, j := range p.queue {
-		if j.spec.Part != nil {
-			continue
+		if j.spec.Part != nil || j.kept != nil {
+			continue // the holder of a kept job stores the ends of its tasks itself
 		}
 		for _, st := range j.steps {
 			if st.ready {
@@ -82,7 +82,7 @@
 // here and it has room, else nil.
 func (p *pool) rackLender(t *task, now Time) *peer {
 	rack := t.step.spec.Rack
-	if rack == "" || t.job.part != nil {
+	if rack == "" || t.job.part != nil || t.job.kept != nil {
 		return nil
 	}
 	if slices.ContainsFunc(p.order, func(s *server) bool { return slices.Contains(s.entry.Labels, rack) }) {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -43,7 +43,8 @@
 	leaving   bool
 	hearsMe   time.Duration // since it last heard of this instance
 	loads     []Load
-	bouncedAt Time // it last had no room for a task
+	pending   map[string]int // kept jobs that have not begun, by route
+	bouncedAt Time           // it last had no room for a task
 
 	// Milli-cores of parts: sent on the present link, those that the peer said
 	// it has received, and those received from it. What is under way counts as
@@ -52,6 +53,7 @@
 	beatAt                           Time // of the last beat sent
 	linkedAt                         Time // of the last link, or the last try to replace it
 	lostCalled                       bool // its loss was handled
+	inherited                        bool // its kept jobs were seen to
 }
 
 // heard reports whether the peer was heard of lately.
@@ -86,6 +88,13 @@
 	return p.load(service).Free - max(0, p.partsSent-p.partsHeard)
 }
 
+func (p *peer) takePending(counts []RouteCount) {
+	p.pending = make(map[string]int, len(counts))
+	for _, c := range counts {
+		p.pending[c.Route] = c.Count
+	}
+}
+
 func (p *peer) setLoad(l Load) {
 	for i := range p.loads {
 		if p.loads[i].Service == l.Service {
@@ -231,6 +240,22 @@
 	return p.member.Incarnation > life || p.member.Incarnation == life && p.dead
 }
 
+// allHear reports whether every other member that lives hears this instance.
+func (m *members) allHear(now Time) bool {
+	return !slices.ContainsFunc(m.order, func(p *peer) bool { return !p.dead && !p.reachable(now) })
+}
+
+// died returns the members whose lives have ended since the last call.
+func (m *members) died() (out []*peer) {
+	for _, p := range m.order {
+		if p.dead && !p.inherited {
+			out = append(out, p)
+		}
+		p.inherited = p.dead
+	}
+	return out
+}
+
 // candidates returns the members of a domain that may own backend servers, this
 // instance among them unless it leaves.
 func (m *members) candidates(d model.Domain, leaving bool, now Time) []Member {
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -81,6 +81,22 @@
 	return false
 }
 
+// canServe reports whether the servers of a member could run every step of a job.
+func (o *owners) canServe(m Member, j *JobSpec) bool {
+	return !slices.ContainsFunc(j.Steps, func(st StepSpec) bool { return !o.ownsOne(m, j.Service, st) })
+}
+
+// ownsOne reports whether a member owns a server that could hold a task of a step.
+func (o *owners) ownsOne(m Member, service string, st StepSpec) bool {
+	for id, e := range o.entries {
+		x := o.known[id]
+		if x.Owner == m.Instance && x.Life == m.Incarnation && e.serves(service, st) && st.Need.Fits(e.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // racksOf returns the labels of the servers that a member owns.
 func (o *owners) racksOf(m Member) []string {
 	var out []string
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -60,6 +60,7 @@
 	recent  []finished
 	typical float64 // CPU of a task, milli-cores, moving mean
 	paces   paces
+	keeper  *keeper
 
 	limbo    []limboTask
 	lent     map[CallID]lentTask
@@ -131,6 +132,9 @@
 	if spec.Part != nil {
 		return p.offerPart(origin, call, spec, now)
 	}
+	if spec.Keep {
+		return p.keeper.offer(origin, call, spec)
+	}
 	j := newJob(spec, origin, call)
 	if old := p.byID[spec.ID]; old != nil {
 		p.end(old, Result{Kind: Unknown, Reason: ReasonReplaced}, now)
@@ -166,7 +170,7 @@
 	p.policy.sort(p.queue, now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
-			if st.ready {
+			if st.ready && p.keeper.mayRun(j) {
 				p.startStep(j, st, now)
 			}
 		}
@@ -263,6 +267,10 @@
 			Age: now.Sub(j.spec.Received), Reason: result.Kind.String() + " " + string(result.Reason),
 		})
 	}
+	if j.kept != nil {
+		p.keeper.over(j.kept, result)
+		return
+	}
 	p.finish(j, result, now)
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // drop forgets a backend server that another instance owns now, or that is
@@ -22,7 +24,8 @@
 // before anything was heard of it.
 func (p *pool) reborn(s *server, born int64) {
 	p.effect(Note{Kind: NoteServerReborn, Server: s.entry.ID, Value: uint64(born), Count: len(s.runs)})
-	s.born, s.seen, s.acked, s.leaseEnd = born, 0, 0, 0
+	s.born, s.seen, s.acked, s.leaseEnd, s.restTill = born, 0, 0, 0, 0
+	clear(s.held)
 	s.clock = remoteClock{}
 	s.drains = false
 	s.phase = phaseLooking
@@ -239,6 +242,7 @@
 	s.seen = e.Number
 	r := s.runs[e.Run]
 	if r == nil {
+		p.foreignEnd(s, e, now)
 		return
 	}
 	t := r.task
@@ -246,6 +250,9 @@
 	if t == nil {
 		return
 	}
+	if t.job.kept != nil {
+		p.keeper.runEnded(s, t, e, now)
+	}
 	switch e.How {
 	case EndDone:
 		s.pace.learn(now.Sub(r.sentAt), t.step.spec.Estimate)
@@ -265,6 +272,65 @@
 	}
 }
 
+// foreignEnd notes an end that an earlier owner has not acknowledged. If it is of
+// a kept job, the next holder may start the task again; so it is acknowledged
+// only after the leases have lapsed, which makes the end void.
+func (p *pool) foreignEnd(s *server, e EndedRow, now Time) {
+	if s.phase != phaseLooking || p.keeper.looked && !p.keeper.inUse || e.How != EndDone && e.How != EndFailed {
+		return
+	}
+	s.hold(e.Number)
+	s.restTill = max(s.restTill, now.Add(p.goneAfter))
+}
+
+// rest gives a server no more work until the leases there have lapsed.
+func (p *pool) rest(id model.ServerID, now Time) {
+	if s := p.servers[id]; s != nil {
+		s.restTill = max(s.restTill, now.Add(p.goneAfter))
+	}
+}
+
+// wake ends the rest of all servers, as no job is kept in the fleet.
+func (p *pool) wake() {
+	for _, s := range p.order {
+		s.restTill = 0
+		clear(s.held)
+	}
+}
+
+// rested ends the rest of a server whose leases have lapsed.
+func (p *pool) rested(s *server, now Time) {
+	if s.restTill == 0 {
+		return
+	}
+	if len(s.runs) > 0 {
+		s.restTill = max(s.restTill, now.Add(p.goneAfter)) // their leases are renewed
+		return
+	}
+	if now >= s.restTill {
+		s.restTill = 0
+		clear(s.held)
+	}
+}
+
+// interrupt stops the runs of a job, which start again later.
+func (p *pool) interrupt(j *job, now Time) {
+	for _, s := range p.order {
+		for _, r := range s.sorted() {
+			if r.task != nil && r.task.job == j && r.state != runStopping {
+				p.stop(s, r, now)
+			}
+		}
+		p.look(s, now)
+	}
+}
+
+// abandon stops the runs of a job that another instance holds now.
+func (p *pool) abandon(j *job, now Time) {
+	j.over = true
+	p.stopJob(j, now)
+}
+
 func (p *pool) taskDone(t *task, now Time) {
 	j := t.job
 	j.left--
@@ -334,7 +400,7 @@
 // still again counts as failed.
 func (p *pool) stalled(s *server, r *run, now Time) {
 	p.effect(Note{Kind: NoteRunOverdue, Server: s.entry.ID, Run: r.id, Age: now.Sub(r.progressAt), Count: r.percent})
-	r.fault = r.task.stalls > 0
+	r.fault = r.task.stalls > 0 && r.task.job.kept == nil // a kept job fails only by ends that say so
 	if !r.task.job.stalled {
 		s.health.stalled(now)
 		p.effect(Note{Kind: NoteServerQuarantined, Server: s.entry.ID, Run: r.id, Reason: "the run stands still"})
@@ -357,7 +423,7 @@
 // cleared opens a server for starts once nothing is left there that this
 // instance doesn't know.
 func (p *pool) cleared(s *server, now Time) {
-	if slices.ContainsFunc(s.sorted(), func(r *run) bool { return r.task == nil }) {
+	if s.restTill != 0 || slices.ContainsFunc(s.sorted(), func(r *run) bool { return r.task == nil }) {
 		s.lookAt = now.Add(stopRetryPause)
 		return
 	}
@@ -365,6 +431,7 @@
 }
 
 func (p *pool) tickServer(s *server, now Time) {
+	p.rested(s, now)
 	if s.misses > 0 && s.lapsed(now) {
 		for _, r := range s.sorted() {
 			p.lost(s, r, now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -12,6 +12,7 @@
 	lookWait       = 250 * time.Millisecond // a quarter of the usual lease, so that two lost looks do no harm
 	lookRetryPause = 150 * time.Millisecond // between looks at a silent server
 	missesSilent   = 2                      // unanswered looks after which leases are left to lapse
+	heldLookPause  = 10 * time.Millisecond  // between looks while ends are being stored: two writes of the store
 	stopRetryPause = 60 * time.Millisecond  // a little over the time that a stop may take
 	stopAgainAfter = 400 * time.Millisecond // later than the deadline of the call
 )
@@ -104,8 +105,10 @@
 	clock    remoteClock
 	leaseEnd int64 // latest that was ordered, on the server's clock
 	born     int64
-	seen     int64 // highest end taken in
-	acked    int64 // highest end acknowledged by an answered look
+	seen     int64          // highest end taken in
+	acked    int64          // highest end acknowledged by an answered look
+	held     map[int64]bool // ends that may not be acknowledged yet
+	restTill Time           // until then held ends of unknown runs are kept back and no lease is renewed
 
 	looking    bool
 	probing    bool
@@ -118,12 +121,12 @@
 }
 
 func newServer(e ServerEntry, own Ownership, p *pace) *server {
-	return &server{entry: e, own: own, pace: p, listed: true, runs: map[RunID]*run{}, drains: e.State == ServerDraining}
+	return &server{entry: e, own: own, pace: p, listed: true, runs: map[RunID]*run{}, held: map[int64]bool{}, drains: e.State == ServerDraining}
 }
 
 // takesWork reports whether new runs may start.
 func (s *server) takesWork(now Time) bool {
-	return s.phase == phaseServing && s.listed && !s.leaving && !s.drains && s.misses == 0 && s.health.open(now)
+	return s.phase == phaseServing && s.restTill == 0 && s.listed && !s.leaving && !s.drains && s.misses == 0 && s.health.open(now)
 }
 
 // free returns what no run occupies.
@@ -153,7 +156,19 @@
 
 // busy reports whether the server has to be looked at.
 func (s *server) busy() bool {
-	return s.phase == phaseLooking || len(s.runs) > 0 || s.acked < s.seen || s.misses > 0
+	return s.phase == phaseLooking || len(s.runs) > 0 || s.acked < s.ackable() || s.misses > 0
+}
+
+// hold keeps an end from being acknowledged.
+func (s *server) hold(number int64) { s.held[number] = true }
+
+// ackable returns the highest end that may be acknowledged.
+func (s *server) ackable() int64 {
+	n := s.seen
+	for h := range s.held {
+		n = min(n, h-1)
+	}
+	return n
 }
 
 // lapsed reports whether every lease that was ordered has run out for certain.
@@ -167,7 +182,10 @@
 		return Look{}, false
 	}
 	l := s.look(now, lease)
-	if s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0 {
+	switch {
+	case len(s.held) > 0:
+		s.lookAt = now.Add(heldLookPause) // the server answers at once while it lists an end
+	case s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0:
 		l.Wait = lookWait
 	}
 	s.looking = true
@@ -187,7 +205,7 @@
 // look returns a look that renews the leases, unless the server is silent:
 // then they are left to lapse.
 func (s *server) look(now Time, lease time.Duration) Look {
-	l := Look{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.own.Revision, Seen: s.seen}
+	l := Look{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.own.Revision, Seen: s.ackable()}
 	if s.phase == phaseServing && s.misses < missesSilent && len(s.runs) > 0 {
 		l.LeaseEndMs = s.extendLease(now, lease)
 	}
--- /dev/null
+++ b/internal/fleetpb/job.go
@@ -0,0 +1,58 @@
+package fleetpb
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// FromJob returns the wire form of a job.
+func FromJob(j *fleet.JobSpec) *Job {
+	out := &Job{
+		Id: j.ID, Route: j.Route, Service: j.Service, Spec: j.Spec, Priority: int32(j.Priority),
+		Attempts: int32(j.Attempts), AllowanceNs: int64(j.Objective.Allowance), Stretch: j.Objective.Stretch,
+		TimeoutNs: int64(j.Timeout), Keep: j.Keep,
+	}
+	if p := j.Part; p != nil {
+		out.Part = &Part{Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt}
+	}
+	for _, s := range j.Steps {
+		step := &Step{
+			Count: int32(s.Count), CpuMillicores: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB,
+			Accelerators: s.Need.Accelerators, EstimateNs: int64(s.Estimate), Label: s.Label, Rack: s.Rack,
+			MaxPerServer: int32(s.MaxPerServer),
+		}
+		for _, a := range s.After {
+			step.After = append(step.After, int32(a))
+		}
+		out.Steps = append(out.Steps, step)
+	}
+	return out
+}
+
+// Decode returns the job of a wire form.
+func (b *Job) Decode() fleet.JobSpec {
+	j := fleet.JobSpec{
+		ID: b.GetId(), Route: b.GetRoute(), Service: b.GetService(), Spec: b.GetSpec(),
+		Priority: int(b.GetPriority()), Attempts: int(b.GetAttempts()),
+		Objective: fleet.Objective{Allowance: time.Duration(b.GetAllowanceNs()), Stretch: b.GetStretch()},
+		Timeout:   time.Duration(b.GetTimeoutNs()), Keep: b.GetKeep(),
+	}
+	if p := b.GetPart(); p != nil {
+		j.Part = &fleet.Part{Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt()}
+	}
+	for _, s := range b.GetSteps() {
+		step := fleet.StepSpec{
+			Count:    int(s.GetCount()),
+			Need:     model.Resources{CPUMilli: s.GetCpuMillicores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
+			Estimate: time.Duration(s.GetEstimateNs()), Label: s.GetLabel(), Rack: s.GetRack(),
+			MaxPerServer: int(s.GetMaxPerServer()),
+		}
+		for _, a := range s.GetAfter() {
+			step.After = append(step.After, int(a))
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
--- /dev/null
+++ b/internal/fleetpb/record.go
@@ -0,0 +1,36 @@
+package fleetpb
+
+import (
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// FromRecord returns the stored form of a kept job, without its times.
+func FromRecord(r *fleet.Record) *JobRecord {
+	out := &JobRecord{
+		State: int32(r.State), Holder: string(r.Holder), Incarnation: string(r.Life), Version: r.Version, Term: r.Term,
+	}
+	if r.State == fleet.KeptOpen {
+		out.Job = FromJob(&r.Job)
+	}
+	for _, p := range r.Progress {
+		out.Progress = append(out.Progress, &TaskProgress{
+			Step: int32(p.Step), Index: int32(p.Index), Done: p.Done, Failures: int32(p.Failures),
+		})
+	}
+	return out
+}
+
+// Decode returns the kept job of a stored form.
+func (b *JobRecord) Decode() fleet.Record {
+	r := fleet.Record{
+		State: fleet.KeptState(b.GetState()), Holder: model.Instance(b.GetHolder()), Life: model.Incarnation(b.GetIncarnation()),
+		Version: b.GetVersion(), Term: b.GetTerm(), Job: b.GetJob().Decode(),
+	}
+	for _, p := range b.GetProgress() {
+		r.Progress = append(r.Progress, fleet.Progress{
+			Step: int(p.GetStep()), Index: int(p.GetIndex()), Done: p.GetDone(), Failures: int(p.GetFailures()),
+		})
+	}
+	return r
+}
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -36,7 +36,7 @@
 		out.Body = &fleetpb.Message_Beat{Beat: beatToPB(m)}
 	case fleet.Offer:
 		out.Body = &fleetpb.Message_Offer{Offer: &fleetpb.Offer{
-			Call: uint64(m.Call), Job: jobToPB(&m.Job), AgeNs: int64(m.Age), Final: m.Final,
+			Call: uint64(m.Call), Job: fleetpb.FromJob(&m.Job), AgeNs: int64(m.Age), Final: m.Final,
 		}}
 	case fleet.Withdraw:
 		out.Body = &fleetpb.Message_Withdraw{Withdraw: &fleetpb.Withdraw{Call: uint64(m.Call)}}
@@ -52,6 +52,10 @@
 			r.Calls = append(r.Calls, uint64(c))
 		}
 		out.Body = &fleetpb.Message_Resync{Resync: r}
+	case fleet.JobEnded:
+		out.Body = &fleetpb.Message_Ended{Ended: &fleetpb.JobEnded{Id: m.ID, State: int32(m.State)}}
+	case fleet.JobsReleased:
+		out.Body = &fleetpb.Message_Released{Released: &fleetpb.JobsReleased{}}
 	case fleet.OwnersTold:
 		out.Body = &fleetpb.Message_Owners{Owners: ownersToPB(m)}
 	case Config:
@@ -69,7 +73,7 @@
 		return beatFromPB(b.Beat), nil
 	case *fleetpb.Message_Offer:
 		return fleet.Offer{
-			Call: fleet.CallID(b.Offer.GetCall()), Job: jobFromPB(b.Offer.GetJob()),
+			Call: fleet.CallID(b.Offer.GetCall()), Job: b.Offer.GetJob().Decode(),
 			Age: time.Duration(b.Offer.GetAgeNs()), Final: b.Offer.GetFinal(),
 		}, nil
 	case *fleetpb.Message_Withdraw:
@@ -82,6 +86,10 @@
 			r.Calls = append(r.Calls, fleet.CallID(c))
 		}
 		return r, nil
+	case *fleetpb.Message_Ended:
+		return fleet.JobEnded{ID: b.Ended.GetId(), State: fleet.KeptState(b.Ended.GetState())}, nil
+	case *fleetpb.Message_Released:
+		return fleet.JobsReleased{}, nil
 	case *fleetpb.Message_Owners:
 		return ownersFromPB(b.Owners), nil
 	case *fleetpb.Message_Config:
@@ -112,7 +120,12 @@
 }
 
 func beatToPB(m fleet.Beat) *fleetpb.Beat {
-	b := &fleetpb.Beat{Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard), PartsMillicores: m.Parts}
+	b := &fleetpb.Beat{
+		Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard), PartsMillicores: m.Parts, Keeps: m.Keeps,
+	}
+	for _, c := range m.Pending {
+		b.Pending = append(b.Pending, &fleetpb.RouteCount{Route: c.Route, Count: int32(c.Count)})
+	}
 	for _, l := range m.Loads {
 		b.Loads = append(b.Loads, loadToPB(l))
 	}
@@ -122,7 +135,10 @@
 func beatFromPB(b *fleetpb.Beat) fleet.Beat {
 	m := fleet.Beat{
 		Leaving: b.GetLeaving(), Config: b.GetConfigVersion(), Heard: time.Duration(b.GetHeardNs()),
-		Parts: b.GetPartsMillicores(),
+		Parts: b.GetPartsMillicores(), Keeps: b.GetKeeps(),
+	}
+	for _, c := range b.GetPending() {
+		m.Pending = append(m.Pending, fleet.RouteCount{Route: c.GetRoute(), Count: int(c.GetCount())})
 	}
 	for _, l := range b.GetLoads() {
 		m.Loads = append(m.Loads, loadFromPB(l))
@@ -154,51 +170,3 @@
 		},
 	}
 }
-
-func jobToPB(j *fleet.JobSpec) *fleetpb.Job {
-	out := &fleetpb.Job{
-		Id: j.ID, Route: j.Route, Service: j.Service, Spec: j.Spec, Priority: int32(j.Priority),
-		Attempts: int32(j.Attempts), AllowanceNs: int64(j.Objective.Allowance), Stretch: j.Objective.Stretch,
-		TimeoutNs: int64(j.Timeout),
-	}
-	if p := j.Part; p != nil {
-		out.Part = &fleetpb.Part{Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt}
-	}
-	for _, s := range j.Steps {
-		step := &fleetpb.Step{
-			Count: int32(s.Count), CpuMillicores: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB,
-			Accelerators: s.Need.Accelerators, EstimateNs: int64(s.Estimate), Label: s.Label, Rack: s.Rack,
-			MaxPerServer: int32(s.MaxPerServer),
-		}
-		for _, a := range s.After {
-			step.After = append(step.After, int32(a))
-		}
-		out.Steps = append(out.Steps, step)
-	}
-	return out
-}
-
-func jobFromPB(b *fleetpb.Job) fleet.JobSpec {
-	j := fleet.JobSpec{
-		ID: b.GetId(), Route: b.GetRoute(), Service: b.GetService(), Spec: b.GetSpec(),
-		Priority: int(b.GetPriority()), Attempts: int(b.GetAttempts()),
-		Objective: fleet.Objective{Allowance: time.Duration(b.GetAllowanceNs()), Stretch: b.GetStretch()},
-		Timeout:   time.Duration(b.GetTimeoutNs()),
-	}
-	if p := b.GetPart(); p != nil {
-		j.Part = &fleet.Part{Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt()}
-	}
-	for _, s := range b.GetSteps() {
-		step := fleet.StepSpec{
-			Count:    int(s.GetCount()),
-			Need:     model.Resources{CPUMilli: s.GetCpuMillicores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
-			Estimate: time.Duration(s.GetEstimateNs()), Label: s.GetLabel(), Rack: s.GetRack(),
-			MaxPerServer: int(s.GetMaxPerServer()),
-		}
-		for _, a := range s.GetAfter() {
-			step.After = append(step.After, int(a))
-		}
-		j.Steps = append(j.Steps, step)
-	}
-	return j
-}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -98,9 +98,11 @@
 	}
 	switch {
 	case r.Method == http.MethodGet && id == "":
-		platform.WritePending(w, 0)
-	case r.Method == http.MethodGet, r.Method == http.MethodDelete:
-		c.refuse(w, id, platform.Refusal{Status: platform.StatusNoJob, Problem: "no such job is kept"})
+		c.pending(w, r, route)
+	case r.Method == http.MethodGet:
+		c.state(w, r, id)
+	case r.Method == http.MethodDelete:
+		c.cancel(w, r, id)
 	case r.Method == http.MethodPost:
 		c.submit(w, r, config, route, id)
 	default:
@@ -140,6 +142,11 @@
 	s.Job.Priority, s.Job.Attempts = route.Priority, route.Attempts
 	s.Job.Objective, s.Job.Received = route.Objective, received
 	s.Job.Timeout = timeout(route, platform.Deadline(r))
+	s.Job.Keep = s.Keep
+	if s.Keep {
+		c.keep(w, r, &s.Job)
+		return
+	}
 	if c.tooLate(&s.Job) {
 		c.refuse(w, id, platform.Refusal{
 			Status: platform.StatusNotRun, RetryAfter: time.Second,
@@ -207,8 +214,6 @@
 	field := s.Unsupported
 	switch {
 	case field != "":
-	case s.Keep:
-		field = "a job without bestEffort"
 	case route.Advice:
 		field = "a route with advice"
 	default:
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -106,6 +106,12 @@
 		n.spawn(func() { l.look(x) })
 	case fleet.Claim:
 		n.spawn(func() { n.store.claim(l.ctx, x) })
+	case fleet.SaveJob:
+		n.jobs.save(x.Record)
+	case fleet.JobEnded:
+		n.jobs.learn(x.ID, x.State)
+	case fleet.ScanJobs:
+		n.spawn(func() { n.jobs.scan(l.ctx) })
 	case fleet.SendPeer:
 		n.mesh.Send(x.To.Instance, x.Message)
 	case fleet.Connect:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	metrics  *metrics.Fleet
 
 	store   *storeSide
+	jobs    *jobStore
 	servers *platform.Servers
 	mesh    *mesh.Mesh
 	config  *configBox
@@ -66,6 +67,7 @@
 	n.notes = newNoteLog(n.log, n.metrics)
 	n.callers = newCallers(n)
 	n.store = newStoreSide(n)
+	n.jobs = newJobStore(n)
 	n.mesh = mesh.New(mesh.Options{
 		Self:    self,
 		Dial:    platform.NewDialer().DialContext,
@@ -116,6 +118,7 @@
 		return err
 	}
 	n.spawn(func() { n.store.run(running) })
+	n.spawn(func() { n.jobs.run(running) })
 	n.spawn(func() { n.reload(running, hangups) })
 	loop := newLoop(n, running)
 	loop.stopping = func() { closeWhenIdle(servers) }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -69,6 +69,9 @@
 	fleet.NoteJobQueued:         eventlog.JobQueued,
 	fleet.NoteJobEnded:          eventlog.JobEnded,
 	fleet.NoteJobTakenBack:      eventlog.JobTakenBack,
+	fleet.NoteJobAdopted:        eventlog.JobAdopted,
+	fleet.NoteJobLost:           eventlog.JobLost,
+	fleet.NoteHoldDoubted:       eventlog.HoldDoubted,
 	fleet.NotePaused:            eventlog.PauseDetected,
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -182,6 +182,10 @@
 			servers = s.applyServer(it) || servers
 		case platform.RecordOwner:
 			owners = append(owners, s.ownership(it))
+		case platform.RecordCancel:
+			if id, ok := platform.CancelledJob(it.Key); ok && !it.Removed {
+				s.node.post(fleet.JobCancelled{ID: id})
+			}
 		case platform.RecordConfig:
 			if !it.Removed {
 				config = it.Value
@@ -297,11 +301,16 @@
 	s.mu.Lock()
 	lease := s.lease
 	s.mu.Unlock()
+	sent := bootTime()
 	if lease != 0 {
 		ended, err := s.store.Renew(ctx, lease)
-		if err != nil || !ended && s.isListed() {
+		if err != nil {
 			return err
 		}
+		if !ended && s.isListed() {
+			s.node.post(fleet.Renewed{SentAt: sent})
+			return nil
+		}
 	}
 	lease, err := s.store.Grant(ctx, max(memberTTL, s.node.settings.Store.MinLeaseTTL))
 	if err != nil {
@@ -318,6 +327,7 @@
 	s.lease = lease
 	s.members[s.node.self.Instance] = s.node.self // until the watch says otherwise
 	s.mu.Unlock()
+	s.node.post(fleet.Renewed{SentAt: sent})
 	return nil
 }
 
--- a/internal/standin/worker/state.go
+++ b/internal/standin/worker/state.go
@@ -15,6 +15,9 @@
 	MaxLease time.Duration // longer leases are shortened
 	StopTime time.Duration // from a stop to the end of the run
 	Rate     float64       // of its clock against true time; 0 means 1
+	// OnEnd is told of each end, OnNoted of each that is acknowledged while no
+	// lease has lapsed since. Both may be nil.
+	OnEnd, OnNoted func(fleet.EndedRow)
 }
 
 // State is what a backend server knows. It starts whatever it is told to
@@ -29,6 +32,7 @@
 	number int64
 	barred map[fleet.TaskID]uint32 // highest attempt that ended or was stopped
 	lease  int64                   // end of the lease of all runs, on its clock
+	void   int64                   // ends up to this number were followed by a lapse
 }
 
 // Run is a run at a server.
@@ -99,9 +103,17 @@
 
 // extend prolongs the lease of everything that runs; it never shortens it.
 func (s *State) extend(now fleet.Time, endMs int64) {
+	s.noteLapse(now)
 	s.lease = max(s.lease, min(endMs, s.ClockMs(now)+s.opts.MaxLease.Milliseconds()))
 }
 
+// noteLapse makes the ends before a lapse void.
+func (s *State) noteLapse(now fleet.Time) {
+	if now >= s.at(s.lease) {
+		s.void = s.number
+	}
+}
+
 // Stop carries out an order to end a run, and forbids it to start later.
 func (s *State) Stop(now fleet.Time, id fleet.RunID, fence uint64) (fenced bool) {
 	s.Advance(now)
@@ -125,7 +137,13 @@
 		return true
 	}
 	s.fence = fence
-	s.ended = slices.DeleteFunc(s.ended, func(e fleet.EndedRow) bool { return e.Number <= seen })
+	s.noteLapse(now)
+	s.ended = slices.DeleteFunc(s.ended, func(e fleet.EndedRow) bool {
+		if e.Number <= seen && e.Number > s.void && s.opts.OnNoted != nil {
+			s.opts.OnNoted(e)
+		}
+		return e.Number <= seen
+	})
 	if leaseEndMs > 0 {
 		s.extend(now, leaseEndMs)
 	}
@@ -198,7 +216,11 @@
 	delete(s.runs, r.ID)
 	s.bar(r.ID)
 	s.number++
-	s.ended = append(s.ended, fleet.EndedRow{Number: s.number, Run: r.ID, How: how})
+	row := fleet.EndedRow{Number: s.number, Run: r.ID, How: how}
+	s.ended = append(s.ended, row)
+	if s.opts.OnEnd != nil {
+		s.opts.OnEnd(row)
+	}
 }
 
 // Next returns when Advance has something to do; ok is false if nothing runs.
