A holder releases its jobs in the write that it sends

Cause: the write of a release looked whether the job was idle after it had marked the job as being saved, so that the holder wrote its own name again. Also: only members that the store has listed count as ended. TestKeptJobsFollowTheServers fails before and passes after. Ruled out: scans that miss jobs.

--- a/internal/fleet/fleetsim/kept_test.go
+++ b/internal/fleet/fleetsim/kept_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // checkKept checks that every accepted job is known and has ended.
@@ -106,3 +107,29 @@
 		}
 	}
 }
+
+// TestKeptJobsFollowTheServers lets a holder lose its servers to another
+// instance of its domain, which has to take the jobs over.
+func TestKeptJobsFollowTheServers(t *testing.T) {
+	site := Glenbrae().Keeping()
+	w := New(5)
+	w.Build(site)
+	w.Run(settle)
+	for _, name := range []string{"tayside-0", "tayside-1", "carrick-0", "carrick-1"} {
+		w.Offer(site, 0.5, 2*time.Second)
+		w.Run(time.Second)
+		w.Stop(model.Instance(name))
+		w.Run(2 * time.Second)
+		for _, r := range w.kept.records {
+			if r.State == fleet.KeptOpen && r.Holder == model.Instance(name) {
+				t.Errorf("job %s is still held by %s, which leaves", r.ID, name)
+			}
+		}
+		w.Kill(model.Instance(name))
+		w.Start(model.Instance(name))
+		w.Run(time.Second)
+	}
+	w.Run(20 * time.Second)
+	checkRules(t, w)
+	checkKept(t, w)
+}
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -191,21 +191,21 @@
 	if x.saving {
 		return
 	}
-	x.dirty, x.saving = false, true
-	x.endsSent, x.ends = x.ends, nil
 	x.record.Holder, x.record.Life = k.self.Instance, k.self.Incarnation
 	if x.release && x.idle() {
 		x.record.Holder, x.record.Life = "", ""
 	}
+	x.dirty, x.saving = false, true
+	x.endsSent, x.ends = x.ends, nil
 	x.record.Version++
 	x.record.Progress = x.sortedProgress()
 	x.sent = x.record
 	k.effect(SaveJob{Record: x.sent})
 }
 
-// idle reports whether nothing of a job runs and nothing of it is to be stored.
+// idle reports whether nothing of a job runs or is being stored.
 func (x *keptJob) idle() bool {
-	return x.job != nil && !x.job.over && x.job.live == 0 && len(x.endsSent) == 0 && !x.saving
+	return x.job != nil && !x.job.over && x.job.live == 0 && !x.saving
 }
 
 func (x *keptJob) sortedProgress() []Progress {
@@ -293,7 +293,7 @@
 		return
 	}
 	cancelled := current != nil && current.State == KeptCancelled
-	if !cancelled {
+	if !cancelled && x.job != nil {
 		k.effect(Note{Kind: NoteJobLost, Job: x.record.ID, Reason: "the store names another holder or none"})
 	}
 	ends := append(x.endsSent, x.ends...)
@@ -571,7 +571,7 @@
 
 // orphan reports whether nobody holds an open job.
 func (k *keeper) orphan(r Record, now Time) bool {
-	return r.Holder == "" || k.members.lifeEnded(r.Holder, r.Life, now)
+	return r.Holder == "" || k.members.listed && k.members.lifeEnded(r.Holder, r.Life, now)
 }
 
 // adopt takes a job over. Its tasks wait until the runs of its last holder are
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -110,6 +110,7 @@
 	self    Member
 	effect  func(Effect)
 	storeUp bool
+	listed  bool // the store has listed the members at least once
 	peers   map[model.Instance]*peer
 	order   []*peer // by name
 	// replaced are lives that a later one has followed and whose loss was not
@@ -154,6 +155,7 @@
 
 // seen takes in the members that the store lists.
 func (m *members) seen(list []Member, now Time) {
+	m.listed = true
 	present := map[model.Instance]model.Incarnation{}
 	for _, x := range list {
 		present[x.Instance] = x.Incarnation
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -182,10 +182,10 @@
 		return Look{}, false
 	}
 	l := s.look(now, lease)
-	switch {
-	case len(s.held) > 0:
+	if len(s.held) > 0 {
 		s.lookAt = now.Add(heldLookPause) // the server answers at once while it lists an end
-	case s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0:
+	}
+	if s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0 {
 		l.Wait = lookWait
 	}
 	s.looking = true
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -26,9 +26,9 @@
 	// writeBurst is how many transactions may follow each other at once: about
 	// half a second's part of the usual rate.
 	writeBurst = 32
-	// writeWindow lets jobs that come together share a transaction; it is about
-	// as long as the store takes.
-	writeWindow = 3 * time.Millisecond
+	// writeWindow lets jobs that come together share a transaction; it is short
+	// next to the time that the store takes.
+	writeWindow = time.Millisecond
 	// openFor is how long a job counts as open without the store being asked:
 	// its holder tells of its end at once, unless it is gone.
 	openFor = 2 * time.Second
@@ -132,7 +132,7 @@
 // meantime goes into the same transaction.
 func (s *jobStore) pace(ctx context.Context) bool {
 	if w := s.node.settings.Store.WritesPerSecond; w > 0 {
-		s.limiter.SetLimit(rate.Limit(w * writeShare / float64(1+len(s.node.store.others()))))
+		s.limiter.SetLimit(rate.Limit(w * writeShare / float64(s.node.store.holders())))
 	}
 	return s.limiter.Wait(ctx) == nil
 }
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -95,7 +95,7 @@
 
 // endWait is how long a question for the state of an open job waits for its end,
 // so that a caller that asks just before it need not ask again.
-const endWait = 60 * time.Millisecond
+const endWait = 150 * time.Millisecond
 
 func (c *callers) awaitEnd(r *http.Request, id string) (fleet.KeptState, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), endWait)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	members map[model.Instance]fleet.Member
 	servers map[model.ServerID]fleet.ServerEntry
+	owners  map[model.ServerID]model.Instance
 	lease   platform.LeaseID
 	fails   int // reads in a row
 	up      bool
@@ -60,7 +61,7 @@
 }
 
 func newStoreSide(n *Node) *storeSide {
-	s := &storeSide{node: n, members: map[model.Instance]fleet.Member{}, servers: map[model.ServerID]fleet.ServerEntry{}}
+	s := &storeSide{node: n, members: map[model.Instance]fleet.Member{}, servers: map[model.ServerID]fleet.ServerEntry{}, owners: map[model.ServerID]model.Instance{}}
 	s.store = platform.NewStore(n.settings.Store, n.metrics.StoreCall)
 	return s
 }
@@ -181,7 +182,9 @@
 		case platform.RecordServer:
 			servers = s.applyServer(it) || servers
 		case platform.RecordOwner:
-			owners = append(owners, s.ownership(it))
+			o := s.ownership(it)
+			s.owners[o.Server] = o.Owner
+			owners = append(owners, o)
 		case platform.RecordCancel:
 			if id, ok := platform.CancelledJob(it.Key); ok && !it.Removed {
 				s.node.post(fleet.JobCancelled{ID: id})
@@ -282,6 +285,19 @@
 	return out
 }
 
+// holders returns the number of instances that own servers, 1 at least; kept
+// jobs are written by these.
+func (s *storeSide) holders() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := map[model.Instance]bool{s.node.self.Instance: true}
+	for _, o := range s.owners {
+		seen[o] = true
+	}
+	delete(seen, "")
+	return len(seen)
+}
+
 // stayListed keeps this instance's entry in the store.
 func (s *storeSide) stayListed(ctx context.Context) {
 	for ctx.Err() == nil {
