--- a/internal/fleet/fleetsim/kept.go
+++ b/internal/fleet/fleetsim/kept.go
@@ -15,6 +15,16 @@
 	done      map[fleet.TaskID]bool // has ended well
 	doneNoted map[fleet.TaskID]bool // and that end was taken note of
 	failed    map[fleet.TaskID]int  // ends that were taken note of
+
+	writes  int                           // that have reached the store
+	onWrite func(write int, carried bool) // told before and after each is carried out, may be nil
+}
+
+// tell tells of a write.
+func (k *keptStore) tell(carried bool) {
+	if k.onWrite != nil {
+		k.onWrite(k.writes, carried)
+	}
 }
 
 func newKeptStore() *keptStore {
@@ -55,7 +65,10 @@
 	}
 	life := n.life
 	w.After(storeTime/2, func() {
+		w.kept.writes++
+		w.kept.tell(false)
 		e := w.commitJob(r)
+		w.kept.tell(true)
 		if w.Rand.Float64() < w.LostAnswers {
 			w.later(n, callLimit, func() { w.saveJob(n, r) })
 			return
--- a/internal/fleet/fleetsim/kept_test.go
+++ b/internal/fleet/fleetsim/kept_test.go
@@ -133,3 +133,48 @@
 	checkRules(t, w)
 	checkKept(t, w)
 }
+
+// TestPowerLossAtEachWrite takes the power from all instances before or after
+// each write of a few submissions. No accepted job may be lost.
+func TestPowerLossAtEachWrite(t *testing.T) {
+	const jobs = 4
+	for _, carried := range []bool{false, true} {
+		for at, more := 1, true; more; at++ {
+			w := New(uint64(at))
+			site := Glenbrae().Keeping()
+			w.Build(site)
+			w.Run(settle)
+			more = false
+			w.kept.onWrite = func(write int, done bool) {
+				if write == at && done == carried {
+					more = true
+					w.powerLoss(700 * time.Millisecond)
+				}
+			}
+			for i := range jobs {
+				w.Submit(w.nodes[i].member.Instance, w.Job(site.Classes[i%len(site.Classes)], 80*time.Millisecond))
+				w.Run(15 * time.Millisecond)
+			}
+			w.Run(15 * time.Second)
+			checkRules(t, w)
+			for _, j := range w.Jobs() {
+				r, ok := w.Kept(j.Spec.ID)
+				if j.Result.Kind == fleet.Accepted && !ok || ok && r.State != fleet.KeptCompleted {
+					t.Errorf("power lost at write %d (carried out: %v): job %s was answered %v and is %v", at, carried, j.Spec.ID, j.Result.Kind, r.State)
+				}
+			}
+			if at > 100 {
+				t.Fatal("writes go on without end")
+			}
+		}
+	}
+}
+
+// powerLoss ends all instances at once and starts them again after d.
+func (w *World) powerLoss(d time.Duration) {
+	for _, n := range w.nodes {
+		name := n.member.Instance
+		w.PowerOff(name)
+		w.After(d, func() { w.Start(name) })
+	}
+}
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -79,6 +79,15 @@
 	return append([]fleet.RunID(nil), s.starts...)
 }
 
+// Running returns the number of runs.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := now()
+	s.state.Advance(at)
+	return len(s.state.Running(at))
+}
+
 // wake answers the looks that wait. The caller holds mu.
 func (s *Server) wake() {
 	close(s.changed)
