--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -86,6 +86,7 @@
 // PeerMessage is a message of another member.
 type PeerMessage struct {
 	From    Member
+	At      Time // it came; an instance that is short of processor time takes it in later
 	Message Message
 }
 
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -294,7 +294,7 @@
 	}
 	w.later(to, w.delay(n.member.Domain, to.member.Domain), func() {
 		if to.member.Incarnation == x.To.Incarnation {
-			w.step(to, fleet.PeerMessage{From: from, Message: x.Message})
+			w.step(to, fleet.PeerMessage{From: from, At: w.now, Message: x.Message})
 		}
 	})
 }
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -239,6 +239,7 @@
 		return
 	}
 	if o.Bounced {
+		c.ran = c.ran || c.job.Keep // it may have been stored before the owner lost sight of the call
 		h.effect(Note{Kind: NoteJobBounced, Call: c.id, Job: c.job.ID, Peer: from.Instance})
 		h.route(c, now)
 		return
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -32,7 +32,7 @@
 	owners  *owners
 	pool    *pool
 	home    *home
-	keeper  *keeper
+	holder  *holder
 
 	effects []Effect
 	last    Time
@@ -48,8 +48,8 @@
 	i.members = newMembers(o.Self, emit)
 	i.owners = newOwners(o.Self, now, emit)
 	i.pool = newPool(o, i.members, i.owners, emit)
-	i.keeper = newKeeper(o.Self, i.members, i.owners, i.pool, now, emit)
-	i.pool.keeper = i.keeper
+	i.holder = newHolder(o.Self, i.members, i.owners, i.pool, now, emit)
+	i.pool.holder = i.holder
 	i.home = newHome(o.Self, i.members, i.owners, i.pool, emit)
 	return i
 }
@@ -61,8 +61,8 @@
 	}
 	i.last = now
 	i.handle(now, e)
-	if i.keeper.inUse && !i.keeper.told {
-		i.keeper.told = true
+	if i.holder.inUse && !i.holder.told {
+		i.holder.told = true
 		i.beat(now, true)
 	}
 	out := i.take(now)
@@ -131,16 +131,16 @@
 	case LookAnswered:
 		i.pool.lookAnswered(e, now)
 	case JobSaved:
-		i.keeper.saved(e, now)
+		i.holder.saved(e, now)
 	case JobsFound:
-		i.keeper.found(e, now)
+		i.holder.found(e, now)
 	case JobCancelled:
-		i.keeper.cancelled(e.ID, now)
+		i.holder.cancelled(e.ID, now)
 	case Renewed:
-		i.keeper.renewedAt = e.SentAt
-		i.keeper.guard(now)
+		i.holder.renewedAt = e.SentAt
+		i.holder.guard(now)
 	case StateAsked:
-		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.keeper.state(e.ID)}})
+		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
 	case PendingAsked:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: Counted, Count: i.pending(e.Route, now)}})
 	case ConfigSeen:
@@ -148,11 +148,11 @@
 	case StopRequested:
 		i.leaving, i.stopBy = true, e.By
 		i.beat(now, true)
-		i.keeper.leave(now)
+		i.holder.leave(now)
 		i.maintain(now)
 	case Tick:
 		i.maintain(now)
-		i.keeper.tick(now)
+		i.holder.tick(now)
 		i.pool.tick(now)
 		i.home.retryHeld(now)
 		i.home.resume(now)
@@ -195,14 +195,14 @@
 		i.pool.originLost(p.member, now)
 	}
 	for _, p := range i.members.died() {
-		i.keeper.memberLost(p, now)
+		i.holder.memberLost(p, now)
 	}
 }
 
 // pending counts the kept jobs of a route of which nothing has started, over
 // all instances that are heard.
 func (i *Instance) pending(route string, now Time) int {
-	n := i.keeper.pending(route)
+	n := i.holder.pending(route)
 	for _, p := range i.members.order {
 		if p.heard(now) {
 			n += p.pending[route]
@@ -310,12 +310,12 @@
 		return
 	}
 	i.dropLost(now)
-	p.everHeard, p.heardAt, p.dead, p.refused = true, now, false, false
+	p.everHeard, p.heardAt, p.dead, p.refused = true, max(p.heardAt, e.At), false, false
 	switch m := e.Message.(type) {
 	case Beat:
 		p.leaving, p.loads, p.hearsMe, p.partsHeard = m.Leaving, m.Loads, m.Heard, m.Parts
 		p.takePending(m.Pending)
-		i.keeper.inUse = i.keeper.inUse || m.Keeps
+		i.holder.inUse = i.holder.inUse || m.Keeps
 		p.bouncedAt = 0
 		i.pool.dispatch(now)
 		i.home.retryHeld(now)
@@ -339,7 +339,7 @@
 	case JobEnded:
 		i.effects = append(i.effects, m)
 	case JobsReleased:
-		i.keeper.scan(now.Add(releasedScanAfter), true)
+		i.holder.scan(now.Add(releasedScanAfter), true)
 	case Resync:
 		p.partsCame = 0
 		i.resynced(p, m, now)
@@ -390,7 +390,7 @@
 	p.beatAt = now
 	b := Beat{
 		Leaving: i.leaving, Config: i.config, Parts: p.partsCame,
-		Keeps: i.keeper.inUse, Pending: i.keeper.pendingRoutes(),
+		Keeps: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
 		b.Heard = now.Sub(p.heardAt)
@@ -420,5 +420,5 @@
 
 // Idle reports whether nothing is left to finish before the process may end.
 func (i *Instance) Idle() bool {
-	return len(i.home.calls) == 0 && len(i.pool.jobs) == 0 && len(i.pool.order) == 0 && len(i.keeper.jobs) == 0
+	return len(i.home.calls) == 0 && len(i.pool.jobs) == 0 && len(i.pool.order) == 0 && len(i.holder.jobs) == 0
 }
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -110,9 +110,9 @@
 	number int64
 }
 
-// keeper holds the kept jobs of an instance. A job is started only while the
+// holder holds the kept jobs of an instance. A job is started only while the
 // store names this life of the instance as its holder.
-type keeper struct {
+type holder struct {
 	self    Member
 	members *members
 	owners  *owners
@@ -135,8 +135,8 @@
 	started  bool // the first look for them is over
 }
 
-func newKeeper(self Member, m *members, w *owners, p *pool, now Time, effect func(Effect)) *keeper {
-	return &keeper{
+func newHolder(self Member, m *members, w *owners, p *pool, now Time, effect func(Effect)) *holder {
+	return &holder{
 		self: self, members: m, owners: w, pool: p, effect: effect, jobs: map[string]*keptJob{}, renewedAt: now,
 		scanDue: now, orphanAt: now.Add(orphanScanAfter),
 	}
@@ -144,7 +144,7 @@
 
 // offer takes a job in that has to be kept. bounced tells that it should be
 // tried elsewhere.
-func (k *keeper) offer(origin Member, call CallID, spec JobSpec) (bounced bool) {
+func (k *holder) offer(origin Member, call CallID, spec JobSpec) (bounced bool) {
 	k.inUse = true
 	x := k.jobs[spec.ID]
 	switch {
@@ -171,7 +171,7 @@
 }
 
 // creating counts the jobs that the store doesn't hold yet.
-func (k *keeper) creating() int {
+func (k *holder) creating() int {
 	n := 0
 	for _, x := range k.jobs {
 		if x.job == nil {
@@ -181,12 +181,12 @@
 	return n
 }
 
-func (k *keeper) tell(a asker, r Result) {
+func (k *holder) tell(a asker, r Result) {
 	k.effect(outcomeReady{origin: a.origin, outcome: Outcome{Call: a.call, Result: r}})
 }
 
 // save writes a job, unless a write of it is under way.
-func (k *keeper) save(x *keptJob) {
+func (k *holder) save(x *keptJob) {
 	x.dirty = true
 	if x.saving {
 		return
@@ -223,7 +223,7 @@
 }
 
 // saved takes in what became of a write.
-func (k *keeper) saved(e JobSaved, now Time) {
+func (k *holder) saved(e JobSaved, now Time) {
 	x := k.jobs[e.ID]
 	if x == nil || !x.saving {
 		return
@@ -265,14 +265,14 @@
 }
 
 // tellReleased asks an instance that can run a job to look for released ones.
-func (k *keeper) tellReleased(j *JobSpec, now Time) {
+func (k *holder) tellReleased(j *JobSpec, now Time) {
 	if to, ok := k.runner(j, now); ok {
 		k.effect(SendPeer{To: to, Message: JobsReleased{}})
 	}
 }
 
 // runner returns another instance whose servers can run a job.
-func (k *keeper) runner(j *JobSpec, now Time) (Member, bool) {
+func (k *holder) runner(j *JobSpec, now Time) (Member, bool) {
 	for _, m := range k.members.candidates("", true, now) {
 		if k.owners.canServe(m, j) {
 			return m, true
@@ -282,9 +282,13 @@
 }
 
 // conflict follows what another instance wrote about a job.
-func (k *keeper) conflict(x *keptJob, current *Record, now Time) {
+func (k *holder) conflict(x *keptJob, current *Record, now Time) {
+	answer := Result{Kind: Accepted} // the job is stored, whoever holds it
+	if current == nil {
+		answer.Kind = Unknown
+	}
 	for _, a := range x.asked {
-		k.tell(a, Result{Kind: Accepted}) // the job is stored, whoever holds it
+		k.tell(a, answer)
 	}
 	x.asked = nil
 	if current != nil && current.State == KeptOpen && k.orphan(*current, now) {
@@ -310,14 +314,14 @@
 }
 
 // drop gives up a job that this instance doesn't hold any more.
-func (k *keeper) drop(x *keptJob, now Time) {
+func (k *holder) drop(x *keptJob, now Time) {
 	if x.job != nil && !x.job.over {
 		k.pool.abandon(x.job, now)
 	}
 	k.forget(x)
 }
 
-func (k *keeper) forget(x *keptJob) {
+func (k *holder) forget(x *keptJob) {
 	delete(k.jobs, x.record.ID)
 	if j := x.job; j != nil {
 		j.over = true
@@ -326,7 +330,7 @@
 }
 
 // settle lets ends be acknowledged.
-func (k *keeper) settle(ends []heldEnd) {
+func (k *holder) settle(ends []heldEnd) {
 	for _, e := range ends {
 		if s := k.pool.servers[e.server]; s != nil && s.born == e.born {
 			delete(s.held, e.number)
@@ -335,7 +339,7 @@
 }
 
 // begin lets a job run that the store holds.
-func (k *keeper) begin(x *keptJob, now Time) {
+func (k *holder) begin(x *keptJob, now Time) {
 	k.lastCall++
 	j := newJob(x.record.Job, k.self, keptCalls+k.lastCall)
 	j.kept, x.job = x, j
@@ -385,7 +389,7 @@
 }
 
 // runEnded notes the end of a run. It is acknowledged once it is stored.
-func (k *keeper) runEnded(s *server, t *task, e EndedRow, now Time) {
+func (k *holder) runEnded(s *server, t *task, e EndedRow, now Time) {
 	x := t.job.kept
 	p := x.progress[t.id]
 	p.Step, p.Index = t.id.Step, t.id.Index
@@ -411,7 +415,7 @@
 }
 
 // over notes the result of a job.
-func (k *keeper) over(x *keptJob, r Result) {
+func (k *holder) over(x *keptJob, r Result) {
 	switch r.Kind {
 	case Completed:
 		x.record.State = KeptCompleted
@@ -426,7 +430,7 @@
 
 // cancelled gives up a job that its caller has cancelled; the store says so
 // already.
-func (k *keeper) cancelled(id string, now Time) {
+func (k *holder) cancelled(id string, now Time) {
 	x := k.jobs[id]
 	if x == nil || x.job == nil || x.job.over {
 		return
@@ -437,12 +441,12 @@
 }
 
 // mayRun reports whether tasks of a job may start.
-func (k *keeper) mayRun(j *job) bool {
+func (k *holder) mayRun(j *job) bool {
 	return j.kept == nil || j.kept.verified && !j.kept.release && !k.unsafe && !k.leaving
 }
 
 // tick does what is due by time.
-func (k *keeper) tick(now Time) {
+func (k *holder) tick(now Time) {
 	k.guard(now)
 	for _, x := range k.sorted() {
 		x.release = x.release || k.misplaced(x, now)
@@ -465,7 +469,7 @@
 
 // misplaced reports whether another instance should hold a job: this one leaves,
 // or it has lost the servers that could run it.
-func (k *keeper) misplaced(x *keptJob, now Time) bool {
+func (k *holder) misplaced(x *keptJob, now Time) bool {
 	if x.job == nil || x.job.over || !k.leaving && k.owners.canServe(k.self, &x.job.spec) {
 		return false
 	}
@@ -475,7 +479,7 @@
 
 // guard stops the runs of kept jobs while another instance may take them over:
 // this one's entry in the store may have lapsed, and a peer doesn't hear it.
-func (k *keeper) guard(now Time) {
+func (k *holder) guard(now Time) {
 	unsafe := now.Sub(k.renewedAt) > holdWithout && !k.members.allHear(now)
 	if unsafe == k.unsafe {
 		return
@@ -505,7 +509,7 @@
 }
 
 // scan asks for a look at the jobs in the store.
-func (k *keeper) scan(at Time, all bool) {
+func (k *holder) scan(at Time, all bool) {
 	if k.scanDue == 0 || at < k.scanDue {
 		k.scanDue = at
 	}
@@ -514,7 +518,7 @@
 
 // memberLost looks for the jobs of a member that has ended, if they fall to
 // this instance.
-func (k *keeper) memberLost(p *peer, now Time) {
+func (k *holder) memberLost(p *peer, now Time) {
 	if k.inUse && k.heir(p.member.Instance, now) == k.self.Instance {
 		k.scan(now, true)
 	}
@@ -522,7 +526,7 @@
 
 // heir returns which instance takes over the jobs of one that has ended: its
 // next life, or the first of the others in an order of its own.
-func (k *keeper) heir(gone model.Instance, now Time) model.Instance {
+func (k *holder) heir(gone model.Instance, now Time) model.Instance {
 	best := model.Instance("")
 	for _, m := range k.members.candidates("", k.leaving, now) {
 		if m.Instance == gone {
@@ -536,7 +540,7 @@
 }
 
 // found takes over the jobs that nobody holds.
-func (k *keeper) found(e JobsFound, now Time) {
+func (k *holder) found(e JobsFound, now Time) {
 	k.scanning = false
 	if !e.OK {
 		k.scan(now.Add(scanPause), k.scanAll)
@@ -558,7 +562,7 @@
 
 // inherit takes a job over that nobody holds, or passes it to an instance whose
 // servers can run it.
-func (k *keeper) inherit(r Record, now Time) {
+func (k *holder) inherit(r Record, now Time) {
 	if k.owners.canServe(k.self, &r.Job) {
 		k.adopt(r, now)
 		return
@@ -570,13 +574,13 @@
 }
 
 // orphan reports whether nobody holds an open job.
-func (k *keeper) orphan(r Record, now Time) bool {
+func (k *holder) orphan(r Record, now Time) bool {
 	return r.Holder == "" || k.members.listed && k.members.lifeEnded(r.Holder, r.Life, now)
 }
 
 // adopt takes a job over. Its tasks wait until the runs of its last holder are
 // gone.
-func (k *keeper) adopt(r Record, now Time) {
+func (k *holder) adopt(r Record, now Time) {
 	if k.jobs[r.ID] != nil || k.leaving {
 		return
 	}
@@ -596,13 +600,13 @@
 }
 
 // leave begins to hand the jobs over: what runs may end, the rest is released.
-func (k *keeper) leave(now Time) {
+func (k *holder) leave(now Time) {
 	k.leaving = true
 	k.tick(now)
 }
 
 // pending counts the jobs of a route of which nothing has started.
-func (k *keeper) pending(route string) int {
+func (k *holder) pending(route string) int {
 	n := 0
 	for _, x := range k.jobs {
 		if x.job != nil && x.job.spec.Route == route && x.job.starts == 0 {
@@ -613,7 +617,7 @@
 }
 
 // pendingRoutes returns the counts of all routes, for the peers.
-func (k *keeper) pendingRoutes() []RouteCount {
+func (k *holder) pendingRoutes() []RouteCount {
 	counts := map[string]int{}
 	for _, x := range k.jobs {
 		if x.job != nil && x.job.starts == 0 {
@@ -634,7 +638,7 @@
 }
 
 // state tells what is known here of a job.
-func (k *keeper) state(id string) ResultKind {
+func (k *holder) state(id string) ResultKind {
 	x := k.jobs[id]
 	switch {
 	case x == nil || x.job == nil || x.job.over:
@@ -645,7 +649,7 @@
 	return Running
 }
 
-func (k *keeper) sorted() []*keptJob {
+func (k *holder) sorted() []*keptJob {
 	out := make([]*keptJob, 0, len(k.jobs))
 	for _, x := range k.jobs {
 		out = append(out, x)
--- /dev/null
+++ b/internal/fleet/kept_test.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// TestEndsOfForeignRunsWait lets an owner find a run of its predecessor that
+// ends well while it is being stopped. The next holder of its job doesn't know
+// of that end, which may be acknowledged only after the leases have lapsed.
+func TestEndsOfForeignRunsWait(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		i, now := oneServer(t, 500)
+		i.Step(now, JobsFound{OK: true, Records: keptRecords(kept)})
+		s := i.pool.servers["s1"]
+		s.phase = phaseLooking
+		run := RunID{TaskID{"j9", 0, 0}, 1}
+		i.Step(now, look(now, 500, RunningRow{Run: run}))
+		now = now.Add(5 * time.Millisecond)
+		end := look(now, 500)
+		end.Ended = []EndedRow{{Number: 1, Run: run, How: EndDone}}
+		i.Step(now, end)
+		if got := s.ackable() < 1; got != kept {
+			t.Errorf("jobs are kept: %v; the end waits: %v", kept, got)
+		}
+		i.Step(now.Add(i.pool.goneAfter+time.Millisecond), Tick{})
+		if s.ackable() != 1 {
+			t.Error("the end still waits after the leases have lapsed")
+		}
+	}
+}
+
+func keptRecords(some bool) []Record {
+	if !some {
+		return nil
+	}
+	return []Record{{ID: "j8", State: KeptOpen, Holder: "n1", Life: "01"}}
+}
+
+// TestKeptJobThatMayBeStored offers a job to an owner that loses sight of it.
+// It may be stored there, so that a refusal by the next owner isn't final.
+func TestKeptJobThatMayBeStored(t *testing.T) {
+	i, now := oneServer(t, 500)
+	other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
+	spec := JobSpec{
+		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Keep: true,
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	i.home.calls[1] = &call{id: 1, job: spec, owner: other, final: true, tried: []model.Instance{"n2"}}
+	i.members.storeUp = false // this instance can't store it
+	i.home.outcome(other, Outcome{Call: 1, Bounced: true}, now)
+	for _, e := range i.take(now) {
+		if a, ok := e.(Answer); ok {
+			if a.Result.Kind != Unknown {
+				t.Errorf("answered %v", a.Result)
+			}
+			return
+		}
+	}
+	t.Error("the call was not answered")
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -60,7 +60,7 @@
 	recent  []finished
 	typical float64 // CPU of a task, milli-cores, moving mean
 	paces   paces
-	keeper  *keeper
+	holder  *holder
 
 	limbo    []limboTask
 	lent     map[CallID]lentTask
@@ -133,7 +133,7 @@
 		return p.offerPart(origin, call, spec, now)
 	}
 	if spec.Keep {
-		return p.keeper.offer(origin, call, spec)
+		return p.holder.offer(origin, call, spec)
 	}
 	j := newJob(spec, origin, call)
 	if old := p.byID[spec.ID]; old != nil {
@@ -170,7 +170,7 @@
 	p.policy.sort(p.queue, now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
-			if st.ready && p.keeper.mayRun(j) {
+			if st.ready && p.holder.mayRun(j) {
 				p.startStep(j, st, now)
 			}
 		}
@@ -268,7 +268,7 @@
 		})
 	}
 	if j.kept != nil {
-		p.keeper.over(j.kept, result)
+		p.holder.over(j.kept, result)
 		return
 	}
 	p.finish(j, result, now)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -241,8 +241,10 @@
 	}
 	s.seen = e.Number
 	r := s.runs[e.Run]
-	if r == nil {
+	if r == nil || r.foreign {
 		p.foreignEnd(s, e, now)
+	}
+	if r == nil {
 		return
 	}
 	t := r.task
@@ -251,7 +253,7 @@
 		return
 	}
 	if t.job.kept != nil {
-		p.keeper.runEnded(s, t, e, now)
+		p.holder.runEnded(s, t, e, now)
 	}
 	switch e.How {
 	case EndDone:
@@ -276,7 +278,7 @@
 // a kept job, the next holder may start the task again; so it is acknowledged
 // only after the leases have lapsed, which makes the end void.
 func (p *pool) foreignEnd(s *server, e EndedRow, now Time) {
-	if s.phase != phaseLooking || p.keeper.looked && !p.keeper.inUse || e.How != EndDone && e.How != EndFailed {
+	if s.phase != phaseLooking || p.holder.looked && !p.holder.inUse || e.How != EndDone && e.How != EndFailed {
 		return
 	}
 	s.hold(e.Number)
@@ -371,7 +373,7 @@
 		present[row.Run] = true
 		r := s.runs[row.Run]
 		if r == nil {
-			r = &run{id: row.Run, sentAt: now}
+			r = &run{id: row.Run, foreign: true, sentAt: now}
 			s.add(r)
 			p.effect(Note{Kind: NoteForeignRun, Server: s.entry.ID, Run: row.Run})
 		}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -38,6 +38,7 @@
 // run is a start of a task that occupies room at a server.
 type run struct {
 	id        RunID
+	foreign   bool  // an earlier owner ordered it
 	task      *task // nil for runs that this instance did not order, or whose job has ended
 	need      model.Resources
 	state     runState
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 func (n *Node) receive(from fleet.Member, message any) {
 	switch m := message.(type) {
 	case fleet.Message:
-		n.post(fleet.PeerMessage{From: from, Message: m})
+		n.post(fleet.PeerMessage{From: from, At: bootTime(), Message: m})
 	case mesh.Config:
 		n.takeConfig(m.Data, "peer "+string(from.Instance))
 	}
