Kept jobs: only the instance that took a job in trusts what it knows of it

Cause: an instance that had read an open job from the store answered 'running' for two seconds, though the holder tells the end to another one. Now it reads again while the question waits.

--- a/internal/fleet/fleetsim/kept_test.go
+++ b/internal/fleet/fleetsim/kept_test.go
@@ -56,6 +56,7 @@
 				name += ", " + faults[second].name
 			}
 			t.Run(name, func(t *testing.T) {
+				t.Parallel()
 				w := New(uint64(i + 1))
 				w.LostAnswers = 0.05
 				w.Build(site)
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -113,6 +113,7 @@
 				name += ", " + faults[second].name
 			}
 			t.Run(name, func(t *testing.T) {
+				t.Parallel()
 				w := New(uint64(i + 1))
 				w.Build(site)
 				w.Run(settle)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -12,7 +12,7 @@
 	lookWait       = 250 * time.Millisecond // a quarter of the usual lease, so that two lost looks do no harm
 	lookRetryPause = 150 * time.Millisecond // between looks at a silent server
 	missesSilent   = 2                      // unanswered looks after which leases are left to lapse
-	heldLookPause  = 10 * time.Millisecond  // between looks while ends are being stored: two writes of the store
+	heldLookPause  = 5 * time.Millisecond   // between looks while ends are being stored: about a write of the store
 	stopRetryPause = 60 * time.Millisecond  // a little over the time that a stop may take
 	stopAgainAfter = 400 * time.Millisecond // later than the deadline of the call
 )
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -26,9 +26,6 @@
 	// writeBurst is how many transactions may follow each other at once: about
 	// half a second's part of the usual rate.
 	writeBurst = 32
-	// writeWindow lets jobs that come together share a transaction; it is short
-	// next to the time that the store takes.
-	writeWindow = time.Millisecond
 	// openFor is how long a job counts as open without the store being asked:
 	// its holder tells of its end at once, unless it is gone.
 	openFor = 2 * time.Second
@@ -120,7 +117,7 @@
 		case <-s.wake:
 		}
 		for s.waiting() {
-			if !s.pace(ctx) || !wait.Sleep(ctx, writeWindow) {
+			if !s.pace(ctx) {
 				return
 			}
 			s.commit(ctx, s.take())
@@ -361,9 +358,7 @@
 	if err != nil {
 		return platform.JobEntry{}, false, err
 	}
-	if e.State == fleet.KeptOpen {
-		s.learn(id, e.State)
-	} else {
+	if e.State != fleet.KeptOpen {
 		s.remember(id, e.State, e.Written)
 	}
 	return e, true, nil
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
@@ -97,6 +98,10 @@
 // so that a caller that asks just before it need not ask again.
 const endWait = 150 * time.Millisecond
 
+// rereadPause is the time between reads of a job that an instance asks the store
+// for: three in the time that a question waits.
+const rereadPause = 60 * time.Millisecond
+
 func (c *callers) awaitEnd(r *http.Request, id string) (fleet.KeptState, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), endWait)
 	defer cancel()
@@ -107,7 +112,7 @@
 func (c *callers) storedState(w http.ResponseWriter, r *http.Request, id string) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	e, ok, err := c.node.jobs.read(ctx, id)
+	e, ok, err := c.readSettled(ctx, id)
 	switch {
 	case err != nil:
 		c.refuseStore(w, id, err)
@@ -122,6 +127,16 @@
 	}
 }
 
+// readSettled reads a job, and again for a while if it is open.
+func (c *callers) readSettled(ctx context.Context, id string) (e platform.JobEntry, ok bool, err error) {
+	for end := time.Now().Add(endWait); ; {
+		e, ok, err = c.node.jobs.read(ctx, id)
+		if err != nil || !ok || e.State != fleet.KeptOpen || time.Now().After(end) || !wait.Sleep(ctx, rereadPause) {
+			return e, ok, err
+		}
+	}
+}
+
 func (c *callers) refuseStore(w http.ResponseWriter, id string, err error) {
 	c.node.notes.callFailed("read-job", "", err)
 	c.refuse(w, id, platform.Refusal{
