What a member said it had heard counts with the time that the message waited

Messages count from when they came since the last commits; now also what they say of this instance. TestPeerThatMayNotHear failed first. Ruled out: leases (renewed till the stop) and a lost withdrawal (it was taken in at 10.41 s).

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -313,7 +313,8 @@
 	p.everHeard, p.heardAt, p.dead, p.refused = true, max(p.heardAt, e.At), false, false
 	switch m := e.Message.(type) {
 	case Beat:
-		p.leaving, p.loads, p.hearsMe, p.partsHeard = m.Leaving, m.Loads, m.Heard, m.Parts
+		p.leaving, p.loads, p.partsHeard = m.Leaving, m.Loads, m.Parts
+		p.hearsMe = m.Heard + now.Sub(e.At) // it may have heard nothing since
 		p.takePending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.Keeps
 		p.bouncedAt = 0
