--- /dev/null
+++ b/internal/fleet/adopt.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// Bounds of how kept jobs change their holder.
+const (
+	// holdWithout is how long a holder goes on after its last renewal in the
+	// store while a peer doesn't hear it: less than it takes that peer to take
+	// its jobs over.
+	holdWithout = 1800 * time.Millisecond
+	// scanPause is the time between two scans, if the first failed or found jobs
+	// that no instance could run yet.
+	scanPause = 250 * time.Millisecond
+	// orphanScanAfter is when an instance that has started looks for jobs of
+	// instances that haven't come back.
+	orphanScanAfter = 3 * time.Second
+	// orphanScanPause is the time between looks for jobs that every instance
+	// took for another's.
+	orphanScanPause = 15 * time.Second
+	// releasedScanAfter lets a leaving holder release several jobs first.
+	releasedScanAfter = 30 * time.Millisecond
+)
+
+// misplaced reports whether another instance should hold a job: this one leaves,
+// or it has lost the servers that could run it.
+func (h *holder) misplaced(x *keptJob, now Time) bool {
+	if x.job == nil || x.job.over || !h.leaving && h.owners.canServe(h.self, &x.job.spec) {
+		return false
+	}
+	_, ok := h.runner(&x.job.spec, now)
+	return ok
+}
+
+// runner returns another instance whose servers can run a job.
+func (h *holder) runner(j *JobSpec, now Time) (Member, bool) {
+	for _, m := range h.members.candidates("", true, now) {
+		if h.owners.canServe(m, j) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// tellReleased asks an instance that can run a job to look for released ones.
+func (h *holder) tellReleased(j *JobSpec, now Time) {
+	if to, ok := h.runner(j, now); ok {
+		h.effect(SendPeer{To: to, Message: JobsReleased{}})
+	}
+}
+
+// leave begins to hand the jobs over: what runs may end, the rest is released.
+func (h *holder) leave(now Time) {
+	h.leaving = true
+	h.tick(now)
+}
+
+// guard stops the runs of kept jobs while another instance may take them over:
+// this one's entry in the store may have lapsed, and a peer doesn't hear it.
+func (h *holder) guard(now Time) {
+	doubted := now.Sub(h.renewedAt) > holdWithout && !h.members.allHear(now)
+	if doubted == h.doubted {
+		return
+	}
+	h.doubted = doubted
+	if len(h.jobs) > 0 {
+		h.effect(Note{Kind: NoteHoldDoubted, Count: len(h.jobs), Age: now.Sub(h.renewedAt), Reason: doubtReason(doubted)})
+	}
+	for _, x := range h.sorted() {
+		if x.job == nil || x.job.over {
+			continue
+		}
+		if doubted {
+			x.verified = false
+			h.pool.interrupt(x.job, now)
+			continue
+		}
+		h.save(x) // the store tells whether it is still this instance's
+	}
+}
+
+func doubtReason(doubted bool) string {
+	if doubted {
+		return "runs are stopped"
+	}
+	return "each job is verified"
+}
+
+// scan asks for a look at the jobs in the store.
+func (h *holder) scan(at Time, all bool) {
+	if h.scanDue == 0 || at < h.scanDue {
+		h.scanDue = at
+	}
+	h.scanAll = h.scanAll || all
+}
+
+// memberLost looks for the jobs of a member that has ended, if they fall to
+// this instance.
+func (h *holder) memberLost(p *peer, now Time) {
+	if h.inUse && h.heir(p.member.Instance, now) == h.self.Instance {
+		h.scan(now, true)
+	}
+}
+
+// heir returns which instance takes over the jobs of one that has ended: its
+// next life, or the first of the others in an order of its own.
+func (h *holder) heir(gone model.Instance, now Time) model.Instance {
+	best := model.Instance("")
+	for _, m := range h.members.candidates("", h.leaving, now) {
+		if m.Instance == gone {
+			return gone
+		}
+		if best == "" || rank(model.Domain(gone), m.Instance) < rank(model.Domain(gone), best) {
+			best = m.Instance
+		}
+	}
+	return best
+}
+
+// found takes over the jobs that nobody holds.
+func (h *holder) found(e JobsFound, now Time) {
+	h.scanning = false
+	if !e.OK {
+		h.scan(now.Add(scanPause), h.scanAll)
+		return
+	}
+	all := h.scanAll
+	h.scanAll = false
+	h.inUse, h.looked = h.inUse || len(e.Records) > 0, true
+	if !h.inUse {
+		h.pool.wake()
+	}
+	for _, r := range e.Records {
+		mine := r.Holder == h.self.Instance && r.Life != h.self.Incarnation
+		if mine || all && h.orphan(r, now) {
+			h.inherit(r, now)
+		}
+	}
+}
+
+// inherit takes a job over that nobody holds, or passes it to an instance whose
+// servers can run it.
+func (h *holder) inherit(r Record, now Time) {
+	if h.owners.canServe(h.self, &r.Job) {
+		h.adopt(r, now)
+		return
+	}
+	if h.scanDue == 0 {
+		h.scan(now.Add(scanPause), true) // in case nobody does
+	}
+	h.tellReleased(&r.Job, now)
+}
+
+// orphan reports whether nobody holds an open job.
+func (h *holder) orphan(r Record, now Time) bool {
+	return r.Holder == "" || h.members.listed && h.members.lifeEnded(r.Holder, r.Life, now)
+}
+
+// adopt takes a job over. Its tasks wait until the runs of its last holder are
+// gone.
+func (h *holder) adopt(r Record, now Time) {
+	if h.jobs[r.ID] != nil || h.leaving {
+		return
+	}
+	h.inUse = true
+	h.effect(Note{Kind: NoteJobAdopted, Job: r.ID, Peer: r.Holder, Value: r.Revision})
+	x := &keptJob{record: r, progress: map[TaskID]Progress{}}
+	for _, p := range r.Progress {
+		x.progress[TaskID{r.ID, p.Step, p.Index}] = p
+	}
+	if r.Holder != "" {
+		x.waitTill = now.Add(h.pool.goneAfter)
+	}
+	x.record.Term++
+	x.record.Version = 0
+	h.jobs[r.ID] = x
+	h.save(x)
+}
