Kept jobs change their holder only once the store has dropped it

Others took the jobs over while their holder, which took the others for dead, ran them. A life is now over for its kept jobs once the store doesn't list it; a listed member that isn't heard raises doubt; and who scans lists the members after the jobs. Members that are dead stay listed for their lease in the emulator now.

--- a/internal/fleet/adopt.go
+++ b/internal/fleet/adopt.go
@@ -21,6 +21,9 @@
 	// orphanScanPause is the time between looks for jobs that every instance
 	// took for another's.
 	orphanScanPause = 15 * time.Second
+	// changedScanAfter is when to look again after another instance has written a
+	// job that this one was about to write.
+	changedScanAfter = 500 * time.Millisecond
 	// releasedScanAfter lets a leaving holder release several jobs first.
 	releasedScanAfter = 30 * time.Millisecond
 )
@@ -120,7 +123,9 @@
 	return best
 }
 
-// found takes over the jobs that nobody holds.
+// found takes over the jobs that nobody holds. A holder whose entry had lapsed
+// writes it anew before it verifies its jobs; so either it is listed here, or it
+// finds that they were taken over.
 func (h *holder) found(e JobsFound, now Time) {
 	h.scanning = false
 	if !e.OK {
@@ -133,9 +138,14 @@
 	if !h.inUse {
 		h.pool.wake()
 	}
+	listed := map[model.Instance]model.Incarnation{}
+	for _, m := range e.Members {
+		listed[m.Instance] = m.Incarnation
+	}
 	for _, r := range e.Records {
 		mine := r.Holder == h.self.Instance && r.Life != h.self.Incarnation
-		if mine || all && h.orphan(r, now) {
+		alive := r.Holder != "" && listed[r.Holder] == r.Life
+		if mine || all && !alive && h.orphan(r, now) {
 			h.inherit(r, now)
 		}
 	}
@@ -156,7 +166,7 @@
 
 // orphan reports whether nobody holds an open job.
 func (h *holder) orphan(r Record, now Time) bool {
-	return r.Holder == "" || h.members.listed && h.members.lifeEnded(r.Holder, r.Life, now)
+	return r.Holder == "" || h.members.buried(r.Holder, r.Life, now)
 }
 
 // adopt takes a job over. Its tasks wait until the runs of its last holder are
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -192,7 +192,8 @@
 // JobsFound tells of the open jobs in the store.
 type JobsFound struct {
 	Records []Record
-	OK      bool // false: the store didn't answer
+	Members []Member // that the store listed after it had listed the jobs
+	OK      bool     // false: the store didn't answer
 }
 
 // JobCancelled tells that the store holds a job as cancelled.
--- a/internal/fleet/fleetsim/kept.go
+++ b/internal/fleet/fleetsim/kept.go
@@ -120,7 +120,7 @@
 		return
 	}
 	w.later(n, storeTime, func() {
-		e := fleet.JobsFound{OK: true}
+		e := fleet.JobsFound{OK: true, Members: w.members()}
 		for _, r := range w.kept.records {
 			if r.State == fleet.KeptOpen {
 				e.Records = append(e.Records, r)
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -83,6 +83,7 @@
 	alive     bool
 	frozen    bool
 	cut       bool       // from the other instances
+	refuses   bool       // while it is cut off: connections are refused, not silent
 	noStore   bool       // cut from the store
 	renewedAt fleet.Time // its entry in the store
 	life      int
@@ -169,12 +170,12 @@
 	w.After(200*time.Millisecond, func() { w.storeView(n, life) })
 }
 
-// members lists the instances that the store knows: those that live and have
-// renewed their entries.
+// members lists the instances that the store knows: those that have renewed
+// their entries, dead or alive.
 func (w *World) members() []fleet.Member {
 	var out []fleet.Member
 	for _, n := range w.nodes {
-		if n.alive && w.now.Sub(n.renewedAt) < memberTTL {
+		if w.now.Sub(n.renewedAt) < memberTTL {
 			out = append(out, n.member)
 		}
 	}
@@ -277,7 +278,7 @@
 	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
 		switch {
 		case a.cut || b.cut || b.frozen:
-			w.step(a, fleet.PeerLost{Peer: b.member})
+			w.step(a, fleet.PeerLost{Peer: b.member, Refused: a.refuses || b.refuses})
 		case !b.alive:
 			w.step(a, fleet.PeerLost{Peer: b.member, Refused: true})
 		default:
@@ -367,6 +368,16 @@
 	w.After(d, func() { n.cut = false; w.relinkAll(n) })
 }
 
+// CutRefusing separates an instance from the others for d; connections between
+// them are refused at once, as if nobody were there.
+func (w *World) CutRefusing(name model.Instance, d time.Duration) {
+	n := w.node(name)
+	n.refuses = true
+	w.Cut(name, d)
+	w.relinkAll(n)
+	w.After(d, func() { n.refuses = false })
+}
+
 func (w *World) relinkAll(n *node) {
 	for _, o := range w.nodes {
 		if o != n {
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -54,6 +54,11 @@
 	}},
 	{"instance frozen", func(w *World) { w.Freeze("tayside-0", 3*time.Second) }},
 	{"instance cut off", func(w *World) { w.Cut("ardmore-0", 5*time.Second) }},
+	{"instance cut off, connections refused", func(w *World) { w.CutRefusing("ardmore-0", 5*time.Second) }},
+	{"instance cut off, connections refused, store down", func(w *World) {
+		w.StoreDown(3 * time.Second)
+		w.CutRefusing("ardmore-0", 5*time.Second)
+	}},
 	{"cut from the store", func(w *World) { w.CutStore("fife-0", 5*time.Second) }},
 	{"store down", func(w *World) { w.StoreDown(4 * time.Second) }},
 	{"store down, instance killed", func(w *World) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -169,7 +169,7 @@
 		h.pool.rest(e.server, now)
 	}
 	if current != nil && current.State == KeptOpen && h.orphan(*current, now) {
-		h.adopt(*current, now)
+		h.scan(now.Add(changedScanAfter), true) // its writer may live, though this instance doesn't know yet
 	}
 }
 
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -194,7 +194,7 @@
 		i.pool.lenderLost(p.member, gone, now)
 		i.pool.originLost(p.member, now)
 	}
-	for _, p := range i.members.died() {
+	for _, p := range i.members.departed(now) {
 		i.holder.memberLost(p, now)
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -242,18 +242,31 @@
 	return p.member.Incarnation > life || p.member.Incarnation == life && p.dead
 }
 
-// allHear reports whether every other member that lives hears this instance.
+// allHear reports whether every other member hears this instance that may live:
+// one that refuses connections may be cut off, as long as the store lists it.
 func (m *members) allHear(now Time) bool {
-	return !slices.ContainsFunc(m.order, func(p *peer) bool { return !p.dead && !p.reachable(now) })
+	return !slices.ContainsFunc(m.order, func(p *peer) bool { return (!p.dead || p.inStore) && !p.reachable(now) })
 }
 
-// died returns the members whose lives have ended since the last call.
-func (m *members) died() (out []*peer) {
+// buried reports whether a life of an instance is over for its kept jobs as
+// well: the store must have dropped it, since that is what its own view of the
+// store tells it before anybody takes the jobs over.
+func (m *members) buried(i model.Instance, life model.Incarnation, now Time) bool {
+	if !m.listed || !m.lifeEnded(i, life, now) {
+		return false
+	}
+	p := m.peers[i]
+	return p == nil || p.member.Incarnation > life || m.storeUp && !p.inStore
+}
+
+// departed returns the members that are buried since the last call.
+func (m *members) departed(now Time) (out []*peer) {
 	for _, p := range m.order {
-		if p.dead && !p.inherited {
+		gone := p.dead && m.buried(p.member.Instance, p.member.Incarnation, now)
+		if gone && !p.inherited {
 			out = append(out, p)
 		}
-		p.inherited = p.dead
+		p.inherited = gone
 	}
 	return out
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -297,12 +297,15 @@
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
 	r, err := s.node.store.store.List(ctx, platform.JobPrefix)
+	found := fleet.JobsFound{OK: true}
+	if err == nil {
+		found.Members, err = s.node.store.readMembers(ctx)
+	}
 	if err != nil {
 		s.node.notes.callFailed("scan-jobs", "", err)
 		s.node.post(fleet.JobsFound{})
 		return
 	}
-	found := fleet.JobsFound{OK: true}
 	now, boot := time.Now(), bootTime()
 	for _, it := range r.Items {
 		e, err := platform.ParseJobEntry(it, now)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -264,6 +264,24 @@
 	return out
 }
 
+// readMembers reads which members the store lists now.
+func (s *storeSide) readMembers(ctx context.Context) ([]fleet.Member, error) {
+	r, err := s.store.List(ctx, platform.MemberPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []fleet.Member
+	for _, it := range r.Items {
+		m, err := platform.ParseMember(it)
+		if err != nil {
+			s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+			continue
+		}
+		out = append(out, m)
+	}
+	return out, nil
+}
+
 func (s *storeSide) serverList() []fleet.ServerEntry {
 	out := make([]fleet.ServerEntry, 0, len(s.servers))
 	for _, e := range s.servers {
