--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,6 +154,7 @@
 	ReasonStopping  Reason = "stopping"        // the instance that held the call has ended
 	ReasonCancelled Reason = "caller-gone"     // nobody waits for it
 	ReasonReplaced  Reason = "submitted-again" // the same job came again
+	ReasonStalled   Reason = "stalled"         // a task stood still wherever it ran
 	ReasonStore     Reason = "store"           // it can't be stored now
 )
 
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -472,3 +472,24 @@
 		t.Errorf("%d times a sound server got no more work", w.closed)
 	}
 }
+
+// TestJobThatStandsStillHasNotFailed gives up jobs whose tasks stand still
+// wherever they run. They have not failed, and may have run.
+func TestJobThatStandsStillHasNotFailed(t *testing.T) {
+	w := New(4)
+	site := Glenbrae()
+	w.Build(site)
+	w.Run(settle)
+	for i, n := range w.nodes {
+		spec := w.Job(site.Classes[i%len(site.Classes)], 100*time.Millisecond)
+		spec.Timeout = time.Minute
+		w.Submit(n.member.Instance, spec).Hangs = true
+	}
+	w.Run(30 * time.Second)
+	checkRules(t, w)
+	for _, j := range w.Jobs() {
+		if j.Result.Kind != fleet.Unknown {
+			t.Errorf("job %s: %v", j.Spec.ID, j.Result)
+		}
+	}
+}
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -193,6 +193,9 @@
 		p.taskDone(t, now)
 	case o.Result.Kind == Failed:
 		p.countFailure(t, now)
+	case o.Result.Reason == ReasonStalled:
+		t.stalls++
+		p.countStall(t, now)
 	default:
 		p.end(t.job, Result{Kind: Unknown, Reason: o.Result.Reason}, now)
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -266,7 +266,7 @@
 		p.taskFailed(s, t, now)
 	default:
 		if r.fault {
-			p.countFailure(t, now)
+			p.countStall(t, now)
 			return
 		}
 		t.requeue()
@@ -366,6 +366,17 @@
 	p.enqueue(t.job)
 }
 
+// countStall lets a task start again that stands still wherever it runs, or gives
+// its job up: it has not failed, and may have run.
+func (p *pool) countStall(t *task, now Time) {
+	if t.failures+t.stalls > t.job.spec.Attempts {
+		p.end(t.job, Result{Kind: Unknown, Reason: ReasonStalled}, now)
+		return
+	}
+	t.requeue()
+	p.enqueue(t.job)
+}
+
 // compare matches what a server lists as running with what is booked there.
 func (p *pool) compare(s *server, e LookAnswered, now Time) {
 	present := make(map[RunID]bool, len(e.Running))
@@ -399,7 +410,7 @@
 
 // stalled stops a run that stands still, so that its task starts elsewhere. The
 // first run of a job to do so speaks against the server; a task that stands
-// still again counts as failed.
+// still again uses up an attempt.
 func (p *pool) stalled(s *server, r *run, now Time) {
 	p.effect(Note{Kind: NoteRunOverdue, Server: s.entry.ID, Run: r.id, Age: now.Sub(r.progressAt), Count: r.percent})
 	r.fault = r.task.stalls > 0 && r.task.job.kept == nil // a kept job fails only by ends that say so
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,6 +76,7 @@
 	sessions atomic.Uint64 // numbers given to sessions
 
 	mu     sync.Mutex
+	closed bool                     // no goroutine may be added any more
 	links  map[string]*link         // by address
 	byName map[model.Instance]*link // by the process that answered last
 	ending map[string]*link         // given up last, by address
@@ -99,9 +100,20 @@
 // Close ends all links and waits for their goroutines.
 func (m *Manager) Close() {
 	m.cancel()
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.wg.Wait()
 }
 
+// add runs f unless the manager is closed. The caller holds mu, so that nothing
+// is added while Close waits.
+func (m *Manager) add(f func()) {
+	if !m.closed {
+		m.wg.Go(f)
+	}
+}
+
 // Dial keeps links to exactly these addresses.
 func (m *Manager) Dial(list []core.InstanceInfo) {
 	m.mu.Lock()
@@ -136,7 +148,7 @@
 	m.links[addr] = l
 	before := m.ending[addr]
 	delete(m.ending, addr)
-	m.wg.Go(func() {
+	m.add(func() {
 		defer close(l.ended)
 		if before != nil {
 			<-before.ended
@@ -222,7 +234,12 @@
 			}
 			return errors.Wrap(err, "peer listener; check that its address is free")
 		}
-		m.wg.Go(func() { m.accept(c) })
+		m.mu.Lock()
+		if m.closed {
+			c.Close()
+		}
+		m.add(func() { m.accept(c) })
+		m.mu.Unlock()
 	}
 }
 
