--- a/internal/fleet/adopt.go
+++ b/internal/fleet/adopt.go
@@ -103,14 +103,14 @@
 // memberLost looks for the jobs of a member that has ended, if they fall to
 // this instance.
 func (h *holder) memberLost(p *peer, now Time) {
-	if h.inUse && h.heir(p.member.Instance, now) == h.self.Instance {
+	if h.inUse && h.successor(p.member.Instance, now) == h.self.Instance {
 		h.scan(now, true)
 	}
 }
 
-// heir returns which instance takes over the jobs of one that has ended: its
+// successor returns which instance takes over the jobs of one that has ended: its
 // next life, or the first of the others in an order of its own.
-func (h *holder) heir(gone model.Instance, now Time) model.Instance {
+func (h *holder) successor(gone model.Instance, now Time) model.Instance {
 	best := model.Instance("")
 	for _, m := range h.members.candidates("", h.leaving, now) {
 		if m.Instance == gone {
@@ -136,7 +136,7 @@
 	h.scanAll = false
 	h.inUse, h.looked = h.inUse || len(e.Records) > 0, true
 	if !h.inUse {
-		h.pool.wake()
+		h.pool.endAllQuiesce()
 	}
 	listed := map[model.Instance]model.Incarnation{}
 	for _, m := range e.Members {
@@ -146,14 +146,14 @@
 		mine := r.Holder == h.self.Instance && r.Life != h.self.Incarnation
 		alive := r.Holder != "" && listed[r.Holder] == r.Life
 		if mine || all && !alive && h.orphan(r, now) {
-			h.inherit(r, now)
+			h.takeOver(r, now)
 		}
 	}
 }
 
-// inherit takes a job over that nobody holds, or passes it to an instance whose
+// takeOver takes a job over that nobody holds, or passes it to an instance whose
 // servers can run it.
-func (h *holder) inherit(r Record, now Time) {
+func (h *holder) takeOver(r Record, now Time) {
 	if h.owners.canServe(h.self, &r.Job) {
 		h.adopt(r, now)
 		return
@@ -166,7 +166,7 @@
 
 // orphan reports whether nobody holds an open job.
 func (h *holder) orphan(r Record, now Time) bool {
-	return r.Holder == "" || h.members.buried(r.Holder, r.Life, now)
+	return r.Holder == "" || h.members.expired(r.Holder, r.Life, now)
 }
 
 // adopt takes a job over. Its tasks wait until the runs of its last holder are
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -166,7 +166,7 @@
 	// The next holder starts these tasks again, so that their ends may be
 	// acknowledged only after the leases have lapsed.
 	for _, e := range ends {
-		h.pool.rest(e.server, now)
+		h.pool.quiesce(e.server, now)
 	}
 	if current != nil && current.State == KeptOpen && h.orphan(*current, now) {
 		h.scan(now.Add(changedScanAfter), true) // its writer may live, though this instance doesn't know yet
@@ -280,7 +280,7 @@
 	}
 	if now >= h.orphanAt {
 		h.orphanAt = now.Add(orphanScanPause)
-		if (h.inUse || !h.started) && h.heir("", now) == h.self.Instance {
+		if (h.inUse || !h.started) && h.successor("", now) == h.self.Instance {
 			h.scan(now, true)
 		}
 		h.started = true
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -194,7 +194,7 @@
 		i.pool.lenderLost(p.member, gone, now)
 		i.pool.originLost(p.member, now)
 	}
-	for _, p := range i.members.departed(now) {
+	for _, p := range i.members.newlyExpired(now) {
 		i.holder.memberLost(p, now)
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -53,7 +53,7 @@
 	beatAt                           Time // of the last beat sent
 	linkedAt                         Time // of the last link, or the last try to replace it
 	lostCalled                       bool // its loss was handled
-	inherited                        bool // its kept jobs were seen to
+	expiredSeen                      bool // its kept jobs were seen to
 }
 
 // heard reports whether the peer was heard of lately.
@@ -248,10 +248,10 @@
 	return !slices.ContainsFunc(m.order, func(p *peer) bool { return (!p.dead || p.inStore) && !p.reachable(now) })
 }
 
-// buried reports whether a life of an instance is over for its kept jobs as
+// expired reports whether a life of an instance is over for its kept jobs as
 // well: the store must have dropped it, since that is what its own view of the
 // store tells it before anybody takes the jobs over.
-func (m *members) buried(i model.Instance, life model.Incarnation, now Time) bool {
+func (m *members) expired(i model.Instance, life model.Incarnation, now Time) bool {
 	if !m.listed || !m.lifeEnded(i, life, now) {
 		return false
 	}
@@ -259,14 +259,14 @@
 	return p == nil || p.member.Incarnation > life || m.storeUp && !p.inStore
 }
 
-// departed returns the members that are buried since the last call.
-func (m *members) departed(now Time) (out []*peer) {
+// newlyExpired returns the members that are expired since the last call.
+func (m *members) newlyExpired(now Time) (out []*peer) {
 	for _, p := range m.order {
-		gone := p.dead && m.buried(p.member.Instance, p.member.Incarnation, now)
-		if gone && !p.inherited {
+		gone := p.dead && m.expired(p.member.Instance, p.member.Incarnation, now)
+		if gone && !p.expiredSeen {
 			out = append(out, p)
 		}
-		p.inherited = gone
+		p.expiredSeen = gone
 	}
 	return out
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -24,7 +24,7 @@
 // before anything was heard of it.
 func (p *pool) reborn(s *server, born int64) {
 	p.effect(Note{Kind: NoteServerReborn, Server: s.entry.ID, Value: uint64(born), Count: len(s.runs)})
-	s.born, s.seen, s.acked, s.leaseEnd, s.restTill = born, 0, 0, 0, 0
+	s.born, s.seen, s.acked, s.leaseEnd, s.quiesceTill = born, 0, 0, 0, 0
 	clear(s.held)
 	s.clock = remoteClock{}
 	s.drains = false
@@ -282,35 +282,35 @@
 		return
 	}
 	s.hold(e.Number)
-	s.restTill = max(s.restTill, now.Add(p.goneAfter))
+	s.quiesceTill = max(s.quiesceTill, now.Add(p.goneAfter))
 }
 
-// rest gives a server no more work until the leases there have lapsed.
-func (p *pool) rest(id model.ServerID, now Time) {
+// quiesce gives a server no more work until the leases there have lapsed.
+func (p *pool) quiesce(id model.ServerID, now Time) {
 	if s := p.servers[id]; s != nil {
-		s.restTill = max(s.restTill, now.Add(p.goneAfter))
+		s.quiesceTill = max(s.quiesceTill, now.Add(p.goneAfter))
 	}
 }
 
-// wake ends the rest of all servers, as no job is kept in the fleet.
-func (p *pool) wake() {
+// endAllQuiesce lets all servers take work again, as no job is kept in the fleet.
+func (p *pool) endAllQuiesce() {
 	for _, s := range p.order {
-		s.restTill = 0
+		s.quiesceTill = 0
 		clear(s.held)
 	}
 }
 
-// rested ends the rest of a server whose leases have lapsed.
-func (p *pool) rested(s *server, now Time) {
-	if s.restTill == 0 {
+// endQuiesce lets a server take work again whose leases have lapsed.
+func (p *pool) endQuiesce(s *server, now Time) {
+	if s.quiesceTill == 0 {
 		return
 	}
 	if len(s.runs) > 0 {
-		s.restTill = max(s.restTill, now.Add(p.goneAfter)) // their leases are renewed
+		s.quiesceTill = max(s.quiesceTill, now.Add(p.goneAfter)) // their leases are renewed
 		return
 	}
-	if now >= s.restTill {
-		s.restTill = 0
+	if now >= s.quiesceTill {
+		s.quiesceTill = 0
 		clear(s.held)
 	}
 }
@@ -436,7 +436,7 @@
 // cleared opens a server for starts once nothing is left there that this
 // instance doesn't know.
 func (p *pool) cleared(s *server, now Time) {
-	if s.restTill != 0 || slices.ContainsFunc(s.sorted(), func(r *run) bool { return r.task == nil }) {
+	if s.quiesceTill != 0 || slices.ContainsFunc(s.sorted(), func(r *run) bool { return r.task == nil }) {
 		s.lookAt = now.Add(stopRetryPause)
 		return
 	}
@@ -444,7 +444,7 @@
 }
 
 func (p *pool) tickServer(s *server, now Time) {
-	p.rested(s, now)
+	p.endQuiesce(s, now)
 	if s.misses > 0 && s.lapsed(now) {
 		for _, r := range s.sorted() {
 			p.lost(s, r, now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -103,13 +103,13 @@
 	runs map[RunID]*run
 	used model.Resources
 
-	clock    remoteClock
-	leaseEnd int64 // latest that was ordered, on the server's clock
-	born     int64
-	seen     int64          // highest end taken in
-	acked    int64          // highest end acknowledged by an answered look
-	held     map[int64]bool // ends that may not be acknowledged yet
-	restTill Time           // until then held ends of unknown runs are kept back and no lease is renewed
+	clock       remoteClock
+	leaseEnd    int64 // latest that was ordered, on the server's clock
+	born        int64
+	seen        int64          // highest end taken in
+	acked       int64          // highest end acknowledged by an answered look
+	held        map[int64]bool // ends that may not be acknowledged yet
+	quiesceTill Time           // until then held ends of unknown runs are kept back and no lease is renewed
 
 	looking    bool
 	probing    bool
@@ -127,7 +127,7 @@
 
 // takesWork reports whether new runs may start.
 func (s *server) takesWork(now Time) bool {
-	return s.phase == phaseServing && s.restTill == 0 && s.listed && !s.leaving && !s.drains && s.misses == 0 && s.health.open(now)
+	return s.phase == phaseServing && s.quiesceTill == 0 && s.listed && !s.leaving && !s.drains && s.misses == 0 && s.health.open(now)
 }
 
 // free returns what no run occupies.
