The emulator kills an instance that is started again while it lives

Cause: the pair 'all killed' and 'store down, instance killed', new since two faults were added, starts fife-0 twice. A machine has one process; its callers now hear that their jobs are unknown. Ruled out: jobs that a living instance forgets.

--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -133,9 +133,12 @@
 	return w.nodes[i]
 }
 
-// Start starts an instance, or starts it again after Kill.
+// Start starts an instance, or starts it again. One that lives is killed first.
 func (w *World) Start(name model.Instance) {
 	n := w.node(name)
+	if n.alive {
+		w.Kill(name)
+	}
 	n.life++
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
 	n.alive, n.frozen = true, false
