Take out what the change wrote twice

A task that starts again goes one way (pool.retry, in six places before); stopping and interrupting a job walk its runs alike; the holder answers the calls that wait in one place, counts pending jobs once for both uses, and no longer dispatches before a job is verified, as the next step does that. The node hands kept and other jobs in alike (handIn over ask) and logs unreadable records in one place (seven before). Tests: one loop over faults and pairs for both suites, one count of starts; assertions and bounds unchanged.

--- a/internal/fleet/fleetsim/kept_test.go
+++ b/internal/fleet/fleetsim/kept_test.go
@@ -49,31 +49,17 @@
 // have to be kept and a store that loses answers.
 func TestKeptJobsUnderFaults(t *testing.T) {
 	site := Glenbrae().Keeping()
-	for i, f := range faults {
-		for _, second := range []int{-1, (i*5 + 3) % len(faults)} {
-			name := f.name
-			if second >= 0 {
-				name += ", " + faults[second].name
-			}
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				w := New(uint64(i + 1))
-				w.LostAnswers = 0.05
-				w.Build(site)
-				w.Run(settle)
-				w.Offer(site, 0.6, 8*time.Second)
-				w.Run(3 * time.Second)
-				f.hit(w)
-				if second >= 0 {
-					w.Run(700 * time.Millisecond)
-					faults[second].hit(w)
-				}
-				w.Run(25 * time.Second)
-				checkRules(t, w)
-				checkKept(t, w)
-			})
-		}
-	}
+	eachFault(t, func(t *testing.T, w *World, hit func()) {
+		w.LostAnswers = 0.05
+		w.Build(site)
+		w.Run(settle)
+		w.Offer(site, 0.6, 8*time.Second)
+		w.Run(3 * time.Second)
+		hit()
+		w.Run(25 * time.Second)
+		checkRules(t, w)
+		checkKept(t, w)
+	})
 }
 
 // TestKeptJobsAreCancelled cancels jobs, of which nothing may run for long.
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -108,9 +108,8 @@
 	}},
 }
 
-// TestRulesHoldUnderFaults plays each fault, and pairs of them, under load.
-func TestRulesHoldUnderFaults(t *testing.T) {
-	site := Glenbrae()
+// eachFault plays each fault alone and with a second one in a world of its own.
+func eachFault(t *testing.T, play func(t *testing.T, w *World, hit func())) {
 	for i, f := range faults {
 		for _, second := range []int{-1, (i*5 + 3) % len(faults)} {
 			name := f.name
@@ -120,30 +119,40 @@
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				w := New(uint64(i + 1))
-				w.Build(site)
-				w.Run(settle)
-				w.Offer(site, 0.8, 20*time.Second)
-				w.Run(3 * time.Second)
-				f.hit(w)
-				if second >= 0 {
-					w.Run(700 * time.Millisecond)
-					faults[second].hit(w)
-				}
-				w.Run(12 * time.Second)
-				calm := w.Now()
-				w.Run(30 * time.Second)
-				checkRules(t, w)
-				if got := w.Tally(0); got.Open > 0 {
-					t.Errorf("%d jobs have no answer: %+v", got.Open, got)
-				}
-				if got := w.Tally(calm); float64(got.Completed) < 0.98*float64(got.Jobs) {
-					t.Errorf("after the trouble %+v, want 0.98 completed", got)
-				}
+				play(t, w, func() {
+					f.hit(w)
+					if second >= 0 {
+						w.Run(700 * time.Millisecond)
+						faults[second].hit(w)
+					}
+				})
 			})
 		}
 	}
 }
 
+// TestRulesHoldUnderFaults plays each fault, and pairs of them, under load.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	site := Glenbrae()
+	eachFault(t, func(t *testing.T, w *World, hit func()) {
+		w.Build(site)
+		w.Run(settle)
+		w.Offer(site, 0.8, 20*time.Second)
+		w.Run(3 * time.Second)
+		hit()
+		w.Run(12 * time.Second)
+		calm := w.Now()
+		w.Run(30 * time.Second)
+		checkRules(t, w)
+		if got := w.Tally(0); got.Open > 0 {
+			t.Errorf("%d jobs have no answer: %+v", got.Open, got)
+		}
+		if got := w.Tally(calm); float64(got.Completed) < 0.98*float64(got.Jobs) {
+			t.Errorf("after the trouble %+v, want 0.98 completed", got)
+		}
+	})
+}
+
 // TestServedAgainAfterLoss checks that most jobs are completed soon after an
 // owner is lost.
 func TestServedAgainAfterLoss(t *testing.T) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -84,6 +84,14 @@
 	h.effect(outcomeReady{origin: a.origin, outcome: Outcome{Call: a.call, Result: r}})
 }
 
+// answerAsked answers the calls that wait until a job is stored.
+func (h *holder) answerAsked(x *keptJob, kind ResultKind) {
+	for _, a := range x.asked {
+		h.tell(a, Result{Kind: kind})
+	}
+	x.asked = nil
+}
+
 // save writes a job, unless a write of it is under way.
 func (h *holder) save(x *keptJob) {
 	x.dirty = true
@@ -116,10 +124,7 @@
 	x.record.Revision = e.Revision
 	h.settle(x.endsSent)
 	x.endsSent = nil
-	for _, a := range x.asked {
-		h.tell(a, Result{Kind: Accepted})
-	}
-	x.asked = nil
+	h.answerAsked(x, Accepted)
 	switch {
 	case x.sent.State != KeptOpen:
 		if x.origin.Instance != "" && !x.origin.same(h.self) {
@@ -146,14 +151,11 @@
 
 // conflict follows what another instance wrote about a job.
 func (h *holder) conflict(x *keptJob, current *Record, now Time) {
-	answer := Result{Kind: Accepted} // the job is stored, whoever holds it
+	answer := Accepted // the job is stored, whoever holds it
 	if current == nil {
-		answer.Kind = Unknown
-	}
-	for _, a := range x.asked {
-		h.tell(a, answer)
+		answer = Unknown
 	}
-	x.asked = nil
+	h.answerAsked(x, answer)
 	ends := append(x.endsSent, x.ends...)
 	h.drop(x, now)
 	if current != nil && current.State == KeptCancelled {
@@ -176,7 +178,7 @@
 // drop gives up a job that this instance doesn't hold any more.
 func (h *holder) drop(x *keptJob, now Time) {
 	if x.job != nil && !x.job.over {
-		h.pool.abandon(x.job, now)
+		h.pool.stopJob(x.job, now)
 	}
 	h.forget(x)
 }
@@ -198,7 +200,8 @@
 	}
 }
 
-// begin lets a job run that the store holds.
+// begin queues a job that the store holds. Nothing of it starts before it is
+// verified.
 func (h *holder) begin(x *keptJob, now Time) {
 	h.lastCall++
 	j := newJob(x.record.Job, h.self, keptCalls+h.lastCall)
@@ -214,7 +217,6 @@
 		h.pool.waitAll(j, x.waitTill)
 	}
 	h.pool.enqueue(j)
-	h.pool.dispatch(now)
 }
 
 // runEnded notes the end of a run. It is acknowledged once it is stored.
@@ -291,25 +293,20 @@
 	}
 }
 
-// pending counts the jobs of a route of which nothing has started.
-func (h *holder) pending(route string) int {
-	n := 0
-	for _, x := range h.jobs {
-		if x.job != nil && x.job.spec.Route == route && x.job.starts == 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// pendingRoutes returns the counts of all routes, for the peers.
-func (h *holder) pendingRoutes() []RouteCount {
+// pending counts the jobs of which nothing has started, by route.
+func (h *holder) pending() map[string]int {
 	counts := map[string]int{}
 	for _, x := range h.jobs {
 		if x.job != nil && x.job.starts == 0 {
 			counts[x.job.spec.Route]++
 		}
 	}
+	return counts
+}
+
+// pendingRoutes returns the counts of pending in order, for the peers.
+func (h *holder) pendingRoutes() []RouteCount {
+	counts := h.pending()
 	out := make([]RouteCount, 0, len(counts))
 	for r, n := range counts {
 		out = append(out, RouteCount{r, n})
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -202,7 +202,7 @@
 // pending counts the kept jobs of a route of which nothing has started, over
 // all instances that are heard.
 func (i *Instance) pending(route string, now Time) int {
-	n := i.holder.pending(route)
+	n := i.holder.pending()[route]
 	for _, p := range i.members.order {
 		if p.heard(now) {
 			n += p.pending[route]
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -67,11 +67,6 @@
 	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.ready && len(s.waiting) > 0 })
 }
 
-// requeue lets a task start again.
-func (t *task) requeue() {
-	t.step.waiting = append(t.step.waiting, t)
-}
-
 // rest returns the estimated time from the next start to the job's end.
 func (j *job) rest() time.Duration {
 	ends := make([]time.Duration, len(j.steps))
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -187,8 +187,7 @@
 	case o.Bounced:
 		from.bouncedAt = now
 		t.job.starts--
-		t.requeue()
-		p.enqueue(t.job)
+		p.retry(t)
 	case o.Result.Kind == Completed:
 		p.taskDone(t, now)
 	case o.Result.Kind == Failed:
@@ -242,8 +241,7 @@
 			return false
 		}
 		if !l.task.job.over {
-			l.task.requeue()
-			p.enqueue(l.task.job)
+			p.retry(l.task)
 		}
 		return true
 	})
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -204,6 +204,12 @@
 	}
 }
 
+// retry lets a task start again.
+func (p *pool) retry(t *task) {
+	t.step.waiting = append(t.step.waiting, t)
+	p.enqueue(t.job)
+}
+
 // withdraw gives a job up that nobody waits for.
 func (p *pool) withdraw(key jobKey, now Time) {
 	if j := p.jobs[key]; j != nil {
@@ -279,19 +285,25 @@
 	if j.live == 0 {
 		return
 	}
+	p.stopRuns(j, func(r *run) { r.task = nil }, now)
+	j.live = 0
+}
+
+// stopRuns stops the runs of a job that aren't being stopped, and calls each for
+// all of them.
+func (p *pool) stopRuns(j *job, each func(*run), now Time) {
 	for _, s := range p.order {
 		for _, r := range s.sorted() {
 			if r.task == nil || r.task.job != j {
 				continue
 			}
-			r.task = nil
+			each(r)
 			if r.state != runStopping {
 				p.stop(s, r, now)
 			}
 			p.look(s, now)
 		}
 	}
-	j.live = 0
 }
 
 // finish sends the result of a job and keeps it for a while.
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -103,8 +103,7 @@
 	t := r.task
 	p.free(s, r)
 	if t != nil {
-		t.requeue()
-		p.enqueue(t.job)
+		p.retry(t)
 	}
 }
 
@@ -269,8 +268,7 @@
 			p.countStall(t, now)
 			return
 		}
-		t.requeue()
-		p.enqueue(t.job)
+		p.retry(t)
 	}
 }
 
@@ -316,22 +314,7 @@
 }
 
 // interrupt stops the runs of a job, which start again later.
-func (p *pool) interrupt(j *job, now Time) {
-	for _, s := range p.order {
-		for _, r := range s.sorted() {
-			if r.task != nil && r.task.job == j && r.state != runStopping {
-				p.stop(s, r, now)
-			}
-		}
-		p.look(s, now)
-	}
-}
-
-// abandon stops the runs of a job that another instance holds now.
-func (p *pool) abandon(j *job, now Time) {
-	j.over = true
-	p.stopJob(j, now)
-}
+func (p *pool) interrupt(j *job, now Time) { p.stopRuns(j, func(*run) {}, now) }
 
 func (p *pool) taskDone(t *task, now Time) {
 	j := t.job
@@ -362,8 +345,7 @@
 		p.end(t.job, Result{Kind: Failed, Reason: ReasonAttempts}, now)
 		return
 	}
-	t.requeue()
-	p.enqueue(t.job)
+	p.retry(t)
 }
 
 // countStall lets a task start again that stands still wherever it runs, or gives
@@ -373,8 +355,7 @@
 		p.end(t.job, Result{Kind: Unknown, Reason: ReasonStalled}, now)
 		return
 	}
-	t.requeue()
-	p.enqueue(t.job)
+	p.retry(t)
 }
 
 // compare matches what a server lists as running with what is booked there.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -154,16 +155,20 @@
 		})
 		return
 	}
-	call, result := c.register()
-	c.node.post(fleet.Submitted{Call: call, Job: s.Job})
-	select {
-	case res := <-result:
+	if call, res, ok := c.handIn(r.Context(), &s.Job); ok {
 		c.reply(w, call, &s.Job, res)
-	case <-r.Context().Done():
-		c.forget(call)
+	}
+}
+
+// handIn hands a job to the reducer and waits for its result; ok is false if ctx
+// ends first.
+func (c *callers) handIn(ctx context.Context, j *fleet.JobSpec) (call fleet.CallID, r fleet.Result, ok bool) {
+	call, r, ok = c.ask(ctx, func(call fleet.CallID) fleet.Event { return fleet.Submitted{Call: call, Job: *j} })
+	if !ok {
 		c.node.post(fleet.CallerGone{Call: call})
-		c.node.notes.callerGone(call, &s.Job)
+		c.node.notes.callerGone(call, j)
 	}
+	return call, r, ok
 }
 
 // timeout returns how long a job may take: as long as its caller waits, which
@@ -224,6 +229,20 @@
 	}
 }
 
+// ask puts a question to the reducer and waits for the answer; ok is false if
+// ctx ends first.
+func (c *callers) ask(ctx context.Context, question func(fleet.CallID) fleet.Event) (call fleet.CallID, r fleet.Result, ok bool) {
+	call, result := c.register()
+	c.node.post(question(call))
+	select {
+	case r = <-result:
+		return call, r, true
+	case <-ctx.Done():
+		c.forget(call)
+		return call, fleet.Result{}, false
+	}
+}
+
 func (c *callers) register() (fleet.CallID, chan fleet.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -8,7 +8,6 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/wait"
 	"github.com/nutmegweir/nutmegweir/platform"
@@ -165,7 +164,7 @@
 	for _, r := range batch {
 		w, err := platform.JobWrite(platform.JobEntry{Record: r, Age: boot.Sub(r.Job.Received), Written: now})
 		if err != nil {
-			s.node.log.Event(eventlog.RecordUnreadable).Str("key", r.ID).AnErr("cause", err).Send()
+			s.node.notes.unreadable(r.ID, err)
 			continue
 		}
 		t.Expect = append(t.Expect, platform.JobExpect(&r))
@@ -203,7 +202,7 @@
 	e, err := platform.ParseJobEntry(it, time.Now())
 	switch {
 	case err != nil:
-		s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+		s.node.notes.unreadable(it.Key, err)
 		s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
 	case e.SameWrite(r):
 		s.saved(r, e.Revision)
@@ -310,7 +309,7 @@
 	for _, it := range r.Items {
 		e, err := platform.ParseJobEntry(it, now)
 		if err != nil {
-			s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+			s.node.notes.unreadable(it.Key, err)
 			continue
 		}
 		if e.State != fleet.KeptOpen {
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -22,11 +22,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(j.Timeout, acceptWait))
 	defer cancel()
-	call, res, ok := c.ask(ctx, func(call fleet.CallID) fleet.Event { return fleet.Submitted{Call: call, Job: *j} })
+	call, res, ok := c.handIn(ctx, j)
 	switch {
 	case !ok:
-		c.node.post(fleet.CallerGone{Call: call})
-		c.node.notes.callerGone(call, j)
 		c.refuse(w, j.ID, platform.Refusal{
 			Status: platform.StatusUnknown, Problem: "the job could not be stored in time and may still be", Remedy: "Send it again.",
 		})
@@ -39,20 +37,6 @@
 	}
 }
 
-// ask puts a question to the reducer and waits for the answer; ok is false if
-// ctx ends first.
-func (c *callers) ask(ctx context.Context, question func(fleet.CallID) fleet.Event) (call fleet.CallID, r fleet.Result, ok bool) {
-	call, result := c.register()
-	c.node.post(question(call))
-	select {
-	case r = <-result:
-		return call, r, true
-	case <-ctx.Done():
-		c.forget(call)
-		return call, fleet.Result{}, false
-	}
-}
-
 // pending answers how many kept jobs of a route have not begun.
 func (c *callers) pending(w http.ResponseWriter, r *http.Request, route platform.Route) {
 	_, res, ok := c.ask(r.Context(), func(call fleet.CallID) fleet.Event {
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -39,13 +39,7 @@
 			t.Errorf("job %d again: %d %s", i, status, body)
 		}
 	}
-	starts := 0
-	for _, w := range s.workers {
-		starts += len(w.Starts())
-	}
-	if starts != 24 {
-		t.Errorf("%d starts of 24 tasks", starts)
-	}
+	s.requireStarts(24)
 }
 
 func TestKeptJobThatFails(t *testing.T) {
@@ -108,16 +102,10 @@
 				})
 			}
 			s.store.Faults.Set(standin.Faults{})
-			starts := 0
 			for i := range 8 {
 				s.awaitState(i%2, fmt.Sprintf("/q/%016x", 0xc0+i), "completed")
 			}
-			for _, w := range s.workers {
-				starts += len(w.Starts())
-			}
-			if starts != 16 {
-				t.Errorf("%d starts of 16 tasks", starts)
-			}
+			s.requireStarts(16)
 		})
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -177,6 +177,18 @@
 	return resp.StatusCode, string(data), resp.Header
 }
 
+// requireStarts checks that each of so many tasks was started once.
+func (s *site) requireStarts(tasks int) {
+	s.t.Helper()
+	starts := 0
+	for _, w := range s.workers {
+		starts += len(w.Starts())
+	}
+	if starts != tasks {
+		s.t.Errorf("%d starts of %d tasks", starts, tasks)
+	}
+}
+
 func job(spec string, count int) string {
 	return fmt.Sprintf(`{"spec":%q,"bestEffort":true,"steps":[{"count":%d,"cpu":1000,"memMb":64,"estMs":5}]}`, spec, count)
 }
@@ -190,13 +202,7 @@
 			t.Fatalf("job %d: %d %s", i, status, body)
 		}
 	}
-	starts := 0
-	for _, w := range s.workers {
-		starts += len(w.Starts())
-	}
-	if starts != 60 {
-		t.Errorf("%d starts of 60 tasks", starts)
-	}
+	s.requireStarts(60)
 }
 
 func TestRequestsThatAreNoJobs(t *testing.T) {
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -126,6 +126,11 @@
 	n.log.Event(eventlog.CallFailed).Str("call", call).Str("server", string(server)).AnErr("cause", err).Send()
 }
 
+// unreadable logs a record of the store that can't be read or written.
+func (n *noteLog) unreadable(key string, err error) {
+	n.log.Event(eventlog.RecordUnreadable).Str("key", key).AnErr("cause", err).Send()
+}
+
 // answered logs the answer to a job.
 func (n *noteLog) answered(c fleet.CallID, j *fleet.JobSpec, r fleet.Result) {
 	took := bootTime().Sub(j.Received)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -218,7 +218,7 @@
 	}
 	m, err := platform.ParseMember(it)
 	if err != nil {
-		s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+		s.node.notes.unreadable(it.Key, err)
 		return
 	}
 	s.members[m.Instance] = m
@@ -231,7 +231,7 @@
 		id := platform.ServerName(it.Key)
 		_, known := s.servers[id]
 		if err != nil && !it.Removed {
-			s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+			s.node.notes.unreadable(it.Key, err)
 		}
 		delete(s.servers, id)
 		return known
@@ -251,7 +251,7 @@
 	o, err := platform.ParseOwner(it)
 	if err != nil {
 		// Another writer's bytes name no owner; a claim overwrites them.
-		s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+		s.node.notes.unreadable(it.Key, err)
 	}
 	return o
 }
@@ -274,7 +274,7 @@
 	for _, it := range r.Items {
 		m, err := platform.ParseMember(it)
 		if err != nil {
-			s.node.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).AnErr("cause", err).Send()
+			s.node.notes.unreadable(it.Key, err)
 			continue
 		}
 		out = append(out, m)
