Table versions reach a restarted instance without the platform; scripts wait for stand-ins

A late announcement of an instance's earlier life made a new neighbour fetch from the replacement, which has no table and doesn't answer; nothing was asked again before the next periodic announcement, 5 s later, the bound itself. Ruled out: the platform's stand-in and the order of starts (messages traced).

The script's command now waits as that for links does.

--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -139,18 +139,21 @@
 }
 
 // cutLink makes links silent, or lets them go on: cut on|off CONTROLPORT...
-// It waits for links that have not started yet.
 func cutLink(ts *testscript.TestScript, neg bool, args []string) {
 	body := fmt.Sprintf(`{"silent":%v}`, args[0] == "on")
 	for _, port := range args[1:] {
-		url := "http://" + ts.Getenv("IP") + ":" + port + link.PathMode
-		deadline := time.Now().Add(scriptTimeout)
-		for !put(url, body) {
-			if time.Now().After(deadline) {
-				ts.Fatalf("the link at %s does not answer", url)
-			}
-			time.Sleep(20 * time.Millisecond)
+		putOnceUp(ts, "http://"+ts.Getenv("IP")+":"+port+link.PathMode, body)
+	}
+}
+
+// putOnceUp puts a body to a stand-in, which may still be starting.
+func putOnceUp(ts *testscript.TestScript, url, body string) {
+	deadline := time.Now().Add(scriptTimeout)
+	for !put(url, body) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s does not take %s", url, body)
 		}
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
@@ -169,9 +172,7 @@
 
 // setModes sets the faults of the backend server at a port: modes PORT JSON.
 func setModes(ts *testscript.TestScript, neg bool, args []string) {
-	if !put("http://"+ts.Getenv("IP")+":"+args[0]+backend.PathModes, args[1]) {
-		ts.Fatalf("the backend server at port %s does not take %s", args[0], args[1])
-	}
+	putOnceUp(ts, "http://"+ts.Getenv("IP")+":"+args[0]+backend.PathModes, args[1])
 }
 
 // waitQuarantine submits work that is not repeatable until the instance at the
--- a/internal/tablesync/core.go
+++ b/internal/tablesync/core.go
@@ -253,6 +253,7 @@
 // Tick advances timers; it is called every TickInterval.
 func (c *Core) Tick(now model.Time) {
 	c.noteReached(now)
+	c.catchUp(now)
 	due := !c.everAnnounce || now.Sub(c.announcedAt) >= announceEvery
 	if !due && c.announced == c.snap.Version() {
 		return
@@ -299,8 +300,11 @@
 			c.peers[i].worked = now
 		}
 	}
-	if a.GetVersion() > c.snap.Version() {
+	switch {
+	case a.GetVersion() > c.snap.Version():
 		c.fetchFrom(now, from)
+	case a.GetVersion() < c.snap.Version():
+		c.send(from, c.announcement())
 	}
 }
 
@@ -314,6 +318,20 @@
 	c.send(from, fetch(c.snap.Version()))
 }
 
+// catchUp asks a peer for a version that is known to be in force there. It
+// repeats fetches that were lost or went to a peer that lacks the version.
+func (c *Core) catchUp(now model.Time) {
+	newest, version := model.Instance(""), c.snap.Version()
+	for _, p := range c.peers {
+		if p.version > version && !p.silent(now) {
+			newest, version = p.ID, p.version
+		}
+	}
+	if newest != "" {
+		c.fetchFrom(now, newest)
+	}
+}
+
 func (c *Core) onFetch(from model.Instance, have uint64) {
 	if have >= c.snap.Version() {
 		return
--- a/internal/tablesync/core_test.go
+++ b/internal/tablesync/core_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// A replacement that lost its table tells its old version once; a peer that
+// already lists it would be silent until its next announcement is due.
+func TestOlderPeersAreAnswered(t *testing.T) {
+	edits := history(3)
+	cases := []struct {
+		name    string
+		version uint64
+		answers int
+	}{
+		{"without a table", 0, 1},
+		{"older", 2, 1},
+		{"as new", 3, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := coreOf("a1")
+			c.SetPeers(0, peersOf("b1"))
+			c.Loaded(tableOf(edits), edits)
+			c.Ready()
+			c.Receive(second, "b1", announce(tc.version, "b", false))
+			got := sends(c, func(s Send) bool { return s.To == "b1" && s.Message.GetAnnounce().GetVersion() == 3 })
+			if got != tc.answers {
+				t.Fatalf("%d answers, want %d", got, tc.answers)
+			}
+		})
+	}
+}
+
 func TestFetchIsRepeated(t *testing.T) {
 	c := coreOf("a1")
 	c.SetPeers(0, peersOf("a2", "b1"))
@@ -140,6 +168,22 @@
 }
 
 // TestFewWatch runs the instances of one domain on each other's messages.
+// A late announcement of an instance's earlier life leads to a fetch from its
+// replacement, which has nothing; others that have the version are asked then.
+func TestUnansweredFetchGoesToAnother(t *testing.T) {
+	c := coreOf("a1")
+	c.SetPeers(0, peersOf("a2", "b1"))
+	c.Receive(0, "a2", announce(1, "a", true))
+	c.Receive(0, "a2", announce(0, "a", false))
+	c.Receive(0, "b1", announce(1, "b", true))
+	c.Ready()
+	c.Tick(model.Time(fetchTimeout) + second)
+	asked := sends(c, func(s Send) bool { return s.To == "b1" && s.Message.GetFetch() != nil })
+	if asked != 1 {
+		t.Fatalf("b1 was asked %d times, want 1", asked)
+	}
+}
+
 func TestFewWatch(t *testing.T) {
 	cases := []struct {
 		name   string
