An instance that wakes starts nothing that others took back; offers have IDs of their own

TestFrozenOwner and TestRulesHoldUnderFaults (planned stop, instance frozen) failed first, with tasks that ran twice. Change: after a gap of 400 ms the jobs of other instances are given up, as they have given them up, late ones too, and nothing starts or is offered for 100 ms.

Second cause, found by the same tests: a call hung until its caller's deadline. Its owner sent it back over a link that was being replaced, and only the owner's side heard of the new link. A resync is answered with one of the own side now. As an offer can come back twice by that, each has an ID of its own; a late answer to an earlier one, which could have led to a second owner, changes nothing. What an owner no longer knows of counts as perhaps run.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -425,9 +425,12 @@
 	Parts   float64 // as in Beat, if Load is set
 }
 
-// Resync lists the calls that the sender still waits for, after a link to the
-// receiver broke.
-type Resync struct{ Calls []CallID }
+// Resync lists the offers that the sender still waits for, after a link between
+// it and the receiver broke.
+type Resync struct {
+	Calls []CallID
+	Reply bool // to a Resync of the receiver
+}
 
 // OwnersTold passes on ownerships that the sender has just written, so that the
 // others need not wait for the store to tell them.
--- /dev/null
+++ b/internal/fleet/fleetsim/links.go
@@ -0,0 +1,104 @@
+package fleetsim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+)
+
+// redialPause is the time between tries to link to an instance that doesn't
+// answer.
+const redialPause = 100 * time.Millisecond
+
+// simLink is the link on which one instance sends to another. Messages under way
+// are lost with it.
+type simLink struct {
+	serial int // of the connection; later ones replace earlier ones
+	up     bool
+}
+
+func (n *node) linkTo(o *node) *simLink {
+	l := n.links[o.member.Instance]
+	if l == nil {
+		l = &simLink{}
+		n.links[o.member.Instance] = l
+	}
+	return l
+}
+
+// link connects one node to another in place of the last connection, or tells it
+// that nobody is there and tries again.
+func (w *World) link(a, b *node) {
+	l := a.linkTo(b)
+	l.serial++
+	l.up = false
+	serial := l.serial
+	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
+		if l.serial != serial {
+			return
+		}
+		if !a.cut && !b.cut && !b.frozen && b.alive {
+			l.up = true
+			w.step(a, fleet.PeerLinked{Peer: b.member})
+			return
+		}
+		w.step(a, fleet.PeerLost{Peer: b.member, Refused: a.refuses || b.refuses || !b.alive && !a.cut})
+		w.later(a, redialPause, func() {
+			if l.serial == serial {
+				w.link(a, b)
+			}
+		})
+	})
+}
+
+func (w *World) send(n *node, x fleet.SendPeer) {
+	to := w.node(x.To.Instance)
+	from, l := n.member, n.linkTo(to)
+	if !l.up || n.cut || to.cut {
+		return
+	}
+	serial := l.serial
+	w.later(to, w.delay(n.member.Domain, to.member.Domain), func() {
+		w.whenAwake(to, true, func() {
+			if l.serial == serial && to.member.Incarnation == x.To.Incarnation {
+				w.step(to, fleet.PeerMessage{From: from, At: w.now, Message: x.Message})
+			}
+		})
+	})
+}
+
+// deferred is what waits until a frozen instance wakes.
+type deferred struct {
+	message bool // of another instance
+	f       func()
+}
+
+// whenAwake calls f now, or when the instance wakes.
+func (w *World) whenAwake(n *node, message bool, f func()) {
+	if n.frozen {
+		n.deferred = append(n.deferred, deferred{message, f})
+		return
+	}
+	f()
+}
+
+// wake lets a frozen instance go on. It takes in messages of others last, which
+// is the worst order: they tell what was given up while it was frozen.
+func (w *World) wake(n *node) {
+	n.frozen = false
+	slices.SortStableFunc(n.deferred, func(a, b deferred) int {
+		switch {
+		case a.message == b.message:
+			return 0
+		case b.message:
+			return -1
+		}
+		return 1
+	})
+	waiting := n.deferred
+	n.deferred = nil
+	for _, d := range waiting {
+		d.f()
+	}
+}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -89,6 +89,8 @@
 	life      int
 	calls     map[fleet.CallID]*JobRecord
 	next      fleet.CallID
+	links     map[model.Instance]*simLink
+	deferred  []deferred // while it is frozen
 }
 
 // New returns a world without instances; the seed decides all luck.
@@ -123,7 +125,10 @@
 
 // AddInstance adds an instance of a domain.
 func (w *World) AddInstance(name model.Instance, d model.Domain, weight float64) {
-	n := &node{member: fleet.Member{Instance: name, Domain: d, Addr: string(name), Weight: weight}}
+	n := &node{
+		member: fleet.Member{Instance: name, Domain: d, Addr: string(name), Weight: weight},
+		links:  map[model.Instance]*simLink{},
+	}
 	w.nodes = append(w.nodes, n)
 	w.Start(name)
 }
@@ -141,7 +146,7 @@
 	}
 	n.life++
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
-	n.alive, n.frozen = true, false
+	n.alive, n.frozen, n.deferred = true, false, nil
 	n.renewedAt = w.now
 	n.calls = map[fleet.CallID]*JobRecord{}
 	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
@@ -209,7 +214,9 @@
 	if n.life != life || !n.alive {
 		return
 	}
-	w.step(n, fleet.Tick{})
+	if !n.frozen { // a ticker drops what it can't deliver
+		w.step(n, fleet.Tick{})
+	}
 	w.After(n.inst.TickPause(), func() { w.tick(n, life) })
 }
 
@@ -220,7 +227,7 @@
 	}
 	if n.frozen {
 		life := n.life
-		w.After(5*time.Millisecond, func() {
+		w.whenAwake(n, false, func() {
 			if n.life == life {
 				w.step(n, e)
 			}
@@ -276,33 +283,6 @@
 	})
 }
 
-// link connects one node to another, or tells it that nobody is there.
-func (w *World) link(a, b *node) {
-	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
-		switch {
-		case a.cut || b.cut || b.frozen:
-			w.step(a, fleet.PeerLost{Peer: b.member, Refused: a.refuses || b.refuses})
-		case !b.alive:
-			w.step(a, fleet.PeerLost{Peer: b.member, Refused: true})
-		default:
-			w.step(a, fleet.PeerLinked{Peer: b.member})
-		}
-	})
-}
-
-func (w *World) send(n *node, x fleet.SendPeer) {
-	to := w.node(x.To.Instance)
-	from := n.member
-	if n.cut || to.cut {
-		return
-	}
-	w.later(to, w.delay(n.member.Domain, to.member.Domain), func() {
-		if to.member.Incarnation == x.To.Incarnation {
-			w.step(to, fleet.PeerMessage{From: from, At: w.now, Message: x.Message})
-		}
-	})
-}
-
 func (w *World) claim(n *node, x fleet.Claim) {
 	if !w.storeUp || n.noStore {
 		w.later(n, callLimit, func() { w.step(n, fleet.ClaimAnswered{}) })
@@ -361,7 +341,12 @@
 func (w *World) Freeze(name model.Instance, d time.Duration) {
 	n := w.node(name)
 	n.frozen = true
-	w.After(d, func() { n.frozen = false })
+	life := n.life
+	w.After(d, func() {
+		if n.life == life {
+			w.wake(n)
+		}
+	})
 }
 
 // Cut separates an instance from the others for d.
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -53,6 +53,7 @@
 		}
 	}},
 	{"instance frozen", func(w *World) { w.Freeze("tayside-0", 3*time.Second) }},
+	{"owner frozen, no other reaches its servers", func(w *World) { w.freezeOwner(3 * time.Second) }},
 	{"instance cut off", func(w *World) { w.Cut("ardmore-0", 5*time.Second) }},
 	{"instance cut off, connections refused", func(w *World) { w.CutRefusing("ardmore-0", 5*time.Second) }},
 	{"instance cut off, connections refused, store down", func(w *World) {
@@ -108,6 +109,20 @@
 	}},
 }
 
+// freezeOwner freezes an owner. Its servers are silent as long, so that no later
+// owner's token shuts its orders out before it wakes.
+func (w *World) freezeOwner(d time.Duration) {
+	name := w.owners[w.servers[0].Entry.ID].Owner
+	w.Freeze(name, d)
+	for _, s := range w.servers {
+		if w.owners[s.Entry.ID].Owner != name {
+			continue
+		}
+		w.After(100*time.Millisecond, func() { s.Silent = true })
+		w.After(d, func() { s.Silent = false })
+	}
+}
+
 // eachFault plays each fault alone and with a second one in a world of its own.
 func eachFault(t *testing.T, play func(t *testing.T, w *World, hit func())) {
 	for i, f := range faults {
@@ -153,6 +168,28 @@
 	})
 }
 
+// TestFrozenOwner checks that an owner which wakes runs nothing of what others took
+// back from it, before any message tells it so.
+func TestFrozenOwner(t *testing.T) {
+	site := Glenbrae()
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			w := New(seed)
+			w.Build(site)
+			w.Run(settle)
+			w.Offer(site, 0.8, 20*time.Second)
+			w.Run(3 * time.Second)
+			w.freezeOwner(3 * time.Second)
+			w.Run(25 * time.Second)
+			checkRules(t, w)
+			if got := w.Tally(0); got.Open > 0 {
+				t.Errorf("%d jobs have no answer: %+v", got.Open, got)
+			}
+		})
+	}
+}
+
 // TestServedAgainAfterLoss checks that most jobs are completed soon after an
 // owner is lost.
 func TestServedAgainAfterLoss(t *testing.T) {
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -23,6 +23,7 @@
 // call is a job whose caller waits at this instance.
 type call struct {
 	id     CallID
+	offer  CallID // of the last offer, 0 while it has no owner
 	job    JobSpec
 	owner  Member
 	tried  []model.Instance // that could not start it at once
@@ -42,10 +43,16 @@
 	owners  *owners
 	pool    *pool
 	calls   map[CallID]*call
+	// offers are the calls by their last offer. Each offer has an ID of its own,
+	// so that a late answer to an earlier one changes nothing.
+	offers    map[CallID]*call
+	lastOffer CallID
+
+	settleTill Time // nothing is offered before, after the process stood still
 }
 
 func newHome(self Member, m *members, o *owners, p *pool, effect func(Effect)) *home {
-	return &home{self: self, effect: effect, members: m, owners: o, pool: p, calls: map[CallID]*call{}}
+	return &home{self: self, effect: effect, members: m, owners: o, pool: p, calls: map[CallID]*call{}, offers: map[CallID]*call{}}
 }
 
 // option is an owner that a job may be offered to.
@@ -131,6 +138,10 @@
 // route offers a job to the owner that can start it at once. One that has to
 // wait goes to the owner that keeps the queue.
 func (h *home) route(c *call, now Time) {
+	if now < h.settleTill {
+		c.held = true
+		return
+	}
 	if c.job.Keep {
 		h.routeKept(c, now)
 		return
@@ -203,10 +214,14 @@
 func (h *home) offer(c *call, o option, now Time) {
 	age := now.Sub(c.job.Received)
 	h.noteRouted(c, o, now)
+	h.forgetOffer(c)
+	h.lastOffer++
+	c.offer = h.lastOffer
+	h.offers[c.offer] = c
 	if o.peer == nil {
 		c.owner = h.self
 		c.tried = append(c.tried, h.self.Instance)
-		if h.pool.offer(h.self, c.id, c.job, c.final, now) {
+		if h.pool.offer(h.self, c.offer, c.job, c.final, now) {
 			h.route(c, now)
 		}
 		return
@@ -217,7 +232,12 @@
 	l := o.load
 	l.Free = max(0, l.Free-c.job.firstNeed())
 	o.peer.setLoad(l)
-	h.effect(SendPeer{To: c.owner, Message: Offer{Call: c.id, Job: c.job, Age: age, Final: c.final}})
+	h.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, Final: c.final}})
+}
+
+func (h *home) forgetOffer(c *call) {
+	delete(h.offers, c.offer)
+	c.offer = 0
 }
 
 // noteRouted tells on which figures an owner was chosen.
@@ -234,12 +254,14 @@
 
 // outcome takes in what an owner says of an offer.
 func (h *home) outcome(from Member, o Outcome, now Time) {
-	c := h.calls[o.Call]
+	c := h.offers[o.Call]
 	if c == nil || !c.owner.same(from) {
 		return
 	}
 	if o.Bounced {
-		c.ran = c.ran || c.job.Keep // it may have been stored before the owner lost sight of the call
+		// A job to be kept may have been stored before its owner lost sight of the
+		// call; another may have run if the owner no longer knows.
+		c.ran = c.ran || c.job.Keep || o.Result.Kind == Unknown
 		h.effect(Note{Kind: NoteJobBounced, Call: c.id, Job: c.job.ID, Peer: from.Instance})
 		h.route(c, now)
 		return
@@ -250,6 +272,7 @@
 // finish answers the caller.
 func (h *home) finish(c *call, r Result) {
 	delete(h.calls, c.id)
+	h.forgetOffer(c)
 	if c.ran && r.Kind == NotRun {
 		r.Kind = Unknown
 	}
@@ -266,14 +289,15 @@
 		return
 	}
 	delete(h.calls, id)
-	if c.owner.Instance == "" {
-		return // it has no owner now
-	}
-	if c.owner.Instance == h.self.Instance {
-		h.pool.withdraw(jobKey{h.self.Instance, h.self.Incarnation, id}, now)
-		return
+	offer := c.offer
+	h.forgetOffer(c)
+	switch c.owner.Instance {
+	case "": // it has no owner now
+	case h.self.Instance:
+		h.pool.withdraw(jobKey{h.self.Instance, h.self.Incarnation, offer}, now)
+	default:
+		h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: offer}})
 	}
-	h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: id}})
 }
 
 // sorted returns the calls in order.
@@ -298,7 +322,8 @@
 			h.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
 		}
-		h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: c.id}})
+		h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: c.offer}})
+		h.forgetOffer(c)
 		h.effect(Note{Kind: NoteJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: gone.Sub(now)})
 		c.owner, c.resumeAt = Member{}, max(gone, now)
 	}
@@ -320,7 +345,7 @@
 	var out Resync
 	for _, c := range h.sorted() {
 		if c.owner.same(owner) {
-			out.Calls = append(out.Calls, c.id)
+			out.Calls = append(out.Calls, c.offer)
 		}
 	}
 	return out
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -23,6 +23,9 @@
 	tickPause = 50 * time.Millisecond
 	// pauseNoted is a gap between events that tells of a suspended process.
 	pauseNoted = 400 * time.Millisecond
+	// wakeSettle is how long nothing starts after such a gap: what came in the
+	// meantime is taken in within that time.
+	wakeSettle = 100 * time.Millisecond
 )
 
 // Instance is the reducer of one instance.
@@ -163,14 +166,19 @@
 }
 
 // paused notes that the process stood still: nothing that was heard before is
-// fresh any more.
+// fresh any more. The other members have given up what they asked of this
+// instance, or are about to, and callers have left; messages that say so may come
+// after answers that would let tasks start again.
 func (i *Instance) paused(gap time.Duration, now Time) {
 	i.effects = append(i.effects, Note{Kind: NotePaused, Age: gap})
+	i.pool.settleTill, i.home.settleTill = now.Add(wakeSettle), now.Add(wakeSettle)
 	for _, p := range i.members.order {
 		if p.everHeard {
 			p.heardAt = max(p.heardAt, now.Add(-peerSilence/2))
 		}
+		i.pool.originLost(p.member, now)
 	}
+	i.pool.expire(now)
 }
 
 // maintain does what follows from who lives.
@@ -281,9 +289,7 @@
 	p.linked, p.refused, p.dead = true, false, false
 	p.linkedAt, p.heardAt, p.everHeard, p.hearsMe = now, now, true, 0
 	p.partsSent, p.partsHeard = 0, 0
-	open := i.home.resync(p.member)
-	open.Calls = append(open.Calls, i.pool.lentTo(p.member)...)
-	i.effects = append(i.effects, SendPeer{To: p.member, Message: open})
+	i.resync(p, false)
 	for _, f := range i.pool.recent {
 		if f.key.origin == p.member.Instance && f.key.life == p.member.Incarnation {
 			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: f.key.call, Result: f.result, Attempt: f.attempt}})
@@ -292,6 +298,14 @@
 	i.sendBeat(p, now)
 }
 
+// resync tells a peer which of its offers this instance still waits for.
+func (i *Instance) resync(p *peer, reply bool) {
+	open := i.home.resync(p.member)
+	open.Calls = append(open.Calls, i.pool.lentTo(p.member)...)
+	open.Reply = reply
+	i.effects = append(i.effects, SendPeer{To: p.member, Message: open})
+}
+
 func (i *Instance) peerLost(e PeerLost, now Time) {
 	p := i.members.peers[e.Peer.Instance]
 	if p == nil || p.member.Incarnation != e.Peer.Incarnation {
@@ -359,23 +373,26 @@
 
 func (i *Instance) bounce(p *peer, c CallID, service string, now Time) {
 	o := Outcome{Call: c, Bounced: true}
-	if service != "" && !i.leaving {
+	if !i.leaving {
 		o.Load, o.Parts = i.pool.load(service, now), p.partsCame
 	}
 	i.effects = append(i.effects, SendPeer{To: p.member, Message: o})
 }
 
 // resynced gives up what the origin no longer waits for, and tells it which
-// calls never arrived.
+// calls are not here: they never arrived, or ended too long ago.
 func (i *Instance) resynced(p *peer, m Resync, now Time) {
 	i.pool.resync(p.member, m.Calls, now)
 	for _, c := range m.Calls {
 		key := jobKey{p.member.Instance, p.member.Incarnation, c}
 		ended := slices.ContainsFunc(i.pool.recent, func(f finished) bool { return f.key == key })
 		if i.pool.jobs[key] == nil && !ended {
-			i.bounce(p, c, "", now)
+			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: c, Bounced: true, Result: Result{Kind: Unknown}}})
 		}
 	}
+	if !m.Reply && p.linked {
+		i.resync(p, true) // what the peer sent on its last link may be lost
+	}
 }
 
 // beat sends the beats that are due, or all.
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -133,7 +133,7 @@
 // offerPart takes a task of another owner that can start at once or soon.
 func (p *pool) offerPart(origin Member, call CallID, spec JobSpec, now Time) (bounced bool) {
 	j := newPart(spec, origin, call)
-	if s := p.place(j.part, now); s != nil && !p.waitsInTime(now) {
+	if s := p.place(j.part, now); s != nil && !p.waitsInTime(now) && now >= p.settleTill {
 		p.jobs[j.key()] = j
 		j.steps[0].waiting = nil
 		p.start(j.part, s, now)
@@ -186,7 +186,9 @@
 	switch {
 	case o.Bounced:
 		from.bouncedAt = now
-		t.job.starts--
+		if o.Result.Kind != Unknown {
+			t.job.starts--
+		}
 		p.retry(t)
 	case o.Result.Kind == Completed:
 		p.taskDone(t, now)
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -66,6 +66,8 @@
 	lent     map[CallID]lentTask
 	lastPart CallID
 	told     bool // peers know that tasks wait
+
+	settleTill Time // nothing starts before, after the process stood still
 }
 
 func newPool(o Options, m *members, w *owners, effect func(Effect)) *pool {
@@ -164,7 +166,7 @@
 // dispatch starts what can start.
 func (p *pool) dispatch(now Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.over || !j.waits() })
-	if len(p.queue) == 0 {
+	if len(p.queue) == 0 || now < p.settleTill {
 		return
 	}
 	p.policy.sort(p.queue, now)
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -47,7 +47,7 @@
 			Attempt: m.Attempt, PartsMillicores: m.Parts,
 		}}
 	case fleet.Resync:
-		r := &fleetpb.Resync{}
+		r := &fleetpb.Resync{Reply: m.Reply}
 		for _, c := range m.Calls {
 			r.Calls = append(r.Calls, uint64(c))
 		}
@@ -81,7 +81,7 @@
 	case *fleetpb.Message_Outcome:
 		return outcomeFromPB(b.Outcome), nil
 	case *fleetpb.Message_Resync:
-		var r fleet.Resync
+		r := fleet.Resync{Reply: b.Resync.GetReply()}
 		for _, c := range b.Resync.GetCalls() {
 			r.Calls = append(r.Calls, fleet.CallID(c))
 		}
