--- a/internal/fleet/kept_test.go
+++ b/internal/fleet/kept_test.go
@@ -48,9 +48,11 @@
 		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Keep: true,
 		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
 	}
-	i.home.calls[1] = &call{id: 1, job: spec, owner: other, final: true, tried: []model.Instance{"n2"}}
+	const offer CallID = 9
+	c := &call{id: 1, offer: offer, job: spec, owner: other, final: true, tried: []model.Instance{"n2"}}
+	i.home.calls[c.id], i.home.offers[offer] = c, c
 	i.members.storeUp = false // this instance can't store it
-	i.home.outcome(other, Outcome{Call: 1, Bounced: true}, now)
+	i.home.outcome(other, Outcome{Call: offer, Bounced: true}, now)
 	for _, e := range i.take(now) {
 		if a, ok := e.(Answer); ok {
 			if a.Result.Kind != Unknown {
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -69,3 +69,28 @@
 		t.Error("the run is still booked two seconds after its server was gone")
 	}
 }
+
+// TestLateAnswerToAnEarlierOffer bounces a call twice, as an owner may whose link
+// was replaced; only the first leads to another offer.
+func TestLateAnswerToAnEarlierOffer(t *testing.T) {
+	i, now := oneServer(t, 500)
+	other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
+	spec := JobSpec{
+		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Objective: Objective{Stretch: 2},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	const offer CallID = 9
+	c := &call{id: 1, offer: offer, job: spec, owner: other, tried: []model.Instance{"n2"}}
+	i.home.calls[c.id], i.home.offers[offer], i.home.lastOffer = c, c, offer
+	starts := 0
+	for range 2 {
+		for _, e := range i.Step(now, PeerMessage{From: other, At: now, Message: Outcome{Call: offer, Bounced: true}}) {
+			if _, ok := e.(StartRun); ok {
+				starts++
+			}
+		}
+	}
+	if starts != 1 {
+		t.Errorf("%d starts, want 1", starts)
+	}
+}
