--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -15,7 +15,8 @@
 
 // fleetArgs has no file: the platform names its settings in the environment.
 type fleetArgs struct {
-	Check bool `arg:"--check" help:"check the platform's settings file and exit"`
+	Check     bool   `arg:"--check" help:"check the platform's settings file and exit"`
+	Advertise string `arg:"--advertise" help:"where other instances reach this one, if something forwards to it" placeholder:"HOST:PORT"`
 }
 
 // gcPercent trades processor time for memory: an instance allocates little, and
@@ -32,6 +33,9 @@
 		_, err := fmt.Fprintf(stdout, "settings of %s in %s can be served\n", s.Instance, s.Domain)
 		return err
 	}
+	if a.Advertise != "" {
+		s.DialAddr = a.Advertise
+	}
 	debug.SetGCPercent(gcPercent)
 	logs, closeLogs := node.LogWriter(stdout)
 	defer closeLogs()
--- a/internal/fleet/fleetsim/kept.go
+++ b/internal/fleet/fleetsim/kept.go
@@ -34,7 +34,7 @@
 	}
 }
 
-func (k *keptStore) ended(e fleet.EndedRow) {
+func (k *keptStore) ended(e fleet.EndedRow, _ fleet.Time) {
 	if e.How == fleet.EndDone {
 		k.done[e.Run.Task] = true
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,7 @@
 	}
 	self := fleet.Member{
 		Instance: s.Instance, Incarnation: newIncarnation(time.Now()), Domain: s.Domain,
-		Addr: s.PeerAddr, Weight: s.CPUShare,
+		Addr: s.DialAddr, Weight: s.CPUShare,
 	}
 	n := &Node{
 		settings: s, self: self,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -124,9 +124,10 @@
 }
 
 func (s *site) addNode(name string) {
+	peerAddr := freeAddr(s.t)
 	n, err := New(platform.Settings{
 		Instance: model.Instance(name), Domain: "d1", Host: "127.0.0.1",
-		CallerAddr: freeAddr(s.t), ReadyAddr: freeAddr(s.t), PeerAddr: freeAddr(s.t), MetricsAddr: freeAddr(s.t),
+		CallerAddr: freeAddr(s.t), ReadyAddr: freeAddr(s.t), PeerAddr: peerAddr, DialAddr: peerAddr, MetricsAddr: freeAddr(s.t),
 		CPUShare: 0.4, Store: platform.StoreSettings{Addr: s.addr, MinLeaseTTL: time.Second},
 		Bounds: platform.Bounds{
 			Grace: 6 * time.Second, MaxLease: time.Second, StopTimeout: 50 * time.Millisecond, KeepStates: 2 * time.Minute,
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// What callers do.
+const (
+	deadline   = 3 * time.Second // of a job
+	heldSlack  = 2 * time.Second // after the deadline until an answer counts as held back
+	tries      = 3               // of a job whose answer was lost
+	leaveShare = 0.05            // of the jobs, whose callers leave early
+	probePause = 200 * time.Millisecond
+)
+
+// refusal reports whether an answer says that a job has not run.
+func refusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// load hands jobs in until ctx ends, perSecond on average.
+func (s *site) load(ctx context.Context, o Options) {
+	r := rand.New(rand.NewPCG(o.Seed, 2))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(r.ExpFloat64() / o.PerSecond * float64(time.Second)))
+		seed := r.Uint64()
+		s.tasks.Go(func() { s.submit(rand.New(rand.NewPCG(seed, 3)), o.Resend) })
+	}
+}
+
+func jobID(r *rand.Rand) string { return fmt.Sprintf("%016x", r.Uint64()) }
+
+// submit hands one job in, again after a lost answer.
+func (s *site) submit(r *rand.Rand, resend time.Duration) *request {
+	q := &request{id: jobID(r), tasks: 1 + r.IntN(6), need: model.Resources{CPUMilli: uint32(500 + 100*r.IntN(16)), MemoryMB: 64}}
+	s.book.submitted(q)
+	workMs := 10 + r.IntN(200)
+	for range tries {
+		ctx, cancel := context.WithTimeout(s.ctx, deadline+heldSlack)
+		if r.Float64() < leaveShare {
+			cancel()
+			ctx, cancel = context.WithTimeout(s.ctx, time.Duration(r.IntN(workMs))*time.Millisecond)
+			s.book.left(q)
+		}
+		a := s.try(ctx, s.anyProcess(r), q, workMs)
+		cancel()
+		s.book.answered(q, a)
+		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
+			return q
+		}
+		time.Sleep(resend)
+	}
+	return q
+}
+
+// try sends a job to an instance.
+func (s *site) try(ctx context.Context, p *process, q *request, workMs int) answer {
+	a := answer{instance: p.name}
+	body := fmt.Sprintf(`{"spec":"%d","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":%d,"estMs":%d}]}`,
+		workMs, q.tasks, q.need.CPUMilli, q.need.MemoryMB, workMs)
+	life, _ := p.life()
+	sent := time.Now()
+	status, text := s.call(ctx, p, http.MethodPost, prefix+q.id, body)
+	a.at, a.status = time.Now(), status
+	a.done = status == http.StatusOK && strings.Contains(text, "completed")
+	sameLife, calm := p.life()
+	if over := a.at.Sub(sent) - deadline - heldSlack/2; over > 0 && q.gaveUpAt.IsZero() && life == sameLife && !calm.IsZero() && calm.Before(sent) {
+		a.late = over
+	}
+	return a
+}
+
+// call makes a request to an instance; status is 0 without a whole answer.
+func (s *site) call(ctx context.Context, p *process, method, path, body string) (status int, text string) {
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", p.ip, callerPort, path), strings.NewReader(body))
+	if err != nil {
+		s.fault("%v", err)
+		return 0, ""
+	}
+	r.Host = host
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "" // the process may be gone
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(data)
+}
+
+// inForce reports whether an instance has a version of the configuration.
+func (s *site) inForce(p *process, v int64) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+	defer cancel()
+	status, _ := s.call(ctx, p, http.MethodGet, versionPath(v), "")
+	return status == http.StatusOK
+}
+
+// watchConfig checks until ctx ends that no instance goes back to an earlier
+// configuration.
+func (s *site) watchConfig(ctx context.Context, p *process) {
+	var seen int64
+	life := 0
+	for ctx.Err() == nil {
+		time.Sleep(probePause)
+		v := s.version.Load()
+		now, _ := p.life()
+		if now != life {
+			seen, life = 0, now
+		}
+		if s.inForce(p, v) {
+			seen = v
+		}
+		for old := max(v-2, 1); old < v; old++ {
+			if after, _ := p.life(); s.inForce(p, old) && old < seen && after == life {
+				s.fault("%s went back from configuration %d to %d", p.name, seen, old)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/cmd/soak/main.go
@@ -0,0 +1,63 @@
+// Command soak plays soaks of package soak, one for each seed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/nutmegweir/nutmegweir/internal/soak"
+)
+
+type args struct {
+	Binary    string        `arg:"--binary,required" help:"the nutmegweir program" placeholder:"FILE"`
+	Dir       string        `arg:"--dir,required" help:"for settings and logs, one folder a seed" placeholder:"DIR"`
+	First     uint64        `arg:"--first" default:"1" help:"first seed"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"number of seeds"`
+	Instances int           `arg:"--instances" default:"6"`
+	Servers   int           `arg:"--servers" default:"12"`
+	PerSecond float64       `arg:"--rate" default:"40" help:"jobs a second"`
+	Length    time.Duration `arg:"--length" default:"12s" help:"of the troubles"`
+	Resend    time.Duration `arg:"--resend" default:"1300ms" help:"after which a lost job comes again"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	failed := 0
+	for i := range uint64(a.Seeds) {
+		if !play(a, a.First+i) {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds, %d failed\n", a.Seeds, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and reports whether every promise was kept.
+func play(a args, seed uint64) bool {
+	dir := filepath.Join(a.Dir, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	r, err := soak.Run(context.Background(), soak.Options{
+		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
+		PerSecond: a.PerSecond, Length: a.Length, Resend: a.Resend,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d troubles, %d requests, %d completed, %d starts\n", seed, len(r.Troubles), r.Requests, r.Completed, r.Starts)
+	for _, b := range r.Broken {
+		fmt.Println("  broken:", b)
+	}
+	return len(r.Broken) == 0
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
+	"github.com/nutmegweir/nutmegweir/platform"
+)
+
+// Ports of an instance at its own IP number.
+const (
+	callerPort = 8161
+	readyPort  = 8167
+	peerPort   = 7720
+	lastPort   = 7735
+)
+
+// process is an instance: the real program, with links to it and to the store
+// that the soak disturbs.
+type process struct {
+	name   model.Instance
+	domain model.Domain
+	ip     string
+	binary string
+	dir    string
+	store  *link.Link // to the store
+	peers  *link.Link // from the other instances
+	dials  string     // address of peers
+	stored string     // address of store
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	lives int
+	calm  time.Time // since when no signal was sent, zero while one lasts
+}
+
+// settings returns what the platform would write for the process.
+func (p *process) settings(domains []model.Domain) ([]byte, error) {
+	zones := map[model.Domain]string{}
+	for _, d := range domains {
+		zones[d] = "soak"
+	}
+	at := func(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
+	return json.Marshal(map[string]any{
+		"node": p.name, "ip": p.ip, "zone": p.domain, "zones": zones,
+		"listen":    map[string]string{"front": at(callerPort), "ready": at(readyPort)},
+		"portRange": []int{peerPort, lastPort},
+		"limits":    map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
+		"discovery": "platform", "entry": "vip", "commands": "rpc",
+		"bounds": map[string]any{
+			"graceS": grace.Seconds(), "maxHoldMs": maxLease.Milliseconds(), "stopTimeoutMs": stopTime.Milliseconds(),
+			"resendMs": leastResend.Milliseconds(), "status_s": 120,
+		},
+		"platform": map[string]any{"address": p.stored, "form": "kv", "minTtlMs": minLease.Milliseconds(), "writesPerS": 400},
+	})
+}
+
+// start starts the program unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	logs, err := os.OpenFile(filepath.Join(p.dir, string(p.name)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "open the log of an instance")
+	}
+	defer logs.Close()
+	cmd := exec.Command(p.binary, "fleet", "--advertise", p.dials)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsFile())
+	cmd.Stdout, cmd.Stderr = logs, logs
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start an instance; check that the program is built")
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.calm = cmd, ended, time.Now()
+	p.lives++
+	go func() {
+		_ = cmd.Wait() // every end counts alike
+		p.mu.Lock()
+		p.cmd, p.calm = nil, time.Time{}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+func (p *process) settingsFile() string { return filepath.Join(p.dir, string(p.name)+".json") }
+
+// signal sends a signal to the program if it runs. calm tells whether it goes on
+// undisturbed afterwards.
+func (p *process) signal(s syscall.Signal, calm bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	p.calm = time.Time{}
+	if calm {
+		p.calm = time.Now()
+	}
+	_ = p.cmd.Process.Signal(s) // it may have ended just now
+}
+
+// end kills the program and waits for its end.
+func (p *process) end() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL, false)
+	if ended != nil {
+		<-ended
+	}
+}
+
+// life returns how often the program was started, and since when it has run
+// without a signal.
+func (p *process) life() (n int, calm time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lives, p.calm
+}
+
+// ready reports whether the instance takes callers.
+func (p *process) ready() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get(fmt.Sprintf("http://%s:%d/v1/readyz", p.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,265 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+	port "github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/internal/standin/worker"
+	"github.com/nutmegweir/nutmegweir/platform"
+)
+
+// Bounds of the deployment, those of the users' platform.
+const (
+	grace       = 6 * time.Second
+	maxLease    = time.Second
+	stopTime    = 50 * time.Millisecond
+	leastResend = 1300 * time.Millisecond
+	minLease    = time.Second
+)
+
+const (
+	service = "svc"
+	host    = "soak.example"
+	prefix  = "/q/"
+	numDoms = 3
+)
+
+// serverCPU is the capacity of a backend server in milli-cores, for two or three
+// tasks.
+const serverCPU = 4000
+
+// Health of a server's runs.
+const (
+	sound int32 = iota
+	hangs
+	fails
+)
+
+// server is a backend server behind a link.
+type server struct {
+	*worker.Server
+	id   model.ServerID
+	link *link.Link
+	ill  atomic.Int32
+}
+
+// site is a deployment on loopback: stand-ins in this process, instances as
+// processes of their own.
+type site struct {
+	ctx       context.Context
+	dir       string
+	book      *book
+	store     *standin.Handler
+	storeAddr string
+	servers   []*server
+	processes []*process
+	domains   []model.Domain
+	version   atomic.Int64
+	tasks     sync.WaitGroup // restarts and load under way
+}
+
+// build makes the deployment; its ports end with ctx.
+func build(ctx context.Context, o Options) (*site, error) {
+	s := &site{ctx: ctx, dir: o.Dir, book: newBook(), store: standin.New(standin.Options{MinSessionTTL: minLease})}
+	for d := range numDoms {
+		s.domains = append(s.domains, model.Domain(fmt.Sprintf("d%d", d)))
+	}
+	var err error
+	if s.storeAddr, err = s.serve(s.store); err != nil {
+		return nil, err
+	}
+	s.configure()
+	for i := range o.Servers {
+		if err := s.addServer(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Instances {
+		if err := s.addProcess(i, o); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on loopback")
+	}
+	context.AfterFunc(s.ctx, func() { l.Close() })
+	return l, nil
+}
+
+// serve serves a stand-in until ctx ends.
+func (s *site) serve(h http.Handler) (addr string, err error) {
+	l, err := s.listen()
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(l, h) }() // ends with the listener
+	return l.Addr().String(), nil
+}
+
+// forward puts a link before an address.
+func (s *site) forward(target string) (l *link.Link, addr string, err error) {
+	listener, err := s.listen()
+	if err != nil {
+		return nil, "", err
+	}
+	l = link.New(target)
+	go func() { _ = l.Serve(s.ctx, listener) }() // ends with the listener
+	return l, listener.Addr().String(), nil
+}
+
+func (s *site) addServer(i int) error {
+	x := &server{id: model.ServerID(fmt.Sprintf("s%03d", i))}
+	x.Server = worker.NewServer(string(x.id), worker.Options{
+		MaxLease: maxLease, StopTime: stopTime / 2,
+		OnStart: func(r fleet.RunID) { s.book.started(x.id, r) },
+		OnEnd:   func(e fleet.EndedRow, at fleet.Time) { s.book.ended(x.id, e.Run, e.How, at) },
+		OnCrash: func() { s.book.crashed(x.id) },
+	})
+	x.Work = x.work
+	addr, err := s.serve(x)
+	if err != nil {
+		return err
+	}
+	if x.link, addr, err = s.forward(addr); err != nil {
+		return err
+	}
+	s.store.Store.Register(service, port.ServiceInstance{
+		ID: string(x.id), Addr: netip.MustParseAddrPort(addr), Domain: s.domains[i%numDoms], Slots: 8,
+		Has: model.Resources{CPUMilli: serverCPU, MemoryMB: 4096}, State: port.StateActive,
+	})
+	s.servers = append(s.servers, x)
+	return nil
+}
+
+// work says how a run goes; the spec of a job is its time in milliseconds.
+func (x *server) work(_ fleet.RunID, spec string) (time.Duration, fleet.EndHow) {
+	switch x.ill.Load() {
+	case hangs:
+		return 0, fleet.EndDone
+	case fails:
+		return time.Millisecond, fleet.EndFailed
+	}
+	ms, err := strconv.Atoi(spec)
+	if err != nil {
+		return time.Millisecond, fleet.EndFailed
+	}
+	return time.Duration(ms) * time.Millisecond, fleet.EndDone
+}
+
+func (s *site) addProcess(i int, o Options) error {
+	p := &process{
+		name: model.Instance(fmt.Sprintf("i%02d", i)), domain: s.domains[i%numDoms], binary: o.Binary, dir: o.Dir,
+		ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, o.Seed%250+1, i+1),
+	}
+	var err error
+	if p.store, p.stored, err = s.forward(s.storeAddr); err != nil {
+		return err
+	}
+	if p.peers, p.dials, err = s.forward(fmt.Sprintf("%s:%d", p.ip, peerPort)); err != nil {
+		return err
+	}
+	text, err := p.settings(s.domains)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(p.dir, string(p.name)+".json"), text, 0o644); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	s.processes = append(s.processes, p)
+	return p.start()
+}
+
+// configure puts a new version of the configuration in the store. Each has a
+// route of its own, by which callers see which version is in force.
+func (s *site) configure() {
+	v := s.version.Add(1)
+	route := func(name, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"timeoutMs":20000,"sloMs":60,"service":%q,"attempts":3,"stretch":1.6}`,
+			name, host, prefix, service)
+	}
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q}],"limits":{"maxBodyBytes":5000}}`,
+		v, strings.Join([]string{route("jobs", prefix), route("version", versionPath(v))}, ","), service)
+	s.store.Store.Commit(standin.Txn{Writes: []port.Entry{{Key: platform.ConfigKey, Value: []byte(text)}}})
+}
+
+func versionPath(v int64) string { return fmt.Sprintf("/version-%d/", v) }
+
+func (s *site) anyProcess(r *rand.Rand) *process { return s.processes[r.IntN(len(s.processes))] }
+
+func (s *site) anyServer(r *rand.Rand) *server { return s.servers[r.IntN(len(s.servers))] }
+
+// later calls f after d, and is waited for.
+func (s *site) later(d time.Duration, f func()) {
+	s.tasks.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
+// restart starts a process again once it has ended, with force after the grace.
+func (s *site) restart(p *process) {
+	s.tasks.Go(func() {
+		p.mu.Lock()
+		ended := p.ended
+		p.mu.Unlock()
+		select {
+		case <-ended:
+		case <-time.After(grace):
+			p.end()
+		}
+		if err := p.start(); err != nil {
+			s.fault("%v", err)
+		}
+	})
+}
+
+// restartAll lets every process run, also those that are paused.
+func (s *site) restartAll() {
+	for _, p := range s.processes {
+		p.mu.Lock()
+		runs := p.cmd != nil
+		p.mu.Unlock()
+		if !runs {
+			s.restart(p)
+		}
+	}
+}
+
+// fault notes a fault of the soak itself or of a promise.
+func (s *site) fault(format string, args ...any) {
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	s.book.broke(format, args...)
+}
+
+// stop ends all processes.
+func (s *site) stop() {
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT, false)
+		p.end()
+	}
+}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,5 +1,5 @@
 // Package link is a stand-in for a network link: it forwards bytes between a
-// listener and a target, and can go silent or refuse connections.
+// listener and a target, and can be slow, go silent or reset connections.
 package link
 
 import (
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,8 @@
 	OneWay     bool     `json:"one_way"`     // bytes from the target are held back
 	SilentFrom []string `json:"silent_from"` // silent for connections from these IP numbers only
 	Forget     bool     `json:"forget"`      // connections that are open now pass nothing any more; new ones work
+	Reset      bool     `json:"reset"`       // connections that are open now are reset; new ones work
+	DelayMs    int64    `json:"delay_ms"`    // added to what is passed on
 }
 
 // Link is the stand-in.
@@ -35,11 +38,12 @@
 	mode   Mode
 	age    int // connections that began before the latest Forget have a lower one
 	ended  bool
+	open   map[net.Conn]struct{}
 }
 
 // New returns a link to a target address.
 func New(target string) *Link {
-	l := &Link{target: target}
+	l := &Link{target: target, open: map[net.Conn]struct{}{}}
 	l.cond = sync.NewCond(&l.mu)
 	return l
 }
@@ -53,9 +57,40 @@
 	if m.Forget {
 		l.age++
 	}
+	if m.Reset {
+		for c := range l.open {
+			reset(c)
+		}
+	}
 	l.cond.Broadcast()
 }
 
+// reset closes a connection so that its peer sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // else it ends as usual
+	}
+	_ = c.Close()
+}
+
+// keep notes an open connection until the returned function is called.
+func (l *Link) keep(c net.Conn) (forget func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.open, c)
+	}
+}
+
+func (l *Link) delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.mode.DelayMs) * time.Millisecond
+}
+
 // SetTarget changes where new connections go to.
 func (l *Link) SetTarget(addr string) {
 	l.mu.Lock()
@@ -129,6 +164,7 @@
 
 func (l *Link) forward(ctx context.Context, c net.Conn) {
 	defer c.Close()
+	defer l.keep(c)()
 	f := l.begin(c)
 	if !l.pass(f, false) {
 		return
@@ -138,6 +174,7 @@
 		return
 	}
 	defer t.Close()
+	defer l.keep(t)()
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 		_ = t.Close()
@@ -151,6 +188,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		time.Sleep(l.delay())
 		if !l.pass(f, fromTarget) {
 			return
 		}
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -69,6 +69,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state = New(s.opts, now(), s.state.Born()+1)
+	if s.opts.OnCrash != nil {
+		s.opts.OnCrash()
+	}
 	s.wake()
 }
 
--- a/internal/standin/worker/state.go
+++ b/internal/standin/worker/state.go
@@ -15,9 +15,14 @@
 	MaxLease time.Duration // longer leases are shortened
 	StopTime time.Duration // from a stop to the end of the run
 	Rate     float64       // of its clock against true time; 0 means 1
-	// OnEnd is told of each end, OnNoted of each that is acknowledged while no
-	// lease has lapsed since. Both may be nil.
-	OnEnd, OnNoted func(fleet.EndedRow)
+	// OnStart is told of each run that begins, OnCrash when a Server forgets its
+	// runs. Both may be nil.
+	OnStart func(fleet.RunID)
+	OnCrash func()
+	// OnEnd is told of each end and when it came, OnNoted of each that is
+	// acknowledged while no lease has lapsed since. Both may be nil.
+	OnEnd   func(row fleet.EndedRow, at fleet.Time)
+	OnNoted func(fleet.EndedRow)
 }
 
 // State is what a backend server knows. It starts whatever it is told to
@@ -98,6 +103,9 @@
 	}
 	s.runs[o.Run] = r
 	s.extend(now, o.LeaseEndMs)
+	if s.opts.OnStart != nil {
+		s.opts.OnStart(o.Run)
+	}
 	return fleet.StartDone, true
 }
 
@@ -201,25 +209,25 @@
 	lapses := s.at(s.lease)
 	for _, r := range s.sorted() {
 		if r.endsAt != 0 && r.endsAt <= min(now, lapses) {
-			s.end(r, r.how)
+			s.end(r, r.how, r.endsAt)
 		}
 	}
 	if now < lapses {
 		return
 	}
 	for _, r := range s.sorted() {
-		s.end(r, fleet.EndLapsed)
+		s.end(r, fleet.EndLapsed, lapses)
 	}
 }
 
-func (s *State) end(r *Run, how fleet.EndHow) {
+func (s *State) end(r *Run, how fleet.EndHow, at fleet.Time) {
 	delete(s.runs, r.ID)
 	s.bar(r.ID)
 	s.number++
 	row := fleet.EndedRow{Number: s.number, Run: r.ID, How: how}
 	s.ended = append(s.ended, row)
 	if s.opts.OnEnd != nil {
-		s.opts.OnEnd(row)
+		s.opts.OnEnd(row, at)
 	}
 }
 
