A peer counts as long as it echoes beats; calls end at their deadlines

Ruled out: links replaced under way (resync works), the store. Change: beats carry the sender's time, which the peer echoes once it has taken the beat in. A peer whose echo is older than 900 ms is lost like a silent one: its jobs are given up before it may let them run elsewhere, 1.12 s after it last heard of the owner. A call is answered at its deadline whatever its owner does.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -382,6 +382,8 @@
 	Loads   []Load        // one a service
 	Config  uint64        // version in force
 	Heard   time.Duration // since the last message of the receiver
+	SentAt  Time          // on the sender's clock
+	Echo    Time          // SentAt of the receiver's last Beat that the sender took in, 0 before the first
 	Parts   float64       // milli-cores of parts that came from the receiver on its present link
 	Keeps   bool          // some job is kept in the fleet
 	Pending []RouteCount  // kept jobs of the sender of which nothing has started
--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // redialPause is the time between tries to link to an instance that doesn't
@@ -16,6 +17,7 @@
 type simLink struct {
 	serial int // of the connection; later ones replace earlier ones
 	up     bool
+	lastAt fleet.Time // arrival of the last message; the next comes later
 }
 
 func (n *node) linkTo(o *node) *simLink {
@@ -33,6 +35,7 @@
 	l := a.linkTo(b)
 	l.serial++
 	l.up = false
+	l.lastAt = 0
 	serial := l.serial
 	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
 		if l.serial != serial {
@@ -59,7 +62,9 @@
 		return
 	}
 	serial := l.serial
-	w.later(to, w.delay(n.member.Domain, to.member.Domain), func() {
+	at := w.now.Add(w.delay(n.member.Domain, to.member.Domain) + n.lag + to.lag)
+	l.lastAt = max(at, l.lastAt)
+	w.later(to, l.lastAt.Sub(w.now), func() {
 		w.whenAwake(to, true, func() {
 			if l.serial == serial && to.member.Incarnation == x.To.Incarnation {
 				w.step(to, fleet.PeerMessage{From: from, At: w.now, Message: x.Message})
@@ -68,6 +73,13 @@
 	})
 }
 
+// Choke lets messages from and to an instance wait in its link for d.
+func (w *World) Choke(name model.Instance, lag, d time.Duration) {
+	n := w.node(name)
+	n.lag = lag
+	w.After(d, func() { n.lag = 0 })
+}
+
 // deferred is what waits until a frozen instance wakes.
 type deferred struct {
 	message bool // of another instance
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -90,7 +90,8 @@
 	calls     map[fleet.CallID]*JobRecord
 	next      fleet.CallID
 	links     map[model.Instance]*simLink
-	deferred  []deferred // while it is frozen
+	deferred  []deferred    // while it is frozen
+	lag       time.Duration // of messages from and to it
 }
 
 // New returns a world without instances; the seed decides all luck.
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -60,6 +60,10 @@
 		w.StoreDown(3 * time.Second)
 		w.CutRefusing("ardmore-0", 5*time.Second)
 	}},
+	{"links choked", func(w *World) {
+		owner := w.owners[w.servers[0].Entry.ID].Owner
+		w.Choke(owner, 1500*time.Millisecond, 4*time.Second)
+	}},
 	{"cut from the store", func(w *World) { w.CutStore("fife-0", 5*time.Second) }},
 	{"store down", func(w *World) { w.StoreDown(4 * time.Second) }},
 	{"store down, instance killed", func(w *World) {
@@ -190,6 +194,32 @@
 	}
 }
 
+// TestChokedLinks checks that nothing runs twice and no call hangs when messages
+// arrive seconds late.
+func TestChokedLinks(t *testing.T) {
+	site := Glenbrae()
+	for seed := range uint64(8) {
+		for _, lag := range []time.Duration{200, 500, 1000, 3000} {
+			t.Run(fmt.Sprintf("seed %d, %d ms", seed, lag), func(t *testing.T) {
+				t.Parallel()
+				w := New(seed)
+				w.Build(site)
+				w.Run(settle)
+				w.Offer(site, 0.8, 10*time.Second)
+				w.Run(3 * time.Second)
+				w.Choke(w.owners[w.servers[seed].Entry.ID].Owner, lag*time.Millisecond, 4*time.Second)
+				w.Run(20 * time.Second)
+				checkRules(t, w)
+				for _, j := range w.Jobs() {
+					if j.Answered == 0 || j.Answered.Sub(j.Sent) > j.Spec.Timeout+100*time.Millisecond {
+						t.Errorf("job %s, sent at %v, was answered at %v, its timeout is %v", j.Spec.ID, j.Sent, j.Answered, j.Spec.Timeout)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestServedAgainAfterLoss checks that most jobs are completed soon after an
 // owner is lost.
 func TestServedAgainAfterLoss(t *testing.T) {
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -49,6 +49,7 @@
 	lastOffer CallID
 
 	settleTill Time // nothing is offered before, after the process stood still
+	anyHeld    bool // some calls are held
 }
 
 func newHome(self Member, m *members, o *owners, p *pool, effect func(Effect)) *home {
@@ -139,7 +140,7 @@
 // wait goes to the owner that keeps the queue.
 func (h *home) route(c *call, now Time) {
 	if now < h.settleTill {
-		c.held = true
+		h.hold(c)
 		return
 	}
 	if c.job.Keep {
@@ -167,7 +168,8 @@
 	case h.pool.serverCount(service) > 0:
 		h.offer(c, option{}, now)
 	case now.Sub(c.job.Received) < noOwnerHold:
-		c.held, c.queued = true, 0
+		c.queued = 0
+		h.hold(c)
 	default:
 		h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
 	}
@@ -188,7 +190,8 @@
 		}
 	}
 	if now.Sub(c.job.Received) < noOwnerHold {
-		c.held, c.tried = true, nil
+		c.tried = nil
+		h.hold(c)
 		return
 	}
 	h.finish(c, Result{Kind: NotRun, Reason: ReasonNoPool, RetryAfter: minRetryAfter})
@@ -196,6 +199,10 @@
 
 // retryHeld offers the jobs again for which there was no owner.
 func (h *home) retryHeld(now Time) {
+	if !h.anyHeld {
+		return
+	}
+	h.anyHeld = false
 	for _, c := range h.sorted() {
 		if c.held {
 			c.held = false
@@ -204,6 +211,24 @@
 	}
 }
 
+// hold keeps a call until an owner may be there.
+func (h *home) hold(c *call) { c.held, h.anyHeld = true, true }
+
+// tick does what is due by time. An owner that can't be reached may not answer
+// in time.
+func (h *home) tick(now Time) {
+	h.retryHeld(now)
+	for _, c := range h.sorted() {
+		switch {
+		case now > c.job.Deadline() && !c.job.Keep:
+			h.withdraw(c, now)
+			h.finish(c, Result{Kind: Unknown, Reason: ReasonLate})
+		case c.resumeAt != 0 && now >= c.resumeAt:
+			h.resume(c, now)
+		}
+	}
+}
+
 // giveUp answers all calls that are left when the instance ends.
 func (h *home) giveUp() {
 	for _, c := range h.sorted() {
@@ -289,10 +314,15 @@
 		return
 	}
 	delete(h.calls, id)
+	h.withdraw(c, now)
+}
+
+// withdraw tells the owner of a call, if any, that nobody waits for it.
+func (h *home) withdraw(c *call, now Time) {
 	offer := c.offer
 	h.forgetOffer(c)
 	switch c.owner.Instance {
-	case "": // it has no owner now
+	case "":
 	case h.self.Instance:
 		h.pool.withdraw(jobKey{h.self.Instance, h.self.Incarnation, offer}, now)
 	default:
@@ -322,22 +352,17 @@
 			h.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
 		}
-		h.effect(SendPeer{To: c.owner, Message: Withdraw{Call: c.offer}})
-		h.forgetOffer(c)
+		h.withdraw(c, now)
 		h.effect(Note{Kind: NoteJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: gone.Sub(now)})
 		c.owner, c.resumeAt = Member{}, max(gone, now)
 	}
 }
 
-// resume offers the calls again whose runs are gone by now.
-func (h *home) resume(now Time) {
-	for _, c := range h.sorted() {
-		if c.resumeAt != 0 && now >= c.resumeAt {
-			c.resumeAt, c.tried, c.final, c.queued = 0, nil, false, 0
-			c.ran = true
-			h.route(c, now)
-		}
-	}
+// resume offers a call again whose runs are gone by now.
+func (h *home) resume(c *call, now Time) {
+	c.resumeAt, c.tried, c.final, c.queued = 0, nil, false, 0
+	c.ran = true
+	h.route(c, now)
 }
 
 // resync returns the calls that an owner should still have.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -160,8 +160,7 @@
 		}
 		i.holder.tick(now)
 		i.pool.tick(now)
-		i.home.retryHeld(now)
-		i.home.resume(now)
+		i.home.tick(now)
 		if i.leaving && now >= i.stopBy {
 			i.home.giveUp()
 		}
@@ -178,6 +177,7 @@
 	for _, p := range i.members.order {
 		if p.everHeard {
 			p.heardAt = max(p.heardAt, now.Add(-peerSilence/2))
+			p.echoed = max(p.echoed, now.Add(-echoLimit/2))
 		}
 		i.pool.originLost(p.member, now)
 	}
@@ -300,6 +300,9 @@
 	}
 	i.dropLost(now) // before the new life is told which calls are open
 	p.linked, p.refused, p.dead = true, false, false
+	if !p.everHeard {
+		p.echoed = now // until beats tell more
+	}
 	p.linkedAt, p.heardAt, p.everHeard, p.hearsMe = now, now, true, 0
 	p.partsSent, p.partsHeard = 0, 0
 	i.resync(p, false)
@@ -337,11 +340,14 @@
 		return
 	}
 	i.dropLost(now)
+	if !p.everHeard {
+		p.echoed = now // until beats tell more
+	}
 	p.everHeard, p.heardAt, p.dead, p.refused = true, max(p.heardAt, e.At), false, false
 	switch m := e.Message.(type) {
 	case Beat:
 		p.leaving, p.loads, p.partsHeard = m.Leaving, m.Loads, m.Parts
-		p.hearsMe = m.Heard + now.Sub(e.At) // it may have heard nothing since
+		p.takeBeat(m, e.At, now)
 		p.takePending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.Keeps
 		p.bouncedAt = 0
@@ -420,7 +426,7 @@
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
 	b := Beat{
-		Leaving: i.leaving, Config: i.config, Parts: p.partsCame,
+		Leaving: i.leaving, Config: i.config, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
 		Keeps: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -16,6 +16,11 @@
 	// peerDoubt is the silence after which a link is replaced, so that a fresh
 	// connection is tried before a member counts as silent.
 	peerDoubt = peerSilence / 2
+	// echoLimit is how old the last beat may be that a peer is known to have taken
+	// in. It bounds what messages wait on their way and at both ends, which the time
+	// of arrival doesn't tell: an owner gives the jobs of a peer up before that peer
+	// may let them run elsewhere, RunsGoneWithin after it last heard of the owner.
+	echoLimit = 900 * time.Millisecond
 	// beatPause is the time between beats to a peer.
 	beatPause = 100 * time.Millisecond
 	// beatPausePerPeer bounds beats of large fleets to a few hundred a second.
@@ -41,6 +46,8 @@
 	replaced  bool // by a later life
 	deadAt    Time
 	leaving   bool
+	echoed    Time          // when the last beat was sent that the peer has taken in
+	sentAt    Time          // of its last beat, on its clock
 	hearsMe   time.Duration // since it last heard of this instance
 	loads     []Load
 	pending   map[string]int // kept jobs that have not begun, by route
@@ -60,6 +67,20 @@
 // heard reports whether the peer was heard of lately.
 func (p *peer) heard(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < peerSilence }
 
+// fresh reports whether what the peer says is not too old.
+func (p *peer) fresh(now Time) bool { return now.Sub(p.echoed) < echoLimit }
+
+// takeBeat notes what a beat says of the link. A peer of an earlier version
+// echoes nothing.
+func (p *peer) takeBeat(m Beat, arrived, now Time) {
+	p.hearsMe = m.Heard + now.Sub(arrived) // it may have heard nothing since
+	p.sentAt = m.SentAt
+	if m.SentAt == 0 {
+		p.echoed = now
+	}
+	p.echoed = max(p.echoed, m.Echo)
+}
+
 // lastSign returns when the peer may have acted last on what this instance asked
 // of it. A peer that lives but does not hear of this instance gives its jobs up.
 func (p *peer) lastSign(now Time) Time {
@@ -71,7 +92,7 @@
 
 // reachable reports whether jobs may be offered to the peer.
 func (p *peer) reachable(now Time) bool {
-	return !p.dead && p.linked && p.heard(now) && p.hearsMe < peerSilence
+	return !p.dead && p.linked && p.heard(now) && p.hearsMe < peerSilence && p.fresh(now)
 }
 
 // load returns what the peer said last of its servers of a service.
@@ -180,7 +201,7 @@
 			p.dead, p.deadAt = true, now
 			m.effect(Note{Kind: NoteMemberDead, Peer: p.member.Instance, Age: now.Sub(p.heardAt), Reason: deathReason(p)})
 		}
-		gone := p.dead || p.everHeard && (!p.heard(now) || p.hearsMe >= peerSilence)
+		gone := p.dead || p.everHeard && (!p.heard(now) || p.hearsMe >= peerSilence || !p.fresh(now))
 		if gone && !p.lostCalled {
 			lost = append(lost, p)
 		}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -27,7 +27,7 @@
 	SilentFrom []string `json:"silent_from"` // silent for connections from these IP numbers only
 	Forget     bool     `json:"forget"`      // connections that are open now pass nothing any more; new ones work
 	Reset      bool     `json:"reset"`       // connections that are open now are reset; new ones work
-	DelayMs    int64    `json:"delay_ms"`    // added to what is passed on
+	DelayMs    int64    `json:"delay_ms"`    // that each piece waits, in turn; a busy link falls behind
 }
 
 // Link is the stand-in.
