Leases count from the proof that runs are wanted; stopping instances close no idle connection

Ruled out: ownership, the resend of the caller, double offers. TestLeasesEndWithTheirProof failed first. Change: leases at a server count from the oldest echo of the instances whose jobs run there, or from the first stop of a run that is being stopped. So no run outlasts the bound by which its job may run again, though its owner is slow.

TestStopLeavesNoRequestUnanswered failed first. Change: answers ask to close instead, and idle connections stay to the end.

--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -73,7 +73,8 @@
 	})
 }
 
-// Choke lets messages from and to an instance wait in its link for d.
+// Choke lets what an instance sends and receives wait in its link for d: messages
+// and calls to backend servers.
 func (w *World) Choke(name model.Instance, lag, d time.Duration) {
 	n := w.node(name)
 	n.lag = lag
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -66,15 +66,26 @@
 
 // reach carries a call out at a server and answers, or loses it.
 func (w *World) reach(n *node, s *Server, limit time.Duration, call func() fleet.Event, lost fleet.Event) {
-	d := w.delay(n.member.Domain, s.Entry.Domain)
+	d, answer := w.expect(n, s, limit, lost)
 	if s.Silent {
-		w.later(n, limit, func() { w.step(n, lost) })
 		return
 	}
-	w.After(d, func() {
-		e := call()
-		w.later(n, d, func() { w.step(n, e) })
-	})
+	w.After(d, func() { answer(call()) })
+}
+
+// expect returns the delay of a call to a server, and what takes its answer in
+// unless it comes after the limit.
+func (w *World) expect(n *node, s *Server, limit time.Duration, lost fleet.Event) (d time.Duration, answer func(fleet.Event)) {
+	d = w.delay(n.member.Domain, s.Entry.Domain) + n.lag
+	over := false
+	once := func(e fleet.Event) {
+		if !over {
+			over = true
+			w.step(n, e)
+		}
+	}
+	w.later(n, limit, func() { once(lost) })
+	return d, func(e fleet.Event) { w.later(n, d, func() { once(e) }) }
 }
 
 func (w *World) startRun(n *node, x fleet.StartRun) {
@@ -218,17 +229,16 @@
 
 func (w *World) look(n *node, x fleet.Look) {
 	s := w.server(x.Server)
-	d := w.delay(n.member.Domain, s.Entry.Domain)
 	sent := w.now
 	lost := fleet.LookAnswered{Server: x.Server, Outcome: fleet.LookUnanswered, Look: x, SentAt: sent}
+	d, answer := w.expect(n, s, x.Wait+callLimit, lost)
 	if s.Silent {
-		w.later(n, x.Wait+callLimit, func() { w.step(n, lost) })
 		return
 	}
 	reply := func() {
 		e := s.view(x)
 		e.SentAt = sent
-		w.later(n, d, func() { w.step(n, e) })
+		answer(e)
 	}
 	w.After(d, func() {
 		s.advance()
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -70,6 +70,18 @@
 // fresh reports whether what the peer says is not too old.
 func (p *peer) fresh(now Time) bool { return now.Sub(p.echoed) < echoLimit }
 
+// echoed returns when the last message was sent that an instance is known to have
+// taken in.
+func (m *members) echoed(x Member, now Time) Time {
+	if x.Instance == m.self.Instance {
+		return now
+	}
+	if p := m.peers[x.Instance]; p != nil && p.member.same(x) {
+		return p.echoed
+	}
+	return now.Add(-echoLimit) // it is gone, and so are its jobs soon
+}
+
 // takeBeat notes what a beat says of the link. A peer of an earlier version
 // echoes nothing.
 func (p *peer) takeBeat(m Beat, arrived, now Time) {
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -94,3 +94,53 @@
 		t.Errorf("%d starts, want 1", starts)
 	}
 }
+
+// TestLeasesEndWithTheirProof runs a job of another instance. Its lease counts
+// from the last beat that the other is known to have taken in, also at looks, and
+// no look renews a run that is being stopped.
+func TestLeasesEndWithTheirProof(t *testing.T) {
+	i, now := oneServer(t, 500)
+	other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
+	beat := func(echo Time) {
+		i.Step(now, PeerMessage{From: other, At: now, Message: Beat{SentAt: now, Echo: echo}})
+	}
+	i.Step(now, PeerLinked{Peer: other})
+	echo := now
+	now = now.Add(300 * time.Millisecond)
+	beat(echo)
+	spec := JobSpec{
+		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Objective: Objective{Stretch: 2},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	serverClock := func(at Time) int64 { return 100 + at.Sub(echo).Milliseconds() } // that look gives at the echo
+	limit := serverClock(echo.Add(time.Second))
+	var run RunID
+	for _, e := range i.Step(now, PeerMessage{From: other, At: now, Message: Offer{Call: 5, Job: spec, Final: true}}) {
+		if s, ok := e.(StartRun); ok {
+			run = s.Run
+			if s.LeaseEndMs > limit {
+				t.Errorf("the start has a lease to %d, want %d at most", s.LeaseEndMs, limit)
+			}
+		}
+	}
+	if run.Attempt == 0 {
+		t.Fatal("nothing was started")
+	}
+	now = now.Add(100 * time.Millisecond)
+	i.Step(now, StartAnswered{Server: "s1", Run: run, Outcome: StartDone, ClockMs: serverClock(now), SentAt: now})
+	leases := func(when string) {
+		now = now.Add(100 * time.Millisecond)
+		answered := look(now, 500, RunningRow{Run: run, Percent: 10})
+		answered.ClockMs = serverClock(now)
+		for _, e := range i.Step(now, answered) {
+			if l, ok := e.(Look); ok && l.LeaseEndMs > limit {
+				t.Errorf("%s a look has a lease to %d, want %d at most", when, l.LeaseEndMs, limit)
+			}
+		}
+	}
+	leases("while the job runs")
+	i.Step(now, PeerMessage{From: other, At: now, Message: Withdraw{Call: 5}})
+	limit = serverClock(now.Add(time.Second))
+	leases("while the run is being stopped")
+	leases("while the run is being stopped")
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
@@ -44,13 +45,35 @@
 	s.health.started()
 	p.effect(StartRun{
 		Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Spec: t.job.spec.Spec,
-		Fence: s.own.Revision, LeaseEndMs: s.extendLease(now, p.lease),
+		Fence: s.own.Revision, LeaseEndMs: s.extendLease(now, p.lease-p.wanted(s, now)),
 	})
 }
 
+// startWithin is how long ago a run must have been known to be wanted so that
+// others start beside it: the rest of a usual lease, in which the next look comes.
+const startWithin = 700 * time.Millisecond
+
+// wanted returns how long ago all runs at a server were known to be wanted: the
+// instances that hold their callers were reached then. Leases count from that
+// time, so that they end when those may let the jobs run elsewhere, however late
+// this instance learns of it or its orders arrive. A run that is being stopped was
+// wanted until then.
+func (p *pool) wanted(s *server, now Time) time.Duration {
+	since := now
+	for _, r := range s.runs {
+		switch {
+		case r.state == runStopping:
+			since = min(since, r.stoppedAt)
+		case r.task != nil:
+			since = min(since, p.members.echoed(r.task.job.origin, now))
+		}
+	}
+	return now.Sub(since)
+}
+
 // look sends the look that is due at a server, if any.
 func (p *pool) look(s *server, now Time) {
-	if l, due := s.nextLook(now, p.lease); due {
+	if l, due := s.nextLook(now, p.lease, p.wanted(s, now)); due {
 		p.effect(l)
 	}
 }
@@ -125,6 +148,9 @@
 
 // stop orders the end of a run. Its room stays occupied until the end is known.
 func (p *pool) stop(s *server, r *run, now Time) {
+	if r.state != runStopping {
+		r.stoppedAt = now
+	}
 	r.state, r.stopSent, r.settledAt = runStopping, now, 0
 	p.effect(StopRun{Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Fence: s.own.Revision})
 }
@@ -167,7 +193,7 @@
 
 // probe sends a look that does not wait.
 func (p *pool) probe(s *server, now Time) {
-	if l, due := s.probe(now, p.lease); due {
+	if l, due := s.probe(now, p.lease, p.wanted(s, now)); due {
 		p.effect(l)
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -45,7 +45,8 @@
 	sentAt    Time // of the start
 	settledAt Time // of the answer to the start or the stop; 0 while there is none
 	doubtedAt Time
-	stopSent  Time
+	stopSent  Time // last
+	stoppedAt Time // of the first stop
 	expected  time.Duration
 
 	fault      bool // it was stopped by the task's own fault
@@ -178,11 +179,11 @@
 }
 
 // nextLook returns the look that is due, if any.
-func (s *server) nextLook(now Time, lease time.Duration) (Look, bool) {
+func (s *server) nextLook(now Time, lease, wanted time.Duration) (Look, bool) {
 	if s.looking || !s.busy() || now < s.lookAt {
 		return Look{}, false
 	}
-	l := s.look(now, lease)
+	l := s.look(now, lease, wanted)
 	if len(s.held) > 0 {
 		s.lookAt = now.Add(heldLookPause) // the server answers at once while it lists an end
 	}
@@ -194,21 +195,22 @@
 }
 
 // probe returns a look beside the waiting one, unless one is under way.
-func (s *server) probe(now Time, lease time.Duration) (Look, bool) {
+func (s *server) probe(now Time, lease, wanted time.Duration) (Look, bool) {
 	if s.probing || now < s.lookAt {
 		return Look{}, false
 	}
-	l := s.look(now, lease)
+	l := s.look(now, lease, wanted)
 	l.Probe, s.probing = true, true
 	return l, true
 }
 
 // look returns a look that renews the leases, unless the server is silent:
-// then they are left to lapse.
-func (s *server) look(now Time, lease time.Duration) Look {
+// then they are left to lapse. wanted is how long ago all runs there were known
+// to be wanted.
+func (s *server) look(now Time, lease, wanted time.Duration) Look {
 	l := Look{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.own.Revision, Seen: s.ackable()}
 	if s.phase == phaseServing && s.misses < missesSilent && len(s.runs) > 0 {
-		l.LeaseEndMs = s.extendLease(now, lease)
+		l.LeaseEndMs = s.extendLease(now, lease-wanted)
 	}
 	return l
 }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
@@ -22,6 +23,8 @@
 	lastAt fleet.Time // of the last request
 	open   int        // requests under way
 	end    fleet.Time // of the process, once it is known
+
+	leaving atomic.Bool
 }
 
 func newCallers(n *Node) *callers {
@@ -42,6 +45,10 @@
 	c.end = t
 }
 
+// leave ends each connection after its next answer, so that callers come back
+// through another instance. Idle ones stay until then: a request may be on its way.
+func (c *callers) leave() { c.leaving.Store(true) }
+
 // Jobs that come while the process stops are taken if they are likely to end
 // before it: estimates are rough, and stragglers take several times as long.
 const (
@@ -81,6 +88,9 @@
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.enter()
 	defer c.exit()
+	if c.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	config := c.node.config.get()
 	if config == nil {
 		c.refuse(w, "", platform.Refusal{
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -19,8 +19,6 @@
 	reducer *fleet.Instance
 	stopBy  fleet.Time
 	isReady bool
-
-	stopping func() // called once when the instance begins to stop
 }
 
 func newLoop(n *Node, ctx context.Context) *loop {
@@ -51,7 +49,7 @@
 func (l *loop) stop() {
 	n := l.node
 	n.ready.set(false)
-	l.stopping()
+	n.callers.leave()
 	n.log.Event(eventlog.InstanceStopping).Int("calls", n.callers.waiting()).Send()
 	l.stopBy = bootTime().Add(n.settings.Bounds.Grace - graceMargin)
 	n.callers.stopBy(l.stopBy)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,7 +121,6 @@
 	n.spawn(func() { n.jobs.run(running) })
 	n.spawn(func() { n.reload(running, hangups) })
 	loop := newLoop(n, running)
-	loop.stopping = func() { closeWhenIdle(servers) }
 	stopped := make(chan struct{})
 	go func() {
 		loop.run(ctx)
@@ -208,14 +207,6 @@
 	return h
 }
 
-// closeWhenIdle ends each connection after the answer under way, so that callers
-// come back through another instance.
-func closeWhenIdle(servers []*http.Server) {
-	for _, s := range servers {
-		s.SetKeepAlivesEnabled(false)
-	}
-}
-
 // finish closes the HTTP servers; answers under way are delivered.
 func (n *Node) finish(servers []*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -339,3 +340,37 @@
 		}
 	}
 }
+
+// TestStopLeavesNoRequestUnanswered sends a request over an idle connection of an
+// instance that has begun to stop. It may have been on its way before.
+func TestStopLeavesNoRequestUnanswered(t *testing.T) {
+	s := newSite(t, 1, 2)
+	conn, err := net.Dial("tcp", s.nodes[0].settings.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	ask := func() *http.Response {
+		if _, err := io.WriteString(conn, "GET /q/ HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := ask(); r.StatusCode != http.StatusOK || r.Close {
+		t.Fatalf("status %d, closes: %v", r.StatusCode, r.Close)
+	}
+	s.stops[0]()
+	s.await("the instance is no longer ready", func() bool { return !s.nodes[0].ready.on.Load() })
+	time.Sleep(100 * time.Millisecond) // in which the connection would be closed
+	if r := ask(); r.StatusCode != http.StatusOK || !r.Close {
+		t.Errorf("after the stop status %d, closes: %v", r.StatusCode, r.Close)
+	}
+}
--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -28,26 +30,28 @@
 func main() {
 	var a args
 	arg.MustParse(&a)
-	failed := 0
-	for i := range uint64(a.Seeds) {
-		if !play(a, a.First+i) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	played, failed := 0, 0
+	for ; played < a.Seeds && ctx.Err() == nil; played++ {
+		if !play(ctx, a, a.First+uint64(played)) {
 			failed++
 		}
 	}
-	fmt.Printf("%d seeds, %d failed\n", a.Seeds, failed)
+	fmt.Printf("%d seeds, %d failed\n", played, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
 // play plays one seed and reports whether every promise was kept.
-func play(a args, seed uint64) bool {
+func play(ctx context.Context, a args, seed uint64) bool {
 	dir := filepath.Join(a.Dir, fmt.Sprint(seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	r, err := soak.Run(context.Background(), soak.Options{
+	r, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
 		PerSecond: a.PerSecond, Length: a.Length, Resend: a.Resend,
 	})
