--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -16,7 +16,6 @@
 // What callers do.
 const (
 	deadline   = 3 * time.Second // of a job
-	heldSlack  = 2 * time.Second // after the deadline until an answer counts as held back
 	tries      = 3               // of a job whose answer was lost
 	leaveShare = 0.05            // of the jobs, whose callers leave early
 	probePause = 200 * time.Millisecond
@@ -45,7 +44,7 @@
 	s.book.submitted(q)
 	workMs := 10 + r.IntN(200)
 	for range tries {
-		ctx, cancel := context.WithTimeout(s.ctx, deadline+heldSlack)
+		ctx, cancel := context.WithTimeout(s.ctx, deadline+s.held)
 		if r.Float64() < leaveShare {
 			cancel()
 			ctx, cancel = context.WithTimeout(s.ctx, time.Duration(r.IntN(workMs))*time.Millisecond)
@@ -73,7 +72,7 @@
 	a.at, a.status = time.Now(), status
 	a.done = status == http.StatusOK && strings.Contains(text, "completed")
 	sameLife, calm := p.life()
-	if over := a.at.Sub(sent) - deadline - heldSlack/2; over > 0 && q.gaveUpAt.IsZero() && life == sameLife && !calm.IsZero() && calm.Before(sent) {
+	if over := a.at.Sub(sent) - deadline; over >= s.held && q.gaveUpAt.IsZero() && life == sameLife && !calm.IsZero() && calm.Before(sent) {
 		a.late = over
 	}
 	return a
--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	PerSecond float64       `arg:"--rate" default:"40" help:"jobs a second"`
 	Length    time.Duration `arg:"--length" default:"12s" help:"of the troubles"`
 	Resend    time.Duration `arg:"--resend" default:"1300ms" help:"after which a lost job comes again"`
+	Held      time.Duration `arg:"--held" default:"1s" help:"past its deadline, after which a request counts as held back"`
 }
 
 func main() {
@@ -53,7 +54,7 @@
 	}
 	r, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
-		PerSecond: a.PerSecond, Length: a.Length, Resend: a.Resend,
+		PerSecond: a.PerSecond, Length: a.Length, Resend: a.Resend, Held: a.Held,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -67,6 +67,7 @@
 type site struct {
 	ctx       context.Context
 	dir       string
+	held      time.Duration
 	book      *book
 	store     *standin.Handler
 	storeAddr string
@@ -79,7 +80,7 @@
 
 // build makes the deployment; its ports end with ctx.
 func build(ctx context.Context, o Options) (*site, error) {
-	s := &site{ctx: ctx, dir: o.Dir, book: newBook(), store: standin.New(standin.Options{MinSessionTTL: minLease})}
+	s := &site{ctx: ctx, dir: o.Dir, held: o.Held, book: newBook(), store: standin.New(standin.Options{MinSessionTTL: minLease})}
 	for d := range numDoms {
 		s.domains = append(s.domains, model.Domain(fmt.Sprintf("d%d", d)))
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,7 @@
 	PerSecond float64       // jobs
 	Length    time.Duration // of the troubles
 	Resend    time.Duration // after which a lost job comes again
+	Held      time.Duration // past its deadline, after which a request counts as held back
 }
 
 // Report is what became of a soak.
@@ -107,7 +108,7 @@
 	r := rand.New(rand.NewPCG(1, 4))
 	for _, p := range s.processes {
 		s.await("a job of "+string(p.name)+" is completed after the troubles", func() bool {
-			ctx, cancel := context.WithTimeout(s.ctx, deadline+heldSlack)
+			ctx, cancel := context.WithTimeout(s.ctx, deadline+s.held)
 			defer cancel()
 			q := &request{id: jobID(r), tasks: 1, need: model.Resources{CPUMilli: 500, MemoryMB: 64}}
 			s.book.submitted(q)
