Divide fleets of more than 48 instances in cells

Cause: the pause between beats grows with the number of members, 5 ms for each; from 60 on it exceeds the 300 ms after which a link is replaced, from 120 on the 600 ms after which a member counts as lost. Change: cells by the hash of names; members, servers and offers stay within one. Fleets of up to 48 are as before.

--- a/internal/fleet/adopt.go
+++ b/internal/fleet/adopt.go
@@ -164,9 +164,10 @@
 	h.tellReleased(&r.Job, now)
 }
 
-// orphan reports whether nobody holds an open job.
+// orphan reports whether nobody holds an open job. Members of other cells don't
+// hear its holder, which may go on while the store doesn't list it.
 func (h *holder) orphan(r Record, now Time) bool {
-	return r.Holder == "" || h.members.expired(r.Holder, r.Life, now)
+	return r.Holder == "" || h.members.inCell(string(r.Holder)) && h.members.expired(r.Holder, r.Life, now)
 }
 
 // adopt takes a job over. Its tasks wait until the runs of its last holder are
--- /dev/null
+++ b/internal/fleet/fleetsim/cells_test.go
@@ -0,0 +1,49 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLargeFleet plays a fleet of four cells with a loss in one of them: every
+// server has an owner, jobs are served, and nobody hears the whole fleet.
+func TestLargeFleet(t *testing.T) {
+	const cellLinks = 60 // of an instance; a cell has 25 members on average
+	site := Glenbrae()
+	site.Instances, site.Servers = []int{25, 25, 25, 25}, 50
+	for i := range site.Classes {
+		site.Classes[i].PerS *= 4
+	}
+	w := New(5)
+	w.Build(site)
+	w.Run(settle)
+	w.Offer(site, 0.5, 6*time.Second)
+	w.Run(2 * time.Second)
+	w.Kill("carrick-3")
+	w.Freeze("ardmore-7", 2*time.Second)
+	w.Run(10 * time.Second)
+	checkRules(t, w)
+	if got := w.Tally(0); got.Open > 0 || float64(got.Completed) < 0.97*float64(got.Jobs) {
+		t.Errorf("%+v, want 0.97 completed and none open", got)
+	}
+	owned := map[string]bool{}
+	for _, o := range w.owners {
+		if o.Owner != "" && w.node(o.Owner).alive {
+			owned[string(o.Server)] = true
+		}
+	}
+	if len(owned) != len(w.servers) {
+		t.Errorf("%d of %d servers have a live owner", len(owned), len(w.servers))
+	}
+	for _, n := range w.nodes {
+		up := 0
+		for _, l := range n.links {
+			if l.up && l.used > w.now.Add(-time.Second) {
+				up++
+			}
+		}
+		if up > cellLinks {
+			t.Errorf("%s sends to %d others", n.member.Instance, up)
+		}
+	}
+}
--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -18,6 +18,7 @@
 	serial int // of the connection; later ones replace earlier ones
 	up     bool
 	lastAt fleet.Time // arrival of the last message; the next comes later
+	used   fleet.Time // when the last message was sent
 }
 
 func (n *node) linkTo(o *node) *simLink {
@@ -62,6 +63,7 @@
 		return
 	}
 	serial := l.serial
+	l.used = w.now
 	at := w.now.Add(w.delay(n.member.Domain, to.member.Domain) + n.lag + to.lag)
 	l.lastAt = max(at, l.lastAt)
 	w.later(to, l.lastAt.Sub(w.now), func() {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -99,7 +99,9 @@
 func (i *Instance) handle(now Time, e Event) {
 	switch e := e.(type) {
 	case MembersSeen:
-		i.members.seen(e.Members, now)
+		if i.members.seen(e.Members, now) {
+			i.owners.divideBy(i.members.inCell)
+		}
 		i.maintain(now)
 	case StoreReached:
 		i.members.storeUp = e.Up
@@ -283,7 +285,8 @@
 	for _, e := range list {
 		entries[e.ID] = e
 	}
-	i.owners.list(entries)
+	i.owners.entries = entries
+	i.owners.divideBy(i.members.inCell)
 	i.pool.listed(entries, now)
 	for id, e := range entries {
 		if i.owners.mine(id) && i.pool.servers[id] == nil {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -28,6 +28,9 @@
 	// vanishedAfter is how long a member must be missing in the store before
 	// that counts: a key may vanish and come back while the store settles.
 	vanishedAfter = 300 * time.Millisecond
+	// strangerGone is the same for members of other cells, which aren't heard: twice
+	// the time that an entry outlasts its instance.
+	strangerGone = 3 * time.Second
 	// forgetAfter is how long a dead member is dialed: it may be cut off.
 	forgetAfter = 20 * time.Second
 )
@@ -149,13 +152,21 @@
 	order   []*peer // by name
 	// replaced are lives that a later one has followed and whose loss was not
 	// handled yet.
-	replaced []*peer
+	replaced  []*peer
+	cells     cells
+	strangers map[model.Instance]stranger // members of other cells
 }
 
 func newMembers(self Member, effect func(Effect)) *members {
-	return &members{self: self, effect: effect, peers: map[model.Instance]*peer{}}
+	return &members{
+		self: self, effect: effect, peers: map[model.Instance]*peer{}, cells: cells{1}, strangers: map[model.Instance]stranger{},
+	}
 }
 
+// inCell reports whether a server or an instance belongs to the cell of this
+// instance.
+func (m *members) inCell(name string) bool { return m.cells.same(name, string(m.self.Instance)) }
+
 // meet returns the peer of a member; a later life of the same instance
 // replaces an earlier one. It returns nil for this instance and for earlier
 // lives.
@@ -187,13 +198,32 @@
 	return p
 }
 
-// seen takes in the members that the store lists.
-func (m *members) seen(list []Member, now Time) {
+// seen takes in the members that the store lists, and reports whether this
+// instance's cell is another now.
+func (m *members) seen(list []Member, now Time) (moved bool) {
 	m.listed = true
+	if moved = m.cells.resize(len(list)); moved {
+		m.leaveOthers()
+	}
 	present := map[model.Instance]model.Incarnation{}
 	for _, x := range list {
 		present[x.Instance] = x.Incarnation
-		m.meet(x, now)
+		if m.inCell(string(x.Instance)) {
+			delete(m.strangers, x.Instance)
+			m.meet(x, now)
+		} else {
+			m.strangers[x.Instance] = stranger{life: x.Incarnation}
+		}
+	}
+	for i, s := range m.strangers {
+		switch _, in := present[i]; {
+		case in:
+		case s.missingAt == 0:
+			s.missingAt = now
+			m.strangers[i] = s
+		case now.Sub(s.missingAt) > forgetAfter:
+			delete(m.strangers, i)
+		}
 	}
 	for _, p := range m.order {
 		in := present[p.member.Instance] == p.member.Incarnation
@@ -202,6 +232,24 @@
 		}
 		p.inStore = in
 	}
+	return moved
+}
+
+// leaveOthers ends the links to members of other cells. What was asked of them
+// and by them is given up.
+func (m *members) leaveOthers() {
+	m.order = slices.DeleteFunc(m.order, func(p *peer) bool {
+		if m.inCell(string(p.member.Instance)) {
+			return false
+		}
+		if !p.lostCalled {
+			m.replaced = append(m.replaced, p)
+		}
+		p.dead, p.replaced = true, true
+		delete(m.peers, p.member.Instance)
+		m.effect(Disconnect{Peer: p.member})
+		return true
+	})
 }
 
 // judge marks members as dead, and returns those that were lost since the last
@@ -270,6 +318,9 @@
 	}
 	p := m.peers[i]
 	if p == nil {
+		if s, ok := m.strangers[i]; ok {
+			return m.storeUp && s.ended(life, now)
+		}
 		// Never heard of, and not listed although the store answers.
 		return m.storeUp
 	}
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -40,8 +39,8 @@
 	effect    func(Effect)
 
 	entries  map[model.ServerID]ServerEntry
-	byDomain map[model.Domain][]model.ServerID // of the entries, each in order
-	domains  []model.Domain                    // that have servers, in order
+	byDomain map[model.Domain][]model.ServerID // of the own cell, each in order
+	domains  []model.Domain                    // that have servers of the cell, in order
 	known    map[model.ServerID]Ownership
 	loaded   bool // the store's ownerships have been read
 
@@ -68,8 +67,8 @@
 	}
 }
 
-// couldHold reports whether each task of a job would fit on a listed server if
-// it were empty. Without a list nothing is known.
+// couldHold reports whether each task of a job would fit on a listed server of
+// the cell if it were empty. Without a list nothing is known.
 func (o *owners) couldHold(j *JobSpec) bool {
 	for _, st := range j.Steps {
 		if len(o.entries) > 0 && !o.anyHolds(j.Service, st) {
@@ -80,9 +79,11 @@
 }
 
 func (o *owners) anyHolds(service string, st StepSpec) bool {
-	for _, e := range o.entries {
-		if e.serves(service, st) && st.Need.Fits(e.Capacity) {
-			return true
+	for _, ids := range o.byDomain {
+		for _, id := range ids {
+			if e := o.entries[id]; e.serves(service, st) && st.Need.Fits(e.Capacity) {
+				return true
+			}
 		}
 	}
 	return false
@@ -127,12 +128,13 @@
 	return x.Revision == 0 || x.Owner == "" || m.lifeEnded(x.Owner, x.Life, now)
 }
 
-// list takes in the backend servers that the store lists.
-func (o *owners) list(entries map[model.ServerID]ServerEntry) {
-	o.entries = entries
+// divideBy lists the servers of the own cell by their domains.
+func (o *owners) divideBy(inCell func(name string) bool) {
 	o.byDomain = map[model.Domain][]model.ServerID{}
-	for id, e := range entries {
-		o.byDomain[e.Domain] = append(o.byDomain[e.Domain], id)
+	for id, e := range o.entries {
+		if inCell(string(id)) {
+			o.byDomain[e.Domain] = append(o.byDomain[e.Domain], id)
+		}
 	}
 	o.domains = slices.Sorted(maps.Keys(o.byDomain))
 	for _, ids := range o.byDomain {
@@ -246,11 +248,7 @@
 // rank orders the members of a domain alike on every instance, and otherwise
 // in different domains.
 func rank(d model.Domain, i model.Instance) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(d))
-	h.Write([]byte{0})
-	h.Write([]byte(i))
-	return h.Sum64()
+	return nameHash(string(d) + "\x00" + string(i))
 }
 
 // choose picks servers to claim, other ones first on every instance, so that
