Instances ask for a configuration that the store doesn't bring

Ruled out: the watch (in force everywhere from the store), the division of servers. Change: beats tell versions already; an instance that is behind for 400 ms asks one peer, then the next.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -314,6 +314,9 @@
 	Result Result
 }
 
+// SendConfig passes the operator's configuration in force on to a member.
+type SendConfig struct{ To Member }
+
 // Note is a decision for the log.
 type Note struct {
 	Kind   NoteKind
@@ -335,6 +338,7 @@
 func (SaveJob) effect()    {}
 func (ScanJobs) effect()   {}
 func (SendPeer) effect()   {}
+func (SendConfig) effect() {}
 func (Connect) effect()    {}
 func (Disconnect) effect() {}
 func (Relink) effect()     {}
@@ -438,6 +442,10 @@
 // others need not wait for the store to tell them.
 type OwnersTold struct{ Owners []Ownership }
 
+// AskConfig asks for the operator's configuration, of which the sender has an
+// older version.
+type AskConfig struct{ Have uint64 }
+
 // JobsReleased tells that the sender has released kept jobs, which the receiver
 // should take over.
 type JobsReleased struct{}
@@ -450,6 +458,7 @@
 }
 
 func (JobsReleased) message() {}
+func (AskConfig) message()    {}
 func (JobEnded) message()     {}
 func (JobEnded) effect()      {}
 func (Beat) message()         {}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -38,8 +38,9 @@
 	holder  *holder
 
 	effects []Effect
+	config  *follower
+
 	last    Time
-	config  uint64
 	leaving bool
 	stopBy  Time
 }
@@ -49,6 +50,7 @@
 	i := &Instance{opts: o, last: now}
 	emit := func(e Effect) { i.effects = append(i.effects, e) }
 	i.members = newMembers(o.Self, emit)
+	i.config = &follower{members: i.members, effect: emit}
 	i.owners = newOwners(o.Self, now, emit)
 	i.pool = newPool(o, i.members, i.owners, emit)
 	i.holder = newHolder(o.Self, i.members, i.owners, i.pool, now, emit)
@@ -149,7 +151,7 @@
 	case PendingAsked:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: Counted, Count: i.pending(e.Route, now)}})
 	case ConfigSeen:
-		i.config = max(i.config, e.Version)
+		i.config.inForce(e.Version)
 	case StopRequested:
 		i.leaving, i.stopBy = true, e.By
 		i.beat(now, true)
@@ -163,6 +165,7 @@
 		i.holder.tick(now)
 		i.pool.tick(now)
 		i.home.tick(now)
+		i.config.tick(now)
 		if i.leaving && now >= i.stopBy {
 			i.home.giveUp()
 		}
@@ -349,7 +352,7 @@
 	p.everHeard, p.heardAt, p.dead, p.refused = true, max(p.heardAt, e.At), false, false
 	switch m := e.Message.(type) {
 	case Beat:
-		p.leaving, p.loads, p.partsHeard = m.Leaving, m.Loads, m.Parts
+		p.leaving, p.loads, p.partsHeard, p.config = m.Leaving, m.Loads, m.Parts, m.Config
 		p.takeBeat(m, e.At, now)
 		p.takePending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.Keeps
@@ -375,6 +378,8 @@
 		i.maintain(now)
 	case JobEnded:
 		i.effects = append(i.effects, m)
+	case AskConfig:
+		i.config.askedBy(p.member, m.Have)
 	case JobsReleased:
 		i.holder.scan(now.Add(releasedScanAfter), true)
 	case Resync:
@@ -429,7 +434,7 @@
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
 	b := Beat{
-		Leaving: i.leaving, Config: i.config, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
+		Leaving: i.leaving, Config: i.config.version, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
 		Keeps: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -49,6 +49,7 @@
 	replaced  bool // by a later life
 	deadAt    Time
 	leaving   bool
+	config    uint64        // version in force there
 	echoed    Time          // when the last beat was sent that the peer has taken in
 	sentAt    Time          // of its last beat, on its clock
 	hearsMe   time.Duration // since it last heard of this instance
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -10,8 +10,8 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-// Config is the operator's configuration as the store holds it, passed on for
-// members that don't reach the store.
+// Config is the operator's configuration as the store holds it, passed on to
+// members that ask for it.
 type Config struct{ Data []byte }
 
 func memberToPB(m fleet.Member) *fleetpb.Member {
@@ -54,6 +54,8 @@
 		out.Body = &fleetpb.Message_Resync{Resync: r}
 	case fleet.JobEnded:
 		out.Body = &fleetpb.Message_Ended{Ended: &fleetpb.JobEnded{Id: m.ID, State: int32(m.State)}}
+	case fleet.AskConfig:
+		out.Body = &fleetpb.Message_AskConfig{AskConfig: &fleetpb.AskConfig{Have: m.Have}}
 	case fleet.JobsReleased:
 		out.Body = &fleetpb.Message_Released{Released: &fleetpb.JobsReleased{}}
 	case fleet.OwnersTold:
@@ -92,6 +94,8 @@
 		return fleet.JobsReleased{}, nil
 	case *fleetpb.Message_Owners:
 		return ownersFromPB(b.Owners), nil
+	case *fleetpb.Message_AskConfig:
+		return fleet.AskConfig{Have: b.AskConfig.GetHave()}, nil
 	case *fleetpb.Message_Config:
 		return Config{Data: b.Config.GetData()}, nil
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// takeConfig puts a configuration in force and passes it on to the peers.
+// takeConfig puts a configuration in force unless it is older than the one that is.
 func (n *Node) takeConfig(data []byte, source string) {
 	c, err := platform.ParseConfig(data)
 	if err != nil {
@@ -48,8 +48,12 @@
 		Int("routes", len(c.Routes)).Send()
 	n.metrics.ConfigVersion.Set(float64(c.Version))
 	n.post(fleet.ConfigSeen{Version: c.Version})
-	for _, m := range n.store.others() {
-		n.mesh.Send(m, mesh.Config{Data: data})
+}
+
+// sendConfig passes the configuration in force on to a member that asked for it.
+func (n *Node) sendConfig(to fleet.Member) {
+	if c := n.config.get(); c != nil {
+		n.mesh.Send(to.Instance, mesh.Config{Data: c.data})
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -112,6 +112,8 @@
 		n.spawn(func() { n.jobs.scan(l.ctx) })
 	case fleet.SendPeer:
 		n.mesh.Send(x.To.Instance, x.Message)
+	case fleet.SendConfig:
+		n.sendConfig(x.To)
 	case fleet.Connect:
 		n.mesh.Connect(l.ctx, x.Peer)
 	case fleet.Disconnect:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	port "github.com/nutmegweir/nutmegweir/internal/platform"
+	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
 	"github.com/nutmegweir/nutmegweir/internal/standin/worker"
 	"github.com/nutmegweir/nutmegweir/platform"
@@ -253,6 +254,25 @@
 	}
 }
 
+// TestConfigurationComesFromPeers cuts a node off from the store before a change.
+func TestConfigurationComesFromPeers(t *testing.T) {
+	s := newSite(t, 1, 2)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := link.New(s.addr)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = l.Serve(ctx, listener) }()
+	s.addr = listener.Addr().String()
+	s.addNode("n2")
+	s.await("the node is ready", s.nodes[2].ready.on.Load)
+	l.SetMode(link.Mode{Silent: true})
+	s.configure(5, strings.Replace(strings.Replace(route, "r1", "r2", 1), "/q/", "/new/", 1))
+	s.await("the new route is served", func() bool { status, _, _ := s.call(2, http.MethodGet, "/new/", ""); return status == 200 })
+}
+
 // TestOperationsPageWalks runs the failed requests of docs/OPERATIONS.md and
 // finds the lines that the page reads.
 func TestOperationsPageWalks(t *testing.T) {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -290,19 +290,6 @@
 	return out
 }
 
-// others returns the names of the other members that the store lists.
-func (s *storeSide) others() []model.Instance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []model.Instance
-	for i := range s.members {
-		if i != s.node.self.Instance {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // holders returns the number of instances that own servers, 1 at least; kept
 // jobs are written by these.
 func (s *storeSide) holders() int {
