--- a/internal/fleet/follower.go
+++ b/internal/fleet/config.go
@@ -12,9 +12,9 @@
 	configRetry = 500 * time.Millisecond
 )
 
-// follower asks a peer for the configuration if the store doesn't bring it. One
+// configFetch asks a peer for the configuration if the store doesn't bring it. One
 // peer is asked at a time, as a configuration may be large.
-type follower struct {
+type configFetch struct {
 	members *members
 	effect  func(Effect)
 	version uint64 // in force here
@@ -24,39 +24,39 @@
 }
 
 // inForce notes the version in force at this instance.
-func (f *follower) inForce(version uint64) {
-	if version > f.version {
-		f.version, f.behind = version, 0
+func (c *configFetch) inForce(version uint64) {
+	if version > c.version {
+		c.version, c.behind = version, 0
 	}
 }
 
 // tick asks for a newer version that is overdue.
-func (f *follower) tick(now Time) {
+func (c *configFetch) tick(now Time) {
 	var ahead []*peer
-	for _, p := range f.members.order {
-		if p.config > f.version && p.reachable(now) {
+	for _, p := range c.members.order {
+		if p.config > c.version && p.reachable(now) {
 			ahead = append(ahead, p)
 		}
 	}
 	switch {
 	case len(ahead) == 0:
-		f.behind = 0
+		c.behind = 0
 		return
-	case f.behind == 0:
-		f.behind = now
+	case c.behind == 0:
+		c.behind = now
 	}
-	if now.Sub(f.behind) < configPatience || now < f.askAt {
+	if now.Sub(c.behind) < configPatience || now < c.askAt {
 		return
 	}
-	f.askAt = now.Add(configRetry)
-	to := ahead[f.asked%len(ahead)]
-	f.asked++
-	f.effect(SendPeer{To: to.member, Message: AskConfig{Have: f.version}})
+	c.askAt = now.Add(configRetry)
+	to := ahead[c.asked%len(ahead)]
+	c.asked++
+	c.effect(SendPeer{To: to.member, Message: AskConfig{Have: c.version}})
 }
 
 // askedBy answers the request of a peer.
-func (f *follower) askedBy(from Member, have uint64) {
-	if f.version > have {
-		f.effect(SendConfig{To: from})
+func (c *configFetch) askedBy(from Member, have uint64) {
+	if c.version > have {
+		c.effect(SendConfig{To: from})
 	}
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -38,7 +38,7 @@
 	holder  *holder
 
 	effects []Effect
-	config  *follower
+	config  *configFetch
 
 	last    Time
 	leaving bool
@@ -50,7 +50,7 @@
 	i := &Instance{opts: o, last: now}
 	emit := func(e Effect) { i.effects = append(i.effects, e) }
 	i.members = newMembers(o.Self, emit)
-	i.config = &follower{members: i.members, effect: emit}
+	i.config = &configFetch{members: i.members, effect: emit}
 	i.owners = newOwners(o.Self, now, emit)
 	i.pool = newPool(o, i.members, i.owners, emit)
 	i.holder = newHolder(o.Self, i.members, i.owners, i.pool, now, emit)
