A lent task is wanted by the instance that holds the caller, too

An owner that keeps the queue may be too slow to tell the owner of the servers that the caller's instance is gone. Offers of parts name that instance; leases count from the older of the two echoes. TestPartsAreWantedByTheirHome fails without the second.

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -53,6 +53,15 @@
 	return j
 }
 
+// home returns the life of the instance that holds the caller, empty if an owner
+// of an earlier version doesn't say.
+func (j *job) home() Member {
+	if j.part != nil {
+		return j.spec.Part.Home
+	}
+	return j.origin
+}
+
 // openSteps makes the steps ready whose earlier steps have ended.
 func (j *job) openSteps() {
 	for _, s := range j.steps {
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -30,6 +30,7 @@
 	Step    int
 	Index   int
 	Attempt uint32 // of the last start so far
+	Home    Member // the life of the instance that holds the caller of the job
 }
 
 // lentTask is a task that runs on another owner's servers.
@@ -112,7 +113,7 @@
 	t.job.starts++
 	p.lent[id] = lentTask{t, to.member}
 	spec := t.job.spec
-	spec.Part = &Part{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt}
+	spec.Part = &Part{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt, Home: t.job.origin}
 	spec.Steps = []StepSpec{t.step.spec}
 	spec.Steps[0].Count, spec.Steps[0].After = 1, nil
 	to.partsSent += float64(t.step.spec.Need.CPUMilli)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -86,6 +86,17 @@
 	return now.Add(-echoLimit) // it is gone, and so are its jobs soon
 }
 
+// wanted returns when a job was last known to be wanted: by the instance that
+// offered it and, if that one only keeps its queue, by the one that holds its
+// caller. The first may be too slow to tell of the second.
+func (m *members) wanted(j *job, now Time) Time {
+	since := m.echoed(j.origin, now)
+	if h := j.home(); h.Instance != "" {
+		since = min(since, m.echoed(h, now))
+	}
+	return since
+}
+
 // takeBeat notes what a beat says of the link. A peer of an earlier version
 // echoes nothing.
 func (p *peer) takeBeat(m Beat, arrived, now Time) {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -71,7 +71,7 @@
 func (p *pool) place(t *task, now Time) *server {
 	var best *server
 	bestCost := 0.0
-	if now.Sub(p.members.echoed(t.job.origin, now)) > startWithin {
+	if now.Sub(p.members.wanted(t.job, now)) > startWithin {
 		return nil
 	}
 	for _, s := range p.order {
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -144,3 +144,38 @@
 	leases("while the run is being stopped")
 	leases("while the run is being stopped")
 }
+
+// TestPartsAreWantedByTheirHome runs a task that another owner lends. Its lease
+// counts from the last echo of the instance that holds the job's caller, too.
+func TestPartsAreWantedByTheirHome(t *testing.T) {
+	i, now := oneServer(t, 500)
+	keeper := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
+	home := Member{Instance: "n3", Incarnation: "01", Domain: "d", Weight: 1}
+	for _, m := range []Member{keeper, home} {
+		i.Step(now, PeerLinked{Peer: m})
+	}
+	echo := now
+	now = now.Add(400 * time.Millisecond)
+	for _, m := range []Member{keeper, home} {
+		e := echo
+		if m == keeper {
+			e = now.Add(-time.Millisecond)
+		}
+		i.Step(now, PeerMessage{From: m, At: now, Message: Beat{SentAt: now, Echo: e}})
+	}
+	spec := JobSpec{
+		ID: "j1", Service: "svc", Attempts: 3, Timeout: time.Minute, Received: now, Objective: Objective{Stretch: 2},
+		Part:  &Part{Home: home},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	limit := 100 + time.Second.Milliseconds() // the server's clock was 100 at the echo
+	for _, e := range i.Step(now, PeerMessage{From: keeper, At: now, Message: Offer{Call: partCalls + 1, Job: spec}}) {
+		if s, ok := e.(StartRun); ok {
+			if s.LeaseEndMs > limit {
+				t.Errorf("the start has a lease to %d, want %d at most", s.LeaseEndMs, limit)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing was started")
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -65,7 +65,7 @@
 		case r.state == runStopping:
 			since = min(since, r.stoppedAt)
 		case r.task != nil:
-			since = min(since, p.members.echoed(r.task.job.origin, now))
+			since = min(since, p.members.wanted(r.task.job, now))
 		}
 	}
 	return now.Sub(since)
--- a/internal/fleetpb/job.go
+++ b/internal/fleetpb/job.go
@@ -15,7 +15,10 @@
 		TimeoutNs: int64(j.Timeout), Keep: j.Keep,
 	}
 	if p := j.Part; p != nil {
-		out.Part = &Part{Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt}
+		out.Part = &Part{
+			Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt,
+			HomeInstance: string(p.Home.Instance), HomeIncarnation: string(p.Home.Incarnation),
+		}
 	}
 	for _, s := range j.Steps {
 		step := &Step{
@@ -40,7 +43,10 @@
 		Timeout:   time.Duration(b.GetTimeoutNs()), Keep: b.GetKeep(),
 	}
 	if p := b.GetPart(); p != nil {
-		j.Part = &fleet.Part{Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt()}
+		j.Part = &fleet.Part{
+			Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt(),
+			Home: fleet.Member{Instance: model.Instance(p.GetHomeInstance()), Incarnation: model.Incarnation(p.GetHomeIncarnation())},
+		}
 	}
 	for _, s := range b.GetSteps() {
 		step := fleet.StepSpec{
