--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -35,125 +35,6 @@
 	forgetAfter = 20 * time.Second
 )
 
-// peer is what is known of another member.
-type peer struct {
-	member    Member
-	linked    bool // messages to it can be sent
-	everHeard bool
-	heardAt   Time
-	refusedAt Time
-	refused   bool
-	inStore   bool
-	missingAt Time // since when the store doesn't list it
-	dead      bool
-	replaced  bool // by a later life
-	deadAt    Time
-	leaving   bool
-	config    uint64        // version in force there
-	echoed    Time          // when the last beat was sent that the peer has taken in
-	sentAt    Time          // of its last beat, on its clock
-	hearsMe   time.Duration // since it last heard of this instance
-	loads     []Load
-	pending   map[string]int // kept jobs that have not begun, by route
-	bouncedAt Time           // it last had no room for a task
-
-	// Milli-cores of parts: sent on the present link, those that the peer said
-	// it has received, and those received from it. What is under way counts as
-	// taken of the room that the peer tells of.
-	partsSent, partsHeard, partsCame float64
-	beatAt                           Time   // of the last beat sent
-	told                             []Load // in that beat
-	linkedAt                         Time   // of the last link, or the last try to replace it
-	lostCalled                       bool   // its loss was handled
-	expiredSeen                      bool   // its kept jobs were seen to
-}
-
-// heard reports whether the peer was heard of lately.
-func (p *peer) heard(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < peerSilence }
-
-// fresh reports whether what the peer says is not too old.
-func (p *peer) fresh(now Time) bool { return now.Sub(p.echoed) < echoLimit }
-
-// echoed returns when the last message was sent that an instance is known to have
-// taken in.
-func (m *members) echoed(x Member, now Time) Time {
-	if x.Instance == m.self.Instance {
-		return now
-	}
-	if p := m.peers[x.Instance]; p != nil && p.member.same(x) {
-		return p.echoed
-	}
-	return now.Add(-echoLimit) // it is gone, and so are its jobs soon
-}
-
-// wanted returns when a job was last known to be wanted: by the instance that
-// offered it and, if that one only keeps its queue, by the one that holds its
-// caller. The first may be too slow to tell of the second.
-func (m *members) wanted(j *job, now Time) Time {
-	since := m.echoed(j.origin, now)
-	if h := j.home(); h.Instance != "" {
-		since = min(since, m.echoed(h, now))
-	}
-	return since
-}
-
-// takeBeat notes what a beat says of the link. A peer of an earlier version
-// echoes nothing.
-func (p *peer) takeBeat(m Beat, arrived, now Time) {
-	p.hearsMe = m.Heard + now.Sub(arrived) // it may have heard nothing since
-	p.sentAt = m.SentAt
-	if m.SentAt == 0 {
-		p.echoed = now
-	}
-	p.echoed = max(p.echoed, m.Echo)
-}
-
-// lastSign returns when the peer may have acted last on what this instance asked
-// of it. A peer that lives but does not hear of this instance gives its jobs up.
-func (p *peer) lastSign(now Time) Time {
-	if p.refused || p.replaced {
-		return now // it may have ended just now
-	}
-	return p.heardAt
-}
-
-// reachable reports whether jobs may be offered to the peer.
-func (p *peer) reachable(now Time) bool {
-	return !p.dead && p.linked && p.heard(now) && p.hearsMe < peerSilence && p.fresh(now)
-}
-
-// load returns what the peer said last of its servers of a service.
-func (p *peer) load(service string) Load {
-	for _, l := range p.loads {
-		if l.Service == service {
-			return l
-		}
-	}
-	return Load{Service: service}
-}
-
-// room returns the room for tasks of a service that no part under way takes.
-func (p *peer) room(service string) float64 {
-	return p.load(service).Free - max(0, p.partsSent-p.partsHeard)
-}
-
-func (p *peer) takePending(counts []RouteCount) {
-	p.pending = make(map[string]int, len(counts))
-	for _, c := range counts {
-		p.pending[c.Route] = c.Count
-	}
-}
-
-func (p *peer) setLoad(l Load) {
-	for i := range p.loads {
-		if p.loads[i].Service == l.Service {
-			p.loads[i] = l
-			return
-		}
-	}
-	p.loads = append(p.loads, l)
-}
-
 // members follows the other instances of the fleet.
 type members struct {
 	self    Member
@@ -179,6 +60,29 @@
 // instance.
 func (m *members) inCell(name string) bool { return m.cells.same(name, string(m.self.Instance)) }
 
+// echoedAt returns when the last message was sent that an instance is known to have
+// taken in.
+func (m *members) echoedAt(x Member, now Time) Time {
+	if x.Instance == m.self.Instance {
+		return now
+	}
+	if p := m.peers[x.Instance]; p != nil && p.member.same(x) {
+		return p.echoed
+	}
+	return now.Add(-echoLimit) // it is gone, and so are its jobs soon
+}
+
+// wantedAt returns when a job was last known to be wanted: by the instance that
+// offered it and, if that one only keeps its queue, by the one that holds its
+// caller. The first may be too slow to tell of the second.
+func (m *members) wantedAt(j *job, now Time) Time {
+	since := m.echoedAt(j.origin, now)
+	if h := j.home(); h.Instance != "" {
+		since = min(since, m.echoedAt(h, now))
+	}
+	return since
+}
+
 // meet returns the peer of a member; a later life of the same instance
 // replaces an earlier one. It returns nil for this instance and for earlier
 // lives.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -71,14 +71,14 @@
 func (p *pool) place(t *task, now Time) *server {
 	var best *server
 	bestCost := 0.0
-	if now.Sub(p.members.wanted(t.job, now)) > startWithin {
+	if now.Sub(p.members.wantedAt(t.job, now)) > startWithin {
 		return nil
 	}
 	for _, s := range p.order {
-		if !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) || !t.step.spec.Need.Fits(s.free()) {
+		if !s.takesWork(now) || p.wantedAge(s, now) > startWithin || !s.entry.serves(t.job.spec.Service, t.step.spec) || !t.step.spec.Need.Fits(s.free()) {
 			continue
 		}
-		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m || p.wanted(s, now) > startWithin {
+		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
 			continue
 		}
 		if c := p.cost(t, s, now); best == nil || c < bestCost {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -45,7 +45,7 @@
 	s.health.started()
 	p.effect(StartRun{
 		Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Spec: t.job.spec.Spec,
-		Fence: s.own.Revision, LeaseEndMs: s.extendLease(now, p.lease-p.wanted(s, now)),
+		Fence: s.own.Revision, LeaseEndMs: s.extendLease(now, p.lease-p.wantedAge(s, now)),
 	})
 }
 
@@ -53,19 +53,19 @@
 // others start beside it: the rest of a usual lease, in which the next look comes.
 const startWithin = 700 * time.Millisecond
 
-// wanted returns how long ago all runs at a server were known to be wanted: the
+// wantedAge returns how long ago all runs at a server were known to be wanted: the
 // instances that hold their callers were reached then. Leases count from that
 // time, so that they end when those may let the jobs run elsewhere, however late
 // this instance learns of it or its orders arrive. A run that is being stopped was
 // wanted until then.
-func (p *pool) wanted(s *server, now Time) time.Duration {
+func (p *pool) wantedAge(s *server, now Time) time.Duration {
 	since := now
 	for _, r := range s.runs {
 		switch {
 		case r.state == runStopping:
 			since = min(since, r.stoppedAt)
 		case r.task != nil:
-			since = min(since, p.members.wanted(r.task.job, now))
+			since = min(since, p.members.wantedAt(r.task.job, now))
 		}
 	}
 	return now.Sub(since)
@@ -73,7 +73,7 @@
 
 // look sends the look that is due at a server, if any.
 func (p *pool) look(s *server, now Time) {
-	if l, due := s.nextLook(now, p.lease, p.wanted(s, now)); due {
+	if l, due := s.nextLook(now, p.lease, p.wantedAge(s, now)); due {
 		p.effect(l)
 	}
 }
@@ -193,7 +193,7 @@
 
 // probe sends a look that does not wait.
 func (p *pool) probe(s *server, now Time) {
-	if l, due := s.probe(now, p.lease, p.wanted(s, now)); due {
+	if l, due := s.probe(now, p.lease, p.wantedAge(s, now)); due {
 		p.effect(l)
 	}
 }
