The test of refused connections keeps its address

The test freed a port and expected connections there to be refused; whoever listens on a port of the kernel's choice in the meantime may get it, as the soak and other packages do at the same time. With a listener put there the test fails the same way; alone it passed 3000 times under the same load. A bound socket that doesn't listen now keeps the port for the whole test; what is asserted is as before.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -205,13 +208,27 @@
 	return between, l.Addr().String()
 }
 
-func TestRefusedConnectionIsToldApart(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddr returns an address that refuses connections. A bound socket that
+// doesn't listen keeps it, so that nobody else comes to listen there.
+func refusingAddr(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := l.Addr().String()
-	_ = l.Close()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
+func TestRefusedConnectionIsToldApart(t *testing.T) {
+	addr := refusingAddr(t)
 	a := newNode(t, "a", "a1")
 	began := model.Time(time.Now().UnixNano())
 	a.dial(addr)
