Derive that an instance stops; note a peer's first sign of life in one place

The callers kept a flag beside the time of the process's end, set by the same call; two events started a peer's freshness alike. Behaviour is as before.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -306,10 +306,8 @@
 	}
 	i.dropLost(now) // before the new life is told which calls are open
 	p.linked, p.refused, p.dead = true, false, false
-	if !p.everHeard {
-		p.echoed = now // until beats tell more
-	}
-	p.linkedAt, p.heardAt, p.everHeard, p.hearsMe = now, now, true, 0
+	p.noteHeard(now)
+	p.linkedAt, p.heardAt, p.hearsMe = now, now, 0
 	p.partsSent, p.partsHeard = 0, 0
 	i.resync(p, false)
 	for _, f := range i.pool.recent {
@@ -346,10 +344,8 @@
 		return
 	}
 	i.dropLost(now)
-	if !p.everHeard {
-		p.echoed = now // until beats tell more
-	}
-	p.everHeard, p.heardAt, p.dead, p.refused = true, max(p.heardAt, e.At), false, false
+	p.noteHeard(now)
+	p.heardAt, p.dead, p.refused = max(p.heardAt, e.At), false, false
 	switch m := e.Message.(type) {
 	case Beat:
 		p.leaving, p.loads, p.partsHeard, p.config = m.Leaving, m.Loads, m.Parts, m.Config
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -38,6 +38,14 @@
 // heard reports whether the peer was heard of lately.
 func (p *peer) heard(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < peerSilence }
 
+// noteHeard notes that the peer lives. What it says at first counts as fresh until
+// beats tell more.
+func (p *peer) noteHeard(now Time) {
+	if !p.everHeard {
+		p.everHeard, p.echoed = true, now
+	}
+}
+
 // fresh reports whether what the peer says is not too old.
 func (p *peer) fresh(now Time) bool { return now.Sub(p.echoed) < echoLimit }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
@@ -23,8 +22,6 @@
 	lastAt fleet.Time // of the last request
 	open   int        // requests under way
 	end    fleet.Time // of the process, once it is known
-
-	leaving atomic.Bool
 }
 
 func newCallers(n *Node) *callers {
@@ -45,10 +42,6 @@
 	c.end = t
 }
 
-// leave ends each connection after its next answer, so that callers come back
-// through another instance. Idle ones stay until then: a request may be on its way.
-func (c *callers) leave() { c.leaving.Store(true) }
-
 // Jobs that come while the process stops are taken if they are likely to end
 // before it: estimates are rough, and stragglers take several times as long.
 const (
@@ -86,9 +79,11 @@
 
 // ServeHTTP implements http.Handler.
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c.enter()
+	stopping := c.enter()
 	defer c.exit()
-	if c.leaving.Load() {
+	if stopping {
+		// Callers come back through another instance. Idle connections stay until
+		// then: a request may be on its way.
 		w.Header().Set("Connection", "close")
 	}
 	config := c.node.config.get()
@@ -123,11 +118,13 @@
 	}
 }
 
-func (c *callers) enter() {
+// enter notes a request and reports whether the process is about to end.
+func (c *callers) enter() (stopping bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open++
 	c.lastAt = bootTime()
+	return c.end != 0
 }
 
 func (c *callers) exit() {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -49,7 +49,6 @@
 func (l *loop) stop() {
 	n := l.node
 	n.ready.set(false)
-	n.callers.leave()
 	n.log.Event(eventlog.InstanceStopping).Int("calls", n.callers.waiting()).Send()
 	l.stopBy = bootTime().Add(n.settings.Bounds.Grace - graceMargin)
 	n.callers.stopBy(l.stopBy)
