Members without servers beat to each other seldom

A pair beats each 0.8 s, and may be silent for 2 s, while neither end has servers or jobs; beats carry that, so that both ends keep the same pace.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -400,6 +400,7 @@
 // it orders.
 type Beat struct {
 	Leaving bool
+	Busy    bool          // the sender has servers or jobs, and needs frequent beats
 	Loads   []Load        // one a service
 	Config  uint64        // version in force
 	Heard   time.Duration // since the last message of the receiver
--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -62,6 +62,9 @@
 	if !l.up || n.cut || to.cut {
 		return
 	}
+	if w.onSend != nil {
+		w.onSend(n.member.Instance, x)
+	}
 	serial := l.serial
 	l.used = w.now
 	at := w.now.Add(w.delay(n.member.Domain, to.member.Domain) + n.lag + to.lag)
--- a/internal/fleet/fleetsim/listing_test.go
+++ b/internal/fleet/fleetsim/listing_test.go
@@ -75,3 +75,41 @@
 	w.Run(10 * time.Second)
 	checkRules(t, w)
 }
+
+// TestIdleMembersBeatSeldom checks that two members without servers keep in touch
+// with few messages.
+func TestIdleMembersBeatSeldom(t *testing.T) {
+	const (
+		span = 2 * time.Second
+		most = 3 // beats in the span
+	)
+	w := New(6)
+	w.Build(grownSite())
+	w.Run(settle + 4*time.Second)
+	owns := map[model.Instance]bool{}
+	for _, o := range w.owners {
+		owns[o.Owner] = true
+	}
+	sent := map[[2]model.Instance]int{}
+	w.onSend = func(from model.Instance, x fleet.SendPeer) {
+		if _, ok := x.Message.(fleet.Beat); ok {
+			sent[[2]model.Instance{from, x.To.Instance}]++
+		}
+	}
+	w.Run(span)
+	pairs := 0
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			if a == b || owns[a.member.Instance] || owns[b.member.Instance] {
+				continue
+			}
+			pairs++
+			if n := sent[[2]model.Instance{a.member.Instance, b.member.Instance}]; n > most {
+				t.Errorf("%s sent %d beats in %v to %s, and neither has servers", a.member.Instance, n, span, b.member.Instance)
+			}
+		}
+	}
+	if pairs == 0 {
+		t.Fatal("every instance owns servers")
+	}
+}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -51,7 +51,8 @@
 
 	closed int // times that an instance gave a server no more work
 
-	onStart func(*Server, fleet.RunID) // told of each start, may be nil
+	onStart func(*Server, fleet.RunID)           // told of each start, may be nil
+	onSend  func(model.Instance, fleet.SendPeer) // told of each message with its sender, may be nil
 }
 
 // JobRecord is what became of a job.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -191,7 +191,7 @@
 	i.pool.settleTill, i.home.settleTill = now.Add(wakeSettle), now.Add(wakeSettle)
 	for _, p := range i.members.order {
 		if p.everHeard {
-			p.heardAt = max(p.heardAt, now.Add(-peerSilence/2))
+			p.heardAt = max(p.heardAt, now.Add(-p.silence(now)/2))
 			p.echoed = max(p.echoed, now.Add(-echoLimit/2))
 		}
 		i.pool.originLost(p.member, now)
@@ -207,11 +207,19 @@
 
 // follow keeps in touch with the members.
 func (i *Instance) follow(now Time) {
+	i.members.busy = i.busy()
+	i.members.setPace(now)
 	i.dropLost(now)
 	i.beat(now, false)
 	i.members.relink(now)
 }
 
+// busy reports whether others have to know at once what becomes of this instance:
+// it has servers or jobs.
+func (i *Instance) busy() bool {
+	return len(i.pool.order) > 0 || len(i.pool.jobs) > 0 || len(i.holder.jobs) > 0
+}
+
 // divide claims and releases servers.
 func (i *Instance) divide(now Time) {
 	for _, s := range i.owners.plan(i.members, i.leaving, now) {
@@ -357,6 +365,7 @@
 	case Beat:
 		p.leaving, p.loads, p.partsHeard, p.config = m.Leaving, m.Loads, m.Parts, m.Config
 		p.takeBeat(m, e.At, now)
+		p.setPace(i.members.busy, now)
 		p.takePending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.Keeps
 		p.bouncedAt = 0
@@ -432,7 +441,7 @@
 // beat sends the beats that are due, or all.
 func (i *Instance) beat(now Time, all bool) {
 	for _, p := range i.members.order {
-		if p.linked && (all || now.Sub(p.beatAt) >= i.members.beatEvery()) {
+		if p.linked && (all || now.Sub(p.beatAt) >= i.members.beatEvery(p)) {
 			i.sendBeat(p, now)
 		}
 	}
@@ -441,7 +450,7 @@
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
 	b := Beat{
-		Leaving: i.leaving, Config: i.config.version, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
+		Leaving: i.leaving, Busy: i.busy(), Config: i.config.version, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
 		Keeps: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -13,9 +13,6 @@
 	// peerSilence is how long a member that is heard may stay silent: several
 	// beats and one lost connection.
 	peerSilence = 600 * time.Millisecond
-	// peerDoubt is the silence after which a link is replaced, so that a fresh
-	// connection is tried before a member counts as silent.
-	peerDoubt = peerSilence / 2
 	// echoLimit is how old the last beat may be that a peer is known to have taken
 	// in. It bounds what messages wait on their way and at both ends, which the time
 	// of arrival doesn't tell: an owner gives the jobs of a peer up before that peer
@@ -23,6 +20,16 @@
 	echoLimit = 900 * time.Millisecond
 	// beatPause is the time between beats to a peer.
 	beatPause = 100 * time.Millisecond
+	// idlePause is the time between beats to a peer while neither end has servers or
+	// jobs: all that the one has to know of the other is that it may become an owner.
+	idlePause = 800 * time.Millisecond
+	// idleSilence and idleEchoLimit take the places of peerSilence and echoLimit
+	// then: two lost beats.
+	idleSilence   = 2 * time.Second
+	idleEchoLimit = 2500 * time.Millisecond
+	// busyTail is how long a peer still counts as busy after both ends have become
+	// idle, so that they change their pace at about the same time.
+	busyTail = 2 * time.Second
 	// beatPausePerPeer bounds beats of large fleets to a few hundred a second.
 	beatPausePerPeer = 5 * time.Millisecond
 	// vanishedAfter is how long a member must be missing in the store before
@@ -40,6 +47,7 @@
 	self    Member
 	effect  func(Effect)
 	storeUp bool
+	busy    bool // this instance has servers or jobs
 	listed  bool // the store has listed the members at least once
 	peers   map[model.Instance]*peer
 	order   []*peer // by name
@@ -104,7 +112,7 @@
 		p.dead, p.replaced = true, true
 		m.replaced = append(m.replaced, p)
 	}
-	p = &peer{member: x, missingAt: now}
+	p = &peer{member: x, missingAt: now, busyAt: now, active: true}
 	m.peers[x.Instance] = p
 	m.order = slices.DeleteFunc(m.order, func(o *peer) bool { return o.member.Instance == x.Instance })
 	m.order = append(m.order, p)
@@ -177,7 +185,7 @@
 			p.dead, p.deadAt = true, now
 			m.effect(Note{Kind: NoteMemberDead, Peer: p.member.Instance, Age: now.Sub(p.heardAt), Reason: deathReason(p)})
 		}
-		gone := p.dead || p.everHeard && (!p.heard(now) || p.hearsMe >= peerSilence || !p.fresh(now))
+		gone := p.dead || p.everHeard && (!p.heard(now) || p.hearsMe >= p.silence(now) || !p.fresh(now))
 		if gone && !p.lostCalled {
 			lost = append(lost, p)
 		}
@@ -219,8 +227,9 @@
 // relink replaces links that may be silent in one direction.
 func (m *members) relink(now Time) {
 	for _, p := range m.order {
-		quiet := now.Sub(p.heardAt) > peerDoubt || p.hearsMe > peerDoubt
-		if p.linked && quiet && now.Sub(p.linkedAt) > peerDoubt {
+		doubt := p.silence(now) / 2
+		quiet := now.Sub(p.heardAt) > doubt || p.hearsMe > doubt
+		if p.linked && quiet && now.Sub(p.linkedAt) > doubt {
 			p.linkedAt = now
 			m.effect(Relink{Peer: p.member})
 		}
@@ -349,6 +358,17 @@
 }
 
 // beatEvery returns the time between beats to a peer.
-func (m *members) beatEvery() time.Duration {
+func (m *members) beatEvery(p *peer) time.Duration {
+	if !p.active {
+		return idlePause
+	}
 	return max(beatPause, time.Duration(len(m.order))*beatPausePerPeer)
 }
+
+// setPace decides which peers are beaten to often: all if this instance is busy,
+// else those that are.
+func (m *members) setPace(now Time) {
+	for _, p := range m.order {
+		p.setPace(m.busy, now)
+	}
+}
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -38,7 +38,7 @@
 	startedAt Time
 	effect    func(Effect)
 
-	entries  map[model.ServerID]ServerEntry // of the listing
+	entries  map[model.ServerID]ServerEntry    // of the listing
 	byDomain map[model.Domain][]model.ServerID // of the own cell, each in order
 	domains  []model.Domain                    // that have servers of the cell, in order
 	known    map[model.ServerID]Ownership
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -31,12 +31,37 @@
 	beatAt                           Time   // of the last beat sent
 	told                             []Load // in that beat
 	linkedAt                         Time   // of the last link, or the last try to replace it
+	busy                             bool   // it has servers or jobs
+	busyAt                           Time   // when either end was last busy
+	active                           bool   // beats come and go often
+	activeAt                         Time   // since when
 	lostCalled                       bool   // its loss was handled
 	expiredSeen                      bool   // its kept jobs were seen to
 }
 
 // heard reports whether the peer was heard of lately.
-func (p *peer) heard(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < peerSilence }
+func (p *peer) heard(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < p.silence(now) }
+
+// silence returns how long the peer may be silent. Once beats come more often,
+// the first of them must have had the time to come.
+func (p *peer) silence(now Time) time.Duration {
+	if p.active && now.Sub(p.activeAt) >= peerSilence {
+		return peerSilence
+	}
+	return idleSilence
+}
+
+// setPace notes whether either end is busy now.
+func (p *peer) setPace(selfBusy bool, now Time) {
+	if selfBusy || p.busy {
+		p.busyAt = now
+	}
+	active := now.Sub(p.busyAt) < busyTail
+	if active && !p.active {
+		p.activeAt, p.beatAt = now, 0
+	}
+	p.active = active
+}
 
 // noteHeard notes that the peer lives. What it says at first counts as fresh until
 // beats tell more.
@@ -47,13 +72,18 @@
 }
 
 // fresh reports whether what the peer says is not too old.
-func (p *peer) fresh(now Time) bool { return now.Sub(p.echoed) < echoLimit }
+func (p *peer) fresh(now Time) bool {
+	if p.active && now.Sub(p.activeAt) >= echoLimit {
+		return now.Sub(p.echoed) < echoLimit
+	}
+	return now.Sub(p.echoed) < idleEchoLimit
+}
 
 // takeBeat notes what a beat says of the link. A peer of an earlier version
 // echoes nothing.
 func (p *peer) takeBeat(m Beat, arrived, now Time) {
 	p.hearsMe = m.Heard + now.Sub(arrived) // it may have heard nothing since
-	p.sentAt = m.SentAt
+	p.sentAt, p.busy = m.SentAt, m.Busy
 	if m.SentAt == 0 {
 		p.echoed = now
 	}
@@ -71,7 +101,7 @@
 
 // reachable reports whether jobs may be offered to the peer.
 func (p *peer) reachable(now Time) bool {
-	return !p.dead && p.linked && p.heard(now) && p.hearsMe < peerSilence && p.fresh(now)
+	return !p.dead && p.linked && p.heard(now) && p.hearsMe < p.silence(now) && p.fresh(now)
 }
 
 // load returns what the peer said last of its servers of a service.
