Large answers of the store may take as long as they move; configurations are packed between peers

A configuration with 1,740 routes more is 0.45 MB there, 1.9 s of a link of 2 Mbit/s, so every watch and list of it was cut and begun again, at the start of all as well; and a peer's message of that size ended its link, as a write may take 0.6 s.

Configurations go to peers compressed.

Servers of a domain belong to its strongest members, as few as have the processors for them (60 servers a core), and pass on to members twice as strong; sites whose instances are alike divide them as before.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -11,9 +11,15 @@
 
 // Bounds of how backend servers are divided among instances.
 const (
+	// serversPerCore is how many servers an owner serves for each core that it has:
+	// starts, ends and looks of a crest take about a fifth of it.
+	serversPerCore = 60
 	// serversPerOwner is the least number of servers of a domain for which
 	// another owner is worth while: fewer pack wide jobs badly.
 	serversPerOwner = 12
+	// ownerBonus is how many times as strong as an owner another member must be to
+	// take its place: servers that change hands stand idle for a moment.
+	ownerBonus = 2
 	// settleTime is how long an instance listens for others after its start
 	// before it claims servers.
 	settleTime = 300 * time.Millisecond
@@ -216,18 +222,11 @@
 		who = m.candidates("", leaving, now)
 	}
 	servers := o.byDomain[d]
-	count := min(max(len(servers)/serversPerOwner, 1), len(who))
 	owned := map[model.Instance]int{}
 	for _, id := range servers {
 		owned[o.known[id].Owner]++
 	}
-	slices.SortStableFunc(who, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(owned[b.Instance], owned[a.Instance]),
-			cmp.Compare(b.Weight, a.Weight),
-			cmp.Compare(rank(d, a.Instance), rank(d, b.Instance)))
-	})
-	who = who[:count]
+	who = chooseOwners(d, who, owned, len(servers))
 	total, mine := 0.0, 0.0
 	for _, x := range who {
 		total += x.Weight
@@ -236,9 +235,34 @@
 		}
 	}
 	if mine == 0 {
-		return 0, count > 0
+		return 0, len(who) > 0
+	}
+	return int(float64(len(servers))*mine/total + 0.999), len(who) > 1
+}
+
+// chooseOwners returns the members that should own the servers of a domain: the
+// strongest, as few as have the processors for it, as wide jobs find room at one
+// owner sooner than at several. owned counts the servers that each has now.
+func chooseOwners(d model.Domain, who []Member, owned map[model.Instance]int, servers int) []Member {
+	strength := func(m Member) float64 {
+		if owned[m.Instance] > 0 {
+			return m.Weight * ownerBonus
+		}
+		return m.Weight
+	}
+	slices.SortStableFunc(who, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(strength(b), strength(a)),
+			cmp.Compare(owned[b.Instance], owned[a.Instance]),
+			cmp.Compare(rank(d, a.Instance), rank(d, b.Instance)))
+	})
+	most := min(max(servers/serversPerOwner, 1), len(who))
+	n, carried := 0, 0.0
+	for n < most && (n == 0 || carried < float64(servers)) {
+		carried += who[n].Weight * serversPerCore
+		n++
 	}
-	return int(float64(len(servers))*mine/total + 0.999), count > 1
+	return who[:n]
 }
 
 // rank orders the members of a domain alike on every instance, and otherwise
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -63,7 +63,11 @@
 	case fleet.ServersTold:
 		out.Body = &fleetpb.Message_Servers{Servers: fleetpb.FromServerChanges(m.ServerChanges)}
 	case Config:
-		out.Body = &fleetpb.Message_Config{Config: &fleetpb.Config{Data: m.Data}}
+		packed, err := pack(m.Data)
+		if err != nil {
+			return nil, err
+		}
+		out.Body = &fleetpb.Message_Config{Config: &fleetpb.Config{Packed: packed}}
 	default:
 		return nil, errors.Errorf("no wire form of %T", m)
 	}
@@ -101,7 +105,8 @@
 	case *fleetpb.Message_AskConfig:
 		return fleet.AskConfig{Have: b.AskConfig.GetHave()}, nil
 	case *fleetpb.Message_Config:
-		return Config{Data: b.Config.GetData()}, nil
+		data, err := unpack(b.Config.GetPacked())
+		return Config{Data: data}, err
 	}
 	return nil, errors.New("message of an unknown type; run the same version on all instances")
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -35,7 +35,7 @@
 
 // list reads the list once.
 func (w *serverWatch) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	r, err := w.store.store.List(ctx, platform.ServerPrefix)
 	if err != nil {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -17,7 +17,8 @@
 const (
 	memberTTL      = 1500 * time.Millisecond // how long a dead instance may seem alive
 	renewPause     = 500 * time.Millisecond  // three renewals in a lease
-	callTimeout    = 700 * time.Millisecond  // a slow store takes a quarter of a second
+	callTimeout    = 700 * time.Millisecond  // of a small answer; a slow store takes a quarter of a second
+	loadTimeout    = 10 * time.Second        // of a large answer that goes on: ten times a megabyte's time on the slowest link
 	configWait     = 1000 * time.Millisecond // half of the time until a configuration must be in force
 	recordWait     = 2000 * time.Millisecond // peers tell of each other sooner than a silent watch is noticed
 	serverPause    = 900 * time.Millisecond  // between watches of servers, so that their heartbeats come in batches
@@ -124,7 +125,7 @@
 
 // load reads a part of the store whole.
 func (s *storeSide) load(ctx context.Context, w watched) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	r, err := s.store.List(ctx, w.prefix)
 	if err != nil {
@@ -138,7 +139,7 @@
 func (s *storeSide) follow(ctx context.Context, w watched, at platform.Revision) error {
 	retry := s.backoff()
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, w.wait+callTimeout)
+		call, cancel := context.WithTimeout(ctx, w.wait+loadTimeout)
 		changes, forgotten, err := s.store.Watch(call, w.prefix, at, w.wait)
 		cancel()
 		switch {
@@ -377,7 +378,7 @@
 }
 
 func (s *storeSide) readOwners(ctx context.Context, c fleet.Claim) ([]fleet.Ownership, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
 	defer cancel()
 	r, err := s.store.List(ctx, platform.OwnerPrefix)
 	if err != nil {
