Few members of a cell follow the configuration, too; an outage of the store leaves it so

Now the followers read it, and the others ask a peer that has it for the packed form, each beginning at another one.

Members that followed the store because nobody had news went on to read all of it when an outage ended, and again. Members without news read the list of servers only; a follower is replaced if the store fails it for 1.5 s and answers the other; followers are the strongest members, among those alike the ones without servers.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -5,7 +5,7 @@
 // Bounds of how a configuration passes from member to member.
 const (
 	// configPatience is how long the store may take to bring a version that a peer
-	// has told of: a configuration of many routes takes a while on a small
+	// has told of, if this instance follows the store: a configuration of many routes takes a while on a small
 	// instance's link.
 	configPatience = 400 * time.Millisecond
 	// configRetry is the time between two requests, each to another peer.
@@ -15,7 +15,9 @@
 // configFetch asks a peer for the configuration if the store doesn't bring it. One
 // peer is asked at a time, as a configuration may be large.
 type configFetch struct {
+	self    Member
 	members *members
+	list    *listing
 	effect  func(Effect)
 	version uint64 // in force here
 	behind  Time   // since when a peer is known to have a newer one, 0 if none
@@ -45,11 +47,12 @@
 	case c.behind == 0:
 		c.behind = now
 	}
-	if now.Sub(c.behind) < configPatience || now < c.askAt {
+	if c.list.following && now.Sub(c.behind) < configPatience || now < c.askAt {
 		return
 	}
 	c.askAt = now.Add(configRetry)
-	to := ahead[c.asked%len(ahead)]
+	// Members begin at different peers, so that not all ask the same one.
+	to := ahead[(nameHash(string(c.self.Instance))+uint64(c.asked))%uint64(len(ahead))]
 	c.asked++
 	c.effect(SendPeer{To: to.member, Message: AskConfig{Have: c.version}})
 }
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -300,9 +300,10 @@
 // ScanJobs asks for the open jobs in the store.
 type ScanJobs struct{}
 
-// FollowServers says whether the store's list of backend servers is to be
-// followed, with ServersSeen and ServersChanged. It is from the start.
-type FollowServers struct{ On bool }
+// FollowStore says whether the operator's configuration and the list of backend
+// servers are to be followed in the store, with ConfigSeen, ServersSeen and
+// ServersChanged. They are from the start.
+type FollowStore struct{ On bool }
 
 // ListServers asks for the store's list of backend servers once.
 type ListServers struct{}
@@ -346,21 +347,21 @@
 	Reason string
 }
 
-func (StartRun) effect()      {}
-func (StopRun) effect()       {}
-func (Look) effect()          {}
-func (Claim) effect()         {}
-func (SaveJob) effect()       {}
-func (ScanJobs) effect()      {}
-func (FollowServers) effect() {}
-func (ListServers) effect()   {}
-func (SendPeer) effect()      {}
-func (SendConfig) effect()    {}
-func (Connect) effect()       {}
-func (Disconnect) effect()    {}
-func (Relink) effect()        {}
-func (Answer) effect()        {}
-func (Note) effect()          {}
+func (StartRun) effect()    {}
+func (StopRun) effect()     {}
+func (Look) effect()        {}
+func (Claim) effect()       {}
+func (SaveJob) effect()     {}
+func (ScanJobs) effect()    {}
+func (FollowStore) effect() {}
+func (ListServers) effect() {}
+func (SendPeer) effect()    {}
+func (SendConfig) effect()  {}
+func (Connect) effect()     {}
+func (Disconnect) effect()  {}
+func (Relink) effect()      {}
+func (Answer) effect()      {}
+func (Note) effect()        {}
 
 // NoteKind says what a Note tells.
 type NoteKind int
@@ -400,6 +401,7 @@
 // it orders.
 type Beat struct {
 	Leaving bool
+	StoreUp bool          // the store answers the sender
 	Busy    bool          // the sender has servers or jobs, and needs frequent beats
 	Loads   []Load        // one a service
 	Config  uint64        // version in force
--- a/internal/fleet/fleetsim/listing_test.go
+++ b/internal/fleet/fleetsim/listing_test.go
@@ -113,3 +113,22 @@
 		t.Fatal("every instance owns servers")
 	}
 }
+
+// TestOutageOfTheStoreKeepsFewFollowers checks that an outage doesn't make all
+// members read the whole store at its end.
+func TestOutageOfTheStoreKeepsFewFollowers(t *testing.T) {
+	const most = 6 // followers, a few more than usual
+	w := New(7)
+	w.Build(grownSite())
+	w.Run(settle + 2*time.Second)
+	w.StoreDown(5 * time.Second)
+	for range 80 {
+		w.Run(100 * time.Millisecond)
+		if n := len(followers(w)); n > most {
+			t.Fatalf("%d members follow the store", n)
+		}
+	}
+	if n := len(followers(w)); n != 2 {
+		t.Errorf("%d members follow the store after the outage", n)
+	}
+}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -302,7 +302,7 @@
 		w.saveJob(n, x.Record)
 	case fleet.ScanJobs:
 		w.scanJobs(n)
-	case fleet.FollowServers:
+	case fleet.FollowStore:
 		n.follows, n.told = x.On, 0
 	case fleet.ListServers:
 		w.listServers(n)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -12,6 +12,9 @@
 	Lease time.Duration // of runs at backend servers
 	// StopTimeout is the longest time from a stop to the end of the run.
 	StopTimeout time.Duration
+	// SharedListFrom is the number of backend servers from which only a few members
+	// of a cell follow the store; 0 means 100.
+	SharedListFrom int
 	// Policy replaces decisions by simpler ones, for comparison.
 	Policy Policy
 }
@@ -50,8 +53,9 @@
 	i := &Instance{opts: o, last: now}
 	emit := func(e Effect) { i.effects = append(i.effects, e) }
 	i.members = newMembers(o.Self, emit)
-	i.config = &configFetch{members: i.members, effect: emit}
-	i.servers = newListing(o.Self, i.members, now, emit)
+	i.config = &configFetch{self: o.Self, members: i.members, effect: emit}
+	i.servers = newListing(o, i.members, now, emit)
+	i.config.list = i.servers
 	i.owners = newOwners(o.Self, i.servers, now, emit)
 	i.pool = newPool(o, i.members, i.owners, emit)
 	i.holder = newHolder(o.Self, i.members, i.owners, i.pool, now, emit)
@@ -153,7 +157,7 @@
 	case JobCancelled:
 		i.holder.cancelled(e.ID, now)
 	case Renewed:
-		i.holder.renewedAt = e.SentAt
+		i.holder.renewedAt, i.servers.renewedAt = e.SentAt, e.SentAt
 		i.holder.guard(now)
 	case StateAsked:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
@@ -450,7 +454,7 @@
 func (i *Instance) sendBeat(p *peer, now Time) {
 	p.beatAt = now
 	b := Beat{
-		Leaving: i.leaving, Busy: i.busy(), Config: i.config.version, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
+		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, Config: i.config.version, Parts: p.partsCame, SentAt: now, Echo: p.sentAt,
 		Keeps: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -7,20 +7,26 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-// Bounds of how the list of backend servers passes from the store to the members.
+// Bounds of how what the operator and the backend servers write into the store
+// comes to the members.
 const (
 	// sharedListFrom is the number of servers from which only a few members of a
-	// cell follow the list in the store. Each server's heartbeats change its entry
-	// about once a second, which costs every follower processor time and bytes.
+	// cell follow the store. Each server's heartbeats change its entry about once a
+	// second, which costs every follower processor time and bytes; and a large
+	// configuration, which peers pass on packed, takes seconds of a slow link.
 	sharedListFrom = 100
-	// listFollowers is how many members of a cell follow a shared list, so that the
-	// loss of one delays nothing.
+	// listFollowers is how many members of a cell follow the store then, so that
+	// the loss of one delays nothing.
 	listFollowers = 2
-	// listPatience is how long a member goes without news of a shared list before
-	// it follows the store itself: two watches of a follower.
+	// listPatience is how long a member goes without news of the list before it
+	// reads the list itself, and again: two watches of a follower.
 	listPatience = 2 * time.Second
-	// listRetry is the least time between two requests for the whole list.
-	listRetry = time.Second
+	// listStoreUp is how long after the last renewal in the store it still counts as
+	// answering: two renewals.
+	listStoreUp = 1200 * time.Millisecond
+	// listDownFor is how long the store must fail a follower before another member
+	// takes its place: longer than listStoreUp.
+	listDownFor = 1500 * time.Millisecond
 )
 
 // listing is this instance's copy of the store's list of backend servers. The
@@ -30,42 +36,81 @@
 // Invariant: entries are the list as it was at revision at. News of changes after
 // a later revision is not applied; the whole list is read instead.
 type listing struct {
-	self    Member
-	members *members
-	effect  func(Effect)
+	self       Member
+	members    *members
+	effect     func(Effect)
+	sharedFrom int // servers
 
 	entries   map[model.ServerID]ServerEntry
 	at        uint64 // revision of the store
 	following bool
 	newsAt    Time // last news of a peer
+	renewedAt Time // the store last renewed this instance's entry
 	askedAt   Time // of the last request for the whole list
 }
 
-func newListing(self Member, m *members, now Time, effect func(Effect)) *listing {
-	return &listing{self: self, members: m, effect: effect, entries: map[model.ServerID]ServerEntry{}, following: true, newsAt: now}
+func newListing(o Options, m *members, now Time, effect func(Effect)) *listing {
+	l := &listing{
+		self: o.Self, members: m, effect: effect, sharedFrom: o.SharedListFrom,
+		entries: map[model.ServerID]ServerEntry{}, following: true, newsAt: now,
+	}
+	if l.sharedFrom == 0 {
+		l.sharedFrom = sharedListFrom
+	}
+	return l
 }
 
 // shared reports whether only some members follow the store.
-func (l *listing) shared() bool { return len(l.entries) >= sharedListFrom }
+func (l *listing) shared() bool { return len(l.entries) >= l.sharedFrom }
 
 // chosen reports whether this instance is one of those that follow the store for
-// their cell.
+// their cell: the strongest, and among those alike the ones without servers, as a
+// large configuration keeps a weak link busy for seconds.
 func (l *listing) chosen(now Time) bool {
 	before := 0
 	for _, p := range l.members.order {
-		if p.reachable(now) && !p.leaving && stronger(p.member, l.self) {
+		if p.reachable(now) && !p.leaving && !l.storeFails(p, now) && l.prefers(p) {
 			before++
 		}
 	}
 	return before < listFollowers
 }
 
-// tick decides whether this instance follows the store.
+// prefers reports whether a peer should follow the store rather than this instance.
+func (l *listing) prefers(p *peer) bool {
+	if idle := len(p.loads) == 0; p.member.Weight == l.self.Weight && idle == l.members.busy {
+		return idle
+	}
+	return stronger(p.member, l.self)
+}
+
+// storeFails reports whether the store answers this instance and not the peer. In
+// an outage each member notices it at another time.
+func (l *listing) storeFails(p *peer, now Time) bool {
+	return !p.storeUp && now.Sub(p.storeDownAt) > listDownFor && l.storeAnswers(now)
+}
+
+// storeAnswers reports whether the store has answered this instance lately.
+func (l *listing) storeAnswers(now Time) bool { return now.Sub(l.renewedAt) <= listStoreUp }
+
+// tick decides whether this instance follows the store, and reads the list of
+// servers where news of it is overdue.
 func (l *listing) tick(now Time) {
-	follow := !l.shared() || l.chosen(now) || now.Sub(l.newsAt) > listPatience
+	follow := !l.shared() || l.chosen(now)
 	if follow != l.following {
-		l.following = follow
-		l.effect(FollowServers{On: follow})
+		l.following, l.newsAt = follow, now
+		l.effect(FollowStore{On: follow})
+	}
+	if !l.following && now.Sub(l.newsAt) > listPatience && l.storeAnswers(now) {
+		l.read(now)
+	}
+}
+
+// read asks for the whole list, unless that was done a moment ago.
+func (l *listing) read(now Time) {
+	if l.askedAt == 0 || now.Sub(l.askedAt) >= listPatience {
+		l.askedAt = now
+		l.effect(ListServers{})
 	}
 }
 
@@ -133,10 +178,7 @@
 	if l.change(c) {
 		return len(c.Servers)+len(c.Gone) > 0
 	}
-	if l.askedAt == 0 || now.Sub(l.askedAt) >= listRetry {
-		l.askedAt = now
-		l.effect(ListServers{})
-	}
+	l.read(now)
 	return false
 }
 
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -31,6 +31,8 @@
 	beatAt                           Time   // of the last beat sent
 	told                             []Load // in that beat
 	linkedAt                         Time   // of the last link, or the last try to replace it
+	storeUp                          bool   // the store answers it
+	storeDownAt                      Time   // since when not, 0 if it never did
 	busy                             bool   // it has servers or jobs
 	busyAt                           Time   // when either end was last busy
 	active                           bool   // beats come and go often
@@ -83,7 +85,10 @@
 // echoes nothing.
 func (p *peer) takeBeat(m Beat, arrived, now Time) {
 	p.hearsMe = m.Heard + now.Sub(arrived) // it may have heard nothing since
-	p.sentAt, p.busy = m.SentAt, m.Busy
+	if p.storeUp && !m.StoreUp {
+		p.storeDownAt = now
+	}
+	p.sentAt, p.busy, p.storeUp = m.SentAt, m.Busy, m.StoreUp
 	if m.SentAt == 0 {
 		p.echoed = now
 	}
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -135,7 +135,7 @@
 func beatToPB(m fleet.Beat) *fleetpb.Beat {
 	b := &fleetpb.Beat{
 		Leaving: m.Leaving, ConfigVersion: m.Config, HeardNs: int64(m.Heard), PartsMillicores: m.Parts, Keeps: m.Keeps,
-		SentAtNs: int64(m.SentAt), EchoNs: int64(m.Echo), Busy: m.Busy,
+		SentAtNs: int64(m.SentAt), EchoNs: int64(m.Echo), Busy: m.Busy, StoreUp: m.StoreUp,
 	}
 	for _, c := range m.Pending {
 		b.Pending = append(b.Pending, &fleetpb.RouteCount{Route: c.Route, Count: int32(c.Count)})
@@ -150,7 +150,7 @@
 	m := fleet.Beat{
 		Leaving: b.GetLeaving(), Config: b.GetConfigVersion(), Heard: time.Duration(b.GetHeardNs()),
 		Parts: b.GetPartsMillicores(), Keeps: b.GetKeeps(),
-		SentAt: fleet.Time(b.GetSentAtNs()), Echo: fleet.Time(b.GetEchoNs()), Busy: b.GetBusy(),
+		SentAt: fleet.Time(b.GetSentAtNs()), Echo: fleet.Time(b.GetEchoNs()), Busy: b.GetBusy(), StoreUp: b.GetStoreUp(),
 	}
 	for _, c := range b.GetPending() {
 		m.Pending = append(m.Pending, fleet.RouteCount{Route: c.GetRoute(), Count: int(c.GetCount())})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,7 +23,7 @@
 
 func newLoop(n *Node, ctx context.Context) *loop {
 	return &loop{node: n, ctx: ctx, reducer: fleet.NewInstance(fleet.Options{
-		Self: n.self, Lease: n.settings.Bounds.MaxLease, StopTimeout: n.settings.Bounds.StopTimeout,
+		Self: n.self, Lease: n.settings.Bounds.MaxLease, StopTimeout: n.settings.Bounds.StopTimeout, SharedListFrom: n.sharedListFrom,
 	}, bootTime())}
 }
 
@@ -109,8 +109,8 @@
 		n.jobs.learn(x.ID, x.State)
 	case fleet.ScanJobs:
 		n.spawn(func() { n.jobs.scan(l.ctx) })
-	case fleet.FollowServers:
-		n.store.servers.follow(l.ctx, x.On)
+	case fleet.FollowStore:
+		n.store.followShared(l.ctx, x.On)
 	case fleet.ListServers:
 		n.spawn(func() { n.store.servers.list(l.ctx) })
 	case fleet.SendPeer:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	config  *configBox
 	callers *callers
 
+	sharedListFrom int // servers; 0 is the usual number
+
 	events chan fleet.Event
 	done   chan struct{} // closed when the loop has ended
 	ready  readiness
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -69,10 +69,15 @@
 	nodes   []*Node
 	stops   []context.CancelFunc
 	hangups chan os.Signal
+
+	sharedFrom int // servers from which few nodes follow the store
+	submitted  int // jobs of jobName
 }
 
-func newSite(t *testing.T, workers, nodes int) *site {
-	s := &site{t: t, store: standin.New(standin.Options{MinSessionTTL: time.Second}), logs: &logLines{}, hangups: make(chan os.Signal, 1)}
+func newSite(t *testing.T, workers, nodes int) *site { return newSharedSite(t, workers, nodes, 0) }
+
+func newSharedSite(t *testing.T, workers, nodes, sharedFrom int) *site {
+	s := &site{sharedFrom: sharedFrom, t: t, store: standin.New(standin.Options{MinSessionTTL: time.Second}), logs: &logLines{}, hangups: make(chan os.Signal, 1)}
 	h := httptest.NewServer(s.store)
 	t.Cleanup(h.Close)
 	s.addr = strings.TrimPrefix(h.URL, "http://")
@@ -138,6 +143,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	n.sharedListFrom = s.sharedFrom
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -273,6 +279,41 @@
 	s.await("the new route is served", func() bool { status, _, _ := s.call(2, http.MethodGet, "/new/", ""); return status == 200 })
 }
 
+// TestFewNodesFollowTheStore changes the configuration and the servers of a site
+// where two of four nodes follow them in the store.
+func TestFewNodesFollowTheStore(t *testing.T) {
+	const wanted = 2
+	s := newSharedSite(t, 2, 4, 1)
+	s.await("two nodes follow the store", func() bool {
+		n := 0
+		for _, x := range s.nodes {
+			x.store.mu.Lock()
+			if x.store.stopShared != nil {
+				n++
+			}
+			x.store.mu.Unlock()
+		}
+		return n == wanted
+	})
+	s.configure(5, strings.Replace(strings.Replace(route, "r1", "r2", 1), "/q/", "/new/", 1))
+	s.addWorker("late")
+	for i := range s.nodes {
+		s.await("the new route is served", func() bool { status, _, _ := s.call(i, http.MethodGet, "/new/", ""); return status == 200 })
+	}
+	s.await("the new server runs tasks", func() bool {
+		if status, body, _ := s.call(0, http.MethodPost, "/new/"+jobName(s), job("x", 12)); status != http.StatusOK {
+			t.Errorf("answer %d %s", status, body)
+		}
+		return len(s.workers[2].Starts()) > 0
+	})
+}
+
+// jobName returns the name of a job that was not submitted yet.
+func jobName(s *site) string {
+	s.submitted++
+	return fmt.Sprintf("%016x", s.submitted)
+}
+
 // TestOperationsPageWalks runs the failed requests of docs/OPERATIONS.md and
 // finds the lines that the page reads.
 func TestOperationsPageWalks(t *testing.T) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,30 +9,15 @@
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
-// serverWatch follows the store's list of backend servers while it is asked to.
-// Most changes there are heartbeats, which are left out.
+// serverWatch takes in the store's list of backend servers. Most changes there
+// are heartbeats, which are left out.
 type serverWatch struct {
 	store *storeSide
 
 	mu      sync.Mutex
-	stop    context.CancelFunc // nil while the list isn't followed
 	entries map[model.ServerID]fleet.ServerEntry
 }
 
-// follow begins or ends to follow the list.
-func (w *serverWatch) follow(ctx context.Context, on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch {
-	case on && w.stop == nil:
-		ctx, w.stop = context.WithCancel(ctx)
-		go w.store.track(ctx, watched{platform.ServerPrefix, configWait, serverPause, w.whole, w.change})
-	case !on && w.stop != nil:
-		w.stop()
-		w.stop = nil
-	}
-}
-
 // list reads the list once.
 func (w *serverWatch) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -42,7 +42,8 @@
 	fails   int // reads in a row
 	up      bool
 
-	servers *serverWatch
+	servers    *serverWatch
+	stopShared context.CancelFunc // nil while the shared parts aren't followed
 }
 
 // watched is a part of the store that an instance follows.
@@ -54,12 +55,12 @@
 	change func(after platform.Revision, changes platform.Range)
 }
 
-// follows returns what an instance follows beside the servers, whose heartbeats
-// are apart from what changes seldom and is heard of at once.
-func (s *storeSide) follows() []watched {
+// shared returns what only some instances follow in a large fleet. The servers'
+// heartbeats are apart from the configuration, which is heard of at once.
+func (s *storeSide) shared() []watched {
 	return []watched{
 		{platform.OperatorPrefix, configWait, recordPause, s.applyWhole, s.applyChange},
-		{platform.FleetPrefix, recordWait, recordPause, s.applyFleet, s.applyChange},
+		{platform.ServerPrefix, configWait, serverPause, s.servers.whole, s.servers.change},
 	}
 }
 
@@ -73,12 +74,24 @@
 // run follows the store until ctx ends.
 func (s *storeSide) run(ctx context.Context) {
 	go s.stayListed(ctx)
-	var all sync.WaitGroup
-	for _, w := range s.follows() {
-		all.Go(func() { s.track(ctx, w) })
+	s.followShared(ctx, true)
+	s.track(ctx, watched{platform.FleetPrefix, recordWait, recordPause, s.applyFleet, s.applyChange})
+}
+
+// followShared begins or ends to follow the shared parts of the store.
+func (s *storeSide) followShared(ctx context.Context, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case on && s.stopShared == nil:
+		ctx, s.stopShared = context.WithCancel(ctx)
+		for _, w := range s.shared() {
+			go s.track(ctx, w)
+		}
+	case !on && s.stopShared != nil:
+		s.stopShared()
+		s.stopShared = nil
 	}
-	s.servers.follow(ctx, true)
-	all.Wait()
 }
 
 // track reads a part of the store and follows its changes until ctx ends.
