Followers are replaced only when the store fails them, or after a longer silence

And a follower whose link is full with a large configuration was silent for 0.6 s, so that the next ones began to read it, too.

A follower counts as failed by the store once that has answered the other member for 1.5 s, and as lost after 1.5 s of silence or when it is dead.

--- a/internal/fleet/fleetsim/listing_test.go
+++ b/internal/fleet/fleetsim/listing_test.go
@@ -117,7 +117,8 @@
 // TestOutageOfTheStoreKeepsFewFollowers checks that an outage doesn't make all
 // members read the whole store at its end.
 func TestOutageOfTheStoreKeepsFewFollowers(t *testing.T) {
-	const most = 6 // followers, a few more than usual
+	const most = 6  // followers, a few more than usual
+	const reads = 6 // of the whole list, by members that don't follow
 	w := New(7)
 	w.Build(grownSite())
 	w.Run(settle + 2*time.Second)
@@ -131,4 +132,7 @@
 	if n := len(followers(w)); n != 2 {
 		t.Errorf("%d members follow the store after the outage", n)
 	}
+	if w.listReads > reads {
+		t.Errorf("the list was read %d times", w.listReads)
+	}
 }
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -29,17 +29,18 @@
 
 // World is a fleet in virtual time.
 type World struct {
-	Rand    *rand.Rand
-	Policy  fleet.Policy // of instances that start from now on
-	now     fleet.Time
-	due     agenda.Queue[fleet.Time, func()]
-	nodes   []*node
-	servers []*Server
-	owners  map[model.ServerID]fleet.Ownership
-	rev     uint64
-	storeUp bool
-	listed  []fleet.ServerEntry // as the store had them at listRev
-	listRev uint64
+	Rand      *rand.Rand
+	Policy    fleet.Policy // of instances that start from now on
+	now       fleet.Time
+	due       agenda.Queue[fleet.Time, func()]
+	nodes     []*node
+	servers   []*Server
+	owners    map[model.ServerID]fleet.Ownership
+	rev       uint64
+	storeUp   bool
+	listed    []fleet.ServerEntry // as the store had them at listRev
+	listRev   uint64
+	listReads int // by members that don't follow the list
 
 	jobs   map[string]*JobRecord
 	order  []*JobRecord
@@ -96,6 +97,7 @@
 	deferred  []deferred    // while it is frozen
 	lag       time.Duration // of messages from and to it
 	follows   bool          // the list of servers
+	sawStore  bool          // the store answered at the last look
 	told      uint64        // revision of the list up to which it was told
 }
 
@@ -153,7 +155,7 @@
 	n.life++
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.life))
 	n.alive, n.frozen, n.deferred = true, false, nil
-	n.follows, n.told = true, 0
+	n.follows, n.sawStore, n.told = true, true, 0
 	n.renewedAt = w.now
 	n.calls = map[fleet.CallID]*JobRecord{}
 	n.inst = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
@@ -174,7 +176,8 @@
 		return
 	}
 	up := w.storeUp && !n.noStore
-	w.step(n, fleet.StoreReached{Up: up})
+	w.step(n, fleet.StoreReached{Up: up && n.sawStore}) // its watches are back later than its renewals
+	n.sawStore = up
 	if up {
 		n.renewedAt = w.now
 		w.step(n, fleet.Renewed{SentAt: w.now})
@@ -324,6 +327,7 @@
 	if !w.storeUp || n.noStore {
 		return
 	}
+	w.listReads++
 	w.later(n, storeTime, func() {
 		list, at := w.serverList()
 		w.step(n, fleet.ServersSeen{Servers: list, At: at})
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -157,7 +157,8 @@
 	case JobCancelled:
 		i.holder.cancelled(e.ID, now)
 	case Renewed:
-		i.holder.renewedAt, i.servers.renewedAt = e.SentAt, e.SentAt
+		i.servers.renewed(e.SentAt)
+		i.holder.renewedAt = e.SentAt
 		i.holder.guard(now)
 	case StateAsked:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -24,6 +24,9 @@
 	// listStoreUp is how long after the last renewal in the store it still counts as
 	// answering: two renewals.
 	listStoreUp = 1200 * time.Millisecond
+	// listSilence is how long a follower may be silent before another member takes
+	// its place: the link of a weak one is full while a large configuration comes.
+	listSilence = 1500 * time.Millisecond
 	// listDownFor is how long the store must fail a follower before another member
 	// takes its place: longer than listStoreUp.
 	listDownFor = 1500 * time.Millisecond
@@ -44,8 +47,9 @@
 	entries   map[model.ServerID]ServerEntry
 	at        uint64 // revision of the store
 	following bool
-	newsAt    Time // last news of a peer
+	newsAt    Time // last news of a peer, or since when some is to be expected
 	renewedAt Time // the store last renewed this instance's entry
+	answersAt Time // since when the store has answered without a pause
 	askedAt   Time // of the last request for the whole list
 }
 
@@ -69,7 +73,8 @@
 func (l *listing) chosen(now Time) bool {
 	before := 0
 	for _, p := range l.members.order {
-		if p.reachable(now) && !p.leaving && !l.storeFails(p, now) && l.prefers(p) {
+		lives := !p.dead && p.everHeard && now.Sub(p.heardAt) < listSilence
+		if lives && !p.leaving && !l.storeFails(p, now) && l.prefers(p) {
 			before++
 		}
 	}
@@ -84,10 +89,18 @@
 	return stronger(p.member, l.self)
 }
 
-// storeFails reports whether the store answers this instance and not the peer. In
-// an outage each member notices it at another time.
+// storeFails reports whether the store answers this instance and not the peer. Each
+// member notices the beginning and the end of an outage at another time.
 func (l *listing) storeFails(p *peer, now Time) bool {
-	return !p.storeUp && now.Sub(p.storeDownAt) > listDownFor && l.storeAnswers(now)
+	return !p.storeUp && now.Sub(p.storeDownAt) > listDownFor && l.storeAnswers(now) && now.Sub(l.answersAt) > listDownFor
+}
+
+// renewed notes that the store has renewed this instance's entry.
+func (l *listing) renewed(at Time) {
+	if at.Sub(l.renewedAt) > listStoreUp {
+		l.answersAt = at
+	}
+	l.renewedAt = at
 }
 
 // storeAnswers reports whether the store has answered this instance lately.
@@ -98,10 +111,13 @@
 func (l *listing) tick(now Time) {
 	follow := !l.shared() || l.chosen(now)
 	if follow != l.following {
-		l.following, l.newsAt = follow, now
+		l.following = follow
 		l.effect(FollowStore{On: follow})
 	}
-	if !l.following && now.Sub(l.newsAt) > listPatience && l.storeAnswers(now) {
+	if l.following || !l.storeAnswers(now) {
+		l.newsAt = now // after an outage, a follower has news before long
+	}
+	if now.Sub(l.newsAt) > listPatience {
 		l.read(now)
 	}
 }
