Messages of a link that its peer has replaced are dropped

An offer that its sender took for lost, and gave to another owner, was then started here as well.

Links are numbered in their hellos; a peer's new one ends its earlier ones before its first message is handed on.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,10 +55,15 @@
 	mu    sync.Mutex
 	links map[model.Instance]*link
 	wg    sync.WaitGroup
+
+	dialed  atomic.Uint64 // links so far
+	inbound inbound
 }
 
 // New returns a mesh without links.
-func New(o Options) *Mesh { return &Mesh{opts: o, links: map[model.Instance]*link{}} }
+func New(o Options) *Mesh {
+	return &Mesh{opts: o, links: map[model.Instance]*link{}, inbound: inbound{latest: map[linkOf]*inboundLink{}}}
+}
 
 // link sends to one member.
 type link struct {
@@ -189,7 +195,9 @@
 	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return fleet.Member{}, err
 	}
-	if _, err := protodelim.MarshalTo(stream, memberToPB(m.opts.Self)); err != nil {
+	self := memberToPB(m.opts.Self)
+	self.Link = m.dialed.Add(1)
+	if _, err := protodelim.MarshalTo(stream, self); err != nil {
 		return fleet.Member{}, errors.Wrap(err, "send hello")
 	}
 	var hello fleetpb.Member
@@ -317,13 +325,13 @@
 		m.opts.Fault("", errors.Wrap(err, "accept a stream"))
 		return
 	}
-	if err := m.receive(stream); err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
+	if err := m.receive(stream, conn); err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
 		m.opts.Fault("", err)
 	}
 }
 
 // receive reads the hello of a stream, answers it and hands its frames on.
-func (m *Mesh) receive(stream *yamux.Stream) error {
+func (m *Mesh) receive(stream *yamux.Stream, conn net.Conn) error {
 	if err := stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return err
 	}
@@ -339,6 +347,11 @@
 		return err
 	}
 	from := memberFromPB(&hello)
+	in, ok := m.inbound.open(from, hello.GetLink(), conn)
+	if !ok {
+		return nil // a later link is up
+	}
+	defer m.inbound.close(in)
 	limit := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		var f fleetpb.Frame
@@ -350,7 +363,9 @@
 			if err != nil {
 				return err
 			}
-			m.opts.Receive(from, message)
+			if !in.hand(func() { m.opts.Receive(from, message) }) {
+				return nil
+			}
 		}
 	}
 }
