Dispatch looks only at servers with room

Owners fell behind their events, their queues grew, and the steps with them.

The servers with room for the least task of the queue are listed once a dispatch, and tasks that no peer has room for aren't offered one by one.

--- a/internal/fleet/dispatch_test.go
+++ b/internal/fleet/dispatch_test.go
@@ -40,7 +40,8 @@
 		if k < 2*servers {
 			spec.Steps[0].Count = 1
 		}
-		for _, e := range i.Step(now, Submitted{Call: CallID(k + 1), Job: spec}) {
+		offer := PeerMessage{From: Member{Instance: "n01", Incarnation: "01", Domain: "d", Weight: 0.4}, At: now, Message: Offer{Call: CallID(k + 1), Job: spec, Final: true}}
+		for _, e := range i.Step(now, offer) {
 			if s, ok := e.(StartRun); ok {
 				i.Step(now, StartAnswered{Server: s.Server, Run: s.Run, Outcome: StartDone, ClockMs: 100, SentAt: now})
 			}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -78,6 +78,12 @@
 
 // rest returns the estimated time from the next start to the job's end.
 func (j *job) rest() time.Duration {
+	if len(j.steps) == 1 {
+		if j.steps[0].left == 0 {
+			return 0
+		}
+		return j.steps[0].spec.Estimate
+	}
 	ends := make([]time.Duration, len(j.steps))
 	longest := time.Duration(0)
 	for i, s := range j.steps {
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -41,28 +41,32 @@
 
 // lend offers waiting tasks to owners that have room for them at once.
 func (p *pool) lend(now Time) {
+	full := map[string]uint32{} // by service: milli-cores that no owner has room for
 	for _, j := range p.queue {
 		if j.spec.Part != nil || j.kept != nil {
 			continue // the holder of a kept job stores the ends of its tasks itself
 		}
 		for _, st := range j.steps {
-			if st.ready {
-				p.lendStep(j, st, now)
+			if n, ok := full[j.spec.Service]; st.ready && len(st.waiting) > 0 && (!ok || st.spec.Need.CPUMilli < n) && !p.lendStep(j, st, now) {
+				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
 		}
 	}
 }
 
-func (p *pool) lendStep(j *job, st *step, now Time) {
+// lendStep lends the waiting tasks of a step, and reports whether there was an
+// owner for all.
+func (p *pool) lendStep(j *job, st *step, now Time) (all bool) {
 	for len(st.waiting) > 0 {
 		lender := p.lender(j.spec.Service, st.spec.Need, now)
 		if lender == nil {
-			return
+			return false
 		}
 		t := st.waiting[0]
 		st.waiting = st.waiting[1:]
 		p.lendTask(t, lender, now)
 	}
+	return true
 }
 
 // lender returns the owner with the most room of which a task may be offered to.
@@ -134,7 +138,8 @@
 // offerPart takes a task of another owner that can start at once or soon.
 func (p *pool) offerPart(origin Member, call CallID, spec JobSpec, now Time) (bounced bool) {
 	j := newPart(spec, origin, call)
-	if s := p.place(j.part, now); s != nil && !p.waitsInTime(now) && now >= p.settleTill {
+	open := p.openServers(j.part.step.spec.Need.CPUMilli, now)
+	if s := p.place(j.part, open, now); s != nil && !p.waitsInTime(now) && now >= p.settleTill {
 		p.jobs[j.key()] = j
 		j.steps[0].waiting = nil
 		p.start(j.part, s, now)
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -67,15 +68,40 @@
 	failedWeight   = 3   // for a server that failed its last run
 )
 
-// place returns the server for a task, nil if none has room.
-func (p *pool) place(t *task, now Time) *server {
+// openServers returns the servers that may take a task of at least a number of
+// milli-cores now.
+func (p *pool) openServers(least uint32, now Time) []*server {
+	var out []*server
+	for _, s := range p.order {
+		if s.free().CPUMilli >= least && s.takesWork(now) && p.wantedAge(s, now) <= startWithin {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// leastNeed returns the least milli-cores that a task of the queue needs.
+func (p *pool) leastNeed() uint32 {
+	least := uint32(math.MaxUint32)
+	for _, j := range p.queue {
+		for _, st := range j.steps {
+			if st.ready && len(st.waiting) > 0 {
+				least = min(least, st.spec.Need.CPUMilli)
+			}
+		}
+	}
+	return least
+}
+
+// place returns the server of those that are open for a task, nil if none has room.
+func (p *pool) place(t *task, open []*server, now Time) *server {
 	var best *server
 	bestCost := 0.0
-	if now.Sub(p.members.wantedAt(t.job, now)) > startWithin {
+	if len(open) == 0 || now.Sub(p.members.wantedAt(t.job, now)) > startWithin {
 		return nil
 	}
-	for _, s := range p.order {
-		if !s.takesWork(now) || p.wantedAge(s, now) > startWithin || !s.entry.serves(t.job.spec.Service, t.step.spec) || !t.step.spec.Need.Fits(s.free()) {
+	for _, s := range open {
+		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) {
 			continue
 		}
 		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -170,10 +170,11 @@
 		return
 	}
 	p.policy.sort(p.queue, now)
+	open := p.openServers(p.leastNeed(), now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayRun(j) {
-				p.startStep(j, st, now)
+				p.startStep(st, open, now)
 			}
 		}
 	}
@@ -183,7 +184,7 @@
 }
 
 // startStep starts as many waiting tasks of a step as fit.
-func (p *pool) startStep(j *job, st *step, now Time) {
+func (p *pool) startStep(st *step, open []*server, now Time) {
 	for len(st.waiting) > 0 {
 		t := st.waiting[0]
 		if near := p.rackLender(t, now); near != nil {
@@ -191,7 +192,7 @@
 			p.lendTask(t, near, now)
 			continue
 		}
-		s := p.place(t, now)
+		s := p.place(t, open, now)
 		if s == nil {
 			return
 		}
