--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -99,6 +99,7 @@
 	JobAdopted        = info(8028, "job-adopted", "a kept job without a living holder is taken over")
 	JobLost           = warn(8029, "job-lost", "the store names another holder of a kept job; this instance drops it")
 	HoldDoubted       = warn(8030, "hold-doubted", "another instance may take kept jobs over, or that is over")
+	StoreFollowed     = info(8031, "store-followed", "this instance begins or ends to read servers and configuration from the store for its cell")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -303,7 +303,10 @@
 // FollowStore says whether the operator's configuration and the list of backend
 // servers are to be followed in the store, with ConfigSeen, ServersSeen and
 // ServersChanged. They are from the start.
-type FollowStore struct{ On bool }
+type FollowStore struct {
+	On      bool
+	Servers int // that are listed, on which the decision depends
+}
 
 // ListServers asks for the store's list of backend servers once.
 type ListServers struct{}
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -112,7 +112,7 @@
 	follow := !l.shared() || l.chosen(now)
 	if follow != l.following {
 		l.following = follow
-		l.effect(FollowStore{On: follow})
+		l.effect(FollowStore{On: follow, Servers: len(l.entries)})
 	}
 	if l.following || !l.storeAnswers(now) {
 		l.newsAt = now // after an outage, a follower has news before long
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -38,3 +38,34 @@
 		t.Error("a member counts as reached that may not have heard of this instance for as long as a silence")
 	}
 }
+
+// TestPaceOfBeats follows a pair of members through times with and without servers
+// or jobs at either end.
+func TestPaceOfBeats(t *testing.T) {
+	now := Time(time.Minute)
+	cases := []struct {
+		name       string
+		self, peer bool          // busy
+		after      time.Duration // since the last case
+		active     bool
+		silence    time.Duration
+	}{
+		{"new", false, false, 0, true, peerSilence},
+		{"idle for less than the tail", false, false, busyTail - time.Millisecond, true, peerSilence},
+		{"idle", false, false, time.Millisecond, false, idleSilence},
+		{"the peer has servers; its beats are about to come", false, true, time.Second, true, idleSilence},
+		{"and should have come", false, true, peerSilence, true, peerSilence},
+		{"the peer is idle again", false, false, time.Second, true, peerSilence},
+		{"this instance has jobs before the tail ends", true, false, time.Second, true, peerSilence},
+		{"both were idle for long", false, false, busyTail, false, idleSilence},
+	}
+	p := &peer{everHeard: true, busyAt: now, active: true}
+	for _, c := range cases {
+		now = now.Add(c.after)
+		p.busy = c.peer
+		p.setPace(c.self, now)
+		if p.active != c.active || p.silence(now) != c.silence {
+			t.Errorf("%s: active %v, silence %v, want %v, %v", c.name, p.active, p.silence(now), c.active, c.silence)
+		}
+	}
+}
--- a/internal/fleet/owners_test.go
+++ b/internal/fleet/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,3 +39,37 @@
 		inst.Step(now, Tick{})
 	}
 }
+
+// TestOwnersAreTheStrongest divides the servers of a domain among members of
+// different strength, some of which own servers already.
+func TestOwnersAreTheStrongest(t *testing.T) {
+	const strong, middle, weak = 0.8, 0.48, 0.144
+	cases := []struct {
+		name    string
+		weights []float64 // of the members m0, m1, ...
+		owned   map[model.Instance]int
+		servers int
+		want    []model.Instance
+	}{
+		{"one carries all", []float64{weak, strong, middle}, nil, 46, []model.Instance{"m1"}},
+		{"two middle ones", []float64{weak, middle, weak, middle}, nil, 46, []model.Instance{"m1", "m3"}},
+		{"weak ones, one for twelve servers at most", []float64{weak, weak, weak}, map[model.Instance]int{"m2": 9, "m0": 1}, 24, []model.Instance{"m0", "m2"}},
+		{"owners stay beside others alike", []float64{middle, middle}, map[model.Instance]int{"m1": 20}, 20, []model.Instance{"m1"}},
+		{"a much stronger one takes over", []float64{weak, strong}, map[model.Instance]int{"m0": 20}, 20, []model.Instance{"m1"}},
+		{"a single member", []float64{weak}, nil, 100, []model.Instance{"m0"}},
+	}
+	for _, c := range cases {
+		var who []Member
+		for i, w := range c.weights {
+			who = append(who, Member{Instance: model.Instance(fmt.Sprintf("m%d", i)), Weight: w})
+		}
+		var got []model.Instance
+		for _, m := range chooseOwners("d", who, c.owned, c.servers) {
+			got = append(got, m.Instance)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -110,6 +110,7 @@
 	case fleet.ScanJobs:
 		n.spawn(func() { n.jobs.scan(l.ctx) })
 	case fleet.FollowStore:
+		n.log.Event(eventlog.StoreFollowed).Bool("on", x.On).Int("servers", x.Servers).Send()
 		n.store.followShared(l.ctx, x.On)
 	case fleet.ListServers:
 		n.spawn(func() { n.store.servers.list(l.ctx) })
