--- a/internal/fleet/owners_test.go
+++ b/internal/fleet/owners_test.go
@@ -73,3 +73,35 @@
 		}
 	}
 }
+
+// BenchmarkOwnersOfALargeFleet measures what an instance spends on the news that a
+// server of a fleet with 1,100 of them has another owner.
+func BenchmarkOwnersOfALargeFleet(b *testing.B) {
+	const instances, servers, domains = 37, 1100, 6
+	domain := func(i int) model.Domain { return model.Domain(fmt.Sprintf("d%d", i%domains)) }
+	var members []Member
+	for i := range instances {
+		members = append(members, Member{Instance: model.Instance(fmt.Sprintf("i%02d", i)), Incarnation: "1", Domain: domain(i), Weight: 0.4})
+	}
+	now := Time(time.Second)
+	inst := NewInstance(Options{Self: members[0], Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
+	var entries []ServerEntry
+	var owners []Ownership
+	for i := range servers {
+		id := model.ServerID(fmt.Sprintf("s%04d", i))
+		entries = append(entries, ServerEntry{ID: id, Service: "s", Domain: domain(i), Capacity: model.Resources{CPUMilli: 32000}})
+		owners = append(owners, Ownership{Server: id, Owner: members[1+i%(instances-1)].Instance, Life: "1", Revision: uint64(i + 1)})
+	}
+	inst.Step(now, StoreReached{Up: true})
+	inst.Step(now, MembersSeen{Members: members})
+	inst.Step(now, ServersSeen{Servers: entries, At: 1})
+	inst.Step(now, OwnersSeen{Owners: owners})
+	rev := uint64(servers)
+	for b.Loop() {
+		now = now.Add(2 * time.Millisecond)
+		rev++
+		o := owners[rev%servers]
+		o.Revision = rev
+		inst.Step(now, OwnersSeen{Owners: []Ownership{o}})
+	}
+}
