--- a/internal/fleet/owners_test.go
+++ b/internal/fleet/owners_test.go
@@ -9,28 +9,32 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-// BenchmarkTickOfALargeFleet measures the tick of an instance that has nothing
-// to do, beside 30 others with 350 backend servers in four domains.
-func BenchmarkTickOfALargeFleet(b *testing.B) {
-	const instances, servers, domains = 31, 350, 4
+// largeFleet returns an instance that has nothing to do, beside others that own all
+// servers of some domains.
+func largeFleet(instances, servers, domains int) (inst *Instance, members []Member, owners []Ownership, now Time) {
 	domain := func(i int) model.Domain { return model.Domain(fmt.Sprintf("d%d", i%domains)) }
-	var members []Member
 	for i := range instances {
 		members = append(members, Member{Instance: model.Instance(fmt.Sprintf("i%02d", i)), Incarnation: "1", Domain: domain(i), Weight: 0.4})
 	}
-	now := Time(time.Second)
-	inst := NewInstance(Options{Self: members[0], Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
+	now = Time(time.Second)
+	inst = NewInstance(Options{Self: members[0], Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
 	var entries []ServerEntry
-	var owners []Ownership
 	for i := range servers {
-		id := model.ServerID(fmt.Sprintf("s%03d", i))
+		id := model.ServerID(fmt.Sprintf("s%04d", i))
 		entries = append(entries, ServerEntry{ID: id, Service: "s", Domain: domain(i), Capacity: model.Resources{CPUMilli: 32000}})
 		owners = append(owners, Ownership{Server: id, Owner: members[1+i%(instances-1)].Instance, Life: "1", Revision: uint64(i + 1)})
 	}
 	inst.Step(now, StoreReached{Up: true})
 	inst.Step(now, MembersSeen{Members: members})
-	inst.Step(now, ServersSeen{Servers: entries})
+	inst.Step(now, ServersSeen{Servers: entries, At: 1})
 	inst.Step(now, OwnersSeen{Owners: owners})
+	return inst, members, owners, now
+}
+
+// BenchmarkTickOfALargeFleet measures the tick of an instance that has nothing
+// to do, beside 30 others with 350 backend servers in four domains.
+func BenchmarkTickOfALargeFleet(b *testing.B) {
+	inst, members, _, now := largeFleet(31, 350, 4)
 	for b.Loop() {
 		now = now.Add(tickPause)
 		for _, m := range members[1:] {
@@ -40,6 +44,20 @@
 	}
 }
 
+// BenchmarkOwnersOfALargeFleet measures what an instance spends on the news that a
+// server of a fleet with 1,100 of them has another owner.
+func BenchmarkOwnersOfALargeFleet(b *testing.B) {
+	inst, _, owners, now := largeFleet(37, 1100, 6)
+	rev := uint64(len(owners))
+	for b.Loop() {
+		now = now.Add(2 * time.Millisecond)
+		rev++
+		o := owners[rev%uint64(len(owners))]
+		o.Revision = rev
+		inst.Step(now, OwnersSeen{Owners: []Ownership{o}})
+	}
+}
+
 // TestOwnersAreTheStrongest divides the servers of a domain among members of
 // different strength, some of which own servers already.
 func TestOwnersAreTheStrongest(t *testing.T) {
@@ -73,35 +91,3 @@
 		}
 	}
 }
-
-// BenchmarkOwnersOfALargeFleet measures what an instance spends on the news that a
-// server of a fleet with 1,100 of them has another owner.
-func BenchmarkOwnersOfALargeFleet(b *testing.B) {
-	const instances, servers, domains = 37, 1100, 6
-	domain := func(i int) model.Domain { return model.Domain(fmt.Sprintf("d%d", i%domains)) }
-	var members []Member
-	for i := range instances {
-		members = append(members, Member{Instance: model.Instance(fmt.Sprintf("i%02d", i)), Incarnation: "1", Domain: domain(i), Weight: 0.4})
-	}
-	now := Time(time.Second)
-	inst := NewInstance(Options{Self: members[0], Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
-	var entries []ServerEntry
-	var owners []Ownership
-	for i := range servers {
-		id := model.ServerID(fmt.Sprintf("s%04d", i))
-		entries = append(entries, ServerEntry{ID: id, Service: "s", Domain: domain(i), Capacity: model.Resources{CPUMilli: 32000}})
-		owners = append(owners, Ownership{Server: id, Owner: members[1+i%(instances-1)].Instance, Life: "1", Revision: uint64(i + 1)})
-	}
-	inst.Step(now, StoreReached{Up: true})
-	inst.Step(now, MembersSeen{Members: members})
-	inst.Step(now, ServersSeen{Servers: entries, At: 1})
-	inst.Step(now, OwnersSeen{Owners: owners})
-	rev := uint64(servers)
-	for b.Loop() {
-		now = now.Add(2 * time.Millisecond)
-		rev++
-		o := owners[rev%servers]
-		o.Revision = rev
-		inst.Step(now, OwnersSeen{Owners: []Ownership{o}})
-	}
-}
