--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -5,8 +5,8 @@
 // Bounds of how a configuration passes from member to member.
 const (
 	// configPatience is how long the store may take to bring a version that a peer
-	// has told of, if this instance follows the store: a configuration of many routes takes a while on a small
-	// instance's link.
+	// has told of, if this instance follows the store: a configuration of many routes
+	// takes a while on a small instance's link.
 	configPatience = 400 * time.Millisecond
 	// configRetry is the time between two requests, each to another peer.
 	configRetry = 500 * time.Millisecond
