Replace the earlier connection before answering a hello

Cause: Mesh.receive answered the hello of a new connection before it entered it as the latest. The peer resyncs its open calls once it has the answer, so a message that came on the earlier connection in between was still delivered: a late offer beside the resync would run a task twice.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -340,18 +340,22 @@
 	if err := protodelim.UnmarshalFrom(r, &hello); err != nil {
 		return errors.Wrap(err, "receive hello")
 	}
+	from := memberFromPB(&hello)
+	// Replaces the earlier connection before the peer learns that this one is up:
+	// from then on, it counts on nothing more being delivered from the earlier one.
+	in, current := m.inbound.open(from, hello.GetLink(), conn)
+	if current {
+		defer m.inbound.close(in)
+	}
 	if _, err := protodelim.MarshalTo(stream, memberToPB(m.opts.Self)); err != nil {
 		return errors.Wrap(err, "reply to hello")
 	}
 	if err := stream.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	from := memberFromPB(&hello)
-	in, ok := m.inbound.open(from, hello.GetLink(), conn)
-	if !ok {
+	if !current {
 		return nil // a later connection is up
 	}
-	defer m.inbound.close(in)
 	limit := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		var f fleetpb.Frame
