Wait for the first poll instead of rejecting as full

Cause: expectedWait answered a second where no owned server takes work yet. An owner that has just claimed its servers, as after a restart of all instances, so rejected jobs with a wait of exactly 1,000 ms, two milliseconds before the first poll told that the servers were empty.

Change: servers whose first poll is still out count towards the rate. Without any, the expected wait stays a second.

Test: TestUnpolledServersAreNotFull, rejected as overload before.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -106,12 +106,12 @@
 func (p *pool) expectedWait(now Time) time.Duration {
 	rate := 0.0
 	for _, s := range p.orderedServers {
-		if s.takesWork(now) {
+		if s.takesWork(now) || s.opensSoon() {
 			rate += float64(s.entry.Capacity.CPUMilli) * packingShare / s.speed.factor()
 		}
 	}
 	if rate == 0 {
-		return time.Second
+		return noServerWait
 	}
 	work := 0.0
 	for _, j := range p.queue {
@@ -120,6 +120,10 @@
 	return time.Duration(work / rate * float64(time.Millisecond))
 }
 
+// noServerWait is the expected wait while no server takes work: an unresponsive or
+// quarantined server takes about that long to return.
+const noServerWait = time.Second
+
 // load returns the load of the pool for a service.
 func (p *pool) load(service string, now Time) Load {
 	l := Load{Service: service, ExpectedWait: p.expectedWait(now), QueuedTasks: p.queuedTasks(service), StagedTasks: p.stagedTasks()}
--- /dev/null
+++ b/internal/fleet/admission_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// TestUnpolledServersAreNotFull submits a job to an instance that has just claimed its
+// only server, as after a restart of all instances. The job waits for the first poll.
+func TestUnpolledServersAreNotFull(t *testing.T) {
+	self := Member{Instance: "n1", Incarnation: "01", Domain: "d", Weight: 1}
+	now := Time(time.Second)
+	i := NewInstance(Options{Self: self, Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
+	entry := ServerEntry{ID: "s1", Service: "svc", Addr: "a", Domain: "d", State: ServerReady, Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+	i.Step(now, StoreStatus{Up: true})
+	i.Step(now, ServersListed{Servers: []ServerEntry{entry}})
+	i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7}}})
+	spec := JobSpec{
+		ID: "j1", Service: "svc", MaxAttempts: 3, Timeout: time.Second, ReceivedAt: now, Objective: Objective{Allowance: 60 * time.Millisecond, Stretch: 1.6},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: 60 * time.Millisecond}},
+	}
+	for _, e := range i.Step(now, JobSubmitted{Call: 1, Job: spec}) {
+		if a, ok := e.(Answer); ok {
+			t.Fatalf("answered %v %s before the first poll", a.Result.Kind, a.Result.Reason)
+		}
+	}
+	now = now.Add(2 * time.Millisecond)
+	starts := 0
+	for _, e := range i.Step(now, pollReply(now, 500)) {
+		if _, ok := e.(StartRun); ok {
+			starts++
+		}
+	}
+	if starts != 1 {
+		t.Errorf("%d starts after the first poll, want 1", starts)
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -130,6 +130,12 @@
 	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.draining && s.misses == 0 && s.health.available(now)
 }
 
+// opensSoon reports whether the server will take work once its first poll has been
+// answered and the runs of earlier owners have been stopped.
+func (s *server) opensSoon() bool {
+	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.draining && s.misses == 0
+}
+
 // free returns the capacity that no run occupies.
 func (s *server) free() model.Resources { return s.entry.Capacity.Minus(s.used) }
 
