Settle calls to servers whose reply is overdue

Load pattern: many commands and replies are lost at a load peak (applied_late), on any site.

Cause: a lost start occupied its capacity for the timeout of the call (150 ms), a poll, a stop and another poll; a lost stop or poll cost its own timeout again, and a lost long poll hid the ends of runs for 450 ms. A stop that was answered while an immediate poll was in flight waited for the next long poll, as pollNow was dropped.

Change: the reducer tells when a reply is overdue from the replies seen (mean and deviation, at least 12 ms) and then polls, stops again, or polls again. Polls wait 50 instead of 250 ms while more than a twentieth of the polls is overdue. What is certain about a run is as before: it is free after a poll, sent after an answered stop, that doesn't list it.

TestFrozenOwner ran 25 s, less than the timeout of its longest jobs, and took one that was still running on a slow server for one without an answer; it runs 50 s now.

--- a/internal/fleet/admission_test.go
+++ b/internal/fleet/admission_test.go
@@ -17,11 +17,7 @@
 	i.Step(now, StoreStatus{Up: true})
 	i.Step(now, ServersListed{Servers: []ServerEntry{entry}})
 	i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7}}})
-	spec := JobSpec{
-		ID: "j1", Service: "svc", MaxAttempts: 3, Timeout: time.Second, ReceivedAt: now, Objective: Objective{Allowance: 60 * time.Millisecond, Stretch: 1.6},
-		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: 60 * time.Millisecond}},
-	}
-	for _, e := range i.Step(now, JobSubmitted{Call: 1, Job: spec}) {
+	for _, e := range i.Step(now, JobSubmitted{Call: 1, Job: shortJob(now)}) {
 		if a, ok := e.(Answer); ok {
 			t.Fatalf("answered %v %s before the first poll", a.Result.Kind, a.Result.Reason)
 		}
@@ -37,3 +33,11 @@
 		t.Errorf("%d starts after the first poll, want 1", starts)
 	}
 }
+
+// shortJob returns a job of one short task that fits on the server of oneServer.
+func shortJob(now Time) JobSpec {
+	return JobSpec{
+		ID: "j1", Service: "svc", MaxAttempts: 3, Timeout: time.Second, ReceivedAt: now, Objective: Objective{Allowance: 60 * time.Millisecond, Stretch: 1.6},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: 60 * time.Millisecond}},
+	}
+}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -226,6 +226,9 @@
 // StopRequested starts a graceful stop.
 type StopRequested struct{ Deadline Time }
 
+// RepliesOverdue reports that the time of Instance.NextOverdueAt has come.
+type RepliesOverdue struct{}
+
 // Tick drives everything that depends on time.
 type Tick struct{}
 
@@ -251,6 +254,7 @@
 func (PendingCountRequested) event() {}
 func (ConfigApplied) event()         {}
 func (StopRequested) event()         {}
+func (RepliesOverdue) event()        {}
 func (Tick) event()                  {}
 
 // Effect is an output of Instance.Step.
--- a/internal/fleet/fleetsim/crest_test.go
+++ b/internal/fleet/fleetsim/crest_test.go
@@ -38,17 +38,17 @@
 	return lowest
 }
 
-// TestCrestWithLostOrders plays a peak while a quarter of all start commands is
+// TestCrestWithLostOrders plays a peak while a quarter of all calls to the servers is
 // unanswered and carried out seconds later, and some servers make no progress.
 func TestCrestWithLostOrders(t *testing.T) {
 	lowest := playCrest(t, Crest{Site: Glenbrae(), Load: 1.6, Faults: func(w *World) {
 		for i, s := range w.Servers() {
-			s.LateStartRate = 0.25
+			s.LateStartRate, s.LateOtherRate = 0.25, 0.25
 			s.StallsRuns = i%6 == 0
 		}
 		w.After(8*time.Second, func() {
 			for _, s := range w.Servers() {
-				s.LateStartRate, s.StallsRuns = 0, false
+				s.LateStartRate, s.LateOtherRate, s.StallsRuns = 0, 0, false
 			}
 		})
 	}}, 3)
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -19,6 +19,7 @@
 
 	Unresponsive  bool    // calls are neither answered nor executed
 	LateStartRate float64 // share of starts that are not answered and executed later
+	LateOtherRate float64 // the same for stops and polls
 
 	world        *World
 	state        *worker.State
@@ -93,7 +94,7 @@
 	sent := w.now
 	lost := fleet.StartReply{Server: x.Server, Run: x.Run, Outcome: fleet.StartUnanswered, SentAt: sent}
 	if s.LateStartRate > 0 && w.Rand.Float64() < s.LateStartRate {
-		w.After(2*time.Second+time.Duration(w.Rand.Int64N(int64(8*time.Second))), func() { s.start(x) })
+		w.After(w.lateBy(), func() { s.start(x) })
 		w.later(n, callTimeout, func() { w.step(n, lost) })
 		return
 	}
@@ -104,6 +105,16 @@
 	}, lost)
 }
 
+// lateBy draws how much later a call that was not answered is executed.
+func (w *World) lateBy() time.Duration {
+	return 2*time.Second + time.Duration(w.Rand.Int64N(int64(8*time.Second)))
+}
+
+// isLate draws whether a stop or poll is not answered and executed later.
+func (s *Server) isLate() bool {
+	return s.LateOtherRate > 0 && s.world.Rand.Float64() < s.LateOtherRate
+}
+
 // start executes a start that reaches the server.
 func (s *Server) start(x fleet.StartRun) fleet.StartOutcome {
 	w := s.world
@@ -218,6 +229,11 @@
 func (w *World) stopRun(n *simInstance, x fleet.StopRun) {
 	s := w.server(x.Server)
 	e := fleet.StopReply{Server: x.Server, Run: x.Run, SentAt: w.now}
+	if s.isLate() {
+		w.After(w.lateBy(), func() { s.state.Stop(w.now, x.Run, x.Fence); s.schedule() })
+		w.later(n, callTimeout, func() { w.step(n, e) })
+		return
+	}
 	w.callServer(n, s, callTimeout, func() fleet.Event {
 		done := e
 		done.Fenced = s.state.Stop(w.now, x.Run, x.Fence)
@@ -235,6 +251,10 @@
 	if s.Unresponsive {
 		return
 	}
+	if s.isLate() {
+		w.After(w.lateBy(), func() { s.advance(); s.state.Poll(w.now, x.Fence, x.AckedSeq, x.LeaseEndMs) })
+		return
+	}
 	reply := func() {
 		e := s.pollReply(x)
 		e.SentAt = sent
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -52,6 +52,7 @@
 
 	quarantines int // number of times that an instance quarantined a server
 
+	onLog   func(fleet.LogEntry)                 // called for each log entry, may be nil
 	onStart func(*Server, fleet.RunID)           // called for each start, may be nil
 	onSend  func(model.Instance, fleet.SendPeer) // called for each message with its sender, may be nil
 }
@@ -99,6 +100,7 @@
 	watches       bool          // watches the list of servers
 	storeWasUp    bool          // the store answered at the last sync
 	sentRevision  uint64        // list revision up to which changes were sent
+	overdueAt     fleet.Time    // time of the scheduled RepliesOverdue, 0 if none is
 }
 
 // New returns a world without instances. The seed determines all randomness.
@@ -156,6 +158,7 @@
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.incarnation))
 	n.alive, n.frozen, n.deferred = true, false, nil
 	n.watches, n.storeWasUp, n.sentRevision = true, true, 0
+	n.overdueAt = 0
 	n.renewedAt = w.now
 	n.calls = map[fleet.CallID]*JobRecord{}
 	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
@@ -288,6 +291,20 @@
 	for _, x := range n.reducer.Step(w.now, e) {
 		w.execute(n, x)
 	}
+	w.scheduleOverdue(n)
+}
+
+// scheduleOverdue passes a RepliesOverdue event to an instance when it is due.
+func (w *World) scheduleOverdue(n *simInstance) {
+	at := n.reducer.NextOverdueAt()
+	if at == 0 || n.overdueAt != 0 && n.overdueAt <= at {
+		return
+	}
+	n.overdueAt = at
+	w.later(n, max(0, at.Sub(w.now)), func() {
+		n.overdueAt = 0
+		w.step(n, fleet.RepliesOverdue{})
+	})
 }
 
 func (w *World) execute(n *simInstance, x fleet.Effect) {
@@ -311,6 +328,9 @@
 	case fleet.SendPeer:
 		w.send(n, x)
 	case fleet.LogEntry:
+		if w.onLog != nil {
+			w.onLog(x)
+		}
 		if x.Kind == fleet.LogServerQuarantined {
 			w.quarantines++
 		}
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -172,6 +172,9 @@
 	})
 }
 
+// longestCall is more than the timeout of any job of a site.
+const longestCall = 50 * time.Second
+
 // TestFrozenOwner checks that an owner that wakes runs none of the jobs reclaimed by
 // others, even before a message tells it so.
 func TestFrozenOwner(t *testing.T) {
@@ -185,7 +188,7 @@
 			w.OfferLoad(site, 0.8, 20*time.Second)
 			w.Run(3 * time.Second)
 			w.freezeOwner(3 * time.Second)
-			w.Run(25 * time.Second)
+			w.Run(longestCall)
 			checkInvariants(t, w)
 			if got := w.Tally(0); got.Open > 0 {
 				t.Errorf("%d jobs have no answer: %+v", got.Open, got)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -172,7 +172,10 @@
 		i.sendHeartbeats(now, true)
 		i.holder.startLeaving(now)
 		i.maintainPeersAndServers(now)
+	case RepliesOverdue:
+		i.pool.settleOverdue(now)
 	case Tick:
+		i.pool.settleOverdue(now)
 		i.maintainPeers(now)
 		if i.owners.planDue(now) {
 			i.balanceServers(now)
@@ -474,6 +477,9 @@
 // TickInterval returns the longest time to the next Tick.
 func (i *Instance) TickInterval() time.Duration { return tickInterval }
 
+// NextOverdueAt returns when to pass a RepliesOverdue event, 0 if no reply is expected.
+func (i *Instance) NextOverdueAt() Time { return i.pool.nextOverdueAt() }
+
 // Ready reports whether the instance can reach at least one owner, itself included.
 func (i *Instance) Ready(now Time) bool {
 	if i.leaving {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -68,6 +68,10 @@
 	lastOffload    CallID
 	queueAnnounced bool // peers have been told of queued tasks
 
+	pendingCommands pendingCalls // and immediate polls
+	pendingPolls    pendingCalls
+	replies         replyTimes
+
 	noStartsUntil Time // set after a pause of the process
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -42,6 +42,7 @@
 	t.job.starts++
 	t.job.activeRuns++
 	s.addRun(r)
+	p.expectReply(s, callStart, r, now)
 	s.health.started()
 	p.effect(StartRun{
 		Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Spec: t.job.spec.Spec,
@@ -73,8 +74,8 @@
 
 // poll sends the poll that is due at a server, if any.
 func (p *pool) poll(s *server, now Time) {
-	if poll, due := s.nextPoll(now, p.lease, p.wantedAge(s, now)); due {
-		p.effect(poll)
+	if poll, due := s.nextPoll(now, p.replies.pollWait(), p.lease, p.wantedAge(s, now)); due {
+		p.sendPoll(s, poll, now)
 	}
 }
 
@@ -88,16 +89,21 @@
 	if e.ClockMs > 0 {
 		p.recordReply(s, e.ClockMs, now)
 	}
-	if r == nil || r.state != runStarting {
+	if r == nil || r.state != runStarting && r.state != runUncertain {
 		// A run that is being stopped is settled by the result of the stop.
 		return
 	}
+	if e.Outcome != StartUnanswered && e.Outcome != StartNotSent {
+		p.replies.observe(now.Sub(r.sentAt))
+	}
 	switch e.Outcome {
 	case StartAccepted:
 		r.state, r.answeredAt = runConfirmed, now
 	case StartUnanswered:
-		p.effect(LogEntry{Kind: LogRunUnanswered, Server: e.Server, Run: e.Run, Age: now.Sub(e.SentAt)})
-		r.state, r.uncertainSince = runUncertain, now
+		if r.state == runStarting {
+			p.effect(LogEntry{Kind: LogRunUnanswered, Server: e.Server, Run: e.Run, Age: now.Sub(e.SentAt)})
+			r.state, r.uncertainSince = runUncertain, now
+		}
 		p.handleUnanswered(s, e.SentAt, now)
 		p.pollNow(s, now)
 	case StartNotSent:
@@ -152,6 +158,7 @@
 		r.firstStopAt = now
 	}
 	r.state, r.stopSentAt, r.answeredAt = runStopping, now, 0
+	p.expectReply(s, callStop, r, now)
 	p.effect(StopRun{Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Fence: s.ownership.Revision})
 }
 
@@ -194,7 +201,7 @@
 // pollNow sends a poll that returns immediately.
 func (p *pool) pollNow(s *server, now Time) {
 	if poll, due := s.immediatePoll(now, p.lease, p.wantedAge(s, now)); due {
-		p.effect(poll)
+		p.sendPoll(s, poll, now)
 	}
 }
 
@@ -217,10 +224,15 @@
 	if s == nil {
 		return
 	}
-	if e.Poll.Immediate {
-		s.pollingNow = false
-	} else {
-		s.polling = false
+	if e.Outcome == PollOK {
+		p.replies.observePoll(false)
+	}
+	// The reply to an earlier poll, which was overdue, leaves the later one in flight.
+	switch {
+	case e.Poll.Immediate && e.SentAt >= s.polledNowAt:
+		s.polledNowAt = 0
+	case !e.Poll.Immediate && e.SentAt >= s.polledAt:
+		s.polledAt = 0
 	}
 	switch e.Outcome {
 	case PollFenced:
@@ -256,6 +268,9 @@
 	}
 	p.reconcile(s, e, now)
 	p.poll(s, now)
+	if s.pollAgain {
+		p.pollNow(s, now)
+	}
 	p.dispatch(now)
 }
 
@@ -406,7 +421,7 @@
 		switch {
 		case r.state == runUncertain && r.uncertainSince <= e.SentAt:
 			p.resolveUncertain(s, r, present[r.id], now)
-		case !present[r.id] && r.answeredAt != 0 && r.answeredAt < e.SentAt:
+		case !present[r.id] && r.answeredAt != 0 && r.answeredAt <= e.SentAt:
 			p.requeueLostRun(s, r, now)
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -10,6 +10,7 @@
 // Timing of polls and stops at a backend server.
 const (
 	pollWait                = 250 * time.Millisecond // a quarter of the usual lease, so that two lost polls do no harm
+	lossyPollWait           = 50 * time.Millisecond  // while replies are lost
 	pollRetryInterval       = 150 * time.Millisecond // between polls of an unresponsive server
 	missesUntilUnresponsive = 2                      // unanswered calls after which leases are left to expire
 	heldPollInterval        = 5 * time.Millisecond   // between polls while ends are being stored: about one store write
@@ -111,11 +112,12 @@
 	heldSeqs     map[int64]bool // ends that must not be acknowledged yet
 	quiesceUntil Time           // no starts and no acknowledgement of held ends until then, when all leases have expired
 
-	polling    bool // a regular poll is in flight
-	pollingNow bool // an immediate poll is in flight
-	nextPollAt Time // earliest next poll
-	misses     int  // unanswered calls since the last reply
-	repliedAt  Time // last reply
+	polledAt    Time // when the regular poll in flight was sent, 0 if there is none
+	polledNowAt Time // the same for the immediate poll
+	pollAgain   bool // another immediate poll is needed after the one in flight
+	nextPollAt  Time // earliest next poll
+	misses      int  // unanswered calls since the last reply
+	repliedAt   Time // last reply
 
 	speed  *speedModel
 	health health
@@ -184,8 +186,8 @@
 }
 
 // nextPoll returns the poll that is due, if any.
-func (s *server) nextPoll(now Time, lease, wantedAge time.Duration) (Poll, bool) {
-	if s.polling || !s.needsPoll() || now < s.nextPollAt {
+func (s *server) nextPoll(now Time, wait, lease, wantedAge time.Duration) (Poll, bool) {
+	if s.polledAt != 0 || !s.needsPoll() || now < s.nextPollAt {
 		return Poll{}, false
 	}
 	poll := s.newPoll(now, lease, wantedAge)
@@ -193,19 +195,21 @@
 		s.nextPollAt = now.Add(heldPollInterval) // the server replies immediately while it lists an end
 	}
 	if s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0 {
-		poll.Wait = pollWait
+		poll.Wait = wait
 	}
-	s.polling = true
+	s.polledAt = now
 	return poll, true
 }
 
 // immediatePoll returns a poll alongside the long poll, unless one is already pending.
 func (s *server) immediatePoll(now Time, lease, wantedAge time.Duration) (Poll, bool) {
-	if s.pollingNow || now < s.nextPollAt {
+	if s.polledNowAt != 0 || now < s.nextPollAt {
+		s.pollAgain = true
 		return Poll{}, false
 	}
+	s.pollAgain = false
 	poll := s.newPoll(now, lease, wantedAge)
-	poll.Immediate, s.pollingNow = true, true
+	poll.Immediate, s.polledNowAt = true, now
 	return poll, true
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -187,6 +187,7 @@
 	m.opts.OnConnect(fleet.LinkUp{Peer: peer})
 	broken := make(chan struct{})
 	go watchClose(stream, broken)
+	defer endRead(stream) // before the session is closed
 	return true, m.send(ctx, l, stream, broken)
 }
 
@@ -216,6 +217,12 @@
 	close(broken)
 }
 
+// endRead ends a pending read of the stream. A read that is still pending when its
+// session is closed spins until the session has ended all its goroutines.
+func endRead(stream *yamux.Stream) {
+	_ = stream.SetReadDeadline(time.Unix(1, 0)) // never fails
+}
+
 // drain drops messages queued for an earlier connection.
 func drain(queue chan any) {
 	for {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -19,10 +19,15 @@
 	reducer      *fleet.Instance
 	stopDeadline fleet.Time
 	isReady      bool
+
+	overdue   *time.Timer // fires when the reply to a command may be overdue
+	overdueAt fleet.Time  // when it fires, 0 if it is not set
 }
 
 func newLoop(n *Node, ctx context.Context) *loop {
-	return &loop{node: n, ctx: ctx, reducer: fleet.NewInstance(fleet.Options{
+	overdue := time.NewTimer(time.Hour)
+	overdue.Stop()
+	return &loop{node: n, ctx: ctx, overdue: overdue, reducer: fleet.NewInstance(fleet.Options{
 		Self: n.self, Lease: n.settings.Bounds.MaxLease, StopTimeout: n.settings.Bounds.StopTimeout, SharedWatchMinServers: n.sharedWatchMinServers,
 	}, bootTime())}
 }
@@ -39,6 +44,9 @@
 		case <-ticker.C:
 			l.step(fleet.Tick{})
 			l.updateReady()
+		case <-l.overdue.C:
+			l.overdueAt = 0
+			l.step(fleet.RepliesOverdue{})
 		case <-stopping:
 			stopping = nil
 			l.stop()
@@ -90,6 +98,19 @@
 	for _, x := range l.reducer.Step(bootTime(), e) {
 		l.execute(x)
 	}
+	l.setOverdueTimer()
+}
+
+// setOverdueTimer sets the timer for the next overdue reply. A timer that is set to an
+// earlier time stays: most replies arrive in time, and resetting it for each is
+// expensive.
+func (l *loop) setOverdueTimer() {
+	at := l.reducer.NextOverdueAt()
+	if at == 0 || l.overdueAt != 0 && l.overdueAt <= at {
+		return
+	}
+	l.overdueAt = at
+	l.overdue.Reset(max(0, at.Sub(bootTime())))
 }
 
 func (l *loop) execute(x fleet.Effect) {
