Keep queues short at load peaks: start early or reject at once

Load pattern: demand above capacity for seconds, alone or with lost orders, hanging servers or lost owners.

Late jobs counted as work ahead of new ones, which were rejected for it.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -25,19 +25,62 @@
 )
 
 // admit decides on a job by the work queued ahead of it, and returns the expected wait.
+// A job that would be late is queued only while no job on time waits: it would hold
+// capacity that others need to be on time.
 func (p *pool) admit(j *job, now Time) (admissionResult, time.Duration) {
-	if !p.onTimeJobQueued(now) && p.fitsNow(j, now) {
+	contended := p.onTimeJobQueued(now)
+	if !contended && p.fitsNow(j, now) {
 		return admitNow, 0
 	}
-	wait := p.fleetExpectedWait(j.spec.Service, now)
-	end := now.Add(wait + j.remainingTime())
-	limit := j.spec.ReceivedAt.Add(maxObjectiveFactor * j.spec.Due().Sub(j.spec.ReceivedAt))
-	if end > min(limit, j.spec.Deadline()) {
+	wait := p.fleetExpectedWait(j.spec.Service, j, now)
+	start := now.Add(wait)
+	if contended && start > p.latestFirstStart(j) {
+		return admitReject, wait
+	}
+	limit := j.spec.ReceivedAt.Add(maxObjectiveFactor * j.due.Sub(j.spec.ReceivedAt))
+	if start.Add(j.remainingTime()) > min(limit, j.spec.Deadline()) {
 		return admitReject, wait
 	}
 	return admitQueue, wait
 }
 
+// shedLate rejects queued jobs that have used up their share of waiting while others
+// that can be on time wait behind running work. Started jobs stay, as most of their work
+// may be done. The caller learns at once that the job has not run.
+func (p *pool) shedLate(now Time) {
+	onTime := 0
+	for _, j := range p.queue {
+		if p.waitsOnTime(j, now) {
+			onTime++
+		}
+	}
+	for _, j := range slices.Backward(slices.Clone(p.queue)) {
+		if onTime == 0 {
+			return
+		}
+		others := onTime
+		if p.waitsOnTime(j, now) {
+			others--
+		}
+		if others > 0 && j.sheddable() && p.latestFirstStart(j) < now {
+			p.reject(j, "waited", p.expectedWait(j, now), now)
+			onTime = others
+		}
+	}
+}
+
+// sheddable reports whether a queued job may be rejected: none of it has started, and
+// it isn't part of a job or a record elsewhere.
+func (j *job) sheddable() bool {
+	return j.starts == 0 && !j.done && j.offloaded == nil && j.durable == nil && j.hasReadyTask()
+}
+
+// reject ends a queued job that has not started.
+func (p *pool) reject(j *job, reason string, wait time.Duration, now Time) {
+	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: wait, Count: len(p.queue)})
+	p.endJob(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: wait}, now)
+}
+
 // queuedAtOwner reports whether jobs wait at the queue owner; later jobs queue behind
 // them.
 func (p *pool) queuedAtOwner(service string, now Time) bool {
@@ -58,7 +101,12 @@
 
 // onTimeJobQueued reports whether a queued job can still complete on time.
 func (p *pool) onTimeJobQueued(now Time) bool {
-	return slices.ContainsFunc(p.queue, func(j *job) bool { return j.hasReadyTask() && j.latestStart() >= now })
+	return slices.ContainsFunc(p.queue, func(j *job) bool { return p.waitsOnTime(j, now) })
+}
+
+// waitsOnTime reports whether tasks of a job wait that can still be on time.
+func (p *pool) waitsOnTime(j *job, now Time) bool {
+	return !j.done && j.hasReadyTask() && p.latestStart(j) >= now
 }
 
 // fitsNow reports whether all ready tasks of a job can start immediately.
@@ -102,8 +150,9 @@
 	return n
 }
 
-// expectedWait estimates how long a new job waits for its start.
-func (p *pool) expectedWait(now Time) time.Duration {
+// expectedWait estimates how long a job waits for its start: for the queued work that
+// starts before it, or all that can be on time if j is nil.
+func (p *pool) expectedWait(j *job, now Time) time.Duration {
 	rate := 0.0
 	for _, s := range p.orderedServers {
 		if s.takesWork(now) || s.opensSoon() {
@@ -114,8 +163,10 @@
 		return noServerWait
 	}
 	work := 0.0
-	for _, j := range p.queue {
-		work += j.queuedWork()
+	for _, q := range p.queue {
+		if j == nil && p.latestStart(q) >= now || j != nil && q != j && p.compareSlack(q, j, now) < 0 {
+			work += q.queuedWork()
+		}
 	}
 	return time.Duration(work / rate * float64(time.Millisecond))
 }
@@ -126,7 +177,7 @@
 
 // load returns the load of the pool for a service.
 func (p *pool) load(service string, now Time) Load {
-	l := Load{Service: service, ExpectedWait: p.expectedWait(now), QueuedTasks: p.queuedTasks(service), StagedTasks: p.stagedTasks()}
+	l := Load{Service: service, ExpectedWait: p.expectedWait(nil, now), QueuedTasks: p.queuedTasks(service), StagedTasks: p.stagedTasks()}
 	need := uint32(p.typicalMilli)
 	for _, s := range p.orderedServers {
 		if s.entry.Service != service || !s.takesWork(now) {
--- a/internal/fleet/admission_test.go
+++ b/internal/fleet/admission_test.go
@@ -34,6 +34,39 @@
 	}
 }
 
+// TestWaitingJobsAreShed fills a server and queues jobs. One that waits alone keeps its
+// place until it can't be on time; beside another, it is rejected after its share of
+// the slack, and told truthfully that it has not run.
+func TestWaitingJobsAreShed(t *testing.T) {
+	for name, c := range map[string]struct {
+		queued int
+		want   int // rejected
+	}{"alone": {1, 0}, "two": {2, 1}, "three": {3, 2}} {
+		i, now := oneServer(t, 500)
+		startOne(t, i, now)
+		for k := range c.queued {
+			spec := shortJob(now)
+			spec.ID += string(rune('a' + k))
+			spec.Steps[0].Estimate = 20 * time.Millisecond
+			i.Step(now, JobSubmitted{Call: CallID(10 + k), Job: spec})
+		}
+		j := i.pool.queue[0]
+		now = i.pool.latestFirstStart(j).Add(time.Millisecond)
+		if now > i.pool.latestStart(j) {
+			t.Fatal("the share of the slack ends after the slack")
+		}
+		rejected := 0
+		for _, e := range i.Step(now, Tick{}) {
+			if a, ok := e.(Answer); ok && a.Result.Kind == NotRun && a.Result.RetryAfter >= minRetryAfter {
+				rejected++
+			}
+		}
+		if rejected != c.want {
+			t.Errorf("%s: %d rejected, want %d", name, rejected, c.want)
+		}
+	}
+}
+
 // shortJob returns a job of one short task that fits on the server of oneServer.
 func shortJob(now Time) JobSpec {
 	return JobSpec{
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -8,6 +8,7 @@
 // job is a job at the owner that runs it.
 type job struct {
 	spec       JobSpec
+	due        Time   // by its objective, see JobSpec.Due
 	origin     Member // instance that offered the job
 	call       CallID
 	steps      []*step
@@ -40,7 +41,7 @@
 }
 
 func newJob(spec JobSpec, origin Member, call CallID) *job {
-	j := &job{spec: spec, origin: origin, call: call}
+	j := &job{spec: spec, due: spec.Due(), origin: origin, call: call}
 	for n, s := range spec.Steps {
 		st := &step{spec: s, remaining: s.Count}
 		for i := range s.Count {
@@ -101,9 +102,6 @@
 	return longest
 }
 
-// latestStart returns the latest time to continue the job so that it completes on time.
-func (j *job) latestStart() Time { return j.spec.Due().Add(-j.remainingTime()) }
-
 // queuedWork returns the work of queued tasks, in milli-core-milliseconds.
 func (j *job) queuedWork() float64 {
 	w := 0.0
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -340,9 +340,9 @@
 }
 
 // fleetExpectedWait estimates the wait of a job if all owners share their capacity.
-func (p *pool) fleetExpectedWait(service string, now Time) time.Duration {
-	own := p.load(service, now)
-	capacity, work := own.CapacityMilli, own.CapacityMilli*milliseconds(own.ExpectedWait)
+func (p *pool) fleetExpectedWait(service string, j *job, now Time) time.Duration {
+	own, load := p.expectedWait(j, now), p.load(service, now)
+	capacity, work := load.CapacityMilli, load.CapacityMilli*milliseconds(own)
 	for _, x := range p.members.orderedPeers {
 		if l := x.load(service); x.reachable(now) && !x.leaving && l.Servers > 0 {
 			capacity += l.CapacityMilli
@@ -350,7 +350,7 @@
 		}
 	}
 	if capacity == 0 {
-		return own.ExpectedWait
+		return own
 	}
-	return min(own.ExpectedWait, time.Duration(work/capacity*float64(time.Millisecond)))
+	return min(own, time.Duration(work/capacity*float64(time.Millisecond)))
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -36,29 +35,6 @@
 	PlaceRandom                // by a hash of task and server
 )
 
-// sort orders the queue for starts.
-func (p Policy) sort(queue []*job, now Time) {
-	compare := func(a, b *job) int { return compareSlack(a, b, now) }
-	if p.Order == OrderArrival {
-		compare = func(a, b *job) int { return cmp.Compare(a.spec.ReceivedAt, b.spec.ReceivedAt) }
-	}
-	slices.SortStableFunc(queue, compare)
-}
-
-// compareSlack puts jobs that can complete on time first, ordered by least slack. Late
-// jobs follow, the least late first, as it is the most likely to be useful.
-func compareSlack(a, b *job, now Time) int {
-	aStart, bStart := a.latestStart(), b.latestStart()
-	aLate, bLate := aStart < now, bStart < now
-	switch {
-	case aLate != bLate:
-		return trueFirst(bLate, aLate)
-	case aLate:
-		return cmp.Compare(bStart, aStart)
-	}
-	return cmp.Or(cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
-}
-
 // Cost weights of a server, relative to the estimated time of the task.
 const (
 	strandedWeight  = 0.1 // per whole server of capacity left too small for a typical task; minor next to speed
@@ -97,6 +73,7 @@
 func (p *pool) pickServer(t *task, open []*server, now Time) *server {
 	var best *server
 	bestCost := 0.0
+	onlyOnTime := p.waitsForFaster(t, now)
 	if len(open) == 0 || now.Sub(p.members.wantedAt(t.job, now)) > maxWantedAge {
 		return nil
 	}
@@ -107,6 +84,9 @@
 		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
 			continue
 		}
+		if onlyOnTime && now.Add(s.speed.expect(t.step.spec.Estimate)) > t.job.due {
+			continue
+		}
 		if c := p.cost(t, s, now); best == nil || c < bestCost {
 			best, bestCost = s, c
 		}
@@ -114,6 +94,13 @@
 	return best
 }
 
+// waitsForFaster reports whether a task rather waits than starts on a server that makes
+// its job late: fast servers can still be on time, and other jobs wait that a slow one
+// may suit.
+func (p *pool) waitsForFaster(t *task, now Time) bool {
+	return len(p.queue) > 1 && t.job.offloaded == nil && t.job.durable == nil && p.latestStart(t.job) >= now
+}
+
 // runsOf counts the runs of a step on the server.
 func (s *server) runsOf(st *step) int {
 	n := 0
@@ -135,7 +122,7 @@
 	}
 	takes := s.speed.expect(t.step.spec.Estimate)
 	c := speedWeight(t.step.spec.Estimate) * ratio(takes, t.step.spec.Estimate)
-	if now.Add(takes) > t.job.spec.Due() {
+	if now.Add(takes) > t.job.due {
 		c += lateWeight
 	}
 	if r := t.step.spec.Rack; r != "" && !slices.Contains(s.entry.Labels, r) {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -60,6 +60,7 @@
 	queue          []*job // jobs with queued tasks
 	recent         []recentOutcome
 	typicalMilli   float64 // moving mean of the CPU per task
+	fastFactor     float64 // run time relative to the estimate at the fastest servers
 	speeds         speedModels
 	holder         *holder
 
@@ -83,6 +84,7 @@
 		jobs:         map[jobKey]*job{},
 		byID:         map[string]*job{},
 		typicalMilli: initialTypicalMilli,
+		fastFactor:   1,
 		speeds:       speedModels{},
 	}
 }
@@ -175,7 +177,7 @@
 	if len(p.queue) == 0 || now < p.noStartsUntil {
 		return
 	}
-	p.policy.sort(p.queue, now)
+	p.sortQueue(now)
 	open := p.openServers(p.minQueuedMilli(), now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
@@ -186,6 +188,7 @@
 	}
 	p.offloadQueued(now)
 	p.returnStaged(now)
+	p.shedLate(now)
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.done || !j.hasReadyTask() })
 }
 
@@ -341,6 +344,7 @@
 	for _, s := range p.orderedServers {
 		p.tickServer(s, now)
 	}
+	p.updateFastFactor(now)
 	p.requeueDelayed(now)
 	p.expireJobs(now)
 	p.dispatch(now)
@@ -354,7 +358,7 @@
 			continue
 		}
 		if now.Add(j.remainingTime()/2) > j.spec.Deadline() {
-			p.endJob(j, Result{Kind: Unknown, Reason: ReasonDeadline, RetryAfter: p.expectedWait(now)}, now)
+			p.endJob(j, Result{Kind: Unknown, Reason: ReasonDeadline, RetryAfter: p.expectedWait(nil, now)}, now)
 		}
 	}
 	for _, j := range p.sortedJobs() {
