Successors take over the servers of a dead owner while the store is down

Load pattern: a load peak while the store is down and owners die.

Change: a claim names up to three successors by instance and incarnation, and reserves a token for each (revision times 8, plus the rank). Once the owner's process has certainly ended (connections refused, or its next life seen) and no reachable member reaches the store, the first live successor polls the servers under its own token, which shuts out every lower one, and claims them when the store is back. Until a poll under the new token it starts nothing. A token that a server refused is not used again.

Asking the servers under the owner's own token whether it still acts would tell more, but two instances would use one token.

--- a/internal/fleet/dispatch_test.go
+++ b/internal/fleet/dispatch_test.go
@@ -24,8 +24,8 @@
 	}
 	i.Step(now, ServersListed{Servers: entries, Revision: 1})
 	i.Step(now, OwnersChanged{Owners: owned})
-	for _, e := range entries {
-		i.Step(now, PollReply{Server: e.ID, Outcome: PollOK, SentAt: now, ClockMs: 100, BootMs: 1})
+	for k, e := range entries {
+		i.Step(now, PollReply{Server: e.ID, Outcome: PollOK, Poll: Poll{Fence: owned[k].Token()}, SentAt: now, ClockMs: 100, BootMs: 1})
 	}
 	for k := range peers {
 		m := Member{Instance: model.Instance(fmt.Sprintf("n%02d", k+1)), Incarnation: "01", Domain: "d", Weight: 0.4}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -34,7 +34,9 @@
 	Server      model.ServerID
 	Owner       model.Instance    // empty if released
 	Incarnation model.Incarnation // of the owner
-	Revision    uint64            // of the last write, used as the fencing token; 0 if never owned
+	Revision    uint64            // of the last write; 0 if never owned
+	Rank        int               // 0 for the recorded owner, else the position of the successor that took over, from 1
+	Successors  []Successor       // in the order in which they may take over while the store is down
 }
 
 // OwnersChanged holds changed ownerships.
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -386,7 +386,7 @@
 		w.revision++
 		var now []fleet.Ownership
 		for _, o := range x.Expected {
-			o.Owner, o.Incarnation, o.Revision = x.Owner, member.Incarnation, w.revision
+			o.Owner, o.Incarnation, o.Revision, o.Rank = x.Owner, member.Incarnation, w.revision, 0
 			w.owners[o.Server] = o
 			now = append(now, o)
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -237,6 +237,10 @@
 			x.releasing = true
 		}
 	}
+	if taken := i.owners.succeed(i.members, i.leaving, now); len(taken) > 0 {
+		i.learnOwners(taken, now)
+		i.announceOwners(taken, now)
+	}
 	i.releaseServers(now)
 }
 
@@ -306,7 +310,7 @@
 		switch {
 		case i.owners.isMine(x.Server) && listed:
 			i.pool.addServer(entry, known, now)
-		case s != nil && known.Revision > s.ownership.Revision:
+		case s != nil && known.Token() > s.ownership.Token():
 			i.pool.dropServer(s, now)
 		}
 	}
@@ -341,6 +345,9 @@
 			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: o.key.call, Result: o.result, Attempt: o.attempt}})
 		}
 	}
+	if list := i.owners.unconfirmed(); len(list) > 0 {
+		i.effects = append(i.effects, SendPeer{To: p.member, Message: OwnersUpdate{Owners: list}})
+	}
 	i.sendHeartbeat(p, now)
 }
 
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -48,7 +48,8 @@
 	byDomain map[model.Domain][]model.ServerID // in this cell, sorted
 	domains  []model.Domain                    // with servers in this cell, sorted
 	known    map[model.ServerID]Ownership
-	loaded   bool // the store's ownerships have been read
+	fenced   map[model.ServerID]uint64 // highest token that a server has refused
+	loaded   bool                      // the store's ownerships have been read
 
 	claiming        bool
 	claimedAt       Time
@@ -57,13 +58,13 @@
 }
 
 func newOwners(self Member, list *serverList, now Time, effect func(Effect)) *owners {
-	return &owners{self: self, startedAt: now, effect: effect, entries: list.entries, known: map[model.ServerID]Ownership{}}
+	return &owners{self: self, startedAt: now, effect: effect, entries: list.entries, known: map[model.ServerID]Ownership{}, fenced: map[model.ServerID]uint64{}}
 }
 
 // merge applies ownerships that are not older than the known ones.
 func (o *owners) merge(list []Ownership) {
 	for _, x := range list {
-		if old := o.known[x.Server]; x.Revision >= old.Revision {
+		if old := o.known[x.Server]; x.Token() >= old.Token() {
 			o.known[x.Server] = x
 		}
 	}
@@ -154,10 +155,10 @@
 		return nil
 	}
 	if now.Sub(o.startedAt) < startupDelay {
-		o.reclaim(leaving, now)
+		o.reclaim(m, leaving, now)
 		return nil
 	}
-	var want []Ownership
+	want := o.unconfirmed()
 	for _, d := range o.domains {
 		share, others := o.targetShare(d, m, leaving, now)
 		owned, orphans := o.split(o.byDomain[d], m, now)
@@ -171,11 +172,20 @@
 		o.nextRebalanceAt = now.Add(rebalanceInterval)
 	}
 	if len(want) > 0 && !leaving {
-		o.claim(want[:min(len(want), maxServersPerClaim)], o.self.Instance, now)
+		o.claimServers(want, m, now)
 	}
 	return release
 }
 
+// claimServers claims as many servers as fit into one claim, and names successors.
+func (o *owners) claimServers(want []Ownership, m *members, now Time) {
+	want = slices.Clone(want[:min(len(want), maxServersPerClaim)])
+	for i := range want {
+		want[i].Successors = o.successors(o.entries[want[i].Server].Domain, m, now)
+	}
+	o.claim(want, o.self.Instance, now)
+}
+
 // planDue reports whether to plan on this tick. Events trigger plans immediately.
 func (o *owners) planDue(now Time) bool {
 	if now.Sub(o.plannedAt) < time.Duration(len(o.entries))*planIntervalPerServer {
@@ -187,7 +197,7 @@
 
 // reclaim claims the servers of an earlier incarnation of this instance. Others may not
 // do so before they know that it has ended.
-func (o *owners) reclaim(leaving bool, now Time) {
+func (o *owners) reclaim(m *members, leaving bool, now Time) {
 	var want []Ownership
 	for _, d := range o.domains {
 		for _, id := range o.byDomain[d] {
@@ -197,16 +207,16 @@
 		}
 	}
 	if len(want) > 0 && !leaving {
-		o.claim(want[:min(len(want), maxServersPerClaim)], o.self.Instance, now)
+		o.claimServers(want, m, now)
 	}
 }
 
 func (o *owners) split(servers []model.ServerID, m *members, now Time) (owned []model.ServerID, orphans []model.ServerID) {
 	for _, id := range servers {
 		switch {
-		case o.isMine(id):
+		case o.isMine(id) && !o.isFenced(id):
 			owned = append(owned, id)
-		case o.isOrphan(id, m, now):
+		case o.isMine(id) || o.isOrphan(id, m, now):
 			orphans = append(orphans, id)
 		}
 	}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -93,19 +93,39 @@
 // poll.
 func (p *pool) addServer(e ServerEntry, o Ownership, now Time) {
 	if s := p.servers[e.ID]; s != nil {
-		if s.ownership.Revision == o.Revision {
-			return
-		}
-		p.dropServer(s, now)
+		p.renewToken(s, o, now)
+		return
+	}
+	if o.Token() <= p.owners.fenced[e.ID] {
+		return
 	}
 	s := newServer(e, o, p.speeds.forServer(e))
 	p.servers[e.ID] = s
 	p.orderedServers = append(p.orderedServers, s)
 	slices.SortFunc(p.orderedServers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-	p.effect(LogEntry{Kind: LogServerOwned, Server: e.ID, Value: o.Revision})
+	p.logOwned(o)
 	p.poll(s, now)
 }
 
+func (p *pool) logOwned(o Ownership) {
+	entry := LogEntry{Kind: LogServerOwned, Server: o.Server, Value: o.Token()}
+	if o.Rank > 0 {
+		entry.Reason = "successor"
+	}
+	p.effect(entry)
+}
+
+// renewToken continues to control a server under a higher token. Another instance may
+// have controlled it under a token in between, so nothing starts before the next poll.
+func (p *pool) renewToken(s *server, o Ownership, now Time) {
+	if o.Token() <= s.ownership.Token() {
+		return
+	}
+	s.ownership, s.phase = o, phaseRecovering
+	p.logOwned(o)
+	p.pollNow(s, now)
+}
+
 // updateListed applies the store's list of servers.
 func (p *pool) updateListed(entries map[model.ServerID]ServerEntry, now Time) {
 	for _, s := range slices.Clone(p.orderedServers) {
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -25,7 +25,7 @@
 }
 
 func pollReply(now Time, bootMs int64, running ...ActiveRun) PollReply {
-	return PollReply{Server: "s1", Outcome: PollOK, SentAt: now.Add(-time.Millisecond), ClockMs: 100, BootMs: bootMs, Running: running}
+	return PollReply{Server: "s1", Outcome: PollOK, Poll: Poll{Fence: Ownership{Revision: 7}.Token()}, SentAt: now.Add(-time.Millisecond), ClockMs: 100, BootMs: bootMs, Running: running}
 }
 
 // startOne submits a job of one task and confirms its start.
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -46,7 +46,7 @@
 	s.health.started()
 	p.effect(StartRun{
 		Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Spec: t.job.spec.Spec,
-		Fence: s.ownership.Revision, LeaseEndMs: s.extendLease(now, p.lease-p.wantedAge(s, now)),
+		Fence: s.ownership.Token(), LeaseEndMs: s.extendLease(now, p.lease-p.wantedAge(s, now)),
 	})
 }
 
@@ -159,7 +159,7 @@
 	}
 	r.state, r.stopSentAt, r.answeredAt = runStopping, now, 0
 	p.expectReply(s, callStop, r, now)
-	p.effect(StopRun{Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Fence: s.ownership.Revision})
+	p.effect(StopRun{Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Fence: s.ownership.Token()})
 }
 
 // handleStopReply processes the result of a stop.
@@ -214,7 +214,8 @@
 
 // handleFenced drops a server that another instance owns.
 func (p *pool) handleFenced(s *server, now Time) {
-	p.effect(LogEntry{Kind: LogServerFenced, Server: s.entry.ID, Value: s.ownership.Revision})
+	p.effect(LogEntry{Kind: LogServerFenced, Server: s.entry.ID, Value: s.ownership.Token()})
+	p.owners.markFenced(s.ownership)
 	p.dropServer(s, now)
 }
 
@@ -425,7 +426,7 @@
 			p.requeueLostRun(s, r, now)
 		}
 	}
-	if s.phase == phaseRecovering {
+	if s.phase == phaseRecovering && e.Poll.Fence == s.ownership.Token() {
 		p.finishRecovery(s, now)
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -217,7 +217,7 @@
 // then they are left to expire. wantedAge is how long ago all runs there were known to
 // be wanted.
 func (s *server) newPoll(now Time, lease, wantedAge time.Duration) Poll {
-	poll := Poll{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.ownership.Revision, AckedSeq: s.ackableSeq()}
+	poll := Poll{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.ownership.Token(), AckedSeq: s.ackableSeq()}
 	if s.phase == phaseServing && s.misses < missesUntilUnresponsive && len(s.runs) > 0 {
 		poll.LeaseEndMs = s.extendLease(now, lease-wantedAge)
 	}
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -113,9 +113,13 @@
 func ownersToPB(m fleet.OwnersUpdate) *fleetpb.Owners {
 	b := &fleetpb.Owners{}
 	for _, o := range m.Owners {
-		b.Owners = append(b.Owners, &fleetpb.Ownership{
-			Server: string(o.Server), Owner: string(o.Owner), Incarnation: string(o.Incarnation), Revision: o.Revision,
-		})
+		x := &fleetpb.Ownership{
+			Server: string(o.Server), Owner: string(o.Owner), Incarnation: string(o.Incarnation), Revision: o.Revision, Rank: int32(o.Rank),
+		}
+		for _, s := range o.Successors {
+			x.Successors = append(x.Successors, &fleetpb.Successor{Instance: string(s.Instance), Incarnation: string(s.Incarnation)})
+		}
+		b.Owners = append(b.Owners, x)
 	}
 	return b
 }
@@ -123,10 +127,14 @@
 func ownersFromPB(b *fleetpb.Owners) fleet.OwnersUpdate {
 	var m fleet.OwnersUpdate
 	for _, o := range b.GetOwners() {
-		m.Owners = append(m.Owners, fleet.Ownership{
+		x := fleet.Ownership{
 			Server: model.ServerID(o.GetServer()), Owner: model.Instance(o.GetOwner()),
-			Incarnation: model.Incarnation(o.GetIncarnation()), Revision: o.GetRevision(),
-		})
+			Incarnation: model.Incarnation(o.GetIncarnation()), Revision: o.GetRevision(), Rank: int(o.GetRank()),
+		}
+		for _, s := range o.GetSuccessors() {
+			x.Successors = append(x.Successors, fleet.Successor{Instance: model.Instance(s.GetInstance()), Incarnation: model.Incarnation(s.GetIncarnation())})
+		}
+		m.Owners = append(m.Owners, x)
 	}
 	return m
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Model-checks the replication protocol with spin: the protocol must hold over
-# the whole state space of each bound, and every seeded mutation (M_) and weaker
-# rule (W_) of the model must be caught. A harmless change (N_) must hold.
+# Model-checks the replication protocol and the succession of owners with spin:
+# both must hold over the whole state space of each bound, and every seeded
+# mutation (M_) and weaker rule (W_) of the models must be caught. A harmless change (N_) must hold.
 #
 #   spec/check.sh                     run everything but the deep runs
 #   spec/check.sh deep                run the deep runs, minutes and gigabytes each
@@ -11,6 +11,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 model=$PWD/replication.pml
+succession=$PWD/succession.pml
 max_depth=100000        # steps; a run with a longer path fails
 memory_mb=${MEMORY_MB:-4096}    # memory limit of a verifier
 
@@ -21,7 +22,9 @@
   work=$(mktemp -d)
   trap 'rm -rf "$work"' EXIT
   cd "$work"
-  spin -a "$@" "$model" >spin.out 2>&1 || { cat spin.out; exit 1; }
+  local file=$model
+  case $name in succession*) file=$succession ;; esac
+  spin -a "$@" "$file" >spin.out 2>&1 || { cat spin.out; exit 1; }
   gcc -O1 -w -DSAFETY -DCOLLAPSE -DMEMLIM=$memory_mb -o pan pan.c
   # -E: an end state at the bounds of the model is not an error.
   ./pan -E -m$max_depth >out 2>&1 || true
@@ -65,6 +68,10 @@
   echo "calm-replace holds $calm -DREPLACE -DNT=1"
   echo "calm-handover holds $calm -DHANDOVER -DNT=1"
   echo "two-tasks-two-kills holds -DNT=2 -DMAXVER=2 -DMAXKILL=2"
+  echo "succession holds -DMAXREV=3"
+  grep -oE '\bM_[A-Z]+(_[A-Z]+)*\b' "$succession" | sort -u | while read -r m; do
+    echo "succession-$m violated -DMAXREV=3 -D$m"
+  done
   grep -oE '\b[MW]_[A-Z]+(_[A-Z]+)*\b' "$model" | sort -u | while read -r m; do
     case $m in
       W_SILENCE_FIRST | M_REPLACE_OLD_RELEASE) ;;
