nutmegctl logs: what happened to a job, and why jobs were late

nutmegctl logs job prints the lines of one job over the logs of many instances; nutmegctl logs causes counts the jobs that were not on time by cause, in all or by window, route or domain, with the room that was known. It reads files or standard input in any order. internal/joblog parses the instances' own lines only.

run-unanswered now tells of an overdue reply; its text follows.

--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -33,6 +33,7 @@
 	Backend *BackendCmd `arg:"subcommand:backend" help:"list backend servers, take them out of service and back"`
 	Audit   *AuditCmd   `arg:"subcommand:audit" help:"show who changed what"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"say what an instance knows of itself, its peers and shards"`
+	Logs    *LogsCmd    `arg:"subcommand:logs" help:"read the logs of instances: what happened to a job, why jobs were late"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"offer a workload to instances on loopback and report"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 	JSON    bool        `arg:"--json" help:"write the result as JSON"`
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -78,7 +78,7 @@
 	ServerBack        = info(8007, "server-back", "backend server answers again")
 	ServerReborn      = warn(8008, "server-reborn", "backend server restarted; its runs are gone")
 	ForeignRun        = info(8009, "foreign-run", "run unknown to this instance is stopped")
-	RunUnanswered     = warn(8010, "run-unanswered", "start command got no answer; the run is stopped before its task starts again")
+	RunUnanswered     = warn(8010, "run-unanswered", "reply to a start command is overdue; the server is polled, and the run is stopped unless it is listed")
 	RunLost           = warn(8011, "run-lost", "run disappeared without reporting an end; its task starts again")
 	RunFailed         = info(8012, "run-failed", "run failed")
 	RunOverdue        = warn(8013, "run-overdue", "run stalled and is stopped; its task starts elsewhere")
