--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -175,7 +175,7 @@
 	p.updateTypicalMilli(spec)
 	result, wait := p.admit(j, now)
 	switch {
-	case !allowQueue && result != admitNow:
+	case !allowQueue && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
 		return true
 	case result == admitReject:
 		p.effect(LogEntry{Kind: LogJobQueued, Job: spec.ID, Reason: "refused: " + string(ReasonOverload), Age: wait, Count: len(p.queue)})
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -155,8 +155,7 @@
 	if owner != nil {
 		queued = owner.load(service).QueuedTasks
 	}
-	full := queued > 0 && (len(candidates) == 0 || candidates[0].load.FreeMilli < c.job.initialDemand())
-	if c.allowQueue = c.allowQueue || full || len(c.tried) >= maxImmediateOffers; !c.allowQueue && len(candidates) > 0 {
+	if c.allowQueue = c.allowQueue || queued > 0 || len(c.tried) >= maxImmediateOffers; !c.allowQueue && len(candidates) > 0 {
 		rt.offer(c, candidates[0], now)
 		return
 	}
