Dial a later incarnation of a member at once

Cause: an instance that starts after all lost power learns old members from the store and dials machines that are still off. Such a dial hangs for its timeout of 500 ms.

Change: a later incarnation that the link has not reached replaces it.

Test: TestLaterIncarnationIsDialedAtOnce; no second dial before. A scenario of a restart of all in virtual time passes before and after, as simulated dials don't hang.

--- a/internal/fleet/fleetsim/crest_test.go
+++ b/internal/fleet/fleetsim/crest_test.go
@@ -79,3 +79,30 @@
 		t.Errorf("a window has %.2f of the possible jobs on time, want %.2f", lowest, minWindowRatio)
 	}
 }
+
+// TestCrestWithRestart plays normal load while all instances are killed and started
+// again a second later. Windows from the restart on count.
+func TestCrestWithRestart(t *testing.T) {
+	c := Crest{Site: Glenbrae(), Load: 1.2, Faults: func(w *World) {
+		w.After(1900*time.Millisecond, func() {
+			for _, n := range w.instances {
+				w.Kill(n.member.Instance)
+			}
+		})
+		for i, n := range w.instances {
+			w.After(3*time.Second+time.Duration(i)*20*time.Millisecond, func() { w.Start(n.member.Instance) })
+		}
+	}}
+	for seed := range uint64(3) {
+		w, windows := c.Play(seed+1, fleet.Policy{})
+		if len(w.Violations) > 0 {
+			t.Errorf("seed %d: %s", seed+1, w.Violations[0])
+		}
+		for _, x := range windows[1:] {
+			t.Logf("seed %d from %v: %d jobs, %d on time of %d possible (%.2f), %d not run, %d held", seed+1, x.Start, x.Jobs, x.OnTime, x.Bound, x.Ratio(), x.NotRun, x.Held)
+			if x.Ratio() < minWindowRatio {
+				t.Errorf("seed %d: the window from %v has %.2f of the possible jobs on time, want %.2f", seed+1, x.Start, x.Ratio(), minWindowRatio)
+			}
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -71,10 +71,19 @@
 	cancel    context.CancelFunc
 	queue     chan any
 	reconnect chan struct{} // requests a new connection
+
+	connectedTo atomic.Value // model.Incarnation at the other end, empty while not connected
+}
+
+// reaches reports whether the link is connected to an incarnation of its member.
+func (l *link) reaches(i model.Incarnation) bool {
+	connected, ok := l.connectedTo.Load().(model.Incarnation)
+	return ok && connected == i
 }
 
 // Connect maintains a link to a member until Disconnect or the end of ctx. A new
-// address of this or a later incarnation replaces it.
+// address, or a later incarnation that the link has not reached yet, replaces it: a
+// connection that was opened before that incarnation started may hang for long.
 func (m *Mesh) Connect(ctx context.Context, member fleet.Member) {
 	if member.Instance == m.opts.Self.Instance || member.Addr == "" {
 		return
@@ -82,7 +91,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if l := m.links[member.Instance]; l != nil {
-		if l.member.Addr == member.Addr || l.member.Incarnation > member.Incarnation {
+		later := l.member.Incarnation < member.Incarnation && !l.reaches(member.Incarnation)
+		if l.member.Incarnation > member.Incarnation || l.member.Addr == member.Addr && !later {
 			return
 		}
 		l.cancel()
@@ -183,6 +193,8 @@
 		return false, err
 	}
 	*known = peer
+	l.connectedTo.Store(peer.Incarnation)
+	defer l.connectedTo.Store(model.Incarnation(""))
 	drain(l.queue)
 	m.opts.OnConnect(fleet.LinkUp{Peer: peer})
 	broken := make(chan struct{})
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,11 +1,15 @@
 package mesh
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // TestEndReadEndsWatch checks that a watch of a stream ends while its session is open, so
@@ -40,3 +44,43 @@
 		t.Error("the session is closed")
 	}
 }
+
+// TestLaterIncarnationIsDialedAtOnce connects to a machine that is off, so that the dial
+// hangs, and then to its next incarnation at the same address.
+func TestLaterIncarnationIsDialedAtOnce(t *testing.T) {
+	dials := make(chan struct{}, 16)
+	m := New(Options{
+		Self:         fleet.Member{Instance: "n", Incarnation: "1"},
+		OnDisconnect: func(fleet.LinkDown) {}, OnError: func(model.Instance, error) {},
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dials <- struct{}{}
+			<-ctx.Done() // no answer
+			return nil, ctx.Err()
+		},
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	defer m.Wait()
+	defer stop()
+	next := func(what string) {
+		select {
+		case <-dials:
+		case <-time.After(30 * time.Second):
+			t.Fatalf("%s: no dial", what)
+		}
+	}
+	peer := fleet.Member{Instance: "p", Incarnation: "1", Addr: "a"}
+	m.Connect(ctx, peer)
+	next("first incarnation")
+	m.Connect(ctx, peer) // the same again changes nothing
+	peer.Incarnation = "2"
+	m.Connect(ctx, peer)
+	next("second incarnation")
+	m.links["p"].connectedTo.Store(model.Incarnation("3"))
+	peer.Incarnation = "3"
+	m.Connect(ctx, peer) // already reached
+	select {
+	case <-dials:
+		t.Error("a link that has reached the incarnation is replaced")
+	default:
+	}
+}
