--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,9 +7,8 @@
 // which also advances while the machine is suspended.
 //
 // Invariants:
-//   - Under a fencing token, exactly one instance controls a backend server. The
-//     token is the revision of the ownership write, so it increases across all
-//     owners.
+//   - Under a fencing token, exactly one instance controls a backend server. Tokens
+//     increase across all owners and their successors, see Ownership.Token.
 //   - An owner starts nothing at a backend server until it has polled it under its
 //     own token and every unknown run there has ended.
 //   - A run occupies its capacity until its end is listed, a poll sent after its
