Stop an overdue start only after two polls that don't list it

A start command is sent by a goroutine of its own; on a process that is short of CPU time a poll can overtake it, 12 ms being little then. The run was not listed, was stopped as lost when it had just begun, and its task started again: no rule of the platform, but a healthy run of work that may not be repeatable.

Change: while the call of the start is in progress, the first poll that doesn't list the run is followed by another after the same time; only then comes the stop. Where the call has failed, one poll does as before.

Ruled out: a higher threshold alone, which moves the odds only.

Test: TestPollMayOvertakeStart, stopped by the first poll before.

--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -100,6 +100,7 @@
 	case StartAccepted:
 		r.state, r.answeredAt = runConfirmed, now
 	case StartUnanswered:
+		r.callEnded = true
 		if r.state == runStarting {
 			p.effect(LogEntry{Kind: LogRunUnanswered, Server: e.Server, Run: e.Run, Age: now.Sub(e.SentAt)})
 			r.state, r.uncertainSince = runUncertain, now
@@ -446,13 +447,19 @@
 }
 
 // resolveUncertain settles a run whose start was unanswered. If it isn't running, a
-// stop prevents it from starting later, as the start may still arrive.
+// stop prevents it from starting later, as the start may still arrive. A poll may
+// overtake a start whose call is still in progress, as on a process that is short of
+// CPU time; only the second poll that doesn't list the run counts then.
 func (p *pool) resolveUncertain(s *server, r *run, present bool, now Time) {
-	if present {
+	switch {
+	case present:
 		r.state, r.answeredAt = runConfirmed, now
-		return
+	case r.callEnded || r.absentBefore:
+		p.stopRun(s, r, now)
+	default:
+		r.absentBefore, r.state = true, runStarting
+		p.expectReply(s, callStart, r, now)
 	}
-	p.stopRun(s, r, now)
 }
 
 // finishRecovery opens a server for starts once no unknown run is left there and it is
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,6 +46,8 @@
 	sentAt         Time // when the start was sent
 	answeredAt     Time // when the start or stop was answered, 0 if it wasn't
 	uncertainSince Time
+	callEnded      bool // the call of the start has failed, so that nothing more is sent for it
+	absentBefore   bool // a poll after the start was overdue has not listed the run
 	stopSentAt     Time // when the last stop was sent
 	firstStopAt    Time // when the first stop was sent
 	expected       time.Duration
--- a/internal/fleet/settlement.go
+++ b/internal/fleet/settlement.go
@@ -4,7 +4,7 @@
 
 // Settlement of calls to backend servers whose reply is overdue, for loads under which
 // many commands and replies are lost. A lost start occupies its capacity until it is
-// known not to run and forbidden to start later: a poll that doesn't list it, a stop,
+// known not to run and forbidden to start later: two polls that don't list it, a stop,
 // and a poll after that. A lost poll hides the ends of runs. Waiting for the timeouts of
 // the calls would take longer than most tasks run.
 
@@ -168,7 +168,9 @@
 	}
 	switch c.kind {
 	case callStart:
-		p.effect(LogEntry{Kind: LogRunUnanswered, Server: s.entry.ID, Run: c.run.id, Age: now.Sub(c.sentAt)})
+		if !c.run.absentBefore {
+			p.effect(LogEntry{Kind: LogRunUnanswered, Server: s.entry.ID, Run: c.run.id, Age: now.Sub(c.sentAt)})
+		}
 		c.run.state, c.run.uncertainSince = runUncertain, now
 		p.pollNow(s, now)
 	case callStop:
