Count replies up to the timeout of a call

Cause: replyTimes counted a reply with 60 ms at most. On an instance that runs five times slower replies take longer than that, so that each was overdue, and the polls, stops and new starts for it slowed the instance further; rejections went on for seconds after it had recovered.

Change: a reply counts up to the timeout of a command, after which it is overdue in any case.

Test: TestOverdueTime, "slow process" (120 ms replies) fails before. Its case "a fault hides nothing" asked for the cap and is replaced by the time after one delayed reply, which is the timeout; that quick replies bring the usual time back is checked as before.

--- a/internal/fleet/settlement.go
+++ b/internal/fleet/settlement.go
@@ -25,8 +25,6 @@
 	minOverdueTime = 12 * time.Millisecond
 	// maxOverdueTime is the timeout of a command, after which it fails by itself.
 	maxOverdueTime = 150 * time.Millisecond
-	// maxReplySample keeps calls that were delayed by a fault from hiding the usual time.
-	maxReplySample = 60 * time.Millisecond
 
 	lostSampleShare = 64   // a poll moves the share of lost replies by this fraction
 	lossyShare      = 0.05 // share of lost replies from which polls wait for less time
@@ -34,7 +32,7 @@
 
 // observe records the time of one reply.
 func (r *replyTimes) observe(took time.Duration) {
-	took = min(took, maxReplySample)
+	took = min(took, maxOverdueTime)
 	if !r.known {
 		r.mean, r.deviation, r.known = took, took/2, true
 		return
