Owners: name the successors of a claim once per domain

A claim of up to 16 servers worked out the same successors for each of them, over all known ownerships; servers of one domain share them now. The filter for this instance is gone: members.candidates leaves it out already. Behaviour is the same. Run: tests of internal/fleet, and of fleetsim those of lost owners, restarts and ownership; fmt, vet, lint, duplicates.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -180,8 +180,13 @@
 // claimServers claims as many servers as fit into one claim, and names successors.
 func (o *owners) claimServers(want []Ownership, m *members, now Time) {
 	want = slices.Clone(want[:min(len(want), maxServersPerClaim)])
+	byDomain := map[model.Domain][]Successor{}
 	for i := range want {
-		want[i].Successors = o.successors(o.entries[want[i].Server].Domain, m, now)
+		d := o.entries[want[i].Server].Domain
+		if _, known := byDomain[d]; !known {
+			byDomain[d] = o.successors(d, m, now)
+		}
+		want[i].Successors = byDomain[d]
 	}
 	o.claim(want, o.self.Instance, now)
 }
--- a/internal/fleet/succession.go
+++ b/internal/fleet/succession.go
@@ -41,7 +41,7 @@
 	for _, x := range o.known {
 		owned[x.Owner]++
 	}
-	candidates := slices.DeleteFunc(m.candidates("", true, now), func(x Member) bool { return x.Instance == o.self.Instance })
+	candidates := m.candidates("", true, now) // without this instance
 	slices.SortStableFunc(candidates, func(a, b Member) int {
 		return cmp.Or(
 			trueFirst(a.Domain == d, b.Domain == d),
