Log when an owner learns that a server leaves, gaps of its list, and watches that are behind

server-leaving (5002) now names the way an owner learned of it and the age of the server's report, by the server's own clock. server-list-gap, server-list-read and watch-behind are new, with a gauge of the latter. A watch is behind if its reply ends before a revision that the store had reported before the call. No decision changes.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -63,6 +63,9 @@
 	Kind     string // servers of a kind are alike; empty if unknown
 	Slots    int    // announced by the server; placement uses Capacity
 	BootMs   int64  // Unix milliseconds, distinguishes restarts
+	// ReportedAtMs is when the server wrote the entry, on its own clock; 0 if unknown.
+	// Entries that differ in this alone are equal.
+	ReportedAtMs int64
 }
 
 // ServersListed holds all backend servers listed in the store.
@@ -400,6 +403,9 @@
 	LogJobLost
 	LogHoldDoubted
 	LogPauseDetected
+	LogServerLeaving
+	LogListGap
+	LogListRead
 )
 
 // Message is a message between members.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -118,11 +118,11 @@
 		i.owners.loaded = true
 		i.maintainPeersAndServers(now)
 	case ServersListed:
-		changes := i.servers.replace(e.Servers, e.Revision)
+		changes := i.servers.replace(e.Servers, e.Revision, now)
 		i.servers.broadcast(changes, now)
 		i.handleServersChanged(now)
 	case ServersChanged:
-		i.servers.applyInOrder(e.ServerChanges)
+		i.servers.applyInOrder(e.ServerChanges, listSource{way: wayWatch})
 		i.servers.broadcast(e.ServerChanges, now)
 		if len(e.Servers)+len(e.Removed) > 0 {
 			i.handleServersChanged(now)
@@ -320,7 +320,7 @@
 func (i *Instance) handleServersChanged(now Time) {
 	entries := i.servers.entries
 	i.owners.groupByDomain(i.members.inCell)
-	i.pool.updateListed(entries, now)
+	i.pool.updateListed(i.servers, now)
 	for _, id := range slices.Sorted(maps.Keys(entries)) {
 		if i.owners.isMine(id) && i.pool.servers[id] == nil {
 			i.pool.addServer(entries[id], i.owners.known[id], now)
@@ -407,7 +407,7 @@
 		i.learnOwners(m.Owners, now)
 		i.maintainPeersAndServers(now)
 	case ServersUpdate:
-		if i.servers.handleUpdate(m.ServerChanges, now) {
+		if i.servers.handleUpdate(p.member.Instance, m.ServerChanges, now) {
 			i.handleServersChanged(now)
 		}
 	case JobEnded:
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -104,6 +104,9 @@
 	p.orderedServers = append(p.orderedServers, s)
 	slices.SortFunc(p.orderedServers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	p.logOwned(o)
+	if s.draining {
+		p.logLeaving(s, listSource{way: wayOwned}, now)
+	}
 	p.poll(s, now)
 }
 
@@ -126,10 +129,15 @@
 	p.pollNow(s, now)
 }
 
+// logLeaving logs that a server of this instance is leaving, and the age of its report.
+func (p *pool) logLeaving(s *server, from listSource, now Time) {
+	p.effect(LogEntry{Kind: LogServerLeaving, Server: s.entry.ID, Peer: from.peer, Reason: from.way, Age: s.reportAge(now), Count: len(s.runs)})
+}
+
 // updateListed applies the store's list of servers.
-func (p *pool) updateListed(entries map[model.ServerID]ServerEntry, now Time) {
+func (p *pool) updateListed(list *serverList, now Time) {
 	for _, s := range slices.Clone(p.orderedServers) {
-		e, ok := entries[s.entry.ID]
+		e, ok := list.entries[s.entry.ID]
 		s.listed = ok
 		if !ok {
 			if len(s.runs) == 0 {
@@ -142,6 +150,9 @@
 		}
 		s.entry = e
 		if e.State == ServerDraining {
+			if !s.draining {
+				p.logLeaving(s, list.source, now)
+			}
 			s.draining = true
 		} else if s.bootMs == 0 || s.bootMs == e.BootMs {
 			s.draining = false
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -263,7 +263,10 @@
 		s.bootMs = e.BootMs
 	}
 	p.recordReply(s, e.ClockMs, now)
-	s.draining = s.draining || e.Draining
+	if e.Draining && !s.draining {
+		p.logLeaving(s, listSource{way: wayPoll}, now)
+		s.draining = true
+	}
 	s.ackedSeq = max(s.ackedSeq, min(e.Poll.AckedSeq, s.seenSeq))
 	for _, end := range e.Ended {
 		p.handleEnd(s, end, now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -140,6 +140,15 @@
 	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.draining && s.misses == 0
 }
 
+// reportAge returns how long ago the server wrote its entry in the store, or somewhat
+// less; 0 if its clock is unknown.
+func (s *server) reportAge(now Time) time.Duration {
+	if !s.clock.known || s.entry.ReportedAtMs == 0 {
+		return 0
+	}
+	return time.Duration(max(0, s.clock.now(now)-s.entry.ReportedAtMs)) * time.Millisecond
+}
+
 // free returns the capacity that no run occupies.
 func (s *server) free() model.Resources { return s.entry.Capacity.Minus(s.used) }
 
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -50,8 +50,24 @@
 	renewedAt    Time // last renewal of this instance's entry in the store
 	storeUpSince Time // since when the store has answered without interruption
 	requestedAt  Time // last request for the whole list
+	source       listSource
 }
 
+// listSource is how the last changes of the list arrived.
+type listSource struct {
+	way  string
+	peer model.Instance // that forwarded them, empty if they came from the store
+}
+
+// Ways in which this instance learns of changes of servers.
+const (
+	wayList  = "list"
+	wayWatch = "watch"
+	wayPeer  = "peer"
+	wayPoll  = "poll"
+	wayOwned = "owned" // the server was leaving when this instance became its owner
+)
+
 func newServerList(o Options, m *members, now Time, effect func(Effect)) *serverList {
 	l := &serverList{
 		self: o.Self, members: m, effect: effect, sharedMinServers: o.SharedWatchMinServers,
@@ -132,7 +148,7 @@
 
 // replace sets the whole list and returns the differences. A list older than the
 // current one is ignored.
-func (l *serverList) replace(list []ServerEntry, at uint64) (c ServerChanges) {
+func (l *serverList) replace(list []ServerEntry, at uint64, now Time) (c ServerChanges) {
 	c.FromRevision, c.ToRevision, c.FromDiff = l.revision, at, true
 	if at < l.revision {
 		return ServerChanges{}
@@ -150,18 +166,32 @@
 		}
 	}
 	slices.Sort(c.Removed)
+	l.source = listSource{way: wayList}
 	l.apply(c)
+	l.effect(LogEntry{Kind: LogListRead, Value: at, Count: len(c.Servers) + len(c.Removed), Age: l.requestAge(now)})
 	return c
 }
 
+// requestAge returns the time since the whole list was last requested, 0 if never.
+func (l *serverList) requestAge(now Time) time.Duration {
+	if l.requestedAt == 0 {
+		return 0
+	}
+	return now.Sub(l.requestedAt)
+}
+
 // applyInOrder applies changes and reports whether they continue the current list.
-func (l *serverList) applyInOrder(c ServerChanges) (ok bool) {
+func (l *serverList) applyInOrder(c ServerChanges, from listSource) (ok bool) {
 	switch {
 	case c.ToRevision <= l.revision:
 		return true
 	case c.FromRevision > l.revision, c.FromDiff && c.FromRevision != l.revision:
+		l.effect(LogEntry{
+			Kind: LogListGap, Peer: from.peer, Value: l.revision, Reason: from.way, Count: int(c.FromRevision - l.revision),
+		})
 		return false
 	}
+	l.source = from
 	l.apply(c)
 	return true
 }
@@ -190,9 +220,9 @@
 
 // handleUpdate applies changes from a peer, and reports whether entries may have
 // changed. After a gap, the whole list is read.
-func (l *serverList) handleUpdate(c ServerChanges, now Time) (changed bool) {
+func (l *serverList) handleUpdate(from model.Instance, c ServerChanges, now Time) (changed bool) {
 	l.updatedAt = now
-	if l.applyInOrder(c) {
+	if l.applyInOrder(c, listSource{wayPeer, from}) {
 		return len(c.Servers)+len(c.Removed) > 0
 	}
 	l.requestList(now)
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -45,9 +45,9 @@
 					reads++
 				}
 			})
-			l.replace(entries("a", "b"), 10)
+			l.replace(entries("a", "b"), 10, 0)
 			for _, n := range c.updates {
-				l.handleUpdate(n, Time(time.Minute))
+				l.handleUpdate("watcher", n, Time(time.Minute))
 			}
 			if got := slices.Sorted(maps.Keys(l.entries)); !slices.Equal(got, c.want) {
 				t.Errorf("%v, want %v", got, c.want)
@@ -61,8 +61,8 @@
 
 func TestOlderServerListIgnored(t *testing.T) {
 	l := newServerList(Options{}, nil, 0, func(Effect) {})
-	l.replace([]ServerEntry{{ID: "a"}, {ID: "b"}}, 10)
-	if c := l.replace([]ServerEntry{{ID: "a"}}, 9); len(c.Removed) != 0 || len(l.entries) != 2 {
+	l.replace([]ServerEntry{{ID: "a"}, {ID: "b"}}, 10, 0)
+	if c := l.replace([]ServerEntry{{ID: "a"}}, 9, 0); len(c.Removed) != 0 || len(l.entries) != 2 {
 		t.Errorf("%+v, %d servers", c, len(l.entries))
 	}
 }
--- a/internal/metrics/fleet.go
+++ b/internal/metrics/fleet.go
@@ -20,6 +20,7 @@
 	Decisions     *prometheus.CounterVec // by decision
 	LinesDropped  prometheus.Counter
 	ConfigVersion prometheus.Gauge
+	WatchBehind   *prometheus.GaugeVec // by watch
 }
 
 // NewFleet returns collectors in their own registry.
@@ -47,6 +48,7 @@
 		Decisions:     b.counterVec("fleet_decisions_total", "Decisions of the reducer, by the name of their log event.", "decision"),
 		LinesDropped:  b.counter("fleet_log_lines_dropped_total", "Log lines left out because of their number."),
 		ConfigVersion: b.gauge("fleet_config_version", "Version of the configuration in force."),
+		WatchBehind:   b.gaugeVec("fleet_watch_behind_revisions", "Revisions missing in the last reply of a watch of the store.", "watch"),
 	}, b
 }
 
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -75,6 +75,9 @@
 	fleet.LogJobLost:           eventlog.JobLost,
 	fleet.LogHoldDoubted:       eventlog.HoldDoubted,
 	fleet.LogPauseDetected:     eventlog.PauseDetected,
+	fleet.LogServerLeaving:     eventlog.ServerLeaving,
+	fleet.LogListGap:           eventlog.ServerListGap,
+	fleet.LogListRead:          eventlog.ServerListRead,
 }
 
 // writeEntry logs a decision of the reducer.
@@ -128,6 +131,14 @@
 	l.log.Event(eventlog.CallFailed).Str("call", call).Str("server", string(server)).AnErr("cause", err).Send()
 }
 
+// watchBehind logs a reply of a watch that doesn't reach the store's newest known revision.
+func (l *limitedLog) watchBehind(w watchSpec, r platform.Range) {
+	if l.allow() {
+		l.log.Event(eventlog.WatchBehind).Str("watch", w.name).Int("count", len(r.Items)).Uint64("value", uint64(r.Revision)).
+			Uint64("behind", uint64(r.Behind)).Send()
+	}
+}
+
 // recordUnreadable logs a store record that can't be decoded or encoded.
 func (l *limitedLog) recordUnreadable(key string, err error) {
 	l.log.Event(eventlog.RecordUnreadable).Str("key", key).AnErr("cause", err).Send()
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -48,6 +48,7 @@
 
 // watchSpec is a key prefix that an instance watches.
 type watchSpec struct {
+	name     string // in logs and metrics
 	prefix   string
 	wait     time.Duration // of a watch without changes
 	interval time.Duration // between watches
@@ -59,8 +60,8 @@
 // heartbeats are watched separately so as not to delay configuration changes.
 func (s *storeSync) sharedWatches() []watchSpec {
 	return []watchSpec{
-		{platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, s.applyList, s.applyChange},
-		{platform.ServerPrefix, sharedWatchWait, serverWatchInterval, s.servers.replaceAll, s.servers.update},
+		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, s.applyList, s.applyChange},
+		{"servers", platform.ServerPrefix, sharedWatchWait, serverWatchInterval, s.servers.replaceAll, s.servers.update},
 	}
 }
 
@@ -75,7 +76,7 @@
 func (s *storeSync) run(ctx context.Context) {
 	go s.keepMembership(ctx)
 	s.watchShared(ctx, true)
-	s.listAndWatch(ctx, watchSpec{platform.FleetPrefix, fleetWatchWait, recordWatchInterval, s.replaceFleet, s.applyChange})
+	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, s.replaceFleet, s.applyChange})
 }
 
 // watchShared starts or stops the shared watches.
@@ -169,6 +170,10 @@
 		}
 		retry.Reset()
 		s.updateReachability(true, nil)
+		s.node.metrics.WatchBehind.WithLabelValues(w.name).Set(float64(changes.Behind))
+		if changes.Behind > 0 {
+			s.node.limitedLog.watchBehind(w, changes)
+		}
 		w.onChange(at, changes)
 		at = changes.Revision
 		if !wait.Sleep(ctx, w.interval) {
