--- a/internal/fleet/fleetsim/cells_test.go
+++ b/internal/fleet/fleetsim/cells_test.go
@@ -9,11 +9,7 @@
 // jobs are served, and no instance is connected to the whole fleet.
 func TestLargeFleet(t *testing.T) {
 	const cellLinks = 60 // per instance; a cell has 25 members on average
-	site := Glenbrae()
-	site.Instances, site.Servers = []int{25, 25, 25, 25}, 50
-	for i := range site.Classes {
-		site.Classes[i].PerSecond *= 4
-	}
+	site := severalCellsSite()
 	w := New(5)
 	w.Build(site)
 	w.Run(settleTime)
