Read on at once while a watch of the store is behind

Cause: a reply of a watch holds at most 500 changes. 1,100 servers write their entries every 1.5 s, 733 changes a second, and a watcher pauses 0.9 s after each reply, so that all watchers trail the store by 0.2 s more each second. Owners that watch the store and those that hear from them were late alike (5.1 to 5.5 s at second 8.2). Sites with 350 servers stay below the limit.

A watch now pauses only briefly after a reply that ends before a revision the store had reported before the call, or that is as long as one that did. It needs no knowledge of the limit. The pauses are decided in fleet.WatchPacer.

--- a/internal/fleet/fleetsim/serverwatch.go
+++ b/internal/fleet/fleetsim/serverwatch.go
@@ -94,6 +94,7 @@
 		return
 	}
 	var feed fleet.ServerFeed
+	var pacer fleet.WatchPacer
 	var next func(at uint64)
 	next = func(at uint64) {
 		newest := n.newestRevision
@@ -107,7 +108,7 @@
 			}
 			changes, to := w.entryLog.after(at, w.Heartbeats.ReplyLimit)
 			w.step(n, feed.Update(at, to, changes))
-			w.later(n, w.watchPause(to < newest), func() { next(to) })
+			w.later(n, pacer.Pause(fleet.ServerWatchInterval, len(changes), to < newest), func() { next(to) })
 		})
 	}
 	var list func()
@@ -127,6 +128,3 @@
 
 // storeRetryInterval is the pause after a failed read of the store.
 const storeRetryInterval = 200 * time.Millisecond
-
-// watchPause returns the time between two watches.
-func (w *World) watchPause(bool) time.Duration { return fleet.ServerWatchInterval }
--- a/internal/fleet/serverfeed.go
+++ b/internal/fleet/serverfeed.go
@@ -1,15 +1,9 @@
 package fleet
 
 import (
-	"time"
-
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-// ServerWatchInterval is the pause between two watches of the list of servers, so that
-// heartbeats arrive in batches.
-const ServerWatchInterval = 900 * time.Millisecond
-
 // EntryChange is a write or the removal of a backend server's entry in the store.
 type EntryChange struct {
 	ID       model.ServerID
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -59,12 +60,25 @@
 	return out
 }
 
+// contains reports whether a line contains all parts.
+func (l *logLines) contains(parts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.buf.String()) {
+		if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(line, p) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // site runs a store, backend servers and instances on loopback.
 type site struct {
 	t         *testing.T
 	store     *standin.Handler
 	addr      string
 	servers   []*worker.Server
+	entries   map[string]port.ServiceInstance // of the servers in the store
 	logs      *logLines
 	instances []*Node
 	stops     []context.CancelFunc
@@ -79,7 +93,7 @@
 }
 
 func newSharedWatchSite(t *testing.T, servers, instances, sharedWatchMinServers int) *site {
-	s := &site{sharedWatchMinServers: sharedWatchMinServers, t: t, store: standin.New(standin.Options{MinSessionTTL: time.Second}), logs: &logLines{}, hangups: make(chan os.Signal, 1)}
+	s := &site{sharedWatchMinServers: sharedWatchMinServers, t: t, store: standin.New(standin.Options{MinSessionTTL: time.Second}), logs: &logLines{}, entries: map[string]port.ServiceInstance{}, hangups: make(chan os.Signal, 1)}
 	h := httptest.NewServer(s.store)
 	t.Cleanup(h.Close)
 	s.addr = strings.TrimPrefix(h.URL, "http://")
@@ -115,11 +129,17 @@
 	}
 	h := httptest.NewServer(w)
 	s.t.Cleanup(h.Close)
-	s.store.Store.Register("svc", port.ServiceInstance{
+	s.servers = append(s.servers, w)
+	s.writeEntry(port.ServiceInstance{
 		ID: id, Addr: netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://")), Domain: "d1", Slots: 8,
 		Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4096}, State: port.StateActive,
 	})
-	s.servers = append(s.servers, w)
+}
+
+// writeEntry writes a server's entry to the store.
+func (s *site) writeEntry(i port.ServiceInstance) {
+	s.entries[i.ID] = i
+	s.store.Store.Register("svc", i)
 }
 
 func freeAddr(t *testing.T) string {
@@ -310,6 +330,19 @@
 	})
 }
 
+// TestServerWatchCatchesUp adds a server after more changes than the watch reads within
+// the time of the test, if it pauses after each reply.
+func TestServerWatchCatchesUp(t *testing.T) {
+	const limit = 5
+	s := newSite(t, 1, 1)
+	s.store.Faults.SetFaults(standin.Faults{WatchChanges: limit})
+	for range limit * int(2*waitTimeout/fleet.ServerWatchInterval) {
+		s.writeEntry(s.entries["w0"])
+	}
+	s.addServer("late")
+	s.await("the new server is owned", func() bool { return s.logs.contains(`"name":"server-owned"`, `"server":"late"`) })
+}
+
 // jobName returns an unused job ID.
 func jobName(s *site) string {
 	s.submitted++
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -151,6 +151,7 @@
 // watch applies changes until the store has compacted past them or ctx ends.
 func (s *storeSync) watch(ctx context.Context, w watchSpec, at platform.Revision) error {
 	retry := s.backoff()
+	var pacer fleet.WatchPacer
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, w.wait+loadTimeout)
 		changes, compacted, err := s.store.Watch(callCtx, w.prefix, at, w.wait)
@@ -175,7 +176,7 @@
 		}
 		w.onChange(at, changes)
 		at = changes.Revision
-		if !wait.Sleep(ctx, w.interval) {
+		if !wait.Sleep(ctx, pacer.Pause(w.interval, len(changes.Items), changes.Behind > 0)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -15,6 +15,7 @@
 	LoseAnswers     int     `json:"lose_answers"`      // number of next writes that take effect but are not answered
 	ReadsPerSecond  float64 `json:"reads_per_second"`  // 0 means unlimited
 	WritesPerSecond float64 `json:"writes_per_second"` // 0 means unlimited
+	WatchChanges    int     `json:"watch_changes"`     // most changes in one reply of a watch; 0 means unlimited
 }
 
 // Outcome is what happens to a call.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -180,6 +180,10 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
+	if limit := h.Faults.Faults().WatchChanges; limit > 0 && len(changes) > limit {
+		changes = changes[:limit]
+		at = changes[limit-1].Index
+	}
 	events := make([]itemBody, 0, len(changes))
 	for _, c := range changes {
 		b := toItemBody(c.Entry)
