Report changes that were made while the pages of a list were read

A member could keep an entry that had changed, such as that of a leaving server, until the server changed again. Cause: the revision of a list is that of its first page, while later pages are newer. The watch from that revision took their changes for heartbeats, as the entries were equal to those of the pages, and left them out of the changes that it forwards; a member whose list was in between moved on without them.

--- a/internal/fleet/serverfeed.go
+++ b/internal/fleet/serverfeed.go
@@ -1,8 +1,6 @@
 package fleet
 
-import (
-	"github.com/nutmegweir/nutmegweir/internal/model"
-)
+import "github.com/nutmegweir/nutmegweir/internal/model"
 
 // EntryChange is a write or the removal of a backend server's entry in the store.
 type EntryChange struct {
@@ -13,18 +11,24 @@
 
 // ServerFeed turns the store's entries of backend servers into events. Most changes
 // there are heartbeats, which it leaves out.
+//
+// Invariant: entries holds only entries of the list as of the last revision. A change that
+// is left out is therefore in every list from that revision on.
 type ServerFeed struct {
 	entries map[model.ServerID]ServerEntry
 }
 
-// List returns the event for a complete list as of a revision.
+// List returns the event for a complete list as of a revision. Items may be newer, as
+// its pages are read one after the other.
 func (f *ServerFeed) List(items []EntryChange, revision uint64) ServersListed {
 	e := ServersListed{Revision: revision}
 	f.entries = make(map[model.ServerID]ServerEntry, len(items))
 	for _, it := range items {
 		if it.Entry != nil {
 			e.Servers = append(e.Servers, *it.Entry)
-			f.entries[it.ID] = *it.Entry
+			if it.Revision <= revision {
+				f.entries[it.ID] = *it.Entry
+			}
 		}
 	}
 	return e
@@ -36,8 +40,7 @@
 	changed := map[model.ServerID]*ServerEntry{}
 	var order []model.ServerID
 	for _, it := range items {
-		old, known := f.entries[it.ID]
-		if it.Entry == nil && !known || it.Entry != nil && known && old.Equal(*it.Entry) {
+		if old, known := f.entries[it.ID]; it.Entry != nil && known && old.Equal(*it.Entry) {
 			continue
 		}
 		if _, again := changed[it.ID]; !again {
