Let the latest report of a server decide whether it leaves

An owner could give work again to a server that had announced in a poll that it leaves. Cause: each change of the list cleared the mark of every server that the list in hand showed as ready, however old that list was; a change of any other server was enough.

Reports are ordered by the server's incarnation and its own clock now, whichever way they arrive. A report of an earlier incarnation no longer marks its successor.

TestStartOnLeavingServerAfterOlderList failed before.

--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -104,7 +104,7 @@
 	p.orderedServers = append(p.orderedServers, s)
 	slices.SortFunc(p.orderedServers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	p.logOwned(o)
-	if s.draining {
+	if s.leaving.announced {
 		p.logLeaving(s, listSource{way: wayOwned}, now)
 	}
 	p.poll(s, now)
@@ -149,13 +149,8 @@
 			p.handleRestart(s, e.BootMs)
 		}
 		s.entry = e
-		if e.State == ServerDraining {
-			if !s.draining {
-				p.logLeaving(s, list.source, now)
-			}
-			s.draining = true
-		} else if s.bootMs == 0 || s.bootMs == e.BootMs {
-			s.draining = false
+		if s.leaving.reportEntry(e) {
+			p.logLeaving(s, list.source, now)
 		}
 	}
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -28,7 +28,7 @@
 	s.bootMs, s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = bootMs, 0, 0, 0, 0
 	clear(s.heldSeqs)
 	s.clock = remoteClock{}
-	s.draining = false
+	s.leaving = leaving{bootMs: bootMs}
 	s.phase = phaseRecovering
 	s.health = health{}
 }
@@ -263,9 +263,8 @@
 		s.bootMs = e.BootMs
 	}
 	p.recordReply(s, e.ClockMs, now)
-	if e.Draining && !s.draining {
+	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, now)
-		s.draining = true
 	}
 	s.ackedSeq = max(s.ackedSeq, min(e.Poll.AckedSeq, s.seenSeq))
 	for _, end := range e.Ended {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -101,7 +101,7 @@
 	phase     serverPhase
 	listed    bool // listed in the store
 	releasing bool // to be released once it is empty
-	draining  bool
+	leaving   leaving
 
 	runs map[RunID]*run
 	used model.Resources
@@ -126,18 +126,20 @@
 }
 
 func newServer(e ServerEntry, ownership Ownership, speed *speedModel) *server {
-	return &server{entry: e, ownership: ownership, speed: speed, listed: true, runs: map[RunID]*run{}, heldSeqs: map[int64]bool{}, draining: e.State == ServerDraining}
+	s := &server{entry: e, ownership: ownership, speed: speed, listed: true, runs: map[RunID]*run{}, heldSeqs: map[int64]bool{}}
+	s.leaving.reportEntry(e)
+	return s
 }
 
 // takesWork reports whether new runs may start.
 func (s *server) takesWork(now Time) bool {
-	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.draining && s.misses == 0 && s.health.available(now)
+	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && s.misses == 0 && s.health.available(now)
 }
 
 // opensSoon reports whether the server will take work once its first poll has been
 // answered and the runs of earlier owners have been stopped.
 func (s *server) opensSoon() bool {
-	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.draining && s.misses == 0
+	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && s.misses == 0
 }
 
 // reportAge returns how long ago the server wrote its entry in the store, or somewhat
