Read the list of servers while only outdated updates arrive

A member that hears from a watcher believed its list to be current, even if every update was older than the list: any update, also one that didn't apply, put off by 2 s the read that makes up for lost watchers. Only an update that reaches the list's revision does now.

TestListNotReadWhileOutdatedUpdatesArrive failed before.

--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -46,7 +46,7 @@
 	entries      map[model.ServerID]ServerEntry
 	revision     uint64 // store revision
 	watching     bool
-	updatedAt    Time // last update from a peer, or when one was first expected
+	updatedAt    Time // last update from a peer that isn't outdated, or when one was first expected
 	renewedAt    Time // last renewal of this instance's entry in the store
 	storeUpSince Time // since when the store has answered without interruption
 	requestedAt  Time // last request for the whole list
@@ -221,7 +221,9 @@
 // handleUpdate applies changes from a peer, and reports whether entries may have
 // changed. After a gap, the whole list is read.
 func (l *serverList) handleUpdate(from model.Instance, c ServerChanges, now Time) (changed bool) {
-	l.updatedAt = now
+	if c.ToRevision >= l.revision {
+		l.updatedAt = now // an outdated update says nothing of the current list
+	}
 	if l.applyInOrder(c, listSource{wayPeer, from}) {
 		return len(c.Servers)+len(c.Removed) > 0
 	}
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -59,6 +59,49 @@
 	}
 }
 
+// TestListNotReadWhileOutdatedUpdatesArrive checks when a member reads the list itself
+// although updates keep arriving.
+func TestListNotReadWhileOutdatedUpdatesArrive(t *testing.T) {
+	const span = listRefreshTimeout + 500*time.Millisecond
+	cases := []struct {
+		name   string
+		update func(n uint64) ServerChanges
+		reads  bool
+	}{
+		{"current updates", func(n uint64) ServerChanges { return ServerChanges{FromRevision: 9 + n, ToRevision: 10 + n} }, false},
+		{"nothing changes in the store", func(uint64) ServerChanges { return ServerChanges{FromRevision: 10, ToRevision: 10} }, false},
+		{"of a watcher that is behind", func(uint64) ServerChanges { return ServerChanges{FromRevision: 5, ToRevision: 9} }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reads := 0
+			m := newMembers(Member{Instance: "self"}, func(Effect) {})
+			for _, w := range []model.Instance{"w1", "w2"} { // preferred as watchers
+				p := m.addPeer(Member{Instance: w, Incarnation: "01", Weight: 1}, 0)
+				p.everHeard, p.storeUp = true, true
+			}
+			l := newServerList(Options{SharedWatchMinServers: 1}, m, 0, func(e Effect) {
+				if _, ok := e.(ListServers); ok {
+					reads++
+				}
+			})
+			l.replace([]ServerEntry{{ID: "a"}}, 10, 0)
+			for n := uint64(1); n <= uint64(span/tickInterval); n++ {
+				now := Time(time.Duration(n) * tickInterval)
+				for _, p := range m.orderedPeers {
+					p.heardAt = now
+				}
+				l.handleRenewed(now)
+				l.handleUpdate("w1", c.update(n), now)
+				l.tick(now)
+			}
+			if (reads > 0) != c.reads {
+				t.Errorf("the list was read %d times", reads)
+			}
+		})
+	}
+}
+
 func TestOlderServerListIgnored(t *testing.T) {
 	l := newServerList(Options{}, nil, 0, func(Effect) {})
 	l.replace([]ServerEntry{{ID: "a"}, {ID: "b"}}, 10, 0)
