Repeat a failed read of the list of servers; a feed of its own for each watch

A member whose updates had a gap, and whose read of the whole list failed, read it again only with the next gap, 2 s later at the earliest. The read is repeated now until the store answers, one at a time.

A watch that ends and one that begins shared the filter of heartbeats, so that the last reply of the one could alter what the other compares with. Each has its own now, which also makes the lock unnecessary. Found by reading; no test shows it.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -134,7 +134,7 @@
 		n.log.Event(eventlog.StoreFollowed).Bool("on", x.Enabled).Int("servers", x.Servers).Send()
 		n.store.watchShared(l.ctx, x.Enabled)
 	case fleet.ListServers:
-		n.spawn(func() { n.store.servers.list(l.ctx) })
+		n.store.serverLister.request(l.ctx)
 	case fleet.SendPeer:
 		n.mesh.Send(x.To.Instance, x.Message)
 	case fleet.SendConfig:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -60,16 +60,17 @@
 	return out
 }
 
-// contains reports whether a line contains all parts.
-func (l *logLines) contains(parts ...string) bool {
+// count returns the number of lines that contain all parts.
+func (l *logLines) count(parts ...string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := 0
 	for line := range strings.Lines(l.buf.String()) {
 		if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(line, p) }) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // site runs a store, backend servers and instances on loopback.
@@ -340,7 +341,7 @@
 		s.writeEntry(s.entries["w0"])
 	}
 	s.addServer("late")
-	s.await("the new server is owned", func() bool { return s.logs.contains(`"name":"server-owned"`, `"server":"late"`) })
+	s.await("the new server is owned", func() bool { return s.logs.count(`"name":"server-owned"`, `"server":"late"`) > 0 })
 }
 
 // jobName returns an unused job ID.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,51 +2,67 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
-// serverWatcher reports the store's list of backend servers to the reducer.
+// serverWatcher reports the changes of one watch of the store's list of backend servers
+// to the reducer.
 type serverWatcher struct {
-	store *storeSync
-
-	mu   sync.Mutex
+	node *Node
 	feed fleet.ServerFeed
 }
 
-// list reads the list once, beside a watch.
-func (w *serverWatcher) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	r, err := w.store.store.List(ctx, platform.ServerPrefix)
-	if err != nil {
-		w.store.node.limitedLog.callFailed("list-servers", "", err)
-		return
-	}
-	var once fleet.ServerFeed
-	w.store.node.post(once.List(w.parse(r.Items), uint64(r.Revision)))
-}
-
 // replaceAll applies a complete list.
 func (w *serverWatcher) replaceAll(r platform.Range) {
-	w.mu.Lock()
-	e := w.feed.List(w.parse(r.Items), uint64(r.Revision))
-	w.mu.Unlock()
-	w.store.node.post(e)
+	w.node.post(w.feed.List(w.node.parseServers(r.Items), uint64(r.Revision)))
 }
 
 // update applies changes.
 func (w *serverWatcher) update(after platform.Revision, r platform.Range) {
-	w.mu.Lock()
-	e := w.feed.Update(uint64(after), uint64(r.Revision), w.parse(r.Items))
-	w.mu.Unlock()
-	w.store.node.post(e)
+	w.node.post(w.feed.Update(uint64(after), uint64(r.Revision), w.node.parseServers(r.Items)))
+}
+
+// serverLister reads the store's list of backend servers on request.
+type serverLister struct {
+	store   *storeSync
+	reading atomic.Bool
+}
+
+// request reads the list once, unless that is under way.
+func (l *serverLister) request(ctx context.Context) {
+	if !l.reading.CompareAndSwap(false, true) {
+		return
+	}
+	l.store.node.spawn(func() {
+		defer l.reading.Store(false)
+		l.read(ctx)
+	})
+}
+
+// read reads the list. It tries again until the store answers.
+func (l *serverLister) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	n := l.store.node
+	for retry := l.store.backoff(); ; {
+		r, err := l.store.store.List(ctx, platform.ServerPrefix)
+		if err == nil {
+			var feed fleet.ServerFeed
+			n.post(feed.List(n.parseServers(r.Items), uint64(r.Revision)))
+			return
+		}
+		n.limitedLog.callFailed("list-servers", "", err)
+		if !retry.Sleep(ctx) {
+			return
+		}
+	}
 }
 
-// parse decodes entries.
-func (w *serverWatcher) parse(items []platform.Item) []fleet.EntryChange {
+// parseServers decodes entries of backend servers.
+func (n *Node) parseServers(items []platform.Item) []fleet.EntryChange {
 	out := make([]fleet.EntryChange, len(items))
 	for i, it := range items {
 		out[i] = fleet.EntryChange{ID: platform.ServerFromKey(it.Key), Revision: uint64(it.ModRevision)}
@@ -55,7 +71,7 @@
 		}
 		e, err := platform.ParseServer(it)
 		if err != nil {
-			w.store.node.limitedLog.recordUnreadable(it.Key, err)
+			n.limitedLog.recordUnreadable(it.Key, err)
 			continue
 		}
 		out[i].Entry = &e
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -41,7 +41,7 @@
 	failedReads int // consecutive
 	up          bool
 
-	servers           *serverWatcher
+	serverLister      *serverLister
 	stopSharedWatches context.CancelFunc // nil while the shared prefixes aren't watched
 }
 
@@ -58,16 +58,17 @@
 // sharedWatches returns what only some instances watch in a large fleet. Server
 // heartbeats are watched separately so as not to delay configuration changes.
 func (s *storeSync) sharedWatches() []watchSpec {
+	servers := &serverWatcher{node: s.node} // an earlier watch may still end
 	return []watchSpec{
 		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, s.applyList, s.applyChange},
-		{"servers", platform.ServerPrefix, sharedWatchWait, fleet.ServerWatchInterval, s.servers.replaceAll, s.servers.update},
+		{"servers", platform.ServerPrefix, sharedWatchWait, fleet.ServerWatchInterval, servers.replaceAll, servers.update},
 	}
 }
 
 func newStoreSync(n *Node) *storeSync {
 	s := &storeSync{node: n, members: map[model.Instance]fleet.Member{}, owners: map[model.ServerID]model.Instance{}}
 	s.store = platform.NewStore(n.settings.Store, n.metrics.CountStoreCall)
-	s.servers = &serverWatcher{store: s}
+	s.serverLister = &serverLister{store: s}
 	return s
 }
 
