--- a/internal/fleet/fleetsim/leaving_test.go
+++ b/internal/fleet/fleetsim/leaving_test.go
@@ -73,3 +73,51 @@
 		t.Errorf("%d starts on leaving servers", l.late)
 	}
 }
+
+// TestStartsOnLeavingServersWhileWatchersAreReplaced lets servers leave in series, each
+// time as watchers of the store are lost, restarted or cut off, in a fleet of four cells.
+func TestStartsOnLeavingServersWhileWatchersAreReplaced(t *testing.T) {
+	const pause = 5 * time.Second
+	faults := []func(w *World, names []model.Instance){
+		func(w *World, names []model.Instance) {
+			for _, n := range names {
+				w.PowerOff(n)
+				w.After(2*time.Second, func() { w.Start(n) })
+			}
+		},
+		func(w *World, names []model.Instance) {
+			for i, n := range names {
+				w.After(time.Duration(i)*400*time.Millisecond, func() { w.Start(n) })
+			}
+		},
+		func(w *World, names []model.Instance) {
+			for _, n := range names {
+				w.IsolateFromStore(n, 3*time.Second)
+			}
+		},
+		func(w *World, names []model.Instance) {
+			for _, n := range names {
+				w.Freeze(n, 2*time.Second)
+			}
+		},
+	}
+	site := severalCellsSite()
+	w := New(21)
+	w.Heartbeats = Heartbeats{Interval: 1500 * time.Millisecond, ReplyLimit: 90}
+	w.Build(site)
+	w.Run(5 * time.Second)
+	w.OfferLoad(site, 0.9, time.Duration(len(faults)+1)*pause)
+	l := newLeavingServers(t, w)
+	for i, fault := range faults {
+		w.Run(time.Second)
+		fault(w, watchers(w))
+		w.Run(time.Duration(w.Rand.Int64N(int64(time.Second))))
+		l.leave(i, 12)
+		w.Run(pause - time.Second)
+	}
+	w.Run(2 * pause)
+	checkInvariants(t, w)
+	if l.late > 0 {
+		t.Errorf("%d starts on leaving servers", l.late)
+	}
+}
