--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -59,3 +59,46 @@
 		t.Error("the leaving server takes work again")
 	}
 }
+
+// TestOwnerLogsHowItLearnedOfLeavingServer checks the log entry for each way.
+func TestOwnerLogsHowItLearnedOfLeavingServer(t *testing.T) {
+	const bootMs = 500
+	const age = 40 * time.Millisecond
+	entry := ServerEntry{
+		ID: "s1", Service: "svc", Addr: "a", Domain: "d", State: ServerReady, BootMs: bootMs, ReportedAtMs: 10,
+		Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4000},
+	}
+	left := entry
+	left.State, left.ReportedAtMs = ServerDraining, 60
+	changes := ServerChanges{FromRevision: 3, ToRevision: 4, Servers: []ServerEntry{left}}
+	poll := pollReply(Time(time.Second), bootMs)
+	poll.Draining = true
+	cases := []struct {
+		event Event
+		want  LogEntry
+	}{
+		{ServersChanged{changes}, LogEntry{Reason: wayWatch, Value: 4, Age: age}},
+		{PeerMessage{From: Member{Instance: "n2", Incarnation: "01"}, Message: ServersUpdate{changes}}, LogEntry{Reason: wayPeer, Peer: "n2", Value: 4, Age: age}},
+		{ServersListed{Servers: []ServerEntry{left}, Revision: 5}, LogEntry{Reason: wayList, Value: 5, Age: age}},
+		{poll, LogEntry{Reason: wayPoll}},
+	}
+	for _, c := range cases {
+		t.Run(c.want.Reason, func(t *testing.T) {
+			i, now := oneServer(t, bootMs)
+			now = now.Add(-time.Millisecond) // of the poll, at 100 on the server's clock
+			i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 3})
+			c.want.Kind, c.want.Server = LogServerLeaving, "s1"
+			var got []LogEntry
+			for range 2 { // reported again, but logged once
+				for _, e := range i.Step(now, c.event) {
+					if l, ok := e.(LogEntry); ok && l.Kind == LogServerLeaving {
+						got = append(got, l)
+					}
+				}
+			}
+			if len(got) != 1 || got[0] != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -105,7 +105,7 @@
 	slices.SortFunc(p.orderedServers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	p.logOwned(o)
 	if s.leaving.announced {
-		p.logLeaving(s, listSource{way: wayOwned}, now)
+		p.logLeaving(s, listSource{way: wayOwned}, s.reportAge(now))
 	}
 	p.poll(s, now)
 }
@@ -129,9 +129,9 @@
 	p.pollNow(s, now)
 }
 
-// logLeaving logs that a server of this instance is leaving, and the age of its report.
-func (p *pool) logLeaving(s *server, from listSource, now Time) {
-	p.effect(LogEntry{Kind: LogServerLeaving, Server: s.entry.ID, Peer: from.peer, Reason: from.way, Age: s.reportAge(now), Count: len(s.runs)})
+// logLeaving logs that a server of this instance is leaving; age is that of its report.
+func (p *pool) logLeaving(s *server, from listSource, age time.Duration) {
+	p.effect(LogEntry{Kind: LogServerLeaving, Server: s.entry.ID, Peer: from.peer, Reason: from.way, Value: from.revision, Age: age, Count: len(s.runs)})
 }
 
 // updateListed applies the store's list of servers.
@@ -150,7 +150,7 @@
 		}
 		s.entry = e
 		if s.leaving.reportEntry(e) {
-			p.logLeaving(s, list.source, now)
+			p.logLeaving(s, list.source, s.reportAge(now))
 		}
 	}
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -264,7 +264,7 @@
 	}
 	p.recordReply(s, e.ClockMs, now)
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
-		p.logLeaving(s, listSource{way: wayPoll}, now)
+		p.logLeaving(s, listSource{way: wayPoll}, 0)
 	}
 	s.ackedSeq = max(s.ackedSeq, min(e.Poll.AckedSeq, s.seenSeq))
 	for _, end := range e.Ended {
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -57,6 +57,8 @@
 type listSource struct {
 	way  string
 	peer model.Instance // that forwarded them, empty if they came from the store
+	// revision is that of the list with the changes, 0 if they aren't from the list.
+	revision uint64
 }
 
 // Ways in which this instance learns of changes of servers.
@@ -166,8 +168,7 @@
 		}
 	}
 	slices.Sort(c.Removed)
-	l.source = listSource{way: wayList}
-	l.apply(c)
+	l.apply(c, listSource{way: wayList})
 	l.effect(LogEntry{Kind: LogListRead, Value: at, Count: len(c.Servers) + len(c.Removed), Age: l.requestAge(now)})
 	return c
 }
@@ -191,13 +192,13 @@
 		})
 		return false
 	}
-	l.source = from
-	l.apply(c)
+	l.apply(c, from)
 	return true
 }
 
-func (l *serverList) apply(c ServerChanges) {
-	l.revision = c.ToRevision
+func (l *serverList) apply(c ServerChanges, from listSource) {
+	l.revision, l.source = c.ToRevision, from
+	l.source.revision = c.ToRevision
 	for _, e := range c.Servers {
 		l.entries[e.ID] = e
 	}
@@ -224,7 +225,7 @@
 	if c.ToRevision >= l.revision {
 		l.updatedAt = now // an outdated update says nothing of the current list
 	}
-	if l.applyInOrder(c, listSource{wayPeer, from}) {
+	if l.applyInOrder(c, listSource{way: wayPeer, peer: from}) {
 		return len(c.Servers)+len(c.Removed) > 0
 	}
 	l.requestList(now)
