End the read of a link's stream when its connection fails

Cause: yamux closes its session when a write fails, and waits until its goroutine that reads has ended; meanwhile a read of the stream is woken by the closed session and tries again at once. The read was ended before only where this side closes the link itself. It is ended now by the connection, before yamux learns of the failure.

--- /dev/null
+++ b/internal/mesh/guardedconn.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// guardedConn is a connection that carries one yamux stream. When it fails, it ends a
+// pending read of the stream before yamux notices: such a read spins from then on until
+// the session has ended all its goroutines.
+type guardedConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	stream *yamux.Stream
+	failed bool
+}
+
+// guard sets the stream. Its read deadline must not be changed afterwards.
+func (c *guardedConn) guard(s *yamux.Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stream = s
+	if c.failed {
+		endRead(s)
+	}
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.check(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.check(err)
+	return n, err
+}
+
+func (c *guardedConn) check(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
+	if c.stream != nil {
+		endRead(c.stream)
+	}
+}
+
+// endRead ends a pending read of the stream.
+func endRead(stream *yamux.Stream) {
+	_ = stream.SetReadDeadline(time.Unix(1, 0)) // never fails
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -179,7 +179,8 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	session, err := yamux.Client(newCoalescingConn(conn), sessionConfig())
+	guarded := &guardedConn{Conn: conn}
+	session, err := yamux.Client(newCoalescingConn(guarded), sessionConfig())
 	if err != nil {
 		return false, err
 	}
@@ -192,6 +193,7 @@
 	if err != nil {
 		return false, err
 	}
+	guarded.guard(stream)
 	*known = peer
 	l.connectedTo.Store(peer.Incarnation)
 	defer l.connectedTo.Store(model.Incarnation(""))
@@ -199,7 +201,7 @@
 	m.opts.OnConnect(fleet.LinkUp{Peer: peer})
 	broken := make(chan struct{})
 	go watchClose(stream, broken)
-	defer endRead(stream) // before the session is closed
+	defer endRead(stream) // before the session is closed, see guardedConn
 	return true, m.send(ctx, l, stream, broken)
 }
 
@@ -229,12 +231,6 @@
 	close(broken)
 }
 
-// endRead ends a pending read of the stream. A read that is still pending when its
-// session is closed spins until the session has ended all its goroutines.
-func endRead(stream *yamux.Stream) {
-	_ = stream.SetReadDeadline(time.Unix(1, 0)) // never fails
-}
-
 // drain drops messages queued for an earlier connection.
 func drain(queue chan any) {
 	for {
@@ -333,7 +329,8 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	session, err := yamux.Server(newCoalescingConn(conn), sessionConfig())
+	guarded := &guardedConn{Conn: conn}
+	session, err := yamux.Server(newCoalescingConn(guarded), sessionConfig())
 	if err != nil {
 		m.opts.OnError("", err)
 		return
@@ -344,13 +341,13 @@
 		m.opts.OnError("", errors.Wrap(err, "accept a stream"))
 		return
 	}
-	if err := m.receive(stream, conn); err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
+	if err := m.receive(stream, guarded); err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
 		m.opts.OnError("", err)
 	}
 }
 
 // receive completes the handshake of a stream and delivers its messages.
-func (m *Mesh) receive(stream *yamux.Stream, conn net.Conn) error {
+func (m *Mesh) receive(stream *yamux.Stream, conn *guardedConn) error {
 	if err := stream.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return err
 	}
@@ -375,6 +372,7 @@
 	if !current {
 		return nil // a later connection is up
 	}
+	conn.guard(stream)
 	limit := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		var f fleetpb.Frame
