Log a watch as behind only if the next reply won't catch up

At 1,100 servers the first reply after each pause is incomplete as a rule; a warning each second would be noise. The gauge shows every reply.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -100,7 +100,7 @@
 	JobLost           = warn(8029, "job-lost", "store names another holder of a durable job; this instance drops it")
 	HoldDoubted       = warn(8030, "hold-doubted", "another instance may take over this instance's durable jobs, or no longer may")
 	StoreFollowed     = info(8031, "store-followed", "this instance started or stopped watching servers and configuration in the store for its cell")
-	WatchBehind       = warn(8032, "watch-behind", "watch of the store returned only part of the changes made so far")
+	WatchBehind       = warn(8032, "watch-behind", "watch of the store trails it by more than another reply")
 	ServerListGap     = info(8033, "server-list-gap", "changes don't continue this instance's list of backend servers; the whole list is read")
 	ServerListRead    = info(8034, "server-list-read", "this instance read the whole list of backend servers")
 )
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -131,7 +131,7 @@
 	l.log.Event(eventlog.CallFailed).Str("call", call).Str("server", string(server)).AnErr("cause", err).Send()
 }
 
-// watchBehind logs a reply of a watch that doesn't reach the store's newest known revision.
+// watchBehind logs a reply of a watch that is far from the store's newest known revision.
 func (l *limitedLog) watchBehind(w watchSpec, r platform.Range) {
 	if l.allow() {
 		l.log.Event(eventlog.WatchBehind).Str("watch", w.name).Int("count", len(r.Items)).Uint64("value", uint64(r.Revision)).
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -172,7 +172,7 @@
 		retry.Reset()
 		s.updateReachability(true, nil)
 		s.node.metrics.WatchBehind.WithLabelValues(w.name).Set(float64(changes.Behind))
-		if changes.Behind > 0 {
+		if changes.Behind > platform.Revision(len(changes.Items)) { // the next reply won't catch up
 			s.node.limitedLog.watchBehind(w, changes)
 		}
 		w.onChange(at, changes)
