--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -122,8 +122,7 @@
 		i.servers.broadcast(changes, now)
 		i.handleServersChanged(now)
 	case ServersChanged:
-		i.servers.applyInOrder(e.ServerChanges, listSource{way: wayWatch})
-		i.servers.broadcast(e.ServerChanges, now)
+		i.servers.handleWatched(e.ServerChanges, now)
 		if len(e.Servers)+len(e.Removed) > 0 {
 			i.handleServersChanged(now)
 		}
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -219,6 +219,14 @@
 	}
 }
 
+// handleWatched applies changes from this instance's own watch and forwards them.
+func (l *serverList) handleWatched(c ServerChanges, now Time) {
+	if !l.applyInOrder(c, listSource{way: wayWatch}) {
+		l.requestList(now)
+	}
+	l.broadcast(c, now)
+}
+
 // handleUpdate applies changes from a peer, and reports whether entries may have
 // changed. After a gap, the whole list is read.
 func (l *serverList) handleUpdate(from model.Instance, c ServerChanges, now Time) (changed bool) {
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// TestOwnWatchWithGapLeavesListOutdated applies changes of the own watch that don't
+// continue the list: the list has to be read.
+func TestOwnWatchWithGapLeavesListOutdated(t *testing.T) {
+	reads := 0
+	l := newServerList(Options{}, nil, 0, func(e Effect) {
+		if _, ok := e.(ListServers); ok {
+			reads++
+		}
+	})
+	l.replace([]ServerEntry{{ID: "a"}}, 10, 0)
+	l.handleWatched(ServerChanges{FromRevision: 12, ToRevision: 15, Removed: []model.ServerID{"a"}}, Time(time.Minute))
+	if reads != 1 || len(l.entries) != 1 {
+		t.Errorf("%d reads, %d entries", reads, len(l.entries))
+	}
+}
+
 // TestListNotReadWhileOutdatedUpdatesArrive checks when a member reads the list itself
 // although updates keep arriving.
 func TestListNotReadWhileOutdatedUpdatesArrive(t *testing.T) {
