Members agree on who watches the store for a cell

A member compared the servers that an equal peer reported with its own servers or jobs. With a job but no server here, each could take the other for the watcher, so that nobody watched until the members read the list themselves, 2 s later.

Found by reading. TestNobodyWatchesWhileMembersDisagree failed in four of sixteen states.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -216,7 +216,7 @@
 
 // maintainPeers handles lost members, sends due heartbeats and replaces quiet links.
 func (i *Instance) maintainPeers(now Time) {
-	i.members.busy = i.busy()
+	i.members.busy, i.members.hasServers = i.busy(), len(i.pool.orderedServers) > 0
 	i.members.updateActive(now)
 	i.handleLostMembers(now)
 	i.sendHeartbeats(now, false)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -50,6 +50,7 @@
 	effect       func(Effect)
 	storeUp      bool
 	busy         bool // this instance has servers or jobs
+	hasServers   bool
 	listed       bool // the store has listed the members at least once
 	peers        map[model.Instance]*peer
 	orderedPeers []*peer // sorted by name
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -98,9 +98,10 @@
 	return before < watchersPerCell
 }
 
-// preferred reports whether a peer should watch the store rather than this instance.
+// preferred reports whether a peer should watch the store rather than this instance. The
+// peer reports loads exactly if it has servers, so that both come to the same conclusion.
 func (l *serverList) preferred(p *peer) bool {
-	if idle := len(p.loads) == 0; p.member.Weight == l.self.Weight && idle == l.members.busy {
+	if idle := len(p.loads) == 0; p.member.Weight == l.self.Weight && idle == l.members.hasServers {
 		return idle
 	}
 	return stronger(p.member, l.self)
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -75,6 +75,39 @@
 	}
 }
 
+// TestNobodyWatchesWhileMembersDisagree checks, for two equal members in each state, that
+// exactly one prefers the other as a watcher.
+func TestNobodyWatchesWhileMembersDisagree(t *testing.T) {
+	type state struct {
+		name    string
+		servers bool
+		jobs    bool
+	}
+	states := []state{{"idle", false, false}, {"servers", true, false}, {"jobs", false, true}, {"servers and jobs", true, true}}
+	member := func(name model.Instance) Member { return Member{Instance: name, Incarnation: "01", Weight: 1} }
+	// view returns whether a member prefers a peer, after a heartbeat of that peer.
+	view := func(self, other Member, selfState, otherState state) bool {
+		m := newMembers(self, func(Effect) {})
+		m.busy, m.hasServers = selfState.servers || selfState.jobs, selfState.servers
+		p := m.addPeer(other, 0)
+		hb := Heartbeat{Busy: otherState.servers || otherState.jobs}
+		if otherState.servers {
+			hb.Loads = []Load{{Service: "svc", Servers: 1}}
+		}
+		p.loads = hb.Loads
+		p.handleHeartbeat(hb, 0, 0)
+		return newServerList(Options{Self: self}, m, 0, func(Effect) {}).preferred(p)
+	}
+	a, b := member("a"), member("b")
+	for _, sa := range states {
+		for _, sb := range states {
+			if view(a, b, sa, sb) == view(b, a, sb, sa) {
+				t.Errorf("a with %s and b with %s: both or neither prefer the other", sa.name, sb.name)
+			}
+		}
+	}
+}
+
 // TestListNotReadWhileOutdatedUpdatesArrive checks when a member reads the list itself
 // although updates keep arriving.
 func TestListNotReadWhileOutdatedUpdatesArrive(t *testing.T) {
