Report why a link ended by its connection, not by the end of its read

Since a failing connection ends the read of its stream, a link that a peer closed in the usual way could be logged as a fault (peer-lost, deadline reached), depending on which goroutine ran first.

--- a/internal/mesh/guardedconn.go
+++ b/internal/mesh/guardedconn.go
@@ -16,7 +16,7 @@
 
 	mu     sync.Mutex
 	stream *yamux.Stream
-	failed bool
+	err    error // of the first failure
 }
 
 // guard sets the stream. Its read deadline must not be changed afterwards.
@@ -24,7 +24,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stream = s
-	if c.failed {
+	if c.err != nil {
 		endRead(s)
 	}
 }
@@ -49,12 +49,25 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failed = true
+	if c.err == nil {
+		c.err = err
+	}
 	if c.stream != nil {
 		endRead(c.stream)
 	}
 }
 
+// cause returns the failure of the connection that ended a read of the stream with err,
+// or err if the connection hasn't failed.
+func (c *guardedConn) cause(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return c.err
+	}
+	return err
+}
+
 // endRead ends a pending read of the stream.
 func endRead(stream *yamux.Stream) {
 	_ = stream.SetReadDeadline(time.Unix(1, 0)) // never fails
--- a/internal/mesh/guardedconn_test.go
+++ b/internal/mesh/guardedconn_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // resetConn is a connection whose writes fail once it is reset, while a pending read goes
@@ -68,3 +71,45 @@
 		t.Fatal("the read of the stream goes on")
 	}
 }
+
+// TestClosedLinkIsLoggedAsFault closes links in the usual way: the end that receives has
+// nothing to report.
+func TestClosedLinkIsLoggedAsFault(t *testing.T) {
+	for range 20 { // the read may also end with the session
+		a, b := net.Pipe()
+		var faults atomic.Int32
+		received := make(chan struct{})
+		m := New(Options{
+			Self: fleet.Member{Instance: "n", Incarnation: "1"}, OnMessage: func(fleet.Member, any) { close(received) },
+			OnError: func(_ model.Instance, err error) { faults.Add(1); t.Log(err) },
+		})
+		accepted := make(chan struct{})
+		go func() { m.accept(t.Context(), b); close(accepted) }()
+		session, err := yamux.Client(newCoalescingConn(a), sessionConfig())
+		if err != nil {
+			t.Fatal(err)
+		}
+		stream, err := session.OpenStream()
+		if err != nil {
+			t.Fatal(err)
+		}
+		dialer := New(Options{Self: fleet.Member{Instance: "d", Incarnation: "1"}})
+		if _, err := dialer.handshake(stream); err != nil {
+			t.Fatal(err)
+		}
+		frame, err := collectFrame(fleet.Heartbeat{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (&frameWriter{w: stream}).write(frame); err != nil {
+			t.Fatal(err)
+		}
+		<-received
+		a.Close()
+		<-accepted
+		session.Close()
+		if faults.Load() > 0 {
+			t.Fatal("the end of a closed link is reported as a fault")
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -377,7 +377,7 @@
 	for {
 		var f fleetpb.Frame
 		if err := limit.UnmarshalFrom(r, &f); err != nil {
-			return err
+			return conn.cause(err)
 		}
 		for _, x := range f.GetMessages() {
 			message, err := decode(x)
