--- a/internal/fleet/fleetsim/serverwatch.go
+++ b/internal/fleet/fleetsim/serverwatch.go
@@ -43,7 +43,7 @@
 	return out, l.revision
 }
 
-// list returns all entries in the order of the servers.
+// listEntries returns all entries in the order of the servers.
 func (w *World) listEntries() []fleet.EntryChange {
 	var out []fleet.EntryChange
 	for _, s := range w.servers {
