Tests of package node listen on addresses of their own process

Cause: the test asked the kernel for a free port of 127.0.0.1 and released it; until the instance listens, a connection or the other run may take it. The addresses now have an IP address of the loopback range that belongs to the process, and ports are counted. That this was the cause is inferred from the message; the failure was not provoked again.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,21 +144,24 @@
 	s.store.Store.Register("svc", i)
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// firstPort is the lowest port of the instances of tests.
+const firstPort = 20000
+
+var usedPorts atomic.Int32
+
+// ownAddr returns an address for one listener. Its IP address belongs to this process
+// alone: a port of 127.0.0.1 that was found free may be taken by a connection, or by
+// another test process, before an instance listens there.
+func ownAddr() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff, firstPort+usedPorts.Add(1))
 }
 
 func (s *site) addInstance(name string) {
-	peerAddr := freeAddr(s.t)
+	peerAddr := ownAddr()
 	n, err := New(platform.Settings{
 		Instance: model.Instance(name), Domain: "d1", Host: "127.0.0.1",
-		CallerAddr: freeAddr(s.t), ReadyAddr: freeAddr(s.t), PeerAddr: peerAddr, AdvertisedAddr: peerAddr, MetricsAddr: freeAddr(s.t),
+		CallerAddr: ownAddr(), ReadyAddr: ownAddr(), PeerAddr: peerAddr, AdvertisedAddr: peerAddr, MetricsAddr: ownAddr(),
 		CPUCores: 0.4, Store: platform.StoreSettings{Addr: s.addr, MinLeaseTTL: time.Second},
 		Bounds: platform.Bounds{
 			GracePeriod: 6 * time.Second, MaxLease: time.Second, StopTimeout: 50 * time.Millisecond, StateRetention: 2 * time.Minute,
