A run being stopped renews no lease beyond its job's last echo

An owner that loses the instance which offered a job stops its runs 0.6 s and more after the last echo. From the first stop on, polls took the run as wanted until that stop, and renewed its lease up to a second from there, 1.6 s and more after the echo. The instance with the call, or the caller that submits the job again, counts on 1.12 s. So the run went on for as long as its stops were lost while polls got through. After a pause the owner raised the echo of all peers before it cancelled their jobs, with the same effect.

Change: a run keeps the time at which its job was last wanted when its first stop is sent; a pause cancels jobs before it gives peers more time.

TestStopRenewsNoLeaseOfLostOrigin failed before in all three cases: leases to 1510 (silent), 1110 (restarted) and 1942 (pause) with 1100 allowed.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -198,11 +198,11 @@
 	i.effects = append(i.effects, LogEntry{Kind: LogPauseDetected, Age: gap})
 	i.pool.noStartsUntil, i.router.noOffersUntil = now.Add(resumeDelay), now.Add(resumeDelay)
 	for _, p := range i.members.orderedPeers {
+		i.pool.handleOriginLost(p.member, now) // by the last echo before the pause
 		if p.everHeard {
 			p.heardAt = max(p.heardAt, now.Add(-p.timeout(now)/2))
 			p.echoedAt = max(p.echoedAt, now.Add(-echoTimeout/2))
 		}
-		i.pool.handleOriginLost(p.member, now)
 	}
 	i.pool.expireJobs(now)
 }
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -327,17 +327,17 @@
 	j.activeRuns = 0
 }
 
-// stopRuns passes every run of a job to each, and stops those not yet being stopped.
+// stopRuns stops the runs of a job not yet being stopped, and passes every run to each.
 func (p *pool) stopRuns(j *job, each func(*run), now Time) {
 	for _, s := range p.orderedServers {
 		for _, r := range s.sortedRuns() {
 			if r.task == nil || r.task.job != j {
 				continue
 			}
-			each(r)
 			if r.state != runStopping {
 				p.stopRun(s, r, now)
 			}
+			each(r)
 			p.poll(s, now)
 		}
 	}
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -179,3 +179,43 @@
 	}
 	t.Fatal("nothing was started")
 }
+
+// TestStopRenewsNoLeaseOfLostOrigin loses the instance that offered a job. No poll renews
+// the lease beyond its last echo while the stops of the run go unanswered.
+func TestStopRenewsNoLeaseOfLostOrigin(t *testing.T) {
+	const ms = time.Millisecond
+	for name, lose := range map[string]func(i *Instance, other Member, now Time) Time{
+		"silent": func(i *Instance, _ Member, now Time) Time { return now },
+		"restarted": func(i *Instance, other Member, now Time) Time {
+			other.Incarnation = "02"
+			i.Step(now, LinkUp{Peer: other})
+			return now
+		},
+		"during a pause": func(_ *Instance, _ Member, now Time) Time { return now.Add(800 * ms) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
+			i.Step(now, LinkUp{Peer: other})
+			echo := now
+			i.Step(now, PeerMessage{From: other, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: echo}})
+			spec := shortJob(now)
+			spec.Timeout = time.Minute
+			start := lookFor[StartRun](t, i.Step(now, PeerMessage{From: other, ReceivedAt: now, Message: Offer{Call: 5, Job: spec, AllowQueue: true}}))
+			serverClock := func(at Time) int64 { return 100 + at.Sub(echo).Milliseconds() }
+			i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: serverClock(now), SentAt: now})
+			limit := serverClock(echo.Add(time.Second))
+			now = lose(i, other, now.Add(10*ms))
+			for range 20 {
+				now = now.Add(50 * ms)
+				reply := pollReply(now, 500, ActiveRun{Run: start.Run, Percent: 10})
+				reply.ClockMs = serverClock(now)
+				for _, e := range append(i.Step(now, Tick{}), i.Step(now, reply)...) {
+					if l, ok := e.(Poll); ok && l.LeaseEndMs > limit {
+						t.Fatalf("%v after the last echo a poll renews the lease to %d, want at most %d", now.Sub(echo), l.LeaseEndMs, limit)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -57,14 +57,14 @@
 // wantedAge returns how long ago all runs at a server were last known to be wanted: the
 // instances that hold their calls were reached then. Leases count from that time, so
 // that they expire before those instances may run the jobs elsewhere, however late this
-// instance notices or its commands arrive. A run that is being stopped counts as wanted
-// until the first stop command.
+// instance notices or its commands arrive. A run that is being stopped keeps the time at
+// which it was last wanted: its stop may never arrive.
 func (p *pool) wantedAge(s *server, now Time) time.Duration {
 	since := now
 	for _, r := range s.runs {
 		switch {
 		case r.state == runStopping:
-			since = min(since, r.firstStopAt)
+			since = min(since, r.lastWantedAt)
 		case r.task != nil:
 			since = min(since, p.members.wantedAt(r.task.job, now))
 		}
@@ -156,7 +156,10 @@
 // stopRun sends a stop. The run occupies its capacity until its end is known.
 func (p *pool) stopRun(s *server, r *run, now Time) {
 	if r.state != runStopping {
-		r.firstStopAt = now
+		r.lastWantedAt = now
+		if r.task != nil {
+			r.lastWantedAt = p.members.wantedAt(r.task.job, now)
+		}
 	}
 	r.state, r.stopSentAt, r.answeredAt = runStopping, now, 0
 	p.expectReply(s, callStop, r, now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -49,7 +49,7 @@
 	callEnded      bool // the call of the start has failed, so that nothing more is sent for it
 	absentBefore   bool // a poll after the start was overdue has not listed the run
 	stopSentAt     Time // when the last stop was sent
-	firstStopAt    Time // when the first stop was sent
+	lastWantedAt   Time // of a run being stopped: when it was last known to be wanted
 	expected       time.Duration
 
 	taskFault  bool // the stop counts as a stall of the task
