Nothing follows a message that a full link dropped

A link whose queue of 512 messages was full dropped the next message and sent later ones. If that was the withdrawal of a job whose caller had gone, the heartbeats that followed told the owner that the instance with the call had processed all of its messages and still wanted the job, so its runs were renewed to the deadline, while the caller submitted the job again after 1.3 s. Members take it that messages on one connection arrive in order and that a new connection resyncs their open calls; the drop was the one exception.

Change: from the first dropped message on, a link drops all until its next connection, which it asks for at once. A request made for an earlier connection no longer replaces a new one.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -69,7 +69,7 @@
 type link struct {
 	member    fleet.Member
 	cancel    context.CancelFunc
-	queue     chan any
+	queue     *sendQueue
 	reconnect chan struct{} // requests a new connection
 
 	connectedTo atomic.Value // model.Incarnation at the other end, empty while not connected
@@ -98,7 +98,7 @@
 		l.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	l := &link{member: member, cancel: cancel, queue: make(chan any, queueLength), reconnect: make(chan struct{}, 1)}
+	l := &link{member: member, cancel: cancel, queue: newSendQueue(), reconnect: make(chan struct{}, 1)}
 	m.links[member.Instance] = l
 	m.wg.Add(1)
 	go func() {
@@ -122,15 +122,29 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if l := m.links[i]; l != nil {
-		select {
-		case l.reconnect <- struct{}{}:
-		default: // already requested
-		}
+		l.requestReconnect()
+	}
+}
+
+// startConnection drops what was queued or requested for an earlier connection.
+func (l *link) startConnection() {
+	select {
+	case <-l.reconnect:
+	default:
+	}
+	l.queue.reset()
+}
+
+func (l *link) requestReconnect() {
+	select {
+	case l.reconnect <- struct{}{}:
+	default: // already requested
 	}
 }
 
-// Send queues a message for a member. It never blocks: without a link, or if
-// its queue is full, the message is dropped.
+// Send queues a message for a member. It never blocks: without a link, the message is
+// dropped; if its queue is full, the message and all later ones until the next
+// connection are.
 func (m *Mesh) Send(to model.Instance, message any) {
 	m.mu.Lock()
 	l := m.links[to]
@@ -138,10 +152,9 @@
 	if l == nil {
 		return
 	}
-	select {
-	case l.queue <- message:
-	default:
-		m.opts.OnError(to, errors.New("the link's send queue is full; a message was dropped"))
+	if l.queue.add(message) {
+		m.opts.OnError(to, errors.New("the link's send queue is full; reconnecting"))
+		l.requestReconnect()
 	}
 }
 
@@ -197,7 +210,7 @@
 	*known = peer
 	l.connectedTo.Store(peer.Incarnation)
 	defer l.connectedTo.Store(model.Incarnation(""))
-	drain(l.queue)
+	l.startConnection()
 	m.opts.OnConnect(fleet.LinkUp{Peer: peer})
 	broken := make(chan struct{})
 	go watchClose(stream, broken)
@@ -231,17 +244,6 @@
 	close(broken)
 }
 
-// drain drops messages queued for an earlier connection.
-func drain(queue chan any) {
-	for {
-		select {
-		case <-queue:
-		default:
-			return
-		}
-	}
-}
-
 // send writes queued messages, all that are ready in one frame.
 func (m *Mesh) send(ctx context.Context, l *link, stream *yamux.Stream, broken <-chan struct{}) error {
 	out := frameWriter{w: stream}
@@ -254,9 +256,9 @@
 			return errors.New("the peer closed the connection")
 		case <-l.reconnect:
 			return errors.New("the link was unresponsive; reconnecting")
-		case first = <-l.queue:
+		case first = <-l.queue.messages:
 		}
-		frame, err := collectFrame(first, l.queue)
+		frame, err := collectFrame(first, l.queue.messages)
 		if err != nil {
 			return err
 		}
