Runs of an instance's own calls last no longer than its input is known

An owner that also holds the call took the job for wanted as long as it ran, up to now. A process short of CPU time, or just resumed, still renews leases while the ends of its callers' connections wait to be read, and after a pause it started lapsed tasks again 100 ms later. A caller that left submits the job again after 1.3 s, at any instance; 1.02 s of these belong to the last lease.

Change: a byte that travels through a pipe, the poller, a goroutine and the event queue tells up to when the instance has processed its input. Leases and starts of its own calls count from there, as those of other instances' calls count from their last echo. Jobs that are stored aren't affected: their callers don't wait.

TestOwnCallsCountFromProcessedInput failed before (lease to 1150, 1100 allowed, and a start).

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -237,7 +237,13 @@
 // Tick drives everything that depends on time.
 type Tick struct{}
 
+// InputProcessed reports that the reducer has processed all input that had reached the
+// process by a time, such as callers that left. Regular reports bound how long the
+// instance may take calls of its own for wanted.
+type InputProcessed struct{ At Time }
+
 func (MembersListed) event()         {}
+func (InputProcessed) event()        {}
 func (StoreStatus) event()           {}
 func (OwnersChanged) event()         {}
 func (ServersListed) event()         {}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -171,6 +171,8 @@
 		i.sendHeartbeats(now, true)
 		i.holder.startLeaving(now)
 		i.maintainPeersAndServers(now)
+	case InputProcessed:
+		i.members.inputAt = e.At
 	case RepliesOverdue:
 		i.pool.settleOverdue(now)
 	case Tick:
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -52,6 +52,7 @@
 	busy         bool // this instance has servers or jobs
 	hasServers   bool
 	listed       bool // the store has listed the members at least once
+	inputAt      Time // up to which this instance has processed its own input, 0 if never reported
 	peers        map[model.Instance]*peer
 	orderedPeers []*peer // sorted by name
 	// replaced holds earlier incarnations whose loss has not been handled yet.
@@ -70,9 +71,12 @@
 func (m *members) inCell(name string) bool { return m.cells.sameCell(name, string(m.self.Instance)) }
 
 // echoedAt returns when the last message was sent that an instance is known to have
-// processed.
+// processed; for this instance, up to when it has processed its own input.
 func (m *members) echoedAt(x Member, now Time) Time {
-	if x.Instance == m.self.Instance {
+	switch {
+	case x.Instance == m.self.Instance && m.inputAt != 0:
+		return m.inputAt
+	case x.Instance == m.self.Instance:
 		return now
 	}
 	if p := m.peers[x.Instance]; p != nil && p.member.sameIncarnation(x) {
@@ -85,6 +89,9 @@
 // it and, if that is only the owner that queues it, by the one that holds its call.
 // The former may be too slow to report the loss of the latter.
 func (m *members) wantedAt(j *job, now Time) Time {
+	if j.durable != nil {
+		return now // its caller doesn't wait for it
+	}
 	since := m.echoedAt(j.origin, now)
 	if h := j.home(); h.Instance != "" {
 		since = min(since, m.echoedAt(h, now))
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -219,3 +219,38 @@
 		})
 	}
 }
+
+// TestOwnCallsCountFromProcessedInput stops processing the callers' input while polls go
+// on. No lease of the instance's own job lasts longer than from the input processed last,
+// and nothing more starts, as its callers may have left.
+func TestOwnCallsCountFromProcessedInput(t *testing.T) {
+	const ms = time.Millisecond
+	i, now := oneServer(t, 500)
+	input := now
+	i.Step(now, InputProcessed{At: input})
+	run := startOne(t, i, now)
+	serverClock := func(at Time) int64 { return 100 + at.Sub(input).Milliseconds() }
+	limit := serverClock(input.Add(time.Second))
+	for range 18 {
+		now = now.Add(50 * ms)
+		reply := pollReply(now, 500, ActiveRun{Run: run, Percent: 10})
+		reply.ClockMs = serverClock(now)
+		for _, e := range append(i.Step(now, Tick{}), i.Step(now, reply)...) {
+			if l, ok := e.(Poll); ok && l.LeaseEndMs > limit {
+				t.Fatalf("%v after the input processed last, a poll renews the lease to %d, want at most %d", now.Sub(input), l.LeaseEndMs, limit)
+			}
+		}
+	}
+	ended := pollReply(now, 500)
+	ended.ClockMs, ended.Ended = serverClock(now), []EndedRun{{Seq: 1, Run: run, Kind: EndDone}}
+	i.Step(now, ended)
+	next := shortJob(now)
+	next.ID = "j2"
+	if n := count[StartRun](i.Step(now, JobSubmitted{Call: 2, Job: next})); n > 0 {
+		t.Error("a task starts while the callers' input is not processed")
+	}
+	i.Step(now, InputProcessed{At: now})
+	if n := count[StartRun](i.Step(now, Tick{})); n == 0 {
+		t.Error("nothing starts once the input is processed")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -43,6 +43,7 @@
 			l.step(e)
 		case <-ticker.C:
 			l.step(fleet.Tick{})
+			l.probeInput()
 			l.updateReady()
 		case <-l.overdue.C:
 			l.overdueAt = 0
@@ -54,6 +55,14 @@
 	}
 }
 
+// probeInput sends the next byte of the probe. A probe that fails lets the leases of the
+// instance's own calls expire.
+func (l *loop) probeInput() {
+	if err := l.node.input.send(bootTime()); err != nil {
+		l.node.limitedLog.callFailed("probe input", "", err)
+	}
+}
+
 func (l *loop) stop() {
 	n := l.node
 	n.ready.set(false)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 
 	events chan fleet.Event
 	done   chan struct{} // closed when the loop has ended
+	input  *inputProbe
 	ready  readiness
 }
 
@@ -119,6 +120,11 @@
 	if err != nil {
 		return err
 	}
+	if n.input, err = newInputProbe(n.post); err != nil {
+		return err
+	}
+	defer n.input.close()
+	n.spawn(n.input.run)
 	n.spawn(func() { n.store.run(running) })
 	n.spawn(func() { n.jobs.run(running) })
 	n.spawn(func() { n.reload(running, hangups) })
