A restarted server's runs outlive the first missed poll

A server that restarts under its ID may take a start before its restart is noticed. Noticing reset the end of the leases sent to zero while that run stayed: the next poll without an answer freed it as if its lease were over, and its task started elsewhere while it ran.

Change: until the first poll reply of the new life no lease counts as expired; from there, the longest lease may have been granted, as lease ends by the clock of the earlier life are far ahead and are shortened to it.

TestRunOnNewLifeOutlivesMissedPoll failed before (freed 50 ms after the restart). Found by reading.

--- /dev/null
+++ b/internal/fleet/restart_test.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRunOnNewLifeOutlivesMissedPoll restarts a server under its ID just before a start
+// reaches it. Until the lease that the new life may have granted is over, a poll without
+// answer doesn't free the run.
+func TestRunOnNewLifeOutlivesMissedPoll(t *testing.T) {
+	i, now := oneServer(t, 500)
+	run := startOne(t, i, now)
+	late := ActiveRun{Run: RunID{Task: TaskID{Job: "j0"}, Attempt: 1}}
+	reply := pollReply(now, 600, ActiveRun{Run: run}, late) // the latter keeps the server in recovery
+	reply.ClockMs = 20
+	i.Step(now, reply)
+	s := i.pool.servers["s1"]
+	for at := now.Add(50 * time.Millisecond); at < now.Add(950*time.Millisecond); at = at.Add(50 * time.Millisecond) {
+		i.Step(at, PollReply{Server: "s1", Outcome: PollUnanswered, Poll: Poll{Fence: s.ownership.Token()}, SentAt: at.Add(-time.Millisecond)})
+		i.Step(at, Tick{})
+		if s.runs[run] == nil {
+			t.Fatalf("%v after the restart the run no longer occupies capacity", at.Sub(now))
+		}
+	}
+	i.Step(now.Add(1100*time.Millisecond), Tick{})
+	if s.runs[run] != nil {
+		t.Error("the run still occupies capacity when all leases have expired")
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -26,6 +26,7 @@
 func (p *pool) handleRestart(s *server, bootMs int64) {
 	p.effect(LogEntry{Kind: LogServerReborn, Server: s.entry.ID, Value: uint64(bootMs), Count: len(s.runs)})
 	s.bootMs, s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = bootMs, 0, 0, 0, 0
+	s.leaseUnknown = true
 	clear(s.heldSeqs)
 	s.clock = remoteClock{}
 	s.leaving = leaving{bootMs: bootMs}
@@ -266,6 +267,7 @@
 		s.bootMs = e.BootMs
 	}
 	p.recordReply(s, e.ClockMs, now)
+	s.learnLease(now, p.lease)
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, 0)
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -108,6 +108,7 @@
 
 	clock        remoteClock
 	leaseEndMs   int64 // latest lease end sent, on the server's clock
+	leaseUnknown bool  // orders sent before the restart was noticed may have granted leases since
 	bootMs       int64
 	seenSeq      int64          // highest end processed
 	ackedSeq     int64          // highest end acknowledged by an answered poll
@@ -195,7 +196,17 @@
 
 // leasesExpired reports whether all leases sent to the server have certainly expired.
 func (s *server) leasesExpired(now Time) bool {
-	return s.clock.known && s.clock.now(now) >= s.leaseEndMs
+	return s.clock.known && !s.leaseUnknown && s.clock.now(now) >= s.leaseEndMs
+}
+
+// learnLease bounds the leases that a restarted server may have granted before its first
+// poll reply: lease ends sent by the clock of its earlier life are far ahead, and it
+// shortens them to the longest lease.
+func (s *server) learnLease(now Time, lease time.Duration) {
+	if s.leaseUnknown && s.clock.known {
+		s.leaseUnknown = false
+		s.extendLease(now, lease)
+	}
 }
 
 // nextPoll returns the poll that is due, if any.
