A reply of a server's earlier life sets no clock

A restarted server's clock starts anew. The reply to a start of its earlier life, handled after the restart was noticed, set the owner's estimate back to the old clock, far ahead. Until the next poll reply all lease ends sent were cut to the longest lease from their arrival, however long ago the runs had been wanted.

TestClockOfEarlierLifeIgnored failed before (90000 instead of 20). Found by reading.

--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if e.Addr != s.entry.Addr || e.BootMs != s.entry.BootMs && s.bootMs != 0 && e.BootMs > s.bootMs {
-			p.handleRestart(s, e.BootMs)
+			p.handleRestart(s, e.BootMs, now)
 		}
 		s.entry = e
 		if s.leaving.reportEntry(e) {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -28,3 +28,16 @@
 		t.Error("the run still occupies capacity when all leases have expired")
 	}
 }
+
+// TestClockOfEarlierLifeIgnored answers a start of a server's earlier life after its
+// restart was noticed.
+func TestClockOfEarlierLifeIgnored(t *testing.T) {
+	i, now := oneServer(t, 500)
+	reply := pollReply(now, 600)
+	reply.ClockMs = 20
+	i.Step(now, reply)
+	i.Step(now, StartReply{Server: "s1", Run: RunID{Task: TaskID{Job: "j0"}, Attempt: 1}, Outcome: StartAccepted, ClockMs: 90000, SentAt: now.Add(-time.Millisecond)})
+	if got := i.pool.servers["s1"].clock.now(now); got != 20 {
+		t.Errorf("the server's clock is taken as %d, want 20", got)
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -23,10 +23,10 @@
 // handleRestart resets what is known of a restarted server, which has lost its state.
 // The next poll shows which runs are gone: a start may have reached the new process
 // before the restart was noticed.
-func (p *pool) handleRestart(s *server, bootMs int64) {
+func (p *pool) handleRestart(s *server, bootMs int64, now Time) {
 	p.effect(LogEntry{Kind: LogServerReborn, Server: s.entry.ID, Value: uint64(bootMs), Count: len(s.runs)})
 	s.bootMs, s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = bootMs, 0, 0, 0, 0
-	s.leaseUnknown = true
+	s.restartedAt, s.leaseUnknown = now, true
 	clear(s.heldSeqs)
 	s.clock = remoteClock{}
 	s.leaving = leaving{bootMs: bootMs}
@@ -87,7 +87,7 @@
 		return
 	}
 	r := s.runs[e.Run]
-	if e.ClockMs > 0 {
+	if e.ClockMs > 0 && e.SentAt >= s.restartedAt { // else perhaps of its earlier life
 		p.recordReply(s, e.ClockMs, now)
 	}
 	if r == nil || r.state != runStarting && r.state != runUncertain {
@@ -262,7 +262,7 @@
 	}
 	if e.BootMs > s.bootMs {
 		if s.bootMs != 0 {
-			p.handleRestart(s, e.BootMs)
+			p.handleRestart(s, e.BootMs, now)
 		}
 		s.bootMs = e.BootMs
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -108,6 +108,7 @@
 
 	clock        remoteClock
 	leaseEndMs   int64 // latest lease end sent, on the server's clock
+	restartedAt  Time  // when the last restart was noticed, 0 if none was
 	leaseUnknown bool  // orders sent before the restart was noticed may have granted leases since
 	bootMs       int64
 	seenSeq      int64          // highest end processed
