Replace the fencing token of a restarted server

A server that restarts under its ID has forgotten its fence and which runs were stopped. A start that its earlier life never answered was settled by a poll and a stop there, and its task was started elsewhere. Carried out late, seconds after, the start finds a server that knows neither the stop nor a higher token, and a clock so low that its lease lies ahead.

Change: a restart marks the token as used up; the owner claims the server again, which gives it a higher one, and starts nothing there before a poll under it. From then on the server refuses all that was sent to its earlier life. While the store is down it is used under the old token, as before. A late start that reaches the new life before that poll still runs until it is stopped: nothing in the protocol prevents that.

TestRestartedServerRefusesOrdersToEarlierLife failed before (no claim). TestReplyOfEarlierBootIgnored now has the store down, so that the server is used at once; what it asks is unchanged. Found by reading.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -50,6 +50,9 @@
 	known    map[model.ServerID]Ownership
 	fenced   map[model.ServerID]uint64 // highest token that a server has refused
 	loaded   bool                      // the store's ownerships have been read
+	// stale holds the token under which a server of this instance has restarted. Orders
+	// under it may still reach the new life, so it is replaced by a higher one.
+	stale map[model.ServerID]uint64
 
 	claiming        bool
 	claimedAt       Time
@@ -58,7 +61,7 @@
 }
 
 func newOwners(self Member, list *serverList, now Time, effect func(Effect)) *owners {
-	return &owners{self: self, startedAt: now, effect: effect, entries: list.entries, known: map[model.ServerID]Ownership{}, fenced: map[model.ServerID]uint64{}}
+	return &owners{self: self, startedAt: now, effect: effect, entries: list.entries, known: map[model.ServerID]Ownership{}, fenced: map[model.ServerID]uint64{}, stale: map[model.ServerID]uint64{}}
 }
 
 // merge applies ownerships that are not older than the known ones.
@@ -158,7 +161,7 @@
 		o.reclaim(m, leaving, now)
 		return nil
 	}
-	want := o.unconfirmed()
+	want := append(o.unconfirmed(), o.staleTokens()...)
 	for _, d := range o.domains {
 		share, others := o.targetShare(d, m, leaving, now)
 		owned, orphans := o.split(o.byDomain[d], m, now)
@@ -191,6 +194,29 @@
 	o.claim(want, o.self.Instance, now)
 }
 
+// markStale has the token of a restarted server replaced.
+func (o *owners) markStale(x Ownership) { o.stale[x.Server] = x.Token() }
+
+// hasStaleToken reports whether a server of this instance has restarted under its token.
+func (o *owners) hasStaleToken(id model.ServerID) bool {
+	token, ok := o.stale[id]
+	return ok && o.isMine(id) && o.known[id].Token() <= token
+}
+
+// staleTokens returns the ownerships confirmed by the store whose tokens are to be
+// replaced, and forgets those that are.
+func (o *owners) staleTokens() (out []Ownership) {
+	for _, id := range slices.Sorted(maps.Keys(o.stale)) {
+		switch x := o.known[id]; {
+		case !o.hasStaleToken(id):
+			delete(o.stale, id)
+		case x.Rank == 0:
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 // planDue reports whether to plan on this tick. Events trigger plans immediately.
 func (o *owners) planDue(now Time) bool {
 	if now.Sub(o.plannedAt) < time.Duration(len(o.entries))*planIntervalPerServer {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -124,7 +124,7 @@
 	if o.Token() <= s.ownership.Token() {
 		return
 	}
-	s.ownership, s.phase = o, phaseRecovering
+	s.ownership, s.phase, s.nextPollAt = o, phaseRecovering, now
 	p.logOwned(o)
 	p.pollNow(s, now)
 }
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -47,6 +47,7 @@
 
 func TestReplyOfEarlierBootIgnored(t *testing.T) {
 	i, now := oneServer(t, 500)
+	i.Step(now, StoreStatus{Up: false})
 	i.Step(now, pollReply(now, 600)) // restarted
 	now = now.Add(10 * time.Millisecond)
 	run := startOne(t, i, now)
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -5,6 +5,38 @@
 	"time"
 )
 
+// TestRestartedServerRefusesOrdersToEarlierLife restarts a server under its ID, which
+// forgets fence and stops. The owner replaces its token before it starts anything there, so
+// that the server refuses what was sent to its earlier life and is carried out late.
+func TestRestartedServerRefusesOrdersToEarlierLife(t *testing.T) {
+	for name, storeUp := range map[string]bool{"store up": true, "store down": false} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			i.Step(now, StoreStatus{Up: storeUp})
+			now = now.Add(startupDelay)
+			poll := pollReply(now, 600)
+			claims := append(i.Step(now, poll), i.Step(now, Tick{})...)
+			starts := count[StartRun](i.Step(now, JobSubmitted{Call: 1, Job: shortJob(now)}))
+			if !storeUp {
+				if n := count[Claim](claims); n > 0 || starts != 1 {
+					t.Fatalf("%d claims and %d starts, want one start under the old token", n, starts)
+				}
+				return
+			}
+			renewed := lookFor[Claim](t, claims).Expected[0]
+			if starts != 0 {
+				t.Fatalf("%d starts under the old token", starts)
+			}
+			renewed.Owner, renewed.Incarnation, renewed.Revision = "n1", "01", 8
+			poll.Poll = lookFor[Poll](t, i.Step(now, ClaimReply{Owners: []Ownership{renewed}, Known: true, Committed: true}))
+			start := lookFor[StartRun](t, i.Step(now, poll))
+			if poll.Poll.Fence != renewed.Token() || start.Fence != renewed.Token() {
+				t.Errorf("poll under %d and start under %d, want %d", poll.Poll.Fence, start.Fence, renewed.Token())
+			}
+		})
+	}
+}
+
 // TestRunOnNewLifeOutlivesMissedPoll restarts a server under its ID just before a start
 // reaches it. Until the lease that the new life may have granted is over, a poll without
 // answer doesn't free the run.
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -32,6 +32,7 @@
 	s.leaving = leaving{bootMs: bootMs}
 	s.phase = phaseRecovering
 	s.health = health{}
+	p.owners.markStale(s.ownership)
 }
 
 func (p *pool) startTask(t *task, s *server, now Time) {
@@ -469,10 +470,12 @@
 	}
 }
 
-// finishRecovery opens a server for starts once no unknown run is left there and it is
-// no longer quiesced.
+// finishRecovery opens a server for starts once no unknown run is left there, it is no
+// longer quiesced, and, while the store answers, it has a token that no order sent to its
+// earlier life carries: it would carry out such an order late, as it has forgotten
+// tokens and stops.
 func (p *pool) finishRecovery(s *server, now Time) {
-	if s.quiesceUntil != 0 || slices.ContainsFunc(s.sortedRuns(), func(r *run) bool { return r.task == nil }) {
+	if s.quiesceUntil != 0 || p.members.storeUp && p.owners.hasStaleToken(s.entry.ID) || slices.ContainsFunc(s.sortedRuns(), func(r *run) bool { return r.task == nil }) {
 		s.nextPollAt = now.Add(recoveryPollInterval)
 		return
 	}
