--- a/internal/ctl/logruns.go
+++ b/internal/ctl/logruns.go
@@ -56,13 +56,13 @@
 // runPlace returns where a run was: at a server, or at an owner that chose one.
 func runPlace(r joblog.Run) string {
 	if r.Peer != "" {
-		return "chosen by " + r.Peer
+		return "a server of " + r.Peer
 	}
 	return cmp.Or(r.Server, unknownField)
 }
 
 func runName(r joblog.Run) string {
-	return fmt.Sprintf("attempt %d at %s, ordered by %s", r.Attempt, runPlace(r), cmp.Or(r.Instance, unknownField))
+	return fmt.Sprintf("attempt %d at %s (ordered by %s)", r.Attempt, runPlace(r), cmp.Or(r.Instance, unknownField))
 }
 
 // conclusion returns how a run was found to be over, with the figures behind it.
@@ -94,6 +94,8 @@
 	switch o.Kind {
 	case joblog.OverlapNoEnd:
 		return fmt.Sprintf("no line tells the end of %s", runName(o.Earlier))
+	case joblog.OverlapSeen:
+		return fmt.Sprintf("sent %.1f ms before %s found %s running", ms, o.Earlier.SeenBy, runName(o.Earlier))
 	case joblog.OverlapBeforeEnd:
 		return fmt.Sprintf("sent %.1f ms before the end of %s was known (%s)", ms, runName(o.Earlier), conclusion(o.Earlier))
 	}
--- a/internal/fleet/runrecord.go
+++ b/internal/fleet/runrecord.go
@@ -86,7 +86,7 @@
 
 // logOver logs the conclusion on a run, unless another line or job-ended tells it.
 func (p *pool) logOver(rec RunRecord, taskWaits bool) {
-	e := LogEntry{Kind: LogRunEnded, Server: rec.Server, Run: rec.Run, Record: &rec, At: rec.OverAt, Age: rec.OverAt.Sub(rec.SentAt)}
+	e := LogEntry{Kind: LogRunEnded, Server: rec.Server, Peer: rec.Peer, Run: rec.Run, Record: &rec, At: rec.OverAt, Age: rec.OverAt.Sub(rec.SentAt)}
 	switch rec.Conclusion {
 	case ConcludedNotSent, ConcludedRejected, ConcludedMalformed:
 		return
--- a/internal/joblog/overlap.go
+++ b/internal/joblog/overlap.go
@@ -6,8 +6,8 @@
 type Overlap struct {
 	Earlier, Later Run
 	Kind           OverlapKind
-	// Gap is the time from the end of the earlier run to the start of the later one,
-	// negative if that came first; 0 if no end is known.
+	// Gap is the time from the end of the earlier run, or from when it was found running,
+	// to the start of the later one; negative if that came first; 0 if no end is known.
 	Gap time.Duration
 }
 
@@ -16,6 +16,7 @@
 
 // Kinds of overlaps.
 const (
+	OverlapSeen      OverlapKind = "seen"       // the earlier one was found running after the later one was sent
 	OverlapBeforeEnd OverlapKind = "before-end" // the later one was sent before the end of the earlier one was known
 	OverlapNoEnd     OverlapKind = "no-end"     // no line tells that the earlier one has ended
 	OverlapInferred  OverlapKind = "inferred"   // the later one was sent after an end that nobody has listed
@@ -39,17 +40,21 @@
 }
 
 func overlap(a, b Run) (Overlap, bool) {
-	if a.hadNoEffect() || b.hadNoEffect() {
+	if a.hadNoEffect() || b.hadNoEffect() || a.listedBefore(b.StartAt()) || a.isChoiceOf(&b) || b.isChoiceOf(&a) {
 		return Overlap{}, false
 	}
 	o := Overlap{Earlier: a, Later: b, Kind: OverlapNoEnd}
+	if a.SeenAt.After(b.StartAt()) {
+		o.Kind, o.Gap = OverlapSeen, b.StartAt().Sub(a.SeenAt)
+		return o, true
+	}
 	if a.EndAt().IsZero() {
 		return o, true
 	}
 	switch o.Gap = b.StartAt().Sub(a.EndAt()); {
 	case o.Gap < 0:
 		o.Kind = OverlapBeforeEnd
-	case !a.endIsListed():
+	case !a.endIsReported():
 		o.Kind = OverlapInferred
 	default:
 		return Overlap{}, false
--- a/internal/joblog/run.go
+++ b/internal/joblog/run.go
@@ -39,7 +39,8 @@
 	Instance string // that ordered it, empty if only another one has seen it
 	SeenBy   string // later owner of the server that found it there
 	SentAt   time.Time
-	SeenAt   time.Time
+	SeenAt   time.Time // when that one found it running
+	ListedAt time.Time // when the server listed its end to that one
 	StopAt   time.Time
 	OverAt   time.Time // when Conclusion was reached
 }
@@ -53,7 +54,7 @@
 	var runs []Run
 	lines := l.OfJob(job)
 	for _, x := range lines {
-		if x.ofRun() && !x.ofUnknownRun() {
+		if x.ofRun() && x.SinceSentMs != nil && !x.ofUnknownRun() {
 			runs = merge(runs, &x, x.RunFields)
 		}
 		for _, r := range x.Runs {
@@ -65,6 +66,7 @@
 			runs = mergeSeen(runs, &x)
 		}
 	}
+	runs = joinOffloads(runs)
 	slices.SortStableFunc(runs, func(a, b Run) int {
 		return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task), a.StartAt().Compare(b.StartAt()))
 	})
@@ -95,8 +97,14 @@
 	return runs
 }
 
-// mergeSeen adds what a line says about a run that its instance hasn't ordered.
+// mergeSeen adds what a line says about a run that its instance hasn't ordered, or has
+// taken for over before: a list that was overtaken may still name it.
 func mergeSeen(runs []Run, x *Line) []Run {
+	if slices.ContainsFunc(runs, func(r Run) bool {
+		return r.isStart(x.RunFields) && r.Instance == x.Instance && r.BootMs == x.BootMs
+	}) {
+		return runs
+	}
 	i := slices.IndexFunc(runs, func(r Run) bool {
 		return r.isStart(x.RunFields) && (r.SeenBy == x.Instance || r.SeenBy == "" && r.Instance != x.Instance)
 	})
@@ -104,11 +112,16 @@
 		runs = append(runs, Run{RunFields: x.RunFields})
 		i = len(runs) - 1
 	}
-	if r := &runs[i]; r.SeenBy == "" {
-		r.SeenBy, r.SeenAt = x.Instance, x.Time
-	}
-	if x.Conclusion != "" {
-		runs[i].update(Run{RunFields: x.RunFields, OverAt: x.Time, StopAt: x.ago(x.SinceStopMs)})
+	r := &runs[i]
+	r.SeenBy = x.Instance
+	switch x.Conclusion {
+	case "":
+		r.SeenAt = x.Time
+	case fleet.ConcludedListed:
+		r.ListedAt = x.Time
+		fallthrough
+	default:
+		r.update(Run{RunFields: x.RunFields, OverAt: x.Time, StopAt: x.ago(x.SinceStopMs)})
 	}
 	return runs
 }
@@ -118,18 +131,40 @@
 	return r.Step == f.Step && r.Task == f.Task && r.Attempt == f.Attempt && r.Server == f.Server && r.Peer == f.Peer
 }
 
-// update adds what another line says. A conclusion stands, unless the line lists the end.
+// update adds what another line says. The first conclusion stands: the task may have
+// been started again on it.
 func (r *Run) update(n Run) {
 	if r.StopAt.IsZero() {
 		r.StopAt = n.StopAt
 	}
-	if n.Conclusion == "" || r.Conclusion != "" && n.Conclusion != fleet.ConcludedListed {
+	if n.Conclusion == "" || r.Conclusion != "" {
 		return
 	}
 	r.Conclusion, r.End, r.OverAt = n.Conclusion, n.End, n.OverAt
 	r.NowBootMs, r.LeaseEndMs, r.ClockMs, r.WaitMs = n.NowBootMs, n.LeaseEndMs, n.ClockMs, n.WaitMs
 }
 
+// joinOffloads drops the runs of offloaded tasks whose owner's own lines tell more, and
+// keeps for these what the owner that offloaded them heard of the end.
+func joinOffloads(runs []Run) []Run {
+	return slices.DeleteFunc(runs, func(o Run) bool {
+		if o.Peer == "" {
+			return false
+		}
+		i := slices.IndexFunc(runs, func(r Run) bool { return r.isChoiceOf(&o) && r.Attempt == o.Attempt })
+		if i >= 0 {
+			runs[i].update(o)
+		}
+		return i >= 0
+	})
+}
+
+// isChoiceOf reports whether the run is one of those of an offloaded task.
+func (r *Run) isChoiceOf(o *Run) bool {
+	return r.Server != "" && r.Instance == o.Peer && r.Step == o.Step && r.Task == o.Task &&
+		r.SentAt.After(o.SentAt.Add(-sameStart)) && (o.OverAt.IsZero() || r.SentAt.Before(o.OverAt))
+}
+
 // ago returns the time of an age, zero for none.
 func (x *Line) ago(ms *float64) time.Time {
 	if ms == nil {
@@ -138,12 +173,15 @@
 	return x.Time.Add(-time.Duration(*ms * float64(time.Millisecond)))
 }
 
-// StartAt returns when the run was sent or, if that isn't known, first seen.
+// StartAt returns when the run was sent or, if that isn't known, what is known to be
+// after that.
 func (r *Run) StartAt() time.Time {
-	if r.SentAt.IsZero() {
-		return r.SeenAt
+	for _, t := range []time.Time{r.SentAt, r.SeenAt} {
+		if !t.IsZero() {
+			return t
+		}
 	}
-	return r.SentAt
+	return r.OverAt
 }
 
 // EndAt returns the time from which the instances take the run for over, zero if none
@@ -164,7 +202,10 @@
 	return false
 }
 
-// endIsListed reports whether a server or an owner has reported the end.
-func (r *Run) endIsListed() bool {
+// endIsReported reports whether a server or an owner has reported the end.
+func (r *Run) endIsReported() bool {
 	return r.Conclusion == fleet.ConcludedListed || r.Conclusion == fleet.ConcludedOutcome
 }
+
+// listedBefore reports whether the server's next owner had the end by then.
+func (r *Run) listedBefore(t time.Time) bool { return !r.ListedAt.IsZero() && r.ListedAt.Before(t) }
