Model of late starts at a server that restarts under its ID

The models had no server that forgets its token, stops and clock while orders are under way. restart.pml has one task, such a server, one owner, and a start that is carried out at any later step. Repeated stops, and a token raised at the restart, don't help between the restart and the owner's next call; with the assumption that this call comes first, only a token raised when the unanswered start is settled does, as the call that notices the restart still carries the lower one. A wait until the start can't be carried out any more and has lapsed holds, and so do starts that name the life they are meant for.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Model-checks the replication protocol and the succession of owners with spin:
-# both must hold over the whole state space of each bound, and every seeded
+# Model-checks the replication protocol, the succession of owners and late starts at
+# restarted servers with spin: all must hold over the whole state space of each bound, and every seeded
 # mutation (M_) and weaker rule (W_) of the models must be caught. A harmless change (N_) must hold.
 #
 #   spec/check.sh                     run everything but the deep runs
@@ -12,6 +12,7 @@
 cd "$(dirname "$0")"
 model=$PWD/replication.pml
 succession=$PWD/succession.pml
+restart=$PWD/restart.pml
 max_depth=100000        # steps; a run with a longer path fails
 memory_mb=${MEMORY_MB:-4096}    # memory limit of a verifier
 
@@ -23,7 +24,10 @@
   trap 'rm -rf "$work"' EXIT
   cd "$work"
   local file=$model
-  case $name in succession*) file=$succession ;; esac
+  case $name in
+    succession*) file=$succession ;;
+    restart*) file=$restart ;;
+  esac
   spin -a "$@" "$file" >spin.out 2>&1 || { cat spin.out; exit 1; }
   gcc -O1 -w -DSAFETY -DCOLLAPSE -DMEMLIM=$memory_mb -o pan pan.c
   # -E: an end state at the bounds of the model is not an error.
@@ -72,6 +76,14 @@
   grep -oE '\bM_[A-Z]+(_[A-Z]+)*\b' "$succession" | sort -u | while read -r m; do
     echo "succession-$m violated -DMAXREV=3 -D$m"
   done
+  echo "restart holds -DLIVES=3"
+  echo "restart-one-life holds -DM_NO_BOUND -DNO_RESTART"
+  echo "restart-named-life holds -DNAMED_LIFE"
+  echo "restart-called-first holds -DW_TOKEN_EARLY -DCALLED_FIRST"
+  grep -oE '\b[MW]_[A-Z]+(_[A-Z]+)*\b' "$restart" | sort -u | while read -r m; do
+    echo "restart-$m violated -D$m"
+    [ "$m" = W_TOKEN_EARLY ] || echo "restart-$m-called-first violated -D$m -DCALLED_FIRST"
+  done
   grep -oE '\b[MW]_[A-Z]+(_[A-Z]+)*\b' "$model" | sort -u | while read -r m; do
     case $m in
       W_SILENCE_FIRST | M_REPLACE_OLD_RELEASE) ;;
