--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -42,6 +42,8 @@
 	foreign        bool  // started by an earlier owner
 	task           *task // nil for unknown runs and runs of finished jobs
 	need           model.Resources
+	bootMs         int64  // life of the server when the start was sent
+	fence          uint64 // token of the start
 	state          runState
 	sentAt         Time // when the start was sent
 	answeredAt     Time // when the start or stop was answered, 0 if it wasn't
@@ -49,6 +51,7 @@
 	callEnded      bool // the call of the start has failed, so that nothing more is sent for it
 	absentBefore   bool // a poll after the start was overdue has not listed the run
 	stopSentAt     Time // when the last stop was sent
+	firstStopAt    Time // when the first stop was sent
 	lastWantedAt   Time // of a run being stopped: when it was last known to be wanted
 	expected       time.Duration
 
