Test: an offloaded task outlives the loss of its owner by the home

The job runs twice at the same time at one instance, without any fault of a server or the loss of an instance: messages of the owner don't reach two others, which is all it takes. Trace (ms; home fife-0, owner tayside-0, third carrick-0):

3104.5 tayside-0 offloads task 1 to carrick-0, which starts it at c2 3400 messages tayside-0 -> fife-0 are cut 3910.9 fife-0 counts tayside-0 as lost: taken back, waits 520 ms (to 4431). Its withdraw is lost, as the link is being replaced 4150 messages tayside-0 -> carrick-0 are cut 4210.0 tayside-0 counts fife-0 as lost and withdraws task 1 from carrick-0: lost 4460.9 carrick-0 gets the job again from fife-0 and starts task 1 at c0: TWICE 4710.9 carrick-0 counts tayside-0 as lost and stops the first run of task 1 at c2

Assumption that fails: router.handleOwnerLost (router.go, from instance.go handleLostMembers: lastActiveAt + orphanRunTime) takes it that whatever the owner started ends within that time. But wantedAt (members.go) of an offloaded task asks for echoes of the owner and of the home, each of its link with the third instance. That the owner itself wasn't in touch with the home any more, and since when, isn't part of it. The chain home - owner - third is never checked, and offloaded tasks aren't in pool.byID, so that not even the instance that has the old run notices (pool.offer, pool.go).

--- /dev/null
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -0,0 +1,52 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// addServers adds servers with room for one task each.
+func (w *World) addServers(d model.Domain, ids ...model.ServerID) (out []*Server) {
+	for _, id := range ids {
+		out = append(out, w.AddServer(fleet.ServerEntry{
+			ID: id, Service: Service, Domain: d, Addr: "a", Capacity: model.Resources{CPUMilli: 8000, MemoryMB: 65536},
+		}, 1))
+	}
+	return out
+}
+
+// longJob returns a job whose tasks take one server each for several seconds.
+func (w *World) longJob(tasks int) (spec fleet.JobSpec, work time.Duration) {
+	const longWork = 12 * time.Second
+	spec = w.Job(Class{Name: "route", Width: 1, MaxWidth: 1, CPU: 8000, MaxCPU: 8000, MaxAttempts: 4}, longWork)
+	spec.Steps[0].Count, spec.Steps[0].Need.CPUMilli, spec.Steps[0].Estimate = tasks, 8000, longWork
+	spec.Timeout = 30 * time.Second
+	return spec, longWork
+}
+
+// TestOffloadedTaskOutlivesItsOwner lets an owner offload a task and then lose the
+// instance with the call, which runs the job again at the very owner that has the task.
+func TestOffloadedTaskOutlivesItsOwner(t *testing.T) {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	w.AddInstance("fife-0", "fife", defaultWeight) // owns no server
+	w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0", "c1", "c2")
+	w.Run(settleTime)
+	spec, work := w.longJob(2)
+	other, _ := w.longJob(2)
+	w.SubmitUntilAnswered("carrick-0", other, 1200*time.Millisecond)
+	w.Run(100 * time.Millisecond)
+	w.SubmitUntilAnswered("fife-0", spec, work)
+	w.Run(300 * time.Millisecond)
+	const cut = 5 * time.Second
+	w.CutPeer("tayside-0", "fife-0", cut)
+	w.Run(750 * time.Millisecond)
+	w.CutPeer("tayside-0", "carrick-0", cut)
+	w.Run(4 * time.Second)
+	checkInvariants(t, w)
+}
