Test: a resumed instance restarts the task of a caller who has gone

Trace (ms; lost caller and frozen tayside-0):

3500 tayside-0 is frozen, its caller loses the connection

4750 tayside-0 resumes; noStartsUntil is 4850; a poll lists the run as lapsed and the task is queued again (runs.go handleEnd, default case) 4800 the caller submits the job again at carrick-0, which starts it at c0 4860 tayside-0 starts attempt 2 at t0 on a tick: TWICE 4900 tayside-0 processes the caller's broken connection and stops it

Assumption that fails: handlePause (instance.go) drops jobs of peers but keeps those of this instance's callers, and takes it that 100 ms (resumeDelay) suffice to process what was waiting. members.echoedAt returns now for this instance, so that wantedAt counts its own calls as wanted although it can't know that after a pause. Polls after the pause also renew such runs at once.

Found in the random worlds with "instances frozen" alone.

--- a/internal/fleet/fleetsim/twice_test.go
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -27,6 +27,26 @@
 	return spec, longWork
 }
 
+// TestFrozenInstanceRestartsTaskOfLostCaller freezes an instance until the lease of its
+// run has expired. Its caller has gone and submitted the job elsewhere, which the
+// instance notices only some time after it has resumed.
+func TestFrozenInstanceRestartsTaskOfLostCaller(t *testing.T) {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", defaultWeight)
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0")
+	w.Run(settleTime)
+	spec, work := w.longJob(1)
+	j := w.SubmitUntilAnswered("tayside-0", spec, work)
+	w.Run(500 * time.Millisecond)
+	const frozen = 1250 * time.Millisecond
+	w.Freeze("tayside-0", frozen)
+	w.LoseCaller(j, frozen+150*time.Millisecond)
+	w.Run(4 * time.Second)
+	checkInvariants(t, w)
+}
+
 // TestOffloadedTaskOutlivesItsOwner lets an owner offload a task and then lose the
 // instance with the call, which runs the job again at the very owner that has the task.
 func TestOffloadedTaskOutlivesItsOwner(t *testing.T) {
