Test: a late start is carried out by the next life of its server

Assumption that fails: resolveUncertain (runs.go) takes a start for settled once a stop was answered, as the server remembers it; handleRestart keeps the token, so that nothing of the previous life is fenced. A token that rises with each noticed restart would refuse all orders of the previous life from the first poll on; what is carried out before that poll can't be refused. The start is rejected as late only if the new life is already older than the lease end, i.e. than the previous life was.

Found in the random worlds with "servers crash" and "late starts"; the same cause brings servers over their capacity (LIMIT), as the owner doesn't know of the run.

--- a/internal/fleet/fleetsim/twice_test.go
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -47,6 +47,32 @@
 	checkInvariants(t, w)
 }
 
+// TestLateStartAfterServerRestart leaves the start of a task unanswered. It is carried
+// out seconds later by the next life of the server, while the task runs elsewhere.
+func TestLateStartAfterServerRestart(t *testing.T) {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", defaultWeight)
+	servers := w.addServers("tayside", "t0", "t1")
+	for _, s := range servers {
+		s.Uptime = time.Minute // the clock of the next life is far behind
+		s.Restart()
+	}
+	w.Run(settleTime)
+	for _, s := range servers {
+		s.LateStartRate = 1
+	}
+	spec, work := w.longJob(1)
+	w.SubmitUntilAnswered("tayside-0", spec, work)
+	late := servers[0]
+	for _, s := range servers {
+		s.LateStartRate = 0
+	}
+	w.Run(500 * time.Millisecond)
+	late.Crash(2 * time.Second)
+	w.Run(12 * time.Second)
+	checkInvariants(t, w)
+}
+
 // TestOffloadedTaskOutlivesItsOwner lets an owner offload a task and then lose the
 // instance with the call, which runs the job again at the very owner that has the task.
 func TestOffloadedTaskOutlivesItsOwner(t *testing.T) {
