Test: polls renew the lease of a run that is being stopped

wantedAge (runs.go) counts a run that is being stopped as wanted until the first stop. When its job is dropped because the origin is lost, it was last known to be wanted up to 600 to 900 ms before that (peerTimeout, echoTimeout). Until then the leases were limited to that time; the stop raises the limit by as much. If stops are lost and a poll isn't, the run lasts until 1.02 s after the stop, up to 1.92 s after the last echo, while the origin runs the job elsewhere 1.12 s after its last sign. The first stop must not make a run count as wanted for longer than its job was.

--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -53,6 +53,40 @@
 	return start, ok
 }
 
+// TestStopOfUnwantedRunRenewsItsLease loses the instance that offered a job. The stop
+// of its run gets no answer, so that the run lasts until its lease expires: no poll may
+// extend the lease past the time from which the lost instance runs the job elsewhere.
+func TestStopOfUnwantedRunRenewsItsLease(t *testing.T) {
+	w := newLeaseWorld(t)
+	s, ok := w.offer(1000)
+	if !ok {
+		t.Fatal("nothing was started")
+	}
+	w.i.Step(w.now, StartReply{Server: "s1", Run: s.Run, Outcome: StartAccepted, ClockMs: w.serverClock(w.now), SentAt: w.now})
+	stops := 0
+	for range 20 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for _, e := range w.i.Step(w.now, Tick{}) {
+			switch e := e.(type) {
+			case StopRun:
+				stops++
+			case Poll:
+				if e.LeaseEndMs > w.limit() {
+					t.Errorf("after %d stops, a poll extends the lease to %d, want at most %d", stops, e.LeaseEndMs, w.limit())
+				}
+			}
+			if p, isPoll := e.(Poll); isPoll && stops < 3 {
+				reply := pollReply(w.now, 500, ActiveRun{Run: s.Run, Percent: 10})
+				reply.ClockMs, reply.SentAt, reply.Poll = w.serverClock(w.now), w.now, p
+				w.i.Step(w.now, reply)
+			}
+		}
+	}
+	if stops == 0 {
+		t.Error("the run was not stopped")
+	}
+}
+
 // TestStartUnderLongerLease offers a job of another instance that was last reached some
 // time ago, while a local job runs on the only server. The server has one lease for all
 // its runs, which never shortens: it must not outlast the time from which the other
