A job offered before a pause waits for news of the member that offered it

An instance that had been frozen for 3 s started, 0.1 s after it woke, a job that another member had offered before the freeze and whose offer it read only now. That member had given it up as lost meanwhile and offered the job elsewhere, or its caller had submitted it again: two runs at once, until the echo counted as too old 0.45 s after the wake-up.

Starts and leases count from the last echo of the member that offered the job (wantedAge), and none is made from 0.7 s on. But handlePause set every member's echo to 0.45 s ago, so that not all of them count as lost at once, and leases took that for a sign of life. The only other guard was the 0.1 s without starts, in which news of the member had to arrive: none do if it is frozen, cut off or dead, too.

The allowance after a pause is a time of its own now, which only the detection of losses uses. A job offered before the pause starts with the next heartbeat that echoes one from after it.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -200,7 +200,7 @@
 	for _, p := range i.members.orderedPeers {
 		if p.everHeard {
 			p.heardAt = max(p.heardAt, now.Add(-p.timeout(now)/2))
-			p.echoedAt = max(p.echoedAt, now.Add(-echoTimeout/2))
+			p.graceFrom = now.Add(-echoTimeout / 2)
 		}
 		i.pool.handleOriginLost(p.member, now)
 	}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -18,6 +18,7 @@
 	leaving          bool
 	configVersion    uint64        // in force at the peer
 	echoedAt         Time          // send time of the last heartbeat that the peer has processed
+	graceFrom        Time          // counts as such a time for its loss, after a pause of this instance; not for leases
 	remoteSentAt     Time          // send time of its last heartbeat, on its clock
 	remoteReceiveAge time.Duration // time since it last heard from this instance
 	loads            []Load
@@ -76,10 +77,11 @@
 
 // fresh reports whether the information from the peer is recent enough.
 func (p *peer) fresh(now Time) bool {
+	age := now.Sub(max(p.echoedAt, p.graceFrom))
 	if p.active && now.Sub(p.activeSince) >= echoTimeout {
-		return now.Sub(p.echoedAt) < echoTimeout
+		return age < echoTimeout
 	}
-	return now.Sub(p.echoedAt) < idleEchoTimeout
+	return age < idleEchoTimeout
 }
 
 // handleHeartbeat records the link state from a heartbeat. Peers of an earlier version
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -179,3 +179,48 @@
 	}
 	t.Fatal("nothing was started")
 }
+
+// TestOfferFromBeforePauseWaitsForNews checks that a job that was offered before a pause
+// and read after it doesn't start before the instance that offered it is heard again:
+// that one, or its caller, may have had it run elsewhere since.
+func TestOfferFromBeforePauseWaitsForNews(t *testing.T) {
+	const frozen = 3 * time.Second
+	for name, heard := range map[string]bool{"no news": false, "news": true} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			origin := Member{Instance: "n2", Incarnation: "01", Domain: "d", Addr: "a", Weight: 1}
+			i.Step(now, MembersListed{Members: []Member{i.opts.Self, origin}})
+			i.Step(now, LinkUp{Peer: origin})
+			beat := func() []Effect { // each of them has processed what the other sent 1 ms ago
+				return i.Step(now, PeerMessage{From: origin, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now.Add(-time.Millisecond), Busy: true}})
+			}
+			for range 20 {
+				now = now.Add(tickInterval)
+				beat()
+				i.Step(now, pollReply(now, 500))
+				i.Step(now, Tick{})
+			}
+			now = now.Add(frozen)
+			i.Step(now, PeerMessage{From: origin, ReceivedAt: now, Message: Offer{Call: 5, AllowQueue: true, Job: JobSpec{
+				ID: "j1", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, Objective: Objective{Allowance: time.Minute},
+				Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+			}}})
+			started := false
+			for range 20 {
+				now = now.Add(tickInterval)
+				effects := append(i.Step(now, pollReply(now, 500)), i.Step(now, Tick{})...)
+				if heard {
+					effects = append(effects, beat()...)
+				}
+				for _, e := range effects {
+					if _, ok := e.(StartRun); ok {
+						started = true
+					}
+				}
+			}
+			if started != heard {
+				t.Errorf("started: %v, want %v", started, heard)
+			}
+		})
+	}
+}
