A run that a full list of ends leaves out isn't taken for absent

A server lists 500 ends at a time. With more of them unacknowledged, as the store is down and holds back those of durable jobs, a run that has ended is neither in the list of what runs nor among the ends, and was taken for absent: its task started again, and the end done that came later was acknowledged, as nobody knew the run any more.

The stand-in server lists 500 at a time, too. Found by reading; TestRunMissingFromFullListOfEndsIsKept failed before.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -190,6 +190,7 @@
 	Draining bool
 	Running  []ActiveRun
 	Ended    []EndedRun
+	MoreEnds bool // some ends may be left out until those listed are acknowledged
 }
 
 // JobSaved is the result of a SaveJob.
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -224,3 +224,22 @@
 		})
 	}
 }
+
+// TestRunMissingFromFullListOfEndsIsKept checks that a run counts as absent only if all
+// ends were listed: its own may be among those left out.
+func TestRunMissingFromFullListOfEndsIsKept(t *testing.T) {
+	i, now := oneServer(t, 500)
+	id := startOne(t, i, now)
+	now = now.Add(10 * time.Millisecond)
+	full := pollReply(now, 500)
+	full.MoreEnds = true
+	if lost := entries(i.Step(now, full), LogRunLost); len(lost) > 0 {
+		t.Fatalf("%+v", *lost[0].Record)
+	}
+	now = now.Add(10 * time.Millisecond)
+	rest := pollReply(now, 500)
+	rest.Ended = []EndedRun{{Seq: 501, Run: id, Kind: EndDone}}
+	if ended := entries(i.Step(now, rest), LogJobEnded); len(ended) != 1 || ended[0].Count != 1 {
+		t.Errorf("%+v, want one start and its end", ended)
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -441,7 +441,7 @@
 		switch {
 		case r.state == runUncertain && r.uncertainSince <= e.SentAt:
 			p.resolveUncertain(s, r, present[r.id], now)
-		case !present[r.id] && r.answeredAt != 0 && r.answeredAt <= e.SentAt:
+		case !present[r.id] && !e.MoreEnds && r.answeredAt != 0 && r.answeredAt <= e.SentAt:
 			p.requeueAbsentRun(s, r, now)
 		}
 	}
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -265,6 +265,9 @@
 	}
 }
 
+// maxListedEnds is the number of ends in one answer.
+const maxListedEnds = 500
+
 // replyWithRuns answers with the running and the ended runs.
 func (s *Server) replyWithRuns(w http.ResponseWriter) {
 	out := map[string]any{"clockMs": s.state.ClockMs(now()), "born": s.state.BootTime()}
@@ -275,7 +278,8 @@
 	for _, r := range s.state.Running(now()) {
 		running = append(running, []any{taskName(r.Run.Task), r.Run.Attempt, "", r.Percent})
 	}
-	for _, e := range s.state.Ended() {
+	ends := s.state.Ended()
+	for _, e := range ends[:min(len(ends), maxListedEnds)] {
 		ended = append(ended, []any{e.Seq, taskName(e.Run.Task), e.Run.Attempt, endKindName(e.Kind), ""})
 	}
 	out["running"], out["ended"] = running, ended
