An acknowledgement isn't repeated once a reply has confirmed it

Each poll named the highest end seen as acknowledged, also long after the server had forgotten it. A server that restarts counts its ends from 1. One that had nothing running restarts unnoticed, as no poll waits there: the next start begins in its new life, and the polls that follow acknowledge ends up to the number of the old one. If the reply that lists the end is lost, the next poll makes the server forget it unseen: the run counts as absent and starts again after an end done that was taken note of.

A poll now acknowledges only what no reply has confirmed. What remains is a poll that is carried out late by a later life, or repeated into it after a lost reply (docs/FAILURES.md).

--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -243,3 +244,42 @@
 		t.Errorf("%+v, want one start and its end", ended)
 	}
 }
+
+// TestAcknowledgementEndsWithItsLife checks that a poll acknowledges nothing that an
+// earlier reply has confirmed: a server that restarted unnoticed counts its ends anew, and
+// would forget ends that nobody has seen.
+func TestAcknowledgementEndsWithItsLife(t *testing.T) {
+	i, now := oneServer(t, 500)
+	const seq = 57
+	var acked []int64
+	polls := func(effects []Effect) {
+		for _, e := range effects {
+			if p, ok := e.(Poll); ok {
+				acked = append(acked, p.AckedSeq)
+			}
+		}
+	}
+	id := startOne(t, i, now)
+	now = now.Add(10 * time.Millisecond)
+	ended := pollReply(now, 500)
+	ended.Ended = []EndedRun{{Seq: seq, Run: id, Kind: EndDone}}
+	polls(i.Step(now, ended))
+	now = now.Add(10 * time.Millisecond)
+	confirmed := pollReply(now, 500)
+	confirmed.Poll.AckedSeq = seq
+	polls(i.Step(now, confirmed))
+	if !slices.Equal(acked, []int64{seq}) {
+		t.Fatalf("polls acknowledge %v, want %d once", acked, seq)
+	}
+	acked = nil
+	spec := JobSpec{
+		ID: "j2", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: now, Objective: Objective{Stretch: 2},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	i.Step(now, JobSubmitted{Call: 2, Job: spec}) // started in a later life
+	now = now.Add(10 * time.Millisecond)
+	polls(i.Step(now, StartReply{Server: "s1", Run: RunID{TaskID{"j2", 0, 0}, 1}, Outcome: StartAccepted, ClockMs: 110, SentAt: now}))
+	if !slices.Equal(acked, []int64{0}) {
+		t.Errorf("polls acknowledge %v, want nothing", acked)
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -195,6 +195,15 @@
 	return n
 }
 
+// seqToAck returns the sequence number that the next poll acknowledges, 0 if the last one
+// was confirmed: after a restart that nobody has noticed, ends are counted anew.
+func (s *server) seqToAck() int64 {
+	if n := s.ackableSeq(); n > s.ackedSeq {
+		return n
+	}
+	return 0
+}
+
 // leasesExpired reports whether all leases sent to the server have certainly expired.
 func (s *server) leasesExpired(now Time) bool {
 	return s.clock.known && s.clock.now(now) >= s.leaseEndMs
@@ -232,7 +241,7 @@
 // then they are left to expire. wantedAge is how long ago all runs there were known to
 // be wanted.
 func (s *server) newPoll(now Time, lease, wantedAge time.Duration) Poll {
-	poll := Poll{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.ownership.Token(), AckedSeq: s.ackableSeq()}
+	poll := Poll{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.ownership.Token(), AckedSeq: s.seqToAck()}
 	if s.phase == phaseServing && s.misses < missesUntilUnresponsive && len(s.runs) > 0 {
 		poll.LeaseEndMs = s.extendLease(now, lease-wantedAge)
 	}
