--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -203,7 +203,7 @@
 		i.pool.handleOriginLost(p.member, now) // by the last echo before the pause
 		if p.everHeard {
 			p.heardAt = max(p.heardAt, now.Add(-p.timeout(now)/2))
-			p.echoedAt = max(p.echoedAt, now.Add(-echoTimeout/2))
+			p.graceFrom = now.Add(-echoTimeout / 2)
 		}
 	}
 	i.pool.expireJobs(now)
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -181,6 +182,109 @@
 	t.Fatal("nothing was started")
 }
 
+// TestOfferFromBeforePauseWaitsForNews checks that a job that was offered before a pause
+// and read after it doesn't start before the instance that offered it is heard again:
+// that one, or its caller, may have had it run elsewhere since.
+func TestOfferFromBeforePauseWaitsForNews(t *testing.T) {
+	const frozen = 3 * time.Second
+	for name, heard := range map[string]bool{"no news": false, "news": true} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			origin := Member{Instance: "n2", Incarnation: "01", Domain: "d", Addr: "a", Weight: 1}
+			i.Step(now, MembersListed{Members: []Member{i.opts.Self, origin}})
+			i.Step(now, LinkUp{Peer: origin})
+			beat := func() []Effect { // each of them has processed what the other sent 1 ms ago
+				return i.Step(now, PeerMessage{From: origin, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now.Add(-time.Millisecond), Busy: true}})
+			}
+			for range 20 {
+				now = now.Add(tickInterval)
+				beat()
+				i.Step(now, pollReply(now, 500))
+				i.Step(now, Tick{})
+			}
+			now = now.Add(frozen)
+			i.Step(now, PeerMessage{From: origin, ReceivedAt: now, Message: Offer{Call: 5, AllowQueue: true, Job: JobSpec{
+				ID: "j1", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, Objective: Objective{Allowance: time.Minute},
+				Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+			}}})
+			started := false
+			for range 20 {
+				now = now.Add(tickInterval)
+				effects := append(i.Step(now, pollReply(now, 500)), i.Step(now, Tick{})...)
+				if heard {
+					effects = append(effects, beat()...)
+				}
+				for _, e := range effects {
+					if _, ok := e.(StartRun); ok {
+						started = true
+					}
+				}
+			}
+			if started != heard {
+				t.Errorf("started: %v, want %v", started, heard)
+			}
+		})
+	}
+}
+
+// TestRunMissingFromFullListOfEndsIsKept checks that a run counts as absent only if all
+// ends were listed: its own may be among those left out.
+func TestRunMissingFromFullListOfEndsIsKept(t *testing.T) {
+	i, now := oneServer(t, 500)
+	id := startOne(t, i, now)
+	now = now.Add(10 * time.Millisecond)
+	full := pollReply(now, 500)
+	full.MoreEnds = true
+	if lost := entries(i.Step(now, full), LogRunLost); len(lost) > 0 {
+		t.Fatalf("%+v", *lost[0].Record)
+	}
+	now = now.Add(10 * time.Millisecond)
+	rest := pollReply(now, 500)
+	rest.Ended = []EndedRun{{Seq: 501, Run: id, Kind: EndDone}}
+	if ended := entries(i.Step(now, rest), LogJobEnded); len(ended) != 1 || ended[0].Count != 1 {
+		t.Errorf("%+v, want one start and its end", ended)
+	}
+}
+
+// TestAcknowledgementEndsWithItsLife checks that a poll acknowledges nothing that an
+// earlier reply has confirmed: a server that restarted unnoticed counts its ends anew, and
+// would forget ends that nobody has seen.
+func TestAcknowledgementEndsWithItsLife(t *testing.T) {
+	i, now := oneServer(t, 500)
+	const seq = 57
+	var acked []int64
+	polls := func(effects []Effect) {
+		for _, e := range effects {
+			if p, ok := e.(Poll); ok {
+				acked = append(acked, p.AckedSeq)
+			}
+		}
+	}
+	id := startOne(t, i, now)
+	now = now.Add(10 * time.Millisecond)
+	ended := pollReply(now, 500)
+	ended.Ended = []EndedRun{{Seq: seq, Run: id, Kind: EndDone}}
+	polls(i.Step(now, ended))
+	now = now.Add(10 * time.Millisecond)
+	confirmed := pollReply(now, 500)
+	confirmed.Poll.AckedSeq = seq
+	polls(i.Step(now, confirmed))
+	if !slices.Equal(acked, []int64{seq}) {
+		t.Fatalf("polls acknowledge %v, want %d once", acked, seq)
+	}
+	acked = nil
+	spec := JobSpec{
+		ID: "j2", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: now, Objective: Objective{Stretch: 2},
+		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: time.Second}},
+	}
+	i.Step(now, JobSubmitted{Call: 2, Job: spec}) // started in a later life
+	now = now.Add(10 * time.Millisecond)
+	polls(i.Step(now, StartReply{Server: "s1", Run: RunID{TaskID{"j2", 0, 0}, 1}, Outcome: StartAccepted, ClockMs: 110, SentAt: now}))
+	if !slices.Equal(acked, []int64{0}) {
+		t.Errorf("polls acknowledge %v, want nothing", acked)
+	}
+}
+
 // TestStopRenewsNoLeaseOfLostOrigin loses the instance that offered a job. No poll renews
 // the lease beyond its last echo while the stops of the run go unanswered.
 func TestStopRenewsNoLeaseOfLostOrigin(t *testing.T) {
