--- a/internal/fleet/fleetsim/callers.go
+++ b/internal/fleet/fleetsim/callers.go
@@ -80,11 +80,21 @@
 			}
 			j.AnsweredAt, j.Result, j.lost = w.now, fleet.Result{Kind: fleet.Unknown}, true
 			w.submitAgain(n, j)
+			n.lostCalls[id] = w.now
 			w.later(n, noticeDelay, func() { w.step(n, fleet.CallerDisconnected{Call: id}) })
 		}
 	}
 }
 
+// inputProcessed returns up to when an instance has noticed which callers left.
+func (n *simInstance) inputProcessed(now fleet.Time) fleet.Time {
+	at := now
+	for _, lost := range n.lostCalls {
+		at = min(at, lost)
+	}
+	return at
+}
+
 // LoseCallers breaks the connections of a share of the callers at an instance, each at
 // some time within d.
 func (w *World) LoseCallers(at model.Instance, share float64, d time.Duration) {
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -102,7 +102,8 @@
 	renewedAt      fleet.Time // last renewal of its entry in the store
 	incarnation    int
 	calls          map[fleet.CallID]*JobRecord
-	readCalls      map[fleet.CallID]bool // taken from its queue
+	readCalls      map[fleet.CallID]bool       // taken from its queue
+	lostCalls      map[fleet.CallID]fleet.Time // when callers left that it hasn't noticed yet
 	nextCall       fleet.CallID
 	links          map[model.Instance]*simLink
 	deferred       []deferred    // while frozen
@@ -176,7 +177,7 @@
 	n.watches, n.storeWasUp, n.sentRevision = true, true, 0
 	n.overdueAt = 0
 	n.renewedAt = w.now
-	n.calls, n.readCalls = map[fleet.CallID]*JobRecord{}, map[fleet.CallID]bool{}
+	n.calls, n.readCalls, n.lostCalls = map[fleet.CallID]*JobRecord{}, map[fleet.CallID]bool{}, map[fleet.CallID]fleet.Time{}
 	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
 	incarnation := n.incarnation
 	w.After(storeDelay, func() { w.syncStore(n, incarnation) })
@@ -287,6 +288,7 @@
 		return
 	}
 	if !n.frozen { // a ticker drops undelivered ticks
+		w.stepNow(n, fleet.InputProcessed{At: n.inputProcessed(w.now)})
 		w.step(n, fleet.Tick{})
 	}
 	w.After(n.reducer.TickInterval(), func() { w.tick(n, incarnation) })
@@ -325,6 +327,7 @@
 			w.later(n, time.Millisecond, func() { w.stepNow(n, e) })
 			return
 		}
+		delete(n.lostCalls, x.Call)
 	}
 	effects := n.reducer.Step(w.now, e)
 	if w.onStep != nil {
