A job starts only where the server's lease doesn't outlast it

A server has one lease for all its runs, which never shortens. The start of a job last wanted 277 ms ago asked for a lease that much shorter, but the server kept the full second that a poll for other runs had just set. The instance with the call ran the job elsewhere 1.12 s after its last sign of the owner, 140 ms before that lease was over.

Change: a task starts only at a server whose lease ends no later than the run may last. So that jobs of other instances still find servers, renewals last 0.7 of the longest lease, and a job last wanted within the other 0.3 starts anywhere.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -74,11 +74,12 @@
 	var best *server
 	bestCost := 0.0
 	onlyOnTime := p.waitsForFaster(t, now)
-	if len(open) == 0 || now.Sub(p.members.wantedAt(t.job, now)) > maxWantedAge {
+	wantedAge := now.Sub(p.members.wantedAt(t.job, now))
+	if len(open) == 0 || wantedAge > maxWantedAge {
 		return nil
 	}
 	for _, s := range open {
-		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) {
+		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) || p.leaseOutlasts(s, wantedAge, now) {
 			continue
 		}
 		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -51,10 +51,27 @@
 	s.health.started()
 	p.effect(StartRun{
 		Server: s.entry.ID, Addr: s.entry.Addr, Run: r.id, Spec: t.job.spec.Spec,
-		Fence: s.ownership.Token(), LeaseEndMs: s.extendLease(now, p.lease-p.wantedAge(s, now)),
+		Fence: s.ownership.Token(), LeaseEndMs: s.extendLease(now, p.leaseFor(p.wantedAge(s, now))),
 	})
 }
 
+// leaseReserve is the share of the longest lease by which usual leases are shorter. All runs
+// at a server have one lease, which never shortens: a job that was last known to be wanted
+// up to this share ago may start there right after a renewal for others.
+const leaseReserve = 0.3
+
+// leaseFor returns the length of a lease of runs that were last known to be wanted a
+// while ago.
+func (p *pool) leaseFor(wantedAge time.Duration) time.Duration {
+	return p.lease - max(wantedAge, time.Duration(leaseReserve*float64(p.lease)))
+}
+
+// leaseOutlasts reports whether the lease of a server's runs lasts longer than a run may
+// that was last known to be wanted a while ago.
+func (p *pool) leaseOutlasts(s *server, wantedAge time.Duration, now Time) bool {
+	return s.leaseEndMs > s.clock.now(now)+(p.lease-wantedAge).Milliseconds()
+}
+
 // maxWantedAge is the wantedAge of a server or job above which no run is started: the
 // rest of a usual lease must last until the next poll renews it.
 const maxWantedAge = 700 * time.Millisecond
@@ -79,7 +96,7 @@
 
 // poll sends the poll that is due at a server, if any.
 func (p *pool) poll(s *server, now Time) {
-	if poll, due := s.nextPoll(now, p.replies.pollWait(), p.lease, p.wantedAge(s, now)); due {
+	if poll, due := s.nextPoll(now, p.replies.pollWait(), p.leaseFor(p.wantedAge(s, now))); due {
 		p.sendPoll(s, poll, now)
 	}
 }
@@ -220,7 +237,7 @@
 
 // pollNow sends a poll that returns immediately.
 func (p *pool) pollNow(s *server, now Time) {
-	if poll, due := s.immediatePoll(now, p.lease, p.wantedAge(s, now)); due {
+	if poll, due := s.immediatePoll(now, p.leaseFor(p.wantedAge(s, now))); due {
 		p.sendPoll(s, poll, now)
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -9,7 +9,7 @@
 
 // Timing of polls and stops at a backend server.
 const (
-	pollWait                = 250 * time.Millisecond // a quarter of the usual lease, so that two lost polls do no harm
+	pollWait                = 250 * time.Millisecond // a third of the usual lease, so that a lost poll does no harm
 	lossyPollWait           = 50 * time.Millisecond  // while replies are lost
 	pollRetryInterval       = 150 * time.Millisecond // between polls of an unresponsive server
 	missesUntilUnresponsive = 2                      // unanswered calls after which leases are left to expire
@@ -223,11 +223,11 @@
 }
 
 // nextPoll returns the poll that is due, if any.
-func (s *server) nextPoll(now Time, wait, lease, wantedAge time.Duration) (Poll, bool) {
+func (s *server) nextPoll(now Time, wait, lease time.Duration) (Poll, bool) {
 	if s.polledAt != 0 || !s.needsPoll() || now < s.nextPollAt {
 		return Poll{}, false
 	}
-	poll := s.newPoll(now, lease, wantedAge)
+	poll := s.newPoll(now, lease)
 	if len(s.heldSeqs) > 0 {
 		s.nextPollAt = now.Add(heldPollInterval) // the server replies immediately while it lists an end
 	}
@@ -239,24 +239,23 @@
 }
 
 // immediatePoll returns a poll alongside the long poll, unless one is already pending.
-func (s *server) immediatePoll(now Time, lease, wantedAge time.Duration) (Poll, bool) {
+func (s *server) immediatePoll(now Time, lease time.Duration) (Poll, bool) {
 	if s.polledNowAt != 0 || now < s.nextPollAt {
 		s.pollAgain = true
 		return Poll{}, false
 	}
 	s.pollAgain = false
-	poll := s.newPoll(now, lease, wantedAge)
+	poll := s.newPoll(now, lease)
 	poll.Immediate, s.polledNowAt = true, now
 	return poll, true
 }
 
 // newPoll returns a poll that renews the leases, unless the server is unresponsive:
-// then they are left to expire. wantedAge is how long ago all runs there were known to
-// be wanted.
-func (s *server) newPoll(now Time, lease, wantedAge time.Duration) Poll {
+// then they are left to expire.
+func (s *server) newPoll(now Time, lease time.Duration) Poll {
 	poll := Poll{Server: s.entry.ID, Addr: s.entry.Addr, Fence: s.ownership.Token(), AckedSeq: s.seqToAck()}
 	if s.phase == phaseServing && s.misses < missesUntilUnresponsive && len(s.runs) > 0 {
-		poll.LeaseEndMs = s.extendLease(now, lease-wantedAge)
+		poll.LeaseEndMs = s.extendLease(now, lease)
 	}
 	return poll
 }
