Whoever gives an owner up has the tasks stopped that it offloaded

The instance with a call no longer hears its owner, and waits until all that this owner started has ended before it offers the job again. But the owner had offloaded a task to a third instance, which still heard both and renewed its run. The owner gave the call up too, but its withdrawal didn't reach the third. The job ran again at that very instance while the first run went on.

Change: whoever gives an owner up tells all members to drop the tasks which that owner has offloaded of its calls, and to take no more of them for 2 s, in which the owner notices the loss itself.

What remains: if the stop at the third instance's server is lost as well, its lease may last until 0.5 s after the job is offered again.

Tried and dropped: passing on how long ago the instance with the call wanted the job; on large sites the figure is four heartbeats old, and leases too short.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -464,8 +464,12 @@
 	AllowQueue bool          // if false, the owner declines a job that can't start immediately
 }
 
-// Withdraw cancels an offered job.
-type Withdraw struct{ Call CallID }
+// Withdraw cancels an offered job or, if Owner is set, the tasks that this owner has
+// offloaded of the sender's jobs: the sender has given the owner up.
+type Withdraw struct {
+	Call  CallID
+	Owner Member
+}
 
 // Outcome is the response to an Offer.
 type Outcome struct {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -250,7 +250,9 @@
 func (i *Instance) handleLostMembers(now Time) {
 	for _, p := range i.members.detectLost(now) {
 		runsEnd := p.lastActiveAt(now).Add(i.pool.orphanRunTime)
-		i.router.handleOwnerLost(p.member, runsEnd, now)
+		if i.router.handleOwnerLost(p.member, runsEnd, now) {
+			i.withdrawOffloadsOf(p.member)
+		}
 		i.pool.handleTargetLost(p.member, runsEnd, now)
 		i.pool.handleOriginLost(p.member, now)
 	}
@@ -259,6 +261,16 @@
 	}
 }
 
+// withdrawOffloadsOf withdraws the tasks of this instance's jobs that a lost owner has
+// offloaded. It may be alive, and the owners that run them may hear it and this instance.
+func (i *Instance) withdrawOffloadsOf(owner Member) {
+	for _, p := range i.members.orderedPeers {
+		if p.linked && p.member.Instance != owner.Instance {
+			i.effects = append(i.effects, SendPeer{To: p.member, Message: Withdraw{Owner: owner}})
+		}
+	}
+}
+
 // pendingCount counts the durable jobs of a route that have not started, over all
 // responsive instances.
 func (i *Instance) pendingCount(route string, now Time) int {
@@ -393,6 +405,11 @@
 	case Offer:
 		i.handleOffer(p, m, now)
 	case Withdraw:
+		if m.Owner.Instance != "" {
+			p.giveUp(m.Owner, now)
+			i.pool.dropOffloads(m.Owner, p.member, now)
+			return
+		}
 		i.pool.withdraw(jobKey{p.member.Instance, p.member.Incarnation, m.Call}, now)
 	case Outcome:
 		if m.Load.Service != "" {
@@ -428,7 +445,7 @@
 	if m.Job.Offloaded != nil {
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
-	if i.leaving || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
+	if i.leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
 		i.decline(p, m.Call, m.Job.Service, now)
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -99,6 +99,24 @@
 	return since
 }
 
+// givenUpTime is how long no tasks are taken that an owner offloads of the jobs of an
+// instance that has given it up: it notices the loss of that instance earlier.
+const givenUpTime = 2 * time.Second
+
+// gaveUp reports whether the instance with the call of an offloaded task has given up the
+// owner that offloads it.
+func (m *members) gaveUp(t *OffloadedTask, owner Member, now Time) bool {
+	if t == nil {
+		return false
+	}
+	home := m.peers[t.Home.Instance]
+	if home == nil {
+		return false
+	}
+	x, ok := home.gaveUp[owner.Instance]
+	return ok && x.incarnation == owner.Incarnation && now.Sub(x.at) < givenUpTime
+}
+
 // addPeer returns the peer for a member, replacing that of an earlier incarnation. It
 // returns nil for this instance and for outdated incarnations.
 func (m *members) addPeer(x Member, now Time) *peer {
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
 
 // peer is the state of another member as known here.
 type peer struct {
@@ -38,10 +42,25 @@
 	busyAt                                                    Time   // when either end was last busy
 	active                                                    bool   // frequent heartbeats in both directions
 	activeSince                                               Time
+	gaveUp                                                    map[model.Instance]givenUpOwner
 	lossHandled                                               bool
 	expiryHandled                                             bool
 }
 
+// givenUpOwner is an owner on whose runs a peer no longer counts.
+type givenUpOwner struct {
+	incarnation model.Incarnation
+	at          Time // when the peer told
+}
+
+// giveUp records that the peer has given up an owner.
+func (p *peer) giveUp(owner Member, now Time) {
+	if p.gaveUp == nil {
+		p.gaveUp = map[model.Instance]givenUpOwner{}
+	}
+	p.gaveUp[owner.Instance] = givenUpOwner{owner.Incarnation, now}
+}
+
 // responsive reports whether the peer was heard from recently.
 func (p *peer) responsive(now Time) bool { return p.everHeard && now.Sub(p.heardAt) < p.timeout(now) }
 
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -278,6 +278,17 @@
 	p.dispatch(now)
 }
 
+// dropOffloads cancels the tasks that an owner has offloaded here of the jobs of home,
+// which has given the owner up.
+func (p *pool) dropOffloads(owner, home Member, now Time) {
+	for _, j := range p.sortedJobs() {
+		if j.offloaded != nil && j.origin.sameIncarnation(owner) && j.home().sameIncarnation(home) {
+			p.endJob(j, Result{Kind: Unknown, Reason: ReasonCallerGone}, now)
+		}
+	}
+	p.dispatch(now)
+}
+
 func (p *pool) sortedJobs() []*job {
 	out := make([]*job, 0, len(p.jobs))
 	for _, j := range p.jobs {
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -343,12 +343,13 @@
 
 // handleOwnerLost reclaims the calls of a lost owner. Their runs may continue until
 // runsEnd, after which they are offered again; calls that couldn't complete in time
-// then are answered.
-func (rt *router) handleOwnerLost(owner Member, runsEnd, now Time) {
+// then are answered. It reports whether there were any.
+func (rt *router) handleOwnerLost(owner Member, runsEnd, now Time) (had bool) {
 	for _, c := range rt.sortedCalls() {
 		if !c.owner.sameIncarnation(owner) || c.reofferAt != 0 {
 			continue
 		}
+		had = true
 		if c.job.Durable || runsEnd.Add(c.job.CriticalPath()) > c.job.Deadline() {
 			rt.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
@@ -357,6 +358,7 @@
 		rt.effect(LogEntry{Kind: LogJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: runsEnd.Sub(now)})
 		c.owner, c.reofferAt = Member{}, max(runsEnd, now)
 	}
+	return had
 }
 
 // reoffer routes a call again whose earlier runs have ended.
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -38,7 +38,9 @@
 			Call: uint64(m.Call), Job: fleetpb.FromJob(&m.Job), AgeNs: int64(m.Age), Final: m.AllowQueue,
 		}}
 	case fleet.Withdraw:
-		out.Body = &fleetpb.Message_Withdraw{Withdraw: &fleetpb.Withdraw{Call: uint64(m.Call)}}
+		out.Body = &fleetpb.Message_Withdraw{Withdraw: &fleetpb.Withdraw{
+			Call: uint64(m.Call), OwnerInstance: string(m.Owner.Instance), OwnerIncarnation: string(m.Owner.Incarnation),
+		}}
 	case fleet.Outcome:
 		out.Body = &fleetpb.Message_Outcome{Outcome: &fleetpb.Outcome{
 			Call: uint64(m.Call), Result: int32(m.Result.Kind), Reason: string(m.Result.Reason),
@@ -84,7 +86,10 @@
 			Age: time.Duration(b.Offer.GetAgeNs()), AllowQueue: b.Offer.GetFinal(),
 		}, nil
 	case *fleetpb.Message_Withdraw:
-		return fleet.Withdraw{Call: fleet.CallID(b.Withdraw.GetCall())}, nil
+		return fleet.Withdraw{
+			Call:  fleet.CallID(b.Withdraw.GetCall()),
+			Owner: fleet.Member{Instance: model.Instance(b.Withdraw.GetOwnerInstance()), Incarnation: model.Incarnation(b.Withdraw.GetOwnerIncarnation())},
+		}, nil
 	case *fleetpb.Message_Outcome:
 		return outcomeFromPB(b.Outcome), nil
 	case *fleetpb.Message_Resync:
