Offers echo the receiver's last heartbeat

Since a job starts only where the server's lease doesn't outlast it, an owner needs to know that the offering instance heard it within the last 0.3 s. By heartbeats alone the echo is up to two intervals old, 0.4 s with 44 members. An offer now carries the echo too: messages on a link are in order, so it proves the same.

TestOfferEchoesLikeHeartbeat failed before (no start).

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -462,6 +462,7 @@
 	Job        JobSpec
 	Age        time.Duration // time since the caller submitted it
 	AllowQueue bool          // if false, the owner declines a job that can't start immediately
+	Echo       Time          // as in Heartbeat
 }
 
 // Withdraw cancels an offered job or, if Owner is set, the tasks that this owner has
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -442,6 +442,7 @@
 
 func (i *Instance) handleOffer(p *peer, m Offer, now Time) {
 	m.Job.ReceivedAt = now.Add(-m.Age)
+	p.echoedAt = max(p.echoedAt, m.Echo)
 	if m.Job.Offloaded != nil {
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// TestOfferEchoesLikeHeartbeat offers a job that echoes a later heartbeat than the last
+// heartbeat did. On large sites heartbeats are so far apart that the job would find the
+// leases of most servers too long for it.
+func TestOfferEchoesLikeHeartbeat(t *testing.T) {
+	w := newLeaseWorld(t)
+	w.hear(400 * time.Millisecond)
+	run := startOne(t, w.i, w.now)
+	reply := pollReply(w.now, 500, ActiveRun{Run: run})
+	reply.ClockMs = w.serverClock(w.now)
+	w.i.Step(w.now, reply)
+	spec := shortJob(w.now)
+	spec.ID, spec.Steps[0].Need.CPUMilli = "j2", 1000
+	offer := Offer{Call: 5, Job: spec, AllowQueue: true, Echo: w.now.Add(-100 * time.Millisecond)}
+	if n := count[StartRun](w.i.Step(w.now, PeerMessage{From: w.other, ReceivedAt: w.now, Message: offer})); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
 // TestStartUnderLongerLease offers a job of another instance that was last reached some
 // time ago, while a local job runs on the only server. The server has one lease for all
 // its runs, which never shortens: it must not outlast the time from which the other
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -258,7 +258,7 @@
 	l := o.load
 	l.FreeMilli = max(0, l.FreeMilli-c.job.initialDemand())
 	o.peer.setLoad(l)
-	rt.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, AllowQueue: c.allowQueue}})
+	rt.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, AllowQueue: c.allowQueue, Echo: o.peer.remoteSentAt}})
 }
 
 func (rt *router) clearOffer(c *call) {
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -35,7 +35,7 @@
 		out.Body = &fleetpb.Message_Beat{Beat: heartbeatToPB(m)}
 	case fleet.Offer:
 		out.Body = &fleetpb.Message_Offer{Offer: &fleetpb.Offer{
-			Call: uint64(m.Call), Job: fleetpb.FromJob(&m.Job), AgeNs: int64(m.Age), Final: m.AllowQueue,
+			Call: uint64(m.Call), Job: fleetpb.FromJob(&m.Job), AgeNs: int64(m.Age), Final: m.AllowQueue, EchoNs: int64(m.Echo),
 		}}
 	case fleet.Withdraw:
 		out.Body = &fleetpb.Message_Withdraw{Withdraw: &fleetpb.Withdraw{
@@ -83,7 +83,7 @@
 	case *fleetpb.Message_Offer:
 		return fleet.Offer{
 			Call: fleet.CallID(b.Offer.GetCall()), Job: b.Offer.GetJob().Decode(),
-			Age: time.Duration(b.Offer.GetAgeNs()), AllowQueue: b.Offer.GetFinal(),
+			Age: time.Duration(b.Offer.GetAgeNs()), AllowQueue: b.Offer.GetFinal(), Echo: fleet.Time(b.Offer.GetEchoNs()),
 		}, nil
 	case *fleetpb.Message_Withdraw:
 		return fleet.Withdraw{
