A stop that an earlier life has answered is repeated

An unanswered start was settled by a stop and a poll that didn't list the run. If the server restarted under its ID between the two, the poll's reply came from a life that knows no stop, and the start could still be carried out there after its task had started elsewhere.

Change: a noticed restart voids the answers to stops, also those that arrive after it, and the stops are sent again.

TestStopAnsweredByEarlierLifeIsRepeated failed before (the run no longer occupies capacity).

--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -73,3 +73,32 @@
 		t.Errorf("the server's clock is taken as %d, want 20", got)
 	}
 }
+
+// TestStopAnsweredByEarlierLifeIsRepeated settles an unanswered start by a stop, and
+// restarts the server before the poll that shows the run absent. The start may still reach
+// the new life, which has forgotten the stop.
+func TestStopAnsweredByEarlierLifeIsRepeated(t *testing.T) {
+	i, now := oneServer(t, 500)
+	start := lookFor[StartRun](t, i.Step(now, JobSubmitted{Call: 1, Job: shortJob(now)}))
+	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartUnanswered, SentAt: now})
+	now = now.Add(time.Millisecond)
+	lookFor[StopRun](t, i.Step(now, pollReply(now.Add(time.Millisecond), 500)))
+	i.Step(now, StopReply{Server: "s1", Run: start.Run, OK: true, SentAt: now})
+	now = now.Add(10 * time.Millisecond)
+	i.Step(now, pollReply(now, 600)) // restarted
+	s := i.pool.servers["s1"]
+	i.Step(now, StopReply{Server: "s1", Run: start.Run, OK: true, SentAt: now.Add(-5 * time.Millisecond)})
+	now = now.Add(time.Millisecond)
+	i.Step(now, pollReply(now.Add(time.Millisecond), 600))
+	if s.runs[start.Run] == nil {
+		t.Fatal("the run no longer occupies capacity")
+	}
+	now = now.Add(10 * time.Millisecond)
+	lookFor[StopRun](t, i.Step(now, Tick{}))
+	i.Step(now, StopReply{Server: "s1", Run: start.Run, OK: true, SentAt: now})
+	now = now.Add(10 * time.Millisecond)
+	i.Step(now, pollReply(now, 600))
+	if s.runs[start.Run] != nil {
+		t.Error("the run still occupies capacity after the new life was told to stop it")
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -33,6 +33,11 @@
 	s.phase = phaseRecovering
 	s.health = health{}
 	p.owners.markStale(s.ownership)
+	for _, r := range s.runs {
+		if r.state == runStopping {
+			r.answeredAt, r.stopSentAt = 0, 0 // the stop is forgotten; the next tick repeats it
+		}
+	}
 }
 
 func (p *pool) startTask(t *task, s *server, now Time) {
@@ -213,6 +218,9 @@
 	if r == nil || r.state != runStopping {
 		return
 	}
+	if e.SentAt < s.restartedAt {
+		return // perhaps answered by its earlier life; it is repeated
+	}
 	if e.OK {
 		r.answeredAt = now
 		p.pollNow(s, now)
