Simulate tasks that crash their servers

A job can have a first task that crashes each server that starts it, 10 ms later. The simulation counts the servers that crash under each task, and reports the third start after the third crash for durable jobs.

--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	FailureRate float64 // share of runs that fail immediately
 	StallsRuns  bool    // runs make no progress
 
+	down          bool    // crashed and not back yet: calls in flight are not executed either
 	Unresponsive  bool    // calls are neither answered nor executed
 	LateStartRate float64 // share of starts that are not answered and executed later
 	LateOtherRate float64 // the same for stops and polls
@@ -56,7 +58,77 @@
 const slowClockRate = 0.98
 
 // Restart crashes the server and restarts it immediately under the same ID.
-func (s *Server) Restart() { s.boot() }
+func (s *Server) Restart() {
+	s.loseRuns()
+	s.boot()
+}
+
+// loseRuns counts a crash of the server under each task that runs there.
+func (s *Server) loseRuns() {
+	s.advance()
+	for _, r := range s.state.Running(s.world.now) {
+		s.world.crashes.add(r.Run.Task)
+	}
+}
+
+// Crash crashes the server, which is back after the given time under its ID.
+func (s *Server) Crash(down time.Duration) {
+	s.goDown()
+	s.world.After(down, func() {
+		s.Unresponsive, s.down = false, false
+		s.boot()
+	})
+}
+
+// CrashForGood crashes the server. Its entry expires, and another server of the same
+// kind comes after the given time.
+func (s *Server) CrashForGood(next time.Duration) {
+	w := s.world
+	s.goDown()
+	w.After(entryExpiry, func() { s.Unlisted = true })
+	w.After(next, func() {
+		e := s.Entry
+		e.ID = model.ServerID(fmt.Sprintf("%s-%d", s.Entry.ID, len(w.servers)))
+		w.AddServer(e, s.Speed)
+	})
+}
+
+// entryExpiry is the time after a crash after which the store drops a server's entry.
+const entryExpiry = 3500 * time.Millisecond
+
+func (s *Server) goDown() {
+	s.loseRuns()
+	for _, l := range s.waitingPolls {
+		l.done = true // it is never answered
+	}
+	s.waitingPolls = nil
+	listed := s.Entry.BootMs
+	s.boot()
+	s.Entry.BootMs, s.Unresponsive, s.down = listed, true, true
+}
+
+// crashIfDeadly crashes the server a little after the start of a run that does that.
+func (s *Server) crashIfDeadly(run fleet.RunID, j *JobRecord) {
+	if !j.CrashesServers || run.Task.Index != 0 {
+		return
+	}
+	state := s.state
+	s.world.After(timeToCrash, func() {
+		switch {
+		case s.state != state:
+		case s.world.ReplaceCrashed:
+			s.CrashForGood(crashedServerDown)
+		default:
+			s.Crash(crashedServerDown)
+		}
+	})
+}
+
+// Timing of a run that crashes its server.
+const (
+	timeToCrash       = 10 * time.Millisecond
+	crashedServerDown = 3200 * time.Millisecond
+)
 
 // Servers returns all backend servers.
 func (w *World) Servers() []*Server { return w.servers }
@@ -72,7 +144,11 @@
 	if s.Unresponsive {
 		return
 	}
-	w.After(d, func() { answer(call()) })
+	w.After(d, func() {
+		if !s.down {
+			answer(call())
+		}
+	})
 }
 
 // prepareCall returns the one-way delay of a call to a server, and a function that
@@ -132,6 +208,7 @@
 			w.violated("task %v runs at %s and %s", x.Run.Task, o, s.Entry.ID)
 		}
 		s.needs[x.Run] = step.Need
+		s.crashIfDeadly(x.Run, j)
 		if w.onStart != nil {
 			w.onStart(s, x.Run)
 		}
@@ -199,6 +276,9 @@
 	if w.store.failuresAcked[id.Task] >= j.Spec.MaxAttempts {
 		w.violated("task %v starts again after %d failed runs", id.Task, w.store.failuresAcked[id.Task])
 	}
+	if w.crashes.startedAgain(id.Task) && j.Spec.Durable {
+		w.violated("task %v starts for the third time after three servers had crashed under it", id.Task)
+	}
 	if j.Result.Kind == fleet.NotRun {
 		w.violated("job %s starts after it was rejected", j.Spec.ID)
 	}
@@ -262,6 +342,9 @@
 		answer(e)
 	}
 	w.After(d, func() {
+		if s.down {
+			return
+		}
 		s.advance()
 		fenced := s.state.Poll(w.now, x.Fence, x.AckedSeq, x.LeaseEndMs)
 		if x.Wait == 0 || fenced || len(s.state.Ended()) > 0 {
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -50,7 +50,10 @@
 
 	LostReplyRate float64 // share of durable job writes whose replies are lost
 
-	store *jobStore
+	ReplaceCrashed bool // servers that a run has crashed come back under another ID
+
+	store   *jobStore
+	crashes crashCounts
 
 	quarantines int // number of times that an instance quarantined a server
 
@@ -68,7 +71,9 @@
 	Starts       int
 	AlwaysFails  bool // each of its runs fails
 	AlwaysStalls bool // each of its runs stalls
-	work         time.Duration
+	// CrashesServers makes the first task crash each server that starts it.
+	CrashesServers bool
+	work           time.Duration
 }
 
 // OnTime reports whether the job completed within its objective, based on the actual
@@ -111,7 +116,7 @@
 func New(seed uint64) *World {
 	return &World{
 		Rand: rand.New(rand.NewPCG(seed, 1)), owners: map[model.ServerID]fleet.Ownership{}, jobs: map[string]*JobRecord{},
-		storeUp: true, now: fleet.Time(time.Second), store: newJobStore(), entryLog: newEntryLog(),
+		storeUp: true, now: fleet.Time(time.Second), store: newJobStore(), entryLog: newEntryLog(), crashes: crashCounts{},
 	}
 }
 
