--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -419,6 +419,9 @@
 	LogRunStarted
 	LogRunEnded
 	LogTaskDelayed
+	LogTaskSuspected
+	LogCrashConfirmed
+	LogTaskGivenUp
 )
 
 // Message is a message between members.
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -26,6 +27,7 @@
 
 	world        *World
 	down         bool // no process runs
+	gone         bool // and none will
 	state        *worker.State
 	needs        map[fleet.RunID]model.Resources
 	waitingPolls []*waitingPoll
@@ -71,7 +73,60 @@
 const slowClockRate = 0.98
 
 // Restart crashes the server and restarts it immediately under the same ID.
-func (s *Server) Restart() { s.boot() }
+func (s *Server) Restart() {
+	s.loseRuns()
+	s.boot()
+}
+
+// loseRuns counts a crash of the server under each task that runs there.
+func (s *Server) loseRuns() {
+	s.advance()
+	for _, r := range s.state.Running(s.world.now) {
+		s.world.crashes.add(r.Run.Task)
+	}
+}
+
+// CrashForGood crashes the server. Its entry expires, and another server of the same
+// kind comes after the given time.
+func (s *Server) CrashForGood(next time.Duration) {
+	w := s.world
+	if !s.down {
+		s.goDown()
+	}
+	s.gone = true
+	w.After(entryExpiry, func() { s.Unlisted = true })
+	w.After(next, func() {
+		e := s.Entry
+		e.ID = model.ServerID(fmt.Sprintf("%s-%d", s.Entry.ID, len(w.servers)))
+		w.AddServer(e, s.Speed)
+	})
+}
+
+// entryExpiry is the time after a crash after which the store drops a server's entry.
+const entryExpiry = 3500 * time.Millisecond
+
+// crashIfDeadly crashes the server a little after the start of a run that does that.
+func (s *Server) crashIfDeadly(run fleet.RunID, j *JobRecord) {
+	if !j.CrashesServers || run.Task.Index != 0 {
+		return
+	}
+	state := s.state
+	s.world.After(timeToCrash, func() {
+		switch {
+		case s.state != state:
+		case s.world.ReplaceCrashed:
+			s.CrashForGood(crashedServerDown)
+		default:
+			s.Crash(crashedServerDown)
+		}
+	})
+}
+
+// Timing of a run that crashes its server.
+const (
+	timeToCrash       = 10 * time.Millisecond
+	crashedServerDown = 3200 * time.Millisecond
+)
 
 // maxRegistrationDelay is the longest time from the boot of a server to its entry in the
 // store.
@@ -84,6 +139,21 @@
 		return
 	}
 	w := s.world
+	s.goDown()
+	w.After(d, func() {
+		if s.gone {
+			return
+		}
+		s.reset()
+		s.down = false
+		boot := s.state.BootTime()
+		w.After(w.upTo(maxRegistrationDelay), func() { s.Entry.BootMs = max(s.Entry.BootMs, boot) })
+	})
+}
+
+// goDown ends the process of a server, with all runs and calls in progress.
+func (s *Server) goDown() {
+	s.loseRuns()
 	waits := s.waitingPolls
 	s.waitingPolls = nil
 	s.reset()
@@ -94,12 +164,6 @@
 			l.lose()
 		}
 	}
-	w.After(d, func() {
-		s.reset()
-		s.down = false
-		boot := s.state.BootTime()
-		w.After(w.upTo(maxRegistrationDelay), func() { s.Entry.BootMs = max(s.Entry.BootMs, boot) })
-	})
 }
 
 // upTo draws a duration below d.
@@ -208,6 +272,7 @@
 			w.violated("task %v runs at %s and %s", x.Run.Task, o, s.Entry.ID)
 		}
 		s.needs[x.Run] = step.Need
+		s.crashIfDeadly(x.Run, j)
 		if w.onStart != nil {
 			w.onStart(s, x.Run)
 		}
@@ -275,6 +340,9 @@
 	if w.store.failuresAcked[id.Task] >= j.Spec.MaxAttempts {
 		w.violated("task %v starts again after %d failed runs", id.Task, w.store.failuresAcked[id.Task])
 	}
+	if w.crashes.startedAgain(id.Task) && j.Spec.Durable {
+		w.violated("task %v starts for the third time after three servers had crashed under it", id.Task)
+	}
 	if j.Result.Kind == fleet.NotRun && !j.mayHaveRun() {
 		w.violated("job %s starts after it was rejected", j.Spec.ID)
 	}
--- a/internal/fleet/fleetsim/serverwatch.go
+++ b/internal/fleet/fleetsim/serverwatch.go
@@ -82,6 +82,9 @@
 
 // Drain makes a server announce that it is leaving.
 func (s *Server) Drain() {
+	if s.down {
+		return // no process announces it
+	}
 	s.Entry.State = fleet.ServerDraining
 	s.writeEntry()
 }
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -53,7 +53,10 @@
 	WakeTime      time.Duration // in which an instance takes what has arrived while it was frozen
 	NoticeTime    time.Duration // in which an instance that runs notices that a caller's connection is broken
 
-	store *jobStore
+	ReplaceCrashed bool // servers that a run has crashed come back under another ID
+
+	store   *jobStore
+	crashes crashCounts
 
 	quarantines int // number of times that an instance quarantined a server
 
@@ -73,9 +76,11 @@
 	Starts       int
 	AlwaysFails  bool // each of its runs fails
 	AlwaysStalls bool // each of its runs stalls
-	work         time.Duration
-	caller       *caller // nil if it submits the job once
-	lost         bool    // its caller has lost the connection
+	// CrashesServers makes the first task crash each server that starts it.
+	CrashesServers bool
+	work           time.Duration
+	caller         *caller // nil if it submits the job once
+	lost           bool    // its caller has lost the connection
 }
 
 // OnTime reports whether the job completed within its objective, based on the actual
@@ -125,6 +130,7 @@
 	return &World{
 		Rand: rand.New(rand.NewPCG(seed, 1)), owners: map[model.ServerID]fleet.Ownership{}, jobs: map[string]*JobRecord{},
 		storeUp: true, NoticeTime: defaultNoticeTime, now: fleet.Time(time.Second), store: newJobStore(), entryLog: newEntryLog(),
+		crashes: crashCounts{},
 	}
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -44,6 +44,7 @@
 	t.attempt++
 	r := &run{
 		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.bootMs, fence: s.ownership.Token(), sentAt: now,
+		isolated: s.reservedFor == t,
 		expected: s.speed.expect(t.step.spec.Estimate),
 	}
 	t.job.starts++
@@ -125,7 +126,7 @@
 	}
 	switch e.Outcome {
 	case StartAccepted:
-		r.state, r.answeredAt = runConfirmed, now
+		r.state, r.answeredAt, r.started = runConfirmed, now, true
 	case StartUnanswered:
 		r.callEnded = true
 		if r.state == runStarting {
@@ -183,12 +184,25 @@
 	if r.bootMs != s.bootMs && !r.foreign {
 		over = RunRecord{Conclusion: ConcludedRestarted, NowBootMs: s.bootMs}
 	}
-	p.requeueRun(s, r, over, now)
+	p.requeueLostRun(s, r, over, now)
 }
 
 // requeueExpiredRun frees a run whose lease has ended.
 func (p *pool) requeueExpiredRun(s *server, r *run, now Time) {
-	p.requeueRun(s, r, RunRecord{Conclusion: ConcludedExpired, LeaseEndMs: s.leaseEndMs, ClockMs: s.clock.now(now)}, now)
+	p.requeueLostRun(s, r, RunRecord{Conclusion: ConcludedExpired, LeaseEndMs: s.leaseEndMs, ClockMs: s.clock.now(now)}, now)
+}
+
+// requeueLostRun frees a run that no longer exists and whose end is unknown. Its job ends
+// if the task has crashed too many servers.
+func (p *pool) requeueLostRun(s *server, r *run, over RunRecord, now Time) {
+	t := r.task
+	if t != nil {
+		p.recordLoss(s, r, now)
+	}
+	p.requeueRun(s, r, over, now)
+	if t != nil && t.suspect() {
+		p.reconsider(t, now)
+	}
 }
 
 // stopRun sends a stop. The run occupies its capacity until its end is known.
@@ -237,6 +251,7 @@
 func (p *pool) handleUnanswered(s *server, sentAt, now Time) {
 	if s.markMissed(sentAt, now) {
 		p.effect(LogEntry{Kind: LogServerSilent, Server: s.entry.ID, Count: len(s.runs)})
+		p.noteOutage(s, now)
 	}
 	if s.misses > 0 {
 		p.pollNow(s, now)
@@ -308,6 +323,7 @@
 	}
 	p.recordReply(s, e.ClockMs, now)
 	s.learnLease(now, p.lease)
+	p.refuteLosses(s, now)
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, 0)
 	}
@@ -503,7 +519,7 @@
 func (p *pool) resolveUncertain(s *server, r *run, present bool, now Time) {
 	switch {
 	case present:
-		r.state, r.answeredAt = runConfirmed, now
+		r.state, r.answeredAt, r.started = runConfirmed, now, true
 	case r.callEnded || r.absentBefore:
 		p.stopRun(s, r, now)
 	default:
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,7 +46,9 @@
 	fence          uint64 // token of the start
 	state          runState
 	sentAt         Time // when the start was sent
+	isolated       bool // of a suspect: nothing else starts on the server meanwhile
 	answeredAt     Time // when the start or stop was answered, 0 if it wasn't
+	started        bool // the server is known to have started it
 	uncertainSince Time
 	callEnded      bool // the call of the start has failed, so that nothing more is sent for it
 	absentBefore   bool // a poll after the start was overdue has not listed the run
@@ -128,6 +130,8 @@
 
 	speed  *speedModel
 	health health
+
+	reservedFor *task // suspect that runs or will run here alone, nil if there is none
 }
 
 func newServer(e ServerEntry, ownership Ownership, speed *speedModel) *server {
@@ -137,7 +141,11 @@
 }
 
 // takesWork reports whether new runs may start.
-func (s *server) takesWork(now Time) bool {
+func (s *server) takesWork(now Time) bool { return s.reservedFor == nil && s.available(now) }
+
+// available reports whether new runs may start, or that of the suspect for which the
+// server is reserved.
+func (s *server) available(now Time) bool {
 	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && s.misses == 0 && s.health.available(now)
 }
 
@@ -169,6 +177,9 @@
 func (s *server) removeRun(r *run) {
 	delete(s.runs, r.id)
 	s.used = s.used.Minus(r.need)
+	if r.isolated {
+		s.reservedFor = nil
+	}
 }
 
 // sortedRuns returns the runs ordered by ID.
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -81,6 +81,9 @@
 	fleet.LogRunStarted:        eventlog.RunStarted,
 	fleet.LogRunEnded:          eventlog.RunEnded,
 	fleet.LogTaskDelayed:       eventlog.TaskDelayed,
+	fleet.LogTaskSuspected:     eventlog.TaskSuspected,
+	fleet.LogCrashConfirmed:    eventlog.CrashConfirmed,
+	fleet.LogTaskGivenUp:       eventlog.TaskGivenUp,
 }
 
 // writeEntry logs a decision of the reducer.
