--- /dev/null
+++ b/internal/node/oddentries_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	port "github.com/nutmegweir/nutmegweir/internal/platform"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/platform"
+)
+
+// oddEntry is a usable entry of a server, but for the parts that a test replaces.
+const oddEntry = `{"service":"svc","address":"127.0.0.1:9","zone":"d1","state":"ready","slots":8,"capacity":{"cpu":4000,"memMb":4096,"gpu":0},"labels":["a"],"born":1700000000000,"clockMs":500}`
+
+// oddEntries are entries of another writer that name no server to use.
+var oddEntries = []struct{ name, id, value string }{
+	{"ID too long for a key of its owner", strings.Repeat("x", 190), oddEntry},
+	{"no ID", "", oddEntry},
+}
+
+// TestOddEntryDisturbsNothing starts instances while the list of servers holds an odd
+// entry, and writes it again later. All servers are owned, also one that comes after it,
+// and nobody claims or calls what the odd entry names.
+func TestOddEntryDisturbsNothing(t *testing.T) {
+	for _, c := range oddEntries {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, 3, 0)
+			s.writeRaw(platform.ServerPrefix+c.id, c.value)
+			s.addInstance("n0")
+			s.awaitOwned("w0", "w1", "w2")
+			s.writeRaw(platform.ServerPrefix+c.id, c.value)
+			s.addServer("late")
+			s.awaitOwned("late")
+			if owner := s.store.Store.Get(platform.OwnerPrefix + c.id); owner.Exists() {
+				t.Errorf("the odd entry has an owner: %s", owner.Value)
+			}
+			if n := s.logs.count(`"name":"call-failed"`, fmt.Sprintf(`"server":%q`, c.id)); n > 0 {
+				t.Errorf("%d calls to what the odd entry names", n)
+			}
+			if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000aa", job("x", 12)); status != http.StatusOK {
+				t.Errorf("a job is answered %d %s", status, body)
+			}
+		})
+	}
+}
+
+// writeRaw writes a key of the store.
+func (s *site) writeRaw(key, value string) {
+	s.store.Store.Commit(standin.Txn{Writes: []port.Entry{{Key: key, Value: []byte(value)}}})
+}
+
+// awaitOwned waits until the store names an owner of each server.
+func (s *site) awaitOwned(ids ...string) {
+	s.t.Helper()
+	s.await(fmt.Sprintf("%v are owned", ids), func() bool {
+		for _, id := range ids {
+			if !strings.Contains(string(s.store.Store.Get(platform.OwnerPrefix+id).Value), `"owner":"n`) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -22,6 +22,7 @@
 	minLeaseTTL   = 10 * time.Second
 	maxTxnBytes   = 3 * port.MaxValueBytes // a base64 value and the enclosing JSON
 	maxTxnEntries = 32
+	maxKeyBytes   = 200
 	maxPageItems  = 500
 	maxWatchMs    = 30_000
 )
@@ -221,6 +222,10 @@
 		t.Preconditions[e.Key] = e.Rev
 	}
 	for _, x := range b.Writes {
+		if len(x.Key) > maxKeyBytes {
+			http.Error(w, "key exceeds the limit", http.StatusBadRequest)
+			return
+		}
 		if len(x.Value) > port.MaxValueBytes {
 			http.Error(w, "value exceeds the limit", http.StatusBadRequest)
 			return
