An entry with an address that can't be dialed names no server

Seen: an entry of another writer with port 0 or 70000, without port or host, or with a path in its address was claimed, and polled every 150 ms for as long as it stood there: calls, log lines and store writes for a server that can't exist.

--- a/internal/node/oddentries_test.go
+++ b/internal/node/oddentries_test.go
@@ -14,10 +14,14 @@
 // oddEntry is a usable entry of a server, but for the parts that a test replaces.
 const oddEntry = `{"service":"svc","address":"127.0.0.1:9","zone":"d1","state":"ready","slots":8,"capacity":{"cpu":4000,"memMb":4096,"gpu":0},"labels":["a"],"born":1700000000000,"clockMs":500}`
 
+// withOdd returns oddEntry with a part replaced.
+func withOdd(old, odd string) string { return strings.Replace(oddEntry, old, odd, 1) }
+
 // oddEntries are entries of another writer that name no server to use.
 var oddEntries = []struct{ name, id, value string }{
 	{"ID too long for a key of its owner", strings.Repeat("x", 190), oddEntry},
 	{"no ID", "", oddEntry},
+	{"port out of range", "odd", withOdd("127.0.0.1:9", "127.0.0.1:70000")},
 }
 
 // TestOddEntryDisturbsNothing starts instances while the list of servers holds an odd
