One log line for an unreadable record, not one for each read

An odd entry of the list was logged at every read of it, past the limit of log lines, with a cause that repeats what the entry says: up to a megabyte each time, on every instance that reads the list.

A record is now logged once for each revision, within the limit, and the cause is cut off.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -164,7 +164,7 @@
 	for _, r := range batch {
 		w, err := platform.JobWrite(platform.JobEntry{Record: r, Age: boot.Sub(r.Job.ReceivedAt), WrittenAt: now})
 		if err != nil {
-			s.node.limitedLog.recordUnreadable(r.ID, err)
+			s.node.limitedLog.recordUnwritable(r.ID, err)
 			continue
 		}
 		t.Preconditions = append(t.Preconditions, platform.JobPrecondition(&r))
@@ -202,7 +202,7 @@
 	e, err := platform.ParseJobEntry(it, time.Now())
 	switch {
 	case err != nil:
-		s.node.limitedLog.recordUnreadable(it.Key, err)
+		s.node.limitedLog.recordUnreadable(it, err)
 		s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
 	case e.SameWrite(r):
 		s.reportSaved(r, e.Revision)
@@ -309,7 +309,7 @@
 	for _, it := range r.Items {
 		e, err := platform.ParseJobEntry(it, now)
 		if err != nil {
-			s.node.limitedLog.recordUnreadable(it.Key, err)
+			s.node.limitedLog.recordUnreadable(it, err)
 			continue
 		}
 		if e.State != fleet.StateOpen {
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -21,14 +22,15 @@
 	log     *eventlog.Log
 	metrics *metrics.Fleet
 
-	mu      sync.Mutex
-	second  int64
-	lines   int
-	dropped int
+	mu         sync.Mutex
+	second     int64
+	lines      int
+	dropped    int
+	unreadable map[string]platform.Revision // records logged as such, by key
 }
 
 func newLimitedLog(l *eventlog.Log, m *metrics.Fleet) *limitedLog {
-	return &limitedLog{log: l, metrics: m}
+	return &limitedLog{log: l, metrics: m, unreadable: map[string]platform.Revision{}}
 }
 
 // allow reports whether a line may be written now.
@@ -139,9 +141,49 @@
 	}
 }
 
-// recordUnreadable logs a store record that can't be decoded or encoded.
-func (l *limitedLog) recordUnreadable(key string, err error) {
-	l.log.Event(eventlog.RecordUnreadable).Str("key", key).AnErr("cause", err).Send()
+// Limits of log lines about records that can't be read.
+const (
+	// maxUnreadableKeys bounds the records that are remembered as logged.
+	maxUnreadableKeys = 1000
+	// maxCauseBytes shortens causes that repeat what the record says.
+	maxCauseBytes = 300
+)
+
+// recordUnreadable logs a store record that can't be decoded, once for each revision.
+func (l *limitedLog) recordUnreadable(it platform.Item, err error) {
+	if !l.firstUnreadable(it) || !l.allow() {
+		return
+	}
+	l.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).Uint64("value", uint64(it.ModRevision)).Str("cause", shorten(err.Error(), maxCauseBytes)).Send()
+}
+
+// firstUnreadable remembers a record, and reports whether its revision is new.
+func (l *limitedLog) firstUnreadable(it platform.Item) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at, known := l.unreadable[it.Key]; known && at == it.ModRevision {
+		return false
+	}
+	if len(l.unreadable) >= maxUnreadableKeys {
+		clear(l.unreadable)
+	}
+	l.unreadable[it.Key] = it.ModRevision
+	return true
+}
+
+// shorten returns a text, cut off after a number of bytes.
+func shorten(s string, limit int) string {
+	if len(s) <= limit {
+		return s
+	}
+	return strings.ToValidUTF8(s[:limit], "") + "..."
+}
+
+// recordUnwritable logs a record that can't be encoded.
+func (l *limitedLog) recordUnwritable(key string, err error) {
+	if l.allow() {
+		l.log.Event(eventlog.RecordUnreadable).Str("key", key).AnErr("cause", err).Send()
+	}
 }
 
 // jobAnswered logs the response to a job.
--- a/internal/node/oddentries_test.go
+++ b/internal/node/oddentries_test.go
@@ -67,3 +67,32 @@
 		return true
 	})
 }
+
+// TestUnreadableRecordIsLoggedOnce reads an odd entry of the list again and again, in
+// whole lists and after changes of others, and then changes it.
+func TestUnreadableRecordIsLoggedOnce(t *testing.T) {
+	s := newSite(t, 1, 0)
+	odd := withOdd("4000", strings.Repeat("9", 10_000))
+	s.writeRaw(platform.ServerPrefix+"odd", odd)
+	s.addInstance("n0")
+	s.awaitOwned("w0")
+	reads := func() int { return s.logs.count(`"name":"server-list-read"`) }
+	for range 3 {
+		before := reads()
+		s.instances[0].store.serverLister.request(t.Context())
+		s.await("the list is read", func() bool { return reads() > before })
+	}
+	lines := func() int { return s.logs.count(`"name":"record-unreadable"`, `"key":"servers/odd"`) }
+	if n := lines(); n != 1 {
+		t.Errorf("%d lines on one odd entry", n)
+	}
+	s.writeRaw(platform.ServerPrefix+"odd", odd)
+	s.await("the changed entry is logged", func() bool { return lines() == 2 })
+	s.logs.mu.Lock()
+	defer s.logs.mu.Unlock()
+	for line := range strings.Lines(s.logs.buf.String()) {
+		if len(line) > 2000 {
+			t.Errorf("a line of %d bytes", len(line))
+		}
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -71,7 +71,7 @@
 		}
 		e, err := platform.ParseServer(it)
 		if err != nil {
-			n.limitedLog.recordUnreadable(it.Key, err)
+			n.limitedLog.recordUnreadable(it, err)
 			continue
 		}
 		out[i].Entry = &e
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -242,7 +242,7 @@
 	}
 	m, err := platform.ParseMember(it)
 	if err != nil {
-		s.node.limitedLog.recordUnreadable(it.Key, err)
+		s.node.limitedLog.recordUnreadable(it, err)
 		return
 	}
 	s.members[m.Instance] = m
@@ -253,7 +253,7 @@
 	o, err := platform.ParseOwner(it)
 	if err != nil {
 		// An undecodable value counts as no owner; a claim overwrites it.
-		s.node.limitedLog.recordUnreadable(it.Key, err)
+		s.node.limitedLog.recordUnreadable(it, err)
 	}
 	return o
 }
@@ -276,7 +276,7 @@
 	for _, it := range r.Items {
 		m, err := platform.ParseMember(it)
 		if err != nil {
-			s.node.limitedLog.recordUnreadable(it.Key, err)
+			s.node.limitedLog.recordUnreadable(it, err)
 			continue
 		}
 		out = append(out, m)
