A job record that can't be scheduled no longer ends the process

Seen: an instance that took over a record of another writer, with a step after one that doesn't exist, ended with 'index out of range', and so did the next one that read it, again and again. A record of 2^31 tasks would have taken all memory, one without a job was stored as completed.

Cause: only callers' jobs were checked, records and offers of peers were taken as they came. An unreadable record stays as it is.

TestOddRecordsOfOthersEndNothing ended with the panic before.

--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -79,10 +79,11 @@
 	case *fleetpb.Message_Beat:
 		return heartbeatFromPB(b.Beat), nil
 	case *fleetpb.Message_Offer:
-		return fleet.Offer{
+		o := fleet.Offer{
 			Call: fleet.CallID(b.Offer.GetCall()), Job: b.Offer.GetJob().Decode(),
 			Age: time.Duration(b.Offer.GetAgeNs()), AllowQueue: b.Offer.GetFinal(),
-		}, nil
+		}
+		return o, errors.Wrap(o.Job.Check(), "offer")
 	case *fleetpb.Message_Withdraw:
 		return fleet.Withdraw{Call: fleet.CallID(b.Withdraw.GetCall())}, nil
 	case *fleetpb.Message_Outcome:
--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/fleetpb"
 )
 
 // TestOwnersUpdateRoundTrip encodes and decodes ownerships with all fields set.
@@ -22,3 +23,14 @@
 		t.Errorf("%+v %v, want %+v", got, err, sent)
 	}
 }
+
+// TestOfferOfUnusableJobIsRefused decodes an offer whose job can't be scheduled, as a
+// later version might send.
+func TestOfferOfUnusableJobIsRefused(t *testing.T) {
+	for name, steps := range map[string][]*fleetpb.Step{"no steps": nil, "after a later step": {{Count: 1, After: []int32{3}}}} {
+		m := &fleetpb.Message{Body: &fleetpb.Message_Offer{Offer: &fleetpb.Offer{Job: &fleetpb.Job{Steps: steps}}}}
+		if got, err := decode(m); err == nil {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
--- a/internal/node/oddentries_test.go
+++ b/internal/node/oddentries_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/fleetpb"
 	port "github.com/nutmegweir/nutmegweir/internal/platform"
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
 	"github.com/nutmegweir/nutmegweir/platform"
@@ -96,3 +101,45 @@
 		}
 	}
 }
+
+// TestOddRecordsOfOthersEndNothing writes records of other writers, or of a later version,
+// among those of instances, owners and jobs. The instances stay up, serve jobs and
+// leave unreadable jobs as they are.
+func TestOddRecordsOfOthersEndNothing(t *testing.T) {
+	step := func(s *fleetpb.Step) *fleetpb.JobRecord {
+		return &fleetpb.JobRecord{State: int32(fleet.StateOpen), Job: &fleetpb.Job{Id: "a", Service: "svc", Steps: []*fleetpb.Step{s}}}
+	}
+	jobs := map[string]*fleetpb.JobRecord{
+		"after a later step":   step(&fleetpb.Step{Count: 1, After: []int32{7}}),
+		"after a negative one": step(&fleetpb.Step{Count: 1, After: []int32{-1}}),
+		"too many tasks":       step(&fleetpb.Step{Count: math.MaxInt32}),
+		"negative count":       step(&fleetpb.Step{Count: -5}),
+		"no steps":             {State: int32(fleet.StateOpen), Job: &fleetpb.Job{Id: "a", Service: "svc"}},
+		"no job":               {State: int32(fleet.StateOpen)},
+	}
+	s := newSite(t, 2, 0)
+	names := []string{"member/", "member/null", "member/wrong", "member/far", "owner/", "owner/w1"}
+	for i, value := range []string{oddEntry, "null", `{"incarnation":7}`, `{"incarnation":"1","addr":"127.0.0.1:70000","weight":1e308}`, "null", `{"owner":[]}`} {
+		s.writeRaw(platform.FleetPrefix+names[i], value)
+	}
+	for name, r := range jobs {
+		data, err := proto.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.writeRaw(platform.JobKey(name), string(data))
+	}
+	s.addInstance("n0")
+	s.awaitOwned("w0", "w1")
+	unreadable := func() int { return s.logs.count(`"name":"record-unreadable"`, `"key":"`+platform.JobPrefix) }
+	s.await("the jobs are logged as unreadable", func() bool { return unreadable() == len(jobs) })
+	for name, r := range jobs {
+		data, err := proto.Marshal(r)
+		if now := s.store.Store.Get(platform.JobKey(name)); err != nil || string(now.Value) != string(data) {
+			t.Errorf("the record of job %q has changed (%v)", name, err)
+		}
+	}
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000aa", job("x", 12)); status != http.StatusOK {
+		t.Errorf("a job is answered %d %s", status, body)
+	}
+}
