Jobs without CPU no longer end the process

After some 450 jobs whose tasks need memory or accelerators alone, the CPU of a typical task, a moving mean, fell below one milli-core, and the next heartbeat divided by zero. Found while looking for figures of others that end a process.

A task counts with one milli-core at least in that mean. TestLoadAfterJobsWithoutCPU ended with 'integer divide by zero' before.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -11,10 +11,14 @@
 func (p *pool) updateTypicalMilli(spec JobSpec) {
 	const share = 0.02 // weight of a step in the moving mean
 	for _, s := range spec.Steps {
-		p.typicalMilli += share * (float64(s.Need.CPUMilli) - p.typicalMilli)
+		p.typicalMilli += share * (max(float64(s.Need.CPUMilli), minTypicalMilli) - p.typicalMilli)
 	}
 }
 
+// minTypicalMilli is the CPU that a task counts with at least, in milli-cores: room is
+// counted in units of a typical task, and some tasks need memory or accelerators alone.
+const minTypicalMilli = 1
+
 // admissionResult is the admission decision on an offered job.
 type admissionResult int
 
--- a/internal/fleet/admission_test.go
+++ b/internal/fleet/admission_test.go
@@ -74,3 +74,16 @@
 		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 3000}, Estimate: 60 * time.Millisecond}},
 	}
 }
+
+// TestLoadAfterJobsWithoutCPU asks for the load after many jobs that need memory alone,
+// which ended the process.
+func TestLoadAfterJobsWithoutCPU(t *testing.T) {
+	i, now := oneServer(t, 500)
+	for range 2000 {
+		i.pool.updateTypicalMilli(JobSpec{Steps: []StepSpec{{Count: 1, Need: model.Resources{MemoryMB: 64}}}})
+	}
+	if l := i.pool.load("svc", now); l.Servers != 1 || l.FreeMilli != 4000 {
+		t.Errorf("%+v", l)
+	}
+	startOne(t, i, now)
+}
