A server whose owner's key was removed gets an owner again

Seen: when another writer removes the key of an owner, no instance that saw the removal could ever claim the server: it expected the key at the revision of the removal, the store answered that there is none, and the answer was taken for older than what was known. Up to 15 other servers of the same claim stayed without an owner as well.

An ownership can now be known as absent: a claim then expects no key. The token still grows, as it comes from the revision of the write. What a claim of others has written since shows by a conflict.

TestOwnerKeysRemovedByOthers timed out before, until w0, w1 and w2 are owned.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -37,6 +37,9 @@
 	Revision    uint64            // of the last write; 0 if never owned
 	Rank        int               // 0 for the recorded owner, else the position of the successor that took over, from 1
 	Successors  []Successor       // in the order in which they may take over while the store is down
+	// Absent means that the store has no record any more, though nobody here removes
+	// one. Revision is then that of the removal or of the last known write.
+	Absent bool
 }
 
 // OwnersChanged holds changed ownerships.
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -61,10 +61,15 @@
 	return &owners{self: self, startedAt: now, effect: effect, entries: list.entries, known: map[model.ServerID]Ownership{}, fenced: map[model.ServerID]uint64{}}
 }
 
-// merge applies ownerships that are not older than the known ones.
+// merge applies ownerships that are not older than the known ones. One that was found
+// absent has no revision of its own; whoever has written it since shows by a conflict.
 func (o *owners) merge(list []Ownership) {
 	for _, x := range list {
-		if old := o.known[x.Server]; x.Token() >= old.Token() {
+		old := o.known[x.Server]
+		if x.Absent && x.Revision <= old.Revision {
+			x.Revision, x.Rank = old.Revision, old.Rank
+		}
+		if x.Token() >= old.Token() {
 			o.known[x.Server] = x
 		}
 	}
--- a/internal/fleet/owners_test.go
+++ b/internal/fleet/owners_test.go
@@ -91,3 +91,33 @@
 		}
 	}
 }
+
+// TestAbsentOwnershipIsClaimed lets a claim fail since the store has no record of the
+// ownership any more, and no event has told so: the next claim expects none.
+func TestAbsentOwnershipIsClaimed(t *testing.T) {
+	for _, rank := range []int{0, 2} {
+		self := Member{Instance: "n1", Incarnation: "02", Domain: "d", Weight: 1}
+		now := Time(time.Second)
+		i := NewInstance(Options{Self: self, Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
+		i.Step(now, StoreStatus{Up: true})
+		i.Step(now, ServersListed{Servers: []ServerEntry{{ID: "s1", Service: "svc", Addr: "a", Domain: "d", State: ServerReady}}})
+		claimed := func(effects []Effect) *Ownership {
+			for _, e := range effects {
+				if c, ok := e.(Claim); ok {
+					return &c.Expected[0]
+				}
+			}
+			return nil
+		}
+		first := claimed(i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7, Rank: rank}}}))
+		if first == nil || first.Absent {
+			t.Fatalf("claim %+v", first)
+		}
+		now = now.Add(10 * time.Millisecond)
+		i.Step(now, ClaimReply{Known: true, Owners: []Ownership{{Server: "s1", Absent: true}}})
+		now = now.Add(startupDelay)
+		if again := claimed(i.Step(now, Tick{})); again == nil || !again.Absent {
+			t.Errorf("rank %d: claim %+v of %+v", rank, again, i.owners.known["s1"])
+		}
+	}
+}
--- a/internal/node/oddentries_test.go
+++ b/internal/node/oddentries_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("a job is answered %d %s", status, body)
 	}
 }
+
+// TestOwnerKeysRemovedByOthers removes and overwrites the keys of owners while the
+// instances run. The servers are owned and serve again.
+func TestOwnerKeysRemovedByOthers(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.awaitOwned("w0", "w1", "w2")
+	s.store.Store.Commit(standin.Txn{Remove: []string{platform.OwnerPrefix + "w0", platform.OwnerPrefix + "w1"}})
+	s.writeRaw(platform.OwnerPrefix+"w2", "null")
+	s.awaitOwned("w0", "w1", "w2")
+	s.addServer("late")
+	s.awaitOwned("late")
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000aa", job("x", 12)); status != http.StatusOK {
+		t.Errorf("a job is answered %d %s", status, body)
+	}
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -381,6 +381,7 @@
 	out := slices.Clone(c.Expected)
 	for i := range out {
 		out[i].Owner, out[i].Incarnation, out[i].Revision, out[i].Rank = c.Owner, s.node.self.Incarnation, uint64(r.Revision), 0
+		out[i].Absent = false
 		if c.Owner == "" {
 			out[i].Incarnation, out[i].Successors = "", nil
 		}
