Owners cut off from the store follow the list of servers through their peers

A minion's capacity may shrink while it runs, and a start over it breaks LIMIT for instances out of touch, too. Owners that watch the list themselves or share a watch follow in time, in virtual time: also while their watch is behind, after kills, freezes and takeovers. One that is cut off from the store alone didn't hear of any change of its servers for as long as it lasted, though its peers did.

Watchers of small fleets now forward changes to members whose heartbeats say that they have lost the store: first all entries, as changes may have been missed, then what changes. In large fleets they forwarded to all members already.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -191,6 +191,7 @@
 	ClockMs  int64
 	BootMs   int64
 	Draining bool
+	Capacity *model.Resources // nil if the reply doesn't tell it
 	Running  []ActiveRun
 	Ended    []EndedRun
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -337,7 +337,7 @@
 	p.linked, p.refused, p.dead = true, false, false
 	p.markHeard(now)
 	p.linkedAt, p.heardAt, p.remoteReceiveAge = now, now, 0
-	p.offloadSentMilli, p.offloadAckedMilli = 0, 0
+	p.offloadSentMilli, p.offloadAckedMilli, p.listForwarded = 0, 0, 0
 	i.sendResync(p, false)
 	for _, o := range i.pool.recent {
 		if o.key.origin == p.member.Instance && o.key.incarnation == p.member.Incarnation {
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -33,6 +33,7 @@
 	linkedAt                                                  Time   // when the link was established, or last replaced
 	storeUp                                                   bool   // it reaches the store
 	storeDownSince                                            Time   // when it last lost the store, 0 if never
+	listForwarded                                             uint64 // revision of the list of servers that it was sent since then, 0 if none
 	busy                                                      bool   // it has servers or jobs
 	busyAt                                                    Time   // when either end was last busy
 	active                                                    bool   // frequent heartbeats in both directions
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -208,18 +209,50 @@
 	}
 }
 
-// broadcast forwards changes to the cell if this instance is a watcher.
+// broadcast forwards changes if this instance is a watcher: to the cell if the watch is
+// shared, else to the members that have lost the store.
 func (l *serverList) broadcast(c ServerChanges, now Time) {
-	if c.FromRevision == 0 || c.ToRevision == 0 || !l.shared() || !l.isWatcher(now) {
+	if c.FromRevision == 0 || c.ToRevision == 0 || !l.isWatcher(now) {
 		return
 	}
 	for _, p := range l.members.orderedPeers {
-		if p.reachable(now) {
+		switch {
+		case !p.reachable(now):
+		case l.shared():
 			l.effect(SendPeer{To: p.member, Message: ServersUpdate{c}})
+		default:
+			l.forwardCutOff(p, c, now)
 		}
 	}
 }
 
+// forwardCutOff forwards changes to a member that watches the list itself, but has lost
+// the store. It gets all entries first, as it may have missed changes; those that were
+// removed meanwhile are not told.
+func (l *serverList) forwardCutOff(p *peer, c ServerChanges, now Time) {
+	switch {
+	case p.storeUp || p.remoteSentAt == 0 || !l.storeUp(now):
+		p.listForwarded = 0
+		return
+	case p.listForwarded == 0:
+		c = ServerChanges{ToRevision: l.revision, Servers: l.sortedEntries()}
+	case len(c.Servers)+len(c.Removed) == 0:
+		return
+	default:
+		c.FromRevision, c.FromDiff = min(c.FromRevision, p.listForwarded), false
+	}
+	p.listForwarded = c.ToRevision
+	l.effect(SendPeer{To: p.member, Message: ServersUpdate{c}})
+}
+
+func (l *serverList) sortedEntries() []ServerEntry {
+	out := make([]ServerEntry, 0, len(l.entries))
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		out = append(out, l.entries[id])
+	}
+	return out
+}
+
 // handleWatched applies changes from this instance's own watch and forwards them.
 func (l *serverList) handleWatched(c ServerChanges, now Time) {
 	if !l.applyInOrder(c, listSource{way: wayWatch}) {
