The capacity that a reply to a poll tells counts at once

Owners read a server's capacity from its entry alone. While the store is down, the entry says nothing, and an owner started tasks over a capacity that had shrunk.

The later of the two reports of one life counts, by the server's own clock. While they differ, the server is polled even if it runs nothing, as an entry that says the same as before isn't noticed. A capacity that can't be read spoils neither the lists of runs nor the leases.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -160,7 +160,7 @@
 	rate := 0.0
 	for _, s := range p.orderedServers {
 		if s.takesWork(now) || s.opensSoon() {
-			rate += float64(s.entry.Capacity.CPUMilli) * packingShare / s.speed.factor()
+			rate += float64(s.capacity().CPUMilli) * packingShare / s.speed.factor()
 		}
 	}
 	if rate == 0 {
@@ -188,7 +188,7 @@
 			continue
 		}
 		l.Servers++
-		l.CapacityMilli += float64(s.entry.Capacity.CPUMilli)
+		l.CapacityMilli += float64(s.capacity().CPUMilli)
 		l.FreeMilli += float64(s.free().CPUMilli / need * need)
 	}
 	return l
--- /dev/null
+++ b/internal/fleet/capacity.go
@@ -0,0 +1,40 @@
+package fleet
+
+import "github.com/nutmegweir/nutmegweir/internal/model"
+
+// polledCapacity is the capacity that a server told in its last reply to a poll.
+type polledCapacity struct {
+	known    bool
+	capacity model.Resources
+	bootMs   int64 // incarnation that told it
+	clockMs  int64 // when it did, on that incarnation's clock
+}
+
+// capacity returns the server's capacity as it told last, in a poll or in the store's
+// list. A capacity may change while the server runs.
+func (s *server) capacity() model.Resources {
+	if s.polledCapacityCounts() {
+		return s.polledCapacity.capacity
+	}
+	return s.entry.Capacity
+}
+
+// polledCapacityCounts reports whether the last poll is newer than the entry: of this
+// incarnation, and answered after the entry was written.
+func (s *server) polledCapacityCounts() bool {
+	p := &s.polledCapacity
+	return p.known && p.bootMs == s.bootMs && s.entry.BootMs <= p.bootMs && p.clockMs >= s.entry.ReportedAtMs
+}
+
+// capacityUnsettled reports whether the last poll and the list differ. Polls go on until
+// they agree, as a list that says the same as before isn't noticed.
+func (s *server) capacityUnsettled() bool {
+	return s.polledCapacityCounts() && s.polledCapacity.capacity != s.entry.Capacity
+}
+
+// recordCapacity records the capacity in a reply to a poll.
+func (s *server) recordCapacity(e PollReply) {
+	if e.Capacity != nil {
+		s.polledCapacity = polledCapacity{true, *e.Capacity, e.BootMs, e.ClockMs}
+	}
+}
--- a/internal/fleet/fleetsim/capacity_test.go
+++ b/internal/fleet/fleetsim/capacity_test.go
@@ -69,6 +69,12 @@
 				w.After(time.Duration(i)*span, func() { w.freezeOwner(3 * time.Second) })
 			}
 		}},
+		{"polls tell it", Glenbrae(), 0, true, nil},
+		{"polls tell it, store down", Glenbrae(), 0, true, func(w *World) { w.StoreDown(9 * time.Second) }},
+		{"polls tell it, stored jobs, owners killed", Glenbrae().WithDurableJobs(), 0, true, func(w *World) {
+			w.Kill("carrick-0")
+			w.After(6*time.Second, func() { w.Start("carrick-0") })
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -133,7 +133,7 @@
 	}
 	left := float64(s.free().CPUMilli - t.step.spec.Need.CPUMilli)
 	whole := float64(int(left/p.typicalMilli)) * p.typicalMilli
-	stranded := (left - whole) / float64(max(s.entry.Capacity.CPUMilli, 1))
+	stranded := (left - whole) / float64(max(s.capacity().CPUMilli, 1))
 	return c + strandedWeight*stranded
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -266,6 +266,7 @@
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, 0)
 	}
+	s.recordCapacity(e)
 	s.ackedSeq = max(s.ackedSeq, min(e.Poll.AckedSeq, s.seenSeq))
 	for _, end := range e.Ended {
 		p.handleEnd(s, end, now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -106,6 +106,8 @@
 	runs map[RunID]*run
 	used model.Resources
 
+	polledCapacity polledCapacity
+
 	clock        remoteClock
 	leaseEndMs   int64 // latest lease end sent, on the server's clock
 	bootMs       int64
@@ -152,7 +154,7 @@
 }
 
 // free returns the capacity that no run occupies.
-func (s *server) free() model.Resources { return s.entry.Capacity.Minus(s.used) }
+func (s *server) free() model.Resources { return s.capacity().Minus(s.used) }
 
 // addRun adds a run and allocates its resources.
 func (s *server) addRun(r *run) {
@@ -178,7 +180,7 @@
 
 // needsPoll reports whether the server has to be polled.
 func (s *server) needsPoll() bool {
-	return s.phase == phaseRecovering || len(s.runs) > 0 || s.ackedSeq < s.ackableSeq() || s.misses > 0
+	return s.phase == phaseRecovering || len(s.runs) > 0 || s.ackedSeq < s.ackableSeq() || s.misses > 0 || s.capacityUnsettled()
 }
 
 // holdAck prevents the acknowledgement of an end.
@@ -207,7 +209,7 @@
 	if len(s.heldSeqs) > 0 {
 		s.nextPollAt = now.Add(heldPollInterval) // the server replies immediately while it lists an end
 	}
-	if s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0 {
+	if s.phase == phaseServing && s.misses == 0 && (len(s.runs) > 0 || s.capacityUnsettled()) {
 		poll.Wait = wait
 	}
 	s.polledAt = now
