A queued job whose task fits on no server any more is rejected at once

A job was checked against the list of servers when it was handed in only. Once the servers that could run it had shrunk or left, it waited in the queue until its caller's time was up, ahead of others.

With each change of the list, jobs that have not started and fit nowhere are answered as not run. Stored jobs stay, as a server may grow again. TestQueuedJobThatFitsNoMoreIsRejected failed before: no answer.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -67,7 +67,7 @@
 			others--
 		}
 		if others > 0 && j.sheddable() && p.latestFirstStart(j) < now {
-			p.reject(j, "waited", p.expectedWait(j, now), now)
+			p.reject(j, "waited", Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.expectedWait(j, now)}, now)
 			onTime = others
 		}
 	}
@@ -80,9 +80,18 @@
 }
 
 // reject ends a queued job that has not started.
-func (p *pool) reject(j *job, reason string, wait time.Duration, now Time) {
-	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: wait, Count: len(p.queue)})
-	p.endJob(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: wait}, now)
+func (p *pool) reject(j *job, reason string, r Result, now Time) {
+	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: r.RetryAfter, Count: len(p.queue)})
+	p.endJob(j, r, now)
+}
+
+// rejectUnfit rejects queued jobs with tasks that fit on no listed server any more.
+func (p *pool) rejectUnfit(now Time) {
+	for _, j := range slices.Clone(p.queue) {
+		if j.sheddable() && !p.owners.fitsSomeServer(&j.spec) {
+			p.reject(j, "fits no server", Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: minRetryAfter}, now)
+		}
+	}
 }
 
 // queuedAtOwner reports whether jobs wait at the queue owner; later jobs queue behind
--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -77,3 +77,34 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// TestQueuedJobThatFitsNoMoreIsRejected queues jobs behind a run and shrinks the only
+// server: a job that fits no more is told so at once, and others keep their place.
+func TestQueuedJobThatFitsNoMoreIsRejected(t *testing.T) {
+	i, now := oneServer(t, 500)
+	startOne(t, i, now)
+	job := func(id string, milli uint32) JobSpec {
+		return JobSpec{
+			ID: id, Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: now, Objective: Objective{Stretch: 20},
+			Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: milli}, Estimate: time.Second}},
+		}
+	}
+	i.Step(now, JobSubmitted{Call: 2, Job: job("wide", 3500)})
+	i.Step(now, JobSubmitted{Call: 3, Job: job("narrow", 1500)})
+	if len(i.pool.queue) != 2 {
+		t.Fatalf("%d jobs are queued", len(i.pool.queue))
+	}
+	now = now.Add(time.Millisecond)
+	effects := i.Step(now, ServersListed{Revision: 1, Servers: []ServerEntry{{
+		ID: "s1", Service: "svc", Addr: "a", Domain: "d", State: ServerReady, Capacity: model.Resources{CPUMilli: 2000, MemoryMB: 4000},
+	}}})
+	var answers []Answer
+	for _, e := range effects {
+		if a, ok := e.(Answer); ok {
+			answers = append(answers, a)
+		}
+	}
+	if len(answers) != 1 || answers[0].Call != 2 || answers[0].Result.Kind != NotRun || answers[0].Result.Reason != ReasonTooLarge {
+		t.Errorf("answers %+v", answers)
+	}
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -153,6 +153,7 @@
 			p.logLeaving(s, list.source, s.reportAge(now))
 		}
 	}
+	p.rejectUnfit(now)
 }
 
 // offer accepts a job. declined reports that it should be offered elsewhere.
