Late jobs that lose their runs no longer starve the others

Late jobs start least late first, so each server that came back was given a younger crashing job, and was down for three seconds again. The 154 jobs whose holder had lost all its servers had been handed over at 18.6 s and waited in the same queue. Takeovers, doubts, quarantine and quiescence had no part.

Among late jobs those with the fewest lost runs start first now, then the least late. A job that lost a run by another's crash goes back by one place, one that crashes its servers goes back each time.

Not mended here: runs beside a crashing one are hit as before, and nothing ends a job that crashes its servers (BUDGET).

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -17,6 +17,7 @@
 	activeRuns int // runs that occupy capacity
 	done       bool
 	stalled    bool        // one of its runs has stalled
+	lostRuns   int         // runs of it that vanished, as their server crashed or was lost
 	offloaded  *task       // the only task of an offloaded job
 	returnAt   Time        // an offloaded task that has not started goes back then
 	durable    *durableJob // set for durable jobs
--- a/internal/fleet/queueorder.go
+++ b/internal/fleet/queueorder.go
@@ -53,7 +53,9 @@
 }
 
 // compareSlack puts jobs that can complete on time first, ordered by least slack. Late
-// jobs follow, the least late first, as it is the most likely to be useful.
+// jobs follow, those with the fewest lost runs first: a job that crashes its servers
+// would be started at each of them as it returns, and the others never. Among equals the
+// least late comes first, as it is the most likely to be useful.
 func (p *pool) compareSlack(a, b *job, now Time) int {
 	aStart, bStart := p.latestStart(a), p.latestStart(b)
 	aLate, bLate := aStart < now, bStart < now
@@ -61,7 +63,7 @@
 	case aLate != bLate:
 		return trueFirst(bLate, aLate)
 	case aLate:
-		return cmp.Compare(bStart, aStart)
+		return cmp.Or(cmp.Compare(a.lostRuns, b.lostRuns), cmp.Compare(bStart, aStart))
 	}
 	return cmp.Or(cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -12,6 +12,7 @@
 func (p *pool) dropServer(s *server, now Time) {
 	for _, r := range s.sortedRuns() {
 		if t := r.task; t != nil {
+			t.job.lostRuns++
 			p.freeRun(s, r)
 			p.delayTask(t, now.Add(p.orphanRunTime))
 		}
@@ -148,6 +149,7 @@
 // requeueLostRun frees a run that no longer exists and whose end is unknown.
 func (p *pool) requeueLostRun(s *server, r *run, now Time) {
 	if r.task != nil {
+		r.task.job.lostRuns++
 		p.effect(LogEntry{Kind: LogRunLost, Server: s.entry.ID, Run: r.id, Age: now.Sub(r.sentAt)})
 	}
 	p.requeueRun(s, r, now)
