A server that never answered its owner is polled once a second

An entry of another writer may name an address where nobody listens. Its owner polled it 13 times a second for as long as the entry stood there, with a log line each.

After 40 misses without any reply, some three seconds, polls come once a second. A server that has answered this owner before is polled as often as it was. TestServerThatNeverAnsweredIsPolledRarely failed before: 399 polls in 30 s.

--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -179,3 +179,34 @@
 	}
 	t.Fatal("nothing was started")
 }
+
+// TestServerThatNeverAnsweredIsPolledRarely leaves an owned server unanswered, as one that
+// an odd entry names, and one that has answered before.
+func TestServerThatNeverAnsweredIsPolledRarely(t *testing.T) {
+	const span = 30 * time.Second
+	for _, c := range []struct {
+		name        string
+		answered    bool
+		least, most int
+	}{{"never", false, 30, 110}, {"before", true, 150, 1000}} {
+		i, now := oneServer(t, 500)
+		s := i.pool.servers["s1"]
+		if !c.answered {
+			s.repliedAt, s.phase = 0, phaseRecovering
+		} else {
+			startOne(t, i, now)
+		}
+		polls := 0
+		for end := now.Add(span); now < end; now = now.Add(tickInterval) {
+			for _, e := range i.Step(now, Tick{}) {
+				if p, ok := e.(Poll); ok {
+					polls++
+					i.Step(now, PollReply{Server: "s1", Outcome: PollUnanswered, Poll: p, SentAt: now})
+				}
+			}
+		}
+		if polls < c.least || polls > c.most {
+			t.Errorf("%s answered: %d polls in %v, want %d to %d", c.name, polls, span, c.least, c.most)
+		}
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,6 +13,8 @@
 	lossyPollWait           = 50 * time.Millisecond  // while replies are lost
 	pollRetryInterval       = 150 * time.Millisecond // between polls of an unresponsive server
 	missesUntilUnresponsive = 2                      // unanswered calls after which leases are left to expire
+	missesUntilRare         = 40                     // unanswered calls after which a server that never answered this owner is polled rarely
+	rarePollInterval        = time.Second            // between its polls: an entry may name a server that doesn't exist
 	heldPollInterval        = 5 * time.Millisecond   // between polls while ends are being stored: about one store write
 	recoveryPollInterval    = 60 * time.Millisecond  // slightly more than a stop takes
 	stopRetryInterval       = 400 * time.Millisecond // longer than the timeout of the call
@@ -261,8 +263,12 @@
 		return false
 	}
 	s.misses++
-	s.nextPollAt = now
-	if s.misses > 1 {
+	switch {
+	case s.misses == 1:
+		s.nextPollAt = now
+	case s.repliedAt == 0 && s.misses > missesUntilRare:
+		s.nextPollAt = now.Add(rarePollInterval)
+	default:
 		s.nextPollAt = now.Add(pollRetryInterval)
 	}
 	return s.misses == missesUntilUnresponsive
