Idle servers are polled while the store is away, if replies tell their capacity

A server that runs nothing wasn't polled, so that one which shrank during an outage of the store was filled beyond its capacity by the first tasks after an idle time.

While the store doesn't answer, a server whose replies tell its capacity is polled if it hasn't replied for 2.5 s.

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -1,6 +1,14 @@
 package fleet
 
-import "github.com/nutmegweir/nutmegweir/internal/model"
+import (
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// maxCapacityAge is how old a capacity may become while the store is away: less than
+// two heartbeats of a server, so that its owner knows as soon as if it read them.
+const maxCapacityAge = 2500 * time.Millisecond
 
 // polledCapacity is the capacity that a server told in its last reply to a poll.
 type polledCapacity struct {
@@ -32,6 +40,12 @@
 	return s.polledCapacityCounts() && s.polledCapacity.capacity != s.entry.Capacity
 }
 
+// capacityOutdated reports whether a server whose replies tell its capacity hasn't replied
+// for some time, as it runs nothing.
+func (s *server) capacityOutdated(now Time) bool {
+	return s.polledCapacity.known && now.Sub(s.repliedAt) > maxCapacityAge
+}
+
 // recordCapacity records the capacity in a reply to a poll.
 func (s *server) recordCapacity(e PollReply) {
 	if e.Capacity != nil {
--- a/internal/fleet/fleetsim/capacity_test.go
+++ b/internal/fleet/fleetsim/capacity_test.go
@@ -104,3 +104,30 @@
 		})
 	}
 }
+
+// TestIdleServersThatShrinkWhileTheStoreIsDown shrinks servers of which most run nothing,
+// while only replies to polls can tell. A job that comes later may not exceed what is
+// left.
+func TestIdleServersThatShrinkWhileTheStoreIsDown(t *testing.T) {
+	w := New(5)
+	w.Heartbeats = Heartbeats{Interval: 1500 * time.Millisecond}
+	site := Glenbrae()
+	w.Build(site)
+	for _, s := range w.servers {
+		s.TellsCapacity = true
+	}
+	w.Run(4 * time.Second)
+	w.StoreDown(12 * time.Second)
+	for i, s := range w.servers {
+		if i%3 != 0 {
+			s.Resize(smallCapacity)
+		}
+	}
+	w.Run(capacityGrace)
+	w.OfferLoad(site, 0.1, 6*time.Second)
+	w.Run(20 * time.Second)
+	checkInvariants(t, w)
+	if got := w.Tally(0); got.Open > 0 || got.Completed == 0 {
+		t.Errorf("tally %+v", got)
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -490,7 +490,7 @@
 		}
 	}
 	p.poll(s, now)
-	if s.misses > 0 || s.hasUncertainRun() {
+	if s.misses > 0 || s.hasUncertainRun() || !p.members.storeUp && s.capacityOutdated(now) {
 		p.pollNow(s, now)
 	}
 }
