Forwarded lists skip no change after a gap in the watcher's own watch

A watcher that missed changes itself passed what came after the gap to members cut off from the store as if it continued what they had been sent: they took the list for complete up to there. Differences of two lists were passed on as changes, which a member with a list in between would have taken wrongly.

Nothing is forwarded past a gap now; the list that is read next is. Differences stay marked as such. TestListForwardedToCutOffMember failed before.

--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -234,12 +234,14 @@
 	case p.storeUp || p.remoteSentAt == 0 || !l.storeUp(now):
 		p.listForwarded = 0
 		return
+	case c.ToRevision != l.revision: // after a gap; the list that is read next has the rest
+		return
 	case p.listForwarded == 0:
 		c = ServerChanges{ToRevision: l.revision, Servers: l.sortedEntries()}
 	case len(c.Servers)+len(c.Removed) == 0:
 		return
 	default:
-		c.FromRevision, c.FromDiff = min(c.FromRevision, p.listForwarded), false
+		c.FromRevision = min(c.FromRevision, p.listForwarded)
 	}
 	p.listForwarded = c.ToRevision
 	l.effect(SendPeer{To: p.member, Message: ServersUpdate{c}})
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -158,3 +158,55 @@
 		t.Errorf("%+v, %d servers", c, len(l.entries))
 	}
 }
+
+// TestListForwardedToCutOffMember forwards changes of a small fleet's list to a member
+// that has lost the store. What it applies has to be the list, also after a gap in the
+// own watch and after a list that was read.
+func TestListForwardedToCutOffMember(t *testing.T) {
+	now := Time(time.Minute)
+	m := newMembers(Member{Instance: "n1", Weight: 1}, func(Effect) {})
+	p := m.addPeer(Member{Instance: "n2", Incarnation: "01", Addr: "a"}, now)
+	p.markHeard(now)
+	p.linked, p.heardAt, p.remoteSentAt, p.storeUp = true, now, 1, true
+	receiver := newServerList(Options{}, newMembers(Member{}, func(Effect) {}), 0, func(Effect) {})
+	sent := 0
+	l := newServerList(Options{Self: m.self}, m, 0, func(e Effect) {
+		if x, ok := e.(SendPeer); ok {
+			sent++
+			receiver.handleUpdate("n1", x.Message.(ServersUpdate).ServerChanges, now)
+		}
+	})
+	l.renewedAt, l.revision = now, 5
+	watch := func(from, to uint64, removed []model.ServerID, ids ...model.ServerID) {
+		c := ServerChanges{FromRevision: from, ToRevision: to, Removed: removed}
+		for _, id := range ids {
+			c.Servers = append(c.Servers, ServerEntry{ID: id, BootMs: int64(to)})
+		}
+		l.handleWatched(c, now)
+	}
+	check := func(what string, wantSent int) {
+		t.Helper()
+		if sent != wantSent || !maps.EqualFunc(l.entries, receiver.entries, ServerEntry.Equal) && wantSent > 0 {
+			t.Errorf("%s: %d messages, want %d; the member has %v, want %v", what, sent, wantSent, receiver.entries, l.entries)
+		}
+	}
+	watch(5, 7, nil, "a", "b")
+	check("it reaches the store", 0)
+	p.storeUp = false
+	watch(7, 8, nil)
+	check("all entries first", 1)
+	watch(8, 9, nil)
+	check("nothing has changed", 1)
+	watch(9, 12, []model.ServerID{"a"}, "c")
+	check("changes", 2)
+	watch(15, 16, nil, "d")
+	check("after a gap, nothing is known", 2)
+	list := []ServerEntry{{ID: "b", BootMs: 7}, {ID: "d", BootMs: 16}, {ID: "e", BootMs: 14}}
+	l.broadcast(l.replace(list, 17, now), now)
+	check("the list that was read", 3)
+	p.storeUp = true
+	watch(17, 18, nil, "f")
+	if sent != 3 {
+		t.Errorf("%d messages to a member that is back", sent)
+	}
+}
