--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -11,10 +11,14 @@
 func (p *pool) updateTypicalMilli(spec JobSpec) {
 	const share = 0.02 // weight of a step in the moving mean
 	for _, s := range spec.Steps {
-		p.typicalMilli += share * (float64(s.Need.CPUMilli) - p.typicalMilli)
+		p.typicalMilli += share * (max(float64(s.Need.CPUMilli), minTypicalMilli) - p.typicalMilli)
 	}
 }
 
+// minTypicalMilli is the CPU that a task counts with at least, in milli-cores: room is
+// counted in units of a typical task, and some tasks need memory or accelerators alone.
+const minTypicalMilli = 1
+
 // admissionResult is the admission decision on an offered job.
 type admissionResult int
 
@@ -63,7 +67,7 @@
 			others--
 		}
 		if others > 0 && j.sheddable() && p.latestFirstStart(j) < now {
-			p.reject(j, "waited", p.expectedWait(j, now), now)
+			p.reject(j, "waited", Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.expectedWait(j, now)}, now)
 			onTime = others
 		}
 	}
@@ -76,9 +80,18 @@
 }
 
 // reject ends a queued job that has not started.
-func (p *pool) reject(j *job, reason string, wait time.Duration, now Time) {
-	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: wait, Count: len(p.queue)})
-	p.endJob(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: wait}, now)
+func (p *pool) reject(j *job, reason string, r Result, now Time) {
+	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: r.RetryAfter, Count: len(p.queue)})
+	p.endJob(j, r, now)
+}
+
+// rejectUnfit rejects queued jobs with tasks that fit on no listed server any more.
+func (p *pool) rejectUnfit(now Time) {
+	for _, j := range slices.Clone(p.queue) {
+		if j.sheddable() && !p.owners.fitsSomeServer(&j.spec) {
+			p.reject(j, "fits no server", Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: minRetryAfter}, now)
+		}
+	}
 }
 
 // queuedAtOwner reports whether jobs wait at the queue owner; later jobs queue behind
@@ -156,7 +169,7 @@
 	rate := 0.0
 	for _, s := range p.orderedServers {
 		if s.takesWork(now) || s.opensSoon() {
-			rate += float64(s.entry.Capacity.CPUMilli) * packingShare / s.speed.factor()
+			rate += float64(s.capacity().CPUMilli) * packingShare / s.speed.factor()
 		}
 	}
 	if rate == 0 {
@@ -184,7 +197,7 @@
 			continue
 		}
 		l.Servers++
-		l.CapacityMilli += float64(s.entry.Capacity.CPUMilli)
+		l.CapacityMilli += float64(s.capacity().CPUMilli)
 		l.FreeMilli += float64(s.free().CPUMilli / need * need)
 	}
 	return l
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -12,6 +12,7 @@
 func (p *pool) dropServer(s *server, now Time) {
 	for _, r := range s.sortedRuns() {
 		if t := r.task; t != nil {
+			t.job.lostRuns++
 			p.freeRun(s, r, RunRecord{Conclusion: WaitsServerLost, Wait: p.orphanRunTime}, now)
 			p.delayTask(t, now.Add(p.orphanRunTime))
 		}
@@ -197,6 +198,7 @@
 func (p *pool) requeueLostRun(s *server, r *run, over RunRecord, now Time) {
 	t := r.task
 	if t != nil {
+		t.job.lostRuns++
 		p.recordLoss(s, r, now)
 	}
 	p.requeueRun(s, r, over, now)
@@ -327,6 +329,7 @@
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, 0)
 	}
+	s.recordCapacity(e)
 	s.ackedSeq = max(s.ackedSeq, min(e.Poll.AckedSeq, s.seenSeq))
 	for _, end := range e.Ended {
 		p.handleEnd(s, end, now)
@@ -553,7 +556,7 @@
 		}
 	}
 	p.poll(s, now)
-	if s.misses > 0 || s.hasUncertainRun() {
+	if s.misses > 0 || s.hasUncertainRun() || !p.members.storeUp && s.capacityOutdated(now) {
 		p.pollNow(s, now)
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,6 +13,8 @@
 	lossyPollWait           = 50 * time.Millisecond  // while replies are lost
 	pollRetryInterval       = 150 * time.Millisecond // between polls of an unresponsive server
 	missesUntilUnresponsive = 2                      // unanswered calls after which leases are left to expire
+	missesUntilRare         = 40                     // unanswered calls after which a server that never answered this owner is polled rarely
+	rarePollInterval        = time.Second            // between its polls: an entry may name a server that doesn't exist
 	heldPollInterval        = 5 * time.Millisecond   // between polls while ends are being stored: about one store write
 	recoveryPollInterval    = 60 * time.Millisecond  // slightly more than a stop takes
 	stopRetryInterval       = 400 * time.Millisecond // longer than the timeout of the call
@@ -111,6 +113,8 @@
 	runs map[RunID]*run
 	used model.Resources
 
+	polledCapacity polledCapacity
+
 	clock        remoteClock
 	leaseEndMs   int64 // latest lease end sent, on the server's clock
 	restartedAt  Time  // when the last restart was noticed, 0 if none was
@@ -165,7 +169,7 @@
 }
 
 // free returns the capacity that no run occupies.
-func (s *server) free() model.Resources { return s.entry.Capacity.Minus(s.used) }
+func (s *server) free() model.Resources { return s.capacity().Minus(s.used) }
 
 // addRun adds a run and allocates its resources.
 func (s *server) addRun(r *run) {
@@ -194,7 +198,7 @@
 
 // needsPoll reports whether the server has to be polled.
 func (s *server) needsPoll() bool {
-	return s.phase == phaseRecovering || len(s.runs) > 0 || s.ackedSeq < s.ackableSeq() || s.misses > 0
+	return s.phase == phaseRecovering || len(s.runs) > 0 || s.ackedSeq < s.ackableSeq() || s.misses > 0 || s.capacityUnsettled()
 }
 
 // holdAck prevents the acknowledgement of an end.
@@ -242,7 +246,7 @@
 	if len(s.heldSeqs) > 0 {
 		s.nextPollAt = now.Add(heldPollInterval) // the server replies immediately while it lists an end
 	}
-	if s.phase == phaseServing && s.misses == 0 && len(s.runs) > 0 {
+	if s.phase == phaseServing && s.misses == 0 && (len(s.runs) > 0 || s.capacityUnsettled()) {
 		poll.Wait = wait
 	}
 	s.polledAt = now
@@ -293,8 +297,12 @@
 		return false
 	}
 	s.misses++
-	s.nextPollAt = now
-	if s.misses > 1 {
+	switch {
+	case s.misses == 1:
+		s.nextPollAt = now
+	case s.repliedAt == 0 && s.misses > missesUntilRare:
+		s.nextPollAt = now.Add(rarePollInterval)
+	default:
 		s.nextPollAt = now.Add(pollRetryInterval)
 	}
 	return s.misses == missesUntilUnresponsive
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -81,10 +81,11 @@
 	case *fleetpb.Message_Beat:
 		return heartbeatFromPB(b.Beat), nil
 	case *fleetpb.Message_Offer:
-		return fleet.Offer{
+		o := fleet.Offer{
 			Call: fleet.CallID(b.Offer.GetCall()), Job: b.Offer.GetJob().Decode(),
 			Age: time.Duration(b.Offer.GetAgeNs()), AllowQueue: b.Offer.GetFinal(), Echo: fleet.Time(b.Offer.GetEchoNs()),
-		}, nil
+		}
+		return o, errors.Wrap(o.Job.Check(), "offer")
 	case *fleetpb.Message_Withdraw:
 		return fleet.Withdraw{
 			Call:  fleet.CallID(b.Withdraw.GetCall()),
