--- a/internal/fleet/fleetsim/crashes_test.go
+++ b/internal/fleet/fleetsim/crashes_test.go
@@ -137,7 +137,7 @@
 	}
 	for name, inject := range injections {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(2) {
+			for seed := range uint64(3) {
 				w := New(50 + seed)
 				w.ReplaceCrashed = seed == 1
 				playDeadly(w, site, 0.6, 200*time.Millisecond, func() { inject(w) })
