Jobs of a silent holder still count as waiting

Cause: the count left out instances that had not been heard for 0.6 s, though they hold their jobs until their entry in the store has expired and another takes them over.

Change: the last count of an instance holds until it has ended.

TestPendingCountIncludesSilentHolder failed before (0 instead of 8).

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -272,12 +272,12 @@
 	}
 }
 
-// pendingCount counts the durable jobs of a route that have not started, over all
-// responsive instances.
+// pendingCount counts the durable jobs of a route that have not started, as all instances
+// last told that haven't ended. A silent one still holds its jobs.
 func (i *Instance) pendingCount(route string, now Time) int {
 	n := i.holder.pendingByRoute()[route]
 	for _, p := range i.members.orderedPeers {
-		if p.responsive(now) {
+		if !p.dead {
 			n += p.pending[route]
 		}
 	}
