Test: the run of a lost caller outlives its next submission

Trace (ms; the caller waits at tayside-0, which owns t0):

3600 the caller loses the connection 4002.2 t0 executes a poll with a new lease of one second 4070 the path from tayside-0 to t0 is cut 4080 tayside-0 processes the broken connection; its stops get no answer 4900 the caller submits the job again at carrick-0, which starts it at c0: TWICE (the lease at t0 ends after 5002)

Assumption that fails: members.echoedAt (members.go) returns now for this instance, so that wantedAt counts each of its own calls as wanted while the broken connection waits to be noticed. The lease may last 1.02 s from a renewal, a caller comes back after 1.3 s: 0.28 s are left to notice, to tell the owner and for the last renewal. A peer's echo has the same flaw: it shows that its heartbeats are processed, not the callers' connections.

--- a/internal/fleet/fleetsim/twice_test.go
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -96,3 +96,24 @@
 	w.Run(4 * time.Second)
 	checkInvariants(t, w)
 }
+
+// TestRunOfLostCallerOutlivesResubmission lets an instance notice half a second late
+// that a caller has gone, while it can't reach the server that runs the job. Until then
+// it has renewed the lease, which ends after the caller has submitted the job again.
+func TestRunOfLostCallerOutlivesResubmission(t *testing.T) {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", defaultWeight)
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	servers := w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0")
+	w.Run(settleTime)
+	spec, work := w.longJob(1)
+	j := w.SubmitUntilAnswered("tayside-0", spec, work)
+	w.Run(600 * time.Millisecond)
+	const notice = 480 * time.Millisecond
+	w.LoseCaller(j, notice)
+	w.Run(notice - 10*time.Millisecond)
+	w.CutServer("tayside-0", servers[0], false, 5*time.Second)
+	w.Run(4 * time.Second)
+	checkInvariants(t, w)
+}
