Test: a resumed owner starts the job of an old offer

Trace (ms; the call is at fife-0, owners tayside-0 of t0 and carrick-0 of c0 and c1):

3200 tayside-0 is frozen 3210 fife-0 offers the job to tayside-0; the offer waits unread 3220 fife-0 is frozen and its caller loses the connection 4520 the caller submits the job again at carrick-0, which starts it at c1 4600 tayside-0 resumes (pause of 1.44 s) and reads the offer, which is on a link that nobody has replaced; nothing starts until 4700 4710 tayside-0 starts the job at t0, lease end 4075 (465 ms hence): TWICE 5060 tayside-0 counts fife-0 as lost and stops the run; the next poll raises the lease end to 4978, see TestStopOfUnwantedRunRenewsItsLease

Assumptions that fail, both in instance.go: handlePause sets echoedAt of every peer to 450 ms ago (echoTimeout/2), so that wantedAt takes jobs for wanted 450 ms ago whose origin was last known to be in touch 1.5 s ago; that passes maxWantedAge (700 ms). handleOffer takes an offer for as old as its sender said when it was sent (Age), however long it waited: offers carry no sign of the time of sending, like the echo of a heartbeat.

--- a/internal/fleet/fleetsim/twice_test.go
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -117,3 +117,28 @@
 	w.Run(4 * time.Second)
 	checkInvariants(t, w)
 }
+
+// TestResumedOwnerStartsOldOffer freezes an owner just before a job is offered to it, and
+// the instance with the call just after. The owner reads the offer when it resumes; by
+// then the caller has submitted the job again, and it runs elsewhere.
+func TestResumedOwnerStartsOldOffer(t *testing.T) {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", defaultWeight)
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	w.AddInstance("fife-0", "fife", defaultWeight) // owns no server
+	w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0", "c1")
+	w.Run(settleTime)
+	other, work := w.longJob(1)
+	w.SubmitUntilAnswered("carrick-0", other, work) // the larger share of free capacity is at tayside-0
+	w.Run(200 * time.Millisecond)
+	w.Freeze("tayside-0", 1400*time.Millisecond)
+	w.Run(10 * time.Millisecond)
+	spec, work := w.longJob(1)
+	j := w.SubmitUntilAnswered("fife-0", spec, work)
+	w.Run(10 * time.Millisecond)
+	w.Freeze("fife-0", 5*time.Second)
+	w.LoseCaller(j, 0)
+	w.Run(3 * time.Second)
+	checkInvariants(t, w)
+}
