Test: random worlds with pauses, cuts and late orders after crashes

Two tests of random worlds in which a task runs twice at the same time, beside the fixed worlds with one cause each.

--- a/internal/fleet/fleetsim/troubles_test.go
+++ b/internal/fleet/fleetsim/troubles_test.go
@@ -185,8 +185,7 @@
 // TestTaskRunsOnceUnderMixedTroubles plays mixes of troubles that the contract with the
 // servers and the platform allows.
 func TestTaskRunsOnceUnderMixedTroubles(t *testing.T) {
-	const seeds = 3
-	for _, names := range [][]string{
+	playMixes(t, 3, [][]string{
 		{"callers lost", "late orders"},
 		{"callers lost", "servers unresponsive", "instances slow"},
 		{"callers lost", "servers crash", "servers cut off"},
@@ -194,8 +193,33 @@
 		{"instances killed", "late orders", "instances isolated from the store"},
 		{"instances lose power", "owners cut off from their servers", "store down"},
 		{"instances isolated", "instances slow"},
-	} {
-		for seed := range uint64(seeds) {
+	})
+}
+
+// TestTaskRunsOnceAfterFreezesAndCuts plays mixes with instances that resume after a
+// pause or whose messages don't arrive.
+func TestTaskRunsOnceAfterFreezesAndCuts(t *testing.T) {
+	playMixes(t, 24, [][]string{
+		{"instances frozen"},
+		{"callers lost", "instances frozen"},
+		{"instances frozen", "instances slow"},
+		{"links cut one way", "servers unresponsive"},
+	})
+}
+
+// TestTaskRunsOnceAfterCrashesWithLateOrders plays mixes with orders that the next life
+// of a server carries out.
+func TestTaskRunsOnceAfterCrashesWithLateOrders(t *testing.T) {
+	playMixes(t, 8, [][]string{
+		{"servers crash", "late starts"},
+		{"servers crash and start at once", "late orders"},
+	})
+}
+
+// playMixes plays each mix of troubles with several seeds.
+func playMixes(t *testing.T, seeds uint64, mixes [][]string) {
+	for _, names := range mixes {
+		for seed := range seeds {
 			t.Run(fmt.Sprintf("%s, seed %d", strings.Join(names, ", "), seed), func(t *testing.T) {
 				t.Parallel()
 				checkInvariants(t, playTroubles(seed, namedTroubles(names...)...))
