Withdraw the call of a lost owner that is answered at once

A call whose owner was lost and that had too little time left was answered without a withdrawal. An owner that was lost only for a moment went on, while the caller submitted the job again 1.3 s later.

--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -350,11 +350,11 @@
 			continue
 		}
 		had = true
+		rt.withdraw(c, now)
 		if c.job.Durable || runsEnd.Add(c.job.CriticalPath()) > c.job.Deadline() {
 			rt.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
 		}
-		rt.withdraw(c, now)
 		rt.effect(LogEntry{Kind: LogJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: runsEnd.Sub(now)})
 		c.owner, c.reofferAt = Member{}, max(runsEnd, now)
 	}
