An instance that lags behind its callers offers and echoes nothing

An instance resumed after 2.1 s and offered a job 120 ms later whose caller had long gone, as the closed connection was read 50 ms after that; the job ran elsewhere by then. And a slow one echoed its owners' heartbeats at once while the ends of its callers' connections waited, so that the owners renewed those jobs' leases.

Change: while the input processed last is older than 0.25 s, calls wait and heartbeats and offers repeat the last echo. The limit is what a caller's 1.3 s leave beside the longest lease.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -488,7 +488,7 @@
 func (i *Instance) sendHeartbeat(p *peer, now Time) {
 	p.heartbeatSentAt = now
 	hb := Heartbeat{
-		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: p.remoteSentAt,
+		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: i.members.echoFor(p, now),
 		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(),
 	}
 	if p.everHeard {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -85,6 +85,23 @@
 	return now.Add(-echoTimeout) // it is gone, and its jobs will be cancelled soon
 }
 
+// maxInputAge is how far an instance may lag behind its input without a run outlasting
+// the time after which its caller submits the job again: 1.3 s, less the longest lease on
+// a slow clock.
+const maxInputAge = 250 * time.Millisecond
+
+// inputLags reports whether callers may have left that this instance doesn't know of. It
+// then offers no jobs, and echoes nothing that would make others take its calls for wanted.
+func (m *members) inputLags(now Time) bool { return m.inputAt != 0 && now.Sub(m.inputAt) > maxInputAge }
+
+// echoFor returns the echo to send to a peer.
+func (m *members) echoFor(p *peer, now Time) Time {
+	if !m.inputLags(now) {
+		p.echoSent = p.remoteSentAt
+	}
+	return p.echoSent
+}
+
 // wantedAt returns when a job was last known to be wanted: by the instance that offered
 // it and, if that is only the owner that queues it, by the one that holds its call.
 // The former may be too slow to report the loss of the latter.
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -123,7 +123,7 @@
 	spec.Steps = []StepSpec{t.step.spec}
 	spec.Steps[0].Count, spec.Steps[0].DependsOn = 1, nil
 	to.offloadSentMilli += float64(t.step.spec.Need.CPUMilli)
-	p.effect(SendPeer{To: to.member, Message: Offer{Call: id, Job: spec, Age: now.Sub(spec.ReceivedAt), Echo: to.remoteSentAt}})
+	p.effect(SendPeer{To: to.member, Message: Offer{Call: id, Job: spec, Age: now.Sub(spec.ReceivedAt), Echo: p.members.echoFor(to, now)}})
 }
 
 // newOffloadedJob returns the job for a task offloaded by another owner.
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -24,6 +24,7 @@
 	echoedAt         Time          // send time of the last heartbeat that the peer has processed
 	graceFrom        Time          // counts as such a time for its loss, after a pause of this instance; not for leases
 	remoteSentAt     Time          // send time of its last heartbeat, on its clock
+	echoSent         Time          // last echo sent to it
 	remoteReceiveAge time.Duration // time since it last heard from this instance
 	loads            []Load
 	pending          map[string]int // durable jobs not started, by route
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -140,7 +140,7 @@
 // route offers a job to the owner that can start it immediately, else to the queue
 // owner.
 func (rt *router) route(c *call, now Time) {
-	if now < rt.noOffersUntil {
+	if now < rt.noOffersUntil || rt.members.inputLags(now) {
 		rt.deferCall(c)
 		return
 	}
@@ -258,7 +258,7 @@
 	l := o.load
 	l.FreeMilli = max(0, l.FreeMilli-c.job.initialDemand())
 	o.peer.setLoad(l)
-	rt.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, AllowQueue: c.allowQueue, Echo: o.peer.remoteSentAt}})
+	rt.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, AllowQueue: c.allowQueue, Echo: rt.members.echoFor(o.peer, now)}})
 }
 
 func (rt *router) clearOffer(c *call) {
