--- a/internal/fleet/review_test.go
+++ b/internal/fleet/review_test.go
@@ -43,7 +43,7 @@
 	owner := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
 	i.Step(now, LinkUp{Peer: owner})
 	i.Step(now, PeerMessage{From: owner, ReceivedAt: now, Message: Heartbeat{
-		SentAt: now, Echo: now, Busy: true, Loads: []Load{{Service: "svc", Servers: 1, FreeMilli: 90000, CapacityMilli: 90000}},
+		SentAt: now, Echo: now, Busy: true, Loads: []Load{{Service: "svc", Servers: 1, CapacityMilli: 4000}}, // full
 	}})
 	spec := reviewJob("j1", now)
 	c := &call{id: 1, offer: 9, job: spec, owner: owner, tried: []model.Instance{"n2"}}
