Leases that an earlier owner has granted bound starts, too

Until the first poll reply the server's lease is unknown; from there it counts as long as the earlier owner's may be.

--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -103,6 +103,7 @@
 		return
 	}
 	s := newServer(e, o, p.speeds.forServer(e))
+	s.unknownLease = p.leaseFor(0) // granted by the earlier owner
 	p.servers[e.ID] = s
 	p.orderedServers = append(p.orderedServers, s)
 	slices.SortFunc(p.orderedServers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
@@ -128,6 +129,7 @@
 		return
 	}
 	s.ownership, s.phase, s.nextPollAt = o, phaseRecovering, now
+	s.unknownLease = max(s.unknownLease, p.leaseFor(0))
 	p.logOwned(o)
 	p.pollNow(s, now)
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -27,7 +27,9 @@
 func (p *pool) handleRestart(s *server, bootMs int64, now Time) {
 	p.effect(LogEntry{Kind: LogServerReborn, Server: s.entry.ID, Value: uint64(bootMs), Count: len(s.runs)})
 	s.bootMs, s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = bootMs, 0, 0, 0, 0
-	s.restartedAt, s.leaseUnknown = now, true
+	// Lease ends by the clock of the earlier life are far ahead; the new one shortens them
+	// to the longest lease.
+	s.restartedAt, s.unknownLease = now, p.lease
 	clear(s.heldSeqs)
 	s.clock = remoteClock{}
 	s.leaving = leaving{bootMs: bootMs}
@@ -324,7 +326,7 @@
 		s.bootMs = e.BootMs
 	}
 	p.recordReply(s, e.ClockMs, now)
-	s.learnLease(now, p.lease)
+	s.learnLease(now)
 	p.refuteLosses(s, now)
 	if e.Draining && s.leaving.report(true, e.BootMs, e.ClockMs) {
 		p.logLeaving(s, listSource{way: wayPoll}, 0)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -115,10 +115,12 @@
 
 	polledCapacity polledCapacity
 
-	clock        remoteClock
-	leaseEndMs   int64 // latest lease end sent, on the server's clock
-	restartedAt  Time  // when the last restart was noticed, 0 if none was
-	leaseUnknown bool  // orders sent before the restart was noticed may have granted leases since
+	clock       remoteClock
+	leaseEndMs  int64 // latest lease end sent, on the server's clock
+	restartedAt Time  // when the last restart was noticed, 0 if none was
+	// unknownLease is how long a lease may be that the server has granted on orders of
+	// others or in a life whose clock isn't known yet, 0 if there is none.
+	unknownLease time.Duration
 	bootMs       int64
 	seenSeq      int64          // highest end processed
 	ackedSeq     int64          // highest end acknowledged by an answered poll
@@ -224,16 +226,15 @@
 
 // leasesExpired reports whether all leases sent to the server have certainly expired.
 func (s *server) leasesExpired(now Time) bool {
-	return s.clock.known && !s.leaseUnknown && s.clock.now(now) >= s.leaseEndMs
+	return s.clock.known && s.unknownLease == 0 && s.clock.now(now) >= s.leaseEndMs
 }
 
-// learnLease bounds the leases that a restarted server may have granted before its first
-// poll reply: lease ends sent by the clock of its earlier life are far ahead, and it
-// shortens them to the longest lease.
-func (s *server) learnLease(now Time, lease time.Duration) {
-	if s.leaseUnknown && s.clock.known {
-		s.leaseUnknown = false
-		s.extendLease(now, lease)
+// learnLease bounds the leases that the server may have granted before its first poll
+// reply.
+func (s *server) learnLease(now Time) {
+	if s.unknownLease > 0 && s.clock.known {
+		s.extendLease(now, s.unknownLease)
+		s.unknownLease = 0
 	}
 }
 
