--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -208,6 +208,7 @@
 		}
 	}
 	i.pool.expireJobs(now)
+	i.holder.handlePause(now)
 }
 
 // maintainPeersAndServers responds to a change of members or servers without waiting
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// handlePause stops the runs of durable jobs until the store has confirmed the jobs, if
+// another instance may have taken them over during the pause.
+func (h *holder) handlePause(now Time) {
+	if now.Sub(h.renewedAt) <= holdWithoutRenewal {
+		return
+	}
+	for _, x := range h.sortedJobs() {
+		if x.job != nil && !x.job.done {
+			x.verified = false
+			h.pool.interrupt(x.job, now)
+			h.save(x)
+		}
+	}
+}
+
 func certaintyReason(uncertain bool) string {
 	if uncertain {
 		return "runs are stopped"
