Given-up owners are named again on new links, and to oneself

If the link to the member that ran an offloaded task was replaced meanwhile, the message was lost, and the next link's heartbeats were echoed all the same. And the instance with the call itself still took tasks that the owner offloaded to it.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -253,6 +253,7 @@
 	for _, p := range i.members.detectLost(now) {
 		runsEnd := p.lastActiveAt(now).Add(i.pool.orphanRunTime)
 		if i.router.handleOwnerLost(p.member, runsEnd, now) {
+			i.members.gaveUpHere[p.member.Instance] = givenUpOwner{p.member, now}
 			i.withdrawOffloadsOf(p.member)
 		}
 		i.pool.handleTargetLost(p.member, runsEnd, now)
@@ -355,6 +356,9 @@
 	p.linkedAt, p.heardAt, p.remoteReceiveAge = now, now, 0
 	p.offloadSentMilli, p.offloadAckedMilli, p.listForwarded = 0, 0, 0
 	i.sendResync(p, false)
+	for _, owner := range i.members.recentlyGivenUp(now) { // the message may be lost with the previous link
+		i.effects = append(i.effects, SendPeer{To: p.member, Message: Withdraw{Owner: owner}})
+	}
 	for _, o := range i.pool.recent {
 		if o.key.origin == p.member.Instance && o.key.incarnation == p.member.Incarnation {
 			i.effects = append(i.effects, SendPeer{To: p.member, Message: Outcome{Call: o.key.call, Result: o.result, Attempt: o.attempt}})
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,8 +52,9 @@
 	storeUp      bool
 	busy         bool // this instance has servers or jobs
 	hasServers   bool
-	listed       bool // the store has listed the members at least once
-	inputAt      Time // up to which this instance has processed its own input, 0 if never reported
+	listed       bool                            // the store has listed the members at least once
+	gaveUpHere   map[model.Instance]givenUpOwner // owners that this instance has given up
+	inputAt      Time                            // up to which this instance has processed its own input, 0 if never reported
 	peers        map[model.Instance]*peer
 	orderedPeers []*peer // sorted by name
 	// replaced holds earlier incarnations whose loss has not been handled yet.
@@ -64,6 +66,7 @@
 func newMembers(self Member, effect func(Effect)) *members {
 	return &members{
 		self: self, effect: effect, peers: map[model.Instance]*peer{}, cells: cells{1}, otherCells: map[model.Instance]otherCellMember{},
+		gaveUpHere: map[model.Instance]givenUpOwner{},
 	}
 }
 
@@ -126,12 +129,26 @@
 	if t == nil {
 		return false
 	}
-	home := m.peers[t.Home.Instance]
-	if home == nil {
-		return false
+	gaveUp := m.gaveUpHere
+	if t.Home.Instance != m.self.Instance {
+		home := m.peers[t.Home.Instance]
+		if home == nil {
+			return false
+		}
+		gaveUp = home.gaveUp
+	}
+	x, ok := gaveUp[owner.Instance]
+	return ok && x.owner.sameIncarnation(owner) && now.Sub(x.at) < givenUpTime
+}
+
+// recentlyGivenUp returns the owners that this instance has lately given up, in order.
+func (m *members) recentlyGivenUp(now Time) (out []Member) {
+	for _, i := range slices.Sorted(maps.Keys(m.gaveUpHere)) {
+		if x := m.gaveUpHere[i]; now.Sub(x.at) < givenUpTime {
+			out = append(out, x.owner)
+		}
 	}
-	x, ok := home.gaveUp[owner.Instance]
-	return ok && x.incarnation == owner.Incarnation && now.Sub(x.at) < givenUpTime
+	return out
 }
 
 // addPeer returns the peer for a member, replacing that of an earlier incarnation. It
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -49,10 +49,10 @@
 	expiryHandled                                             bool
 }
 
-// givenUpOwner is an owner on whose runs a peer no longer counts.
+// givenUpOwner is an owner on whose runs an instance no longer counts.
 type givenUpOwner struct {
-	incarnation model.Incarnation
-	at          Time // when the peer told
+	owner Member
+	at    Time // when the peer told
 }
 
 // giveUp records that the peer has given up an owner.
@@ -60,7 +60,7 @@
 	if p.gaveUp == nil {
 		p.gaveUp = map[model.Instance]givenUpOwner{}
 	}
-	p.gaveUp[owner.Instance] = givenUpOwner{owner.Incarnation, now}
+	p.gaveUp[owner.Instance] = givenUpOwner{owner, now}
 }
 
 // responsive reports whether the peer was heard from recently.
