A job submitted again at the same instance replaces its call

It offered the second call to another owner at once, while the first one's runs went on. Now the first call is withdrawn, and the second waits until its runs have ended.

--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -129,14 +129,42 @@
 // handleSubmitted accepts a job from a caller.
 func (rt *router) handleSubmitted(e JobSubmitted, now Time) {
 	c := &call{id: e.Call, job: e.Job}
+	earlier := rt.callOf(e.Job.ID)
 	rt.calls[c.id] = c
 	if !rt.owners.fitsSomeServer(&c.job) {
 		rt.finish(c, Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: minRetryAfter})
 		return
 	}
+	if earlier != nil && !c.job.Durable {
+		rt.replaceCall(earlier, c, now)
+		return
+	}
 	rt.route(c, now)
 }
 
+// callOf returns the open call with a job, nil if there is none.
+func (rt *router) callOf(job string) *call {
+	for _, c := range rt.calls {
+		if c.job.ID == job {
+			return c
+		}
+	}
+	return nil
+}
+
+// replaceCall ends an earlier call with the same job, whose caller has gone without this
+// instance having noticed. The new call waits until runs of the earlier one have ended.
+func (rt *router) replaceCall(earlier, c *call, now Time) {
+	if earlier.owner.Instance != "" || earlier.mayHaveRun {
+		c.reofferAt = now.Add(rt.pool.orphanRunTime)
+	}
+	rt.withdraw(earlier, now)
+	rt.finish(earlier, Result{Kind: Unknown, Reason: ReasonResubmitted})
+	if c.reofferAt == 0 {
+		rt.route(c, now)
+	}
+}
+
 // route offers a job to the owner that can start it immediately, else to the queue
 // owner.
 func (rt *router) route(c *call, now Time) {
