An instance's incarnation rises with each start, whatever the clock says

Of its seven peers one logs the new life, edge-seeb-2, which started at 11.5 itself. The last peer of edge-ruwi-2 logs its life after 19.7 s, when the old one is forgotten. Until then they ignore its messages and take it for ended: its servers and durable jobs are free to be taken while it runs (by reading).

Cause: the incarnation was the wall clock at the start, and members, owners, takeover and links take the later one in that order for the later life.

Change: the number of a start is recorded in the store, under a condition, before the incarnation is used: above the recorded one and not below the clock. One read and one write a start; 256 records that instances share by a hash of their names, so that nothing piles up as machines are replaced. The store has a second to answer. Without it the clock decides as before, the log says so (start-unrecorded), and the number is recorded once the store answers, for the next life. The fraction of a second in the number tells apart lives of which none could write. Weighed: a lease for a record of each instance (renewals, and it may expire while the store is down), and numbers from member entries and ownerships (an instance without servers whose entry has expired has neither).

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -40,7 +40,7 @@
 	debug.SetGCPercent(gcPercent)
 	logs, closeLogs := node.LogWriter(stdout)
 	defer closeLogs()
-	n, err := node.New(s, logs)
+	n, err := node.New(ctx, s, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -106,6 +106,7 @@
 	RunStarted        = info(8035, "run-started", "start of a task that was started before, or whose job was submitted before")
 	RunEnded          = info(8036, "run-ended", "run stopped or expired, or gone after its job had ended")
 	TaskDelayed       = info(8037, "task-delayed", "tasks wait until runs that may exist have certainly ended")
+	StartUnrecorded   = warn(8038, "start-unrecorded", "store has not recorded this start in time; others may take this incarnation for outdated if the clock was set back")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,36 +42,35 @@
 	done   chan struct{} // closed when the loop has ended
 	input  *inputProbe
 	ready  readiness
+
+	unrecorded *startRecord // nil if the store has recorded the start
 }
 
 // eventQueueLength is how many events may be queued for the reducer before senders block.
 const eventQueueLength = 1024
 
-// New returns a node. It writes structured logs to logs.
-func New(s platform.Settings, logs io.Writer) (*Node, error) {
+// New returns a node, after it has recorded its start in the store or has given that up
+// for now. It writes structured logs to logs.
+func New(ctx context.Context, s platform.Settings, logs io.Writer) (*Node, error) {
 	log, err := eventlog.New(logs, "info")
 	if err != nil {
 		return nil, err
 	}
-	self := fleet.Member{
-		Instance: s.Instance, Incarnation: newIncarnation(time.Now()), Domain: s.Domain,
-		Addr: s.AdvertisedAddr, Weight: s.CPUCores,
-	}
 	n := &Node{
-		settings: s, self: self,
-		log:     log.ForInstance(self.Instance, self.Domain, self.Incarnation),
-		metrics: metrics.NewFleet(),
-		servers: platform.NewServers(),
-		config:  &configHolder{},
-		events:  make(chan fleet.Event, eventQueueLength),
-		done:    make(chan struct{}),
+		settings: s,
+		self:     fleet.Member{Instance: s.Instance, Domain: s.Domain, Addr: s.AdvertisedAddr, Weight: s.CPUCores},
+		metrics:  metrics.NewFleet(),
+		servers:  platform.NewServers(),
+		config:   &configHolder{},
+		events:   make(chan fleet.Event, eventQueueLength),
+		done:     make(chan struct{}),
 	}
-	n.limitedLog = newLimitedLog(n.log, n.metrics)
 	n.callers = newCallerHandler(n)
 	n.store = newStoreSync(n)
+	n.identify(ctx, log)
 	n.jobs = newJobStore(n)
 	n.mesh = mesh.New(mesh.Options{
-		Self:         self,
+		Self:         n.self,
 		Dial:         platform.NewDialer().DialContext,
 		OnConnect:    func(e fleet.LinkUp) { n.post(e) },
 		OnDisconnect: func(e fleet.LinkDown) { n.post(e) },
@@ -82,9 +80,19 @@
 	return n, nil
 }
 
-// newIncarnation identifies a run of the process; later ones sort after earlier ones.
-func newIncarnation(start time.Time) model.Incarnation {
-	return model.Incarnation(fmt.Sprintf("%016x", start.UnixNano()))
+// identify chooses the incarnation, which all logs name.
+func (n *Node) identify(ctx context.Context, log *eventlog.Log) {
+	unnamed := newLimitedLog(log.ForInstance(n.self.Instance, n.self.Domain, ""), n.metrics)
+	start := &startRecord{instance: n.self.Instance, startedAt: time.Now(), store: n.store.store, log: unnamed}
+	incarnation, err := start.next(ctx)
+	n.self.Incarnation = incarnation
+	n.log = log.ForInstance(n.self.Instance, n.self.Domain, incarnation)
+	n.limitedLog = newLimitedLog(n.log, n.metrics)
+	if err != nil {
+		n.log.Event(eventlog.StartUnrecorded).AnErr("cause", err).Send()
+		start.log = n.limitedLog
+		n.unrecorded = start
+	}
 }
 
 // post queues an event for the reducer.
@@ -127,6 +135,9 @@
 	n.spawn(n.input.run)
 	n.spawn(func() { n.store.run(running) })
 	n.spawn(func() { n.jobs.run(running) })
+	if r := n.unrecorded; r != nil {
+		n.spawn(func() { r.keep(running) })
+	}
 	n.spawn(func() { n.reload(running, hangups) })
 	loop := newLoop(n, running)
 	stopped := make(chan struct{})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -159,7 +159,7 @@
 
 func (s *site) addInstance(name string) {
 	peerAddr := ownAddr()
-	n, err := New(platform.Settings{
+	n, err := New(s.t.Context(), platform.Settings{
 		Instance: model.Instance(name), Domain: "d1", Host: "127.0.0.1",
 		CallerAddr: ownAddr(), ReadyAddr: ownAddr(), PeerAddr: peerAddr, AdvertisedAddr: peerAddr, MetricsAddr: ownAddr(),
 		CPUCores: 0.4, Store: platform.StoreSettings{Addr: s.addr, MinLeaseTTL: time.Second},
