A backend server that restarts with its clock set back counts as restarted

Its owner took each reply for a late one of an earlier life and ignored it for good: runs that are gone stay on the books, the server is not used, and its announcement that it leaves is ignored. An entry with a boot time ahead of the server's did the same.

Cause: boot times were taken for the order of lives. The protocol says that they tell lives apart and are the time of the start; clocks step back.

Change: a life that answers a call sent since another life is known has followed it, whatever the boot times, as lives of one server don't overlap. A reply to a call in flight at that time may come from either life; there the higher boot time counts as before, except that of the life just replaced. Entries of the life just replaced say nothing of leaving and show no restart.

TestReplyOfEarlierBootIgnored gave its reply a sending time after the restart had been seen, which an answer of the earlier life can't have. It now takes a poll sent before, as its comment says; the checks are the same.

--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -193,7 +193,7 @@
 // releaseEnds allows ends to be acknowledged.
 func (h *holder) releaseEnds(ends []heldEnd) {
 	for _, e := range ends {
-		if s := h.pool.servers[e.server]; s != nil && s.bootMs == e.bootMs {
+		if s := h.pool.servers[e.server]; s != nil && s.life.bootMs == e.bootMs {
 			delete(s.heldSeqs, e.seq)
 		}
 	}
@@ -235,7 +235,7 @@
 	if len(x.unsavedEnds) == 0 {
 		x.dirtySince = now
 	}
-	x.unsavedEnds = append(x.unsavedEnds, heldEnd{s.entry.ID, s.bootMs, e.Seq})
+	x.unsavedEnds = append(x.unsavedEnds, heldEnd{s.entry.ID, s.life.bootMs, e.Seq})
 }
 
 // recordResult records the result of a job.
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -25,8 +25,3 @@
 	*l = leaving{announced, bootMs, clockMs}
 	return began
 }
-
-// reportEntry records the server's entry in the store.
-func (l *leaving) reportEntry(e ServerEntry) (began bool) {
-	return l.report(e.State == ServerDraining, e.BootMs, e.ReportedAtMs)
-}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -145,11 +145,11 @@
 			}
 			continue
 		}
-		if e.Addr != s.entry.Addr || e.BootMs != s.entry.BootMs && s.bootMs != 0 && e.BootMs > s.bootMs {
+		if s.restarted(e) {
 			p.handleRestart(s, e.BootMs, now)
 		}
 		s.entry = e
-		if s.leaving.reportEntry(e) {
+		if s.reportEntry() {
 			p.logLeaving(s, list.source, s.reportAge(now))
 		}
 	}
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -49,13 +49,14 @@
 func TestReplyOfEarlierBootIgnored(t *testing.T) {
 	i, now := oneServer(t, 500)
 	i.Step(now, StoreStatus{Up: false})
+	early := pollReply(now, 500)     // answered before the restart
 	i.Step(now, pollReply(now, 600)) // restarted
 	now = now.Add(10 * time.Millisecond)
 	run := startOne(t, i, now)
 	now = now.Add(10 * time.Millisecond)
-	i.Step(now, pollReply(now, 500)) // sent before the restart
-	if s := i.pool.servers["s1"]; s.bootMs != 600 || s.runs[run] == nil {
-		t.Errorf("boot time %d, run %v", s.bootMs, s.runs[run])
+	i.Step(now, early)
+	if s := i.pool.servers["s1"]; s.life.bootMs != 600 || s.runs[run] == nil {
+		t.Errorf("boot time %d, run %v", s.life.bootMs, s.runs[run])
 	}
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -25,7 +25,8 @@
 // before the restart was noticed.
 func (p *pool) handleRestart(s *server, bootMs int64, now Time) {
 	p.effect(LogEntry{Kind: LogServerReborn, Server: s.entry.ID, Value: uint64(bootMs), Count: len(s.runs)})
-	s.bootMs, s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = bootMs, 0, 0, 0, 0
+	s.life = s.life.next(bootMs, now)
+	s.seenSeq, s.ackedSeq, s.leaseEndMs, s.quiesceUntil = 0, 0, 0, 0
 	s.restartedAt, s.leaseUnknown = now, true
 	clear(s.heldSeqs)
 	s.clock = remoteClock{}
@@ -38,7 +39,7 @@
 func (p *pool) startTask(t *task, s *server, now Time) {
 	t.attempt++
 	r := &run{
-		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.bootMs, fence: s.ownership.Token(), sentAt: now,
+		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.life.bootMs, fence: s.ownership.Token(), sentAt: now,
 		expected: s.speed.expect(t.step.spec.Estimate),
 	}
 	t.job.starts++
@@ -175,8 +176,8 @@
 // requeueAbsentRun frees a run that a poll doesn't list.
 func (p *pool) requeueAbsentRun(s *server, r *run, now Time) {
 	over := RunRecord{Conclusion: ConcludedAbsent}
-	if r.bootMs != s.bootMs && !r.foreign {
-		over = RunRecord{Conclusion: ConcludedRestarted, NowBootMs: s.bootMs}
+	if r.bootMs != s.life.bootMs && !r.foreign {
+		over = RunRecord{Conclusion: ConcludedRestarted, NowBootMs: s.life.bootMs}
 	}
 	p.requeueRun(s, r, over, now)
 }
@@ -288,15 +289,14 @@
 		s.nextPollAt = now.Add(pollRetryInterval)
 		return
 	}
-	if e.BootMs != 0 && e.BootMs < s.bootMs {
+	switch order := s.life.order(e.BootMs, e.SentAt); {
+	case order == earlierLife:
 		p.poll(s, now) // a reply from before the restart, overtaken by a later one
 		return
-	}
-	if e.BootMs > s.bootMs {
-		if s.bootMs != 0 {
-			p.handleRestart(s, e.BootMs, now)
-		}
-		s.bootMs = e.BootMs
+	case order == laterLife && s.life.bootMs != 0:
+		p.handleRestart(s, e.BootMs, now)
+	case order == laterLife:
+		s.learnLife(e.BootMs, now)
 	}
 	p.recordReply(s, e.ClockMs, now)
 	s.learnLease(now, p.lease)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -113,7 +113,7 @@
 	leaseEndMs   int64 // latest lease end sent, on the server's clock
 	restartedAt  Time  // when the last restart was noticed, 0 if none was
 	leaseUnknown bool  // orders sent before the restart was noticed may have granted leases since
-	bootMs       int64
+	life         life
 	seenSeq      int64          // highest end processed
 	ackedSeq     int64          // highest end acknowledged by an answered poll
 	heldSeqs     map[int64]bool // ends that must not be acknowledged yet
@@ -132,7 +132,7 @@
 
 func newServer(e ServerEntry, ownership Ownership, speed *speedModel) *server {
 	s := &server{entry: e, ownership: ownership, speed: speed, listed: true, runs: map[RunID]*run{}, heldSeqs: map[int64]bool{}}
-	s.leaving.reportEntry(e)
+	s.reportEntry()
 	return s
 }
 
