--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -31,7 +31,8 @@
 // incarnation, and answered after the entry was written.
 func (s *server) polledCapacityCounts() bool {
 	p := &s.polledCapacity
-	return p.known && p.bootMs == s.bootMs && s.entry.BootMs <= p.bootMs && p.clockMs >= s.entry.ReportedAtMs
+	former := s.entry.BootMs != 0 && s.entry.BootMs == s.life.formerMs
+	return p.known && p.bootMs == s.life.bootMs && (former || s.entry.BootMs <= p.bootMs && p.clockMs >= s.entry.ReportedAtMs)
 }
 
 // capacityUnsettled reports whether the last poll and the list differ. Polls go on until
--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -28,6 +28,9 @@
 		now = now.Add(time.Millisecond)
 		e := pollReply(now, boot)
 		e.ClockMs, e.Poll.Fence = clockMs, i.pool.servers["s1"].ownership.Token()
+		if life := i.pool.servers["s1"].life; boot == life.formerMs {
+			e.SentAt = life.knownAt.Add(-time.Millisecond) // or it would show a later life
+		}
 		if milli > 0 {
 			c := cpu(milli)
 			e.Capacity = &c
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -120,7 +120,7 @@
 
 // recordLoss records that a run was lost with its server, unless that was leaving.
 func (p *pool) recordLoss(s *server, r *run, now Time) {
-	restarted := s.bootMs > r.bootMs
+	restarted := s.life.bootMs != r.bootMs
 	if s.leaving.announced || !restarted && s.misses == 0 {
 		return
 	}
@@ -181,7 +181,7 @@
 // refuteLosses settles the losses of a server that answers and has not restarted.
 func (p *pool) refuteLosses(s *server, now Time) {
 	p.settleEach(now, func(l ServerLoss) lossVerdict {
-		if l.Server == s.entry.ID && l.BootMs == s.bootMs {
+		if l.Server == s.entry.ID && l.BootMs == s.life.bootMs {
 			return lossRefuted
 		}
 		return lossUnknown
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -121,7 +121,7 @@
 	// unknownLease is how long a lease may be that the server has granted on orders of
 	// others or in a life whose clock isn't known yet, 0 if there is none.
 	unknownLease time.Duration
-	bootMs       int64
+	life         life
 	seenSeq      int64          // highest end processed
 	ackedSeq     int64          // highest end acknowledged by an answered poll
 	heldSeqs     map[int64]bool // ends that must not be acknowledged yet
@@ -142,7 +142,7 @@
 
 func newServer(e ServerEntry, ownership Ownership, speed *speedModel) *server {
 	s := &server{entry: e, ownership: ownership, speed: speed, listed: true, runs: map[RunID]*run{}, heldSeqs: map[int64]bool{}}
-	s.leaving.reportEntry(e)
+	s.reportEntry()
 	return s
 }
 
