--- a/internal/fleet/fleetsim/twice_test.go
+++ b/internal/fleet/fleetsim/twice_test.go
@@ -73,9 +73,10 @@
 	checkInvariants(t, w)
 }
 
-// TestOffloadedTaskOutlivesItsOwner lets an owner offload a task and then lose the
-// instance with the call, which runs the job again at the very owner that has the task.
-func TestOffloadedTaskOutlivesItsOwner(t *testing.T) {
+// playLostOwner lets an owner offload a task to a third instance, and then cuts its
+// messages to the instance with the call and, 0.75 s later, to the third one. meanwhile is
+// called once after a while.
+func playLostOwner(after time.Duration, meanwhile func(w *World)) *World {
 	w := New(1)
 	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
 	w.AddInstance("carrick-0", "carrick", defaultWeight)
@@ -91,10 +92,28 @@
 	w.Run(300 * time.Millisecond)
 	const cut = 5 * time.Second
 	w.CutPeer("tayside-0", "fife-0", cut)
+	w.After(after, func() { meanwhile(w) })
 	w.Run(750 * time.Millisecond)
 	w.CutPeer("tayside-0", "carrick-0", cut)
 	w.Run(4 * time.Second)
-	checkInvariants(t, w)
+	return w
+}
+
+// TestOffloadedTaskOutlivesItsOwner lets an owner offload a task and then lose the
+// instance with the call, which runs the job again at the very owner that has the task.
+func TestOffloadedTaskOutlivesItsOwner(t *testing.T) {
+	checkInvariants(t, playLostOwner(0, func(*World) {}))
+}
+
+// TestGivenUpOwnersOffloadOutlivesReplacedLink also replaces the link on which the third
+// instance is told that the owner was given up, at about that time.
+func TestGivenUpOwnersOffloadOutlivesReplacedLink(t *testing.T) {
+	for at := 440 * time.Millisecond; at <= 540*time.Millisecond; at += 2 * time.Millisecond {
+		w := playLostOwner(at, func(w *World) { w.connect(w.instance("fife-0"), w.instance("carrick-0")) })
+		for _, v := range w.Violations {
+			t.Errorf("link replaced %v after the cut: %s", at, v)
+		}
+	}
 }
 
 // TestRunOfLostCallerOutlivesResubmission lets an instance notice half a second late
@@ -142,3 +161,26 @@
 	w.Run(3 * time.Second)
 	checkInvariants(t, w)
 }
+
+// TestSlowInputOfCallsAtOtherOwners loses the caller of a job at an instance that notices
+// late, while another instance owns the server that runs it, or the same one.
+func TestSlowInputOfCallsAtOtherOwners(t *testing.T) {
+	for _, home := range []string{"fife-0", "tayside-0"} {
+		t.Run("call at "+home, func(t *testing.T) {
+			w := New(1)
+			w.AddInstance("tayside-0", "tayside", defaultWeight)
+			w.AddInstance("carrick-0", "carrick", defaultWeight)
+			w.AddInstance("fife-0", "fife", defaultWeight) // owns no server
+			w.addServers("tayside", "t0")
+			w.Run(settleTime)
+			spec, work := w.longJob(1)
+			j := w.SubmitUntilAnswered(model.Instance(home), spec, work)
+			w.Run(100 * time.Millisecond)
+			w.addServers("carrick", "c0")
+			w.Run(400 * time.Millisecond)
+			w.LoseCaller(j, 1700*time.Millisecond)
+			w.Run(4 * time.Second)
+			checkInvariants(t, w)
+		})
+	}
+}
--- a/internal/fleet/review_test.go
+++ b/internal/fleet/wanted_test.go
@@ -7,7 +7,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
-func reviewJob(id string, now Time) JobSpec {
+func oneTaskJob(id string, now Time) JobSpec {
 	return JobSpec{
 		ID: id, Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: now, Objective: Objective{Allowance: time.Minute},
 		Steps: []StepSpec{{Count: 1, Need: model.Resources{CPUMilli: 1000}, Estimate: time.Second}},
@@ -45,7 +45,7 @@
 	i.Step(now, PeerMessage{From: owner, ReceivedAt: now, Message: Heartbeat{
 		SentAt: now, Echo: now, Busy: true, Loads: []Load{{Service: "svc", Servers: 1, CapacityMilli: 4000}}, // full
 	}})
-	spec := reviewJob("j1", now)
+	spec := oneTaskJob("j1", now)
 	c := &call{id: 1, offer: 9, job: spec, owner: owner, tried: []model.Instance{"n2"}}
 	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
 	effects := i.Step(now, JobSubmitted{Call: 2, Job: spec})
@@ -91,7 +91,7 @@
 	i.Step(now, MembersListed{Members: []Member{i.opts.Self, owner, third}})
 	i.Step(now, LinkUp{Peer: owner})
 	i.Step(now, LinkUp{Peer: third})
-	c := &call{id: 1, offer: 9, job: reviewJob("j1", now), owner: owner, tried: []model.Instance{"n2"}}
+	c := &call{id: 1, offer: 9, job: oneTaskJob("j1", now), owner: owner, tried: []model.Instance{"n2"}}
 	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
 	told := false
 	note := func(effects []Effect) {
@@ -122,7 +122,7 @@
 	i, now := oneServer(t, 500)
 	owner := Member{Instance: "n2", Incarnation: "01", Domain: "d", Weight: 1}
 	i.Step(now, LinkUp{Peer: owner})
-	spec := reviewJob("j1", now)
+	spec := oneTaskJob("j1", now)
 	c := &call{id: 1, offer: 9, job: spec, owner: owner, tried: []model.Instance{"n2"}}
 	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
 	for i.router.calls[1].reofferAt == 0 {
@@ -144,7 +144,7 @@
 	i.Step(now, MembersListed{Members: []Member{i.opts.Self, other}})
 	i.Step(now, LinkUp{Peer: other})
 	i.Step(now, MembershipRenewed{SentAt: now})
-	spec := reviewJob("j1", now)
+	spec := oneTaskJob("j1", now)
 	spec.Durable = true
 	saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
 	start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
