--- a/internal/node/inputprobe.go
+++ b/internal/node/inputprobe.go
@@ -38,8 +38,11 @@
 	}
 	p.earlierAt, p.sentAt = p.sentAt, now
 	p.inFlight.Store(true)
-	_, err := p.writer.Write([]byte{0})
-	return errors.Wrap(err, "write to the input probe")
+	if _, err := p.writer.Write([]byte{0}); err != nil {
+		p.inFlight.Store(false)
+		return errors.Wrap(err, "write to the input probe")
+	}
+	return nil
 }
 
 // run reports arrived bytes until the probe is closed. It reports the time of the byte
