--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -119,3 +119,28 @@
 		t.Errorf("%v starts under a lease to %d, want at most %d", s.Run, lease, w.limit())
 	}
 }
+
+// TestSuspectStartsUnderLongerLease leaves a server empty whose lease was renewed for a
+// local job just before. A task that runs alone must not start there under it either.
+func TestSuspectStartsUnderLongerLease(t *testing.T) {
+	w := newLeaseWorld(t)
+	w.hear(300 * time.Millisecond)
+	run := startOne(t, w.i, w.now)
+	w.hear(100 * time.Millisecond)
+	reply := pollReply(w.now, 500, ActiveRun{Run: run})
+	reply.ClockMs = w.serverClock(w.now)
+	w.i.Step(w.now, reply) // renews the lease
+	reply.Running, reply.Ended = nil, []EndedRun{{Seq: 1, Run: run, Kind: EndDone}}
+	w.i.Step(w.now, reply)
+	if _, ok := w.offer(1000); ok {
+		t.Fatal("the task starts before it is a suspect")
+	}
+	st := w.i.pool.queue[0].steps[0]
+	st.queued[0].losses = []ServerLoss{{Server: "s0", Crashed: true}}
+	st.suspects, st.queued = st.queued, nil
+	for range 4 {
+		if n := count[StartRun](w.i.Step(w.now, Tick{})); n > 0 {
+			t.Fatalf("the suspect starts under a lease to %d, want at most %d", w.i.pool.servers["s1"].leaseEndMs, w.limit())
+		}
+	}
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -79,7 +79,8 @@
 		if s == nil {
 			s = p.reserveServer(t, now)
 		}
-		if s == nil || len(s.runs) > 0 {
+		wantedAge := now.Sub(p.members.wantedAt(t.job, now))
+		if s == nil || len(s.runs) > 0 || p.leaseOutlasts(s, wantedAge, now) {
 			continue
 		}
 		i := slices.Index(st.suspects, t)
