A job whose servers were only cut off isn't called failed

Its task had lost two servers, one of them alone; they were cut off and restarted behind the cut.

Cause: a loose job is given up after two lost servers, known crashes or not, and its result was that of a task that crashes servers.

Change: without two known crashes the result is unknown, as for any other job that may have run; the caller may submit it again.

TestJobOnServersCutOffIsNotFailed: with the earlier result, the first two cases fail.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -75,6 +75,21 @@
 	return len(t.losses) >= lossesToAbandon && alone > 0 || len(t.losses) >= maxLooseLosses
 }
 
+// verdict returns the result of a hopeless task's job. A server that was only cut off is
+// no reason to call the job failed, so that needs known crashes.
+func (t *task) verdict() Result {
+	crashed := 0
+	for _, l := range t.losses {
+		if l.Crashed {
+			crashed++
+		}
+	}
+	if crashed < crashesToFail {
+		return Result{Kind: Unknown, Reason: ReasonCrashes}
+	}
+	return Result{Kind: Failed, Reason: ReasonCrashes}
+}
+
 // mayRetry reports whether a suspect may start again. The losses of a durable job's task
 // must be stored, so that the next holder knows all but the last.
 func (t *task) mayRetry(now Time) bool {
@@ -230,7 +245,7 @@
 func (p *pool) reconsider(t *task, now Time) {
 	if t.hopeless() {
 		p.effect(LogEntry{Kind: LogTaskGivenUp, Run: RunID{t.id, t.attempt}, Count: len(t.losses)})
-		p.endJob(t.job, Result{Kind: Failed, Reason: ReasonCrashes}, now)
+		p.endJob(t.job, t.verdict(), now)
 		return
 	}
 	if i := slices.Index(t.step.suspects, t); i >= 0 && !t.suspect() {
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -332,3 +332,17 @@
 		t.Errorf("%d suspects after the takeover, %d of them unsettled, want 2", suspects, len(next.pool.unsettled))
 	}
 }
+
+// TestJobOnServersCutOffIsNotFailed gives up the task of a loose job: its caller is told
+// that the job has failed only if the servers are known to have crashed.
+func TestJobOnServersCutOffIsNotFailed(t *testing.T) {
+	for crashed, want := range []ResultKind{Unknown, Unknown, Failed} {
+		tk := &task{job: &job{}, losses: losses(2, 2, crashed)}
+		if !tk.hopeless() {
+			t.Fatalf("%d crashed: not given up", crashed)
+		}
+		if got := tk.verdict(); got.Kind != want || got.Reason != ReasonCrashes {
+			t.Errorf("%d crashed: %v %s, want %v", crashed, got.Kind, got.Reason, want)
+		}
+	}
+}
