One count of the servers lost under a task

hopeless and verdict counted known crashes each for itself, and a job that is taken over spelled out the verdict of a hopeless task. No decision changes: a hopeless task of a stored job always has two known crashes.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -57,10 +57,9 @@
 	return slices.ContainsFunc(t.losses, func(l ServerLoss) bool { return !l.Crashed })
 }
 
-// hopeless reports whether so many servers were lost under a task that its job ends. A
-// durable job needs known crashes, as its caller can't submit it again.
-func (t *task) hopeless() bool {
-	crashed, alone := 0, 0
+// countLosses counts the servers under the task that are known to have crashed, and those
+// lost with it alone.
+func (t *task) countLosses() (crashed, alone int) {
 	for _, l := range t.losses {
 		if l.Alone {
 			alone++
@@ -69,6 +68,13 @@
 			crashed++
 		}
 	}
+	return crashed, alone
+}
+
+// hopeless reports whether so many servers were lost under a task that its job ends. A
+// durable job needs known crashes, as its caller can't submit it again.
+func (t *task) hopeless() bool {
+	crashed, alone := t.countLosses()
 	if t.job.spec.Durable {
 		return len(t.losses) >= lossesToFail && alone >= aloneToFail && crashed >= crashesToFail || crashed >= maxLosses
 	}
@@ -78,13 +84,7 @@
 // verdict returns the result of a hopeless task's job. A server that was only cut off is
 // no reason to call the job failed, so that needs known crashes.
 func (t *task) verdict() Result {
-	crashed := 0
-	for _, l := range t.losses {
-		if l.Crashed {
-			crashed++
-		}
-	}
-	if crashed < crashesToFail {
+	if crashed, _ := t.countLosses(); crashed < crashesToFail {
 		return Result{Kind: Unknown, Reason: ReasonCrashes}
 	}
 	return Result{Kind: Failed, Reason: ReasonCrashes}
--- a/internal/fleet/durable.go
+++ b/internal/fleet/durable.go
@@ -105,7 +105,7 @@
 			case t.failures >= j.spec.MaxAttempts:
 				return Result{Kind: Failed, Reason: ReasonAttempts}, true
 			case t.hopeless():
-				return Result{Kind: Failed, Reason: ReasonCrashes}, true
+				return t.verdict(), true
 			}
 		}
 	}
