--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -40,6 +43,18 @@
 	return ofA, ofB
 }
 
+// twoZones starts two instances, and minions of kinds a and b in their zones. It returns the
+// instances and the minions of kind b in the first zone.
+func (t *test) twoZones(a1, b1, a2, b2 int) (first, second *node, ofB []*minion) {
+	first, second = t.instance("edge-muttrah-1", "muttrah"), t.instance("edge-seeb-1", "seeb")
+	_, ofB = t.zoneOf(first.zone, a1, b1)
+	t.zoneOf(second.zone, a2, b2)
+	t.must(first.up())
+	t.must(second.up())
+	t.awaitReady(first, second)
+	return first, second, ofB
+}
+
 // runningOn returns the minion that runs a task of a job, nil if there is none.
 func (t *test) runningOn(id string) *minion {
 	for _, m := range t.minions {
@@ -146,13 +161,7 @@
 // scaleIn: the only minion of a kind in a zone leaves, as planned, while others of its kind are idle elsewhere.
 func scaleIn(t *test) {
 	const id = "5c0e7a21d94b36f8"
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	_, ofB := t.zoneOf("muttrah", 5, 1)
-	t.zoneOf("seeb", 0, 6)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
+	a, b, ofB := t.twoZones(5, 1, 0, 6)
 	t.submit(a, id, job(4000,
 		step{Count: 1, CPU: 1000, MemMB: 64, EstMs: 4000, Requires: "a"},
 		step{Count: 1, CPU: 1000, MemMB: 64, EstMs: 4000, Requires: "b", After: []int{0}}))
@@ -166,13 +175,7 @@
 // trial: a minion fails what it starts for some seconds; the first job that it gets after that is cancelled.
 func trial(t *test) {
 	const first, cancelled, last = "00000000000000a%d", "5c0e7a21d94b36f7", "5c0e7a21d94b36f8"
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	_, ofB := t.zoneOf("muttrah", 5, 1)
-	t.zoneOf("seeb", 6, 0)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
+	a, b, ofB := t.twoZones(5, 1, 6, 0)
 	one := step{Count: 1, CPU: 1000, MemMB: 64, EstMs: 100, Requires: "b"}
 	if t.trouble {
 		ofB[0].setFailing(true)
@@ -201,54 +204,10 @@
 	t.judgeLost([]*node{a, b}, last)
 }
 
-// crashes: a minion crashes three times under a job.
-func crashes(t *test) {
-	const id = "5c0e7a21d94b36f8"
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	t.zoneOf("muttrah", 5, 1)
-	t.zoneOf("seeb", 6, 0)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
-	t.submit(a, id, job(2000, step{Count: 1, CPU: 1000, MemMB: 64, EstMs: 2000, Requires: "b"}))
-	if t.trouble {
-		for range 3 {
-			m := t.awaitRun(id, 15*time.Second)
-			time.Sleep(700 * time.Millisecond)
-			m.crash()
-			time.Sleep(3 * time.Second)
-			t.must(m.up())
-		}
-	}
-	var s answer
-	until(25*time.Second, func() bool {
-		time.Sleep(500 * time.Millisecond)
-		s = t.state(b, id)
-		return s.state == "completed" || s.state == "failed" || s.state == "cancelled"
-	})
-	failed := 0
-	for _, r := range t.runsOf(id) {
-		if r.how == "failed" {
-			failed++
-		}
-	}
-	if s.state == "failed" || s.state == "cancelled" {
-		t.verdict(failed < attempts, "LOST: job %s is shown as %q; %d of its runs have ended failed, %d attempts are configured", id, s.state, failed, attempts)
-	}
-	t.verdict(false, "job %s is shown as %q", id, s.state)
-}
-
 // suspect: a minion crashes under ten short jobs, and starts again 3 s later.
 func suspect(t *test) {
 	const jobs, ms = 60, 4000
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	t.zoneOf("muttrah", 6, 0)
-	t.zoneOf("seeb", 6, 0)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
+	a, b, _ := t.twoZones(6, 0, 6, 0)
 	var ids []string
 	for i := range jobs {
 		ids = append(ids, fmt.Sprintf("5c0e7a21d94b3%03x", i))
@@ -267,12 +226,7 @@
 func (t *test) judgeAll(asked *node, ids []string, milli int) {
 	t.log("the traffic has ended; jobs are asked for in %v", finish)
 	time.Sleep(finish)
-	open := map[string]bool{}
-	for _, id := range ids {
-		if t.state(asked, id).state != "completed" {
-			open[id] = true
-		}
-	}
+	open := t.openJobs(asked, ids)
 	share := 0.0 // the largest share of the capacity in use meanwhile
 	for end := time.Now().Add(stuck); time.Now().Before(end) && len(open) > 0; time.Sleep(10 * time.Millisecond) {
 		share = max(share, t.usedShare(milli))
@@ -282,16 +236,29 @@
 			}
 		}
 	}
-	lost := 0
-	for id := range open {
-		if s := t.state(asked, id).state; s != "completed" {
-			lost++
-		}
-	}
+	lost := len(t.openJobs(asked, slices.Collect(maps.Keys(open))))
 	t.verdict(lost > 0 && share < 0.5, "(LOST) %v after the end of the traffic, %d of %d jobs aren't completed and had nothing running for %v, with %.0f%% of the capacity in use",
 		finish, lost, len(ids), stuck, 100*share)
 }
 
+// openJobs asks for the states of jobs, all at once, and returns those that aren't completed.
+func (t *test) openJobs(asked *node, ids []string) map[string]bool {
+	open := map[string]bool{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, id := range ids {
+		all.Go(func() {
+			if t.state(asked, id).state != "completed" {
+				mu.Lock()
+				defer mu.Unlock()
+				open[id] = true
+			}
+		})
+	}
+	all.Wait()
+	return open
+}
+
 // busiest returns the minion with the most runs.
 func (t *test) busiest() *minion {
 	best, most := t.minions[0], 0
@@ -334,13 +301,7 @@
 // kind: a minion crashes and starts again at once, under its id but as a minion of another kind.
 func kind(t *test) {
 	const jobs, ms = 12, 1000
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	_, ofB := t.zoneOf("muttrah", 4, 2)
-	t.zoneOf("seeb", 6, 0)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
+	a, _, ofB := t.twoZones(4, 2, 6, 0)
 	for i := range jobs {
 		t.submit(a, fmt.Sprintf("5c0e7a21d94b3%03x", i), job(ms, step{Count: 1, CPU: 16000, MemMB: 64, EstMs: ms, Requires: "b"}))
 	}
@@ -371,13 +332,7 @@
 // pending: the instance that holds queued jobs is killed.
 func pending(t *test) {
 	const full, waiting, jobs = "5c0e7a21d94b36f7", "00000000000000b%d", 8
-	a := t.instance("edge-muttrah-1", "muttrah")
-	b := t.instance("edge-seeb-1", "seeb")
-	t.zoneOf("muttrah", 5, 1)
-	t.zoneOf("seeb", 6, 0)
-	t.must(a.up())
-	t.must(b.up())
-	t.awaitReady(a, b)
+	a, b, _ := t.twoZones(5, 1, 6, 0)
 	all := step{Count: 1, CPU: 16000, MemMB: 64, EstMs: 20000, Requires: "b"}
 	t.submit(a, full, job(20000, all))
 	t.awaitRun(full, 3*time.Second)
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -13,7 +13,6 @@
 	"two-holders": twoHolders,
 	"scale-in":    scaleIn,
 	"trial":       trial,
-	"crashes":     crashes,
 	"suspect":     suspect,
 	"pending":     pending,
 	"kind":        kind,
--- a/review/kit/minion.go
+++ b/review/kit/minion.go
@@ -240,29 +240,38 @@
 	l.leaseMs = max(l.leaseMs, min(endMs, l.clock(time.Now())+maxHold.Milliseconds()))
 }
 
+// admit refuses calls with a fencing token that is too low, and those to a life that is over.
+// The caller holds mu.
+func (m *minion) admit(l *life, c minionCall, now time.Time) (status int, out map[string]any, refused bool) {
+	m.settle(l, now)
+	if l.over {
+		return 0, nil, true
+	}
+	if c.Fence < l.fence {
+		status, out = reply(l, http.StatusConflict, "fence")
+		return status, out, true
+	}
+	l.fence = c.Fence
+	return 0, nil, false
+}
+
 func (m *minion) start(l *life, c minionCall) (int, map[string]any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.settle(l, now)
+	if status, out, refused := m.admit(l, c, now); refused {
+		return status, out
+	}
 	switch {
-	case l.over:
-		return 0, nil
-	case c.Fence < l.fence:
-		return reply(l, http.StatusConflict, "fence")
 	case l.runs[runKey(c.Task, c.Attempt)] != nil:
-		l.fence = c.Fence
 		l.extend(c.DeadlineMs)
 		return reply(l, http.StatusOK, "")
 	case l.highest[c.Task] >= c.Attempt:
-		l.fence = c.Fence
 		l.extend(c.DeadlineMs)
 		return reply(l, http.StatusConflict, "old")
 	case c.DeadlineMs <= l.clock(now):
-		l.fence = c.Fence
 		return reply(l, http.StatusConflict, "late")
 	}
-	l.fence = c.Fence
 	var s taskSpec
 	if json.Unmarshal([]byte(c.Spec), &s) != nil {
 		return reply(l, http.StatusBadRequest, "spec")
@@ -281,14 +290,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.settle(l, now)
-	switch {
-	case l.over:
-		return 0, nil
-	case c.Fence < l.fence:
-		return reply(l, http.StatusConflict, "fence")
+	if status, out, refused := m.admit(l, c, now); refused {
+		return status, out
 	}
-	l.fence = c.Fence
 	l.highest[c.Task] = max(l.highest[c.Task], c.Attempt)
 	if r := l.runs[runKey(c.Task, c.Attempt)]; r != nil && !r.stopping {
 		r.stopping, r.endAt, r.how = true, now.Add(stopTime), "stopped"
@@ -302,14 +306,9 @@
 func (m *minion) hold(l *life, c minionCall) (int, map[string]any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.settle(l, time.Now())
-	switch {
-	case l.over:
-		return 0, nil
-	case c.Fence < l.fence:
-		return reply(l, http.StatusConflict, "fence")
+	if status, out, refused := m.admit(l, c, time.Now()); refused {
+		return status, out
 	}
-	l.fence = c.Fence
 	kept := l.ended[:0:0]
 	for _, e := range l.ended {
 		if e[0].(int) > c.LastSeen {
