A newcomer asks the members about a holder that it has never heard

The store turns the holder of a job away while its peers hear it. An instance that is added meanwhile ran the task a second time, 1.1 s after it had read the job, beside the first run.

Cause: "never seen, and not listed although the store answers" counted as ended (members.incarnationEnded; expired added nothing for such a member). The store alone can't tell: the holder's entry expires, or is taken away, while it acts because all members that it knows hear it. The newcomer isn't among them, and nobody told it.

Ruled out: a member that was heard before and is silent now. The holder needs that member to hear it and stops. Late lists: the scan reads the members after the jobs.

Change: heartbeats carry inquiries about incarnations that the sender has never heard, and reports of what the receiver knows of them. Such a holder is taken for ended if a member found it so, or if all listed members report that they don't hear it, for 10 s. One that is heard becomes a member, is dialed and is then judged like any other. The holder's side: without the store it goes on only if it or a member that hears it has renewed its entry within 7 s, so that one can speak for it or nobody can act in the store.

The simulation gains instances that dial only whom they know, and entries that the store drops.

--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -320,7 +320,7 @@
 
 	next, _, now := fewServers(t, 9)
 	stored.Holder, stored.Incarnation, stored.Revision = "n9", "01", 1
-	next.holder.takeOver(stored, now)
+	next.holder.takeOver(stored, endSilent, now)
 	next.holder.handleSaved(JobSaved{ID: "j1", Revision: 2}, now)
 	suspects := 0
 	for _, d := range next.pool.delayed {
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -434,16 +434,19 @@
 // Heartbeat reports that a member is alive and the load of its backend servers.
 type Heartbeat struct {
 	Leaving         bool
-	StoreUp         bool          // the sender reaches the store
-	Busy            bool          // the sender has servers or jobs and needs frequent heartbeats
-	Loads           []Load        // one per service
-	ConfigVersion   uint64        // in force at the sender
-	LastReceivedAge time.Duration // since the sender last received a message from the receiver
-	SentAt          Time          // on the sender's clock
-	Echo            Time          // SentAt of the receiver's last Heartbeat that the sender has processed, 0 if none
-	OffloadedMilli  float64       // milli-cores of offloaded tasks received from the receiver on the current link
-	DurableInUse    bool          // some durable job exists in the fleet
-	Pending         []RouteCount  // durable jobs of the sender that have not started
+	StoreUp         bool           // the sender reaches the store
+	Busy            bool           // the sender has servers or jobs and needs frequent heartbeats
+	Loads           []Load         // one per service
+	ConfigVersion   uint64         // in force at the sender
+	LastReceivedAge time.Duration  // since the sender last received a message from the receiver
+	SentAt          Time           // on the sender's clock
+	Echo            Time           // SentAt of the receiver's last Heartbeat that the sender has processed, 0 if none
+	OffloadedMilli  float64        // milli-cores of offloaded tasks received from the receiver on the current link
+	DurableInUse    bool           // some durable job exists in the fleet
+	Pending         []RouteCount   // durable jobs of the sender that have not started
+	RenewedAt       Time           // last renewal of the sender's entry in the store, on its clock; 0 if unknown
+	Inquiries       []Member       // incarnations whose presence the sender asks for
+	Reports         []MemberReport // answers to the receiver's last Inquiries
 }
 
 // RouteCount is the number of jobs of a route.
--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -19,8 +19,18 @@
 	lastArrivalAt fleet.Time          // arrival of the last message; messages stay in order
 	inbox         []fleet.PeerMessage // received, not read yet
 	lastSentAt    fleet.Time
+	dialed        bool // the instance maintains it
 }
 
+// hangUp ends the connection and the attempts to establish it.
+func (l *simLink) hangUp() {
+	l.serial++
+	l.up, l.dialed = false, false
+}
+
+// dials reports whether an instance maintains its link to another.
+func (n *simInstance) dials(o *simInstance) bool { return n.linkTo(o).dialed }
+
 func (n *simInstance) linkTo(o *simInstance) *simLink {
 	l := n.links[o.member.Instance]
 	if l == nil {
@@ -35,7 +45,7 @@
 func (w *World) connect(a, b *simInstance) {
 	l := a.linkTo(b)
 	l.serial++
-	l.up = false
+	l.up, l.dialed = false, true
 	l.lastArrivalAt = 0
 	serial := l.serial
 	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
--- /dev/null
+++ b/internal/fleet/fleetsim/newcomer_test.go
@@ -0,0 +1,135 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// holderWorld starts an instance that holds a durable job of one task, which runs on one
+// of its servers, and others beside it.
+func holderWorld(others ...model.Instance) (w *World, holder model.Instance) {
+	w, holder = New(1), "seeb-1"
+	w.DialListed = true
+	w.AddInstance(holder, "seeb", defaultWeight)
+	for _, o := range others {
+		w.AddInstance(o, "muttrah", defaultWeight)
+	}
+	for _, d := range []model.Domain{"muttrah", "seeb", "ruwi"} {
+		for i := range 4 {
+			w.addServers(d, model.ServerID(fmt.Sprintf("%s-s%d", d, i)))
+		}
+	}
+	w.Run(settleTime)
+	spec, _ := w.longJob(1)
+	spec.Durable = true
+	w.Submit(holder, spec)
+	w.Run(time.Second)
+	return w, holder
+}
+
+// TestNewcomerTakesJobOfHolderWithoutStore adds an instance while the store turns a holder
+// away that its peers hear. The newcomer doesn't know it, and ran its job a second time.
+func TestNewcomerTakesJobOfHolderWithoutStore(t *testing.T) {
+	const away = 9 * time.Second
+	for _, revoked := range []bool{false, true} {
+		for _, domain := range []model.Domain{"ruwi", "seeb"} {
+			for i := range 10 { // the names decide who would take over
+				name := model.Instance(fmt.Sprintf("%s-%d", domain, i+2))
+				t.Run(fmt.Sprintf("revoked %v, added %s", revoked, name), func(t *testing.T) {
+					w, holder := holderWorld("muttrah-1", "muttrah-2")
+					w.IsolateFromStore(holder, away)
+					after := 2500 * time.Millisecond
+					if revoked {
+						w.RemoveEntry(holder)
+						after = 300 * time.Millisecond
+					}
+					w.Run(after)
+					w.AddInstance(name, domain, defaultWeight)
+					w.Run(25 * time.Second)
+					checkInvariants(t, w)
+					checkDurable(t, w)
+				})
+			}
+		}
+	}
+}
+
+// TestNewcomerTakesJobThatNobodyVouchesFor adds instances that can't learn of a holder
+// without the store, as it is alone or the store turns its peers away as well. It has to
+// stop before they take over.
+func TestNewcomerTakesJobThatNobodyVouchesFor(t *testing.T) {
+	const away = 25 * time.Second
+	for name, others := range map[string][]model.Instance{"alone": nil, "peers turned away": {"muttrah-1", "muttrah-2"}} {
+		for _, added := range [][]model.Instance{{"ruwi-1"}, {"ruwi-1", "ruwi-2"}} {
+			t.Run(fmt.Sprintf("%s, %d added", name, len(added)), func(t *testing.T) {
+				w, holder := holderWorld(others...)
+				w.TurnAway(away, append(others, holder)...)
+				w.Run(300 * time.Millisecond)
+				for _, x := range added {
+					w.AddInstance(x, "ruwi", defaultWeight)
+				}
+				w.Run(50 * time.Second)
+				checkInvariants(t, w)
+				checkDurable(t, w)
+			})
+		}
+	}
+}
+
+// TestNewcomerTakesJobOfHolderWithNewPeers replaces the peers of a holder that the store
+// turns away, before an instance is added.
+func TestNewcomerTakesJobOfHolderWithNewPeers(t *testing.T) {
+	w, holder := holderWorld("muttrah-1", "muttrah-2")
+	w.TurnAway(15*time.Second, holder)
+	for _, x := range []model.Instance{"muttrah-1", "muttrah-2"} {
+		w.Run(300 * time.Millisecond)
+		w.Start(x)
+	}
+	w.Run(300 * time.Millisecond)
+	w.AddInstance("ruwi-1", "ruwi", defaultWeight)
+	w.Run(35 * time.Second)
+	checkInvariants(t, w)
+	checkDurable(t, w)
+}
+
+// TestJobTakenOverDespiteNewcomer ends a holder around the time at which an instance is
+// added. Its job must start again within the time in which a deployment has to recover.
+func TestJobTakenOverDespiteNewcomer(t *testing.T) {
+	const bound = 12 * time.Second
+	for name, end := range map[string]func(*World, model.Instance){"killed": (*World).Kill, "without power": (*World).PowerOff} {
+		for _, turnedAway := range []bool{false, true} {
+			for _, before := range []time.Duration{-time.Second, 0, 2 * time.Second} {
+				t.Run(fmt.Sprintf("%s, turned away %v, added %v later", name, turnedAway, before), func(t *testing.T) {
+					w, holder := holderWorld("muttrah-1", "muttrah-2")
+					if turnedAway {
+						w.TurnAway(time.Minute, holder)
+					}
+					if before < 0 {
+						w.AddInstance("ruwi-1", "ruwi", defaultWeight)
+						w.Run(-before)
+					}
+					end(w, holder)
+					ended := w.Now()
+					w.After(max(0, before), func() {
+						if before >= 0 {
+							w.AddInstance("ruwi-1", "ruwi", defaultWeight)
+						}
+					})
+					var startedAt fleet.Time
+					w.onStart = func(*Server, fleet.RunID) { startedAt = w.Now() }
+					w.Run(35 * time.Second)
+					t.Logf("started again %v after the loss", startedAt.Sub(ended))
+					if startedAt == 0 || startedAt.Sub(ended) > bound {
+						t.Errorf("started again %v after the loss, want %v", startedAt.Sub(ended), bound)
+					}
+					checkInvariants(t, w)
+					checkDurable(t, w)
+				})
+			}
+		}
+	}
+}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -53,6 +53,8 @@
 	WakeTime      time.Duration // in which an instance takes what has arrived while it was frozen
 	NoticeTime    time.Duration // in which an instance that runs notices that a caller's connection is broken
 
+	DialListed bool // instances connect only to members that they know of
+
 	ReplaceCrashed bool // servers that a run has crashed come back under another ID
 
 	store   *jobStore
@@ -185,14 +187,22 @@
 	n.renewedAt = w.now
 	n.calls, n.readCalls, n.lostCalls = map[fleet.CallID]*JobRecord{}, map[fleet.CallID]bool{}, map[fleet.CallID]fleet.Time{}
 	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
+	if w.DialListed {
+		for _, l := range n.links {
+			l.hangUp()
+		}
+	}
 	incarnation := n.incarnation
 	w.After(storeDelay, func() { w.syncStore(n, incarnation) })
 	w.After(10*time.Millisecond, func() { w.tick(n, incarnation) })
 	w.watchEntries(n)
 	for _, o := range w.instances {
+		known := o.dials(n)
 		o.linkTo(n).inbox = nil
-		if o != n && o.alive {
+		if o != n && o.alive && !w.DialListed {
 			w.connect(n, o)
+		}
+		if o != n && o.alive && (known || !w.DialListed) {
 			w.connect(o, n)
 		}
 	}
@@ -386,6 +396,14 @@
 		if x.Kind == fleet.LogServerQuarantined {
 			w.quarantines++
 		}
+	case fleet.Connect:
+		if o := w.instance(x.Peer.Instance); w.DialListed && !n.dials(o) {
+			w.connect(n, o)
+		}
+	case fleet.Disconnect:
+		if w.DialListed {
+			n.linkTo(w.instance(x.Peer.Instance)).hangUp()
+		}
 	case fleet.Reconnect:
 		w.connect(n, w.instance(x.Peer.Instance))
 	case fleet.Answer:
@@ -527,6 +545,19 @@
 	w.After(d, func() { n.storeIsolated = false })
 }
 
+// TurnAway separates instances from the store for d, which drops their entries at once.
+func (w *World) TurnAway(d time.Duration, names ...model.Instance) {
+	for _, name := range names {
+		w.IsolateFromStore(name, d)
+		w.RemoveEntry(name)
+	}
+}
+
+// RemoveEntry removes the entry of an instance from the store.
+func (w *World) RemoveEntry(name model.Instance) {
+	w.instance(name).renewedAt = w.now.Add(-memberTTL)
+}
+
 // StoreDown makes the store unavailable for d.
 func (w *World) StoreDown(d time.Duration) {
 	w.storeUp = false
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -169,7 +169,7 @@
 	for _, e := range ends {
 		h.pool.quiesce(e.server, now)
 	}
-	if current != nil && current.State == StateOpen && h.isOrphan(*current, now) {
+	if current != nil && current.State == StateOpen && h.orphaned(*current, now) != notEnded {
 		h.scheduleScan(now.Add(conflictScanDelay), true) // the writer may be alive without this instance knowing it yet
 	}
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -158,7 +158,7 @@
 		i.holder.handleCancelled(e.ID, now)
 	case MembershipRenewed:
 		i.servers.handleRenewed(e.SentAt)
-		i.holder.renewedAt = e.SentAt
+		i.members.renewedAt, i.holder.renewedAt = e.SentAt, e.SentAt
 		i.holder.updateCertainty(now)
 	case JobStateRequested:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
@@ -221,6 +221,7 @@
 // maintainPeers handles lost members, sends due heartbeats and replaces quiet links.
 func (i *Instance) maintainPeers(now Time) {
 	i.members.busy, i.members.hasServers = i.busy(), len(i.pool.orderedServers) > 0
+	i.members.dropInquiries(now)
 	i.members.updateActive(now)
 	i.handleLostMembers(now)
 	i.sendHeartbeats(now, false)
@@ -402,6 +403,7 @@
 	case Heartbeat:
 		p.leaving, p.loads, p.offloadAckedMilli, p.configVersion = m.Leaving, m.Loads, m.OffloadedMilli, m.ConfigVersion
 		p.handleHeartbeat(m, e.ReceivedAt, now)
+		i.members.handleReports(p, m.Reports, m.Echo, now)
 		p.updateActive(i.members.busy, now)
 		p.setPending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.DurableInUse
@@ -495,6 +497,7 @@
 	hb := Heartbeat{
 		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: i.members.echoFor(p, now),
 		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(),
+		RenewedAt: i.members.renewedAt, Inquiries: i.members.subjects(), Reports: i.members.reportsFor(p, now),
 	}
 	if p.everHeard {
 		hb.LastReceivedAge = now.Sub(p.heardAt)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -54,6 +54,7 @@
 	hasServers   bool
 	listed       bool                            // the store has listed the members at least once
 	gaveUpHere   map[model.Instance]givenUpOwner // owners that this instance has given up
+	renewedAt    Time                            // last renewal of this instance's entry in the store, 0 if never
 	inputAt      Time                            // up to which this instance has processed its own input, 0 if never reported
 	peers        map[model.Instance]*peer
 	orderedPeers []*peer // sorted by name
@@ -61,6 +62,7 @@
 	replaced   []*peer
 	cells      cells
 	otherCells map[model.Instance]otherCellMember
+	inquiries  []*inquiry
 }
 
 func newMembers(self Member, effect func(Effect)) *members {
@@ -239,9 +241,9 @@
 func (m *members) detectLost(now Time) (lost []*peer) {
 	lost, m.replaced = m.replaced, nil
 	for _, p := range m.orderedPeers {
-		if !p.dead && m.isDead(p, now) {
-			p.dead, p.deadAt = true, now
-			m.effect(LogEntry{Kind: LogMemberDead, Peer: p.member.Instance, Age: now.Sub(p.heardAt), Reason: deathReason(p)})
+		if evidence := m.deathEvidence(p, now); !p.dead && evidence != notEnded {
+			p.dead, p.deadAt, p.deathEvidence = true, now, evidence
+			m.effect(LogEntry{Kind: LogMemberDead, Peer: p.member.Instance, Age: now.Sub(p.heardAt), Reason: string(evidence)})
 		}
 		isLost := p.dead || p.everHeard && (!p.responsive(now) || p.remoteReceiveAge >= p.timeout(now) || !p.fresh(now))
 		if isLost && !p.lossHandled {
@@ -265,22 +267,21 @@
 	})
 }
 
-// isDead reports whether an incarnation of a member must have ended. Silence alone is
-// no proof, as a link may be down, and neither is a missing key, as the store may lose
-// keys.
-func (m *members) isDead(p *peer, now Time) bool {
+// deathEvidence returns on what an incarnation of a member is taken for ended. Silence
+// alone is no proof, as a link may be down, and neither is a missing key, as the store may
+// lose keys.
+func (m *members) deathEvidence(p *peer, now Time) endEvidence {
 	if p.refused && (!p.everHeard || p.heardAt <= p.refusedAt) {
-		return true
+		return endRefused
 	}
 	vanished := m.storeUp && !p.inStore && now.Sub(p.missingSince) > missingTimeout
-	return vanished && !p.responsive(now)
-}
-
-func deathReason(p *peer) string {
-	if p.refused {
-		return "connection refused"
+	switch {
+	case !vanished || p.responsive(now):
+		return notEnded
+	case p.everHeard:
+		return endSilent // it needs this instance to hear it
 	}
-	return "silent and not in the store"
+	return m.unheardEvidence(p.member, missingTimeout, now)
 }
 
 // reconnectQuiet replaces links that may be broken in one direction.
@@ -295,21 +296,37 @@
 	}
 }
 
-// incarnationEnded reports whether an incarnation of an instance is known to have
-// ended.
-func (m *members) incarnationEnded(i model.Instance, incarnation model.Incarnation, now Time) bool {
-	if i == m.self.Instance {
-		return incarnation != m.self.Incarnation
-	}
+// endOf returns on what an incarnation of an instance is taken for ended.
+func (m *members) endOf(i model.Instance, incarnation model.Incarnation, now Time) endEvidence {
 	p := m.peers[i]
-	if p == nil {
-		if o, ok := m.otherCells[i]; ok {
-			return m.storeUp && o.ended(incarnation, now)
-		}
-		// Never seen, and not listed although the store answers.
-		return m.storeUp
+	switch {
+	case i == m.self.Instance && incarnation != m.self.Incarnation, p != nil && p.member.Incarnation > incarnation:
+		return endLaterLife
+	case p != nil && p.member.Incarnation == incarnation && p.dead:
+		return p.deathEvidence
+	case p != nil || i == m.self.Instance:
+		return notEnded
+	case m.inCell(string(i)):
+		return m.unheardEvidence(Member{Instance: i, Incarnation: incarnation}, missingTimeout, now)
+	}
+	return m.endInOtherCell(i, incarnation, now)
+}
+
+// endInOtherCell is endOf for a member of another cell.
+func (m *members) endInOtherCell(i model.Instance, incarnation model.Incarnation, now Time) endEvidence {
+	o, listed := m.otherCells[i]
+	switch {
+	case !listed:
+		return m.unheardEvidence(Member{Instance: i, Incarnation: incarnation}, otherCellTimeout, now)
+	case m.storeUp && o.ended(incarnation, now):
+		return endOtherCell
 	}
-	return p.member.Incarnation > incarnation || p.member.Incarnation == incarnation && p.dead
+	return notEnded
+}
+
+// incarnationEnded reports whether an incarnation of an instance is taken for ended.
+func (m *members) incarnationEnded(i model.Instance, incarnation model.Incarnation, now Time) bool {
+	return m.endOf(i, incarnation, now) != notEnded
 }
 
 // allReachable reports whether all other members that may be alive hear this instance.
@@ -318,21 +335,39 @@
 	return !slices.ContainsFunc(m.orderedPeers, func(p *peer) bool { return (!p.dead || p.inStore) && !p.reachable(now) })
 }
 
-// expired reports whether an incarnation has also lost its durable jobs: the store must
-// have dropped its entry, as the holder relies on that entry to know that nobody takes
-// over its jobs.
-func (m *members) expired(i model.Instance, incarnation model.Incarnation, now Time) bool {
-	if !m.listed || !m.incarnationEnded(i, incarnation, now) {
-		return false
+// lastRenewal returns when an entry in the store was last renewed: that of this instance,
+// or of a member that hears it. Such a member reports this instance to others.
+func (m *members) lastRenewal(now Time) Time {
+	at := m.renewedAt
+	for _, p := range m.orderedPeers {
+		if p.reachable(now) {
+			at = max(at, p.renewedAt)
+		}
 	}
+	return at
+}
+
+// expiry returns on what an incarnation is taken to have lost its durable jobs, too: the
+// store must have dropped its entry, as the holder relies on that entry to know that
+// nobody takes over its jobs. One that nobody has heard may hold on until it stops by
+// itself.
+func (m *members) expiry(i model.Instance, incarnation model.Incarnation, now Time) endEvidence {
+	evidence := m.endOf(i, incarnation, now)
 	p := m.peers[i]
-	return p == nil || p.member.Incarnation > incarnation || m.storeUp && !p.inStore
+	known := p != nil && p.member.Incarnation == incarnation
+	switch {
+	case !m.listed, known && (!m.storeUp || p.inStore):
+		return notEnded
+	case evidence == endUnheard && m.quietTime(Member{Instance: i, Incarnation: incarnation}, now) < unheardHolderTimeout:
+		return notEnded
+	}
+	return evidence
 }
 
 // newlyExpired returns the members that expired since the last call.
 func (m *members) newlyExpired(now Time) (out []*peer) {
 	for _, p := range m.orderedPeers {
-		isExpired := p.dead && m.expired(p.member.Instance, p.member.Incarnation, now)
+		isExpired := p.dead && m.expiry(p.member.Instance, p.member.Incarnation, now) != notEnded
 		if isExpired && !p.expiryHandled {
 			out = append(out, p)
 		}
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -237,8 +237,12 @@
 	var want []Ownership
 	for _, d := range o.domains {
 		for _, id := range o.byDomain[d] {
-			if x := o.known[id]; x.Owner == o.self.Instance && x.Incarnation != o.self.Incarnation {
+			x := o.known[id]
+			switch {
+			case x.Owner == o.self.Instance && x.Incarnation != o.self.Incarnation:
 				want = append(want, x)
+			case x.Owner != "":
+				m.incarnationEnded(x.Owner, x.Incarnation, now) // starts the inquiry about an unknown owner
 			}
 		}
 	}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -19,6 +19,9 @@
 	dead             bool
 	replaced         bool // by a later incarnation
 	deadAt           Time
+	deathEvidence    endEvidence
+	renewedAt        Time     // last renewal of its entry in the store, on this instance's clock; 0 if unknown
+	asks             []Member // incarnations that its last heartbeat asked about
 	leaving          bool
 	configVersion    uint64        // in force at the peer
 	echoedAt         Time          // send time of the last heartbeat that the peer has processed
@@ -113,6 +116,10 @@
 		p.storeDownSince = now
 	}
 	p.remoteSentAt, p.busy, p.storeUp = m.SentAt, m.Busy, m.StoreUp
+	p.asks = m.Inquiries
+	if m.RenewedAt != 0 {
+		p.renewedAt = arrived.Add(-m.SentAt.Sub(m.RenewedAt))
+	}
 	if m.SentAt == 0 {
 		p.echoedAt = now
 	}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -37,6 +37,8 @@
 	Revision    uint64            // in the store, 0 if not stored yet
 }
 
+func (r Record) holder() Member { return Member{Instance: r.Holder, Incarnation: r.Incarnation} }
+
 // SameWrite reports whether two records stem from the same write, so that an instance
 // recognizes its own write after losing the reply.
 func (r Record) SameWrite(o Record) bool {
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -12,6 +12,16 @@
 	// store while a peer can't hear it: less than that peer needs to take over its
 	// jobs.
 	holdWithoutRenewal = 1800 * time.Millisecond
+	// holdInOutage is how long a holder continues after the last renewal of its own entry
+	// or that of a member that hears it: longer than the store is usually away. Until
+	// then such a member tells newcomers of the holder, or none can act in the store.
+	holdInOutage = 7 * time.Second
+	// unheardHolderTimeout is how long a holder that no member hears must be missing:
+	// holdInOutage, and the delays of renewals, lists and reports.
+	unheardHolderTimeout = holdInOutage + 3*time.Second
+	// unheardScanDelay is the time between scans while a job's holder may not have ended
+	// that this instance has never heard.
+	unheardScanDelay = time.Second
 	// scanRetryInterval is the time before a scan is repeated that failed or found jobs
 	// that no instance could run yet.
 	scanRetryInterval = 250 * time.Millisecond
@@ -62,9 +72,11 @@
 }
 
 // updateCertainty stops the runs of durable jobs while another instance may take over:
-// this one's entry in the store may have expired and a peer doesn't hear it.
+// this one's entry in the store may have expired, and a peer doesn't hear it or none can
+// tell a newcomer that it does.
 func (h *holder) updateCertainty(now Time) {
-	uncertain := now.Sub(h.renewedAt) > holdWithoutRenewal && !h.members.allReachable(now)
+	vouched := now.Sub(h.members.lastRenewal(now)) <= holdInOutage && h.members.allReachable(now)
+	uncertain := now.Sub(h.renewedAt) > holdWithoutRenewal && !vouched
 	if uncertain == h.uncertain {
 		return
 	}
@@ -158,20 +170,35 @@
 	for _, m := range e.Members {
 		listed[m.Instance] = m.Incarnation
 	}
+	complete := h.members.knowsAll(e.Members)
 	for _, r := range e.Records {
 		mine := r.Holder == h.self.Instance && r.Incarnation != h.self.Incarnation
 		alive := r.Holder != "" && listed[r.Holder] == r.Incarnation
-		if mine || all && !alive && h.isOrphan(r, now) {
-			h.takeOverOrForward(r, now)
+		if alive || !all && !mine {
+			continue
+		}
+		evidence := h.orphaned(r, now)
+		if evidence == endUnheard && !complete {
+			evidence = notEnded
+		}
+		if evidence != notEnded {
+			h.takeOverOrForward(r, evidence, now)
+		} else if h.awaitsReports(r) {
+			h.scheduleScan(now.Add(unheardScanDelay), true)
 		}
 	}
 }
 
+// awaitsReports reports whether members are asked about the holder of a job.
+func (h *holder) awaitsReports(r Record) bool {
+	return r.Holder != h.self.Instance && h.members.inCell(string(r.Holder)) && !h.members.everHeard(r.holder())
+}
+
 // takeOverOrForward takes over a job that nobody holds, or passes it to an instance
 // whose servers can run it.
-func (h *holder) takeOverOrForward(r Record, now Time) {
+func (h *holder) takeOverOrForward(r Record, evidence endEvidence, now Time) {
 	if h.owners.canServe(h.self, &r.Job) {
-		h.takeOver(r, now)
+		h.takeOver(r, evidence, now)
 		return
 	}
 	if h.nextScanAt == 0 {
@@ -180,20 +207,28 @@
 	h.announceRelease(&r.Job, now)
 }
 
-// isOrphan reports whether nobody holds an open job. Members of other cells can't hear
-// its holder, which may still be running while the store doesn't list it.
-func (h *holder) isOrphan(r Record, now Time) bool {
-	return r.Holder == "" || h.members.inCell(string(r.Holder)) && h.members.expired(r.Holder, r.Incarnation, now)
+// orphaned returns on what nobody is taken to hold an open job. Members of other cells
+// can't hear its holder, which may still be running while the store doesn't list it.
+func (h *holder) orphaned(r Record, now Time) endEvidence {
+	switch {
+	case r.Holder == "":
+		return endReleased
+	case r.Holder == h.self.Instance && r.Incarnation != h.self.Incarnation:
+		return endLaterLife
+	case h.members.inCell(string(r.Holder)):
+		return h.members.expiry(r.Holder, r.Incarnation, now)
+	}
+	return notEnded
 }
 
 // takeOver takes over a job. Its tasks wait until the runs of its previous holder have
 // ended.
-func (h *holder) takeOver(r Record, now Time) {
+func (h *holder) takeOver(r Record, evidence endEvidence, now Time) {
 	if h.jobs[r.ID] != nil || h.leaving {
 		return
 	}
 	h.inUse = true
-	h.effect(LogEntry{Kind: LogJobAdopted, Job: r.ID, Peer: r.Holder, Value: r.Revision})
+	h.effect(LogEntry{Kind: LogJobAdopted, Job: r.ID, Peer: r.Holder, Value: r.Revision, Reason: string(evidence)})
 	x := &durableJob{record: r, progress: map[TaskID]TaskProgress{}}
 	for _, p := range r.Progress {
 		x.progress[TaskID{r.ID, p.Step, p.Index}] = p
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -149,6 +149,13 @@
 	b := &fleetpb.Beat{
 		Leaving: m.Leaving, ConfigVersion: m.ConfigVersion, HeardNs: int64(m.LastReceivedAge), PartsMillicores: m.OffloadedMilli, Keeps: m.DurableInUse,
 		SentAtNs: int64(m.SentAt), EchoNs: int64(m.Echo), Busy: m.Busy, StoreUp: m.StoreUp,
+		RenewedAtNs: int64(m.RenewedAt),
+	}
+	for _, x := range m.Inquiries {
+		b.Inquiries = append(b.Inquiries, memberToPB(x))
+	}
+	for _, r := range m.Reports {
+		b.Reports = append(b.Reports, &fleetpb.MemberReport{Subject: memberToPB(r.Subject), Presence: int32(r.Presence)})
 	}
 	for _, c := range m.Pending {
 		b.Pending = append(b.Pending, &fleetpb.RouteCount{Route: c.Route, Count: int32(c.Count)})
@@ -164,6 +171,13 @@
 		Leaving: b.GetLeaving(), ConfigVersion: b.GetConfigVersion(), LastReceivedAge: time.Duration(b.GetHeardNs()),
 		OffloadedMilli: b.GetPartsMillicores(), DurableInUse: b.GetKeeps(),
 		SentAt: fleet.Time(b.GetSentAtNs()), Echo: fleet.Time(b.GetEchoNs()), Busy: b.GetBusy(), StoreUp: b.GetStoreUp(),
+		RenewedAt: fleet.Time(b.GetRenewedAtNs()),
+	}
+	for _, x := range b.GetInquiries() {
+		m.Inquiries = append(m.Inquiries, memberFromPB(x))
+	}
+	for _, r := range b.GetReports() {
+		m.Reports = append(m.Reports, fleet.MemberReport{Subject: memberFromPB(r.GetSubject()), Presence: fleet.Presence(r.GetPresence())})
 	}
 	for _, c := range b.GetPending() {
 		m.Pending = append(m.Pending, fleet.RouteCount{Route: c.GetRoute(), Count: int(c.GetCount())})
--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -8,19 +8,28 @@
 	"github.com/nutmegweir/nutmegweir/internal/fleetpb"
 )
 
-// TestOwnersUpdateRoundTrip encodes and decodes ownerships with all fields set.
-func TestOwnersUpdateRoundTrip(t *testing.T) {
-	sent := fleet.OwnersUpdate{Owners: []fleet.Ownership{
-		{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7, Rank: 2, Successors: []fleet.Successor{{Instance: "n2", Incarnation: "03"}, {Instance: "n1", Incarnation: "01"}}},
-		{Server: "s2", Owner: "n1", Incarnation: "01", Revision: 8},
-	}}
-	m, err := encode(sent)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got, err := decode(m)
-	if err != nil || !reflect.DeepEqual(got, sent) {
-		t.Errorf("%+v %v, want %+v", got, err, sent)
+// TestRoundTrip encodes and decodes messages with all fields set.
+func TestRoundTrip(t *testing.T) {
+	member := fleet.Member{Instance: "n3", Incarnation: "02", Domain: "d", Addr: "a", Weight: 1}
+	for name, sent := range map[string]any{
+		"ownerships": fleet.OwnersUpdate{Owners: []fleet.Ownership{
+			{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7, Rank: 2, Successors: []fleet.Successor{{Instance: "n2", Incarnation: "03"}, {Instance: "n1", Incarnation: "01"}}},
+			{Server: "s2", Owner: "n1", Incarnation: "01", Revision: 8},
+		}},
+		"heartbeat": fleet.Heartbeat{
+			Leaving: true, StoreUp: true, Busy: true, Loads: []fleet.Load{{Service: "s", Servers: 1, CapacityMilli: 2, FreeMilli: 1, ExpectedWait: 3, QueuedTasks: 4, StagedTasks: 5}},
+			ConfigVersion: 6, LastReceivedAge: 7, SentAt: 8, Echo: 9, OffloadedMilli: 10, DurableInUse: true, Pending: []fleet.RouteCount{{Route: "r", Count: 11}},
+			RenewedAt: 12, Inquiries: []fleet.Member{{Instance: "n4", Incarnation: "03"}}, Reports: []fleet.MemberReport{{Subject: member, Presence: fleet.PresenceHeard}},
+		},
+	} {
+		m, err := encode(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(m)
+		if err != nil || !reflect.DeepEqual(got, sent) {
+			t.Errorf("%s: %+v %v, want %+v", name, got, err, sent)
+		}
 	}
 }
 
