A holder that the store serves again verifies its jobs before it starts any

Cause: a holder verified its jobs after a doubt about its peers or a pause, not after it had lost its entry. Renewals, the list of members and the claims come on different calls, and the claims may be first.

Change: starts are held back when the list of members lacks the holder, and when the store is back after its entry may have expired. Once the entry is renewed or written again each open job is written, which confirms it or shows its next holder. Runs go on meanwhile. The entry comes first, so that whoever scans later finds the holder listed.

Evidence: TestHolderServedAgainVerifiesItsJobs fails in all four cases on the code before (1 start without a write).

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -216,7 +216,10 @@
 type JobCancelled struct{ ID string }
 
 // MembershipRenewed reports that the store has renewed this instance's entry.
-type MembershipRenewed struct{ SentAt Time }
+type MembershipRenewed struct {
+	SentAt  Time
+	Created bool // the store had no entry of this incarnation
+}
 
 // JobStateRequested asks for the state of a durable job.
 type JobStateRequested struct {
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -217,8 +217,9 @@
 	w.step(n, fleet.StoreStatus{Up: up && n.storeWasUp}) // its watches recover later than its renewals
 	n.storeWasUp = up
 	if up {
+		created := w.now.Sub(n.renewedAt) >= memberTTL
 		n.renewedAt, n.newestRevision = w.now, w.entryLog.revision
-		w.step(n, fleet.MembershipRenewed{SentAt: w.now})
+		w.step(n, fleet.MembershipRenewed{SentAt: w.now, Created: created})
 		w.step(n, fleet.MembersListed{Members: w.members()})
 		w.sendServers(n)
 		w.step(n, fleet.OwnersChanged{Owners: w.ownerList()})
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -25,6 +25,7 @@
 	announced bool // peers know that durable jobs exist
 	renewedAt Time // last renewal of this instance's entry in the store
 	uncertain bool // another instance may take over the jobs
+	entryLost bool // the store may not list this instance
 	leaving   bool
 
 	scanning              bool
@@ -139,7 +140,7 @@
 	case x.job == nil:
 		h.enqueue(x, now)
 	}
-	if !h.uncertain && !x.verified && !x.dirty {
+	if !h.uncertain && !h.entryLost && !x.verified && !x.dirty {
 		x.verified = true
 		h.pool.dispatch(now)
 	}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -110,9 +110,11 @@
 		if i.members.handleListed(e.Members, now) {
 			i.owners.groupByDomain(i.members.inCell)
 		}
+		i.holder.handleListed(e.Members)
 		i.maintainPeersAndServers(now)
 	case StoreStatus:
 		i.members.storeUp = e.Up
+		i.holder.handleStoreStatus(e.Up, now)
 	case OwnersChanged:
 		i.learnOwners(e.Owners, now)
 		i.owners.loaded = true
@@ -158,8 +160,8 @@
 		i.holder.handleCancelled(e.ID, now)
 	case MembershipRenewed:
 		i.servers.handleRenewed(e.SentAt)
-		i.members.renewedAt, i.holder.renewedAt = e.SentAt, e.SentAt
-		i.holder.updateCertainty(now)
+		i.members.renewedAt = e.SentAt
+		i.holder.handleRenewed(e, now)
 	case JobStateRequested:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
 	case PendingCountRequested:
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -97,6 +98,47 @@
 	}
 }
 
+// handleListed holds back starts once the store lists the members without this instance.
+func (h *holder) handleListed(list []Member) {
+	if !slices.ContainsFunc(list, h.self.sameIncarnation) {
+		h.awaitEntry()
+	}
+}
+
+// handleStoreStatus holds back starts once the store is back, if it may have dropped this
+// instance's entry meanwhile. The news that it has may come later.
+func (h *holder) handleStoreStatus(up bool, now Time) {
+	if up && now.Sub(h.renewedAt) > holdWithoutRenewal {
+		h.awaitEntry()
+	}
+}
+
+// awaitEntry holds back starts until this instance's entry is renewed and each job
+// verified, as another instance may have taken them over.
+func (h *holder) awaitEntry() {
+	h.entryLost = true
+	for _, x := range h.jobs {
+		x.verified = false
+	}
+}
+
+// handleRenewed processes a renewal of this instance's entry. Jobs are verified after a
+// new entry is written, as a later takeover finds this instance listed.
+func (h *holder) handleRenewed(e MembershipRenewed, now Time) {
+	lost := h.entryLost || e.Created
+	h.renewedAt, h.entryLost = e.SentAt, false
+	h.updateCertainty(now)
+	if !lost {
+		return
+	}
+	for _, x := range h.sortedJobs() {
+		if x.job != nil && !x.job.done {
+			x.verified = false
+			h.save(x)
+		}
+	}
+}
+
 // handlePause stops the runs of durable jobs until the store has confirmed the jobs, if
 // another instance may have taken them over during the pause.
 func (h *holder) handlePause(now Time) {
--- a/internal/fleet/wanted_test.go
+++ b/internal/fleet/wanted_test.go
@@ -161,3 +161,62 @@
 		t.Errorf("%d starts %v after the last renewal without asking the store", n, now.Sub(i.holder.renewedAt))
 	}
 }
+
+// TestHolderServedAgainVerifiesItsJobs lets the store serve a holder again that it may not
+// list any more. Another instance may have taken over its jobs: no task of them starts
+// before the store has confirmed them, which comes after the entry is written again.
+func TestHolderServedAgainVerifiesItsJobs(t *testing.T) {
+	unlisted := func(i *Instance, now Time) { i.Step(now, MembersListed{}) }
+	away := func(i *Instance, now Time) {
+		i.holder.renewedAt = now.Add(-holdWithoutRenewal - time.Second)
+		i.Step(now, StoreStatus{Up: false})
+		i.Step(now, StoreStatus{Up: true})
+	}
+	cases := []struct {
+		name    string
+		lose    func(*Instance, Time)
+		created bool
+	}{
+		{"entry written again", unlisted, true},
+		{"entry back by itself", unlisted, false},
+		{"store back, entry written again", away, true},
+		{"store back, entry kept", away, false},
+	}
+	for _, c := range cases {
+		name, relisted := c.name, !c.created
+		i, now := oneServer(t, 500)
+		i.Step(now, MembersListed{Members: []Member{i.opts.Self}})
+		i.Step(now, MembershipRenewed{SentAt: now})
+		spec := oneTaskJob("j1", now)
+		spec.Durable = true
+		saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
+		start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
+		i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+		c.lose(i, now)
+		failed := pollReply(now, 500)
+		failed.Ended = []EndedRun{{Seq: 1, Run: start.Run, Kind: EndFailed}}
+		effects := i.Step(now, failed)
+		progress := 0
+		for range 5 {
+			now = now.Add(tickInterval)
+			step := i.Step(now, Tick{})
+			effects = append(effects, step...)
+			if progress += count[SaveJob](step); count[SaveJob](step) > 0 {
+				effects = append(effects, i.Step(now, JobSaved{ID: "j1", Revision: 10})...)
+			}
+		}
+		if n := count[StartRun](effects); n > 0 || progress != 1 {
+			t.Errorf("%s: %d starts and %d writes while the instance is not listed, want 0 and 1", name, n, progress)
+		}
+		if relisted {
+			i.Step(now, MembersListed{Members: []Member{i.opts.Self}})
+		}
+		effects = i.Step(now, MembershipRenewed{SentAt: now, Created: !relisted})
+		if count[StartRun](effects) != 0 || count[SaveJob](effects) != 1 {
+			t.Errorf("%s: %d starts and %d writes once the entry is back, want 0 and 1", name, count[StartRun](effects), count[SaveJob](effects))
+		}
+		if n := count[StartRun](i.Step(now, JobSaved{ID: "j1", Revision: 11})); n != 1 {
+			t.Errorf("%s: %d starts once the store has confirmed the job, want 1", name, n)
+		}
+	}
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -342,7 +342,7 @@
 	s.lease = lease
 	s.members[s.node.self.Instance] = s.node.self // until the watch reports otherwise
 	s.mu.Unlock()
-	s.node.post(fleet.MembershipRenewed{SentAt: sent})
+	s.node.post(fleet.MembershipRenewed{SentAt: sent, Created: true})
 	return nil
 }
 
