A job is released only once none of its runs may exist

Two runs of one task of a stored job at the same time.

Cause: a holder releases a job if its servers can't serve it and it has no active run. Tasks that wait for a run that may still go on, of an earlier holder or at a server that was lost, have none. The next holder finds a released job and starts it at once, as a release is to mean that nothing runs.

Seen in virtual time: the holder is killed while the server of its run is cut off; the successor adopts the job at 4.014 s to start it at 5.13, loses its servers to a newcomer and releases the job at 4.060; the next one starts it at 4.118, beside the first run.

Change: a job with delayed tasks isn't idle.

Evidence: TestReleasedJobStartsBesideRunOfLostHolder ("task runs at seeb-s0 and muttrah-s0") and TestJobReleasedBeforeItsRunEnds (released after 50 ms, want 1.12 s) fail before, and hold now.

--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -64,6 +64,35 @@
 	t.Error("the call was not answered")
 }
 
+// TestJobReleasedBeforeItsRunEnds takes its only server from a holder, whose run there may
+// go on until its lease ends. The next holder starts a released job at once.
+func TestJobReleasedBeforeItsRunEnds(t *testing.T) {
+	i, now := oneServer(t, 500)
+	other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Addr: "b", Weight: 1}
+	i.Step(now, MembersListed{Members: []Member{i.opts.Self, other}})
+	i.Step(now, LinkUp{Peer: other})
+	spec := oneTaskJob("j1", now)
+	spec.Durable = true
+	saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
+	start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
+	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+	lost := now
+	i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s1", Owner: "n2", Incarnation: "01", Revision: 8}}})
+	for now.Sub(lost) < 2*i.pool.orphanRunTime {
+		now = now.Add(tickInterval)
+		i.Step(now, PeerMessage{From: other, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now, Busy: true}})
+		for _, e := range i.Step(now, Tick{}) {
+			if x, ok := e.(SaveJob); ok && x.Record.Holder == "" {
+				if after := now.Sub(lost); after < i.pool.orphanRunTime {
+					t.Errorf("released %v after the server was lost, want %v", after, i.pool.orphanRunTime)
+				}
+				return
+			}
+		}
+	}
+	t.Error("the job is not released")
+}
+
 // TestPendingCountIncludesSilentHolder asks for the number of waiting jobs while their
 // holder is silent, as it is frozen. They count until another instance can take them over.
 func TestPendingCountIncludesSilentHolder(t *testing.T) {
--- a/internal/fleet/fleetsim/newcomer_test.go
+++ b/internal/fleet/fleetsim/newcomer_test.go
@@ -96,6 +96,26 @@
 	checkDurable(t, w)
 }
 
+// TestReleasedJobStartsBesideRunOfLostHolder ends a holder while the server of its run is
+// cut off. Its successor loses its servers to an added instance, and releases the job
+// before that run is certainly over.
+func TestReleasedJobStartsBesideRunOfLostHolder(t *testing.T) {
+	w, holder := holderWorld("muttrah-1", "muttrah-2")
+	w.TurnAway(time.Minute, holder)
+	w.Kill(holder)
+	w.AddInstance("ruwi-1", "ruwi", defaultWeight)
+	for _, s := range w.servers {
+		if s.Entry.Domain == "seeb" {
+			for _, x := range []model.Instance{"muttrah-1", "muttrah-2", "ruwi-1"} {
+				w.CutServer(x, s, false, 5*time.Second)
+			}
+		}
+	}
+	w.Run(25 * time.Second)
+	checkInvariants(t, w)
+	checkDurable(t, w)
+}
+
 // TestJobTakenOverDespiteNewcomer ends a holder around the time at which an instance is
 // added. Its job must start again within the time in which a deployment has to recover.
 func TestJobTakenOverDespiteNewcomer(t *testing.T) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -99,7 +99,7 @@
 		return
 	}
 	x.record.Holder, x.record.Incarnation = h.self.Instance, h.self.Incarnation
-	if x.release && x.idle() {
+	if x.release && h.idle(x) {
 		x.record.Holder, x.record.Incarnation = "", ""
 	}
 	x.dirty, x.saving = false, true
@@ -110,6 +110,10 @@
 	h.effect(SaveJob{Record: x.sent})
 }
 
+// idle reports whether a job may be released: none of its runs may exist, as the next
+// holder doesn't wait for them.
+func (h *holder) idle(x *durableJob) bool { return x.idle() && !h.pool.delays(x.job) }
+
 // handleSaved processes the result of a write.
 func (h *holder) handleSaved(e JobSaved, now Time) {
 	x := h.jobs[e.ID]
@@ -287,7 +291,7 @@
 	h.updateCertainty(now)
 	for _, x := range h.sortedJobs() {
 		x.release = x.release || h.misplaced(x, now)
-		if x.saveDue(now) || x.release && x.idle() {
+		if x.saveDue(now) || x.release && h.idle(x) {
 			h.save(x)
 		}
 	}
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -253,6 +253,11 @@
 	}
 }
 
+// delays reports whether a task of a job waits for a run that may exist.
+func (p *pool) delays(j *job) bool {
+	return slices.ContainsFunc(p.delayed, func(d delayedTask) bool { return d.task.job == j })
+}
+
 // requeueDelayed queues the delayed tasks whose last runs have ended.
 func (p *pool) requeueDelayed(now Time) {
 	p.delayed = slices.DeleteFunc(p.delayed, func(d delayedTask) bool {
