Jobs are taken over only after the holder can't count on its entry any more

What callers saw: nothing yet; the review suspected it, and the simulation shows it. A holder is cut off from its peers with its servers for 0.75 to 1.5 s, and the store turns it away and drops its entry at once. Its job runs twice: the peers adopt it after 0.3 s without an entry and 0.6 s of silence, or at once if connections are refused, while the holder counts on its last renewal for 1.8 s. Once the cut heals before that, its peers hear it again and it never doubts.

Cause: the holder's bound counts from its last renewal, the bound of the next one from when the entry has gone, and was the shorter one. That is only right if an entry always lasts as long as its lease.

Change: a holder must be missing from the store for 1.9 s, whatever else tells that it has ended. A later life is still proof at once, and servers are claimed as before: tokens fence them.

--- a/internal/fleet/fleetsim/newcomer_test.go
+++ b/internal/fleet/fleetsim/newcomer_test.go
@@ -104,16 +104,49 @@
 	w.TurnAway(time.Minute, holder)
 	w.Kill(holder)
 	w.AddInstance("ruwi-1", "ruwi", defaultWeight)
+	w.cutServersOf("seeb", 5*time.Second, "muttrah-1", "muttrah-2", "ruwi-1")
+	w.Run(25 * time.Second)
+	checkInvariants(t, w)
+	checkDurable(t, w)
+}
+
+// cutServersOf cuts the paths from instances to the servers of a domain for d.
+func (w *World) cutServersOf(domain model.Domain, d time.Duration, names ...model.Instance) {
 	for _, s := range w.servers {
-		if s.Entry.Domain == "seeb" {
-			for _, x := range []model.Instance{"muttrah-1", "muttrah-2", "ruwi-1"} {
-				w.CutServer(x, s, false, 5*time.Second)
+		for _, x := range names {
+			if s.Entry.Domain == domain {
+				w.CutServer(x, s, false, d)
 			}
 		}
 	}
-	w.Run(25 * time.Second)
-	checkInvariants(t, w)
-	checkDurable(t, w)
+}
+
+// TestJobTakenOverFromHolderCutOff cuts a holder off from the others with its servers, and
+// from the store, which drops its entry at once. The holder goes on as if its entry lasted,
+// while the others find it silent and not listed.
+func TestJobTakenOverFromHolderCutOff(t *testing.T) {
+	cuts := map[string]func(w *World, holder model.Instance, cut time.Duration){
+		"silent":  func(w *World, holder model.Instance, cut time.Duration) { w.Isolate(holder, cut) },
+		"refused": func(w *World, holder model.Instance, cut time.Duration) { w.IsolateRefusing(holder, cut) },
+		"one way": func(w *World, holder model.Instance, cut time.Duration) {
+			w.CutPeer(holder, "muttrah-1", cut)
+			w.CutPeer(holder, "muttrah-2", cut)
+		},
+	}
+	for name, apply := range cuts {
+		for cut := 100 * time.Millisecond; cut < 4*time.Second; cut += 50 * time.Millisecond {
+			w, holder := holderWorld("muttrah-1", "muttrah-2")
+			w.TurnAway(8*time.Second, holder)
+			w.cutServersOf("seeb", cut, "muttrah-1", "muttrah-2")
+			apply(w, holder, cut)
+			w.Run(30 * time.Second)
+			if len(w.Violations) > 0 {
+				t.Errorf("%s for %v:", name, cut)
+			}
+			checkInvariants(t, w)
+			checkDurable(t, w)
+		}
+	}
 }
 
 // TestJobTakenOverDespiteNewcomer ends a holder around the time at which an instance is
--- a/internal/fleet/inquiry.go
+++ b/internal/fleet/inquiry.go
@@ -190,8 +190,3 @@
 	}
 	return evidence
 }
-
-// quietTime returns how long no member has reported that it hears an incarnation.
-func (m *members) quietTime(x Member, now Time) time.Duration {
-	return now.Sub(m.inquire(x, now).quietSince)
-}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -348,22 +348,42 @@
 }
 
 // expiry returns on what an incarnation is taken to have lost its durable jobs, too: the
-// store must have dropped its entry, as the holder relies on that entry to know that
-// nobody takes over its jobs. One that nobody has heard may hold on until it stops by
-// itself.
+// store must have dropped its entry, and not listed it since for as long as the holder may
+// rely on it. One that nobody has heard may hold on until it stops by itself.
 func (m *members) expiry(i model.Instance, incarnation model.Incarnation, now Time) endEvidence {
 	evidence := m.endOf(i, incarnation, now)
-	p := m.peers[i]
-	known := p != nil && p.member.Incarnation == incarnation
-	switch {
-	case !m.listed, known && (!m.storeUp || p.inStore):
+	if evidence == endLaterLife {
+		return evidence
+	}
+	if !m.listed || !m.storeUp || evidence == notEnded {
 		return notEnded
-	case evidence == endUnheard && m.quietTime(Member{Instance: i, Incarnation: incarnation}, now) < unheardHolderTimeout:
+	}
+	missing := unlistedHolderTimeout
+	if evidence == endUnheard {
+		missing = unheardHolderTimeout
+	}
+	if m.missingTime(Member{Instance: i, Incarnation: incarnation}, now) < missing {
 		return notEnded
 	}
 	return evidence
 }
 
+// missingTime returns how long the store is known not to list an incarnation and, if it was
+// never heard here, no member has reported that it hears it.
+func (m *members) missingTime(x Member, now Time) time.Duration {
+	p := m.peers[x.Instance]
+	known := p != nil && p.member.sameIncarnation(x)
+	switch {
+	case known && p.inStore:
+		return 0
+	case !known:
+		return now.Sub(m.inquire(x, now).quietSince)
+	case p.deathEvidence == endUnheard:
+		return min(now.Sub(p.missingSince), now.Sub(m.inquire(x, now).quietSince))
+	}
+	return now.Sub(p.missingSince)
+}
+
 // newlyExpired returns the members that expired since the last call.
 func (m *members) newlyExpired(now Time) (out []*peer) {
 	for _, p := range m.orderedPeers {
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -10,9 +10,12 @@
 // Timing of the takeover of durable jobs.
 const (
 	// holdWithoutRenewal is how long a holder continues after its last renewal in the
-	// store while a peer can't hear it: less than that peer needs to take over its
-	// jobs.
+	// store while a peer can't hear it: a little longer than its entry lasts.
 	holdWithoutRenewal = 1800 * time.Millisecond
+	// unlistedHolderTimeout is how long the store must not list a holder before its jobs are
+	// taken over, as an entry may vanish just after a renewal: what the holder may count
+	// on, and two ticks.
+	unlistedHolderTimeout = holdWithoutRenewal + 2*tickInterval
 	// holdInOutage is how long a holder continues after the last renewal of its own entry
 	// or that of a member that hears it: longer than the store is usually away. Until
 	// then such a member tells newcomers of the holder, or none can act in the store.
