The wait for an unheard holder counts only while all listed members report

Cause: a listed member that hears the holder may be out of the newcomer's reach. The newcomer waited for its report, but its wait of 10 s went on meanwhile. Once the store dropped that member, too, the newcomer took the job over at once, while the holder went on for up to 7 s after the member's last renewal.

Change: the wait starts again while a listed member owes a report. It is the sum of what the holder may count on and the age of a report: 1.8 + 6 + 0.9 = 8.7 s. The holder goes on for 6 s in an outage, and dates a member's renewal by the echo in its heartbeat, never later than it was. An inquiry makes both ends send heartbeats often, and starts when the entry vanishes.

"a member that hasn't reported is gone" and "reports begin late" in TestUnlistedHolderNeverHeard fail if the wait counts on.

--- a/internal/fleet/fleetsim/newcomer_test.go
+++ b/internal/fleet/fleetsim/newcomer_test.go
@@ -149,40 +149,65 @@
 	}
 }
 
+// recoveryBound is the time in which the users' deployments have to recover.
+const recoveryBound = 12 * time.Second
+
+// checkRestarted checks that the job of holderWorld starts again in time after its holder
+// has ended now, and completes.
+func checkRestarted(t *testing.T, w *World) {
+	t.Helper()
+	var ended, restarted = w.Now(), fleet.Time(0)
+	w.onStart = func(*Server, fleet.RunID) { restarted = w.Now() }
+	w.Run(35 * time.Second)
+	t.Logf("started again %v after the loss", restarted.Sub(ended))
+	if restarted == 0 || restarted.Sub(ended) > recoveryBound {
+		t.Errorf("started again %v after the loss, want %v", restarted.Sub(ended), recoveryBound)
+	}
+	checkInvariants(t, w)
+	checkDurable(t, w)
+}
+
 // TestJobTakenOverDespiteNewcomer ends a holder around the time at which an instance is
-// added. Its job must start again within the time in which a deployment has to recover.
+// added. Its job must start again in time.
 func TestJobTakenOverDespiteNewcomer(t *testing.T) {
-	const bound = 12 * time.Second
 	for name, end := range map[string]func(*World, model.Instance){"killed": (*World).Kill, "without power": (*World).PowerOff} {
 		for _, turnedAway := range []bool{false, true} {
-			for _, before := range []time.Duration{-time.Second, 0, 2 * time.Second} {
-				t.Run(fmt.Sprintf("%s, turned away %v, added %v later", name, turnedAway, before), func(t *testing.T) {
+			for _, after := range []time.Duration{-time.Second, 0, 2 * time.Second} {
+				t.Run(fmt.Sprintf("%s, turned away %v, added after %v", name, turnedAway, after), func(t *testing.T) {
 					w, holder := holderWorld("muttrah-1", "muttrah-2")
 					if turnedAway {
 						w.TurnAway(time.Minute, holder)
 					}
-					if before < 0 {
-						w.AddInstance("ruwi-1", "ruwi", defaultWeight)
-						w.Run(-before)
+					add := func() { w.AddInstance("ruwi-1", "ruwi", defaultWeight) }
+					if after < 0 {
+						add()
+						w.Run(-after)
+					} else {
+						w.After(after, add)
 					}
 					end(w, holder)
-					ended := w.Now()
-					w.After(max(0, before), func() {
-						if before >= 0 {
-							w.AddInstance("ruwi-1", "ruwi", defaultWeight)
-						}
-					})
-					var startedAt fleet.Time
-					w.onStart = func(*Server, fleet.RunID) { startedAt = w.Now() }
-					w.Run(35 * time.Second)
-					t.Logf("started again %v after the loss", startedAt.Sub(ended))
-					if startedAt == 0 || startedAt.Sub(ended) > bound {
-						t.Errorf("started again %v after the loss, want %v", startedAt.Sub(ended), bound)
-					}
-					checkInvariants(t, w)
-					checkDurable(t, w)
+					checkRestarted(t, w)
 				})
 			}
 		}
 	}
 }
+
+// TestJobOfHolderThatNobodyKnows takes the power of a holder while all others are killed
+// and restart, which have never heard it then. Its job must start again in time.
+func TestJobOfHolderThatNobodyKnows(t *testing.T) {
+	for _, turnedAway := range []bool{false, true} {
+		t.Run(fmt.Sprintf("turned away %v", turnedAway), func(t *testing.T) {
+			w, holder := holderWorld("muttrah-1", "muttrah-2")
+			if turnedAway {
+				w.TurnAway(time.Minute, holder)
+			}
+			w.PowerOff(holder)
+			for _, x := range []model.Instance{"muttrah-1", "muttrah-2"} {
+				w.Kill(x)
+				w.After(200*time.Millisecond, func() { w.Start(x) })
+			}
+			checkRestarted(t, w)
+		})
+	}
+}
--- a/internal/fleet/inquiry.go
+++ b/internal/fleet/inquiry.go
@@ -15,9 +15,8 @@
 const (
 	// inquiryRetention is how long an inquiry lasts after an answer was last needed.
 	inquiryRetention = 3 * time.Second
-	// maxReportAge is the maximum age of the heartbeat that a report answers: a round
-	// trip at the idle heartbeat rate.
-	maxReportAge = idleEchoTimeout
+	// maxReportAge is the maximum age of the heartbeat that a report answers.
+	maxReportAge = echoTimeout
 )
 
 // Presence is what a member knows of an incarnation of another instance.
@@ -40,6 +39,7 @@
 type inquiry struct {
 	subject    Member
 	quietSince Time // start of the inquiry, or when a member last reported that it hears the subject
+	missedAt   Time // when a listed member last hadn't reported
 	neededAt   Time // when an answer was last needed
 	reports    map[model.Instance]datedReport
 }
@@ -81,11 +81,28 @@
 	return m.inquiries[i]
 }
 
-// dropInquiries ends the inquiries that are no longer needed.
-func (m *members) dropInquiries(now Time) {
+// updateInquiries ends the inquiries that are no longer needed, and notes to which some
+// member owes a report.
+func (m *members) updateInquiries(now Time) {
 	m.inquiries = slices.DeleteFunc(m.inquiries, func(q *inquiry) bool { return now.Sub(q.neededAt) > inquiryRetention })
+	for _, q := range m.inquiries {
+		if m.lacksReport(q, now) {
+			q.missedAt = now
+		}
+	}
 }
 
+// lacksReport reports whether a listed member hasn't reported lately.
+func (m *members) lacksReport(q *inquiry, now Time) bool {
+	return slices.ContainsFunc(m.orderedPeers, func(p *peer) bool {
+		return p.inStore && p.member.Instance != q.subject.Instance && !q.reports[p.member.Instance].valid(p, now)
+	})
+}
+
+// silence returns how long all listed members have reported that they don't hear the
+// subject.
+func (q *inquiry) silence(now Time) time.Duration { return now.Sub(max(q.quietSince, q.missedAt)) }
+
 // subjects returns the incarnations to ask about, in order.
 func (m *members) subjects() []Member {
 	var out []Member
@@ -169,24 +186,21 @@
 
 // unheardEvidence returns on what an unlisted incarnation that this instance has never
 // heard is taken for ended: all listed members must have reported about it.
-func (m *members) unheardEvidence(x Member, silence time.Duration, now Time) endEvidence {
+func (m *members) unheardEvidence(x Member, quiet time.Duration, now Time) endEvidence {
 	if !m.storeUp || !m.listed {
 		return notEnded
 	}
 	q := m.inquire(x, now)
-	evidence := endUnheard
+	heard := false
 	for _, p := range m.orderedPeers {
-		r, ok := q.reports[p.member.Instance]
-		switch {
-		case ok && r.valid(p, now) && r.presence == PresenceEnded:
+		r := q.reports[p.member.Instance]
+		if r.valid(p, now) && r.presence == PresenceEnded {
 			return endReported
-		case ok && r.valid(p, now) && r.presence == PresenceUnheard:
-		case ok && r.valid(p, now) || p.inStore && p.member.Instance != x.Instance:
-			evidence = notEnded
 		}
+		heard = heard || r.valid(p, now) && r.presence == PresenceHeard
 	}
-	if now.Sub(q.quietSince) < silence {
+	if heard || m.lacksReport(q, now) || now.Sub(q.quietSince) < quiet {
 		return notEnded
 	}
-	return evidence
+	return endUnheard
 }
--- a/internal/fleet/inquiry_test.go
+++ b/internal/fleet/inquiry_test.go
@@ -10,46 +10,58 @@
 // TestUnlistedHolderNeverHeard asks about the holder of a job that the store doesn't list
 // and this instance has never heard. What the members report decides.
 func TestUnlistedHolderNeverHeard(t *testing.T) {
-	type reply struct {
-		after    time.Duration
-		presence Presence
+	type reports struct {
+		from, until time.Duration
+		presence    Presence
 	}
+	const whole = time.Minute
+	unheard := reports{0, whole, PresenceUnheard}
 	cases := []struct {
-		name    string
-		replies map[model.Instance]reply
-		after   time.Duration
-		server  endEvidence // as owner of a server
-		job     endEvidence // as holder of a job
+		name   string
+		n2, n3 reports
+		gone   time.Duration // when n3 isn't listed any more, 0 if it stays
+		after  time.Duration
+		server endEvidence // as owner of a server
+		job    endEvidence // as holder of a job
 	}{
-		{"no report", nil, time.Minute, notEnded, notEnded},
-		{"one member hasn't reported", map[model.Instance]reply{"n2": {time.Second, PresenceUnheard}}, time.Second, notEnded, notEnded},
-		{"one member hears it", map[model.Instance]reply{"n2": {time.Second, PresenceUnheard}, "n3": {time.Second, PresenceHeard}}, time.Second, notEnded, notEnded},
-		{"one member found it ended", map[model.Instance]reply{"n2": {time.Second, PresenceEnded}}, time.Second, endReported, notEnded},
-		{"one member found it ended before its entry ran out", map[model.Instance]reply{"n2": {time.Second, PresenceEnded}}, unlistedHolderTimeout, endReported, endReported},
-		{"no member hears it", map[model.Instance]reply{"n2": {time.Second, PresenceUnheard}, "n3": {time.Second, PresenceUnheard}}, time.Second, endUnheard, notEnded},
-		{"no member hears it for long", map[model.Instance]reply{"n2": {unheardHolderTimeout, PresenceUnheard}, "n3": {unheardHolderTimeout, PresenceUnheard}}, unheardHolderTimeout, endUnheard, endUnheard},
-		{"the reports are old", map[model.Instance]reply{"n2": {0, PresenceUnheard}, "n3": {0, PresenceUnheard}}, unheardHolderTimeout, notEnded, notEnded},
+		{"no report", reports{}, reports{}, 0, whole, notEnded, notEnded},
+		{"one member hasn't reported", unheard, reports{}, 0, whole, notEnded, notEnded},
+		{"one member hears it", unheard, reports{0, whole, PresenceHeard}, 0, whole, notEnded, notEnded},
+		{"one member found it ended", reports{time.Second, whole, PresenceEnded}, reports{}, 0, time.Second, endReported, notEnded},
+		{"one member found it ended, and its entry has run out", reports{time.Second, whole, PresenceEnded}, reports{}, 0, unlistedHolderTimeout, endReported, endReported},
+		{"no member hears it", unheard, unheard, 0, time.Second, endUnheard, notEnded},
+		{"no member hears it for long", unheard, unheard, 0, unheardHolderTimeout, endUnheard, endUnheard},
+		{"reports begin late", unheard, reports{5 * time.Second, whole, PresenceUnheard}, 0, unheardHolderTimeout, endUnheard, notEnded},
+		{"reports have ended", unheard, reports{0, time.Second, PresenceUnheard}, 0, unheardHolderTimeout, notEnded, notEnded},
+		{"a member that hasn't reported is gone", unheard, reports{}, 8 * time.Second, unheardHolderTimeout, endUnheard, notEnded},
+		{"a member that hasn't reported is gone for long", unheard, reports{}, 8 * time.Second, 8*time.Second + unheardHolderTimeout, endUnheard, endUnheard},
 	}
 	for _, c := range cases {
 		m := newMembers(Member{Instance: "n1", Incarnation: "01"}, func(Effect) {})
 		start := Time(time.Minute)
-		m.storeUp = true
-		m.handleListed([]Member{m.self, {Instance: "n2", Incarnation: "01"}, {Instance: "n3", Incarnation: "01"}}, start)
+		list := []Member{m.self, {Instance: "n2", Incarnation: "01"}, {Instance: "n3", Incarnation: "01"}}
 		subject := Member{Instance: "n9", Incarnation: "05"}
+		m.storeUp = true
+		var server, job endEvidence
 		for at := start; at <= start.Add(c.after); at = at.Add(tickInterval) {
-			m.endOf(subject.Instance, subject.Incarnation, at)
-			for i, r := range c.replies {
-				if at.Sub(start) == r.after {
+			if c.gone != 0 && at >= start.Add(c.gone) {
+				list = list[:2]
+			}
+			m.handleListed(list, at)
+			for i, r := range map[model.Instance]reports{"n2": c.n2, "n3": c.n3} {
+				if r.presence != 0 && at >= start.Add(r.from) && at <= start.Add(r.until) {
 					m.handleReports(m.peers[i], []MemberReport{{Subject: subject, Presence: r.presence}}, at, at)
 				}
 			}
+			m.updateInquiries(at)
+			server = m.endOf(subject.Instance, subject.Incarnation, at)
+			job = m.expiry(subject.Instance, subject.Incarnation, at)
 		}
-		now := start.Add(c.after)
-		if got := m.endOf(subject.Instance, subject.Incarnation, now); got != c.server {
-			t.Errorf("%s: the owner of a server: %q, want %q", c.name, got, c.server)
+		if server != c.server {
+			t.Errorf("%s: the owner of a server: %q, want %q", c.name, server, c.server)
 		}
-		if got := m.expiry(subject.Instance, subject.Incarnation, now); got != c.job {
-			t.Errorf("%s: the holder of a job: %q, want %q", c.name, got, c.job)
+		if job != c.job {
+			t.Errorf("%s: the holder of a job: %q, want %q", c.name, job, c.job)
 		}
 	}
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -223,7 +223,7 @@
 // maintainPeers handles lost members, sends due heartbeats and replaces quiet links.
 func (i *Instance) maintainPeers(now Time) {
 	i.members.busy, i.members.hasServers = i.busy(), len(i.pool.orderedServers) > 0
-	i.members.dropInquiries(now)
+	i.members.updateInquiries(now)
 	i.members.updateActive(now)
 	i.handleLostMembers(now)
 	i.sendHeartbeats(now, false)
@@ -231,9 +231,9 @@
 }
 
 // busy reports whether this instance has servers or jobs, so that peers must detect its
-// loss quickly.
+// loss quickly, or waits for their reports.
 func (i *Instance) busy() bool {
-	return len(i.pool.orderedServers) > 0 || len(i.pool.jobs) > 0 || len(i.holder.jobs) > 0
+	return len(i.pool.orderedServers) > 0 || len(i.pool.jobs) > 0 || len(i.holder.jobs) > 0 || len(i.members.inquiries) > 0
 }
 
 // balanceServers claims and releases servers.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -274,14 +274,15 @@
 	if p.refused && (!p.everHeard || p.heardAt <= p.refusedAt) {
 		return endRefused
 	}
-	vanished := m.storeUp && !p.inStore && now.Sub(p.missingSince) > missingTimeout
 	switch {
-	case !vanished || p.responsive(now):
+	case !m.storeUp || p.inStore || p.responsive(now):
 		return notEnded
-	case p.everHeard:
+	case !p.everHeard:
+		return m.unheardEvidence(p.member, missingTimeout, now)
+	case now.Sub(p.missingSince) > missingTimeout:
 		return endSilent // it needs this instance to hear it
 	}
-	return m.unheardEvidence(p.member, missingTimeout, now)
+	return notEnded
 }
 
 // reconnectQuiet replaces links that may be broken in one direction.
@@ -358,30 +359,27 @@
 	if !m.listed || !m.storeUp || evidence == notEnded {
 		return notEnded
 	}
-	missing := unlistedHolderTimeout
-	if evidence == endUnheard {
-		missing = unheardHolderTimeout
-	}
-	if m.missingTime(Member{Instance: i, Incarnation: incarnation}, now) < missing {
+	x := Member{Instance: i, Incarnation: incarnation}
+	switch {
+	case m.missingTime(x, now) < unlistedHolderTimeout:
+		return notEnded
+	case evidence == endUnheard && m.inquire(x, now).silence(now) < unheardHolderTimeout:
 		return notEnded
 	}
 	return evidence
 }
 
-// missingTime returns how long the store is known not to list an incarnation and, if it was
-// never heard here, no member has reported that it hears it.
+// missingTime returns how long the store is known not to list an incarnation.
 func (m *members) missingTime(x Member, now Time) time.Duration {
 	p := m.peers[x.Instance]
 	known := p != nil && p.member.sameIncarnation(x)
 	switch {
 	case known && p.inStore:
 		return 0
-	case !known:
-		return now.Sub(m.inquire(x, now).quietSince)
-	case p.deathEvidence == endUnheard:
-		return min(now.Sub(p.missingSince), now.Sub(m.inquire(x, now).quietSince))
+	case known:
+		return now.Sub(p.missingSince)
 	}
-	return now.Sub(p.missingSince)
+	return now.Sub(m.inquire(x, now).quietSince)
 }
 
 // newlyExpired returns the members that expired since the last call.
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -20,7 +20,7 @@
 	replaced         bool // by a later incarnation
 	deadAt           Time
 	deathEvidence    endEvidence
-	renewedAt        Time     // last renewal of its entry in the store, on this instance's clock; 0 if unknown
+	renewedAt        Time     // last renewal of its entry in the store or before, on this instance's clock; 0 if unknown
 	asks             []Member // incarnations that its last heartbeat asked about
 	leaving          bool
 	configVersion    uint64        // in force at the peer
@@ -117,8 +117,8 @@
 	}
 	p.remoteSentAt, p.busy, p.storeUp = m.SentAt, m.Busy, m.StoreUp
 	p.asks = m.Inquiries
-	if m.RenewedAt != 0 {
-		p.renewedAt = arrived.Add(-m.SentAt.Sub(m.RenewedAt))
+	if m.RenewedAt != 0 { // the heartbeat was sent after its echo
+		p.renewedAt = m.Echo.Add(-m.SentAt.Sub(m.RenewedAt))
 	}
 	if m.SentAt == 0 {
 		p.echoedAt = now
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -19,10 +19,11 @@
 	// holdInOutage is how long a holder continues after the last renewal of its own entry
 	// or that of a member that hears it: longer than the store is usually away. Until
 	// then such a member tells newcomers of the holder, or none can act in the store.
-	holdInOutage = 7 * time.Second
-	// unheardHolderTimeout is how long a holder that no member hears must be missing:
-	// holdInOutage, and the delays of renewals, lists and reports.
-	unheardHolderTimeout = holdInOutage + 3*time.Second
+	holdInOutage = 6 * time.Second
+	// unheardHolderTimeout is how long a holder must be missing while all listed members
+	// report that they don't hear it. It may count on its entry, then be heard by a member
+	// whose entry was just renewed and that is turned away as well, after its last report.
+	unheardHolderTimeout = holdWithoutRenewal + holdInOutage + maxReportAge
 	// unheardScanDelay is the time between scans while a job's holder may not have ended
 	// that this instance has never heard.
 	unheardScanDelay = time.Second
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Model-checks the replication protocol, the succession of owners and late starts at
-# restarted servers with spin: all must hold over the whole state space of each bound, and every seeded
+# Model-checks the replication protocol, the succession of owners, late starts at
+# restarted servers and the takeover of stored jobs with spin: all must hold over the whole state space of each bound, and every seeded
 # mutation (M_) and weaker rule (W_) of the models must be caught. A harmless change (N_) must hold.
 #
 #   spec/check.sh                     run everything but the deep runs
@@ -13,6 +13,7 @@
 model=$PWD/replication.pml
 succession=$PWD/succession.pml
 restart=$PWD/restart.pml
+takeover=$PWD/takeover.pml
 max_depth=100000        # steps; a run with a longer path fails
 memory_mb=${MEMORY_MB:-4096}    # memory limit of a verifier
 
@@ -27,6 +28,7 @@
   case $name in
     succession*) file=$succession ;;
     restart*) file=$restart ;;
+    takeover*) file=$takeover ;;
   esac
   spin -a "$@" "$file" >spin.out 2>&1 || { cat spin.out; exit 1; }
   gcc -O1 -w -DSAFETY -DCOLLAPSE -DMEMLIM=$memory_mb -o pan pan.c
@@ -84,6 +86,11 @@
     echo "restart-$m violated -D$m"
     [ "$m" = W_TOKEN_EARLY ] || echo "restart-$m-called-first violated -D$m -DCALLED_FIRST"
   done
+  echo "takeover holds"
+  echo "takeover-alone holds -DALONE"
+  grep -oE '\bM_[A-Z]+(_[A-Z]+)*\b' "$takeover" | sort -u | while read -r m; do
+    echo "takeover-$m violated -D$m"
+  done
   grep -oE '\b[MW]_[A-Z]+(_[A-Z]+)*\b' "$model" | sort -u | while read -r m; do
     case $m in
       W_SILENCE_FIRST | M_REPLACE_OLD_RELEASE) ;;
