Members are asked again only when their report is getting old

An instance that starts asks about the owners of all servers that it finds neither listed nor heard. When all instances of a large cell restart at once, each heartbeat carried dozens of inquiries and reports in both directions, though a report holds for 0.9 s. Now a member is asked until it has reported, and again 0.3 s later; a report follows with the next heartbeat even if one that asks nothing came in between.

By reckoning, not measured: 48 subjects and peers, 100 ms heartbeats, 85 bytes each were 4 MB/s an instance, more than the slowest link of the sites; a quarter of that now, for the second or two until the old instances are listed again.

The holder looks for renewals of its members only once its own is old.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -449,7 +449,7 @@
 	Pending         []RouteCount   // durable jobs of the sender that have not started
 	RenewedAt       Time           // last renewal of the sender's entry in the store, on its clock; 0 if unknown
 	Inquiries       []Member       // incarnations whose presence the sender asks for
-	Reports         []MemberReport // answers to the receiver's last Inquiries
+	Reports         []MemberReport // answers to the Inquiries of the receiver's heartbeats
 }
 
 // RouteCount is the number of jobs of a route.
--- a/internal/fleet/inquiry.go
+++ b/internal/fleet/inquiry.go
@@ -17,6 +17,8 @@
 	inquiryRetention = 3 * time.Second
 	// maxReportAge is the maximum age of the heartbeat that a report answers.
 	maxReportAge = echoTimeout
+	// reportRefreshAge is the age of a report at which the member is asked again.
+	reportRefreshAge = maxReportAge / 3
 )
 
 // Presence is what a member knows of an incarnation of another instance.
@@ -103,11 +105,13 @@
 // subject.
 func (q *inquiry) silence(now Time) time.Duration { return now.Sub(max(q.quietSince, q.missedAt)) }
 
-// subjects returns the incarnations to ask about, in order.
-func (m *members) subjects() []Member {
+// subjectsFor returns the incarnations to ask a peer about, in order.
+func (m *members) subjectsFor(p *peer, now Time) []Member {
 	var out []Member
 	for _, q := range m.inquiries {
-		out = append(out, q.subject)
+		if r := q.reports[p.member.Instance]; !r.valid(p, now) || now.Sub(r.at) > reportRefreshAge {
+			out = append(out, q.subject)
+		}
 	}
 	slices.SortFunc(out, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
@@ -115,12 +119,13 @@
 	return out
 }
 
-// reportsFor answers the inquiries in a peer's last heartbeat.
-func (m *members) reportsFor(p *peer, now Time) []MemberReport {
+// takeReports answers the inquiries of a peer that haven't been answered.
+func (m *members) takeReports(p *peer, now Time) []MemberReport {
 	var out []MemberReport
 	for _, x := range p.asks {
 		out = append(out, m.report(x, now))
 	}
+	p.asks = nil
 	return out
 }
 
--- a/internal/fleet/inquiry_test.go
+++ b/internal/fleet/inquiry_test.go
@@ -110,3 +110,23 @@
 		}
 	}
 }
+
+// TestReportFollowsLaterHeartbeat asks a member about an instance, once for each report.
+// The member's heartbeat reports even if another one that asks nothing came before it.
+func TestReportFollowsLaterHeartbeat(t *testing.T) {
+	asking := newMembers(Member{Instance: "n1", Incarnation: "01"}, func(Effect) {})
+	asked := newMembers(Member{Instance: "n2", Incarnation: "01"}, func(Effect) {})
+	now := Time(time.Minute)
+	toAsked, toAsking := asking.addPeer(asked.self, now), asked.addPeer(asking.self, now)
+	asking.inquire(Member{Instance: "n9", Incarnation: "05"}, now)
+	toAsking.handleHeartbeat(Heartbeat{SentAt: now, Inquiries: asking.subjectsFor(toAsked, now)}, now, now)
+	toAsking.handleHeartbeat(Heartbeat{SentAt: now}, now, now)
+	reports := asked.takeReports(toAsking, now)
+	asking.handleReports(toAsked, reports, now, now)
+	if again := asking.subjectsFor(toAsked, now); len(reports) != 1 || len(again) != 0 {
+		t.Errorf("%d reports, asked again about %v, want 1 and none", len(reports), again)
+	}
+	if late := asking.subjectsFor(toAsked, now.Add(reportRefreshAge+1)); len(late) != 1 {
+		t.Errorf("asked about %v once the report is old, want one", late)
+	}
+}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -499,7 +499,7 @@
 	hb := Heartbeat{
 		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: i.members.echoFor(p, now),
 		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(),
-		RenewedAt: i.members.renewedAt, Inquiries: i.members.subjects(), Reports: i.members.reportsFor(p, now),
+		RenewedAt: i.members.renewedAt, Inquiries: i.members.subjectsFor(p, now), Reports: i.members.takeReports(p, now),
 	}
 	if p.everHeard {
 		hb.LastReceivedAge = now.Sub(p.heardAt)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -21,7 +21,7 @@
 	deadAt           Time
 	deathEvidence    endEvidence
 	renewedAt        Time     // last renewal of its entry in the store or before, on this instance's clock; 0 if unknown
-	asks             []Member // incarnations that its last heartbeat asked about
+	asks             []Member // incarnations that it has asked about and that aren't reported yet
 	leaving          bool
 	configVersion    uint64        // in force at the peer
 	echoedAt         Time          // send time of the last heartbeat that the peer has processed
@@ -116,7 +116,9 @@
 		p.storeDownSince = now
 	}
 	p.remoteSentAt, p.busy, p.storeUp = m.SentAt, m.Busy, m.StoreUp
-	p.asks = m.Inquiries
+	if len(m.Inquiries) > 0 {
+		p.asks = m.Inquiries
+	}
 	if m.RenewedAt != 0 { // the heartbeat was sent after its echo
 		p.renewedAt = m.Echo.Add(-m.SentAt.Sub(m.RenewedAt))
 	}
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -80,8 +80,7 @@
 // this one's entry in the store may have expired, and a peer doesn't hear it or none can
 // tell a newcomer that it does.
 func (h *holder) updateCertainty(now Time) {
-	vouched := now.Sub(h.members.lastRenewal(now)) <= holdInOutage && h.members.allReachable(now)
-	uncertain := now.Sub(h.renewedAt) > holdWithoutRenewal && !vouched
+	uncertain := now.Sub(h.renewedAt) > holdWithoutRenewal && !h.isHeard(now)
 	if uncertain == h.uncertain {
 		return
 	}
@@ -102,6 +101,11 @@
 	}
 }
 
+// isHeard reports whether all members hear this instance, and one can tell newcomers so.
+func (h *holder) isHeard(now Time) bool {
+	return h.members.allReachable(now) && now.Sub(h.members.lastRenewal(now)) <= holdInOutage
+}
+
 // handleListed holds back starts once the store lists the members without this instance.
 func (h *holder) handleListed(list []Member) {
 	if !slices.ContainsFunc(list, h.self.sameIncarnation) {
