--- a/internal/fleet/fleetsim/newcomer_test.go
+++ b/internal/fleet/fleetsim/newcomer_test.go
@@ -167,6 +167,55 @@
 	checkDurable(t, w)
 }
 
+// TestNewcomerClaimsServersOfLiveOwner lets newcomers claim the servers of a live owner,
+// which the store turns away and nobody else hears. Two owners of a server, or two
+// instances with the calls of a job that isn't durable, must not run a task twice.
+func TestNewcomerClaimsServersOfLiveOwner(t *testing.T) {
+	claims := 0
+	for seed := range uint64(40) {
+		w := New(seed)
+		w.DialListed, w.WakeTime = true, 50*time.Millisecond
+		names := []model.Instance{"seeb-1", "muttrah-1"}
+		for _, n := range names {
+			w.AddInstance(n, model.Domain(n[:len(n)-2]), defaultWeight)
+		}
+		for _, d := range []model.Domain{"muttrah", "seeb"} {
+			for i := range 4 {
+				w.addServers(d, model.ServerID(fmt.Sprintf("%s-s%d", d, i)))
+			}
+		}
+		w.Run(settleTime)
+		for range 6 {
+			spec, work := w.longJob(1)
+			spec.Steps[0].Estimate /= 4
+			w.SubmitUntilAnswered(names[w.Rand.IntN(2)], spec, work/4)
+		}
+		w.Run(300 * time.Millisecond)
+		w.TurnAway(8*time.Second, names...)
+		for _, n := range names {
+			w.Isolate(n, w.upTo(2*time.Second))
+			w.cutServersOf(model.Domain(n[:len(n)-2]), w.upTo(2*time.Second), n)
+		}
+		w.onLog = func(e fleet.LogEntry) {
+			if e.Kind == fleet.LogServerOwned {
+				claims++
+			}
+		}
+		for i := range 2 {
+			w.Run(w.upTo(time.Second))
+			w.AddInstance(model.Instance(fmt.Sprintf("seeb-%d", i+2)), "seeb", defaultWeight)
+		}
+		w.Run(20 * time.Second)
+		if len(w.Violations) > 0 {
+			t.Errorf("seed %d:", seed)
+		}
+		checkInvariants(t, w)
+	}
+	if claims < 40 {
+		t.Errorf("%d claims, want newcomers to claim servers in each world", claims)
+	}
+}
+
 // TestJobTakenOverDespiteNewcomer ends a holder around the time at which an instance is
 // added. Its job must start again in time.
 func TestJobTakenOverDespiteNewcomer(t *testing.T) {
