--- a/internal/fleet/inquiry.go
+++ b/internal/fleet/inquiry.go
@@ -129,6 +129,7 @@
 	return out
 }
 
+// report answers an inquiry. What this instance has been told isn't passed on.
 func (m *members) report(x Member, now Time) MemberReport {
 	p := m.peers[x.Instance]
 	switch {
@@ -142,7 +143,7 @@
 		return MemberReport{x, PresenceEnded}
 	case p.responsive(now) || m.storeUp && p.inStore:
 		return MemberReport{p.member, PresenceHeard}
-	case p.dead && (p.deathEvidence == endRefused || p.deathEvidence == endSilent): // first-hand
+	case p.dead && (p.deathEvidence == endRefused || p.deathEvidence == endSilent):
 		return MemberReport{x, PresenceEnded}
 	}
 	return MemberReport{x, PresenceUnheard}
