--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -71,11 +71,7 @@
 	other := Member{Instance: "n2", Incarnation: "01", Domain: "d", Addr: "b", Weight: 1}
 	i.Step(now, MembersListed{Members: []Member{i.opts.Self, other}})
 	i.Step(now, LinkUp{Peer: other})
-	spec := oneTaskJob("j1", now)
-	spec.Durable = true
-	saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
-	start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
-	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+	startDurable(t, i, now)
 	lost := now
 	i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s1", Owner: "n2", Incarnation: "01", Revision: 8}}})
 	for now.Sub(lost) < 2*i.pool.orphanRunTime {
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -46,6 +46,17 @@
 	return RunID{}
 }
 
+// startDurable submits a durable job of one task, stores it and confirms its start.
+func startDurable(t *testing.T, i *Instance, now Time) RunID {
+	t.Helper()
+	spec := oneTaskJob("j1", now)
+	spec.Durable = true
+	saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
+	start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
+	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+	return start.Run
+}
+
 func TestReplyOfEarlierBootIgnored(t *testing.T) {
 	i, now := oneServer(t, 500)
 	i.Step(now, StoreStatus{Up: false})
--- a/internal/fleet/wanted_test.go
+++ b/internal/fleet/wanted_test.go
@@ -144,14 +144,10 @@
 	i.Step(now, MembersListed{Members: []Member{i.opts.Self, other}})
 	i.Step(now, LinkUp{Peer: other})
 	i.Step(now, MembershipRenewed{SentAt: now})
-	spec := oneTaskJob("j1", now)
-	spec.Durable = true
-	saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
-	start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
-	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+	run := startDurable(t, i, now)
 	now = now.Add(4 * time.Second) // longer than the entry in the store lasts
 	lapsed := pollReply(now, 500)
-	lapsed.ClockMs, lapsed.Ended = 4100, []EndedRun{{Seq: 1, Run: start.Run, Kind: EndStopped}}
+	lapsed.ClockMs, lapsed.Ended = 4100, []EndedRun{{Seq: 1, Run: run, Kind: EndStopped}}
 	effects := i.Step(now, lapsed)
 	for range 5 {
 		now = now.Add(tickInterval)
@@ -187,14 +183,10 @@
 		i, now := oneServer(t, 500)
 		i.Step(now, MembersListed{Members: []Member{i.opts.Self}})
 		i.Step(now, MembershipRenewed{SentAt: now})
-		spec := oneTaskJob("j1", now)
-		spec.Durable = true
-		saved := lookFor[SaveJob](t, i.Step(now, JobSubmitted{Call: 1, Job: spec}))
-		start := lookFor[StartRun](t, i.Step(now, JobSaved{ID: saved.Record.ID, Revision: 9}))
-		i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartAccepted, ClockMs: 100, SentAt: now})
+		run := startDurable(t, i, now)
 		c.lose(i, now)
 		failed := pollReply(now, 500)
-		failed.Ended = []EndedRun{{Seq: 1, Run: start.Run, Kind: EndFailed}}
+		failed.Ended = []EndedRun{{Seq: 1, Run: run, Kind: EndFailed}}
 		effects := i.Step(now, failed)
 		progress := 0
 		for range 5 {
