Jobs are verified once after a doubt, and inquiries found by one function

Once the store served a doubting holder again, each of its jobs was written twice: by the end of the doubt, and again because its entry was new. Either write verifies a job, and both follow the entry, so one is left. The three loops that verify the open jobs share openJobs.

Inquiries were looked up by the same code in two places, and sorted for each heartbeat to each peer, which their order doesn't need: it is that of their start, and the receiver answers in any order.

--- a/internal/fleet/inquiry.go
+++ b/internal/fleet/inquiry.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -71,18 +70,26 @@
 	return r.from == p.member.Incarnation && now.Sub(r.at) < maxReportAge
 }
 
-// inquire returns the inquiry about an incarnation, and starts it if there is none.
-func (m *members) inquire(x Member, now Time) *inquiry {
+// findInquiry returns the inquiry about an incarnation, nil if there is none.
+func (m *members) findInquiry(x Member) *inquiry {
 	i := slices.IndexFunc(m.inquiries, func(q *inquiry) bool { return q.subject.sameIncarnation(x) })
 	if i < 0 {
-		subject := Member{Instance: x.Instance, Incarnation: x.Incarnation}
-		m.inquiries = append(m.inquiries, &inquiry{subject: subject, quietSince: now, reports: map[model.Instance]datedReport{}})
-		i = len(m.inquiries) - 1
+		return nil
 	}
-	m.inquiries[i].neededAt = now
 	return m.inquiries[i]
 }
 
+// inquire returns the inquiry about an incarnation, and starts it if there is none.
+func (m *members) inquire(x Member, now Time) *inquiry {
+	q := m.findInquiry(x)
+	if q == nil {
+		q = &inquiry{subject: Member{Instance: x.Instance, Incarnation: x.Incarnation}, quietSince: now, reports: map[model.Instance]datedReport{}}
+		m.inquiries = append(m.inquiries, q)
+	}
+	q.neededAt = now
+	return q
+}
+
 // updateInquiries ends the inquiries that are no longer needed, and notes to which some
 // member owes a report.
 func (m *members) updateInquiries(now Time) {
@@ -105,7 +112,7 @@
 // subject.
 func (q *inquiry) silence(now Time) time.Duration { return now.Sub(max(q.quietSince, q.missedAt)) }
 
-// subjectsFor returns the incarnations to ask a peer about, in order.
+// subjectsFor returns the incarnations to ask a peer about.
 func (m *members) subjectsFor(p *peer, now Time) []Member {
 	var out []Member
 	for _, q := range m.inquiries {
@@ -113,9 +120,6 @@
 			out = append(out, q.subject)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
 	return out
 }
 
@@ -153,11 +157,10 @@
 // time. Whom the peer hears becomes a member.
 func (m *members) handleReports(from *peer, reports []MemberReport, sentAt, now Time) {
 	for _, r := range reports {
-		i := slices.IndexFunc(m.inquiries, func(q *inquiry) bool { return q.subject.sameIncarnation(r.Subject) })
-		if i < 0 {
+		q := m.findInquiry(r.Subject)
+		if q == nil {
 			continue
 		}
-		q := m.inquiries[i]
 		q.reports[from.member.Instance] = datedReport{from.member.Incarnation, sentAt, r.Presence}
 		if r.Presence != PresenceHeard {
 			continue
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -88,10 +88,7 @@
 	if len(h.jobs) > 0 {
 		h.effect(LogEntry{Kind: LogHoldDoubted, Count: len(h.jobs), Age: now.Sub(h.renewedAt), Reason: certaintyReason(uncertain)})
 	}
-	for _, x := range h.sortedJobs() {
-		if x.job == nil || x.job.done {
-			continue
-		}
+	for _, x := range h.openJobs() {
 		if uncertain {
 			x.verified = false
 			h.pool.interrupt(x.job, now)
@@ -133,32 +130,33 @@
 // handleRenewed processes a renewal of this instance's entry. Jobs are verified after a
 // new entry is written, as a later takeover finds this instance listed.
 func (h *holder) handleRenewed(e MembershipRenewed, now Time) {
-	lost := h.entryLost || e.Created
+	lost, doubted := h.entryLost || e.Created, h.uncertain
 	h.renewedAt, h.entryLost = e.SentAt, false
 	h.updateCertainty(now)
-	if !lost {
+	if !lost || doubted { // the end of a doubt verifies them, too
 		return
 	}
-	for _, x := range h.sortedJobs() {
-		if x.job != nil && !x.job.done {
-			x.verified = false
-			h.save(x)
-		}
+	for _, x := range h.openJobs() {
+		x.verified = false
+		h.save(x)
 	}
 }
 
+// openJobs returns the stored jobs that haven't ended, in order.
+func (h *holder) openJobs() []*durableJob {
+	return slices.DeleteFunc(h.sortedJobs(), func(x *durableJob) bool { return x.job == nil || x.job.done })
+}
+
 // handlePause stops the runs of durable jobs until the store has confirmed the jobs, if
 // another instance may have taken them over during the pause.
 func (h *holder) handlePause(now Time) {
 	if now.Sub(h.renewedAt) <= holdWithoutRenewal {
 		return
 	}
-	for _, x := range h.sortedJobs() {
-		if x.job != nil && !x.job.done {
-			x.verified = false
-			h.pool.interrupt(x.job, now)
-			h.save(x)
-		}
+	for _, x := range h.openJobs() {
+		x.verified = false
+		h.pool.interrupt(x.job, now)
+		h.save(x)
 	}
 }
 
