--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -83,7 +83,7 @@
 	RunFailed         = info(8012, "run-failed", "run failed")
 	RunOverdue        = warn(8013, "run-overdue", "run stalled and is stopped; its task starts elsewhere")
 	JobRouted         = info(8014, "job-routed", "job offered to an owner of backend servers")
-	JobBounced        = info(8015, "job-bounced", "owner could not start a job at once; it is offered elsewhere")
+	JobBounced        = info(8015, "job-bounced", "owner declined a job; it is offered elsewhere")
 	JobQueued         = info(8016, "job-queued", "job queued or rejected because of earlier work")
 	JobAnswered       = info(8017, "job-answered", "final answer to a job sent to its caller")
 	RequestRefused    = info(8018, "request-refused", "request rejected before it became a job")
@@ -110,6 +110,7 @@
 	TaskSuspected     = warn(8040, "task-suspected", "backend server was lost under a task; from now on the task runs alone")
 	CrashConfirmed    = warn(8041, "crash-confirmed", "backend server that was lost under a task has crashed")
 	TaskGivenUp       = warn(8042, "task-given-up", "task crashes its backend servers; its job ends as failed")
+	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -362,6 +362,7 @@
 type LogEntry struct {
 	Kind   LogKind
 	Call   CallID
+	Offer  CallID // of the job to an owner; names it together with the instance that has the call
 	Job    string
 	Peer   model.Instance
 	Server model.ServerID
@@ -413,6 +414,7 @@
 	LogRunOverdue
 	LogJobRouted
 	LogJobBounced
+	LogJobDeferred
 	LogJobQueued
 	LogJobEnded
 	LogJobTakenBack
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -331,7 +331,7 @@
 	}
 	if j.offloaded == nil {
 		p.effect(LogEntry{
-			Kind: LogJobEnded, Job: j.spec.ID, Peer: j.origin.Instance, Count: j.starts,
+			Kind: LogJobEnded, Offer: j.call, Job: j.spec.ID, Peer: j.origin.Instance, Count: j.starts,
 			Age: now.Sub(j.spec.ReceivedAt), Reason: result.Kind.String() + " " + string(result.Reason),
 			At: now, Runs: j.records,
 		})
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -30,6 +30,7 @@
 	allowQueue  bool             // the owner may queue it
 	queueOffers int              // offers to queues so far
 	deferred    bool             // waits to be routed again
+	deferredFor string           // last reason logged for that
 	mayHaveRun  bool             // an earlier owner may have run it
 
 	reofferAt Time // offered again then, after the runs of a lost owner have ended
@@ -169,7 +170,7 @@
 // owner.
 func (rt *router) route(c *call, now Time) {
 	if now < rt.noOffersUntil || rt.members.inputLags(now) {
-		rt.deferCall(c)
+		rt.deferCall(c, now)
 		return
 	}
 	if c.job.Durable {
@@ -198,7 +199,7 @@
 		rt.offer(c, candidate{}, now)
 	case now.Sub(c.job.ReceivedAt) < noOwnerWait:
 		c.queueOffers = 0
-		rt.deferCall(c)
+		rt.deferCall(c, now)
 	default:
 		rt.finish(c, Result{Kind: NotRun, Reason: ReasonNoOwner, RetryAfter: minRetryAfter})
 	}
@@ -220,7 +221,7 @@
 	}
 	if now.Sub(c.job.ReceivedAt) < noOwnerWait {
 		c.tried = nil
-		rt.deferCall(c)
+		rt.deferCall(c, now)
 		return
 	}
 	rt.finish(c, Result{Kind: NotRun, Reason: ReasonNoOwner, RetryAfter: minRetryAfter})
@@ -241,7 +242,20 @@
 }
 
 // deferCall keeps a call until an owner may be available.
-func (rt *router) deferCall(c *call) { c.deferred, rt.anyDeferred = true, true }
+func (rt *router) deferCall(c *call, now Time) {
+	c.deferred, rt.anyDeferred = true, true
+	entry := LogEntry{Kind: LogJobDeferred, Call: c.id, Job: c.job.ID, Reason: "no owner"}
+	switch {
+	case now < rt.noOffersUntil:
+		entry.Reason = "paused"
+	case rt.members.inputLags(now):
+		entry.Reason, entry.Age = "input lags", now.Sub(rt.members.inputAt)
+	}
+	if c.deferredFor != entry.Reason {
+		c.deferredFor = entry.Reason
+		rt.effect(entry)
+	}
+}
 
 // tick runs everything that is due. It times calls out itself, as an unreachable owner
 // may not answer in time.
@@ -267,10 +281,10 @@
 
 func (rt *router) offer(c *call, o candidate, now Time) {
 	age := now.Sub(c.job.ReceivedAt)
-	rt.logRouted(c, o, now)
 	rt.clearOffer(c)
 	rt.lastOffer++
 	c.offer = rt.lastOffer
+	rt.logRouted(c, o, now)
 	rt.offers[c.offer] = c
 	if o.peer == nil {
 		c.owner = rt.self
@@ -296,7 +310,7 @@
 
 // logRouted logs the choice of an owner and the figures behind it.
 func (rt *router) logRouted(c *call, o candidate, now Time) {
-	entry := LogEntry{Kind: LogJobRouted, Call: c.id, Job: c.job.ID, Peer: rt.self.Instance, Value: uint64(o.load.FreeMilli), Reason: "start"}
+	entry := LogEntry{Kind: LogJobRouted, Call: c.id, Offer: c.offer, Job: c.job.ID, Peer: rt.self.Instance, Value: uint64(o.load.FreeMilli), Reason: "start"}
 	if c.allowQueue {
 		entry.Reason = "queue"
 	}
@@ -316,13 +330,21 @@
 		// A durable job may have been stored before its owner lost the call; any other
 		// may have run if the owner no longer knows it.
 		c.mayHaveRun = c.mayHaveRun || c.job.Durable || o.Result.Kind == Unknown
-		rt.effect(LogEntry{Kind: LogJobBounced, Call: c.id, Job: c.job.ID, Peer: from.Instance})
+		rt.effect(LogEntry{Kind: LogJobBounced, Call: c.id, Offer: o.Call, Job: c.job.ID, Peer: from.Instance, Reason: declineReason(o)})
 		rt.route(c, now)
 		return
 	}
 	rt.finish(c, o.Result)
 }
 
+// declineReason names why an owner declined, for the log.
+func declineReason(o Outcome) string {
+	if o.Result.Kind == Unknown {
+		return "unknown"
+	}
+	return "refused"
+}
+
 // finish answers the caller.
 func (rt *router) finish(c *call, r Result) {
 	delete(rt.calls, c.id)
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -70,6 +70,7 @@
 	fleet.LogRunOverdue:        eventlog.RunOverdue,
 	fleet.LogJobRouted:         eventlog.JobRouted,
 	fleet.LogJobBounced:        eventlog.JobBounced,
+	fleet.LogJobDeferred:       eventlog.JobDeferred,
 	fleet.LogJobQueued:         eventlog.JobQueued,
 	fleet.LogJobEnded:          eventlog.JobEnded,
 	fleet.LogJobTakenBack:      eventlog.JobTakenBack,
@@ -131,6 +132,9 @@
 	if x.Call != 0 {
 		line.Uint64("call", uint64(x.Call))
 	}
+	if x.Offer != 0 {
+		line.Uint64("offer", uint64(x.Offer))
+	}
 	if x.Run.Attempt != 0 {
 		line.Str("job", x.Run.Task.Job)
 		addRun(line, x.Run)
