A declined offer is closed before its job is routed again

Cause: a call kept its last offer and owner after that owner had declined, until the next offer. A call that is deferred, as its instance lags behind its input by over 0.25 s or has just been paused, so was in two lists that route it: that of deferred calls, and that of open offers. A second decline of the offer, which both links between two instances bring when they are replaced, or the loss of the owner that had declined, routed the call beside its deferral. The second owner was chosen without telling the first.

Change: an offer is closed by its outcome, so that a call either has an open offer, or is deferred, or waits for runs of a lost owner.

--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -20,12 +20,13 @@
 	minRetryAfter = time.Second
 )
 
-// call is a job whose caller waits at this instance.
+// call is a job whose caller waits at this instance. It either has an open offer, or is
+// deferred, or waits for reofferAt.
 type call struct {
 	id          CallID
-	offer       CallID // last offer, 0 without an owner
+	offer       CallID // the open offer, 0 if there is none
 	job         JobSpec
-	owner       Member
+	owner       Member // that has the open offer
 	tried       []model.Instance // owners that could not start it immediately
 	allowQueue  bool             // the owner may queue it
 	queueOffers int              // offers to queues so far
@@ -44,8 +45,8 @@
 	owners  *owners
 	pool    *pool
 	calls   map[CallID]*call
-	// offers indexes the calls by their last offer. Each offer has its own ID, so that
-	// a late outcome of an earlier one has no effect.
+	// offers indexes the calls by their open offers. Each offer has its own ID, so that
+	// a late or repeated outcome of an earlier one has no effect.
 	offers    map[CallID]*call
 	lastOffer CallID
 
@@ -281,7 +282,6 @@
 
 func (rt *router) offer(c *call, o candidate, now Time) {
 	age := now.Sub(c.job.ReceivedAt)
-	rt.clearOffer(c)
 	rt.lastOffer++
 	c.offer = rt.lastOffer
 	rt.logRouted(c, o, now)
@@ -290,6 +290,7 @@
 		c.owner = rt.self
 		c.tried = append(c.tried, rt.self.Instance)
 		if rt.pool.offer(rt.self, c.offer, c.job, c.allowQueue, now) {
+			rt.closeOffer(c)
 			rt.route(c, now)
 		}
 		return
@@ -303,9 +304,10 @@
 	rt.effect(SendPeer{To: c.owner, Message: Offer{Call: c.offer, Job: c.job, Age: age, AllowQueue: c.allowQueue, Echo: rt.members.echoFor(o.peer, now)}})
 }
 
-func (rt *router) clearOffer(c *call) {
+// closeOffer ends the open offer of a call, if any.
+func (rt *router) closeOffer(c *call) {
 	delete(rt.offers, c.offer)
-	c.offer = 0
+	c.offer, c.owner = 0, Member{}
 }
 
 // logRouted logs the choice of an owner and the figures behind it.
@@ -330,6 +332,7 @@
 		// A durable job may have been stored before its owner lost the call; any other
 		// may have run if the owner no longer knows it.
 		c.mayHaveRun = c.mayHaveRun || c.job.Durable || o.Result.Kind == Unknown
+		rt.closeOffer(c)
 		rt.effect(LogEntry{Kind: LogJobBounced, Call: c.id, Offer: o.Call, Job: c.job.ID, Peer: from.Instance, Reason: declineReason(o)})
 		rt.route(c, now)
 		return
@@ -348,7 +351,7 @@
 // finish answers the caller.
 func (rt *router) finish(c *call, r Result) {
 	delete(rt.calls, c.id)
-	rt.clearOffer(c)
+	rt.closeOffer(c)
 	if c.mayHaveRun && r.Kind == NotRun {
 		r.Kind = Unknown
 	}
@@ -368,16 +371,16 @@
 	rt.withdraw(c, now)
 }
 
-// withdraw cancels the current offer of a call, if any.
+// withdraw cancels the open offer of a call, if any.
 func (rt *router) withdraw(c *call, now Time) {
-	offer := c.offer
-	rt.clearOffer(c)
-	switch c.owner.Instance {
+	offer, owner := c.offer, c.owner
+	rt.closeOffer(c)
+	switch owner.Instance {
 	case "":
 	case rt.self.Instance:
 		rt.pool.withdraw(jobKey{rt.self.Instance, rt.self.Incarnation, offer}, now)
 	default:
-		rt.effect(SendPeer{To: c.owner, Message: Withdraw{Call: offer}})
+		rt.effect(SendPeer{To: owner, Message: Withdraw{Call: offer}})
 	}
 }
 
@@ -396,7 +399,7 @@
 // then are answered. It reports whether there were any.
 func (rt *router) handleOwnerLost(owner Member, runsEnd, now Time) (had bool) {
 	for _, c := range rt.sortedCalls() {
-		if !c.owner.sameIncarnation(owner) || c.reofferAt != 0 {
+		if !c.owner.sameIncarnation(owner) {
 			continue
 		}
 		had = true
@@ -406,7 +409,7 @@
 			continue
 		}
 		rt.effect(LogEntry{Kind: LogJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: runsEnd.Sub(now)})
-		c.owner, c.reofferAt = Member{}, max(runsEnd, now)
+		c.reofferAt = max(runsEnd, now)
 	}
 	return had
 }
