--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	JobsPerSecond float64       `arg:"--rate" default:"40" help:"jobs a second"`
 	FaultDuration time.Duration `arg:"--length" default:"12s" help:"of the troubles"`
 	ResubmitDelay time.Duration `arg:"--resend" default:"1300ms" help:"after which a lost job comes again"`
+	Faults        []string      `arg:"--fault,separate" help:"inject only this fault; may be repeated" placeholder:"NAME"`
 	MaxLateness   time.Duration `arg:"--held" default:"1s" help:"past its deadline, after which a request counts as held back"`
 }
 
@@ -55,6 +56,7 @@
 	r, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
 		JobsPerSecond: a.JobsPerSecond, FaultDuration: a.FaultDuration, ResubmitDelay: a.ResubmitDelay, MaxLateness: a.MaxLateness,
+		Faults: a.Faults,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,9 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/nutmegweir/nutmegweir/internal/standin/link"
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
 	"github.com/nutmegweir/nutmegweir/internal/standin/worker"
@@ -33,6 +36,9 @@
 		p.signal(syscall.SIGSTOP, false)
 		return func() { p.signal(syscall.SIGCONT, true) }
 	}},
+	{"instances stalled", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
+		return dep.stall(r, d)
+	}},
 	{"instance stopped", func(dep *deployment, r *rand.Rand, _ time.Duration) func() {
 		p := dep.anyProcess(r)
 		p.signal(syscall.SIGTERM, false)
@@ -93,6 +99,46 @@
 	}},
 }
 
+// Lengths of a stall, below the gap by which an instance notices that it was paused, and
+// of the time between two.
+const (
+	minStall      = 250 * time.Millisecond
+	maxStall      = 390 * time.Millisecond
+	maxStallPause = 400 * time.Millisecond
+)
+
+// stall stops instances again and again, as a busy machine does, until the returned
+// function is called.
+func (dep *deployment) stall(r *rand.Rand, d time.Duration) (end func()) {
+	stalls := rand.New(rand.NewPCG(r.Uint64(), 5))
+	over := time.Now().Add(d)
+	dep.background.Go(func() {
+		for time.Now().Before(over) {
+			p := dep.anyProcess(stalls)
+			p.signal(syscall.SIGSTOP, false)
+			time.Sleep(minStall + time.Duration(stalls.Int64N(int64(maxStall-minStall))))
+			p.signal(syscall.SIGCONT, true)
+			time.Sleep(time.Duration(stalls.Int64N(int64(maxStallPause))))
+		}
+	})
+	return func() {}
+}
+
+// faultsNamed returns the faults with the given names, all if there are none.
+func faultsNamed(names []string) (out []fault, err error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, errors.Errorf("no fault is called %q; see internal/soak/faults.go", name)
+		}
+		out = append(out, faults[i])
+	}
+	return out, nil
+}
+
 // disturbLink injects a random fault into a link until the returned function is
 // called.
 func disturbLink(l *link.Link, r *rand.Rand) func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,6 +25,7 @@
 	FaultDuration time.Duration // how long new faults are injected
 	ResubmitDelay time.Duration // delay before a lost job is resubmitted
 	MaxLateness   time.Duration // lateness past its deadline from which an answer is a violation
+	Faults        []string      // names of the faults to inject; all if empty
 }
 
 // Report is the result of a soak.
@@ -49,6 +50,10 @@
 func Run(ctx context.Context, o Options) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	chosen, err := faultsNamed(o.Faults)
+	if err != nil {
+		return Report{}, err
+	}
 	dep, err := newDeployment(ctx, o)
 	if dep != nil {
 		defer dep.killAll()
@@ -62,22 +67,22 @@
 	for _, p := range dep.processes {
 		dep.background.Go(func() { dep.watchConfig(running, p) })
 	}
-	names := dep.injectFaults(running, o)
+	names := dep.injectFaults(running, o, chosen)
 	dep.recover()
 	stop()
 	dep.background.Wait()
 	return dep.report(names), nil
 }
 
-// injectFaults starts faults until FaultDuration has elapsed, and waits until all
+// injectFaults starts the chosen faults at random until FaultDuration has elapsed, and waits until all
 // have ended.
-func (dep *deployment) injectFaults(ctx context.Context, o Options) (names []string) {
+func (dep *deployment) injectFaults(ctx context.Context, o Options, chosen []fault) (names []string) {
 	r := rand.New(rand.NewPCG(o.Seed, 1))
 	ends := make(chan struct{}, 1024)
 	open := 0
 	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(meanFaultInterval)))
-		f := faults[r.IntN(len(faults))]
+		f := chosen[r.IntN(len(chosen))]
 		d := minFault + time.Duration(r.Int64N(int64(maxFault-minFault)))
 		names = append(names, f.name)
 		endFault := f.begin(dep, r, d)
