An owner doesn't decline a job whose earlier runs it is stopping

What callers could see: a job submitted again ran beside its earlier submission, or ran though its owner had declined it.

Cause: an owner that is offered a job it already has ends the earlier submission and delays the new one's tasks until the runs have certainly ended. Only after that it decided whether to take the job. If it declined, the delayed tasks stayed and started 1.12 s later, without a call; and the job was offered at once to an owner that knows of no runs. The same for a job that it rejected.

Change: a job with earlier runs is queued where they are, whatever room there is. If it would be too late, its caller is to come back only when they have ended.

--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -178,19 +178,16 @@
 		return p.holder.offer(origin, call, spec)
 	}
 	j := newJob(spec, origin, call)
-	if old := p.byID[spec.ID]; old != nil {
-		p.endJob(old, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
-		if old.starts > 0 {
-			j.again = true
-			p.delayAll(j, WaitsSubmitted, now.Add(p.orphanRunTime), now) // runs of the earlier submission are still being stopped
-		}
-	}
+	j.again = p.endEarlier(spec.ID, now)
 	p.updateTypicalMilli(spec)
 	result, wait := p.admit(j, now)
 	switch {
-	case !allowQueue && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
+	case !allowQueue && !j.again && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
 		return true
 	case result == admitReject:
+		if j.again {
+			wait = max(wait, p.orphanRunTime)
+		}
 		p.effect(LogEntry{Kind: LogJobQueued, Job: spec.ID, Reason: "refused: " + string(ReasonOverload), Age: wait, Count: len(p.queue)})
 		p.sendResult(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: wait}, now)
 		return false
@@ -200,10 +197,25 @@
 	}
 	p.jobs[key], p.byID[spec.ID] = j, j
 	p.queue = append(p.queue, j)
+	if j.again {
+		p.delayAll(j, WaitsSubmitted, now.Add(p.orphanRunTime), now)
+	}
 	p.dispatch(now)
 	return false
 }
 
+// endEarlier ends an earlier submission of a job, and reports whether runs of it may go on
+// for orphanRunTime. As no other owner knows that, the job must not be declined then.
+func (p *pool) endEarlier(id string, now Time) (mayRun bool) {
+	old := p.byID[id]
+	if old == nil {
+		return false
+	}
+	mayRun = old.starts > 0 || p.delays(old)
+	p.endJob(old, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+	return mayRun
+}
+
 // dispatch starts all tasks that can start now.
 func (p *pool) dispatch(now Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.done || !j.waits() })
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -26,7 +26,7 @@
 	id          CallID
 	offer       CallID // the open offer, 0 if there is none
 	job         JobSpec
-	owner       Member // that has the open offer
+	owner       Member           // that has the open offer
 	tried       []model.Instance // owners that could not start it immediately
 	allowQueue  bool             // the owner may queue it
 	queueOffers int              // offers to queues so far
