A job submitted again waits for the runs of its earlier call's lost owner

What callers could see: a job submitted again at the instance that still has its earlier call ran beside its earlier runs.

Cause: whether earlier runs may exist was taken from the owner of the earlier call. A call whose owner was lost has none, until its runs have ended and it is offered again.

Evidence: before, TestJobSubmittedAgainStartsBesideRunsOfLostOwner: offered 0 s after the loss, 1.12 s wanted.

--- a/internal/fleet/offers_test.go
+++ b/internal/fleet/offers_test.go
@@ -124,3 +124,22 @@
 		t.Errorf("%d owners have the job, want 1", len(w.open))
 	}
 }
+
+// TestJobSubmittedAgainStartsBesideRunsOfLostOwner submits a job again at an instance whose
+// earlier call waits for the runs of a lost owner.
+func TestJobSubmittedAgainStartsBesideRunsOfLostOwner(t *testing.T) {
+	w := newOfferWorld(t)
+	job := oneTaskJob("j1", w.now)
+	w.step(JobSubmitted{Call: 1, Job: job})
+	w.step(LinkDown{Peer: w.open[0].owner, Refused: true})
+	lostAt := w.now
+	w.step(JobSubmitted{Call: 2, Job: job})
+	for len(w.open) == 0 && w.now < lostAt.Add(3*time.Second) {
+		w.now = w.now.Add(tickInterval)
+		w.heartbeats()
+		w.step(Tick{})
+	}
+	if got := w.now.Sub(lostAt); got < w.i.pool.orphanRunTime {
+		t.Errorf("offered %v after its owner was lost, want %v at least", got, w.i.pool.orphanRunTime)
+	}
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -157,7 +157,7 @@
 // replaceCall ends an earlier call with the same job, whose caller has gone without this
 // instance having noticed. The new call waits until runs of the earlier one have ended.
 func (rt *router) replaceCall(earlier, c *call, now Time) {
-	if earlier.owner.Instance != "" || earlier.mayHaveRun {
+	if earlier.owner.Instance != "" || earlier.mayHaveRun || earlier.reofferAt != 0 {
 		c.reofferAt = now.Add(rt.pool.orphanRunTime)
 	}
 	rt.withdraw(earlier, now)
