A leaving owner takes a job whose earlier submission it runs

What callers could see: the job ran at two owners.

Cause: a leaving owner declined all jobs before it looked whether it has them, so that the earlier runs went on and the job was offered elsewhere at once.

Evidence: before, TestLeavingOwnerDeclinesJobThatItRuns: declined.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -456,7 +456,8 @@
 	if m.Job.Offloaded != nil {
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
-	if i.leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
+	leaving := i.leaving && !i.pool.hasEarlier(m.Job)
+	if leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
 		i.decline(p, m.Call, m.Job.Service, now)
 	}
 }
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -204,6 +204,9 @@
 	return false
 }
 
+// hasEarlier reports whether an earlier submission of a job is here.
+func (p *pool) hasEarlier(spec JobSpec) bool { return spec.Offloaded == nil && p.byID[spec.ID] != nil }
+
 // endEarlier ends an earlier submission of a job, and reports whether runs of it may go on
 // for orphanRunTime. As no other owner knows that, the job must not be declined then.
 func (p *pool) endEarlier(id string, now Time) (mayRun bool) {
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -121,3 +121,13 @@
 		t.Errorf("%d starts of a job that was rejected", w.starts)
 	}
 }
+
+// TestLeavingOwnerDeclinesJobThatItRuns submits a job again at a leaving owner that runs its
+// earlier submission.
+func TestLeavingOwnerDeclinesJobThatItRuns(t *testing.T) {
+	w := newResubmitWorld(t)
+	w.step(StopRequested{Deadline: w.now.Add(10 * time.Second)})
+	if w.declines(true) {
+		t.Error("declined, to be started elsewhere beside its earlier run")
+	}
+}
