A job that fits no server any more still ends its earlier submission

What callers could see: a rejected job went on running, and could be submitted once more beside that run.

Cause: a new submission was rejected as too large before its earlier call at the same instance was looked for. Found by the review.

--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -31,7 +31,7 @@
 	allowQueue  bool             // the owner may queue it
 	queueOffers int              // offers to queues so far
 	deferred    bool             // waits to be routed again
-	deferredFor string           // last reason logged for that
+	deferredFor string           // reason logged for that, empty if none
 	mayHaveRun  bool             // an earlier owner may have run it
 
 	reofferAt Time // offered again then, after the runs of a lost owner have ended
@@ -133,15 +133,15 @@
 	c := &call{id: e.Call, job: e.Job}
 	earlier := rt.callOf(e.Job.ID)
 	rt.calls[c.id] = c
-	if !rt.owners.fitsSomeServer(&c.job) {
-		rt.finish(c, Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: minRetryAfter})
-		return
-	}
 	if earlier != nil && !c.job.Durable {
 		rt.replaceCall(earlier, c, now)
-		return
 	}
-	rt.route(c, now)
+	switch {
+	case !rt.owners.fitsSomeServer(&c.job):
+		rt.finish(c, Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: c.reofferAt.Sub(now)})
+	case c.reofferAt == 0:
+		rt.route(c, now)
+	}
 }
 
 // callOf returns the open call with a job, nil if there is none.
@@ -162,9 +162,6 @@
 	}
 	rt.withdraw(earlier, now)
 	rt.finish(earlier, Result{Kind: Unknown, Reason: ReasonResubmitted})
-	if c.reofferAt == 0 {
-		rt.route(c, now)
-	}
 }
 
 // route offers a job to the owner that can start it immediately, else to the queue
@@ -283,7 +280,7 @@
 func (rt *router) offer(c *call, o candidate, now Time) {
 	age := now.Sub(c.job.ReceivedAt)
 	rt.lastOffer++
-	c.offer = rt.lastOffer
+	c.offer, c.deferredFor = rt.lastOffer, ""
 	rt.logRouted(c, o, now)
 	rt.offers[c.offer] = c
 	if o.peer == nil {
