--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -14,8 +14,13 @@
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
-// maxLinesPerSecond bounds the log of decisions; dropped lines are counted.
-const maxLinesPerSecond = 200
+// Limits of the log of decisions; dropped lines are counted.
+const (
+	maxLinesPerSecond = 200
+	// reservedLines are left for events other than those that every job writes, which
+	// would take all at a load peak.
+	reservedLines = 50
+)
 
 // limitedLog writes log entries of decisions, rate limited.
 type limitedLog struct {
@@ -33,8 +38,17 @@
 	return &limitedLog{log: l, metrics: m, unreadable: map[string]platform.Revision{}}
 }
 
-// allow reports whether a line may be written now.
-func (l *limitedLog) allow() bool {
+// maxLines returns how many lines may have been written in a second before one of an event.
+func maxLines(e eventlog.Event) int {
+	switch e {
+	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered:
+		return maxLinesPerSecond - reservedLines
+	}
+	return maxLinesPerSecond
+}
+
+// allow reports whether a line of an event may be written now.
+func (l *limitedLog) allow(e eventlog.Event) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := time.Now().Unix(); s != l.second {
@@ -43,7 +57,7 @@
 		}
 		l.second, l.lines, l.dropped = s, 0, 0
 	}
-	if l.lines >= maxLinesPerSecond {
+	if l.lines >= maxLines(e) {
 		l.dropped++
 		l.metrics.LinesDropped.Inc()
 		return false
@@ -93,7 +107,7 @@
 func (l *limitedLog) writeEntry(x fleet.LogEntry) {
 	e := logEvents[x.Kind]
 	l.metrics.Decisions.WithLabelValues(e.Name).Inc()
-	if !l.allow() {
+	if !l.allow(e) {
 		return
 	}
 	line := l.log.Event(e)
@@ -143,7 +157,7 @@
 
 // callFailed logs a failed call.
 func (l *limitedLog) callFailed(call string, server model.ServerID, err error) {
-	if err == nil || !l.allow() {
+	if err == nil || !l.allow(eventlog.CallFailed) {
 		return
 	}
 	l.log.Event(eventlog.CallFailed).Str("call", call).Str("server", string(server)).AnErr("cause", err).Send()
@@ -151,7 +165,7 @@
 
 // watchBehind logs a reply of a watch that is far from the store's newest known revision.
 func (l *limitedLog) watchBehind(w watchSpec, r platform.Range) {
-	if l.allow() {
+	if l.allow(eventlog.WatchBehind) {
 		l.log.Event(eventlog.WatchBehind).Str("watch", w.name).Int("count", len(r.Items)).Uint64("value", uint64(r.Revision)).
 			Uint64("behind", uint64(r.Behind)).Send()
 	}
@@ -167,7 +181,7 @@
 
 // recordUnreadable logs a store record that can't be decoded, once for each revision.
 func (l *limitedLog) recordUnreadable(it platform.Item, err error) {
-	if !l.firstUnreadable(it) || !l.allow() {
+	if !l.firstUnreadable(it) || !l.allow(eventlog.RecordUnreadable) {
 		return
 	}
 	l.log.Event(eventlog.RecordUnreadable).Str("key", it.Key).Uint64("value", uint64(it.ModRevision)).Str("cause", shorten(err.Error(), maxCauseBytes)).Send()
@@ -197,7 +211,7 @@
 
 // recordUnwritable logs a record that can't be encoded.
 func (l *limitedLog) recordUnwritable(key string, err error) {
-	if l.allow() {
+	if l.allow(eventlog.RecordUnreadable) {
 		l.log.Event(eventlog.RecordUnreadable).Str("key", key).AnErr("cause", err).Send()
 	}
 }
@@ -207,7 +221,7 @@
 	took := bootTime().Sub(j.ReceivedAt)
 	l.metrics.Answers.WithLabelValues(r.Kind.String(), string(r.Reason)).Inc()
 	l.metrics.AnswerTime.WithLabelValues(j.Route).Observe(took.Seconds())
-	if l.allow() {
+	if l.allow(eventlog.JobAnswered) {
 		l.log.Event(eventlog.JobAnswered).Str("job", j.ID).Uint64("call", uint64(c)).Str("route", j.Route).
 			Str("result", r.Kind.String()).Str("reason", string(r.Reason)).Dur("took_ms", took).
 			Dur("objective_ms", j.Due().Sub(j.ReceivedAt)).Dur("retry_after_ms", r.RetryAfter).Send()
@@ -217,7 +231,7 @@
 // callerDisconnected logs a caller that left before its response.
 func (l *limitedLog) callerDisconnected(c fleet.CallID, j *fleet.JobSpec) {
 	l.metrics.Answers.WithLabelValues("none", string(fleet.ReasonCallerGone)).Inc()
-	if l.allow() {
+	if l.allow(eventlog.JobAnswered) {
 		l.log.Event(eventlog.JobAnswered).Str("job", j.ID).Uint64("call", uint64(c)).Str("route", j.Route).
 			Str("result", "none").Str("reason", string(fleet.ReasonCallerGone)).Dur("took_ms", bootTime().Sub(j.ReceivedAt)).Send()
 	}
@@ -225,7 +239,7 @@
 
 // requestRejected logs a request rejected before it became a job.
 func (l *limitedLog) requestRejected(id string, r platform.Rejection) {
-	if l.allow() {
+	if l.allow(eventlog.RequestRefused) {
 		l.log.Event(eventlog.RequestRefused).Str("job", id).Int("status", r.Status).Str("reason", r.Problem).Send()
 	}
 }
