--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -17,8 +17,8 @@
 // Limits of the log of decisions; dropped lines are counted.
 const (
 	maxLinesPerSecond = 200
-	// reservedLines are left for events other than those that every job writes, which
-	// would take all at a load peak.
+	// reservedLines are left for events other than those that every job or rejected
+	// request writes, which would take all at a load peak.
 	reservedLines = 50
 )
 
@@ -41,7 +41,7 @@
 // maxLines returns how many lines may have been written in a second before one of an event.
 func maxLines(e eventlog.Event) int {
 	switch e {
-	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered:
+	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered, eventlog.RequestRefused:
 		return maxLinesPerSecond - reservedLines
 	}
 	return maxLinesPerSecond
