Simulated stalls with the timing of real processes; a call has one open offer

Random worlds in virtual time didn't show the fault that mends. A call has to be deferred with a declined offer, and the offer be declined again after the deferral could end, but before the next tick or heartbeat ends it. Simulated instances reported their input as processed right before each tick, which ended such a deferral at once; links came back within 2 ms of being replaced, and no mix replaced both links of an instance that had just caught up.

With ProcessTiming, instances probe their input as package node does, get one missed tick when they wake, and take 30 to 60 ms to dial again. All worlds now also check that an instance offers a call to one owner at a time.

--- a/internal/fleet/fleetsim/callers.go
+++ b/internal/fleet/fleetsim/callers.go
@@ -45,8 +45,12 @@
 		return
 	}
 	c.mayHaveRun = true
+	draw := w.anotherInstance
+	if w.resubmitAt != nil {
+		draw = func(from *simInstance) *simInstance { return w.resubmitAt(from, j) }
+	}
 	w.After(resubmitDelay, func() {
-		if at := w.anotherInstance(from); at != nil {
+		if at := draw(from); at != nil {
 			w.submitFor(c, at.member.Instance, j.Spec, j.work)
 		}
 	})
--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -48,21 +48,33 @@
 	l.up, l.dialed = false, true
 	l.lastArrivalAt = 0
 	serial := l.serial
+	finish := func() {
+		if l.serial == serial {
+			w.finishConnect(a, b, l)
+		}
+	}
 	w.later(a, 2*w.delay(a.member.Domain, b.member.Domain), func() {
-		if l.serial != serial {
+		if w.ProcessTiming && b.frozen {
+			w.awaitHandshake(a, b, finish)
 			return
 		}
-		if !a.isolated && !b.isolated && !a.cutPeers[b] && !b.cutPeers[a] && !b.frozen && b.alive {
-			l.up = true
-			w.step(a, fleet.LinkUp{Peer: b.member})
-			return
+		finish()
+	})
+}
+
+// finishConnect ends an attempt to connect a to b.
+func (w *World) finishConnect(a, b *simInstance, l *simLink) {
+	if !a.isolated && !b.isolated && !a.cutPeers[b] && !b.cutPeers[a] && !b.frozen && b.alive {
+		l.up = true
+		w.step(a, fleet.LinkUp{Peer: b.member})
+		return
+	}
+	w.step(a, fleet.LinkDown{Peer: b.member, Refused: a.refusesLinks || b.refusesLinks || !b.alive && !a.isolated})
+	serial := l.serial
+	w.later(a, redialInterval, func() {
+		if l.serial == serial {
+			w.connect(a, b)
 		}
-		w.step(a, fleet.LinkDown{Peer: b.member, Refused: a.refusesLinks || b.refusesLinks || !b.alive && !a.isolated})
-		w.later(a, redialInterval, func() {
-			if l.serial == serial {
-				w.connect(a, b)
-			}
-		})
 	})
 }
 
@@ -158,6 +170,10 @@
 	for _, d := range waiting {
 		d.f()
 	}
+	if w.ProcessTiming && n.missedTick {
+		w.later(n, w.upTo(maxTickDelay), func() { w.timedTick(n) })
+	}
+	n.missedTick = false
 }
 
 // compareDeferred orders messages after all else.
--- a/internal/fleet/fleetsim/troubles_test.go
+++ b/internal/fleet/fleetsim/troubles_test.go
@@ -133,13 +133,18 @@
 
 // offerTroubledLoad submits jobs for d whose callers submit them again.
 func (w *World) offerTroubledLoad(perSecond float64, d time.Duration) {
+	w.offerJobs(perSecond, d, w.submitTroubled)
+}
+
+// offerJobs calls submit perSecond times a second for d.
+func (w *World) offerJobs(perSecond float64, d time.Duration, submit func()) {
 	end := w.now.Add(d)
 	var next func()
 	next = func() {
 		if w.now > end {
 			return
 		}
-		w.submitTroubled()
+		submit()
 		w.After(time.Duration(w.Rand.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	next()
@@ -166,7 +171,14 @@
 func playTroublesIn(w *World, mix ...trouble) *World {
 	w.Run(settleTime)
 	w.offerTroubledLoad(12, troubledTime)
-	end := w.now.Add(troubledTime)
+	w.injectTroubles(troubledTime, mix)
+	w.Run(troubledTime + quietTime)
+	return w
+}
+
+// injectTroubles lets troubles happen for d.
+func (w *World) injectTroubles(d time.Duration, mix []trouble) {
+	end := w.now.Add(d)
 	for _, x := range mix {
 		var next func()
 		next = func() {
@@ -178,8 +190,6 @@
 		}
 		w.After(time.Duration(w.Rand.ExpFloat64()*float64(x.every)), next)
 	}
-	w.Run(troubledTime + quietTime)
-	return w
 }
 
 // TestTaskRunsOnceUnderMixedTroubles plays mixes of troubles that the contract with the
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -55,6 +55,10 @@
 
 	DialListed bool // instances connect only to members that they know of
 
+	// ProcessTiming gives instances the delays of real processes: they probe their input,
+	// catch up on one tick when they wake, and take a while to replace a link.
+	ProcessTiming bool
+
 	ReplaceCrashed bool // servers that a run has crashed come back under another ID
 
 	store   *jobStore
@@ -67,6 +71,9 @@
 	onSend  func(model.Instance, fleet.SendPeer)              // called for each message with its sender, may be nil
 	onStep  func(model.Instance, fleet.Event, []fleet.Effect) // called for each step of an instance, may be nil
 	onOrder func(s *Server, order fleet.Effect, late bool)    // called for each order that a server executes, may be nil
+
+	// resubmitAt draws where a job is submitted again, may be nil.
+	resubmitAt func(from *simInstance, j *JobRecord) *simInstance
 }
 
 // JobRecord is the history of a job.
@@ -125,6 +132,9 @@
 	watch          int                   // counts its watches of the entries of servers
 	newestRevision uint64                // of the entries, known from other reads of the store
 	overdueAt      fleet.Time            // time of the scheduled RepliesOverdue, 0 if none is
+	probe          inputProbe
+	openOffers     openOffers
+	missedTick     bool // a tick was due while frozen
 }
 
 // New returns a world without instances. The seed determines all randomness.
@@ -183,7 +193,7 @@
 	n.member.Incarnation = model.Incarnation(fmt.Sprintf("%08d", n.incarnation))
 	n.alive, n.frozen, n.deferred, n.awakeAt = true, false, nil, 0
 	n.watches, n.storeWasUp, n.sentRevision = true, true, 0
-	n.overdueAt = 0
+	n.overdueAt, n.probe, n.missedTick, n.openOffers = 0, inputProbe{}, false, openOffers{}
 	n.renewedAt = w.now
 	n.calls, n.readCalls, n.lostCalls = map[fleet.CallID]*JobRecord{}, map[fleet.CallID]bool{}, map[fleet.CallID]fleet.Time{}
 	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
@@ -304,7 +314,12 @@
 	if n.incarnation != incarnation || !n.alive {
 		return
 	}
-	if !n.frozen { // a ticker drops undelivered ticks
+	switch {
+	case n.frozen:
+		n.missedTick = true
+	case w.ProcessTiming:
+		w.timedTick(n)
+	default:
 		w.stepNow(n, fleet.InputProcessed{At: n.inputProcessed(w.now)})
 		w.step(n, fleet.Tick{})
 	}
@@ -339,6 +354,8 @@
 	switch x := e.(type) {
 	case fleet.JobSubmitted:
 		n.readCalls[x.Call] = true
+	case fleet.InputProcessed:
+		n.probe.inFlight = false
 	case fleet.CallerDisconnected:
 		if !n.readCalls[x.Call] { // events of a call are in order
 			w.later(n, time.Millisecond, func() { w.stepNow(n, e) })
@@ -347,6 +364,9 @@
 		delete(n.lostCalls, x.Call)
 	}
 	effects := n.reducer.Step(w.now, e)
+	n.openOffers.observe(n.member.Instance, e, effects, func(call fleet.CallID, has, gets model.Instance) {
+		w.violated("%s offers call %d to %s while %s has it", n.member.Instance, call, gets, has)
+	})
 	if w.onStep != nil {
 		w.onStep(n.member.Instance, e, effects)
 	}
@@ -406,6 +426,10 @@
 			n.linkTo(w.instance(x.Peer.Instance)).hangUp()
 		}
 	case fleet.Reconnect:
+		if w.ProcessTiming {
+			w.replaceLink(n, w.instance(x.Peer.Instance))
+			return
+		}
 		w.connect(n, w.instance(x.Peer.Instance))
 	case fleet.Answer:
 		w.answered(n, x)
