Soak: instances that lag while they handle a backlog of messages

Its stalls alone rarely meet a message that was held up until the instance continues.

Change: the fault "instances stalled behind held messages". Messages to some instances are held back, these are stopped and continue with the backlog, and links to the others are reset.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -75,6 +75,7 @@
 	domains     []model.Domain
 	version     atomic.Int64
 	background  sync.WaitGroup // restarts and load in progress
+	holding     sync.Mutex     // held while messages to some instances are held back
 }
 
 // newDeployment starts a deployment; its ports are closed when ctx ends.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,6 +99,14 @@
 	}},
 }
 
+// namedFaults are injected only if they are chosen by name, so that seeds without a choice
+// keep their faults.
+var namedFaults = []fault{
+	{"instances stalled behind held messages", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
+		return dep.holdAndStall(r, d)
+	}},
+}
+
 // Lengths of a stall, below the gap by which an instance notices that it was paused, and
 // of the time between two.
 const (
@@ -107,34 +115,95 @@
 	maxStallPause = 400 * time.Millisecond
 )
 
+// Lengths of a hold and of the stall after it. Together they are shorter than the silence
+// after which an instance gives others up.
+const (
+	minHold      = 150 * time.Millisecond
+	maxHold      = 270 * time.Millisecond
+	maxHeldStall = 300 * time.Millisecond
+	// deliveryTime lets the messages reach a stalled instance.
+	deliveryTime  = 10 * time.Millisecond
+	minStallPause = 80 * time.Millisecond
+	maxResetDelay = 20 * time.Millisecond
+)
+
 // stall stops instances again and again, as a busy machine does, until the returned
 // function is called.
 func (dep *deployment) stall(r *rand.Rand, d time.Duration) (end func()) {
-	stalls := rand.New(rand.NewPCG(r.Uint64(), 5))
+	return dep.repeat(r, d, func(own *rand.Rand) {
+		p := dep.anyProcess(own)
+		p.signal(syscall.SIGSTOP, false)
+		time.Sleep(between(own, minStall, maxStall))
+		p.signal(syscall.SIGCONT, true)
+		time.Sleep(between(own, 0, maxStallPause))
+	})
+}
+
+// holdAndStall holds back the messages to some instances, stops these, and delivers the
+// messages before they continue, so that they handle a backlog while they lag behind
+// their input. Then it resets the links to the others. It repeats that until the returned
+// function is called.
+func (dep *deployment) holdAndStall(r *rand.Rand, d time.Duration) (end func()) {
+	return dep.repeat(r, d, func(own *rand.Rand) {
+		dep.holding.Lock()
+		defer dep.holding.Unlock()
+		all := slices.Clone(dep.processes)
+		own.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		n := 1 + own.IntN(len(all)/2)
+		stalled, others := all[:n], all[n:]
+		setModes(stalled, link.Mode{Silent: true})
+		time.Sleep(between(own, minHold, maxHold))
+		for _, p := range stalled {
+			p.signal(syscall.SIGSTOP, false)
+		}
+		time.Sleep(between(own, minStall, maxHeldStall))
+		setModes(stalled, link.Mode{})
+		time.Sleep(deliveryTime)
+		for _, p := range stalled {
+			p.signal(syscall.SIGCONT, true)
+		}
+		time.Sleep(between(own, 0, maxResetDelay))
+		setModes(others, link.Mode{Reset: true})
+		time.Sleep(between(own, minStallPause, maxStallPause/2))
+	})
+}
+
+// setModes sets the fault of the links to some instances.
+func setModes(to []*process, m link.Mode) {
+	for _, p := range to {
+		p.peersLink.SetMode(m)
+	}
+}
+
+// repeat calls once again and again in the background for d.
+func (dep *deployment) repeat(r *rand.Rand, d time.Duration, once func(own *rand.Rand)) (end func()) {
+	own := rand.New(rand.NewPCG(r.Uint64(), 5))
 	over := time.Now().Add(d)
 	dep.background.Go(func() {
 		for time.Now().Before(over) {
-			p := dep.anyProcess(stalls)
-			p.signal(syscall.SIGSTOP, false)
-			time.Sleep(minStall + time.Duration(stalls.Int64N(int64(maxStall-minStall))))
-			p.signal(syscall.SIGCONT, true)
-			time.Sleep(time.Duration(stalls.Int64N(int64(maxStallPause))))
+			once(own)
 		}
 	})
 	return func() {}
 }
 
-// faultsNamed returns the faults with the given names, all if there are none.
+// between returns a random duration from low to below high.
+func between(r *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(r.Int64N(int64(high-low)))
+}
+
+// faultsNamed returns the faults with the given names, those of faults if there are none.
 func faultsNamed(names []string) (out []fault, err error) {
 	if len(names) == 0 {
 		return faults, nil
 	}
+	known := slices.Concat(faults, namedFaults)
 	for _, name := range names {
-		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		i := slices.IndexFunc(known, func(f fault) bool { return f.name == name })
 		if i < 0 {
 			return nil, errors.Errorf("no fault is called %q; see internal/soak/faults.go", name)
 		}
-		out = append(out, faults[i])
+		out = append(out, known[i])
 	}
 	return out, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,7 +25,7 @@
 	FaultDuration time.Duration // how long new faults are injected
 	ResubmitDelay time.Duration // delay before a lost job is resubmitted
 	MaxLateness   time.Duration // lateness past its deadline from which an answer is a violation
-	Faults        []string      // names of the faults to inject; all if empty
+	Faults        []string      // names of the faults to inject; the usual ones if empty
 }
 
 // Report is the result of a soak.
