--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,9 +36,6 @@
 		p.signal(syscall.SIGSTOP, false)
 		return func() { p.signal(syscall.SIGCONT, true) }
 	}},
-	{"instances stalled", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
-		return dep.stall(r, d)
-	}},
 	{"instance stopped", func(dep *deployment, r *rand.Rand, _ time.Duration) func() {
 		p := dep.anyProcess(r)
 		p.signal(syscall.SIGTERM, false)
@@ -102,6 +99,9 @@
 // namedFaults are injected only if they are chosen by name, so that seeds without a choice
 // keep their faults.
 var namedFaults = []fault{
+	{"instances stalled", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
+		return dep.stall(r, d)
+	}},
 	{"instances stalled behind held messages", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
 		return dep.holdAndStall(r, d)
 	}},
