Soak: callers cut off without the instances' knowledge

Cause: in the soak an instance learns of a caller that has left at once, so that jobs submitted again hardly ever meet their earlier submission.

Change: callers connect by links, and link.Mode has Cut: dialers see a reset, targets nothing. The fault "callers cut off unnoticed" uses it, by name only.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -81,7 +81,7 @@
 
 // call sends a request to an instance; status is 0 without a complete answer.
 func (dep *deployment) call(ctx context.Context, p *process, method, path, body string) (status int, text string) {
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", p.ip, callerPort, path), strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.callersAddr+path, strings.NewReader(body))
 	if err != nil {
 		dep.addViolation("%v", err)
 		return 0, ""
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -184,6 +184,9 @@
 	if p.peersLink, p.peersAddr, err = dep.startLink(fmt.Sprintf("%s:%d", p.ip, peerPort)); err != nil {
 		return err
 	}
+	if p.callersLink, p.callersAddr, err = dep.startLink(fmt.Sprintf("%s:%d", p.ip, callerPort)); err != nil {
+		return err
+	}
 	text, err := p.settings(dep.domains)
 	if err != nil {
 		return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,6 +105,12 @@
 	{"instances stalled behind held messages", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
 		return dep.holdAndStall(r, d)
 	}},
+	{"callers cut off unnoticed", func(dep *deployment, _ *rand.Rand, _ time.Duration) func() {
+		for _, p := range dep.processes {
+			p.callersLink.SetMode(link.Mode{Cut: true})
+		}
+		return func() {}
+	}},
 }
 
 // Lengths of a stall, below the gap by which an instance notices that it was paused, and
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -39,6 +39,9 @@
 	peersAddr string     // address of peersLink
 	storeAddr string     // address of storeLink
 
+	callersLink *link.Link // from callers
+	callersAddr string     // address of callersLink
+
 	mu               sync.Mutex
 	cmd              *exec.Cmd
 	exited           chan struct{}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -27,6 +27,7 @@
 	SilentFrom []string `json:"silent_from"` // only connections from these IP addresses stall
 	Forget     bool     `json:"forget"`      // connections open now stall permanently; new ones work
 	Reset      bool     `json:"reset"`       // connections open now are reset; new ones work
+	Cut        bool     `json:"cut"`         // connections open now are reset at their dialers, and the target isn't told; new ones work
 	DelayMs    int64    `json:"delay_ms"`    // delay of each chunk, one after the other; a busy link falls behind
 }
 
@@ -38,12 +39,12 @@
 	mode       Mode
 	generation int // number of Forgets; connections of an earlier generation stall
 	closed     bool
-	conns      map[net.Conn]struct{}
+	conns      map[net.Conn]bool // open connections; true: to a dialer
 }
 
 // New returns a link to a target address.
 func New(target string) *Link {
-	l := &Link{target: target, conns: map[net.Conn]struct{}{}}
+	l := &Link{target: target, conns: map[net.Conn]bool{}}
 	l.cond = sync.NewCond(&l.mu)
 	return l
 }
@@ -54,11 +55,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = m
-	if m.Forget {
+	if m.Forget || m.Cut {
 		l.generation++
 	}
-	if m.Reset {
-		for c := range l.conns {
+	for c, toDialer := range l.conns {
+		if m.Reset || m.Cut && toDialer {
 			reset(c)
 		}
 	}
@@ -74,10 +75,10 @@
 }
 
 // track registers an open connection until the returned function is called.
-func (l *Link) track(c net.Conn) (untrack func()) {
+func (l *Link) track(c net.Conn, toDialer bool) (untrack func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
+	l.conns[c] = toDialer
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -164,7 +165,7 @@
 
 func (l *Link) forward(ctx context.Context, c net.Conn) {
 	defer c.Close()
-	defer l.track(c)()
+	defer l.track(c, true)()
 	f := l.newFlow(c)
 	if !l.waitUnblocked(f, false) {
 		return
@@ -174,7 +175,7 @@
 		return
 	}
 	defer t.Close()
-	defer l.track(t)()
+	defer l.track(t, false)()
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 		_ = t.Close()
