--- a/review/kit-2/fleet.go
+++ b/review/kit-2/fleet.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -32,6 +33,7 @@
 	root      string // of the repository
 	run       []string
 	net       int // second byte of its addresses
+	netLock   net.Listener
 	store     *Store
 	zones     []string
 	instances []*Instance
@@ -51,7 +53,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{rec: rec, dir: dir, root: root, zones: zones, net: 100 + os.Getpid()%100, host: "queue7.example", prefix: "/rq41/", service: "ops"}
+	d := &Deployment{rec: rec, dir: dir, root: root, zones: zones, host: "queue7.example", prefix: "/rq41/", service: "ops"}
+	if err = d.takeNet(); err != nil {
+		return nil, err
+	}
 	if d.run, err = roleCommand(filepath.Join(root, "deploy", "system.toml")); err != nil {
 		return nil, err
 	}
@@ -62,6 +67,17 @@
 	return d, nil
 }
 
+// takeNet chooses addresses that no other script uses meanwhile.
+func (d *Deployment) takeNet() (err error) {
+	for range 100 {
+		d.net = 20 + rand.IntN(200)
+		if d.netLock, err = net.Listen("tcp", d.ip(255, 254)+":7099"); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func (d *Deployment) ip(a, b int) string { return fmt.Sprintf("127.%d.%d.%d", d.net, a, b) }
 
 // roleCommand returns the command of the role in the deploy file.
