--- a/review/kit-2/minion.go
+++ b/review/kit-2/minion.go
@@ -72,6 +72,7 @@
 	ends     []minionEnd
 	lastEnd  int
 	changed  chan struct{}
+	cut      bool // no machine of the system reaches it; calls are lost
 	state    string
 	timer    *time.Timer
 }
@@ -195,10 +196,25 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		m.mu.Lock()
+		cut := m.cut
+		m.mu.Unlock()
+		if cut {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// cutOff cuts the minion off from all machines of the system, but not from the store.
+func (m *Minion) cutOff() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = true
+	m.rec.add("cut", m.id, "-", 0, "")
+}
+
 type minionCall struct {
 	Task       string `json:"task"`
 	Attempt    int    `json:"attempt"`
