Evacuate failure domains and expect cold servers to be slower

The operator's key op/evacuate/ZONE had no reader, so that tasks went on starting on the domain's servers. Watchers of the prefix op/ now report the set of evacuated domains as of a store revision, members exchange it in heartbeats, and the highest revision holds. Servers of these domains take no work; queued jobs go back to the instances that offered them, and jobs that fit only there are rejected as evacuated. A starting instance reads the set before it applies ownerships.

The time on a cold server (coldLeftMs) is that on the warm one times a factor learned from cold runs. Entries that only count the cold time down are equal.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -111,6 +111,8 @@
 	CrashConfirmed    = warn(8041, "crash-confirmed", "backend server that was lost under a task has crashed")
 	TaskGivenUp       = warn(8042, "task-given-up", "task crashes its backend servers; its job ends as failed")
 	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
+	DomainEvacuated   = info(8044, "domain-evacuated", "operator evacuates a failure domain; nothing starts on its backend servers")
+	DomainRestored    = info(8045, "domain-restored", "evacuation of a failure domain has ended")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -85,11 +85,19 @@
 	p.endJob(j, r, now)
 }
 
-// rejectUnfit rejects queued jobs with tasks that fit on no listed server any more.
+// rejectUnfit rejects queued jobs with tasks that fit on no listed server any more, or only
+// on servers of evacuated domains.
 func (p *pool) rejectUnfit(now Time) {
 	for _, j := range slices.Clone(p.queue) {
-		if j.sheddable() && !p.owners.fitsSomeServer(&j.spec) {
-			p.reject(j, "fits no server", Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: minRetryAfter}, now)
+		if !j.sheddable() {
+			continue
+		}
+		if r, unfit := p.owners.unfitResult(&j.spec); unfit {
+			why := "fits no server"
+			if r.Reason == ReasonEvacuated {
+				why = string(r.Reason)
+			}
+			p.reject(j, why, r, now)
 		}
 	}
 }
@@ -101,11 +109,11 @@
 	return owner != nil && owner.load(service).QueuedTasks > 0
 }
 
-// serverCount returns the number of servers of a service.
+// serverCount returns the number of servers of a service outside of evacuated domains.
 func (p *pool) serverCount(service string) int {
 	n := 0
 	for _, s := range p.orderedServers {
-		if s.entry.Service == service {
+		if s.entry.Service == service && !s.evacuated() {
 			n++
 		}
 	}
@@ -169,7 +177,7 @@
 	rate := 0.0
 	for _, s := range p.orderedServers {
 		if s.takesWork(now) || s.opensSoon() {
-			rate += float64(s.capacity().CPUMilli) * packingShare / s.speed.factor()
+			rate += float64(s.capacity().CPUMilli) * packingShare / s.slowdown(now)
 		}
 	}
 	if rate == 0 {
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -69,6 +69,9 @@
 	// ReportedAtMs is when the server wrote the entry, on its own clock; 0 if unknown.
 	// Entries that differ in this alone are equal.
 	ReportedAtMs int64
+	// ColdLeftMs is how much longer the server stays slow after its start, from
+	// ReportedAtMs on. Entries whose sums of both are about equal are equal.
+	ColdLeftMs int64
 }
 
 // ServersListed holds all backend servers listed in the store.
@@ -366,6 +369,7 @@
 	Job    string
 	Peer   model.Instance
 	Server model.ServerID
+	Domain model.Domain // evacuated or restored
 	Run    RunID
 	Count  int
 	Age    time.Duration // of the information the decision is based on
@@ -431,6 +435,8 @@
 	LogTaskSuspected
 	LogCrashConfirmed
 	LogTaskGivenUp
+	LogDomainEvacuated
+	LogDomainRestored
 )
 
 // Message is a message between members.
@@ -452,6 +458,9 @@
 	RenewedAt       Time           // last renewal of the sender's entry in the store, on its clock; 0 if unknown
 	Inquiries       []Member       // incarnations whose presence the sender asks for
 	Reports         []MemberReport // answers to the Inquiries of the receiver's heartbeats
+
+	Evacuated          []model.Domain // evacuated failure domains, sorted
+	EvacuationRevision uint64         // of the store, as of which Evacuated holds; 0 if the sender never heard of an evacuation
 }
 
 // RouteCount is the number of jobs of a route.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,6 +148,7 @@
 	ReasonNoOwner          Reason = "no-owner"        // no live instance owns servers of the service
 	ReasonOverload         Reason = "overload"        // it could not complete on time
 	ReasonTooLarge         Reason = "too-large"       // a task fits on no server
+	ReasonEvacuated        Reason = "evacuated"       // a task fits only on servers of evacuated failure domains
 	ReasonDeadline         Reason = "deadline"        // not completed within the caller's timeout
 	ReasonAttempts         Reason = "attempts"        // a task failed too often
 	ReasonOwnerLost        Reason = "owner-lost"      // the owner that ran it was lost
--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -271,6 +271,7 @@
 	outcome, started := s.state.Start(w.now, o)
 	if started {
 		w.checkStart(s, x.Run, j, step.Need)
+		w.checkEvacuation(s, x.Run)
 		for _, o := range others {
 			w.violated("task %v runs at %s and %s", x.Run.Task, o, s.Entry.ID)
 		}
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -44,6 +44,7 @@
 	listReads    int // by instances that don't watch the list
 	Heartbeats   Heartbeats
 	entryLog     *entryLog
+	evacuations  evacuations
 
 	jobs        map[string]*JobRecord
 	submissions []*JobRecord
@@ -232,6 +233,7 @@
 		w.step(n, fleet.MembershipRenewed{SentAt: w.now, Created: created})
 		w.step(n, fleet.MembersListed{Members: w.members()})
 		w.sendServers(n)
+		w.sendEvacuations(n)
 		w.step(n, fleet.OwnersChanged{Owners: w.ownerList()})
 	}
 	w.After(200*time.Millisecond, func() { w.syncStore(n, incarnation) })
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -43,6 +43,8 @@
 	effects []Effect
 	config  *configFetch
 
+	evacuations *evacuations
+
 	lastEventAt  Time
 	leaving      bool
 	stopDeadline Time
@@ -56,7 +58,9 @@
 	i.config = &configFetch{self: o.Self, members: i.members, effect: emit}
 	i.servers = newServerList(o, i.members, now, emit)
 	i.config.list = i.servers
+	i.evacuations = &evacuations{}
 	i.owners = newOwners(o.Self, i.servers, now, emit)
+	i.owners.evacuations = i.evacuations
 	i.pool = newPool(o, i.members, i.owners, emit)
 	i.holder = newHolder(o.Self, i.members, i.owners, i.pool, now, emit)
 	i.pool.holder = i.holder
@@ -128,6 +132,8 @@
 		if len(e.Servers)+len(e.Removed) > 0 {
 			i.handleServersChanged(now)
 		}
+	case EvacuationsChanged:
+		i.applyEvacuations(e.Domains, e.Revision, "", now)
 	case ClaimReply:
 		i.owners.claiming = false
 		i.learnOwners(e.Owners, now)
@@ -410,6 +416,7 @@
 		p.setPending(m.Pending)
 		i.holder.inUse = i.holder.inUse || m.DurableInUse
 		p.declinedAt = 0
+		i.learnEvacuations(p.member.Instance, m, now)
 		i.pool.dispatch(now)
 		i.router.retryDeferred(now)
 	case Offer:
@@ -508,6 +515,7 @@
 	for _, s := range i.pool.services() {
 		hb.Loads = append(hb.Loads, i.pool.load(s, now))
 	}
+	i.evacuations.addTo(&hb)
 	p.sentLoads = hb.Loads
 	i.effects = append(i.effects, SendPeer{To: p.member, Message: hb})
 }
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -104,10 +104,12 @@
 	return nil
 }
 
-// roomWithStaging returns a peer's free milli-cores plus what may be staged there.
+// roomWithStaging returns a peer's free milli-cores plus what may be staged there. Tasks of
+// others are staged beside a queue only if all servers here are evacuated: nothing else
+// would ever start them.
 func (p *pool) roomWithStaging(x *peer, service string) float64 {
 	l := x.load(service)
-	if l.Servers == 0 || l.QueuedTasks > 0 {
+	if l.Servers == 0 || l.QueuedTasks > 0 && !p.allEvacuated(service) {
 		return 0
 	}
 	return x.freeMilli(service) + float64(targetStagedTasks-l.StagedTasks)*p.typicalMilli
@@ -174,9 +176,7 @@
 		if j.offloaded == nil || j.done || j.starts > 0 || now < j.returnAt || !j.hasReadyTask() {
 			continue
 		}
-		j.done = true
-		delete(p.jobs, j.key())
-		p.effect(outcomeReady{origin: j.origin, outcome: Outcome{Call: j.call, Declined: true, Attempt: j.offloaded.attempt}})
+		p.returnJob(j, Result{})
 	}
 }
 
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -49,7 +49,9 @@
 	domains  []model.Domain                    // with servers in this cell, sorted
 	known    map[model.ServerID]Ownership
 	fenced   map[model.ServerID]uint64 // highest token that a server has refused
-	loaded   bool                      // the store's ownerships have been read
+	// evacuations of the fleet: servers of evacuated domains keep their owners, but serve no job.
+	evacuations *evacuations
+	loaded      bool // the store's ownerships have been read
 	// stale holds the token under which a server of this instance has restarted. Orders
 	// under it may still reach the new life, so it is replaced by a higher one.
 	stale map[model.ServerID]uint64
@@ -78,28 +80,6 @@
 	}
 }
 
-// fitsSomeServer reports whether each task of a job fits on an empty listed server of
-// the cell. It is true while the list is empty.
-func (o *owners) fitsSomeServer(j *JobSpec) bool {
-	for _, st := range j.Steps {
-		if len(o.entries) > 0 && !o.stepFits(j.Service, st) {
-			return false
-		}
-	}
-	return true
-}
-
-func (o *owners) stepFits(service string, st StepSpec) bool {
-	for _, ids := range o.byDomain {
-		for _, id := range ids {
-			if e := o.entries[id]; e.serves(service, st) && st.Need.Fits(e.Capacity) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // canServe reports whether the servers of a member could run all steps of a job.
 func (o *owners) canServe(m Member, j *JobSpec) bool {
 	return !slices.ContainsFunc(j.Steps, func(st StepSpec) bool { return !o.ownsFitting(m, j.Service, st) })
@@ -109,18 +89,18 @@
 func (o *owners) ownsFitting(m Member, service string, st StepSpec) bool {
 	for id, e := range o.entries {
 		x := o.known[id]
-		if x.Owner == m.Instance && x.Incarnation == m.Incarnation && e.serves(service, st) && st.Need.Fits(e.Capacity) {
+		if x.Owner == m.Instance && x.Incarnation == m.Incarnation && e.fits(service, st) && !o.evacuations.has(e.Domain) {
 			return true
 		}
 	}
 	return false
 }
 
-// labelsOf returns the labels of the servers that a member owns.
+// labelsOf returns the labels of the servers outside of evacuated domains that a member owns.
 func (o *owners) labelsOf(m Member) []string {
 	var out []string
 	for id, e := range o.entries {
-		if x := o.known[id]; x.Owner == m.Instance && x.Incarnation == m.Incarnation {
+		if x := o.known[id]; x.Owner == m.Instance && x.Incarnation == m.Incarnation && !o.evacuations.has(e.Domain) {
 			out = append(out, e.Labels...)
 		}
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -85,7 +85,7 @@
 		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
 			continue
 		}
-		if onlyOnTime && now.Add(s.speed.expect(t.step.spec.Estimate)) > t.job.due {
+		if onlyOnTime && now.Add(s.expect(t.step.spec.Estimate, now)) > t.job.due {
 			continue
 		}
 		if c := p.cost(t, s, now); best == nil || c < bestCost {
@@ -121,7 +121,7 @@
 	case PlaceRandom:
 		return float64(rank(model.Domain(t.id.Job+strconv.Itoa(t.id.Index)), model.Instance(s.entry.ID)) >> 11)
 	}
-	takes := s.speed.expect(t.step.spec.Estimate)
+	takes := s.expect(t.step.spec.Estimate, now)
 	c := speedWeight(t.step.spec.Estimate) * ratio(takes, t.step.spec.Estimate)
 	if now.Add(takes) > t.job.due {
 		c += lateWeight
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -103,6 +103,7 @@
 		return
 	}
 	s := newServer(e, o, p.speeds.forServer(e))
+	s.evacuations = p.owners.evacuations
 	s.unknownLease = p.leaseFor(0) // granted by the earlier owner
 	p.servers[e.ID] = s
 	p.orderedServers = append(p.orderedServers, s)
@@ -171,6 +172,9 @@
 		p.sendOutcome(origin, call, p.recent[i].result, p.recent[i].attempt)
 		return false
 	}
+	if declined, rejected := p.offerToEvacuated(origin, call, &spec); declined || rejected {
+		return declined
+	}
 	if spec.Offloaded != nil {
 		return p.offerOffloaded(origin, call, spec, now)
 	}
@@ -416,6 +420,7 @@
 	p.updateFastFactor(now)
 	p.requeueDelayed(now)
 	p.expireJobs(now)
+	p.moveEvacuated(now)
 	p.dispatch(now)
 }
 
--- a/internal/fleet/queueorder.go
+++ b/internal/fleet/queueorder.go
@@ -43,7 +43,7 @@
 	var factors []float64
 	for _, s := range p.orderedServers {
 		if s.takesWork(now) {
-			factors = append(factors, s.speed.factor())
+			factors = append(factors, s.slowdown(now))
 		}
 	}
 	if len(factors) > 0 {
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -136,9 +136,11 @@
 	if earlier != nil && !c.job.Durable {
 		rt.replaceCall(earlier, c, now)
 	}
+	r, unfit := rt.owners.unfitResult(&c.job)
 	switch {
-	case !rt.owners.fitsSomeServer(&c.job):
-		rt.finish(c, Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: c.reofferAt.Sub(now)})
+	case unfit:
+		r.RetryAfter = max(r.RetryAfter, c.reofferAt.Sub(now))
+		rt.finish(c, r)
 	case c.reofferAt == 0:
 		rt.route(c, now)
 	}
@@ -171,6 +173,10 @@
 		rt.deferCall(c, now)
 		return
 	}
+	if rt.owners.evacuations.any() && rt.owners.fit(&c.job) == fitsEvacuated {
+		rt.finish(c, evacuatedResult) // the set has changed since the job was submitted
+		return
+	}
 	if c.job.Durable {
 		rt.routeDurable(c, now)
 		return
@@ -330,6 +336,9 @@
 		// may have run if the owner no longer knows it.
 		c.mayHaveRun = c.mayHaveRun || c.job.Durable || o.Result.Kind == Unknown
 		rt.closeOffer(c)
+		if o.Result.Reason == ReasonEvacuated { // another owner may start it at once
+			c.tried, c.allowQueue, c.queueOffers = []model.Instance{from.Instance}, false, 0
+		}
 		rt.effect(LogEntry{Kind: LogJobBounced, Call: c.id, Offer: o.Call, Job: c.job.ID, Peer: from.Instance, Reason: declineReason(o)})
 		rt.route(c, now)
 		return
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -49,6 +49,7 @@
 	state          runState
 	sentAt         Time // when the start was sent
 	isolated       bool // of a suspect: nothing else starts on the server meanwhile
+	cold           bool // the server was cold at the start
 	answeredAt     Time // when the start or stop was answered, 0 if it wasn't
 	started        bool // the server is known to have started it
 	uncertainSince Time
@@ -137,6 +138,8 @@
 	speed  *speedModel
 	health health
 
+	evacuations *evacuations // of the fleet
+
 	reservedFor *task // suspect that runs or will run here alone, nil if there is none
 }
 
@@ -152,13 +155,13 @@
 // available reports whether new runs may start, or that of the suspect for which the
 // server is reserved.
 func (s *server) available(now Time) bool {
-	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && s.misses == 0 && s.health.available(now)
+	return s.phase == phaseServing && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && !s.evacuated() && s.misses == 0 && s.health.available(now)
 }
 
 // opensSoon reports whether the server will take work once its first poll has been
 // answered and the runs of earlier owners have been stopped.
 func (s *server) opensSoon() bool {
-	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && s.misses == 0
+	return s.phase == phaseRecovering && s.quiesceUntil == 0 && s.listed && !s.releasing && !s.leaving.announced && !s.evacuated() && s.misses == 0
 }
 
 // reportAge returns how long ago the server wrote its entry in the store, or somewhat
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -296,5 +296,5 @@
 // Equal reports whether two entries are equal.
 func (e ServerEntry) Equal(o ServerEntry) bool {
 	return e.ID == o.ID && e.Service == o.Service && e.Addr == o.Addr && e.Domain == o.Domain && e.State == o.State &&
-		e.Capacity == o.Capacity && e.Kind == o.Kind && e.Slots == o.Slots && e.BootMs == o.BootMs && slices.Equal(e.Labels, o.Labels)
+		e.Capacity == o.Capacity && e.Kind == o.Kind && e.Slots == o.Slots && e.BootMs == o.BootMs && e.sameColdEnd(o) && slices.Equal(e.Labels, o.Labels)
 }
--- a/internal/fleet/speed.go
+++ b/internal/fleet/speed.go
@@ -13,6 +13,7 @@
 	logFactor float64 // natural logarithm of the slowdown factor
 	samples   int
 	kind      *speedModel // shared model of all servers of the kind, nil in that model itself
+	cold      *speedModel // further slowdown while the server is cold, nil in that model itself
 }
 
 const (
@@ -70,7 +71,7 @@
 func (m speedModels) forServer(e ServerEntry) *speedModel {
 	k := serverKind{e.Service, e.Kind, e.Capacity}
 	if m[k] == nil {
-		m[k] = &speedModel{}
+		m[k] = &speedModel{cold: &speedModel{}}
 	}
-	return &speedModel{kind: m[k]}
+	return &speedModel{kind: m[k], cold: &speedModel{kind: m[k].cold}}
 }
--- a/internal/fleetpb/server.go
+++ b/internal/fleetpb/server.go
@@ -12,7 +12,7 @@
 		out.Servers = append(out.Servers, &Server{
 			Id: string(e.ID), Service: e.Service, Addr: e.Addr, Domain: string(e.Domain), State: int32(e.State),
 			CpuMillicores: e.Capacity.CPUMilli, MemoryMb: e.Capacity.MemoryMB, Accelerators: e.Capacity.Accelerators,
-			Labels: e.Labels, Kind: e.Kind, Slots: int32(e.Slots), BornMs: e.BootMs, ReportedAtMs: e.ReportedAtMs,
+			Labels: e.Labels, Kind: e.Kind, Slots: int32(e.Slots), BornMs: e.BootMs, ReportedAtMs: e.ReportedAtMs, ColdLeftMs: e.ColdLeftMs,
 		})
 	}
 	for _, id := range c.Removed {
@@ -27,7 +27,7 @@
 	for _, e := range b.GetServers() {
 		c.Servers = append(c.Servers, fleet.ServerEntry{
 			ID: model.ServerID(e.GetId()), Service: e.GetService(), Addr: e.GetAddr(), Domain: model.Domain(e.GetDomain()),
-			State: fleet.ServerState(e.GetState()), Labels: e.GetLabels(), Kind: e.GetKind(), Slots: int(e.GetSlots()), BootMs: e.GetBornMs(), ReportedAtMs: e.GetReportedAtMs(),
+			State: fleet.ServerState(e.GetState()), Labels: e.GetLabels(), Kind: e.GetKind(), Slots: int(e.GetSlots()), BootMs: e.GetBornMs(), ReportedAtMs: e.GetReportedAtMs(), ColdLeftMs: e.GetColdLeftMs(),
 			Capacity: model.Resources{CPUMilli: e.GetCpuMillicores(), MemoryMB: e.GetMemoryMb(), Accelerators: e.GetAccelerators()},
 		})
 	}
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -149,7 +149,10 @@
 	b := &fleetpb.Beat{
 		Leaving: m.Leaving, ConfigVersion: m.ConfigVersion, HeardNs: int64(m.LastReceivedAge), PartsMillicores: m.OffloadedMilli, Keeps: m.DurableInUse,
 		SentAtNs: int64(m.SentAt), EchoNs: int64(m.Echo), Busy: m.Busy, StoreUp: m.StoreUp,
-		RenewedAtNs: int64(m.RenewedAt),
+		RenewedAtNs: int64(m.RenewedAt), EvacuationRevision: m.EvacuationRevision,
+	}
+	for _, d := range m.Evacuated {
+		b.Evacuated = append(b.Evacuated, string(d))
 	}
 	for _, x := range m.Inquiries {
 		b.Inquiries = append(b.Inquiries, memberToPB(x))
@@ -171,7 +174,10 @@
 		Leaving: b.GetLeaving(), ConfigVersion: b.GetConfigVersion(), LastReceivedAge: time.Duration(b.GetHeardNs()),
 		OffloadedMilli: b.GetPartsMillicores(), DurableInUse: b.GetKeeps(),
 		SentAt: fleet.Time(b.GetSentAtNs()), Echo: fleet.Time(b.GetEchoNs()), Busy: b.GetBusy(), StoreUp: b.GetStoreUp(),
-		RenewedAt: fleet.Time(b.GetRenewedAtNs()),
+		RenewedAt: fleet.Time(b.GetRenewedAtNs()), EvacuationRevision: b.GetEvacuationRevision(),
+	}
+	for _, d := range b.GetEvacuated() {
+		m.Evacuated = append(m.Evacuated, model.Domain(d))
 	}
 	for _, x := range b.GetInquiries() {
 		m.Inquiries = append(m.Inquiries, memberFromPB(x))
--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -1,11 +1,15 @@
 package mesh
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/fleetpb"
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // TestRoundTrip encodes and decodes messages with all fields set.
@@ -20,7 +24,9 @@
 			Leaving: true, StoreUp: true, Busy: true, Loads: []fleet.Load{{Service: "s", Servers: 1, CapacityMilli: 2, FreeMilli: 1, ExpectedWait: 3, QueuedTasks: 4, StagedTasks: 5}},
 			ConfigVersion: 6, LastReceivedAge: 7, SentAt: 8, Echo: 9, OffloadedMilli: 10, DurableInUse: true, Pending: []fleet.RouteCount{{Route: "r", Count: 11}},
 			RenewedAt: 12, Inquiries: []fleet.Member{{Instance: "n4", Incarnation: "03"}}, Reports: []fleet.MemberReport{{Subject: member, Presence: fleet.PresenceHeard}},
+			Evacuated: []model.Domain{"d", "e"}, EvacuationRevision: 13,
 		},
+		"servers": fleet.ServersUpdate{ServerChanges: fleet.ServerChanges{FromRevision: 1, ToRevision: 2, Servers: []fleet.ServerEntry{{ID: "s1", ReportedAtMs: 3, ColdLeftMs: 4}}}},
 	} {
 		m, err := encode(sent)
 		if err != nil {
@@ -33,6 +39,27 @@
 	}
 }
 
+// TestFleetsWithoutEvacuationsSendTheSameBytes checks that what was added for evacuations and
+// cold servers takes no bytes where there are none.
+func TestFleetsWithoutEvacuationsSendTheSameBytes(t *testing.T) {
+	for name, c := range map[string]struct {
+		message any
+		bytes   string
+	}{
+		"heartbeat": {fleet.Heartbeat{SentAt: 8}, "0a024008"},
+		"servers":   {fleet.ServersUpdate{ServerChanges: fleet.ServerChanges{Servers: []fleet.ServerEntry{{ID: "s"}}}}, "5a051a030a0173"},
+	} {
+		m, err := encode(c.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := proto.Marshal(m)
+		if err != nil || fmt.Sprintf("%x", data) != c.bytes {
+			t.Errorf("%s: %x %v, want %s", name, data, err, c.bytes)
+		}
+	}
+}
+
 // TestOfferOfUnusableJobIsRefused decodes an offer whose job can't be scheduled, as a
 // later version might send.
 func TestOfferOfUnusableJobIsRefused(t *testing.T) {
--- a/internal/metrics/fleet.go
+++ b/internal/metrics/fleet.go
@@ -21,6 +21,7 @@
 	LinesDropped  prometheus.Counter
 	ConfigVersion prometheus.Gauge
 	WatchBehind   *prometheus.GaugeVec // by watch
+	Evacuated     prometheus.Gauge
 }
 
 // NewFleet returns collectors in their own registry.
@@ -49,6 +50,7 @@
 		LinesDropped:  b.counter("fleet_log_lines_dropped_total", "Log lines left out because of their number."),
 		ConfigVersion: b.gauge("fleet_config_version", "Version of the configuration in force."),
 		WatchBehind:   b.gaugeVec("fleet_watch_behind_revisions", "Revisions missing in the last reply of a watch of the store.", "watch"),
+		Evacuated:     b.gauge("fleet_evacuated_domains", "Failure domains that this instance knows to be evacuated."),
 	}, b
 }
 
--- /dev/null
+++ b/internal/node/evacuation_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/platform"
+)
+
+// TestEvacuationReachesEveryInstance evacuates the only domain by its key, beside one that
+// names no domain, in a fleet where two instances watch the store for all. Every instance,
+// also one that starts later, rejects jobs with Retry-After, and nothing starts. The removal
+// falls into a gap of the watches, after which the list is read again.
+func TestEvacuationReachesEveryInstance(t *testing.T) {
+	s := newSharedWatchSite(t, 3, 3, 1)
+	s.awaitOwned("w0", "w1", "w2")
+	stopped := func() int { return s.logs.count(`"name":"store-followed"`, `"on":false`) }
+	s.await("an instance has stopped watching", func() bool { return stopped() > 0 })
+
+	s.writeRaw(platform.EvacuationPrefix, "x")
+	s.writeRaw(platform.EvacuationPrefix+"d1", "not JSON")
+	evacuated := func() int { return s.logs.count(`"name":"domain-evacuated"`, `"domain":"d1"`) }
+	s.await("every instance knows", func() bool { return evacuated() == len(s.instances) })
+	s.await("the key without a domain is logged", func() bool { return s.logs.count(`"name":"record-unreadable"`, platform.EvacuationPrefix) > 0 })
+	if n := s.logs.count(`"name":"domain-evacuated"`, `"reason":"peer"`); n == 0 {
+		t.Error("no instance has learned of it from a peer")
+	}
+	s.addInstance("late")
+	s.await("the late instance knows", func() bool { return evacuated() == len(s.instances) })
+	for i := range s.instances {
+		id := fmt.Sprintf("%016x", i)
+		status, body, header := s.call(i, http.MethodPost, "/q/"+id, job("x", 2))
+		if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+			t.Errorf("instance %d answers %d %s with Retry-After %q", i, status, body, header.Get("Retry-After"))
+		}
+		s.await("the answer is logged", func() bool { return strings.Contains(fmt.Sprint(s.logs.forJob(id)), "not-runevacuated") })
+	}
+	s.requireStarts(0)
+
+	s.store.Faults.SetFaults(standin.Faults{Refuse: true})
+	s.store.Store.Commit(standin.Txn{Remove: []string{platform.EvacuationPrefix + "d1"}})
+	s.store.Store.Compact()
+	s.store.Faults.SetFaults(standin.Faults{})
+	s.await("every instance knows of the end", func() bool { return s.logs.count(`"name":"domain-restored"`) == len(s.instances) })
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000aa", job("x", 2)); status != http.StatusOK {
+		t.Errorf("a job is answered %d %s", status, body)
+	}
+}
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -101,6 +101,8 @@
 	fleet.LogTaskSuspected:     eventlog.TaskSuspected,
 	fleet.LogCrashConfirmed:    eventlog.CrashConfirmed,
 	fleet.LogTaskGivenUp:       eventlog.TaskGivenUp,
+	fleet.LogDomainEvacuated:   eventlog.DomainEvacuated,
+	fleet.LogDomainRestored:    eventlog.DomainRestored,
 }
 
 // writeEntry logs a decision of the reducer.
@@ -118,6 +120,9 @@
 	if x.Server != "" {
 		line.Str("server", string(x.Server))
 	}
+	if x.Domain != "" {
+		line.Str("domain", string(x.Domain))
+	}
 	if x.Count != 0 {
 		line.Int("count", x.Count)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,6 +45,7 @@
 			l.step(fleet.Tick{})
 			l.probeInput()
 			l.updateReady()
+			l.node.metrics.Evacuated.Set(float64(l.reducer.EvacuatedDomains()))
 		case <-l.overdue.C:
 			l.overdueAt = 0
 			l.step(fleet.RepliesOverdue{})
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -59,8 +59,9 @@
 // heartbeats are watched separately so as not to delay configuration changes.
 func (s *storeSync) sharedWatches() []watchSpec {
 	servers := &serverWatcher{node: s.node} // an earlier watch may still end
+	operator := &operatorWatcher{store: s}
 	return []watchSpec{
-		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, s.applyList, s.applyChange},
+		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, operator.replaceAll, operator.update},
 		{"servers", platform.ServerPrefix, sharedWatchWait, fleet.ServerWatchInterval, servers.replaceAll, servers.update},
 	}
 }
@@ -76,7 +77,16 @@
 func (s *storeSync) run(ctx context.Context) {
 	go s.keepMembership(ctx)
 	s.watchShared(ctx, true)
-	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, s.replaceFleet, s.applyChange})
+	known := make(chan struct{})
+	go s.readEvacuations(ctx, known)
+	onList := func(r platform.Range) {
+		select {
+		case <-known:
+			s.replaceFleet(r)
+		case <-ctx.Done():
+		}
+	}
+	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, onList, s.applyChange})
 }
 
 // watchShared starts or stops the shared watches.
