--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -24,7 +24,8 @@
 	MaxCPU      uint32
 	Priority    int
 	MaxAttempts int
-	Durable     bool // jobs are durable
+	Durable     bool    // jobs are durable
+	Utility     float64 // of a job on time; a late one has lateUtility of it
 }
 
 // Site is a deployment.
@@ -121,21 +122,33 @@
 	}
 }
 
+// OfferLoadAt is OfferLoad at the instances of one failure domain.
+func (w *World) OfferLoadAt(domain model.Domain, s Site, load float64, d time.Duration) {
+	for _, c := range s.Classes {
+		w.offerClassAt(domain, c, load, w.now.Add(d))
+	}
+}
+
 func (w *World) offerClass(c Class, load float64, end fleet.Time) {
+	w.offerClassAt("", c, load, end)
+}
+
+// offerClassAt submits the jobs of a class until end, in any domain if none is given.
+func (w *World) offerClassAt(domain model.Domain, c Class, load float64, end fleet.Time) {
 	gap := time.Duration(w.Rand.ExpFloat64() / (c.PerSecond * load) * float64(time.Second))
 	if w.now.Add(gap) > end {
 		return
 	}
 	w.After(gap, func() {
-		w.submitOne(c)
-		w.offerClass(c, load, end)
+		w.submitOne(domain, c)
+		w.offerClassAt(domain, c, load, end)
 	})
 }
 
-func (w *World) submitOne(c Class) {
+func (w *World) submitOne(domain model.Domain, c Class) {
 	var alive []*simInstance
 	for _, n := range w.instances {
-		if n.alive && !n.frozen {
+		if n.alive && !n.frozen && (domain == "" || n.member.Domain == domain) {
 			alive = append(alive, n)
 		}
 	}
@@ -147,8 +160,9 @@
 		work *= 7
 	}
 	spec := w.Job(c, min(work, 12*c.Work))
-	j := w.Submit(alive[w.Rand.IntN(len(alive))].member.Instance, spec)
-	j.work = min(work, 12*c.Work)
+	at := alive[w.Rand.IntN(len(alive))].member
+	j := w.Submit(at.Instance, spec)
+	j.work, j.domain, j.utility = min(work, 12*c.Work), at.Domain, c.Utility
 }
 
 // Job generates a job of a class with tasks of about the given work.
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -88,8 +88,11 @@
 	// CrashesServers makes the first task crash each server that starts it.
 	CrashesServers bool
 	work           time.Duration
-	caller         *caller // nil if it submits the job once
-	lost           bool    // its caller has lost the connection
+	domain         model.Domain // of its caller
+	utility        float64      // if on time, see Class
+	besideFree     bool         // rejected while servers could run it, see noteRoom
+	caller         *caller      // nil if it submits the job once
+	lost           bool         // its caller has lost the connection
 }
 
 // OnTime reports whether the job completed within its objective, based on the actual
@@ -640,6 +643,7 @@
 	}
 	delete(n.calls, x.Call)
 	j.AnsweredAt, j.Result = w.now, x.Result
+	w.noteRoom(j)
 	if x.Result.Kind == fleet.NotRun && j.Starts > 0 && !j.mayHaveRun() {
 		w.violated("job %s was reported as not run after %d starts", j.Spec.ID, j.Starts)
 	}
