fleet: priorities, floors and a limit by size under a capacity shortage

Cause: jobs started by least slack across all types, and priority was unused. Change: in services with several priorities, jobs on time start by priority, then slack; each waiting priority keeps a third of the started work, each domain of callers 0.05; started jobs go first; large jobs wait less before they are rejected; the expected wait counts only preceding work; Retry-After is booked in sequence and spread by job ID. Other services are served as before (TestEqualPrioritiesKeepTheOrder).

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -38,7 +38,7 @@
 	}
 	wait := p.fleetExpectedWait(j.spec.Service, j, now)
 	start := now.Add(wait)
-	if contended && start > p.latestFirstStart(j) {
+	if contended && start > p.latestFirstStart(j) && !p.fitsBesideQueue(j, now) {
 		return admitReject, wait
 	}
 	limit := j.spec.ReceivedAt.Add(maxObjectiveFactor * j.due.Sub(j.spec.ReceivedAt))
@@ -66,8 +66,9 @@
 		if p.waitsOnTime(j, now) {
 			others--
 		}
-		if others > 0 && j.sheddable() && p.latestFirstStart(j) < now {
-			p.reject(j, "waited", Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.expectedWait(j, now)}, now)
+		if others > 0 && j.sheddable() && p.latestFirstStart(j) < now && !p.fitsBesideQueue(j, now) {
+			wait := p.expectedWait(j, now)
+			p.reject(j, "waited", Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.retryAfter(j, wait, now)}, now)
 			onTime = others
 		}
 	}
@@ -81,7 +82,7 @@
 
 // reject ends a queued job that has not started.
 func (p *pool) reject(j *job, reason string, r Result, now Time) {
-	p.effect(LogEntry{Kind: LogJobQueued, Job: j.spec.ID, Reason: "refused: " + reason, Age: r.RetryAfter, Count: len(p.queue)})
+	p.logQueued(j, RefusedPrefix+reason, r.RetryAfter)
 	p.endJob(j, r, now)
 }
 
@@ -166,15 +167,13 @@
 // expectedWait estimates how long a job waits for its start: for the queued work that
 // starts before it, or all that can be on time if j is nil.
 func (p *pool) expectedWait(j *job, now Time) time.Duration {
-	rate := 0.0
-	for _, s := range p.orderedServers {
-		if s.takesWork(now) || s.opensSoon() {
-			rate += float64(s.capacity().CPUMilli) * packingShare / s.speed.factor()
-		}
-	}
+	rate := p.workRate(now)
 	if rate == 0 {
 		return noServerWait
 	}
+	if j != nil && p.latestStart(j) >= now && p.prioritized(j.spec.Service) != nil {
+		return time.Duration(p.queuedBefore(j, now).wait(rate) * float64(time.Millisecond))
+	}
 	work := 0.0
 	for _, q := range p.queue {
 		if j == nil && p.latestStart(q) >= now || j != nil && q != j && p.compareSlack(q, j, now) < 0 {
@@ -184,6 +183,17 @@
 	return time.Duration(work / rate * float64(time.Millisecond))
 }
 
+// workRate returns the work that the servers complete per unit of time, in milli-cores.
+func (p *pool) workRate(now Time) float64 {
+	rate := 0.0
+	for _, s := range p.orderedServers {
+		if s.takesWork(now) || s.opensSoon() {
+			rate += float64(s.capacity().CPUMilli) * packingShare / s.speed.factor()
+		}
+	}
+	return rate
+}
+
 // noServerWait is the expected wait while no server takes work: an unresponsive or
 // quarantined server takes about that long to return.
 const noServerWait = time.Second
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -374,8 +374,20 @@
 	At     Time        // of the decision, if the entry has records
 	Record *RunRecord  // of Run
 	Runs   []RunRecord // of Job
+	Class  *JobClass   // of Job, if it was queued or rejected
 }
 
+// JobClass is what the treatment of a job at a capacity shortage depends on.
+type JobClass struct {
+	Route    string
+	Priority int
+	Domain   model.Domain // failure domain of the caller, empty if it isn't known
+}
+
+// RefusedPrefix begins the reason of a LogJobQueued entry of a rejected job; the rule by
+// which it was rejected follows.
+const RefusedPrefix = "refused: "
+
 func (StartRun) effect()    {}
 func (StopRun) effect()     {}
 func (Poll) effect()        {}
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -212,6 +212,7 @@
 	j.applyProgress(x.progress, (x.record.Term-1)*attemptsPerTerm, now)
 	h.pool.jobs[j.key()] = j
 	h.pool.updateTypicalMilli(j.spec)
+	h.pool.noteOffered(j, now)
 	if end, ok := j.finalResult(); ok {
 		h.pool.endJob(j, end, now)
 		return
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -21,6 +21,7 @@
 	offloaded  *task       // the only task of an offloaded job
 	returnAt   Time        // an offloaded task that has not started goes back then
 	durable    *durableJob // set for durable jobs
+	turn       turn        // by priority and floors
 	again      bool        // an earlier submission of it had runs here
 	records    []RunRecord // of its runs, for the log
 }
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -117,6 +117,7 @@
 	p.lastOffload++
 	id := firstOffloadCall + p.lastOffload
 	t.job.starts++
+	p.chargeStart(t)
 	p.offloads[id] = offload{t, to.member, now}
 	spec := t.job.spec
 	spec.Offloaded = &OffloadedTask{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt, Home: t.job.origin}
@@ -141,6 +142,7 @@
 // staged.
 func (p *pool) offerOffloaded(origin Member, call CallID, spec JobSpec, now Time) (declined bool) {
 	j := newOffloadedJob(spec, origin, call)
+	p.noteOffered(j, now)
 	open := p.openServers(j.offloaded.step.spec.Need.CPUMilli, now)
 	if s := p.pickServer(j.offloaded, open, now); s != nil && !p.onTimeJobQueued(now) && now >= p.noStartsUntil {
 		p.jobs[j.key()] = j
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -58,6 +58,7 @@
 	jobs           map[jobKey]*job
 	byID           map[string]*job
 	queue          []*job // jobs with queued tasks
+	shortage       shortage
 	recent         []recentOutcome
 	typicalMilli   float64 // moving mean of the CPU per task
 	fastFactor     float64 // run time relative to the estimate at the fastest servers
@@ -89,6 +90,7 @@
 		typicalMilli: initialTypicalMilli,
 		fastFactor:   1,
 		speeds:       speedModels{},
+		shortage:     shortage{},
 	}
 }
 
@@ -180,6 +182,7 @@
 	j := newJob(spec, origin, call)
 	j.again = p.endEarlier(spec.ID, now)
 	p.updateTypicalMilli(spec)
+	p.noteOffered(j, now)
 	result, wait := p.admit(j, now)
 	switch {
 	case !allowQueue && !j.again && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
@@ -188,12 +191,12 @@
 		if j.again {
 			wait = max(wait, p.orphanRunTime)
 		}
-		p.effect(LogEntry{Kind: LogJobQueued, Job: spec.ID, Reason: "refused: " + string(ReasonOverload), Age: wait, Count: len(p.queue)})
-		p.sendResult(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: wait}, now)
+		p.logQueued(j, RefusedPrefix+string(ReasonOverload), wait)
+		p.sendResult(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.retryAfter(j, wait, now)}, now)
 		return false
 	}
 	if result == admitQueue {
-		p.effect(LogEntry{Kind: LogJobQueued, Job: spec.ID, Reason: "waits", Age: wait, Count: len(p.queue)})
+		p.logQueued(j, "waits", wait)
 	}
 	p.jobs[key], p.byID[spec.ID] = j, j
 	p.queue = append(p.queue, j)
--- a/internal/fleet/queueorder.go
+++ b/internal/fleet/queueorder.go
@@ -17,6 +17,7 @@
 	if p.policy.Order == OrderArrival {
 		compare = func(a, b *job) int { return cmp.Compare(a.spec.ReceivedAt, b.spec.ReceivedAt) }
 	}
+	p.updateTurns(now)
 	slices.SortStableFunc(p.queue, compare)
 }
 
@@ -30,7 +31,7 @@
 // of its slack is left for what a start doesn't foresee.
 func (p *pool) latestFirstStart(j *job) Time {
 	slack := p.latestStart(j).Sub(j.spec.ReceivedAt)
-	return j.spec.ReceivedAt.Add(time.Duration(waitShare * float64(slack)))
+	return j.spec.ReceivedAt.Add(time.Duration(waitShare * p.sizeFactor(j) * float64(slack)))
 }
 
 // waitShare is the share of its slack that a job may wait for its first start at a load
@@ -52,7 +53,8 @@
 	}
 }
 
-// compareSlack puts jobs that can complete on time first, ordered by least slack. Late
+// compareSlack puts jobs that can complete on time first, ordered by turn (see shortage.go)
+// and least slack. Late
 // jobs follow, those with the fewest lost runs first: a job that crashes its servers
 // would be started at each of them as it returns, and the others never. Among equals the
 // least late comes first, as it is the most likely to be useful.
@@ -65,5 +67,5 @@
 	case aLate:
 		return cmp.Or(cmp.Compare(a.lostRuns, b.lostRuns), cmp.Compare(bStart, aStart))
 	}
-	return cmp.Or(cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
+	return cmp.Or(a.turn.compare(b.turn), cmp.Compare(aStart, bStart), cmp.Compare(a.spec.ID, b.spec.ID))
 }
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -138,7 +138,7 @@
 	}
 	switch {
 	case !rt.owners.fitsSomeServer(&c.job):
-		rt.finish(c, Result{Kind: NotRun, Reason: ReasonTooLarge, RetryAfter: c.reofferAt.Sub(now)})
+		rt.refuse(c, ReasonTooLarge, c.reofferAt.Sub(now))
 	case c.reofferAt == 0:
 		rt.route(c, now)
 	}
@@ -190,7 +190,7 @@
 	c.queueOffers++
 	switch {
 	case c.queueOffers > maxQueueOffers:
-		rt.finish(c, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: minRetryAfter})
+		rt.refuse(c, ReasonOverload, minRetryAfter)
 	case owner != nil:
 		rt.offer(c, candidate{peer: owner, load: owner.load(service)}, now)
 	case rt.pool.serverCount(service) > 0:
@@ -199,7 +199,7 @@
 		c.queueOffers = 0
 		rt.deferCall(c, now)
 	default:
-		rt.finish(c, Result{Kind: NotRun, Reason: ReasonNoOwner, RetryAfter: minRetryAfter})
+		rt.refuse(c, ReasonNoOwner, minRetryAfter)
 	}
 }
 
@@ -222,7 +222,7 @@
 		rt.deferCall(c, now)
 		return
 	}
-	rt.finish(c, Result{Kind: NotRun, Reason: ReasonNoOwner, RetryAfter: minRetryAfter})
+	rt.refuse(c, ReasonNoOwner, minRetryAfter)
 }
 
 // retryDeferred routes the deferred calls again.
@@ -345,6 +345,17 @@
 	return "refused"
 }
 
+// refuse rejects a call that no owner has queued.
+func (rt *router) refuse(c *call, reason Reason, retryAfter time.Duration) {
+	if !c.mayHaveRun {
+		rt.effect(LogEntry{
+			Kind: LogJobQueued, Call: c.id, Job: c.job.ID, Reason: RefusedPrefix + string(reason), Age: retryAfter,
+			Class: &JobClass{c.job.Route, c.job.Priority, rt.self.Domain},
+		})
+	}
+	rt.finish(c, Result{Kind: NotRun, Reason: reason, RetryAfter: retryAfter})
+}
+
 // finish answers the caller.
 func (rt *router) finish(c *call, r Result) {
 	delete(rt.calls, c.id)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -52,6 +52,7 @@
 		expected: s.speed.expect(t.step.spec.Estimate),
 	}
 	t.job.starts++
+	p.chargeStart(t)
 	t.job.activeRuns++
 	s.addRun(r)
 	if t.attempt > 1 || t.job.again {
