node: count rejections by route and rule, with priority and caller's domain in the log

nutmegweir_fleet_refused_total counts each rejection once, where it is decided: at the owner or, without one, at the instance that holds the call. job-queued carries route, priority and caller_domain.

--- a/internal/metrics/fleet.go
+++ b/internal/metrics/fleet.go
@@ -18,6 +18,7 @@
 	StartTime     prometheus.Histogram
 	StoreCalls    *prometheus.CounterVec // by call, outcome
 	Decisions     *prometheus.CounterVec // by decision
+	Refused       *prometheus.CounterVec // by route, reason
 	LinesDropped  prometheus.Counter
 	ConfigVersion prometheus.Gauge
 	WatchBehind   *prometheus.GaugeVec // by watch
@@ -46,6 +47,7 @@
 		StartTime:     b.histogram("fleet_start_seconds", "Time of an order to start a run.", taskBuckets),
 		StoreCalls:    b.counterVec("fleet_store_calls_total", "Calls to the platform's store.", "call", "outcome"),
 		Decisions:     b.counterVec("fleet_decisions_total", "Decisions of the reducer, by the name of their log event.", "decision"),
+		Refused:       b.counterVec("fleet_refused_total", "Jobs rejected without a run, by route and by the rule that rejected them.", "route", "reason"),
 		LinesDropped:  b.counter("fleet_log_lines_dropped_total", "Log lines left out because of their number."),
 		ConfigVersion: b.gauge("fleet_config_version", "Version of the configuration in force."),
 		WatchBehind:   b.gaugeVec("fleet_watch_behind_revisions", "Revisions missing in the last reply of a watch of the store.", "watch"),
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -107,6 +107,9 @@
 func (l *limitedLog) writeEntry(x fleet.LogEntry) {
 	e := logEvents[x.Kind]
 	l.metrics.Decisions.WithLabelValues(e.Name).Inc()
+	if rule, refused := strings.CutPrefix(x.Reason, fleet.RefusedPrefix); refused && x.Class != nil {
+		l.metrics.Refused.WithLabelValues(x.Class.Route, rule).Inc()
+	}
 	if !l.allow(e) {
 		return
 	}
@@ -130,6 +133,9 @@
 	if x.Reason != "" {
 		line.Str("reason", x.Reason)
 	}
+	if c := x.Class; c != nil {
+		line.Str("route", c.Route).Int("priority", c.Priority).Str("caller_domain", string(c.Domain))
+	}
 	if x.Record != nil {
 		addRecord(line, x.Record, x.At)
 	}
