--- a/internal/fleet/fleetsim/shortage_test.go
+++ b/internal/fleet/fleetsim/shortage_test.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// TestNothingIsRejectedBesideFreeServers plays shortages. An owner that doesn't know which
+// servers of others are free rejects jobs that fit there.
+func TestNothingIsRejectedBesideFreeServers(t *testing.T) {
+	for name := range shortages {
+		if r := playShortage(t, name); r.RejectedFree > 0 {
+			t.Errorf("%s: %d jobs rejected while servers could run them", name, r.RejectedFree)
+		}
+	}
+}
+
 // rounded returns shares with two digits, for logs.
 func rounded[K comparable](shares map[K]float64) map[K]float64 {
 	out := map[K]float64{}
