--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,6 +105,10 @@
 	{"instances stalled behind held messages", func(dep *deployment, r *rand.Rand, d time.Duration) func() {
 		return dep.holdAndStall(r, d)
 	}},
+	{"domain evacuated", func(dep *deployment, r *rand.Rand, _ time.Duration) func() {
+		dep.evacuate(dep.domains[r.IntN(len(dep.domains))])
+		return func() {}
+	}},
 	{"callers cut off unnoticed", func(dep *deployment, _ *rand.Rand, _ time.Duration) func() {
 		for _, p := range dep.processes {
 			p.callersLink.SetMode(link.Mode{Cut: true})
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -51,6 +51,8 @@
 	running    map[model.ServerID]map[fleet.RunID]*runRecord
 	requests   map[string]*request
 	violations []string
+
+	evacuations []*evacuation
 }
 
 func newRecorder() *recorder {
@@ -115,10 +117,11 @@
 	rec.violations = append(rec.violations, fmt.Sprintf(format, args...))
 }
 
-// check returns all violations. capacity is that of each server.
-func (rec *recorder) check(capacity map[model.ServerID]model.Resources) []string {
+// check returns all violations. capacity and domains are those of each server.
+func (rec *recorder) check(capacity map[model.ServerID]model.Resources, domains map[model.ServerID]model.Domain) []string {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
+	rec.checkEvacuations(domains)
 	byTask := map[fleet.TaskID][]*runRecord{}
 	byServer := map[model.ServerID][]*runRecord{}
 	starts := map[string]int{}
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -64,6 +64,11 @@
 		{"a job that nobody submitted", func(rec *recorder, q *request) {
 			rec.started("s1", fleet.RunID{Task: fleet.TaskID{Job: "x"}, Attempt: 1})
 		}, 1},
+		{"started in an evacuated domain", func(rec *recorder, q *request) {
+			since := fleet.Time(time.Now().Add(-time.Minute).UnixNano())
+			rec.evacuations = []*evacuation{{domain: "d", from: since, to: since.Add(time.Second)}, {domain: "d", from: since.Add(2 * time.Second)}, {domain: "e", from: since}}
+			rec.started("s1", run(1))
+		}, 1},
 		{"answered late", func(rec *recorder, q *request) {
 			rec.answered(q, answer{lateBy: time.Second})
 		}, 1},
@@ -75,7 +80,7 @@
 			rec.submitted(q)
 			c.record(rec, q)
 			capacity := model.Resources{CPUMilli: 4000}
-			got := rec.check(map[model.ServerID]model.Resources{"s1": capacity, "s2": capacity})
+			got := rec.check(map[model.ServerID]model.Resources{"s1": capacity, "s2": capacity}, map[model.ServerID]model.Domain{"s1": "d"})
 			if len(got) != c.violations {
 				t.Errorf("violations %q, want %d", got, c.violations)
 			}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -145,11 +145,12 @@
 }
 
 func (dep *deployment) report(faultNames []string) Report {
-	capacity := map[model.ServerID]model.Resources{}
-	for _, x := range dep.servers {
+	capacity, domains := map[model.ServerID]model.Resources{}, map[model.ServerID]model.Domain{}
+	for i, x := range dep.servers {
+		domains[x.id] = dep.domains[i%numDomains]
 		capacity[x.id] = model.Resources{CPUMilli: serverCPUMilli, MemoryMB: 4096}
 	}
-	r := Report{Faults: faultNames, Violations: dep.recorder.check(capacity), Requests: len(dep.recorder.requests), Starts: len(dep.recorder.runs)}
+	r := Report{Faults: faultNames, Violations: dep.recorder.check(capacity, domains), Requests: len(dep.recorder.requests), Starts: len(dep.recorder.runs)}
 	for _, q := range dep.recorder.requests {
 		for _, a := range q.answers {
 			if a.completed {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	{105, "calls hung beyond their deadlines while a link fell behind", nil},
 	{110, "the same", nil},
 	// Failed at 100 jobs a second, 32 servers and 5 instances; here it only plays the fault.
+	{401, "", []string{"domain evacuated", "instance killed", "instance paused", "link to the store disturbed", "store history compacted"}},
 	{304, "two owners had the job of one call", []string{"instances stalled behind held messages"}},
 }
 
