fleet: unknown capacity doesn't count as full after a start

After all instances had restarted, jobs were rejected or queued at the first owner that was heard, as an instance took the owners that it knew for all of them.

New scenario of an outage in fleetsim, with callers that come again.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -38,6 +38,9 @@
 	}
 	wait := p.fleetExpectedWait(j.spec.Service, j, now)
 	start := now.Add(wait)
+	if p.opening(now) {
+		return admitQueue, wait
+	}
 	if contended && start > p.latestFirstStart(j) {
 		return admitReject, wait
 	}
@@ -52,6 +55,9 @@
 // that can be on time wait behind running work. Started jobs stay, as most of their work
 // may be done. The caller learns at once that the job has not run.
 func (p *pool) shedLate(now Time) {
+	if p.opening(now) {
+		return
+	}
 	onTime := 0
 	for _, j := range p.queue {
 		if p.waitsOnTime(j, now) {
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -140,6 +140,9 @@
 		}
 	}
 	if len(alive) == 0 {
+		if w.resend {
+			w.After(resubmitDelay, func() { w.submitOne(c) })
+		}
 		return
 	}
 	work := time.Duration(float64(c.Work) * w.logNormal(0.4))
@@ -147,7 +150,12 @@
 		work *= 7
 	}
 	spec := w.Job(c, min(work, 12*c.Work))
-	j := w.Submit(alive[w.Rand.IntN(len(alive))].member.Instance, spec)
+	at := alive[w.Rand.IntN(len(alive))].member.Instance
+	if w.resend {
+		w.SubmitUntilAnswered(at, spec, min(work, 12*c.Work))
+		return
+	}
+	j := w.Submit(at, spec)
 	j.work = min(work, 12*c.Work)
 }
 
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -72,6 +72,9 @@
 	onStep  func(model.Instance, fleet.Event, []fleet.Effect) // called for each step of an instance, may be nil
 	onOrder func(s *Server, order fleet.Effect, late bool)    // called for each order that a server executes, may be nil
 
+	// resend makes callers of generated jobs submit them again that got no answer.
+	resend bool
+
 	// resubmitAt draws where a job is submitted again, may be nil.
 	resubmitAt func(from *simInstance, j *JobRecord) *simInstance
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -79,6 +79,9 @@
 	for _, p := range i.pool.peersToUpdate(now) {
 		i.sendHeartbeat(p, now)
 	}
+	for _, p := range i.pool.peersToTell(now) {
+		i.sendHeartbeat(p, now)
+	}
 	return append(out, i.drainEffects(now)...)
 }
 
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -71,6 +71,7 @@
 	offloads       map[CallID]offload
 	lastOffload    CallID
 	queueAnnounced bool // peers have been told of queued tasks
+	newlyOpened    bool // servers have opened that peers may not know of
 
 	pendingCommands pendingCalls // and immediate polls
 	pendingPolls    pendingCalls
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -186,6 +186,10 @@
 		rt.offer(c, candidates[0], now)
 		return
 	}
+	if rt.awaitsOwners(c, now) {
+		rt.deferCall(c, now)
+		return
+	}
 	c.allowQueue = true
 	c.queueOffers++
 	switch {
@@ -248,6 +252,8 @@
 		entry.Reason = "paused"
 	case rt.members.inputLags(now):
 		entry.Reason, entry.Age = "input lags", now.Sub(rt.members.inputAt)
+	case rt.awaitsOwners(c, now):
+		entry.Reason = "owners unknown"
 	}
 	if c.deferredFor != entry.Reason {
 		c.deferredFor = entry.Reason
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -542,7 +542,7 @@
 		s.nextPollAt = now.Add(recoveryPollInterval)
 		return
 	}
-	s.phase = phaseServing
+	p.opened(s)
 }
 
 func (p *pool) tickServer(s *server, now Time) {
