node: callers, members and configuration first at a start

Ten requests met an instance without configuration and were rejected. Instances on slow links then needed 100 to 190 ms to hear of an owner: the list of members came with all ownerships, and beside that of the servers.

Members and configuration are read while the start is recorded, the long lists after them: two short reads more for each start. An instance is ready with the event that makes it so, not at the next tick.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -86,7 +86,8 @@
 		// then: a request may be in flight.
 		w.Header().Set("Connection", "close")
 	}
-	config := c.node.config.get()
+	received := bootTime()
+	config := c.node.config.await(r.Context())
 	if config == nil {
 		c.reject(w, "", platform.Rejection{
 			Status: platform.StatusNotRun, RetryAfter: time.Second,
@@ -110,7 +111,7 @@
 	case r.Method == http.MethodDelete:
 		c.cancel(w, r, id)
 	case r.Method == http.MethodPost:
-		c.submit(w, r, config, route, id)
+		c.submit(w, r, config, route, id, received)
 	default:
 		c.reject(w, id, platform.Rejection{
 			Status: platform.StatusMethodNotAllowed, Problem: "method " + r.Method + " is not served", Remedy: "Use POST, GET or DELETE.",
@@ -134,13 +135,16 @@
 }
 
 func (c *callerHandler) reject(w http.ResponseWriter, id string, r platform.Rejection) {
-	c.node.limitedLog.requestRejected(id, r)
+	select {
+	case <-c.node.identified:
+		c.node.limitedLog.requestRejected(id, r)
+	default: // the logs don't name the instance yet
+	}
 	platform.WriteRejection(w, r)
 }
 
 // submit runs a job and responds when it has finished.
-func (c *callerHandler) submit(w http.ResponseWriter, r *http.Request, config *configInForce, route platform.Route, id string) {
-	received := bootTime()
+func (c *callerHandler) submit(w http.ResponseWriter, r *http.Request, config *configInForce, route platform.Route, id string, received fleet.Time) {
 	s, rejection := c.parseSubmission(r, config, route, id)
 	if rejection != nil {
 		c.reject(w, id, *rejection)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,7 +11,12 @@
 )
 
 // configHolder holds the newest known configuration and never reverts to an older one.
-type configHolder struct{ current atomic.Pointer[configInForce] }
+type configHolder struct {
+	current atomic.Pointer[configInForce]
+	first   chan struct{} // closed when there is one
+}
+
+func newConfigHolder() *configHolder { return &configHolder{first: make(chan struct{})} }
 
 type configInForce struct {
 	*platform.Config
@@ -29,6 +34,9 @@
 			return false
 		}
 		if h.current.CompareAndSwap(old, c) {
+			if old == nil {
+				close(h.first)
+			}
 			return true
 		}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -107,6 +107,9 @@
 	for _, x := range l.reducer.Step(bootTime(), e) {
 		l.execute(x)
 	}
+	if !l.isReady {
+		l.updateReady() // callers may wait for it; the next tick is up to 50 ms away
+	}
 	l.setOverdueTimer()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,10 @@
 	input  *inputProbe
 	ready  readiness
 
+	callerServer *http.Server
+	readAhead    *readAhead
+	identified   chan struct{} // closed when the incarnation is chosen, and the logs name it
+
 	unrecorded *startRecord // nil if the store has recorded the start
 }
 
@@ -61,13 +65,20 @@
 		self:     fleet.Member{Instance: s.Instance, Domain: s.Domain, Addr: s.AdvertisedAddr, Weight: s.CPUCores},
 		metrics:  metrics.NewFleet(),
 		servers:  platform.NewServers(),
-		config:   &configHolder{},
+		config:   newConfigHolder(),
 		events:   make(chan fleet.Event, eventQueueLength),
 		done:     make(chan struct{}),
+
+		identified: make(chan struct{}),
 	}
 	n.callers = newCallerHandler(n)
+	if n.callerServer, err = n.listenHTTP(ctx, s.CallerAddr, n.callers); err != nil {
+		return nil, err
+	}
 	n.store = newStoreSync(n)
+	n.readAhead = n.store.startReadAhead(ctx)
 	n.identify(ctx, log)
+	close(n.identified)
 	n.jobs = newJobStore(n)
 	n.mesh = mesh.New(mesh.Options{
 		Self:         n.self,
@@ -188,23 +199,33 @@
 		}
 	})
 	context.AfterFunc(ctx, func() { peers.Close() })
-	var out []*http.Server
+	out := []*http.Server{n.callerServer}
 	for addr, h := range n.handlers() {
-		l, err := platform.NewListenConfig().Listen(ctx, "tcp", addr)
+		server, err := n.listenHTTP(ctx, addr, h)
 		if err != nil {
-			return nil, errors.Wrapf(err, "listen on %s; check that the port is not in use", addr)
+			return nil, err
 		}
-		out = append(out, n.serve(l, h))
+		out = append(out, server)
 	}
 	return out, nil
 }
 
+// listenHTTP opens a port and serves it.
+func (n *Node) listenHTTP(ctx context.Context, addr string, h http.Handler) (*http.Server, error) {
+	l, err := platform.NewListenConfig().Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s; check that the port is not in use", addr)
+	}
+	return n.serve(l, h), nil
+}
+
 func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	n.spawn(func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			<-n.identified
 			n.log.Event(eventlog.CallerPortFault).AnErr("cause", err).Send()
 		}
 	})
@@ -219,7 +240,7 @@
 )
 
 func (n *Node) handlers() map[string]http.Handler {
-	h := map[string]http.Handler{n.settings.CallerAddr: n.callers, n.settings.ReadyAddr: &n.ready}
+	h := map[string]http.Handler{n.settings.ReadyAddr: &n.ready}
 	if a := n.settings.MetricsAddr; a != "" {
 		h[a] = n.metrics.Handler()
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -88,6 +88,8 @@
 
 	sharedWatchMinServers int // number of servers from which on few instances watch the store
 	submitted             int // jobs named by jobName
+
+	beforeStart func(callerAddr string) // called before an instance starts, may be nil
 }
 
 func newSite(t *testing.T, servers, instances int) *site {
@@ -159,9 +161,13 @@
 
 func (s *site) addInstance(name string) {
 	peerAddr := ownAddr()
+	callerAddr := ownAddr()
+	if s.beforeStart != nil {
+		s.beforeStart(callerAddr)
+	}
 	n, err := New(s.t.Context(), platform.Settings{
 		Instance: model.Instance(name), Domain: "d1", Host: "127.0.0.1",
-		CallerAddr: ownAddr(), ReadyAddr: ownAddr(), PeerAddr: peerAddr, AdvertisedAddr: peerAddr, MetricsAddr: ownAddr(),
+		CallerAddr: callerAddr, ReadyAddr: ownAddr(), PeerAddr: peerAddr, AdvertisedAddr: peerAddr, MetricsAddr: ownAddr(),
 		CPUCores: 0.4, Store: platform.StoreSettings{Addr: s.addr, MinLeaseTTL: time.Second},
 		Bounds: platform.Bounds{
 			GracePeriod: 6 * time.Second, MaxLease: time.Second, StopTimeout: 50 * time.Millisecond, StateRetention: 2 * time.Minute,
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -75,6 +75,7 @@
 // run watches the store until ctx ends.
 func (s *storeSync) run(ctx context.Context) {
 	go s.keepMembership(ctx)
+	s.applyReadAhead(s.node.readAhead)
 	s.watchShared(ctx, true)
 	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, s.replaceFleet, s.applyChange})
 }
@@ -272,16 +273,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var out []fleet.Member
-	for _, it := range r.Items {
-		m, err := platform.ParseMember(it)
-		if err != nil {
-			s.node.limitedLog.recordUnreadable(it, err)
-			continue
-		}
-		out = append(out, m)
-	}
-	return out, nil
+	return parseMembers(r.Items, s.node.limitedLog.recordUnreadable), nil
 }
 
 // ownerCount returns the number of instances that own servers, at least 1. These
