node: log the phases of each start

Event 8049 service-resumed, once for each start, names when the caller port was open, the start recorded, configuration, members and servers known, servers owned and polled, and when the first job came, was offered, started and answered.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -111,6 +111,7 @@
 	CrashConfirmed    = warn(8041, "crash-confirmed", "backend server that was lost under a task has crashed")
 	TaskGivenUp       = warn(8042, "task-given-up", "task crashes its backend servers; its job ends as failed")
 	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
+	ServiceResumed    = info(8049, "service-resumed", "times at which this start of the instance reached each phase")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,6 +45,7 @@
 			l.step(fleet.Tick{})
 			l.probeInput()
 			l.updateReady()
+			l.node.resumption.log(l.node.log, false, bootTime())
 		case <-l.overdue.C:
 			l.overdueAt = 0
 			l.step(fleet.RepliesOverdue{})
@@ -66,6 +67,7 @@
 func (l *loop) stop() {
 	n := l.node
 	n.ready.set(false)
+	n.resumption.log(n.log, true, bootTime())
 	n.log.Event(eventlog.InstanceStopping).Int("calls", n.callers.waitingCalls()).Send()
 	l.stopDeadline = bootTime().Add(n.settings.Bounds.GracePeriod - finalResponseMargin)
 	n.callers.setStopDeadline(l.stopDeadline)
@@ -104,7 +106,10 @@
 
 // step passes an event to the reducer and executes the effects.
 func (l *loop) step(e fleet.Event) {
-	for _, x := range l.reducer.Step(bootTime(), e) {
+	now := bootTime()
+	effects := l.reducer.Step(now, e)
+	l.node.resumption.observe(e, effects, now)
+	for _, x := range effects {
 		l.execute(x)
 	}
 	if !l.isReady {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	input  *inputProbe
 	ready  readiness
 
+	resumption   resumption
 	callerServer *http.Server
 	readAhead    *readAhead
 	identified   chan struct{} // closed when the incarnation is chosen, and the logs name it
@@ -69,16 +70,18 @@
 		events:   make(chan fleet.Event, eventQueueLength),
 		done:     make(chan struct{}),
 
-		identified: make(chan struct{}),
+		identified: make(chan struct{}), resumption: resumption{startedAt: bootTime()},
 	}
 	n.callers = newCallerHandler(n)
 	if n.callerServer, err = n.listenHTTP(ctx, s.CallerAddr, n.callers); err != nil {
 		return nil, err
 	}
+	n.resumption.reach("listening_ms", bootTime())
 	n.store = newStoreSync(n)
 	n.readAhead = n.store.startReadAhead(ctx)
 	n.identify(ctx, log)
 	close(n.identified)
+	n.resumption.reach("identified_ms", bootTime())
 	n.jobs = newJobStore(n)
 	n.mesh = mesh.New(mesh.Options{
 		Self:         n.self,
