--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -108,9 +108,12 @@
 // entryExpiry is the time after a crash after which the store drops a server's entry.
 const entryExpiry = 3500 * time.Millisecond
 
+// crashes reports whether a run of the job crashes its server.
+func (j *JobRecord) crashes(run fleet.RunID) bool { return j.CrashesServers && run.Task.Index == 0 }
+
 // crashIfDeadly crashes the server a little after the start of a run that does that.
 func (s *Server) crashIfDeadly(run fleet.RunID, j *JobRecord) {
-	if !j.CrashesServers || run.Task.Index != 0 {
+	if !j.crashes(run) {
 		return
 	}
 	state := s.state
@@ -267,6 +270,9 @@
 	s.advance()
 	o := worker.StartCommand{Run: x.Run, Fence: x.Fence, LeaseEndMs: x.LeaseEndMs}
 	o.Duration, o.EndKind = s.runOutcome(j, step)
+	if j.crashes(x.Run) {
+		o.Duration = max(o.Duration, 2*timeToCrash) // a short run on a fast server ended before
+	}
 	others := w.runningAt(x.Run.Task)
 	outcome, started := s.state.Start(w.now, o)
 	if started {
