fleet: read the first list of servers once, ask peers soon for a first configuration

After the recorded restart of all instances, each member read the list of servers from the store twice within 0.2 s, 0.1 s each on a slow link: updates of a watcher that arrived before the first list counted as a gap. A member without any configuration asks a peer after 0.1 s instead of 0.4 s, as its callers wait 0.3 s for it.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,6 +8,9 @@
 	// peer has announced: a configuration with many routes is slow to arrive on a small
 	// instance's link.
 	configStoreWait = 400 * time.Millisecond
+	// firstConfigStoreWait is the same for the first version: callers wait for it, and the
+	// store is asked for it before anything else.
+	firstConfigStoreWait = 100 * time.Millisecond
 	// configRequestInterval is the time between two requests, each sent to a different
 	// peer.
 	configRequestInterval = 500 * time.Millisecond
@@ -48,7 +51,11 @@
 	case c.behindSince == 0:
 		c.behindSince = now
 	}
-	if c.list.watching && now.Sub(c.behindSince) < configStoreWait || now < c.nextRequestAt {
+	wait := configStoreWait
+	if c.version == 0 {
+		wait = firstConfigStoreWait
+	}
+	if c.list.watching && now.Sub(c.behindSince) < wait || now < c.nextRequestAt {
 		return
 	}
 	c.nextRequestAt = now.Add(configRequestInterval)
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// firstConfigWaitLimit is how long the first request of a caller waits for a configuration.
+const firstConfigWaitLimit = 300 * time.Millisecond
+
+// TestFirstConfigRequestedSoon starts an instance that the store sends no configuration.
+// Its callers can't wait as long as for a change.
+func TestFirstConfigRequestedSoon(t *testing.T) {
+	i, now := oneServer(t, 500)
+	p := Member{Instance: "n2", Incarnation: "01", Domain: "d"}
+	i.Step(now, LinkUp{Peer: p})
+	requests := 0
+	for _, after := range []time.Duration{0, firstConfigWaitLimit} {
+		now = now.Add(after)
+		i.Step(now, PeerMessage{From: p, ReceivedAt: now, Message: Heartbeat{ConfigVersion: 7, SentAt: now, Echo: now}})
+		for _, e := range i.Step(now, Tick{}) {
+			if s, ok := e.(SendPeer); ok && s.Message == (ConfigRequest{}) {
+				requests++
+			}
+		}
+	}
+	if requests != 1 {
+		t.Errorf("%d requests, want 1", requests)
+	}
+}
+
 func TestConfigSentOnRequest(t *testing.T) {
 	i, now := oneServer(t, 500)
 	other := Member{Instance: "n2", Incarnation: "01", Domain: "d"}
--- a/internal/fleet/serverlist.go
+++ b/internal/fleet/serverlist.go
@@ -270,7 +270,8 @@
 }
 
 // handleUpdate applies changes from a peer, and reports whether entries may have
-// changed. After a gap, the whole list is read.
+// changed. After a gap, the whole list is read. A watcher without a list is reading it
+// already; a second read delays everything else on a slow link at the start.
 func (l *serverList) handleUpdate(from model.Instance, c ServerChanges, now Time) (changed bool) {
 	if c.ToRevision >= l.revision {
 		l.updatedAt = now // an outdated update says nothing of the current list
@@ -278,7 +279,9 @@
 	if l.applyInOrder(c, listSource{way: wayPeer, peer: from}) {
 		return len(c.Servers)+len(c.Removed) > 0
 	}
-	l.requestList(now)
+	if l.revision > 0 || !l.watching {
+		l.requestList(now)
+	}
 	return false
 }
 
--- a/internal/fleet/serverlist_test.go
+++ b/internal/fleet/serverlist_test.go
@@ -210,3 +210,23 @@
 		t.Errorf("%d messages to a member that is back", sent)
 	}
 }
+
+// TestFirstListIsReadOnce sends a starting instance changes of the list that it is still
+// reading. After a restart of all instances, each read it twice.
+func TestFirstListIsReadOnce(t *testing.T) {
+	now := Time(time.Second)
+	self, watcher := Member{Instance: "n1", Incarnation: "01"}, Member{Instance: "n2", Incarnation: "01"}
+	i := NewInstance(Options{Self: self, Lease: time.Second}, now)
+	i.Step(now, StoreStatus{Up: true})
+	i.Step(now, LinkUp{Peer: watcher})
+	update := func(from, to uint64) []Effect {
+		return i.Step(now, PeerMessage{From: watcher, ReceivedAt: now, Message: ServersUpdate{ServerChanges{FromRevision: from, ToRevision: to}}})
+	}
+	if n := count[ListServers](update(8, 9)); n != 0 {
+		t.Errorf("%d reads beside the first one", n)
+	}
+	i.Step(now, ServersListed{Revision: 7})
+	if n := count[ListServers](update(9, 10)); n != 1 {
+		t.Errorf("%d reads after a gap, want 1", n)
+	}
+}
