--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -153,6 +153,9 @@
 		}
 	}
 	if len(alive) == 0 {
+		if w.resend {
+			w.After(resubmitDelay, func() { w.submitOne(domain, c) })
+		}
 		return
 	}
 	work := time.Duration(float64(c.Work) * w.logNormal(0.4))
@@ -161,6 +164,10 @@
 	}
 	spec := w.Job(c, min(work, 12*c.Work))
 	at := alive[w.Rand.IntN(len(alive))].member
+	if w.resend {
+		w.SubmitUntilAnswered(at.Instance, spec, min(work, 12*c.Work))
+		return
+	}
 	j := w.Submit(at.Instance, spec)
 	j.work, j.domain, j.utility = min(work, 12*c.Work), at.Domain, c.Utility
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -83,6 +83,9 @@
 	for _, p := range i.pool.peersToUpdate(now) {
 		i.sendHeartbeat(p, now)
 	}
+	for _, p := range i.pool.peersToTell(now) {
+		i.sendHeartbeat(p, now)
+	}
 	return append(out, i.drainEffects(now)...)
 }
 
@@ -135,7 +138,7 @@
 	case EvacuationsChanged:
 		i.applyEvacuations(e.Domains, e.Revision, "", now)
 	case ClaimReply:
-		i.owners.claiming = false
+		i.owners.claims = max(0, i.owners.claims-1)
 		i.learnOwners(e.Owners, now)
 		if e.Committed {
 			i.announceOwners(e.Owners, now)
@@ -297,7 +300,7 @@
 
 // releaseServers releases servers that are marked for release and run nothing.
 func (i *Instance) releaseServers(now Time) {
-	if i.owners.claiming || !i.members.storeUp {
+	if i.owners.claims > 0 || !i.members.storeUp {
 		return
 	}
 	var empty []Ownership
