fleet: decide by both sides whether a task waits for its rack

A task on another rack than that of its data takes farX times as long, but placement added a fixed cost of half its time, and ignored the factor in the question whether a job is on time and in the speed of servers. Most jobs that name a rack ran far from it.

The time on a server counts the factor. A task compares the wait for room near its data, from the ends that are due there, plus the near run, with the far run plus what it takes from others. It waits while that is cheaper; work behind it goes on, and a wait by choice doesn't count as a wait for capacity. Tasks go to the owner of their rack, which starts them there, stages them for a short time, or declines with the expected wait. A group that shares a rack starts there, waits or is spread as a whole.

Tests: go test ./internal/fleet ./internal/mesh ./platform ./internal/node

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -111,6 +111,7 @@
 	CrashConfirmed    = warn(8041, "crash-confirmed", "backend server that was lost under a task has crashed")
 	TaskGivenUp       = warn(8042, "task-given-up", "task crashes its backend servers; its job ends as failed")
 	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
+	PlaceWait         = info(8048, "place-wait", "tasks wait for a place near their data, go to the owner of that rack, or start elsewhere")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -76,7 +76,7 @@
 // sheddable reports whether a queued job may be rejected: none of it has started, and
 // it isn't part of a job or a record elsewhere.
 func (j *job) sheddable() bool {
-	return j.starts == 0 && !j.done && j.offloaded == nil && j.durable == nil && j.hasReadyTask()
+	return j.starts == 0 && !j.done && j.offloaded == nil && j.durable == nil && j.hasReadyTask() && !j.waitsForPlace()
 }
 
 // reject ends a queued job that has not started.
@@ -119,7 +119,7 @@
 
 // waitsOnTime reports whether tasks of a job wait that can still be on time.
 func (p *pool) waitsOnTime(j *job, now Time) bool {
-	return !j.done && j.hasReadyTask() && p.latestStart(j) >= now
+	return !j.done && j.hasReadyTask() && !j.waitsForPlace() && p.latestStart(j) >= now
 }
 
 // fitsNow reports whether all ready tasks of a job can start immediately.
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -371,9 +371,11 @@
 	Age    time.Duration // of the information the decision is based on
 	Value  uint64        // version or fencing token
 	Reason string
-	At     Time        // of the decision, if the entry has records
-	Record *RunRecord  // of Run
-	Runs   []RunRecord // of Job
+	Near   time.Duration // until a task has run near its data
+	Far    time.Duration // of a run elsewhere, with what it takes from other work
+	At     Time          // of the decision, if the entry has records
+	Record *RunRecord    // of Run
+	Runs   []RunRecord   // of Job
 }
 
 func (StartRun) effect()    {}
@@ -431,6 +433,7 @@
 	LogTaskSuspected
 	LogCrashConfirmed
 	LogTaskGivenUp
+	LogPlaceWait
 )
 
 // Message is a message between members.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,9 @@
 	Label        string        // required server label, empty for any
 	Rack         string        // rack that holds the data, empty for any
 	MaxPerServer int           // 0 for no limit
+	// SameRack means that the tasks are slow when they run on more than one rack. In a
+	// task offloaded by another owner it means that they do.
+	SameRack bool
 }
 
 // TaskCount returns the number of tasks of the job.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -15,6 +15,9 @@
 	// SharedWatchMinServers is the number of backend servers from which only a few
 	// members of a cell watch the store; 0 means 100.
 	SharedWatchMinServers int
+	// FarFactor is how many times its usual time a task takes on another rack than that
+	// of its data. Up to 1, placement doesn't wait for racks.
+	FarFactor float64
 	// Policy selects simpler scheduling decisions as baselines for comparison.
 	Policy Policy
 }
@@ -463,7 +466,7 @@
 }
 
 func (i *Instance) decline(p *peer, c CallID, service string, now Time) {
-	o := Outcome{Call: c, Declined: true}
+	o := Outcome{Call: c, Declined: true, Result: Result{RetryAfter: i.pool.takeRackWait()}}
 	if !i.leaving {
 		o.Load, o.OffloadedMilli = i.pool.load(service, now), p.offloadReceivedMilli
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -28,10 +28,16 @@
 // step is a step of a job.
 type step struct {
 	spec      StepSpec
+	job       *job
 	ready     bool
 	queued    []*task // ordered by index
 	suspects  []*task // queued tasks that start only alone
 	remaining int     // tasks not completed
+
+	group     string // rack that a group shares, empty if none was chosen
+	spread    bool   // a group runs on more than one rack
+	waitsNear bool   // its queued tasks wait for a place by choice
+	lastPlace string // last decision that was logged
 }
 
 // task is one task of a job.
@@ -42,6 +48,7 @@
 	attempt  uint32
 	failures int
 	stalls   int // runs that stalled
+	declined int // times that an owner of its rack had no room there
 	losses   []ServerLoss
 	lostAt   Time // of the last loss known here
 }
@@ -49,7 +56,7 @@
 func newJob(spec JobSpec, origin Member, call CallID) *job {
 	j := &job{spec: spec, due: spec.Due(), origin: origin, call: call}
 	for n, s := range spec.Steps {
-		st := &step{spec: s, remaining: s.Count}
+		st := &step{spec: s, job: j, remaining: s.Count}
 		for i := range s.Count {
 			st.queued = append(st.queued, &task{id: TaskID{spec.ID, n, i}, job: j, step: st})
 		}
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -31,6 +31,7 @@
 	Index   int
 	Attempt uint32 // last attempt so far
 	Home    Member // instance that holds the job's call
+	Near    bool   // runs only on the rack that its step names
 }
 
 // offload is a task offloaded to another owner.
@@ -38,6 +39,7 @@
 	task   *task
 	to     Member
 	sentAt Time
+	rack   string // that it was offered for, empty if for any free capacity
 }
 
 // offloadQueued offers queued tasks to owners with room for them.
@@ -48,7 +50,7 @@
 			continue // the holder of a durable job stores the task ends itself
 		}
 		for _, st := range j.steps {
-			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) {
+			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) {
 				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
 		}
@@ -65,7 +67,7 @@
 		}
 		t := st.queued[0]
 		st.queued = st.queued[1:]
-		p.offloadTask(t, target, now)
+		p.offloadTask(t, target, "", now)
 	}
 	return true
 }
@@ -113,15 +115,17 @@
 	return x.freeMilli(service) + float64(targetStagedTasks-l.StagedTasks)*p.typicalMilli
 }
 
-func (p *pool) offloadTask(t *task, to *peer, now Time) {
+// offloadTask offers a task to another owner, only for servers on a rack if one is named.
+func (p *pool) offloadTask(t *task, to *peer, rack string, now Time) {
 	p.lastOffload++
 	id := firstOffloadCall + p.lastOffload
 	t.job.starts++
-	p.offloads[id] = offload{t, to.member, now}
+	p.offloads[id] = offload{t, to.member, now, rack}
 	spec := t.job.spec
-	spec.Offloaded = &OffloadedTask{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt, Home: t.job.origin}
+	spec.Offloaded = &OffloadedTask{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt, Home: t.job.origin, Near: rack != ""}
 	spec.Steps = []StepSpec{t.step.spec}
 	spec.Steps[0].Count, spec.Steps[0].DependsOn = 1, nil
+	spec.Steps[0].Rack, spec.Steps[0].SameRack = t.step.rackName(), t.step.spread
 	to.offloadSentMilli += float64(t.step.spec.Need.CPUMilli)
 	p.effect(SendPeer{To: to.member, Message: Offer{Call: id, Job: spec, Age: now.Sub(spec.ReceivedAt), Echo: p.members.echoFor(to, now)}})
 }
@@ -134,6 +138,7 @@
 	t.attempt = spec.Offloaded.Attempt
 	j.spec.MaxAttempts = 1
 	j.offloaded = t
+	t.step.spread, t.step.spec.SameRack = spec.Steps[0].SameRack, false
 	return j
 }
 
@@ -148,20 +153,28 @@
 		p.startTask(j.offloaded, s, now)
 		return false
 	}
+	if spec.Offloaded.Near {
+		return p.stageNear(j, now)
+	}
 	if p.stagedTasks() >= 2*targetStagedTasks {
 		return true
 	}
-	j.returnAt = now.Add(stagedTimeout)
+	p.stage(j, now.Add(stagedTimeout))
+	return false
+}
+
+// stage queues a task of another owner until a time.
+func (p *pool) stage(j *job, until Time) {
+	j.returnAt = until
 	p.jobs[j.key()] = j
 	p.queue = append(p.queue, j)
-	return false
 }
 
 // stagedTasks counts the staged tasks of other owners.
 func (p *pool) stagedTasks() int {
 	n := 0
 	for _, j := range p.queue {
-		if j.offloaded != nil && j.hasReadyTask() {
+		if j.offloaded != nil && !j.spec.Offloaded.Near && j.hasReadyTask() {
 			n++
 		}
 	}
@@ -195,7 +208,7 @@
 	t.attempt = max(t.attempt, o.Attempt)
 	switch {
 	case o.Declined:
-		from.declinedAt = now
+		from.noteDeclined(off, o.Result.RetryAfter, now)
 		if o.Result.Kind != Unknown {
 			t.job.starts--
 		}
@@ -306,7 +319,7 @@
 	for _, j := range p.queue {
 		if j.spec.Service == service && j.offloaded == nil {
 			for _, st := range j.steps {
-				if st.ready {
+				if st.ready && !st.waitsNear {
 					n += len(st.queued)
 				}
 			}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -30,8 +30,9 @@
 	echoSent         Time          // last echo sent to it
 	remoteReceiveAge time.Duration // time since it last heard from this instance
 	loads            []Load
-	pending          map[string]int // durable jobs not started, by route
-	declinedAt       Time           // when it last declined a task
+	pending          map[string]int  // durable jobs not started, by route
+	declinedAt       Time            // when it last declined a task
+	rackOpensAt      map[string]Time // by rack: when it expects room there after it had none
 
 	// Milli-cores of offloaded tasks on the current link: sent, acknowledged by the
 	// peer, and received from it. Those in transit are subtracted from the free
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -39,7 +39,7 @@
 const (
 	strandedWeight  = 0.1 // per whole server of capacity left too small for a typical task; minor next to speed
 	lateWeight      = 4   // for a task that would end after its job is due
-	otherRackWeight = 0.5 // for another rack than the task's data, whose proximity is rarely worth twice the usual slowdown
+	otherRackWeight = 0.5 // for another rack than the task's data while its slowdown isn't known
 	failedWeight    = 3   // for a server whose last run failed
 )
 
@@ -85,7 +85,7 @@
 		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
 			continue
 		}
-		if onlyOnTime && now.Add(s.speed.expect(t.step.spec.Estimate)) > t.job.due {
+		if p.barred(t, s) || onlyOnTime && now.Add(p.expect(t.step, s)) > t.job.due && !p.spareFor(t, s) {
 			continue
 		}
 		if c := p.cost(t, s, now); best == nil || c < bestCost {
@@ -123,10 +123,12 @@
 	}
 	takes := s.speed.expect(t.step.spec.Estimate)
 	c := speedWeight(t.step.spec.Estimate) * ratio(takes, t.step.spec.Estimate)
-	if now.Add(takes) > t.job.due {
+	far := p.slowdown(t.step, s)
+	c += (far - 1) * ratio(takes, t.step.spec.Estimate)
+	if now.Add(stretch(takes, far)) > t.job.due {
 		c += lateWeight
 	}
-	if r := t.step.spec.Rack; r != "" && !slices.Contains(s.entry.Labels, r) {
+	if r := t.step.spec.Rack; p.places.farFactor <= 1 && r != "" && !slices.Contains(s.entry.Labels, r) {
 		c += otherRackWeight
 	}
 	if s.health.failures > 0 {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -63,6 +63,7 @@
 	fastFactor     float64 // run time relative to the estimate at the fastest servers
 	speeds         speedModels
 	holder         *holder
+	places         places
 
 	unsettled []*task  // suspects of which it isn't known whether their servers have crashed
 	outages   []outage // servers lost of late
@@ -89,6 +90,7 @@
 		typicalMilli: initialTypicalMilli,
 		fastFactor:   1,
 		speeds:       speedModels{},
+		places:       places{farFactor: o.FarFactor},
 	}
 }
 
@@ -228,6 +230,7 @@
 	p.sortQueue(now)
 	p.placeSuspects(now)
 	open := p.openServers(p.minQueuedMilli(), now)
+	p.beginPlaces(open)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayStart(j) {
@@ -243,11 +246,15 @@
 
 // startStep starts as many queued tasks of a step as fit.
 func (p *pool) startStep(st *step, open []*server, now Time) {
+	if p.placed(st) {
+		p.startPlaced(st, open, now)
+		return
+	}
 	for len(st.queued) > 0 {
 		t := st.queued[0]
 		if near := p.rackTarget(t, now); near != nil {
 			st.queued = st.queued[1:]
-			p.offloadTask(t, near, now)
+			p.offloadTask(t, near, "", now)
 			continue
 		}
 		s := p.pickServer(t, open, now)
@@ -414,6 +421,7 @@
 		p.tickServer(s, now)
 	}
 	p.updateFastFactor(now)
+	p.places.owners = nil
 	p.requeueDelayed(now)
 	p.expireJobs(now)
 	p.dispatch(now)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -49,7 +49,7 @@
 	r := &run{
 		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.life.bootMs, fence: s.ownership.Token(), sentAt: now,
 		isolated: s.reservedFor == t,
-		expected: s.speed.expect(t.step.spec.Estimate),
+		expected: p.expect(t.step, s),
 	}
 	t.job.starts++
 	t.job.activeRuns++
@@ -367,7 +367,7 @@
 	}
 	switch e.Kind {
 	case EndDone:
-		s.speed.learn(now.Sub(r.sentAt), t.step.spec.Estimate)
+		s.speed.learn(now.Sub(r.sentAt), stretch(t.step.spec.Estimate, p.slowdown(t.step, s)))
 		if s.health.done() {
 			p.effect(LogEntry{Kind: LogServerRestored, Server: s.entry.ID})
 		}
--- a/internal/fleetpb/job.go
+++ b/internal/fleetpb/job.go
@@ -17,14 +17,14 @@
 	if p := j.Offloaded; p != nil {
 		out.Part = &Part{
 			Step: int32(p.Step), Index: int32(p.Index), Attempt: p.Attempt,
-			HomeInstance: string(p.Home.Instance), HomeIncarnation: string(p.Home.Incarnation),
+			HomeInstance: string(p.Home.Instance), HomeIncarnation: string(p.Home.Incarnation), Near: p.Near,
 		}
 	}
 	for _, s := range j.Steps {
 		step := &Step{
 			Count: int32(s.Count), CpuMillicores: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB,
 			Accelerators: s.Need.Accelerators, EstimateNs: int64(s.Estimate), Label: s.Label, Rack: s.Rack,
-			MaxPerServer: int32(s.MaxPerServer),
+			MaxPerServer: int32(s.MaxPerServer), SameRack: s.SameRack,
 		}
 		for _, dep := range s.DependsOn {
 			step.After = append(step.After, int32(dep))
@@ -46,6 +46,7 @@
 		j.Offloaded = &fleet.OffloadedTask{
 			Step: int(p.GetStep()), Index: int(p.GetIndex()), Attempt: p.GetAttempt(),
 			Home: fleet.Member{Instance: model.Instance(p.GetHomeInstance()), Incarnation: model.Incarnation(p.GetHomeIncarnation())},
+			Near: p.GetNear(),
 		}
 	}
 	for _, s := range b.GetSteps() {
@@ -53,7 +54,7 @@
 			Count:    int(s.GetCount()),
 			Need:     model.Resources{CPUMilli: s.GetCpuMillicores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
 			Estimate: time.Duration(s.GetEstimateNs()), Label: s.GetLabel(), Rack: s.GetRack(),
-			MaxPerServer: int(s.GetMaxPerServer()),
+			MaxPerServer: int(s.GetMaxPerServer()), SameRack: s.GetSameRack(),
 		}
 		for _, dep := range s.GetAfter() {
 			step.DependsOn = append(step.DependsOn, int(dep))
--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -12,6 +12,10 @@
 func TestRoundTrip(t *testing.T) {
 	member := fleet.Member{Instance: "n3", Incarnation: "02", Domain: "d", Addr: "a", Weight: 1}
 	for name, sent := range map[string]any{
+		"offer of a task": fleet.Offer{Call: 9, Job: fleet.JobSpec{
+			ID: "j", Service: "s", Offloaded: &fleet.OffloadedTask{Step: 1, Index: 2, Attempt: 3, Home: fleet.Member{Instance: "n3", Incarnation: "02"}, Near: true},
+			Steps: []fleet.StepSpec{{Count: 1, Rack: "r", SameRack: true}},
+		}},
 		"ownerships": fleet.OwnersUpdate{Owners: []fleet.Ownership{
 			{Server: "s1", Owner: "n1", Incarnation: "01", Revision: 7, Rank: 2, Successors: []fleet.Successor{{Instance: "n2", Incarnation: "03"}, {Instance: "n1", Incarnation: "01"}}},
 			{Server: "s2", Owner: "n1", Incarnation: "01", Revision: 8},
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -41,7 +41,7 @@
 // maxLines returns how many lines may have been written in a second before one of an event.
 func maxLines(e eventlog.Event) int {
 	switch e {
-	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered, eventlog.RequestRefused:
+	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered, eventlog.RequestRefused, eventlog.PlaceWait:
 		return maxLinesPerSecond - reservedLines
 	}
 	return maxLinesPerSecond
@@ -101,6 +101,7 @@
 	fleet.LogTaskSuspected:     eventlog.TaskSuspected,
 	fleet.LogCrashConfirmed:    eventlog.CrashConfirmed,
 	fleet.LogTaskGivenUp:       eventlog.TaskGivenUp,
+	fleet.LogPlaceWait:         eventlog.PlaceWait,
 }
 
 // writeEntry logs a decision of the reducer.
@@ -124,6 +125,9 @@
 	if x.Age != 0 {
 		line.Dur("age_ms", x.Age)
 	}
+	if x.Near != 0 {
+		line.Dur("near_ms", x.Near).Dur("far_ms", x.Far)
+	}
 	if x.Value != 0 {
 		line.Uint64("value", x.Value)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,6 +29,7 @@
 	overdue.Stop()
 	return &loop{node: n, ctx: ctx, overdue: overdue, reducer: fleet.NewInstance(fleet.Options{
 		Self: n.self, Lease: n.settings.Bounds.MaxLease, StopTimeout: n.settings.Bounds.StopTimeout, SharedWatchMinServers: n.sharedWatchMinServers,
+		FarFactor: n.settings.Bounds.FarFactor,
 	}, bootTime())}
 }
 
