fleetsim: racks, far runs, and the decision on places measured

Servers have racks, and a task away from its data takes longer.

Tests: go test ./internal/fleet; go test ./internal/fleet/fleetsim -run Places

--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -267,6 +267,8 @@
 	s.advance()
 	o := worker.StartCommand{Run: x.Run, Fence: x.Fence, LeaseEndMs: x.LeaseEndMs}
 	o.Duration, o.EndKind = s.runOutcome(j, step)
+	slowdown := w.Places.slowdown(j, step, s.Entry.Labels)
+	o.Duration = time.Duration(float64(o.Duration) * slowdown)
 	others := w.runningAt(x.Run.Task)
 	outcome, started := s.state.Start(w.now, o)
 	if started {
@@ -275,6 +277,7 @@
 			w.violated("task %v runs at %s and %s", x.Run.Task, o, s.Entry.ID)
 		}
 		s.needs[x.Run] = step.Need
+		w.Places.count(step.Need, o.Duration, slowdown)
 		s.crashIfDeadly(x.Run, j)
 		if w.onStart != nil {
 			w.onStart(s, x.Run)
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -25,6 +25,7 @@
 	Priority    int
 	MaxAttempts int
 	Durable     bool // jobs are durable
+	Locality    Locality
 }
 
 // Site is a deployment.
@@ -33,6 +34,7 @@
 	Instances []int  // per domain
 	Servers   int    // per domain
 	CPU       uint32 // per server, in milli-cores
+	RackSize  int    // servers per rack, 0 for no racks
 	Classes   []Class
 	Weights   []float64 // of the instances of a domain, cyclically; empty if all are equal
 }
@@ -104,9 +106,10 @@
 			if i%3 == 2 {
 				cpu = cpu * 3 / 2
 			}
+			kind := string(rune('a' + i%3))
 			w.AddServer(fleet.ServerEntry{
 				ID: model.ServerID(fmt.Sprintf("%s-s%02d", domain, i)), Service: Service, Domain: domain, Addr: "a",
-				Kind:     string(rune('a' + i%3)),
+				Kind: kind, Labels: w.rackLabels(s, domain, kind, i),
 				Capacity: model.Resources{CPUMilli: cpu, MemoryMB: 65536},
 			}, []float64{0.6, 1, 1.6}[i%3])
 		}
@@ -147,6 +150,7 @@
 		work *= 7
 	}
 	spec := w.Job(c, min(work, 12*c.Work))
+	w.choosePlace(&spec, c.Locality)
 	j := w.Submit(alive[w.Rand.IntN(len(alive))].member.Instance, spec)
 	j.work = min(work, 12*c.Work)
 }
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -49,6 +49,8 @@
 	submissions []*JobRecord
 	Violations  []string // violated invariants
 
+	Places Places
+
 	LostReplyRate float64       // share of durable job writes whose replies are lost
 	WakeTime      time.Duration // in which an instance takes what has arrived while it was frozen
 	NoticeTime    time.Duration // in which an instance that runs notices that a caller's connection is broken
@@ -83,8 +85,9 @@
 	AnsweredAt   fleet.Time // 0 until answered
 	Result       fleet.Result
 	Starts       int
-	AlwaysFails  bool // each of its runs fails
-	AlwaysStalls bool // each of its runs stalls
+	rack         string // of the first run of a group that should share a rack
+	AlwaysFails  bool   // each of its runs fails
+	AlwaysStalls bool   // each of its runs stalls
 	// CrashesServers makes the first task crash each server that starts it.
 	CrashesServers bool
 	work           time.Duration
@@ -196,7 +199,7 @@
 	n.overdueAt, n.probe, n.missedTick, n.openOffers = 0, inputProbe{}, false, openOffers{}
 	n.renewedAt = w.now
 	n.calls, n.readCalls, n.lostCalls = map[fleet.CallID]*JobRecord{}, map[fleet.CallID]bool{}, map[fleet.CallID]fleet.Time{}
-	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy}, w.now)
+	n.reducer = fleet.NewInstance(fleet.Options{Self: n.member, Lease: Lease, StopTimeout: stopTime, Policy: w.Policy, FarFactor: w.Places.toldFactor()}, w.now)
 	if w.DialListed {
 		for _, l := range n.links {
 			l.hangUp()
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -120,6 +120,9 @@
 	p.lastOffload++
 	id := firstOffloadCall + p.lastOffload
 	t.job.starts++
+	if rack == "" {
+		t.step.leaveRack()
+	}
 	p.offloads[id] = offload{t, to.member, now, rack}
 	spec := t.job.spec
 	spec.Offloaded = &OffloadedTask{Step: t.id.Step, Index: t.id.Index, Attempt: t.attempt, Home: t.job.origin, Near: rack != ""}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -99,7 +99,7 @@
 // its job late: fast servers can still be on time, and other jobs wait that a slow one
 // may suit.
 func (p *pool) waitsForFaster(t *task, now Time) bool {
-	return len(p.queue) > 1 && t.job.offloaded == nil && t.job.durable == nil && p.latestStart(t.job) >= now
+	return len(p.queue)-p.places.byChoice > 1 && t.job.offloaded == nil && t.job.durable == nil && p.latestStart(t.job) >= now
 }
 
 // runsOf counts the runs of a step on the server.
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -13,6 +13,8 @@
 type places struct {
 	farFactor float64                      // time of a task away from its data, relative to its own
 	claims    map[string]int               // tasks that wait for room on a rack, in this dispatch
+	rooms     map[roomKey]rackRoom         // as of the last start
+	byChoice  int                          // queued jobs that wait for a place
 	waiting   float64                      // milli-cores that queued tasks wait for
 	free      float64                      // milli-cores of the open servers
 	owners    map[string]map[Member]uint32 // milli-cores by rack and owner, as of the last tick
@@ -44,7 +46,7 @@
 
 // placed reports whether a step is subject to the decision on places.
 func (p *pool) placed(st *step) bool {
-	return p.places.farFactor > 1 && (st.rackName() != "" || st.spec.SameRack)
+	return p.places.farFactor > 1 && (st.rackName() != "" || st.spec.SameRack && st.spec.Count > 1 || st.spread)
 }
 
 // rackName returns the rack where the tasks of a step run best, empty for any.
@@ -103,7 +105,8 @@
 	if x.farFactor <= 1 {
 		return
 	}
-	x.claims, x.sent, x.waiting, x.free = map[string]int{}, map[rackOwnerKey]int{}, 0, 0
+	x.claims, x.sent, x.rooms = map[string]int{}, map[rackOwnerKey]int{}, map[roomKey]rackRoom{}
+	x.waiting, x.free, x.byChoice = 0, 0, 0
 	for _, off := range p.offloads {
 		if off.rack != "" {
 			x.sent[rackOwnerKey{off.to.Instance, off.rack}]++
@@ -111,6 +114,9 @@
 	}
 	for _, j := range p.queue {
 		x.waiting += j.waitingMilli()
+		if j.waitsForPlace() {
+			x.byChoice++
+		}
 	}
 	for _, s := range open {
 		x.free += float64(s.free().CPUMilli)
@@ -148,8 +154,10 @@
 // better than to wait. Tasks that wait stay queued.
 func (p *pool) startPlaced(st *step, open []*server, now Time) {
 	st.waitsNear = false
-	if !p.placeGroup(st, open, now) {
-		st.waitsNear = true
+	if len(open) == 0 && st.undecidedGroup() {
+		return
+	}
+	if st.waitsNear = !p.placeGroup(st, now); st.waitsNear {
 		return
 	}
 	queued := st.queued
@@ -238,16 +246,10 @@
 // nearFactor returns the mean slowdown of the servers near the data of a step, relative
 // to the estimates.
 func (p *pool) nearFactor(st *step, now Time) float64 {
-	sum, n := 0.0, 0
-	for _, s := range p.orderedServers {
-		if p.isNear(st, s, now) {
-			sum, n = sum+s.speed.factor(), n+1
-		}
-	}
-	if n == 0 {
-		return p.fastFactor
+	if r := p.rackRoom(st, now); r.servers > 0 {
+		return r.factor
 	}
-	return sum / float64(n)
+	return p.fastFactor
 }
 
 // isNear reports whether a server that takes work is near the data of a step.
@@ -258,13 +260,49 @@
 // nearWait returns the time until n more tasks of a step have room near its data, by the
 // runs that are due there.
 func (p *pool) nearWait(st *step, n int, now Time) (wait time.Duration, known bool) {
+	r := p.rackRoom(st, now)
+	if len(r.openings) < n {
+		return 0, false
+	}
+	return r.openings[n-1], true
+}
+
+// roomKey names what the room on a rack depends on besides the runs there.
+type roomKey struct {
+	service, label, rack string
+	need                 model.Resources
+	limit                int
+}
+
+// rackRoom is the room on a rack for tasks of a kind.
+type rackRoom struct {
+	openings []time.Duration // until there is room for each further task, in order
+	factor   float64         // mean slowdown of the servers
+	servers  int
+}
+
+// rackRoom returns the room near the data of a step. It is computed once until a run
+// starts, as many tasks may wait for the same rack.
+func (p *pool) rackRoom(st *step, now Time) rackRoom {
+	k := roomKey{st.job.spec.Service, st.spec.Label, st.rackName(), st.spec.Need, st.spec.MaxPerServer}
+	if r, ok := p.places.rooms[k]; ok {
+		return r
+	}
+	var r rackRoom
 	var rooms []serverRoom
 	for _, s := range p.orderedServers {
 		if p.isNear(st, s, now) {
 			rooms = append(rooms, s.room(st.spec.MaxPerServer, now))
+			r.factor += s.speed.factor()
 		}
 	}
-	return roomWait(rooms, st.spec.Need, n)
+	r.servers = len(rooms)
+	r.factor /= float64(max(r.servers, 1))
+	r.openings = rackOpenings(rooms, st.spec.Need)
+	if p.places.rooms != nil {
+		p.places.rooms[k] = r
+	}
+	return r
 }
 
 // room returns the room of a server over time.
@@ -374,13 +412,14 @@
 		p.rackOpensAt = map[string]Time{}
 	}
 	off.task.declined++
-	p.rackOpensAt[off.rack] = now.Add(max(opensIn, declinedBackoff))
+	p.rackOpensAt[off.rack] = now.Add(min(max(opensIn, declinedBackoff), unknownRackWait))
 }
 
 // stageNear accepts a task that another owner has offered for a rack if it has room
 // there soon. The other owner decides again if the room doesn't come.
 func (p *pool) stageNear(j *job, now Time) (declined bool) {
 	rack := j.steps[0].rackName()
+	clear(p.places.rooms) // they are those of the last dispatch
 	c := p.placeChoice(j.offloaded, nil, now)
 	wait, known := p.nearWait(j.steps[0], p.places.claims[rack]+1, now)
 	c.nearWait = wait
@@ -402,13 +441,13 @@
 
 // placeGroup decides where the tasks of a step run that should share a rack, before the
 // first of them starts. It reports false while the group waits for a rack.
-func (p *pool) placeGroup(st *step, open []*server, now Time) bool {
-	if !st.spec.SameRack || st.spread || st.group != "" {
+func (p *pool) placeGroup(st *step, now Time) bool {
+	if !st.undecidedGroup() {
 		return true
 	}
-	if len(st.queued) < st.spec.Count || len(open) == 0 {
-		st.spread = len(st.queued) < st.spec.Count
-		return len(open) > 0
+	if len(st.queued) < st.spec.Count {
+		st.spread = true // a task waits for an earlier run, or alone
+		return true
 	}
 	rack, wait, known := p.groupRack(st, now)
 	c := p.placeChoice(st.queued[0], nil, now)
@@ -428,6 +467,18 @@
 	return true
 }
 
+// undecidedGroup reports whether the tasks should share a rack that isn't chosen yet.
+func (st *step) undecidedGroup() bool {
+	return st.spec.SameRack && st.spec.Count > 1 && !st.spread && st.group == ""
+}
+
+// leaveRack records that a task of a group goes to an owner that may run it on any rack.
+func (st *step) leaveRack() {
+	if st.spec.SameRack && st.spec.Count > 1 {
+		st.group, st.spread = "", true
+	}
+}
+
 // groupRack returns the rack that has room for all tasks of a step first; known is false
 // if none will. Among racks with room the fastest wins.
 func (p *pool) groupRack(st *step, now Time) (rack string, wait time.Duration, known bool) {
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -250,6 +250,12 @@
 	if got := w.submit(group, 60*ms); len(got) != 4 || len(racks(w, got)) < 2 {
 		t.Errorf("a group that fits no rack starts at %v", got)
 	}
+	w = newRackWorld(t, 2, "r1", "r2")
+	w.fill("r1", time.Second)
+	w.fill("r2", time.Second)
+	if got := w.submit(group, 60*ms); len(got) != 0 || !w.i.pool.onTimeJobQueued(w.now) {
+		t.Errorf("a group without any room starts at %v, or doesn't count as waiting for capacity", got)
+	}
 	w = newRackWorld(t, 2, "r1", "r2", "r2", "r3")
 	w.fill("r2", 20*ms)
 	if got := w.submit(group, 60*ms); len(got) != 0 {
@@ -370,3 +376,19 @@
 		return ok && o.Declined
 	})
 }
+
+// TestWaitingTaskStays guards against an owner that offloads a task that waits here for
+// room near its data.
+func TestWaitingTaskStays(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	w.fill("r1", 20*ms)
+	w.submit(short("r1"), 60*ms)
+	w.addPeer("r3", 4000)
+	for _, e := range w.effects {
+		if s, ok := e.(SendPeer); ok {
+			if o, ok := s.Message.(Offer); ok {
+				t.Errorf("offers %+v", o.Job)
+			}
+		}
+	}
+}
--- a/internal/fleet/placewait.go
+++ b/internal/fleet/placewait.go
@@ -78,18 +78,15 @@
 // nothing fits any number of times.
 const maxOpenings = 64
 
-// roomWait returns the time until n tasks have room on a rack; ok is false if the runs
-// there don't leave that much.
-func roomWait(rack []serverRoom, need model.Resources, n int) (wait time.Duration, ok bool) {
+// rackOpenings returns the times until there is room for one more task on the servers of
+// a rack, in order.
+func rackOpenings(rack []serverRoom, need model.Resources) []time.Duration {
 	var all []time.Duration
 	for _, r := range rack {
 		all = append(all, r.openings(need)...)
 	}
-	if n < 1 || len(all) < n {
-		return 0, false
-	}
 	slices.Sort(all)
-	return all[n-1], true
+	return all
 }
 
 // expectedRest returns the time until the end of a run that has lasted for a time. A run
--- a/internal/fleet/placewait_test.go
+++ b/internal/fleet/placewait_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,33 +33,24 @@
 	}
 }
 
-// TestRoomWait guards against counting room that other tasks get first, or that no end
-// makes.
-func TestRoomWait(t *testing.T) {
+// TestRackOpenings guards against counting room twice, or room that no end makes.
+func TestRackOpenings(t *testing.T) {
 	need := model.Resources{CPUMilli: 2000}
-	rack := []serverRoom{
-		{ends: []dueEnd{{90 * ms, need}, {30 * ms, need}}},
-		{free: model.Resources{CPUMilli: 1000}, ends: []dueEnd{{10 * ms, model.Resources{CPUMilli: 500}}, {50 * ms, model.Resources{CPUMilli: 500}}}},
-	}
-	limited := []serverRoom{{free: model.Resources{CPUMilli: 8000}, limit: 1}}
 	cases := []struct {
-		name  string
-		rack  []serverRoom
-		n     int
-		wait  time.Duration
-		known bool
+		name string
+		rack []serverRoom
+		want []time.Duration
 	}{
-		{"first", rack, 1, 30 * ms, true},
-		{"one task ahead, on the server where two ends make room", rack, 2, 50 * ms, true},
-		{"two ahead", rack, 3, 90 * ms, true},
-		{"more than the rack holds", rack, 4, 0, false},
-		{"limit for each server", limited, 1, 0, true},
-		{"beyond that limit", limited, 2, 0, false},
-		{"no server", nil, 1, 0, false},
+		{"ends of one server, and two that make room together", []serverRoom{
+			{ends: []dueEnd{{90 * ms, need}, {30 * ms, need}}},
+			{free: model.Resources{CPUMilli: 1000}, ends: []dueEnd{{10 * ms, model.Resources{CPUMilli: 500}}, {50 * ms, model.Resources{CPUMilli: 500}}}},
+		}, []time.Duration{30 * ms, 50 * ms, 90 * ms}},
+		{"limit for each server", []serverRoom{{free: model.Resources{CPUMilli: 8000}, limit: 1}}, []time.Duration{0}},
+		{"no server", nil, nil},
 	}
 	for _, c := range cases {
-		if wait, known := roomWait(c.rack, need, c.n); wait != c.wait || known != c.known {
-			t.Errorf("%s: %v, known %v", c.name, wait, known)
+		if got := rackOpenings(c.rack, need); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 	if d := expectedRest(300*ms, 100*ms); d != 200*ms {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -54,6 +54,7 @@
 	t.job.starts++
 	t.job.activeRuns++
 	s.addRun(r)
+	clear(p.places.rooms)
 	if t.attempt > 1 || t.job.again {
 		p.logRun(LogRunStarted, s, r, now)
 	}
