fleet: a task taken for a rack may run anywhere once it has started

Its first run may be lost after the rack is gone. It can't go back to its owner then, and waited for the rack until its deadline.

Tests: go test ./internal/fleet; go test ./internal/fleet/fleetsim -run Places

--- a/internal/fleet/fleetsim/places_test.go
+++ b/internal/fleet/fleetsim/places_test.go
@@ -93,3 +93,33 @@
 		})
 	}
 }
+
+// TestPlacesUnderFaults guards the invariants where tasks wait for racks, and against jobs
+// that wait for one for good: orders are lost, servers stall, and an owner is killed.
+func TestPlacesUnderFaults(t *testing.T) {
+	places := Locality{HotShare: 0.4, AnyShare: 0.3, Together: 0.3}
+	s := racked(places, places)
+	for seed := range uint64(3) {
+		w := New(seed + 1)
+		w.Places.FarFactor = 2
+		w.Build(s)
+		w.Run(2 * time.Second)
+		for i, x := range w.Servers() {
+			x.LateStartRate, x.LateOtherRate, x.StallsRuns = 0.1, 0.1, i%9 == 0
+		}
+		w.After(time.Second, func() { w.Kill("tayside-0") })
+		w.After(3*time.Second, func() { w.Start("tayside-0") })
+		w.OfferLoad(s, 0.8, 5*time.Second)
+		w.Run(5 * time.Second)
+		for _, x := range w.Servers() {
+			x.LateStartRate, x.LateOtherRate, x.StallsRuns = 0, 0, false
+		}
+		w.Run(20 * time.Second)
+		for _, v := range w.Violations {
+			t.Errorf("seed %d: %s", seed+1, v)
+		}
+		if open := w.Tally(0).Open; open > 0 {
+			t.Errorf("seed %d: %d jobs have no answer", seed+1, open)
+		}
+	}
+}
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -89,7 +89,7 @@
 // barred reports whether a task must not start on a server that is far from its data:
 // its owner keeps it for the rack, or its group would no longer share one.
 func (p *pool) barred(t *task, s *server) bool {
-	nearOnly := t.job.offloaded != nil && t.job.spec.Offloaded.Near || t.step.group != ""
+	nearOnly := t.job.keptForRack() || t.step.group != ""
 	return nearOnly && p.slowdown(t.step, s) > 1
 }
 
@@ -99,6 +99,10 @@
 	return p.slowdown(t.step, s) > 1 && p.places.waiting-t.job.waitingMilli() < p.places.free
 }
 
+// keptForRack reports whether a job is a task of another owner that runs on a rack or goes
+// back. Once it has started here, it can't go back and may run anywhere.
+func (j *job) keptForRack() bool { return j.offloaded != nil && j.spec.Offloaded.Near && j.starts == 0 }
+
 // beginPlaces prepares the decisions of one dispatch.
 func (p *pool) beginPlaces(open []*server) {
 	x := &p.places
@@ -199,7 +203,7 @@
 		p.places.sent[rackOwnerKey{x.member.Instance, rack}]++
 		return nil, x, false
 	}
-	if t.job.offloaded != nil && t.job.spec.Offloaded.Near {
+	if t.job.keptForRack() {
 		p.places.claims[rack]++
 		return nil, nil, true
 	}
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -79,7 +79,9 @@
 func (w *rackWorld) rack(id model.ServerID) string { return w.i.pool.servers[id].entry.rackName() }
 
 // end ends the first run of a server and returns the starts that follow.
-func (w *rackWorld) end(id model.ServerID) []model.ServerID {
+func (w *rackWorld) end(id model.ServerID) []model.ServerID { return w.endAs(id, EndDone) }
+
+func (w *rackWorld) endAs(id model.ServerID, kind EndKind) []model.ServerID {
 	s := w.i.pool.servers[id]
 	w.acked[id]++
 	var running []ActiveRun
@@ -88,7 +90,7 @@
 	}
 	return w.step(PollReply{
 		Server: id, Outcome: PollOK, Poll: Poll{Wait: pollWait, Fence: s.ownership.Token(), AckedSeq: w.acked[id] - 1}, SentAt: w.now.Add(-ms), ClockMs: 100, BootMs: 5,
-		Running: running, Ended: []EndedRun{{Seq: w.acked[id], Run: s.sortedRuns()[0].id, Kind: EndDone}},
+		Running: running, Ended: []EndedRun{{Seq: w.acked[id], Run: s.sortedRuns()[0].id, Kind: kind}},
 	})
 }
 
@@ -341,13 +343,7 @@
 		if c.fills > 0 {
 			w.fill("r1", c.fills)
 		}
-		st := short("r1")
-		st.Need = model.Resources{CPUMilli: 2000}
-		spec := JobSpec{
-			ID: "jx", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: w.now, Objective: Objective{Allowance: 60 * ms, Stretch: 1.6},
-			Steps: []StepSpec{st}, Offloaded: &OffloadedTask{Near: true, Home: peer},
-		}
-		got := w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Offer{Call: 77, Job: spec, Echo: w.now}})
+		got := w.offerNear(peer)
 		if (len(got) == 1) != (c.fills == 0) || w.declines() != c.declined {
 			t.Errorf("%s: starts at %v, declined %v", c.name, got, w.declines())
 		}
@@ -368,6 +364,31 @@
 	}
 }
 
+// TestNearTaskRunsAgain guards against a task that another owner has offered for a rack,
+// and that waits for good when its first run there was lost and the rack is gone.
+func TestNearTaskRunsAgain(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	peer := w.addPeer("r2", 0)
+	if got := w.offerNear(peer); len(got) != 1 || got[0] != "s1" {
+		t.Fatalf("starts at %v", got)
+	}
+	w.i.pool.servers["s1"].leaving.announced = true
+	if got := w.endAs("s1", EndOther); len(got) != 1 || got[0] != "s2" {
+		t.Errorf("starts again at %v", got)
+	}
+}
+
+// offerNear offers a task for r1, and returns where it starts.
+func (w *rackWorld) offerNear(peer Member) []model.ServerID {
+	st := short("r1")
+	st.Need = model.Resources{CPUMilli: 2000}
+	spec := JobSpec{
+		ID: "jx", Service: "svc", MaxAttempts: 3, Timeout: time.Minute, ReceivedAt: w.now, Objective: Objective{Allowance: 60 * ms, Stretch: 1.6},
+		Steps: []StepSpec{st}, Offloaded: &OffloadedTask{Near: true, Home: peer},
+	}
+	return w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Offer{Call: 77, Job: spec, Echo: w.now}})
+}
+
 // declines reports whether the last step declined an offer.
 func (w *rackWorld) declines() bool {
 	return slices.ContainsFunc(w.effects, func(e Effect) bool {
