fleet: late jobs don't raise the price of capacity

Tasks that would be late far from their data are held while others wait for all free capacity. Late jobs counted as such others, and held each other back beside idle servers.

Tests: go test ./internal/fleet; go test ./internal/fleet/fleetsim -run Places

--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -95,8 +95,8 @@
 
 // spareFor reports whether a late run on a server far from the data takes nothing from
 // other work. placeChoice then decides between it and a wait.
-func (p *pool) spareFor(t *task, s *server) bool {
-	return p.slowdown(t.step, s) > 1 && p.places.waiting-t.job.waitingMilli() < p.places.free
+func (p *pool) spareFor(t *task, s *server, now Time) bool {
+	return p.slowdown(t.step, s) > 1 && p.places.waiting-p.waitingMilli(t.job, now) < p.places.free
 }
 
 // keptForRack reports whether a job is a task of another owner that runs on a rack or goes
@@ -104,7 +104,7 @@
 func (j *job) keptForRack() bool { return j.offloaded != nil && j.spec.Offloaded.Near && j.starts == 0 }
 
 // beginPlaces prepares the decisions of one dispatch.
-func (p *pool) beginPlaces(open []*server) {
+func (p *pool) beginPlaces(open []*server, now Time) {
 	x := &p.places
 	if x.farFactor <= 1 {
 		return
@@ -117,7 +117,7 @@
 		}
 	}
 	for _, j := range p.queue {
-		x.waiting += j.waitingMilli()
+		x.waiting += p.waitingMilli(j, now)
 		if j.waitsForPlace() {
 			x.byChoice++
 		}
@@ -127,10 +127,14 @@
 	}
 }
 
-// waitingMilli returns the CPU of the tasks of a job that wait for capacity, in
-// milli-cores. Those that wait for a place could have had capacity.
-func (j *job) waitingMilli() float64 {
+// waitingMilli returns the CPU of the tasks of a job that wait for capacity and can be on
+// time, in milli-cores. Those that wait for a place could have had capacity, and late ones
+// would hold each other back.
+func (p *pool) waitingMilli(j *job, now Time) float64 {
 	w := 0.0
+	if p.latestStart(j) < now {
+		return 0
+	}
 	for _, st := range j.steps {
 		if st.ready && !st.waitsNear {
 			w += float64(len(st.queued)) * float64(st.spec.Need.CPUMilli)
@@ -243,7 +247,7 @@
 	if far != nil {
 		c.farRun = p.expect(st, far)
 	}
-	c.price = capacityPrice(p.places.waiting-t.job.waitingMilli(), p.places.free)
+	c.price = capacityPrice(p.places.waiting-p.waitingMilli(t.job, now), p.places.free)
 	return c
 }
 
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -230,7 +230,7 @@
 	p.sortQueue(now)
 	p.placeSuspects(now)
 	open := p.openServers(p.minQueuedMilli(), now)
-	p.beginPlaces(open)
+	p.beginPlaces(open, now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayStart(j) {
