--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -49,11 +49,12 @@
 	r := &run{
 		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.life.bootMs, fence: s.ownership.Token(), sentAt: now,
 		isolated: s.reservedFor == t,
-		expected: s.expect(t.step.spec.Estimate, now), cold: s.isCold(now),
+		expected: p.expect(t.step, s, now), cold: s.isCold(now),
 	}
 	t.job.starts++
 	t.job.activeRuns++
 	s.addRun(r)
+	clear(p.places.rooms)
 	if t.attempt > 1 || t.job.again {
 		p.logRun(LogRunStarted, s, r, now)
 	}
@@ -367,7 +368,7 @@
 	}
 	switch e.Kind {
 	case EndDone:
-		s.learnSpeed(r, t.step.spec.Estimate, now)
+		s.learnSpeed(r, stretch(t.step.spec.Estimate, p.slowdown(t.step, s)), now)
 		if s.health.done() {
 			p.effect(LogEntry{Kind: LogServerRestored, Server: s.entry.ID})
 		}
