Tests of caller ports against clients that use up memory and descriptors

They start `nutmegweir fleet` and `nutmegweir serve` with 144 MB and 600 descriptors and apply eight loads of 400 (connections alone: 700) clients that stay within the limits of a header and a body. limits.maxFds of the platform's settings, and limits.memory_mb and limits.max_fds of `serve`, are decoded and not used yet.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -24,6 +24,10 @@
 	minBodyBytes        = 1 << 10
 	minHeaderBytes      = 1 << 10
 	maxJSONDepth        = 1000
+	minMemoryMB         = 128
+	maxMemoryMB         = 1 << 20
+	minFDs              = 400
+	maxFDs              = 1 << 20
 	maxStopBoundS       = 3600
 	tokenDigestHexChars = 64
 )
@@ -234,6 +238,12 @@
 	c.checkRange("limits.tasks", int64(l.Tasks), 1, api.MaxTasks)
 	c.checkRange("limits.header_bytes", int64(l.HeaderBytes), minHeaderBytes, api.MaxHeaderBytes)
 	c.checkRange("limits.json_depth", int64(l.JSONDepth), 1, maxJSONDepth)
+	if l.MemoryMB != 0 {
+		c.checkRange("limits.memory_mb", int64(l.MemoryMB), minMemoryMB, maxMemoryMB)
+	}
+	if l.MaxFDs != 0 {
+		c.checkRange("limits.max_fds", int64(l.MaxFDs), minFDs, maxFDs)
+	}
 }
 
 func (c *checker) checkLogLevel() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,6 +117,8 @@
 	Tasks        int   `json:"tasks"`
 	HeaderBytes  int   `json:"header_bytes"`
 	JSONDepth    int   `json:"json_depth"`
+	MemoryMB     int   `json:"memory_mb"` // memory of the machine; 0 if not stated
+	MaxFDs       int   `json:"max_fds"`   // file descriptors of the process; 0 means its own limit
 }
 
 // Scheduler holds the options of the scheduler.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,10 +13,13 @@
   args+=(-skip "^($skip)\$")
 fi
 soak=/internal/soak
-go test "${args[@]}" $(go list ./... | grep -v "${pure[0]}\$" | grep -v "${pure[1]}\$" | grep -v "$soak\$")
+ingress=/internal/ingress/ingresstest
+go test "${args[@]}" $(go list ./... | grep -v "${pure[0]}\$" | grep -v "${pure[1]}\$" | grep -v "$soak\$" | grep -v "$ingress\$")
 # The soak opens many connections, whose ports could collide with listeners of
 # other tests.
 go test "${args[@]}" ".$soak"
+# The client loads need the machine for themselves.
+go test "${args[@]:1}" ".$ingress"
 # These scenarios run in one goroutine and in virtual time, where the race
 # detector finds nothing but takes minutes.
 go test "${args[@]:1}" "./${pure[0]#/}" "./${pure[1]#/}"
