Limits of the caller ports against clients that use up memory and connections

internal/ingress wraps the listener and the handler of the caller ports. Its connections count what net/http reads and charge a budget before it parses a header; bodies are read into buffers of known size that are reserved first. An exhausted budget is made free by the request that has been silent for longest, or the new one is refused. The limit of connections follows from descriptors and memory, the soft limit of the garbage collector from the memory.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,7 +63,7 @@
 	callerListener   net.Listener
 	peerListener     net.Listener
 	operatorListener net.Listener
-	callerServer     *http.Server
+	callerServer     *caller.Server
 	operatorServer   *http.Server
 }
 
@@ -265,7 +265,7 @@
 	i.wg.Go(func() { i.logReady(ctx) })
 	i.wg.Go(func() { i.auditRefusals(ctx) })
 	i.logPlainPorts()
-	go i.serve(i.callerServer, i.callerListener)
+	go func() { _ = i.callerServer.Serve(i.callerListener) }() // returns when it is closed
 	go i.serve(i.operatorServer, i.operatorListener)
 	i.log.Event(eventlog.InstanceStarted).
 		Str("caller", i.CallerAddr()).
--- a/entry/open.go
+++ b/entry/open.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/settings"
 )
 
@@ -24,6 +25,10 @@
 	return New(Options{Settings: set, Log: events})
 }
 
+// MemoryLimit returns the soft limit of memory that fits limits.memory_mb. The program
+// sets it, as it applies to the whole process.
+func (i *Instance) MemoryLimit() int64 { return ingress.MemoryLimit(i.settings.Limits.MemoryMB) }
+
 // Run serves until ctx is done, then stops gracefully within stop_bound_s.
 func (i *Instance) Run(ctx context.Context) error {
 	i.Start()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
@@ -143,7 +144,8 @@
 		h.reject(w, err)
 		return
 	}
-	spec, err := decode(body)
+	var spec *peerpb.JobSpec
+	ingress.Parse(r, body, func() { spec, err = decode(body) })
 	if err != nil {
 		h.reject(w, err)
 		return
--- a/internal/caller/input.go
+++ b/internal/caller/input.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"mime"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/nutmegweir/nutmegweir/internal/api"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/problem"
 )
@@ -42,24 +42,20 @@
 		return nil, problem.Newf(problem.UnsupportedMediaType, "Content-Type is %q", r.Header.Get("Content-Type"))
 	}
 	limit := h.opts.Limits.BodyBytes
-	if r.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, bodyTooLarge(limit)
-	}
-	if err != nil {
+	body, err := ingress.ReadBody(r, limit)
+	switch {
+	case errors.Is(err, ingress.ErrTooLarge):
+		w.Header().Set("Connection", "close") // the rest of the body is left unread
+		return nil, problem.Newf(problem.TooLarge, "the body is larger than %d bytes", limit)
+	case errors.Is(err, ingress.ErrRefused):
+		w.Header().Set("Connection", "close")
+		return nil, problem.Wrap(err, problem.Shed)
+	case err != nil:
 		return nil, problem.Newf(problem.InvalidRequest, "the body could not be read: %v", err)
 	}
 	return body, nil
 }
 
-func bodyTooLarge(limit int64) error {
-	return problem.Newf(problem.TooLarge, "the body is larger than %d bytes", limit)
-}
-
 // waitParam returns the wait that the caller requests.
 func waitParam(r *http.Request, fallback time.Duration) (time.Duration, error) {
 	query := r.URL.Query()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -89,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(i.MemoryLimit())
 	return i.Run(ctx)
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/node"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
@@ -38,6 +39,7 @@
 		s.AdvertisedAddr = a.Advertise
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(ingress.MemoryLimit(s.MemoryMB))
 	logs, closeLogs := node.LogWriter(stdout)
 	defer closeLogs()
 	n, err := node.New(ctx, s, logs)
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -111,6 +111,8 @@
 	CrashConfirmed    = warn(8041, "crash-confirmed", "backend server that was lost under a task has crashed")
 	TaskGivenUp       = warn(8042, "task-given-up", "task crashes its backend servers; its job ends as failed")
 	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
+	ConnectionClosed  = info(8046, "connection-closed", "connection of a client closed at the limit of connections")
+	RequestShed       = info(8047, "request-shed", "request given up while it was read, as memory was short or its body too slow")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/metrics/fleet.go
+++ b/internal/metrics/fleet.go
@@ -21,6 +21,10 @@
 	LinesDropped  prometheus.Counter
 	ConfigVersion prometheus.Gauge
 	WatchBehind   *prometheus.GaugeVec // by watch
+
+	IngressRefused     *prometheus.CounterVec // by reason
+	IngressConnections prometheus.Gauge
+	IngressMemory      prometheus.Gauge
 }
 
 // NewFleet returns collectors in their own registry.
@@ -49,6 +53,10 @@
 		LinesDropped:  b.counter("fleet_log_lines_dropped_total", "Log lines left out because of their number."),
 		ConfigVersion: b.gauge("fleet_config_version", "Version of the configuration in force."),
 		WatchBehind:   b.gaugeVec("fleet_watch_behind_revisions", "Revisions missing in the last reply of a watch of the store.", "watch"),
+
+		IngressRefused:     b.counterVec("fleet_ingress_refused_total", "Connections closed and requests given up by the limits of the caller port.", "reason"),
+		IngressConnections: b.gauge("fleet_ingress_connections", "Open connections of the caller port."),
+		IngressMemory:      b.gauge("fleet_ingress_budget_bytes", "Memory reserved for requests at the caller port."),
 	}, b
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
@@ -143,6 +142,9 @@
 	received := bootTime()
 	s, rejection := c.parseSubmission(r, config, route, id)
 	if rejection != nil {
+		if rejection.Close {
+			w.Header().Set("Connection", "close")
+		}
 		c.reject(w, id, *rejection)
 		return
 	}
@@ -198,19 +200,12 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return platform.Submission{}, &platform.Rejection{
-			Status: platform.StatusTooLarge, Problem: "the body is larger than the operator's limit", Remedy: "Send a smaller job.",
-		}
-	}
+	body, err := ingress.ReadBody(r, limit)
 	if err != nil {
-		return platform.Submission{}, &platform.Rejection{
-			Status: platform.StatusBadRequest, Problem: "the body could not be read: " + err.Error(), Remedy: "Send it again.",
-		}
+		return platform.Submission{}, bodyRejection(err)
 	}
-	s, err := platform.ParseJob(id, body)
+	var s platform.Submission
+	ingress.Parse(r, body, func() { s, err = platform.ParseJob(id, body) })
 	if err != nil {
 		return s, &platform.Rejection{Status: platform.StatusBadRequest, Problem: err.Error(), Remedy: "Correct the job."}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/mesh"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -35,6 +36,7 @@
 	mesh    *mesh.Mesh
 	config  *configHolder
 	callers *callerHandler
+	ingress *ingress.Guard // of the caller port
 
 	sharedWatchMinServers int // 0 selects the reducer's default
 
@@ -66,6 +68,7 @@
 		done:     make(chan struct{}),
 	}
 	n.callers = newCallerHandler(n)
+	n.ingress = n.newGuard(s.CallerAddr)
 	n.store = newStoreSync(n)
 	n.identify(ctx, log)
 	n.jobs = newJobStore(n)
@@ -194,20 +197,21 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s; check that the port is not in use", addr)
 		}
-		out = append(out, n.serve(l, h))
+		out = append(out, n.serve(addr, l, h))
 	}
 	return out, nil
 }
 
-func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
+func (n *Node) serve(addr string, l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	n.spawn(func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Event(eventlog.CallerPortFault).AnErr("cause", err).Send()
-		}
-	})
+	g := n.ingress
+	if addr != n.settings.CallerAddr {
+		g = n.newGuard(addr)
+	}
+	g.Protect(s)
+	n.spawn(func() { n.serveGuarded(g, s, l) })
 	return s
 }
 
@@ -221,7 +225,7 @@
 func (n *Node) handlers() map[string]http.Handler {
 	h := map[string]http.Handler{n.settings.CallerAddr: n.callers, n.settings.ReadyAddr: &n.ready}
 	if a := n.settings.MetricsAddr; a != "" {
-		h[a] = n.metrics.Handler()
+		h[a] = n.metricsHandler()
 	}
 	return h
 }
