--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/caller"
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peer"
@@ -65,8 +66,13 @@
 	operatorListener net.Listener
 	callerServer     *caller.Server
 	operatorServer   *http.Server
+	operatorGuard    *ingress.Guard
 }
 
+// operatorLimits bound the operator port. Operators and the monitoring open a few
+// connections each.
+var operatorLimits = ingress.Limits{Memory: 8 << 20, Conns: 128}
+
 // runTimeout bounds a single start. A start without an answer by then counts as
 // lost.
 const runTimeout = 10 * time.Minute
@@ -243,6 +249,8 @@
 		TLSConfig:         operatorTLS,
 		ReadHeaderTimeout: 5 * time.Second,
 	}
+	i.operatorGuard = ingress.New(ingress.Options{Limits: operatorLimits, KeepsKey: []string{"Authorization"}})
+	i.operatorGuard.Protect(i.operatorServer)
 	return nil
 }
 
@@ -266,7 +274,7 @@
 	i.wg.Go(func() { i.auditRefusals(ctx) })
 	i.logPlainPorts()
 	go func() { _ = i.callerServer.Serve(i.callerListener) }() // returns when it is closed
-	go i.serve(i.operatorServer, i.operatorListener)
+	go func() { _ = i.operatorGuard.Serve(i.operatorServer, i.operatorListener) }() // returns when it is closed
 	i.log.Event(eventlog.InstanceStarted).
 		Str("caller", i.CallerAddr()).
 		Str("operator", i.OperatorAddr()).
@@ -274,14 +282,6 @@
 		Send()
 }
 
-func (i *Instance) serve(s *http.Server, l net.Listener) {
-	if s.TLSConfig != nil {
-		_ = s.ServeTLS(l, "", "")
-		return
-	}
-	_ = s.Serve(l)
-}
-
 // Shutdown stops gracefully: no new submissions, shards handed over, requests
 // in flight answered. Whatever remains when ctx ends is aborted. The peer
 // listener stays open to the end, because other instances take a refused
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -21,8 +21,6 @@
 }
 
 const (
-	// defaultMemoryMB applies if the memory of the machine is not known.
-	defaultMemoryMB = 1024
 	// reservedFDs are kept for files.
 	reservedFDs = 200
 	// otherFDs are kept for peers, backend servers, the store and other ports: links to
@@ -36,6 +34,8 @@
 	baseMB = 18
 	// connShare is the part of the machine's memory that connections may take.
 	connShare = 8
+	// minMachineMB is assumed if the memory of this machine can't be read.
+	minMachineMB = 1024
 	// minBudget serves the largest legal request.
 	minBudget = 4 << 20
 )
@@ -49,20 +49,24 @@
 const BodyTime = 10 * time.Second
 
 // LimitsFor returns the limits for a machine with this memory and for a process with
-// this many file descriptors. 0 means not known.
+// this many file descriptors. For 0, those of this machine and process count, and
+// connections are not limited by memory.
 func LimitsFor(memoryMB, maxFDs int) Limits {
 	if maxFDs <= 0 {
 		maxFDs = processFDs()
 	}
+	fds := maxFDs - reservedFDs
+	fds -= min(otherFDs, fds/2)
 	if memoryMB <= 0 {
-		memoryMB = defaultMemoryMB
+		l := LimitsFor(machineMB(), maxFDs)
+		l.Conns = max(fds, 1)
+		return l
 	}
-	fds := maxFDs - reservedFDs
 	byMemory := memoryMB << 20 / connShare / connCost
 	// The collector may let the heap grow to twice the live data, so that half of what
 	// its limit leaves can be live.
 	budget := (MemoryLimit(memoryMB) - baseMB<<20 - int64(byMemory)*(connCost-socketBytes)) / 2
-	return Limits{Memory: max(budget, minBudget), Conns: max(min(fds-min(otherFDs, fds/2), byMemory), 1), BodyTime: BodyTime}
+	return Limits{Memory: max(budget, minBudget), Conns: max(min(fds, byMemory), 1), BodyTime: BodyTime}
 }
 
 // MemoryLimit returns the soft limit of the garbage collector by which the process stays
@@ -84,3 +88,12 @@
 	}
 	return int(min(l.Cur, math.MaxInt32))
 }
+
+// machineMB returns the memory of this machine.
+func machineMB() int {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return minMachineMB
+	}
+	return int(uint64(info.Totalram) * uint64(info.Unit) >> 20)
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -36,7 +36,8 @@
 	redialMax        = 500 * time.Millisecond
 	redialJitter     = 0.3
 	maxFrameBytes    = 4 << 20
-	queueLength      = 512 // messages buffered for a slow link: several seconds of peak load
+	maxHelloBytes    = 64 << 10 // a member's names and address take less than 2 KB
+	queueLength      = 512      // messages buffered for a slow link: several seconds of peak load
 )
 
 // Options are the settings of a Mesh.
@@ -331,6 +332,11 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
+	// A connection that opens no stream is closed.
+	if err := conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		m.opts.OnError("", err)
+		return
+	}
 	guarded := &guardedConn{Conn: conn}
 	session, err := yamux.Server(newCoalescingConn(guarded), sessionConfig())
 	if err != nil {
@@ -343,6 +349,10 @@
 		m.opts.OnError("", errors.Wrap(err, "accept a stream"))
 		return
 	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		m.opts.OnError("", err)
+		return
+	}
 	if err := m.receive(stream, guarded); err != nil && ctx.Err() == nil && !errors.Is(err, io.EOF) {
 		m.opts.OnError("", err)
 	}
@@ -355,7 +365,7 @@
 	}
 	r := bufio.NewReader(stream)
 	var hello fleetpb.Member
-	if err := protodelim.UnmarshalFrom(r, &hello); err != nil {
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxHelloBytes}).UnmarshalFrom(r, &hello); err != nil {
 		return errors.Wrap(err, "receive hello")
 	}
 	from := memberFromPB(&hello)
