Bound of the buffered lines; silent connections to the peer port

Clients that pipeline were charged for lines long parsed, as each read into a part of the buffer added to its bound: 5,000 requests in a row were refused without overload. The bound now follows from the size of the read.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -83,17 +83,14 @@
 	return nil
 }
 
-// count notes the lines of a read into a buffer of the given size. A read into the whole
-// buffer of net/http finds it empty, one into a part of it adds to what is there.
-func (c *conn) count(p []byte, size int) (lines int) {
-	switch {
-	case size > readerSize:
-		c.tail = 0
-		return 0
-	case size == readerSize:
-		c.tail = 0
+// count notes the lines of a read into a buffer of the given size, and returns them and
+// how many may have been in the buffer of net/http before. A read into the whole
+// buffer finds it empty, one into a part of it at most the rest full of empty lines.
+func (c *conn) count(p []byte, size int) (lines, before int) {
+	before = min(c.tail, max(readerSize-size, 0))
+	if size <= readerSize {
+		lines = bytes.Count(p, []byte{'\n'})
 	}
-	lines = bytes.Count(p, []byte{'\n'})
-	c.tail += lines
-	return lines
+	c.tail = before + lines
+	return lines, before
 }
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -168,13 +168,9 @@
 func (g *Guard) received(c *conn, p []byte, size int) {
 	g.mu.Lock()
 	now := g.now()
-	before := c.tail
-	lines := c.count(p, size)
+	lines, before := c.count(p, size)
 	if e := c.entry; e.phase == phaseNew || e.phase == phaseIdle {
-		c.lines, c.bytes = 0, 0
-		if size < readerSize {
-			c.lines = before // may belong to this header
-		}
+		c.lines, c.bytes = before, 0 // they may belong to this header
 		e.enter(phaseHeader, now)
 	}
 	c.entry.received(len(p), now)
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -103,7 +103,7 @@
 		"smallest chunks":        {request("/", "Transfer-Encoding: chunked\r\n", strings.Repeat("1\r\nx\r\n", 262_144)+"0\r\n\r\n"), []string{"200 262144 "}},
 		"too large chunked":      {request("/", "Transfer-Encoding: chunked\r\n", "40001\r\n"+full+"x\r\n0\r\n\r\n"), []string{"413 0 "}},
 		"cut chunk":              {request("/", "Transfer-Encoding: chunked\r\n", "zz\r\n"), []string{"400 0 "}},
-		"pipelined":              {strings.Repeat(request("/", "Content-Length: 3\r\n", "abc"), 40), repeated("200 3 ", 40)},
+		"pipelined":              {strings.Repeat(request("/", strings.Repeat("A: b\r\n", 20)+"Content-Length: 3\r\n", "abc"), 5000), repeated("200 3 ", 5000)},
 		"pipelined short lines":  {strings.Repeat(request("/", shortLines(900)+"Content-Length: 1\r\n", "x"), 5), repeated("200 1 ", 5)},
 		"pipelined after chunks": {strings.Repeat(request("/", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"), 9), repeated("200 3 ", 9)},
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -30,6 +30,7 @@
 
 // Limits of a link.
 const (
+	streamTimeout    = 5 * time.Second        // for a connection to open its stream: the handshake has failed long before
 	handshakeTimeout = 500 * time.Millisecond // several round trips between failure domains
 	writeTimeout     = 600 * time.Millisecond // after which a peer counts as unresponsive
 	redialMin        = 30 * time.Millisecond
@@ -332,8 +333,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	// A connection that opens no stream is closed.
-	if err := conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
 		m.opts.OnError("", err)
 		return
 	}
