Ordinary requests get in where all connections are taken by requests that progress

The request that has been read for longest now makes room for a connection or a small request, and reads of large chunked bodies yield the processor.

--- a/internal/ingress/ledger.go
+++ b/internal/ingress/ledger.go
@@ -48,7 +48,8 @@
 	id         uint64 // in the order of arrival
 	owner      *conn
 	phase      phase
-	progressAt time.Duration // when the phase began or the last progressBytes were complete
+	beganAt    time.Duration // when the phase began
+	progressAt time.Duration // when the last progressBytes of it were complete, or it began
 	progress   int           // bytes since then
 	held       int64         // reserved of the budget
 }
@@ -93,6 +94,26 @@
 			found = e
 		}
 	}
+	if found == nil {
+		return l.oldest(now, 0)
+	}
+	return found
+}
+
+// oldest returns the request that has been read for longest, at least as long as a silent
+// one must be silent, of those that hold so many bytes. Ordinary requests are read in a
+// few milliseconds; so they get in although all places are taken by requests that
+// progress.
+func (l *ledger) oldest(now time.Duration, held int64) *entry {
+	var found *entry
+	for e := range l.entries {
+		if e.phase != phaseHeader && e.phase != phaseBody || e.held < held || now-e.beganAt < minSilence {
+			continue
+		}
+		if found == nil || e.beganAt < found.beganAt || e.beganAt == found.beganAt && e.id < found.id {
+			found = e
+		}
+	}
 	return found
 }
 
@@ -105,12 +126,16 @@
 // for that; not ok means that the connection's own must be.
 func (l *ledger) reserve(e *entry, n int64, now time.Duration) (victims []*entry, ok bool) {
 	budget := l.limits.Memory
-	if e.held+n > smallRequest {
+	small := e.held+n <= smallRequest
+	if !small {
 		budget -= budget / ordinaryShare
 	}
 	for l.used+n > budget {
 		v := l.quietest(e, now)
-		if v == nil {
+		if v == nil && small {
+			v = l.oldest(now, 1)
+		}
+		if v == nil || v == e {
 			return victims, false
 		}
 		l.hold(v, 0)
@@ -147,7 +172,7 @@
 
 // enter begins a phase.
 func (e *entry) enter(p phase, now time.Duration) {
-	e.phase, e.progressAt, e.progress = p, now, 0
+	e.phase, e.beganAt, e.progressAt, e.progress = p, now, now, 0
 }
 
 // received notes bytes of a request.
--- a/internal/ingress/ledger_test.go
+++ b/internal/ingress/ledger_test.go
@@ -7,6 +7,9 @@
 
 const second = time.Second
 
+// progressing marks a body that has just made progress.
+const progressing = phaseServing + 1
+
 // testLedger returns a ledger with entries in the given phases and with the given bytes
 // held; the nth made its last progress at n seconds.
 func testLedger(l Limits, phases []phase, held []int64) (*ledger, []*entry) {
@@ -44,10 +47,19 @@
 		{"connection: silent before idle", []phase{phaseIdle, phaseServing, phaseBody}, []int64{0, 0, 0}, 9 * second, 0, 2, true},
 		{"connection: idle in the end", []phase{phaseServing, phaseIdle, phaseIdle}, []int64{0, 0, 0}, 9 * second, 0, 1, true},
 		{"connection: all served", []phase{phaseServing, phaseServing, phaseServing}, []int64{0, 0, 0}, 9 * second, 0, -1, false},
+		{"connection: all progress", []phase{phaseServing, phaseServing, progressing}, []int64{0, 0, 0}, minSilence + 2*second, 0, 2, true},
+		{"a large request takes nothing from those that progress", []phase{progressing, progressing}, []int64{3 * large, large}, 9 * second, large, -1, false},
+		{"a small one does", []phase{progressing, progressing}, []int64{3 * large, large}, 9 * second, smallRequest, 0, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l, list := testLedger(Limits{Memory: budget, Conns: max(len(c.phases), 3)}, c.phases, c.held)
+			for _, e := range list {
+				if e.phase == progressing {
+					e.phase = phaseBody
+					e.received(progressBytes, c.now)
+				}
+			}
 			var victims []*entry
 			var ok bool
 			if c.need > 0 {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -213,7 +214,8 @@
 }
 
 // fill reads into data up to its capacity. Unlike io.ReadFull, it tells the end of a body
-// from one that was cut.
+// from one that was cut. Large bodies in small chunks take much processor time; between
+// reads they let others run first.
 func fill(body io.Reader, data []byte) ([]byte, error) {
 	for len(data) < cap(data) {
 		n, err := body.Read(data[len(data):cap(data)])
@@ -221,6 +223,9 @@
 		if err != nil {
 			return data, err
 		}
+		if len(data) > smallRequest {
+			runtime.Gosched()
+		}
 	}
 	return data, nil
 }
