--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -157,3 +159,43 @@
 		})
 	}
 }
+
+// TestBodyTimeout guards against bodies that hold memory for good without overload.
+func TestBodyTimeout(t *testing.T) {
+	_, addr := startServer(t, Limits{Memory: 400_000, Conns: 100, BodyTime: time.Millisecond})
+	if got := exchange(t, addr, request("/", "Content-Length: 9000\r\n", "abc"), 1); len(got) != 1 || got[0] != "503" {
+		t.Errorf("got %q, want 503", got)
+	}
+}
+
+// TestEncrypted guards against limits that see encrypted bytes, or that break TLS.
+func TestEncrypted(t *testing.T) {
+	other := httptest.NewTLSServer(nil) // has a certificate that its client trusts
+	defer other.Close()
+	g := New(Options{Limits: Limits{Memory: 400_000, Conns: 100}})
+	s := &http.Server{TLSConfig: &tls.Config{Certificates: other.TLS.Certificates}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := ReadBody(r, 262_144)
+		fmt.Fprint(w, err)
+	})}
+	g.Protect(s)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = g.Serve(s, l) }()
+	defer s.Close()
+	for size, want := range map[int]string{3: "<nil>", 200_000: "<nil>", 262_144: "<nil>", 262_145: ErrTooLarge.Error()} {
+		resp, err := other.Client().Post("https://"+l.Addr().String(), "", strings.NewReader(strings.Repeat("x", size)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || string(text) != want || resp.ProtoMajor != 1 {
+			t.Errorf("%d bytes: %q, %v, %s, want %q", size, text, err, resp.Proto, want)
+		}
+	}
+	if _, used := g.Usage(); used != 0 {
+		t.Errorf("%d bytes are still reserved", used)
+	}
+}
