--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -113,6 +113,8 @@
 	JobDeferred       = info(8043, "job-deferred", "job waits at the instance with its call until it may be offered to an owner")
 	DomainEvacuated   = info(8044, "domain-evacuated", "operator evacuates a failure domain; nothing starts on its backend servers")
 	DomainRestored    = info(8045, "domain-restored", "evacuation of a failure domain has ended")
+	ConnectionClosed  = info(8046, "connection-closed", "connection of a client closed at the limit of connections")
+	RequestShed       = info(8047, "request-shed", "request given up while it was read, as memory was short or its body too slow")
 	PlaceWait         = info(8048, "place-wait", "tasks wait for a place near their data, go to the owner of that rack, or start elsewhere")
 	ServiceResumed    = info(8049, "service-resumed", "times at which this start of the instance reached each phase")
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/eventlog"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	"github.com/nutmegweir/nutmegweir/internal/ingress"
 	"github.com/nutmegweir/nutmegweir/internal/mesh"
 	"github.com/nutmegweir/nutmegweir/internal/metrics"
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -35,6 +36,7 @@
 	mesh    *mesh.Mesh
 	config  *configHolder
 	callers *callerHandler
+	ingress *ingress.Guard // of the caller port
 
 	sharedWatchMinServers int // 0 selects the reducer's default
 
@@ -73,6 +75,7 @@
 		identified: make(chan struct{}), resumption: resumption{startedAt: bootTime()},
 	}
 	n.callers = newCallerHandler(n)
+	n.ingress = n.newGuard(s.CallerAddr)
 	if n.callerServer, err = n.listenHTTP(ctx, s.CallerAddr, n.callers); err != nil {
 		return nil, err
 	}
@@ -109,6 +112,17 @@
 	}
 }
 
+// isIdentified reports whether the logs name the instance's incarnation. The caller port
+// opens before that.
+func (n *Node) isIdentified() bool {
+	select {
+	case <-n.identified:
+		return true
+	default:
+		return false
+	}
+}
+
 // post queues an event for the reducer.
 func (n *Node) post(e fleet.Event) {
 	select {
@@ -219,19 +233,19 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s; check that the port is not in use", addr)
 	}
-	return n.serve(l, h), nil
+	return n.serve(addr, l, h), nil
 }
 
-func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
+func (n *Node) serve(addr string, l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	n.spawn(func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			<-n.identified
-			n.log.Event(eventlog.CallerPortFault).AnErr("cause", err).Send()
-		}
-	})
+	g := n.ingress
+	if addr != n.settings.CallerAddr {
+		g = n.newGuard(addr)
+	}
+	g.Protect(s)
+	n.spawn(func() { n.serveGuarded(g, s, l) })
 	return s
 }
 
@@ -245,7 +259,7 @@
 func (n *Node) handlers() map[string]http.Handler {
 	h := map[string]http.Handler{n.settings.ReadyAddr: &n.ready}
 	if a := n.settings.MetricsAddr; a != "" {
-		h[a] = n.metrics.Handler()
+		h[a] = n.metricsHandler()
 	}
 	return h
 }
