--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -230,7 +230,7 @@
 	g.mu.Lock()
 	now := g.now()
 	c.entry.enter(phaseIdle, now)
-	c.inHandler, c.lines, c.bytes = false, 0, 0
+	c.inHandler, c.lines, c.bytes = false, c.tail, 0
 	victims, ok := g.charge(c, headerCost(c.tail, 0), now)
 	g.mu.Unlock()
 	g.refuseAll(victims)
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -19,8 +19,14 @@
 func startServer(t *testing.T, l Limits) (*Guard, string) {
 	g := New(Options{Limits: l, KeepsKey: []string{"Kept"}})
 	s := &http.Server{MaxHeaderBytes: 16 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lines := 0
+		for _, values := range r.Header {
+			lines += len(values)
+		}
 		body, err := ReadBody(r, 262_144)
 		switch {
+		case lines > ordinaryLines:
+			w.WriteHeader(http.StatusInternalServerError) // they would be kept while the job waits
 		case errors.Is(err, ErrRefused):
 			refuseRequest(w)
 		case errors.Is(err, ErrTooLarge):
@@ -99,6 +105,7 @@
 		"plain":                  {request("/", "Content-Length: 3\r\n", "abc"), []string{"200 3 "}},
 		"no body":                {"GET / HTTP/1.1\r\nHost: h\r\nKept: a\r\n\r\n", []string{"200 0 a"}},
 		"shortest header lines":  {request("/", shortLines(4000)+"Kept: a\r\nContent-Length: 1\r\n", "x"), []string{"200 1 a"}},
+		"one name in all lines":  {request("/", strings.Repeat("a:\n", 5000)+"Kept: a\r\nContent-Length: 1\r\n", "x"), []string{"200 1 a"}},
 		"largest body":           {request("/", "Content-Length: 262144\r\n", full), []string{"200 262144 "}},
 		"too large":              {request("/", "Connection: close\r\nContent-Length: 262145\r\n", full+"x"), []string{"413 0 "}},
 		"largest chunked body":   {request("/", "Transfer-Encoding: chunked\r\n", "40000\r\n"+full+"\r\n0\r\n\r\n"), []string{"200 262144 "}},
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -37,6 +37,7 @@
 // Limits of what a waiting request keeps without being charged.
 const (
 	ordinaryLines = 64
+	ordinaryBytes = 4 << 10
 	ordinaryURI   = 1 << 10
 )
 
@@ -53,7 +54,9 @@
 			refuseRequest(w)
 			return
 		}
-		g.dropHeader(r)
+		if g.hasLongHeader(c) {
+			g.dropHeader(r)
+		}
 		if len(r.RequestURI) <= ordinaryURI {
 			g.serving(c, 0)
 		} else {
@@ -82,11 +85,15 @@
 	return c
 }
 
-// dropHeader drops header lines that the handler doesn't need, if there are many.
+// hasLongHeader reports whether a header has many lines or bytes.
+func (g *Guard) hasLongHeader(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.lines > ordinaryLines || c.bytes > ordinaryBytes
+}
+
+// dropHeader drops header lines that the handler doesn't need.
 func (g *Guard) dropHeader(r *http.Request) {
-	if len(r.Header) <= ordinaryLines {
-		return
-	}
 	kept := http.Header{}
 	for _, k := range append([]string{"Content-Type", "Expect"}, g.keeps...) {
 		if v := r.Header.Get(k); v != "" {
