--- a/entry/entry.go
+++ b/entry/entry.go
@@ -273,7 +273,7 @@
 	i.wg.Go(func() { i.logReady(ctx) })
 	i.wg.Go(func() { i.auditRefusals(ctx) })
 	i.logPlainPorts()
-	go func() { _ = i.callerServer.Serve(i.callerListener) }() // returns when it is closed
+	go func() { _ = i.callerServer.Serve(i.callerListener) }()                      // returns when it is closed
 	go func() { _ = i.operatorGuard.Serve(i.operatorServer, i.operatorListener) }() // returns when it is closed
 	i.log.Event(eventlog.InstanceStarted).
 		Str("caller", i.CallerAddr()).
