--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -8,9 +8,10 @@
 	"github.com/nutmegweir/nutmegweir/internal/settings"
 )
 
-// ConfigCmd groups the commands for settings files.
+// ConfigCmd groups the commands for settings files and configurations.
 type ConfigCmd struct {
-	Check *ConfigCheckCmd `arg:"subcommand:check" help:"check a settings file and list all of its faults"`
+	Check  *ConfigCheckCmd  `arg:"subcommand:check" help:"check a settings file and list all of its faults"`
+	Review *ConfigReviewCmd `arg:"subcommand:review" help:"review a configuration of routes, services and limits before it is sent"`
 }
 
 // ConfigCheckCmd validates settings files.
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -27,7 +27,7 @@
 
 // Root holds the arguments of nutmegctl.
 type Root struct {
-	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files"`
+	Config  *ConfigCmd  `arg:"subcommand:config" help:"check settings files, review configurations"`
 	Job     *JobCmd     `arg:"subcommand:job" help:"submit, get, cancel and explain jobs"`
 	Table   *TableCmd   `arg:"subcommand:table" help:"read and edit the table of weights and limits"`
 	Backend *BackendCmd `arg:"subcommand:backend" help:"list backend servers, take them out of service and back"`
