--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -31,19 +31,24 @@
 	reading atomic.Bool
 }
 
-// request reads the list once, unless that is under way.
+// request reads the list once, unless that is under way. A request that comes with the list
+// that was read is a new one.
 func (l *serverLister) request(ctx context.Context) {
 	if !l.reading.CompareAndSwap(false, true) {
 		return
 	}
 	l.store.node.spawn(func() {
-		defer l.reading.Store(false)
-		l.read(ctx)
+		list, ok := l.read(ctx)
+		l.reading.Store(false)
+		if ok {
+			l.store.node.post(list)
+		}
 	})
 }
 
-// read reads the list. It tries again until the store answers.
-func (l *serverLister) read(ctx context.Context) {
+// read reads the list. It tries again until the store answers; ok is false if ctx ends
+// before.
+func (l *serverLister) read(ctx context.Context) (list fleet.ServersListed, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	n := l.store.node
@@ -51,12 +56,11 @@
 		r, err := l.store.store.List(ctx, platform.ServerPrefix)
 		if err == nil {
 			var feed fleet.ServerFeed
-			n.post(feed.List(n.parseServers(r.Items), uint64(r.Revision)))
-			return
+			return feed.List(n.parseServers(r.Items), uint64(r.Revision)), true
 		}
 		n.limitedLog.callFailed("list-servers", "", err)
 		if !retry.Sleep(ctx) {
-			return
+			return list, false
 		}
 	}
 }
