--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -375,10 +375,12 @@
 	Age    time.Duration // of the information the decision is based on
 	Value  uint64        // version or fencing token
 	Reason string
-	At     Time        // of the decision, if the entry has records
-	Record *RunRecord  // of Run
-	Runs   []RunRecord // of Job
-	Class  *JobClass   // of Job, if it was queued or rejected
+	Near   time.Duration // until a task has run near its data
+	Far    time.Duration // of a run elsewhere, with what it takes from other work
+	At     Time          // of the decision, if the entry has records
+	Record *RunRecord    // of Run
+	Runs   []RunRecord   // of Job
+	Class  *JobClass     // of Job, if it was queued or rejected
 }
 
 // JobClass is what the treatment of a job at a capacity shortage depends on.
@@ -449,6 +451,7 @@
 	LogTaskGivenUp
 	LogDomainEvacuated
 	LogDomainRestored
+	LogPlaceWait
 )
 
 // Message is a message between members.
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -26,6 +26,7 @@
 	MaxAttempts int
 	Durable     bool    // jobs are durable
 	Utility     float64 // of a job on time; a late one has lateUtility of it
+	Locality    Locality
 }
 
 // Site is a deployment.
@@ -34,6 +35,7 @@
 	Instances []int  // per domain
 	Servers   int    // per domain
 	CPU       uint32 // per server, in milli-cores
+	RackSize  int    // servers per rack, 0 for no racks
 	Classes   []Class
 	Weights   []float64 // of the instances of a domain, cyclically; empty if all are equal
 }
@@ -105,9 +107,10 @@
 			if i%3 == 2 {
 				cpu = cpu * 3 / 2
 			}
+			kind := string(rune('a' + i%3))
 			w.AddServer(fleet.ServerEntry{
 				ID: model.ServerID(fmt.Sprintf("%s-s%02d", domain, i)), Service: Service, Domain: domain, Addr: "a",
-				Kind:     string(rune('a' + i%3)),
+				Kind: kind, Labels: w.rackLabels(s, domain, kind, i),
 				Capacity: model.Resources{CPUMilli: cpu, MemoryMB: 65536},
 			}, []float64{0.6, 1, 1.6}[i%3])
 		}
@@ -163,6 +166,7 @@
 		work *= 7
 	}
 	spec := w.Job(c, min(work, 12*c.Work))
+	w.choosePlace(&spec, c.Locality)
 	at := alive[w.Rand.IntN(len(alive))].member
 	if w.resend {
 		w.SubmitUntilAnswered(at.Instance, spec, min(work, 12*c.Work))
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -64,6 +64,7 @@
 	fastFactor     float64 // run time relative to the estimate at the fastest servers
 	speeds         speedModels
 	holder         *holder
+	places         places
 
 	unsettled []*task  // suspects of which it isn't known whether their servers have crashed
 	outages   []outage // servers lost of late
@@ -71,6 +72,8 @@
 	delayed        []delayedTask
 	offloads       map[CallID]offload
 	lastOffload    CallID
+	queueClearAt   Time // when no job that can be on time waited last
+	sustained      bool // such jobs have waited for sustainedShortage since then
 	queueAnnounced bool // peers have been told of queued tasks
 	newlyOpened    bool // servers have opened that peers may not know of
 
@@ -92,6 +95,7 @@
 		fastFactor:   1,
 		speeds:       speedModels{},
 		shortage:     shortage{},
+		places:       places{farFactor: o.FarFactor},
 	}
 }
 
@@ -230,12 +234,14 @@
 // dispatch starts all tasks that can start now.
 func (p *pool) dispatch(now Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.done || !j.waits() })
+	p.updateSustained(now)
 	if len(p.queue) == 0 || now < p.noStartsUntil {
 		return
 	}
 	p.sortQueue(now)
 	p.placeSuspects(now)
 	open := p.openServers(p.minQueuedMilli(), now)
+	p.beginPlaces(open, now)
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayStart(j) {
@@ -251,11 +257,15 @@
 
 // startStep starts as many queued tasks of a step as fit.
 func (p *pool) startStep(st *step, open []*server, now Time) {
+	if p.placed(st) {
+		p.startPlaced(st, open, now)
+		return
+	}
 	for len(st.queued) > 0 {
 		t := st.queued[0]
 		if near := p.rackTarget(t, now); near != nil {
 			st.queued = st.queued[1:]
-			p.offloadTask(t, near, now)
+			p.offloadTask(t, near, "", now)
 			continue
 		}
 		s := p.pickServer(t, open, now)
@@ -422,6 +432,7 @@
 		p.tickServer(s, now)
 	}
 	p.updateFastFactor(now)
+	p.places.owners = nil
 	p.requeueDelayed(now)
 	p.expireJobs(now)
 	p.moveEvacuated(now)
--- a/internal/fleet/queueorder.go
+++ b/internal/fleet/queueorder.go
@@ -54,10 +54,9 @@
 }
 
 // compareSlack puts jobs that can complete on time first, ordered by turn (see shortage.go)
-// and least slack. Late
-// jobs follow, those with the fewest lost runs first: a job that crashes its servers
-// would be started at each of them as it returns, and the others never. Among equals the
-// least late comes first, as it is the most likely to be useful.
+// and least slack. Late jobs follow, those with the fewest lost runs first: a job that
+// crashes its servers would be started at each of them as it returns, and the others never.
+// Among equals the least late comes first, as it is the most likely to be useful.
 func (p *pool) compareSlack(a, b *job, now Time) int {
 	aStart, bStart := p.latestStart(a), p.latestStart(b)
 	aLate, bLate := aStart < now, bStart < now
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -21,14 +21,21 @@
 // shortage they wait least before they are rejected, see sizeFactor.
 
 const (
-	// maxPriorityFloor is the share of the started work that each waiting priority keeps.
-	// Four or more priorities keep equal shares.
-	maxPriorityFloor = 1.0 / 3
+	// maxPriorityFloor is the share of the started work that each waiting priority keeps,
+	// or an equal share with seven priorities or more. A larger one takes from the
+	// highest priority, whose jobs have the least slack.
+	maxPriorityFloor = 0.15
 	// Jobs of more than typicalShare of the typical work of their priority may wait less,
 	// by the given power of the ratio. Steeper or lower limits reject jobs beside free
 	// servers, flatter ones hold more jobs that are rejected in the end.
 	typicalShare = 0.7
 	sizeExponent = 3
+	// minSizeFactor keeps a part of the usual wait for the largest jobs, so that they
+	// aren't rejected whenever others wait.
+	minSizeFactor = 0.25
+	// sustainedShortage is how long jobs that can be on time must have waited without a
+	// break before the size of a job counts: a shorter queue drains in time.
+	sustainedShortage = 300 * time.Millisecond
 	// typicalWeight is the weight of a job in the moving mean of the work of its priority.
 	typicalWeight = 0.02
 	// domainFloor is the share of the started work of its service that each waiting
@@ -317,13 +324,23 @@
 }
 
 // sizeFactor returns the share of the usual wait that a job may wait for its first start,
-// by its work relative to that of others of its priority.
+// by its work relative to that of others of its priority. It is 1 unless the shortage is
+// sustained.
 func (p *pool) sizeFactor(j *job) float64 {
 	f := p.prioritized(j.spec.Service)
-	if f == nil || j.starts > 0 || f.priorities[j.spec.Priority] == nil {
+	if f == nil || j.starts > 0 || f.priorities[j.spec.Priority] == nil || !p.sustained {
 		return 1
 	}
-	return math.Pow(min(1, typicalShare*f.priorities[j.spec.Priority].work/max(j.queuedWork(), 1)), sizeExponent)
+	relative := typicalShare * f.priorities[j.spec.Priority].work / max(j.queuedWork(), 1)
+	return max(minSizeFactor, math.Pow(min(1, relative), sizeExponent))
+}
+
+// updateSustained determines whether jobs have waited for long without a break.
+func (p *pool) updateSustained(now Time) {
+	if !p.onTimeJobQueued(now) {
+		p.queueClearAt = now
+	}
+	p.sustained = now.Sub(p.queueClearAt) > sustainedShortage
 }
 
 // fitsBesideQueue reports whether a job can start beside the jobs that wait, as its tasks
