Caller port: refuse victims at once, free connections with unread bodies

Three faults of internal/ingress:

- A request chosen as a victim was marked as refused only after the lock was released.
A header or body that completed in between was served, and the read deadline that followed cancelled the request's context like a disconnect: the job could run, be cancelled, and be answered with an empty 200.
Victims are now marked under the lock, and the ends of the header and of the body check the mark under the same lock.
The 503 of a refused request thus remains true.
- net/http starts to read in the background when the body is at its end, which is before ReadBody returns.
That read could set the time limit of the body after ReadBody had lifted it, so that a job that took longer than 10 s was given up.
Both now hold a lock.
- Bodies that the handler doesn't read (no route, method not served, larger than the limit) are read by net/http before it sends the response, without a time limit and as a request that is served, which is never given up.
As many such clients as there are connections locked all others out for good.
What is left of a body after the handler now counts as a body that is read: the time limit holds, and the connection may be closed for a new one.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -24,10 +25,13 @@
 	tail      int // at most so many lines are in the buffer of net/http
 	closed    bool
 	inHandler bool // the handler answers the request being read
+	bodyRead  bool // the handler has read the body to its end
 
-	shed        atomic.Bool // its request is refused
-	inBody      atomic.Bool
-	hasDeadline atomic.Bool // a deadline of the body is set
+	shed   atomic.Bool // its request is refused; set for victims when they are chosen
+	inBody atomic.Bool
+
+	deadlineMu  sync.Mutex // held while inBody changes to false
+	hasDeadline bool       // a deadline of the body is set
 }
 
 // past is a deadline that ends reads at once.
@@ -35,8 +39,8 @@
 
 // Read implements net.Conn. It charges what is read of a header before net/http sees it.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.inBody.Load() && c.guard.limits.BodyTime > 0 && c.hasDeadline.CompareAndSwap(false, true) {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.guard.limits.BodyTime)) // fails only if closed
+	if c.inBody.Load() && c.guard.limits.BodyTime > 0 {
+		c.startDeadline()
 	}
 	if c.shed.Load() {
 		return 0, c.refuse()
@@ -51,6 +55,27 @@
 	return n, err
 }
 
+// startDeadline sets the deadline of a body, unless it is set or the body has ended.
+func (c *conn) startDeadline() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.inBody.Load() && !c.hasDeadline {
+		c.hasDeadline = true
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.guard.limits.BodyTime)) // fails only if closed
+	}
+}
+
+// endDeadline lifts the deadline of a body. net/http may read in the background by then.
+func (c *conn) endDeadline() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.inBody.Store(false)
+	if c.hasDeadline {
+		c.hasDeadline = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only if closed
+	}
+}
+
 // refuse ends reading. Unless the handler has the request, it is answered here.
 func (c *conn) refuse() error {
 	if c.guard.answersHeader(c) {
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -142,9 +142,11 @@
 	}
 	c := &conn{Conn: raw, guard: g, entry: e}
 	e.owner = c
-	g.mu.Unlock()
 	if victim != nil {
 		victim.owner.shed.Store(true)
+	}
+	g.mu.Unlock()
+	if victim != nil {
 		_ = transport(victim.owner.Conn).Close() // its goroutine closes it again
 		g.report(true, ConnLimit)
 	}
@@ -188,26 +190,37 @@
 	}
 }
 
-// charge sets what a connection holds; it needs the lock.
+// charge sets what a connection holds; it needs the lock. The requests of the victims are
+// refused from then on, although their reading has yet to be ended.
 func (g *Guard) charge(c *conn, n int64, now time.Duration) (victims []*entry, ok bool) {
 	if c.closed || n <= c.entry.held {
 		g.ledger.hold(c.entry, min(n, c.entry.held))
 		return nil, true
 	}
-	return g.ledger.reserve(c.entry, n-c.entry.held, now)
+	chosen, ok := g.ledger.reserve(c.entry, n-c.entry.held, now)
+	for _, v := range chosen {
+		if !v.owner.shed.Swap(true) {
+			victims = append(victims, v)
+		}
+	}
+	return victims, ok
 }
 
+// refuseAll ends the reading of the victims' requests.
 func (g *Guard) refuseAll(victims []*entry) {
 	for _, v := range victims {
-		g.shed(v.owner, Slow)
+		g.endReading(v.owner, Slow)
 	}
 }
 
-// shed ends the reading of a request.
+// shed refuses a request. Only the goroutine that reads it may call it.
 func (g *Guard) shed(c *conn, r Reason) {
-	if c.shed.Swap(true) {
-		return
+	if !c.shed.Swap(true) {
+		g.endReading(c, r)
 	}
+}
+
+func (g *Guard) endReading(c *conn, r Reason) {
 	_ = c.Conn.SetReadDeadline(past) // fails only if closed
 	g.report(false, r)
 }
@@ -227,6 +240,7 @@
 // idle notes that the response of a request was sent. Lines that net/http has buffered
 // may be those of a pipelined request, which is parsed next.
 func (g *Guard) idle(c *conn) {
+	c.endDeadline()
 	g.mu.Lock()
 	now := g.now()
 	c.entry.enter(phaseIdle, now)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -50,20 +50,19 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c.shed.Load() {
-			refuseRequest(w)
-			return
-		}
 		if g.hasLongHeader(c) {
 			g.dropHeader(r)
 		}
-		if len(r.RequestURI) <= ordinaryURI {
-			g.serving(c, 0)
-		} else {
-			g.serving(c, int64(len(r.RequestURI))*uriCopies)
+		held := int64(0)
+		if len(r.RequestURI) > ordinaryURI {
+			held = int64(len(r.RequestURI)) * uriCopies
+		}
+		if !g.beginServing(c, held) {
+			refuseRequest(w)
+			return
 		}
 		next.ServeHTTP(w, r)
-		g.serving(c, 0)
+		g.endServing(c, r.ContentLength != 0)
 	})
 }
 
@@ -103,20 +102,35 @@
 	r.Header = kept
 }
 
-// serving notes that a request is served, and what it holds.
-func (g *Guard) serving(c *conn, held int64) {
+// beginServing notes that a request is served, and what it holds. It returns false if the
+// request was refused before; from then on it can't be, except while its body is read.
+func (g *Guard) beginServing(c *conn, held int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.inHandler = true
-	switch {
-	case c.shed.Load():
+	c.inHandler, c.bodyRead = true, false
+	if c.shed.Load() {
 		c.entry.phase = phaseRefused
-	case c.entry.phase != phaseServing:
-		c.entry.enter(phaseServing, g.now())
+		return false
 	}
+	c.entry.enter(phaseServing, g.now())
 	if !c.closed {
 		g.ledger.hold(c.entry, held)
 	}
+	return true
+}
+
+// endServing notes that the handler has answered. net/http reads what is left of the body
+// before it sends the response, so that this counts as reading a body.
+func (g *Guard) endServing(c *conn, hasBody bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.closed {
+		g.ledger.hold(c.entry, 0)
+	}
+	if hasBody && !c.bodyRead && !c.shed.Load() {
+		c.entry.enter(phaseBody, g.now())
+		c.inBody.Store(true)
+	}
 }
 
 // ReadBody reads a body of at most limit bytes, for which it reserves memory first. The
@@ -126,10 +140,18 @@
 		return nil, ErrTooLarge
 	}
 	c := connOf(r)
-	if c != nil && r.ContentLength != 0 {
-		c.beginBody()
-		defer c.endBody()
+	if c == nil || r.ContentLength == 0 {
+		return c.readBody(r, limit)
 	}
+	c.beginBody()
+	data, err := c.readBody(r, limit)
+	if refused := c.endBody(err == nil); refused {
+		return nil, ErrRefused
+	}
+	return data, err
+}
+
+func (c *conn) readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength >= 0 {
 		return c.readSized(r.Body, r.ContentLength)
 	}
@@ -143,16 +165,18 @@
 	c.inBody.Store(true)
 }
 
-func (c *conn) endBody() {
+// endBody notes that the handler reads no more of a body, and whether that is complete. It
+// reports whether the request was refused meanwhile; from then on it can't be.
+func (c *conn) endBody(complete bool) (refused bool) {
+	c.endDeadline()
 	c.guard.mu.Lock()
-	if c.entry.phase == phaseBody {
-		c.entry.enter(phaseServing, c.guard.now())
-	}
-	c.guard.mu.Unlock()
-	c.inBody.Store(false)
-	if c.hasDeadline.Swap(false) {
-		_ = c.SetReadDeadline(time.Time{}) // fails only if closed
+	defer c.guard.mu.Unlock()
+	if c.shed.Load() {
+		return true
 	}
+	c.bodyRead = complete
+	c.entry.enter(phaseServing, c.guard.now())
+	return false
 }
 
 // grow reserves bytes of a body.
