Peer port of serve: retry after a failed accept

peer.Manager.Serve returned at the first accept error, for example EMFILE, and its caller dropped the error: the peer port accepted no connection from then on, and nothing was logged. It now retries with a backoff of at most 100 ms until the listener is closed or the manager is, and reports the error at most once a second as the new event 3005, peer-port-fault.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -170,6 +170,9 @@
 		OnEvent:      i.onPeerEvent,
 		Stats:        i.observer,
 		SilenceBound: time.Duration(i.settings.Shards.SilenceBoundMs) * time.Millisecond,
+		OnAcceptError: func(err error) {
+			i.log.Event(eventlog.PeerPortFault).AnErr("cause", err).Send()
+		},
 	})
 	i.runtime.SetPeers(i.peers)
 	return i.assembleServers()
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -33,9 +33,10 @@
 
 // Events of links between instances.
 var (
-	PeerLinked = info(3001, "peer-linked", "link to another instance is up")
-	PeerLost   = warn(3002, "peer-lost", "link to another instance is down")
-	PeerSilent = warn(3004, "peer-silent", "another instance did not answer a new connection in time")
+	PeerLinked    = info(3001, "peer-linked", "link to another instance is up")
+	PeerLost      = warn(3002, "peer-lost", "link to another instance is down")
+	PeerSilent    = warn(3004, "peer-silent", "another instance did not answer a new connection in time")
+	PeerPortFault = warn(3005, "peer-port-fault", "connections to the peer port can't be accepted; this is tried again")
 )
 
 // Events of shards and their views.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
+	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Version is the version of the peer protocol.
@@ -44,6 +45,10 @@
 	helloBufferBytes  = 16
 	maxQueueMsgs      = 1 << 17 // queued or unacknowledged messages of one link
 	acceptTimeout     = 2 * time.Second
+
+	acceptRetryMin       = 5 * time.Millisecond
+	acceptRetryMax       = 100 * time.Millisecond // peers wait in the backlog until then
+	acceptReportInterval = time.Second            // of connections that can't be accepted
 )
 
 // Options are the settings of a Manager.
@@ -58,6 +63,9 @@
 	// peer counts as unresponsive.
 	SilenceBound time.Duration
 	Stats        Stats // may be nil
+	// OnAcceptError reports, at most once a second, that connections can't be accepted;
+	// may be nil.
+	OnAcceptError func(error)
 }
 
 // Stats counts the frames sent and received.
@@ -224,16 +232,28 @@
 	_ = c.session.Close()
 }
 
-// Serve accepts connections from other instances until the listener closes.
+// Serve accepts connections from other instances until the listener closes. Other errors,
+// such as running out of file descriptors, pass; it tries again.
 func (m *Manager) Serve(l net.Listener) error {
+	backoff := wait.Backoff{Min: acceptRetryMin, Max: acceptRetryMax}
+	var reportedAt time.Time
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			if m.ctx.Err() != nil {
 				return nil
 			}
-			return errors.Wrap(err, "peer listener; check that its address is free")
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "peer listener")
+			}
+			if m.opts.OnAcceptError != nil && time.Since(reportedAt) >= acceptReportInterval {
+				reportedAt = time.Now()
+				m.opts.OnAcceptError(errors.Wrap(err, "accept a connection; check the limit of file descriptors"))
+			}
+			backoff.Sleep(m.ctx)
+			continue
 		}
+		backoff.Reset()
 		m.mu.Lock()
 		if m.closed {
 			c.Close()
