Caller port: serve the largest chunked body within the default limits

The buffer of a chunked body grew to the limit and then by one byte, and both buffers were charged: twice the limit. A body of 4,194,304 bytes, the default of limits.body_bytes, was refused at limits.memory_mb 144 without any overload, with a 503 that asks to come back. The last but one buffer is now half of the limit, so that 1.5 times the limit is charged at most.

--- a/internal/ingress/race_test.go
+++ b/internal/ingress/race_test.go
@@ -171,3 +171,20 @@
 		t.Errorf("got %d, close %v, want 404 and the end of the connection", resp.StatusCode, resp.Close)
 	}
 }
+
+// TestLargestChunkedBody guards against a budget that refuses the largest body of the
+// default limit of serve (limits.body_bytes) without overload, since its buffer grows.
+func TestLargestChunkedBody(t *testing.T) {
+	const limit = 4 << 20
+	g := New(Options{Limits: LimitsFor(144, 3075)})
+	r := httptest.NewRequest(http.MethodPost, "/", io.LimitReader(zeros{}, limit))
+	r.ContentLength = -1
+	r = r.WithContext(context.WithValue(r.Context(), connKey{}, admitted(t, g)))
+	if body, err := ReadBody(r, limit); err != nil || len(body) != limit {
+		t.Errorf("%d bytes, %v, want all", len(body), err)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -219,12 +219,23 @@
 	return data, c.readError(err)
 }
 
-// firstPiece is the first buffer of a chunked body; each further one is twice as large.
+// firstPiece is the first buffer of a chunked body; each further one is twice as large at
+// most, and the last but one half of the largest, so that both together take 1.5 times
+// the limit.
 const firstPiece = 4 << 10
 
+// nextSize returns the size of the buffer after one of the given size.
+func nextSize(size, limit int64) int64 {
+	half := (limit + 1) / 2
+	if size >= half {
+		return limit + 1 // one more, to tell a body that is too large
+	}
+	return min(2*size, half)
+}
+
 func (c *conn) readChunked(body io.Reader, limit int64) ([]byte, error) {
 	var data []byte
-	for size := min(firstPiece, limit+1); ; size = min(2*size, limit+1) {
+	for size := min(firstPiece, limit+1); ; size = nextSize(size, limit) {
 		if err := c.grow(size); err != nil {
 			return nil, err
 		}
