serve: count the tasks of a job before decoding them

A body of 4,194,304 bytes, the default limit, may hold 2,097,133 tasks of one byte. They were decoded before their number was checked: the resident memory of the test process rose from 21 to 111 MB with the collector's limit of memory_mb 144, whose bound is 72 MB, while the budget was charged 4 MB. The scanner now counts them and rejects more than the API allows (1,000).

--- a/internal/caller/strict.go
+++ b/internal/caller/strict.go
@@ -9,12 +9,14 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/nutmegweir/nutmegweir/internal/api"
 	"github.com/nutmegweir/nutmegweir/internal/problem"
 )
 
 // decodeStrict decodes a JSON document into out, a pointer to a struct.
 // It rejects what encoding/json accepts: field names that are unknown or
-// differ in case, duplicate names in one object, and deep nesting.
+// differ in case, duplicate names in one object, deep nesting, and more tasks than the
+// API allows: decoding them takes some 20 times the memory of the body.
 func decodeStrict(body []byte, maxDepth int, out any) error {
 	if !json.Valid(body) {
 		return syntaxProblem(body, out)
@@ -80,7 +82,11 @@
 	case '{':
 		return s.object(path, t, depth+1)
 	case '[':
-		return s.array(path, depth+1)
+		n, err := s.array(path, depth+1)
+		if err == nil && t == reflect.TypeFor[[]json.RawMessage]() && n > api.MaxTasks {
+			err = problem.Newf(problem.TooLarge, "%d %s; the limit of the API is %d", n, path, api.MaxTasks)
+		}
+		return err
 	case '"':
 		s.stringLiteral()
 	default:
@@ -130,9 +136,10 @@
 	return s.value(path, field, depth)
 }
 
-func (s *scanner) array(path string, depth int) error {
+// array returns the number of elements.
+func (s *scanner) array(path string, depth int) (n int, err error) {
 	if depth > s.maxDepth {
-		return s.tooDeep(path)
+		return 0, s.tooDeep(path)
 	}
 	s.pos++
 	for {
@@ -140,12 +147,13 @@
 		switch s.data[s.pos] {
 		case ']':
 			s.pos++
-			return nil
+			return n, nil
 		case ',':
 			s.pos++
 		default:
+			n++
 			if err := s.value(path, nil, depth); err != nil {
-				return err
+				return n, err
 			}
 		}
 	}
