fleet: servers of evacuated domains don't count as unknown after a start

For 0.5 s after its start, an instance rejects nothing for its load while the state of more than a quarter of the listed servers is unknown. Servers of evacuated domains never open, so with one of four domains evacuated this lasted for the whole time although all other servers were known. They are left out of the listed servers now.

--- a/internal/fleet/opening.go
+++ b/internal/fleet/opening.go
@@ -86,8 +86,10 @@
 		return false
 	}
 	listed, open := 0, 0
-	for _, ids := range p.owners.byDomain {
-		listed += len(ids)
+	for d, ids := range p.owners.byDomain {
+		if !p.owners.evacuations.has(d) { // those of evacuated domains don't open
+			listed += len(ids)
+		}
 	}
 	for _, n := range p.openByService(now) {
 		open += n
--- a/internal/fleet/opening_test.go
+++ b/internal/fleet/opening_test.go
@@ -8,8 +8,9 @@
 )
 
 // firstOfMany returns an owner that has started with all others after an outage: it has
-// opened one of the listed servers and hears no other owner yet.
-func firstOfMany(t *testing.T, servers int) (*Instance, Time) {
+// opened one of the listed servers, in domain d, and hears no other owner yet. The other
+// servers are in the given domain.
+func firstOfMany(t *testing.T, servers int, others model.Domain) (*Instance, Time) {
 	t.Helper()
 	now := Time(time.Second)
 	i := NewInstance(Options{Self: Member{Instance: "n1", Incarnation: "02", Domain: "d", Weight: 1}, Lease: time.Second, StopTimeout: 50 * time.Millisecond}, now)
@@ -20,6 +21,9 @@
 		list[k] = ServerEntry{ID: "s" + id, Service: "svc", Addr: "a", Domain: "d", State: ServerReady, Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4000}}
 		owners[k] = Ownership{Server: "s" + id, Owner: "n2", Incarnation: "01", Revision: 7}
 	}
+	for k := range list[1:] {
+		list[1+k].Domain = others
+	}
 	owners[0].Owner, owners[0].Incarnation = "n1", "02"
 	i.Step(now, StoreStatus{Up: true})
 	i.Step(now, MembersListed{Members: []Member{i.opts.Self, {Instance: "n2", Incarnation: "02", Domain: "d", Addr: "b", Weight: 1}}})
@@ -31,7 +35,7 @@
 // TestOpenedServersAreAnnounced opens a server after a peer was told that there is none.
 // The peer would hold jobs until the next regular heartbeat.
 func TestOpenedServersAreAnnounced(t *testing.T) {
-	i, now := firstOfMany(t, 1)
+	i, now := firstOfMany(t, 1, "d")
 	n2 := Member{Instance: "n2", Incarnation: "02", Domain: "d", Addr: "b", Weight: 1}
 	i.Step(now, LinkUp{Peer: n2})
 	i.Step(now, PeerMessage{From: n2, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now}})
@@ -51,16 +55,19 @@
 
 // TestUnknownCapacityIsNotFull offers more jobs than the only open server can start. While
 // the state of the other listed servers is unknown, none is rejected; later, and where
-// there are no others, some are.
+// there are no others or they are evacuated, some are.
 func TestUnknownCapacityIsNotFull(t *testing.T) {
 	for name, c := range map[string]struct {
 		servers int
+		domain  model.Domain // of the other servers
 		after   time.Duration
 		reject  bool
 	}{
-		"others unknown": {9, 0, false}, "no others": {1, 0, true}, "others unknown for long": {9, openingTime, true},
+		"others unknown": {9, "d", 0, false}, "no others": {1, "d", 0, true}, "others unknown for long": {9, "d", openingTime, true},
+		"others evacuated": {9, "e", 0, true},
 	} {
-		i, now := firstOfMany(t, c.servers)
+		i, now := firstOfMany(t, c.servers, c.domain)
+		i.Step(now, EvacuationsChanged{Domains: []model.Domain{"e"}, Revision: 3})
 		i.Step(now, pollReply(now, 500))
 		now = now.Add(c.after)
 		i.Step(now, InputProcessed{At: now})
