fleet: work that an evacuation kept in a queue is rejected or returned

Three cases in which a job waited until its deadline or longer than needed:

A job that waits for its rack by choice isn't sheddable, so it was neither rejected nor returned with the change of the set, only by a later tick, and its tasks were offered to other owners meanwhile. Only shedding for load excludes such jobs now.

A job that fits only servers of evacuated domains, with a task on offer while the set changes, was offered to one owner after the other: each declines, and with an offer always under way the job counts as started and can't be rejected. Tasks that fit only such servers aren't offloaded any more.

A task of another owner whose run is over without a result, for instance as its start was rejected, stayed at an owner whose servers are all evacuated. Nothing offloads such a task again. It returns to its owner, marked as possibly run.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -79,10 +79,13 @@
 	}
 }
 
-// sheddable reports whether a queued job may be rejected: none of it has started, and
+// sheddable reports whether a queued job may be rejected for its wait.
+func (j *job) sheddable() bool { return j.rejectable() && !j.waitsForPlace() }
+
+// rejectable reports whether a queued job may be rejected: none of it has started, and
 // it isn't part of a job or a record elsewhere.
-func (j *job) sheddable() bool {
-	return j.starts == 0 && !j.done && j.offloaded == nil && j.durable == nil && j.hasReadyTask() && !j.waitsForPlace()
+func (j *job) rejectable() bool {
+	return j.starts == 0 && !j.done && j.offloaded == nil && j.durable == nil && j.hasReadyTask()
 }
 
 // reject ends a queued job that has not started.
@@ -95,7 +98,7 @@
 // on servers of evacuated domains.
 func (p *pool) rejectUnfit(now Time) {
 	for _, j := range slices.Clone(p.queue) {
-		if !j.sheddable() {
+		if !j.rejectable() {
 			continue
 		}
 		if r, unfit := p.owners.unfitResult(&j.spec); unfit {
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -145,20 +145,28 @@
 
 // moveEvacuated rejects the queued jobs that fit only servers of evacuated domains, and
 // returns those to their instances that other owners can serve. Jobs that have started
-// stay, as their ends are known here; their tasks are offloaded.
+// stay, as their ends are known here; their tasks are offloaded. Tasks of other owners are
+// never offloaded again, so those return to their owners once their runs are over.
 func (p *pool) moveEvacuated(now Time) {
 	if !p.owners.evacuations.any() {
 		return
 	}
 	p.rejectUnfit(now)
 	for _, j := range slices.Clone(p.queue) {
-		if j.sheddable() && p.allEvacuated(j.spec.Service) {
+		if j.done || !j.hasReadyTask() || !p.allEvacuated(j.spec.Service) {
+			continue
+		}
+		switch {
+		case j.rejectable():
 			p.returnJob(j, Result{Reason: ReasonEvacuated})
+		case j.offloaded != nil && j.starts > 0: // its run is over, as it is queued
+			p.returnJob(j, Result{Kind: Unknown, Reason: ReasonEvacuated})
 		}
 	}
 }
 
-// returnJob declines a job after it was accepted. None of it has started.
+// returnJob declines a job after it was accepted. Nothing of it runs; why has the kind
+// Unknown if something of it has started.
 func (p *pool) returnJob(j *job, why Result) {
 	j.done = true
 	delete(p.jobs, j.key())
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -244,3 +244,66 @@
 		t.Errorf("a heartbeat tells %v as of %d, want none as of 100", h.Evacuated, h.EvacuationRevision)
 	}
 }
+
+// TestJobThatWaitsForRackIsRejected evacuates all domains while a job waits for room near its
+// data by choice. Its caller must be answered at once, like that of a job that waits for
+// capacity.
+func TestJobThatWaitsForRackIsRejected(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	w.fill("r1", 20*ms)
+	if got := w.submit(short("r1"), 60*ms); len(got) != 0 {
+		t.Fatalf("starts at %v", got)
+	}
+	w.step(EvacuationsChanged{Domains: []model.Domain{"d"}, Revision: 10})
+	if a := lookFor[Answer](t, w.effects); a.Call != w.calls || a.Result != evacuatedResult {
+		t.Errorf("answered %+v", a)
+	}
+}
+
+// TestDeclinedTaskOfEvacuatedDomainIsRejected evacuates the only domain that a job fits while
+// its task is offered to an owner there. After the decline, it must not be offered to one
+// owner after the other until its deadline.
+func TestDeclinedTaskOfEvacuatedDomainIsRejected(t *testing.T) {
+	i, now := twoDomains(t)
+	third := Member{Instance: "n3", Incarnation: "01", Domain: "d", Weight: 0.5}
+	room := []Load{{Service: "svc", Servers: 1, CapacityMilli: 4000, FreeMilli: 4000}}
+	i.Step(now, LinkUp{Peer: third})
+	i.Step(now, PeerMessage{From: neighbor, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now, Loads: []Load{{Service: "svc", Servers: 1, CapacityMilli: 9000, FreeMilli: 9000}}}})
+	i.Step(now, PeerMessage{From: third, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now, Loads: room}})
+	spec := oneTaskJob("j1", now)
+	spec.Steps[0].Label = "big"
+	i.pool.offer(i.opts.Self, 1<<40, spec, true, now)
+	if len(i.pool.offloadsTo(neighbor)) != 1 {
+		t.Fatalf("offloads %+v", i.pool.offloads)
+	}
+	var call CallID
+	for c := range i.pool.offloads {
+		call = c
+	}
+	evacuationNews{false, 10, []model.Domain{"e"}}.apply(i, now)
+	i.Step(now, PeerMessage{From: neighbor, ReceivedAt: now, Message: Outcome{Call: call, Declined: true}})
+	if len(i.pool.offloads) != 0 {
+		t.Errorf("offered again: %+v", i.pool.offloads)
+	}
+	i.Step(now.Add(ms), Tick{})
+	if i.QueuedJobs() != 0 {
+		t.Error("still queued")
+	}
+}
+
+// TestTaskOfOthersLeavesEvacuatedDomain rejects the start of a task of another owner while
+// the domain is evacuated. Its job would wait here until the deadline, as nothing can start
+// the task and only its own owner can place it elsewhere.
+func TestTaskOfOthersLeavesEvacuatedDomain(t *testing.T) {
+	i, now := twoDomains(t)
+	spec := oneTaskJob("j1", now)
+	spec.Offloaded = &OffloadedTask{Home: neighbor}
+	out := i.Step(now, PeerMessage{From: neighbor, ReceivedAt: now, Message: Offer{Call: 9, Job: spec, Echo: now}})
+	start := lookFor[StartRun](t, out)
+	evacuationNews{false, 10, []model.Domain{"d"}}.apply(i, now)
+	i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartRejected, SentAt: now})
+	o := lookForMessage[Outcome](t, i.Step(now.Add(ms), Tick{}))
+	if o.Call != 9 || !o.Declined || o.Result.Kind != Unknown || o.Attempt != start.Run.Attempt {
+		t.Errorf("the task has %+v", o)
+	}
+}
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -50,6 +50,9 @@
 			continue // the holder of a durable job stores the task ends itself
 		}
 		for _, st := range j.steps {
+			if p.owners.evacuations.any() && p.owners.stepFit(j.spec.Service, st.spec) == fitsEvacuated {
+				continue // each owner would decline it, and the job couldn't be rejected meanwhile
+			}
 			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) {
 				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
