fleet: state of places that outlived what it stood for

An owner whose queue became empty by a withdrawal kept the claims on racks and the waiting work of its last dispatch, as a dispatch without a queue returns early. Tasks that other owners offered for such a rack were declined although room was due. Both are reset with the queue.

The speed of a server was learned with the far factor as of the end of a run. A group that is spread while one of its tasks runs near its data made that run count as a far one, and its server as up to farX times as fast. The factor is kept with the run.

--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -103,6 +103,12 @@
 // back. Once it has started here, it can't go back and may run anywhere.
 func (j *job) keptForRack() bool { return j.offloaded != nil && j.spec.Offloaded.Near && j.starts == 0 }
 
+// reset forgets the queued tasks that the last dispatch found, as none are left.
+func (x *places) reset() {
+	clear(x.claims)
+	x.waiting, x.byChoice = 0, 0
+}
+
 // beginPlaces prepares the decisions of one dispatch.
 func (p *pool) beginPlaces(open []*server, now Time) {
 	x := &p.places
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -413,3 +413,39 @@
 		}
 	}
 }
+
+// TestWithdrawnJobLeavesNoClaim guards against a rack that counts as wanted by tasks that are
+// gone: tasks of other owners would be declined.
+func TestWithdrawnJobLeavesNoClaim(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	peer := w.addPeer("r2", 0)
+	w.fill("r1", 20*ms)
+	st := short("r1")
+	st.Count = 2
+	w.submit(st, 60*ms)
+	if w.i.pool.places.claims["r1"] != 2 {
+		t.Fatalf("claims %v", w.i.pool.places.claims)
+	}
+	w.step(CallerDisconnected{Call: w.calls})
+	if w.offerNear(peer); w.declines() {
+		t.Error("declined for the sake of tasks that are gone")
+	}
+}
+
+// TestSpreadGroupTeachesNoSpeed guards against a server that counts as fast because the
+// group of a task was spread after the task had started near its data.
+func TestSpreadGroupTeachesNoSpeed(t *testing.T) {
+	w := newRackWorld(t, 3, "r1", "r2")
+	if got := w.submit(StepSpec{Count: 2, Estimate: 60 * ms, Rack: "r1", SameRack: true}, time.Minute); len(got) != 2 || got[0] != "s1" || got[1] != "s1" {
+		t.Fatalf("starts at %v", got)
+	}
+	w.now = w.now.Add(60 * ms)
+	w.i.pool.servers["s1"].leaving.announced = true
+	if got := w.endAs("s1", EndOther); len(got) != 1 || got[0] != "s2" {
+		t.Fatalf("starts again at %v", got)
+	}
+	w.end("s1")
+	if f := w.i.pool.servers["s1"].speed.factor(); f < 0.99 || f > 1.01 {
+		t.Errorf("the server counts as %.2f times slow", f)
+	}
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -229,7 +229,11 @@
 // dispatch starts all tasks that can start now.
 func (p *pool) dispatch(now Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.done || !j.waits() })
-	if len(p.queue) == 0 || now < p.noStartsUntil {
+	if len(p.queue) == 0 {
+		p.places.reset()
+		return
+	}
+	if now < p.noStartsUntil {
 		return
 	}
 	p.sortQueue(now)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -49,7 +49,7 @@
 	r := &run{
 		id: RunID{t.id, t.attempt}, task: t, need: t.step.spec.Need, bootMs: s.life.bootMs, fence: s.ownership.Token(), sentAt: now,
 		isolated: s.reservedFor == t,
-		expected: p.expect(t.step, s, now), cold: s.isCold(now),
+		expected: p.expect(t.step, s, now), cold: s.isCold(now), farFactor: p.slowdown(t.step, s),
 	}
 	t.job.starts++
 	t.job.activeRuns++
@@ -368,7 +368,11 @@
 	}
 	switch e.Kind {
 	case EndDone:
-		s.learnSpeed(r, stretch(t.step.spec.Estimate, p.slowdown(t.step, s)), now)
+		far := r.farFactor // a group may have been spread since the start
+		if r.foreign {
+			far = p.slowdown(t.step, s)
+		}
+		s.learnSpeed(r, stretch(t.step.spec.Estimate, far), now)
 		if s.health.done() {
 			p.effect(LogEntry{Kind: LogServerRestored, Server: s.entry.ID})
 		}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -47,11 +47,12 @@
 	bootMs         int64  // life of the server when the start was sent
 	fence          uint64 // token of the start
 	state          runState
-	sentAt         Time // when the start was sent
-	isolated       bool // of a suspect: nothing else starts on the server meanwhile
-	cold           bool // the server was cold at the start
-	answeredAt     Time // when the start or stop was answered, 0 if it wasn't
-	started        bool // the server is known to have started it
+	sentAt         Time    // when the start was sent
+	isolated       bool    // of a suspect: nothing else starts on the server meanwhile
+	cold           bool    // the server was cold at the start
+	farFactor      float64 // of the time at the start, 0 for a run of an earlier owner
+	answeredAt     Time    // when the start or stop was answered, 0 if it wasn't
+	started        bool    // the server is known to have started it
 	uncertainSince Time
 	callEnded      bool // the call of the start has failed, so that nothing more is sent for it
 	absentBefore   bool // a poll after the start was overdue has not listed the run
