fleet: a group whose tasks were declined may share a rack again

An owner without free servers offers the tasks of an undecided group to other owners, which marks the group as spread. The decision is open again while no task of the group has started.

--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -219,6 +219,7 @@
 			t.job.starts--
 		}
 		p.requeue(t)
+		t.step.reopenGroup()
 	case o.Result.Kind == Completed:
 		p.taskDone(t, now)
 	case o.Result.Reason == ReasonCrashes:
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -486,6 +486,15 @@
 	return st.spec.SameRack && st.spec.Count > 1 && !st.spread && st.group == ""
 }
 
+// reopenGroup opens the decision on a spread group again if none of its tasks has started:
+// those that were offered to another owner have been declined.
+func (st *step) reopenGroup() {
+	whole := st.spec.SameRack && len(st.queued) == st.spec.Count
+	if whole && !slices.ContainsFunc(st.queued, func(t *task) bool { return t.attempt > 0 }) {
+		st.spread = false
+	}
+}
+
 // leaveRack records that a task of a group goes to an owner that may run it on any rack.
 func (st *step) leaveRack() {
 	if st.spec.SameRack && st.spec.Count > 1 {
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -449,3 +449,30 @@
 		t.Errorf("the server counts as %.2f times slow", f)
 	}
 }
+
+// TestDeclinedGroupSharesRack guards against a group that runs as a spread one, and takes
+// farX as long, because its tasks were offered to another owner that had no room.
+func TestDeclinedGroupSharesRack(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r3")
+	w.fill("r1", 20*ms)
+	w.fill("r3", 500*ms)
+	peer := w.addPeer("r2", 4000)
+	spec := oneTaskJob("jx", w.now)
+	spec.Steps = []StepSpec{{Count: 2, Estimate: 60 * ms, SameRack: true, Need: model.Resources{CPUMilli: 2000}}}
+	w.i.pool.offer(w.i.opts.Self, 1<<40, spec, true, w.now)
+	calls := w.i.pool.offloadsTo(peer)
+	if len(calls) != 2 {
+		t.Fatalf("%d tasks offered", len(calls))
+	}
+	for _, c := range calls {
+		w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Outcome{Call: c, Declined: true}})
+	}
+	var started []model.ServerID
+	for _, id := range []model.ServerID{"s1", "s2", "s1"} {
+		w.now = w.now.Add(ms)
+		started = append(started, w.end(id)...)
+	}
+	if len(started) != 2 || started[0] != started[1] {
+		t.Errorf("starts at %v, want one rack", started)
+	}
+}
