fleet: a task that waits for its rack by choice doesn't silence load updates

An owner tells peers with queued tasks of new room at once unless it has a queue itself, and tells all peers when a queue begins. A job that waited for its rack by choice counted as a queue for both, although the reported load leaves it out: peers learned of free servers only by the next regular heartbeat, and each such wait caused a heartbeat to every peer.

--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -338,7 +338,7 @@
 // peersToUpdate returns the peers that need an immediate load update: those with queued
 // tasks if there is room for them, all peers if tasks have just started to queue.
 func (p *pool) peersToUpdate(now Time) []*peer {
-	waits := slices.ContainsFunc(p.queue, func(j *job) bool { return j.offloaded == nil })
+	waits := slices.ContainsFunc(p.queue, func(j *job) bool { return j.offloaded == nil && !j.waitsForPlace() })
 	began := waits && !p.queueAnnounced
 	p.queueAnnounced = waits
 	if !began && (waits || p.stagedTasks() >= targetStagedTasks) {
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -476,3 +476,36 @@
 		t.Errorf("starts at %v, want one rack", started)
 	}
 }
+
+// TestRoomIsToldWhileTaskWaitsForRack guards against an owner that doesn't tell a peer with
+// queued tasks of room because a task of its own waits for room near its data by choice.
+func TestRoomIsToldWhileTaskWaitsForRack(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	w.i.pool.typicalMilli = 2000 // room is told in multiples
+	w.fill("r1", 30*ms)
+	w.submit(StepSpec{Count: 1, Estimate: 30 * ms, Rack: "r2"}, time.Minute)
+	peer := w.addPeer("r3", 0)
+	heartbeats := func() (n int) {
+		for _, e := range w.effects {
+			if s, ok := e.(SendPeer); ok {
+				if _, ok := s.Message.(Heartbeat); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	spec := oneTaskJob("jx", w.now)
+	spec.Steps, spec.Objective = []StepSpec{short("r1")}, Objective{Allowance: 60 * ms, Stretch: 1.6}
+	spec.Steps[0].Need = model.Resources{CPUMilli: 2000}
+	w.now = w.now.Add(5 * ms)
+	w.i.pool.offer(w.i.opts.Self, 1<<40, spec, true, w.now)
+	if len(w.i.pool.queue) != 1 || !w.i.pool.queue[0].waitsForPlace() {
+		t.Fatal("the task doesn't wait for its rack")
+	}
+	w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true, Loads: []Load{{Service: "svc", Servers: 1, CapacityMilli: 4000, QueuedTasks: 3}}}})
+	w.now = w.now.Add(5 * ms)
+	if w.end("s2"); heartbeats() != 1 {
+		t.Errorf("%d heartbeats tell of the room", heartbeats())
+	}
+}
