fleetsim: racks and groups during evacuations

Plays tasks that wait for racks together with the evacuation of two domains, lost orders, and an owner that is killed and starts. No other test combines these. It found nothing: it also guards what the unit tests reproduce one by one.

--- a/internal/fleet/fleetsim/places_test.go
+++ b/internal/fleet/fleetsim/places_test.go
@@ -123,3 +123,35 @@
 		}
 	}
 }
+
+// TestPlacesDuringEvacuation guards the invariants, and jobs against a wait for racks that
+// take no work: two domains with wanted racks are evacuated while jobs and groups wait for
+// them, one for longer than the bound, and an owner is killed and starts meanwhile.
+func TestPlacesDuringEvacuation(t *testing.T) {
+	places := Locality{HotShare: 0.4, AnyShare: 0.3, Together: 0.3}
+	s := racked(places, places)
+	for seed := range uint64(3) {
+		w := New(seed + 1)
+		w.Places.FarFactor = 2
+		w.Build(s)
+		w.Run(2 * time.Second)
+		for _, x := range w.Servers() {
+			x.LateStartRate, x.LateOtherRate = 0.1, 0.1
+		}
+		w.OfferLoad(s, 0.4, 10*time.Second)
+		w.After(time.Second, func() { w.Evacuate(s.Domains[0]) })
+		w.After(9*time.Second, func() { w.Restore(s.Domains[0]) })
+		w.After(3*time.Second, func() { w.Evacuate(s.Domains[1]) })
+		w.After(5*time.Second, func() { w.Restore(s.Domains[1]) })
+		w.After(1200*time.Millisecond, func() { w.Kill("tayside-0") })
+		w.After(3200*time.Millisecond, func() { w.Start("tayside-0") })
+		w.Run(60 * time.Second) // callers wait for 46 s at most
+		for _, v := range w.Violations {
+			t.Errorf("seed %d: %s", seed+1, v)
+		}
+		t.Logf("seed %d: %+v", seed+1, w.Tally(0))
+		if open := w.Tally(0).Open; open > 0 {
+			t.Errorf("seed %d: %d jobs have no answer", seed+1, open)
+		}
+	}
+}
