--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -103,6 +103,12 @@
 // back. Once it has started here, it can't go back and may run anywhere.
 func (j *job) keptForRack() bool { return j.offloaded != nil && j.spec.Offloaded.Near && j.starts == 0 }
 
+// reset forgets the queued tasks that the last dispatch found, as none are left.
+func (x *places) reset() {
+	clear(x.claims)
+	x.waiting, x.byChoice = 0, 0
+}
+
 // beginPlaces prepares the decisions of one dispatch.
 func (p *pool) beginPlaces(open []*server, now Time) {
 	x := &p.places
@@ -480,6 +486,15 @@
 	return st.spec.SameRack && st.spec.Count > 1 && !st.spread && st.group == ""
 }
 
+// reopenGroup opens the decision on a spread group again if none of its tasks has started:
+// those that were offered to another owner have been declined.
+func (st *step) reopenGroup() {
+	whole := st.spec.SameRack && len(st.queued) == st.spec.Count
+	if whole && !slices.ContainsFunc(st.queued, func(t *task) bool { return t.attempt > 0 }) {
+		st.spread = false
+	}
+}
+
 // leaveRack records that a task of a group goes to an owner that may run it on any rack.
 func (st *step) leaveRack() {
 	if st.spec.SameRack && st.spec.Count > 1 {
