--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -50,6 +50,9 @@
 			continue // the holder of a durable job stores the task ends itself
 		}
 		for _, st := range j.steps {
+			if p.owners.evacuations.any() && p.owners.stepFit(j.spec.Service, st.spec) == fitsEvacuated {
+				continue // each owner would decline it, and the job couldn't be rejected meanwhile
+			}
 			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) {
 				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
@@ -218,6 +221,7 @@
 			t.job.starts--
 		}
 		p.requeue(t)
+		t.step.reopenGroup()
 	case o.Result.Kind == Completed:
 		p.taskDone(t, now)
 	case o.Result.Reason == ReasonCrashes:
@@ -336,7 +340,7 @@
 // peersToUpdate returns the peers that need an immediate load update: those with queued
 // tasks if there is room for them, all peers if tasks have just started to queue.
 func (p *pool) peersToUpdate(now Time) []*peer {
-	waits := slices.ContainsFunc(p.queue, func(j *job) bool { return j.offloaded == nil })
+	waits := slices.ContainsFunc(p.queue, func(j *job) bool { return j.offloaded == nil && !j.waitsForPlace() })
 	began := waits && !p.queueAnnounced
 	p.queueAnnounced = waits
 	if !began && (waits || p.stagedTasks() >= targetStagedTasks) {
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -413,3 +413,99 @@
 		}
 	}
 }
+
+// TestWithdrawnJobLeavesNoClaim guards against a rack that counts as wanted by tasks that are
+// gone: tasks of other owners would be declined.
+func TestWithdrawnJobLeavesNoClaim(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	peer := w.addPeer("r2", 0)
+	w.fill("r1", 20*ms)
+	st := short("r1")
+	st.Count = 2
+	w.submit(st, 60*ms)
+	if w.i.pool.places.claims["r1"] != 2 {
+		t.Fatalf("claims %v", w.i.pool.places.claims)
+	}
+	w.step(CallerDisconnected{Call: w.calls})
+	if w.offerNear(peer); w.declines() {
+		t.Error("declined for the sake of tasks that are gone")
+	}
+}
+
+// TestSpreadGroupTeachesNoSpeed guards against a server that counts as fast because the
+// group of a task was spread after the task had started near its data.
+func TestSpreadGroupTeachesNoSpeed(t *testing.T) {
+	w := newRackWorld(t, 3, "r1", "r2")
+	if got := w.submit(StepSpec{Count: 2, Estimate: 60 * ms, Rack: "r1", SameRack: true}, time.Minute); len(got) != 2 || got[0] != "s1" || got[1] != "s1" {
+		t.Fatalf("starts at %v", got)
+	}
+	w.now = w.now.Add(60 * ms)
+	w.i.pool.servers["s1"].leaving.announced = true
+	if got := w.endAs("s1", EndOther); len(got) != 1 || got[0] != "s2" {
+		t.Fatalf("starts again at %v", got)
+	}
+	w.end("s1")
+	if f := w.i.pool.servers["s1"].speed.factor(); f < 0.99 || f > 1.01 {
+		t.Errorf("the server counts as %.2f times slow", f)
+	}
+}
+
+// TestDeclinedGroupSharesRack guards against a group that runs as a spread one, and takes
+// farX as long, because its tasks were offered to another owner that had no room.
+func TestDeclinedGroupSharesRack(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r3")
+	w.fill("r1", 20*ms)
+	w.fill("r3", 500*ms)
+	peer := w.addPeer("r2", 4000)
+	spec := oneTaskJob("jx", w.now)
+	spec.Steps = []StepSpec{{Count: 2, Estimate: 60 * ms, SameRack: true, Need: model.Resources{CPUMilli: 2000}}}
+	w.i.pool.offer(w.i.opts.Self, 1<<40, spec, true, w.now)
+	calls := w.i.pool.offloadsTo(peer)
+	if len(calls) != 2 {
+		t.Fatalf("%d tasks offered", len(calls))
+	}
+	for _, c := range calls {
+		w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Outcome{Call: c, Declined: true}})
+	}
+	var started []model.ServerID
+	for _, id := range []model.ServerID{"s1", "s2", "s1"} {
+		w.now = w.now.Add(ms)
+		started = append(started, w.end(id)...)
+	}
+	if len(started) != 2 || started[0] != started[1] {
+		t.Errorf("starts at %v, want one rack", started)
+	}
+}
+
+// TestRoomIsToldWhileTaskWaitsForRack guards against an owner that doesn't tell a peer with
+// queued tasks of room because a task of its own waits for room near its data by choice.
+func TestRoomIsToldWhileTaskWaitsForRack(t *testing.T) {
+	w := newRackWorld(t, 2, "r1", "r2")
+	w.i.pool.typicalMilli = 2000 // room is told in multiples
+	w.fill("r1", 30*ms)
+	w.submit(StepSpec{Count: 1, Estimate: 30 * ms, Rack: "r2"}, time.Minute)
+	peer := w.addPeer("r3", 0)
+	heartbeats := func() (n int) {
+		for _, e := range w.effects {
+			if s, ok := e.(SendPeer); ok {
+				if _, ok := s.Message.(Heartbeat); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	spec := oneTaskJob("jx", w.now)
+	spec.Steps, spec.Objective = []StepSpec{short("r1")}, Objective{Allowance: 60 * ms, Stretch: 1.6}
+	spec.Steps[0].Need = model.Resources{CPUMilli: 2000}
+	w.now = w.now.Add(5 * ms)
+	w.i.pool.offer(w.i.opts.Self, 1<<40, spec, true, w.now)
+	if len(w.i.pool.queue) != 1 || !w.i.pool.queue[0].waitsForPlace() {
+		t.Fatal("the task doesn't wait for its rack")
+	}
+	w.step(PeerMessage{From: peer, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true, Loads: []Load{{Service: "svc", Servers: 1, CapacityMilli: 4000, QueuedTasks: 3}}}})
+	w.now = w.now.Add(5 * ms)
+	if w.end("s2"); heartbeats() != 1 {
+		t.Errorf("%d heartbeats tell of the room", heartbeats())
+	}
+}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -235,7 +235,11 @@
 func (p *pool) dispatch(now Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.done || !j.waits() })
 	p.updateSustained(now)
-	if len(p.queue) == 0 || now < p.noStartsUntil {
+	if len(p.queue) == 0 {
+		p.places.reset()
+		return
+	}
+	if now < p.noStartsUntil {
 		return
 	}
 	p.sortQueue(now)
