ctl: config review: lists without findings, and which configuration is unreadable

Without findings the JSON result had null instead of an empty list, unlike its changes. An unreadable configuration in force gave the same message as an unreadable new one; errors now begin with the file or the store.

--- a/internal/ctl/configreview.go
+++ b/internal/ctl/configreview.go
@@ -52,11 +52,13 @@
 }
 
 func review(inForce, next *platform.Config) *reviewResult {
-	result := &reviewResult{OK: true, Findings: configcheck.Check(next), Changes: []configcheck.Change{}}
+	// Empty lists rather than nil ones, which JSON shows as null.
+	result := &reviewResult{OK: true, Findings: []configcheck.Finding{}, Changes: []configcheck.Change{}}
 	if inForce != nil {
-		result.Findings = append(configcheck.CheckSuccessor(inForce, next), result.Findings...)
+		result.Findings = append(result.Findings, configcheck.CheckSuccessor(inForce, next)...)
 		result.Changes = append(result.Changes, configcheck.Diff(inForce, next)...)
 	}
+	result.Findings = append(result.Findings, configcheck.Check(next)...)
 	for _, f := range result.Findings {
 		result.OK = result.OK && f.Severity != configcheck.Error
 	}
@@ -84,13 +86,14 @@
 	if err != nil {
 		return nil, &ExitError{Code: ExitUsage, Err: errors.Wrap(err, "read the configuration; correct the path")}
 	}
-	return parseConfig(data)
+	return parseConfig(data, file)
 }
 
-func parseConfig(data []byte) (*platform.Config, error) {
+// parseConfig decodes a configuration; source names it in errors.
+func parseConfig(data []byte, source string) (*platform.Config, error) {
 	c, err := platform.ParseConfig(data)
 	if err != nil {
-		return nil, &ExitError{Code: ExitUsage, Err: err}
+		return nil, &ExitError{Code: ExitUsage, Err: errors.Wrap(err, source)}
 	}
 	return c, nil
 }
@@ -112,5 +115,5 @@
 	case !found:
 		return nil, nil // the first configuration
 	}
-	return parseConfig(item.Value)
+	return parseConfig(item.Value, "in force in the store at "+c.Store)
 }
