--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -89,3 +89,16 @@
 		t.Errorf("findings on a newer version: %v", got)
 	}
 }
+
+// TestTimeoutAtTheObjective covers a timeout that equals the allowance: it ends a job on
+// time only if the objective grows with the job.
+func TestTimeoutAtTheObjective(t *testing.T) {
+	for stretch, want := range map[float64]bool{0: false, 1.6: true} {
+		c := valid()
+		c.Routes[0].Timeout = time.Second
+		c.Routes[0].Objective = fleet.Objective{Allowance: time.Second, Stretch: stretch}
+		if got := len(Check(c)) > 0; got != want {
+			t.Errorf("stretch %g: findings %v", stretch, Check(c))
+		}
+	}
+}
