fleet: correct who may claim a restarted instance's servers

A member that knows of the new incarnation may claim servers of the earlier one before the instance does. Only members that start as well don't, for their startup delay. The comment and the design notes said that nobody else does.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -233,7 +233,8 @@
 	if leaving {
 		return
 	}
-	// Nobody else claims these, so that several claims can't conflict.
+	// The claims are for different servers, so that they don't conflict with each other. A
+	// member that knows of this incarnation may claim some of them first.
 	for claim := range slices.Chunk(want[:min(len(want), maxReclaims*maxServersPerClaim)], maxServersPerClaim) {
 		o.claimServers(claim, m, now)
 	}
