node: a slow first configuration is read once

On a link on which it takes seconds, it came into force later than without reading ahead, and the link carried part of it twice. The read now goes on, and the watch begins with its result. A start makes one read of the store less.

--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -59,7 +59,7 @@
 	w := &operatorWatcher{store: s}
 	spec := watchSpec{prefix: platform.EvacuationPrefix, onList: w.replaceAll}
 	for retry := s.backoff(); ; {
-		_, err := s.list(ctx, spec)
+		_, err := s.list(ctx, &spec)
 		if err == nil {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,6 @@
 
 	resumption   resumption
 	callerServer *http.Server
-	readAhead    *readAhead
 	identified   chan struct{} // closed when the incarnation is chosen, and the logs name it
 
 	unrecorded *startRecord // nil if the store has recorded the start
@@ -81,7 +80,7 @@
 	}
 	n.resumption.reach("listening_ms", bootTime())
 	n.store = newStoreSync(n)
-	n.readAhead = n.store.startReadAhead(ctx)
+	n.store.ahead = n.store.startReadAhead(ctx)
 	n.identify(ctx, log)
 	close(n.identified)
 	n.resumption.reach("identified_ms", bootTime())
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -24,40 +24,65 @@
 
 // readAhead holds what a starting instance reads while it records its start.
 type readAhead struct {
-	done     chan struct{} // closed when the reads have ended
-	members  []fleet.Member
-	operator platform.Range
+	expired context.Context // ends when the instance no longer waits
+
+	membersRead chan struct{} // closed when that read has ended
+	members     []fleet.Member
+
+	operatorRead chan struct{} // closed when that read has ended
+	operator     platform.Range
+	operatorErr  error
 }
 
-// startReadAhead reads members and configuration.
+// startReadAhead reads members and configuration. The read of the configuration goes on
+// when the instance no longer waits: it takes seconds on the slowest links.
 func (s *storeSync) startReadAhead(ctx context.Context) *readAhead {
-	r := &readAhead{done: make(chan struct{})}
-	ctx, cancel := context.WithTimeout(ctx, readAheadTimeout)
-	operatorRead := make(chan struct{})
+	expired, cancel := context.WithTimeout(ctx, readAheadTimeout)
+	r := &readAhead{expired: expired, membersRead: make(chan struct{}), operatorRead: make(chan struct{})}
 	go func() {
-		defer close(operatorRead)
-		r.operator, _ = s.store.List(ctx, platform.OperatorPrefix) // the watch reports failures
+		defer close(r.operatorRead)
+		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		r.operator, r.operatorErr = s.store.List(ctx, platform.OperatorPrefix)
 	}()
 	go func() {
-		defer cancel()
-		defer close(r.done)
-		if list, err := s.store.List(ctx, platform.MemberPrefix); err == nil {
+		defer close(r.membersRead)
+		if list, err := s.store.List(expired, platform.MemberPrefix); err == nil {
 			r.members = parseMembers(list.Items, nil)
 		}
-		<-operatorRead
+	}()
+	go func() {
+		defer cancel()
+		<-r.membersRead
+		select {
+		case <-r.operatorRead:
+		case <-expired.Done():
+		}
 	}()
 	return r
 }
 
-// applyReadAhead reports what was read ahead to the reducer.
+// applyReadAhead waits for the reads and reports the members to the reducer. The shared
+// watch of the operator's keys applies the configuration.
 func (s *storeSync) applyReadAhead(r *readAhead) {
-	<-r.done
-	s.applyList(r.operator)
+	<-r.expired.Done()
+	<-r.membersRead
 	if len(r.members) > 0 {
 		s.node.post(fleet.MembersListed{Members: r.members})
 	}
 }
 
+// awaitOperator returns the operator's keys once they are read; ok is false if that failed
+// or ctx ended.
+func (r *readAhead) awaitOperator(ctx context.Context) (list platform.Range, ok bool) {
+	select {
+	case <-r.operatorRead:
+		return r.operator, r.operatorErr == nil
+	case <-ctx.Done():
+		return platform.Range{}, false
+	}
+}
+
 // parseMembers decodes the members listed in the store, and passes unreadable entries to
 // report unless it is nil.
 func parseMembers(items []platform.Item, report func(platform.Item, error)) (out []fleet.Member) {
--- a/internal/node/startup_test.go
+++ b/internal/node/startup_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,26 @@
 		t.Errorf("lists in the order %q, want members and configuration first", lists)
 	}
 }
+
+// TestSlowConfigurationIsReadOnce covers a configuration that takes longer to arrive than a
+// starting instance waits for it. It was read a second time from its beginning.
+func TestSlowConfigurationIsReadOnce(t *testing.T) {
+	s := newSite(t, 1, 0)
+	var lists atomic.Int32
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "kv-range") && r.URL.Query().Get("prefix") == platform.OperatorPrefix {
+			lists.Add(1)
+			time.Sleep(2 * readAheadTimeout)
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(h.Close)
+	s.addr = strings.TrimPrefix(h.URL, "http://")
+	s.addInstance("n0")
+	s.await("the configuration is in force", func() bool { return s.instances[0].config.get() != nil })
+	if n := lists.Load(); n != 1 {
+		t.Errorf("the configuration was read %d times, want once", n)
+	}
+	s.configure(2, route)
+	s.await("changes are followed", func() bool { return s.instances[0].config.get().Version == 2 })
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -38,9 +38,11 @@
 	members     map[model.Instance]fleet.Member
 	owners      map[model.ServerID]model.Instance
 	lease       platform.LeaseID
-	failedReads int // consecutive
+	failedReads int  // consecutive
+	aheadTaken  bool // the first shared watches have started
 	up          bool
 
+	ahead             *readAhead // set before run
 	serverLister      *serverLister
 	stopSharedWatches context.CancelFunc // nil while the shared prefixes aren't watched
 }
@@ -53,6 +55,7 @@
 	interval time.Duration // between watches
 	onList   func(platform.Range)
 	onChange func(after platform.Revision, changes platform.Range)
+	ahead    *readAhead // holds the first list if it is not nil
 }
 
 // sharedWatches returns what only some instances watch in a large fleet. Server
@@ -61,11 +64,20 @@
 	servers := &serverWatcher{node: s.node} // an earlier watch may still end
 	operator := &operatorWatcher{store: s}
 	return []watchSpec{
-		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, operator.replaceAll, operator.update},
-		{"servers", platform.ServerPrefix, sharedWatchWait, fleet.ServerWatchInterval, servers.replaceAll, servers.update},
+		{"operator", platform.OperatorPrefix, sharedWatchWait, recordWatchInterval, operator.replaceAll, operator.update, s.takeReadAhead()},
+		{"servers", platform.ServerPrefix, sharedWatchWait, fleet.ServerWatchInterval, servers.replaceAll, servers.update, nil},
 	}
 }
 
+// takeReadAhead returns what was read ahead, once: a later watch lists anew. s.mu is held.
+func (s *storeSync) takeReadAhead() *readAhead {
+	if s.aheadTaken {
+		return nil
+	}
+	s.aheadTaken = true
+	return s.ahead
+}
+
 func newStoreSync(n *Node) *storeSync {
 	s := &storeSync{node: n, members: map[model.Instance]fleet.Member{}, owners: map[model.ServerID]model.Instance{}}
 	s.store = platform.NewStore(n.settings.Store, n.metrics.CountStoreCall)
@@ -76,7 +88,7 @@
 // run watches the store until ctx ends.
 func (s *storeSync) run(ctx context.Context) {
 	go s.keepMembership(ctx)
-	s.applyReadAhead(s.node.readAhead)
+	s.applyReadAhead(s.ahead)
 	s.watchShared(ctx, true)
 	known := make(chan struct{})
 	go s.readEvacuations(ctx, known)
@@ -87,7 +99,7 @@
 		case <-ctx.Done():
 		}
 	}
-	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, onList, s.applyChange})
+	s.listAndWatch(ctx, watchSpec{"fleet", platform.FleetPrefix, fleetWatchWait, recordWatchInterval, onList, s.applyChange, nil})
 }
 
 // watchShared starts or stops the shared watches.
@@ -110,7 +122,7 @@
 func (s *storeSync) listAndWatch(ctx context.Context, w watchSpec) {
 	retry := s.backoff()
 	for ctx.Err() == nil {
-		at, err := s.list(ctx, w)
+		at, err := s.list(ctx, &w)
 		if err == nil {
 			retry.Reset()
 			s.updateReachability(true, nil)
@@ -148,8 +160,15 @@
 	}
 }
 
-// list reads all keys of a prefix.
-func (s *storeSync) list(ctx context.Context, w watchSpec) (platform.Revision, error) {
+// list reads all keys of a prefix, unless they were read ahead.
+func (s *storeSync) list(ctx context.Context, w *watchSpec) (platform.Revision, error) {
+	if ahead := w.ahead; ahead != nil {
+		w.ahead = nil
+		if r, ok := ahead.awaitOperator(ctx); ok {
+			w.onList(r)
+			return r.Revision, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	r, err := s.store.List(ctx, w.prefix)
