--- a/internal/node/startup_test.go
+++ b/internal/node/startup_test.go
@@ -86,7 +86,7 @@
 	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "kv-range") && r.URL.Query().Get("prefix") == platform.OperatorPrefix {
 			lists.Add(1)
-			time.Sleep(2 * readAheadTimeout)
+			time.Sleep(readAheadTimeout + 100*time.Millisecond) // calls time out after 700 ms
 		}
 		s.store.ServeHTTP(w, r)
 	}))
