--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("a job is answered %d %s", status, body)
 	}
 }
+
+// TestStartWhileStoreIsAway starts an instance while the store refuses calls and the domain
+// is evacuated. It answers callers meanwhile, owns the server once the store is back and
+// starts nothing before the evacuation ends.
+func TestStartWhileStoreIsAway(t *testing.T) {
+	s := newSite(t, 1, 0)
+	s.store.Faults.SetFaults(standin.Faults{Refuse: true})
+	s.writeRaw(platform.EvacuationPrefix+"d1", "{}")
+	s.addInstance("n0")
+	if status, body, header := s.call(0, http.MethodPost, "/q/00000000000000aa", job("x", 1)); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration: %d %s with Retry-After %q", status, body, header.Get("Retry-After"))
+	}
+	s.store.Faults.SetFaults(standin.Faults{})
+	s.awaitOwned("w0")
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000ab", job("x", 1)); status != http.StatusServiceUnavailable {
+		t.Errorf("in an evacuated domain: %d %s", status, body)
+	}
+	s.requireStarts(0)
+	s.store.Store.Commit(standin.Txn{Remove: []string{platform.EvacuationPrefix + "d1"}})
+	s.await("the end is known", func() bool { return s.logs.count(`"name":"domain-restored"`) > 0 })
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000ac", job("x", 1)); status != http.StatusOK {
+		t.Errorf("after the end: %d %s", status, body)
+	}
+}
