--- a/entry/entry.go
+++ b/entry/entry.go
@@ -252,7 +252,7 @@
 		TLSConfig:         operatorTLS,
 		ReadHeaderTimeout: 5 * time.Second,
 	}
-	i.operatorGuard = ingress.New(ingress.Options{Limits: operatorLimits, KeepsKey: []string{"Authorization"}})
+	i.operatorGuard = ingress.New(ingress.Options{Limits: operatorLimits, KeepHeaders: []string{"Authorization"}})
 	i.operatorGuard.Protect(i.operatorServer)
 	return nil
 }
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// applyEvacuations applies the set of evacuated domains as told by the store, or by a peer
+// applyEvacuations applies the set of evacuated domains as reported by the store, or by a peer
 // if that is not empty.
 func (i *Instance) applyEvacuations(domains []model.Domain, revision uint64, peer model.Instance, now Time) {
 	added, removed := i.evacuations.update(domains, revision)
--- a/internal/fleet/fleetsim/places_test.go
+++ b/internal/fleet/fleetsim/places_test.go
@@ -95,7 +95,7 @@
 }
 
 // TestPlacesUnderFaults guards the invariants where tasks wait for racks, and against jobs
-// that wait for one for good: orders are lost, servers stall, and an owner is killed.
+// that wait for one forever: orders are lost, servers stall, and an owner is killed.
 func TestPlacesUnderFaults(t *testing.T) {
 	places := Locality{HotShare: 0.4, AnyShare: 0.3, Together: 0.3}
 	s := racked(places, places)
--- a/internal/fleet/fleetsim/shortage_test.go
+++ b/internal/fleet/fleetsim/shortage_test.go
@@ -15,8 +15,8 @@
 	offer func(s Site) func(*World, time.Duration)
 }
 
-// calmLoad is the load of a fleet beside a burst, relative to the capacity.
-const calmLoad = 0.8
+// baseLoad is the load of a fleet beside a burst, relative to the capacity.
+const baseLoad = 0.8
 
 // shortages are the load patterns of a capacity shortage.
 var shortages = map[string]shortagePattern{
@@ -24,14 +24,14 @@
 	"2 times":   {2, allTypes(2)},
 	"long jobs": {1.5, func(s Site) func(*World, time.Duration) {
 		return func(w *World, d time.Duration) {
-			l := calmLoad * w.CapacityLoad(s)
+			l := baseLoad * w.CapacityLoad(s)
 			w.OfferLoad(s, l, d)
 			w.offerClass(s.Classes[2], 3*l, w.now.Add(d)) // long jobs are 0.29 of all work
 		}
 	}},
-	"one domain": {2 * calmLoad, func(s Site) func(*World, time.Duration) {
+	"one domain": {2 * baseLoad, func(s Site) func(*World, time.Duration) {
 		return func(w *World, d time.Duration) {
-			l := calmLoad * w.CapacityLoad(s)
+			l := baseLoad * w.CapacityLoad(s)
 			w.OfferLoad(s, l, d)
 			w.OfferLoadAt(s.Domains[0], s, l, d)
 		}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -86,7 +86,7 @@
 	for _, p := range i.pool.peersToUpdate(now) {
 		i.sendHeartbeat(p, now)
 	}
-	for _, p := range i.pool.peersToTell(now) {
+	for _, p := range i.pool.peersToNotify(now) {
 		i.sendHeartbeat(p, now)
 	}
 	return append(out, i.drainEffects(now)...)
--- a/internal/fleet/opening.go
+++ b/internal/fleet/opening.go
@@ -34,9 +34,9 @@
 	p.newlyOpened = true
 }
 
-// peersToTell returns the peers that should hear at once of the servers that have opened.
+// peersToNotify returns the peers that should hear at once of the servers that have opened.
 // Their next regular heartbeat may be 0.2 s away, and they hold or reject jobs meanwhile.
-func (p *pool) peersToTell(now Time) (out []*peer) {
+func (p *pool) peersToNotify(now Time) (out []*peer) {
 	if !p.newlyOpened {
 		return nil
 	}
@@ -65,7 +65,7 @@
 	return open
 }
 
-// lacks reports whether many more servers are open than the peer was last told.
+// lacks reports whether many more servers are open than were last reported to the peer.
 func (p *peer) lacks(open map[string]int) bool {
 	told := map[string]int{}
 	for _, l := range p.sentLoads {
@@ -104,7 +104,7 @@
 	return float64(listed-open) > unknownShare*float64(listed)
 }
 
-// awaitsOwners reports whether a call had rather wait than queue at one of the owners
+// awaitsOwners reports whether a call should wait rather than queue at one of the owners
 // known so far: listed members that this instance has not heard yet may have room. An
 // owner doesn't wait that has tried its own servers, as it can queue the job itself.
 func (rt *router) awaitsOwners(c *call, now Time) bool {
--- a/internal/fleet/places_test.go
+++ b/internal/fleet/places_test.go
@@ -365,7 +365,7 @@
 }
 
 // TestNearTaskRunsAgain guards against a task that another owner has offered for a rack,
-// and that waits for good when its first run there was lost and the rack is gone.
+// and that waits forever when its first run there was lost and the rack is gone.
 func TestNearTaskRunsAgain(t *testing.T) {
 	w := newRackWorld(t, 2, "r1", "r2")
 	peer := w.addPeer("r2", 0)
@@ -477,9 +477,9 @@
 	}
 }
 
-// TestRoomIsToldWhileTaskWaitsForRack guards against an owner that doesn't tell a peer with
+// TestRoomIsAnnouncedWhileTaskWaitsForRack guards against an owner that doesn't tell a peer with
 // queued tasks of room because a task of its own waits for room near its data by choice.
-func TestRoomIsToldWhileTaskWaitsForRack(t *testing.T) {
+func TestRoomIsAnnouncedWhileTaskWaitsForRack(t *testing.T) {
 	w := newRackWorld(t, 2, "r1", "r2")
 	w.i.pool.typicalMilli = 2000 // room is told in multiples
 	w.fill("r1", 30*ms)
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -47,7 +47,7 @@
 	floorWindow = 250 * time.Millisecond
 	// priorityRetention is how long a priority counts after its last job.
 	priorityRetention = time.Minute
-	// maxBookedWait bounds the time to return that rejected callers are told: load peaks
+	// maxBookedWait bounds the Retry-After of rejected callers: load peaks
 	// last seconds, and later capacity is not known.
 	maxBookedWait = 10 * time.Second
 )
--- a/internal/fleet/shortage_test.go
+++ b/internal/fleet/shortage_test.go
@@ -147,7 +147,7 @@
 }
 
 // TestRejectedCallersReturnApart rejects jobs together. Their callers would return together
-// and be rejected again if all were told the same second.
+// and be rejected again if all had the same Retry-After.
 func TestRejectedCallersReturnApart(t *testing.T) {
 	i, now := oneServer(t, 500)
 	p := i.pool
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -23,7 +23,7 @@
 	BodyTimeout  Reason = "timeout"     // its body took too long
 )
 
-// Observer is told what a Guard does.
+// Observer receives the decisions of a Guard.
 type Observer interface {
 	// ConnectionClosed and RequestShed report a connection or request that was given
 	// up. logged is false for those that the rate limit leaves out of the log.
@@ -34,18 +34,18 @@
 // Options are the parameters of a Guard.
 type Options struct {
 	Limits
-	Observer Observer // may be nil
-	KeepsKey []string // headers that the handler needs
+	Observer    Observer // may be nil
+	KeepHeaders []string // headers that the handler needs
 }
 
 // Guard limits the clients of one port.
 type Guard struct {
-	limits   Limits
-	observer Observer
-	keeps    []string
-	start    time.Time
-	logs     *rate.Limiter
-	parsing  sync.Mutex // held while a large body is parsed
+	limits      Limits
+	observer    Observer
+	keepHeaders []string
+	start       time.Time
+	logs        *rate.Limiter
+	parsing     sync.Mutex // held while a large body is parsed
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -57,7 +57,7 @@
 // New returns a guard.
 func New(o Options) *Guard {
 	return &Guard{
-		limits: o.Limits, observer: o.Observer, keeps: o.KeepsKey, start: time.Now(),
+		limits: o.Limits, observer: o.Observer, keepHeaders: o.KeepHeaders, start: time.Now(),
 		logs: rate.NewLimiter(linesPerSecond, linesPerSecond), ledger: newLedger(o.Limits),
 	}
 }
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -17,7 +17,7 @@
 // startServer serves bodies' lengths on loopback; requests to /wait block until the end
 // of the test.
 func startServer(t *testing.T, l Limits) (*Guard, string) {
-	g := New(Options{Limits: l, KeepsKey: []string{"Kept"}})
+	g := New(Options{Limits: l, KeepHeaders: []string{"Kept"}})
 	s := &http.Server{MaxHeaderBytes: 16 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		lines := 0
 		for _, values := range r.Header {
@@ -167,7 +167,7 @@
 	}
 }
 
-// TestBodyTimeout guards against bodies that hold memory for good without overload.
+// TestBodyTimeout guards against bodies that hold memory indefinitely without overload.
 func TestBodyTimeout(t *testing.T) {
 	_, addr := startServer(t, Limits{Memory: 400_000, Conns: 100, BodyTime: time.Millisecond})
 	if got := exchange(t, addr, request("/", "Content-Length: 9000\r\n", "abc"), 1); len(got) != 1 || got[0] != "503" {
--- a/internal/ingress/race_test.go
+++ b/internal/ingress/race_test.go
@@ -139,7 +139,7 @@
 	return c
 }
 
-// TestUnreadBodies guards against clients that take all connections for good with bodies
+// TestUnreadBodies guards against clients that take all connections indefinitely with bodies
 // that the handler doesn't read, such as those of requests without a route: net/http
 // reads them before it sends the response, and waits for the bytes that are missing.
 func TestUnreadBodies(t *testing.T) {
@@ -156,7 +156,7 @@
 }
 
 // TestUnreadBodyTimeout guards against bodies that the handler doesn't read and that keep
-// their connections for good without overload.
+// their connections indefinitely without overload.
 func TestUnreadBodyTimeout(t *testing.T) {
 	c := sendShort(t, startUnreading(t, Limits{Memory: 400_000, Conns: 2, BodyTime: time.Millisecond}))
 	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -94,7 +94,7 @@
 // dropHeader drops header lines that the handler doesn't need.
 func (g *Guard) dropHeader(r *http.Request) {
 	kept := http.Header{}
-	for _, k := range append([]string{"Content-Type", "Expect"}, g.keeps...) {
+	for _, k := range append([]string{"Content-Type", "Expect"}, g.keepHeaders...) {
 		if v := r.Header.Get(k); v != "" {
 			kept.Set(k, v)
 		}
--- a/internal/mesh/accept_test.go
+++ b/internal/mesh/accept_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestSilentConnection guards against connections to the peer port that send nothing and
-// hold a file descriptor for good.
+// hold a file descriptor indefinitely.
 func TestSilentConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -19,7 +19,7 @@
 	o := ingress.Options{Limits: auxiliaryLimits, Observer: ingressObserver{n}}
 	if addr == n.settings.CallerAddr {
 		o.Limits = ingress.LimitsFor(n.settings.MemoryMB, n.settings.MaxFDs)
-		o.KeepsKey = []string{platform.HeaderDeadline}
+		o.KeepHeaders = []string{platform.HeaderDeadline}
 	}
 	return ingress.New(o)
 }
