node: the walkthrough of the operations page awaits the first poll of the server

The test now sends a first job, which must complete, and demands the same lines of the second as before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -364,6 +364,10 @@
 // and checks the log lines it explains.
 func TestOperationsPageWalkthroughs(t *testing.T) {
 	s := newSite(t, 1, 1)
+	// A ready instance may still wait for the first poll of its server, which this job awaits.
+	if status, body, _ := s.call(0, http.MethodPost, "/q/00000000000000f0", job("x", 1)); status != http.StatusOK {
+		t.Fatalf("first job: %d %s", status, body)
+	}
 	walks := []struct {
 		id, body string
 		status   int
