--- a/internal/ingress/ingresstest/process_test.go
+++ b/internal/ingress/ingresstest/process_test.go
@@ -87,6 +87,25 @@
 	})
 }
 
+// startListening starts the program and waits until its caller port is open. It tries again
+// if another process has taken one of its ports meanwhile.
+func startListening(t *testing.T, binary string, start func(*testing.T, string) *process) *process {
+	t.Helper()
+	for {
+		p := start(t, binary)
+		for end := time.Now().Add(maxLoad); p.alive() && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if c, err := net.DialTimeout("tcp", p.addr, callTimeout); err == nil {
+				_ = c.Close()
+				return p
+			}
+		}
+		log, err := os.ReadFile(p.logFile)
+		if err != nil || p.alive() || !strings.Contains(string(log), "address already in use") {
+			t.Fatalf("the program does not listen: %v %s", err, log)
+		}
+	}
+}
+
 // startFleet starts `nutmegweir fleet` with a stand-in of the store and one server.
 func startFleet(t *testing.T, binary string) *process {
 	store := standin.New(standin.Options{MinSessionTTL: time.Second})
