--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/nutmegweir/nutmegweir/internal/acceptor"
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/fleetpb"
 	"github.com/nutmegweir/nutmegweir/internal/model"
@@ -33,8 +34,6 @@
 	streamTimeout    = 5 * time.Second        // for a connection to open its stream: the handshake has failed long before
 	handshakeTimeout = 500 * time.Millisecond // several round trips between failure domains
 	writeTimeout     = 600 * time.Millisecond // after which a peer counts as unresponsive
-	acceptRetryMin   = 5 * time.Millisecond
-	acceptRetryMax   = 100 * time.Millisecond // a peer that waits in the backlog gives up after handshakeTimeout
 	redialMin        = 30 * time.Millisecond
 	redialMax        = 500 * time.Millisecond
 	redialJitter     = 0.3
@@ -43,9 +42,6 @@
 	queueLength      = 512      // messages buffered for a slow link: several seconds of peak load
 )
 
-// acceptReportInterval limits the reports of connections that can't be accepted.
-const acceptReportInterval = time.Second
-
 // Options are the settings of a Mesh.
 type Options struct {
 	Self         fleet.Member
@@ -319,32 +315,11 @@
 // Serve accepts connections until the listener is closed. Other errors, such as running
 // out of file descriptors, pass; it reports them and tries again.
 func (m *Mesh) Serve(ctx context.Context, l net.Listener) error {
-	backoff := wait.Backoff{Min: acceptRetryMin, Max: acceptRetryMax}
-	var reportedAt time.Time
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			err = errors.Wrap(err, "accept a connection")
-			if errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			if time.Since(reportedAt) >= acceptReportInterval {
-				reportedAt = time.Now()
-				m.opts.OnError("", err)
-			}
-			backoff.Sleep(ctx)
-			continue
-		}
-		backoff.Reset()
-		m.wg.Add(1)
-		go func() {
-			defer m.wg.Done()
-			m.accept(ctx, conn)
-		}()
-	}
+	const doing = "accept a connection"
+	err := acceptor.Each(ctx, l, func(err error) { m.opts.OnError("", errors.Wrap(err, doing)) }, func(conn net.Conn) {
+		m.wg.Go(func() { m.accept(ctx, conn) })
+	})
+	return errors.Wrap(err, doing)
 }
 
 func (m *Mesh) accept(ctx context.Context, conn net.Conn) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,11 +22,11 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/nutmegweir/nutmegweir/internal/acceptor"
 	"github.com/nutmegweir/nutmegweir/internal/core"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 	"github.com/nutmegweir/nutmegweir/internal/peerpb"
 	"github.com/nutmegweir/nutmegweir/internal/shard"
-	"github.com/nutmegweir/nutmegweir/internal/wait"
 )
 
 // Version is the version of the peer protocol.
@@ -45,10 +45,6 @@
 	helloBufferBytes  = 16
 	maxQueueMsgs      = 1 << 17 // queued or unacknowledged messages of one link
 	acceptTimeout     = 2 * time.Second
-
-	acceptRetryMin       = 5 * time.Millisecond
-	acceptRetryMax       = 100 * time.Millisecond // peers wait in the backlog until then
-	acceptReportInterval = time.Second            // of connections that can't be accepted
 )
 
 // Options are the settings of a Manager.
@@ -235,31 +231,20 @@
 // Serve accepts connections from other instances until the listener closes. Other errors,
 // such as running out of file descriptors, pass; it tries again.
 func (m *Manager) Serve(l net.Listener) error {
-	backoff := wait.Backoff{Min: acceptRetryMin, Max: acceptRetryMax}
-	var reportedAt time.Time
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if m.ctx.Err() != nil {
-				return nil
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return errors.Wrap(err, "peer listener")
-			}
-			if m.opts.OnAcceptError != nil && time.Since(reportedAt) >= acceptReportInterval {
-				reportedAt = time.Now()
-				m.opts.OnAcceptError(errors.Wrap(err, "accept a connection; check the limit of file descriptors"))
-			}
-			backoff.Sleep(m.ctx)
-			continue
-		}
-		backoff.Reset()
+	err := acceptor.Each(m.ctx, l, m.reportAcceptError, func(c net.Conn) {
 		m.mu.Lock()
+		defer m.mu.Unlock()
 		if m.closed {
 			c.Close()
 		}
 		m.spawn(func() { m.accept(c) })
-		m.mu.Unlock()
+	})
+	return errors.Wrap(err, "peer listener")
+}
+
+func (m *Manager) reportAcceptError(err error) {
+	if m.opts.OnAcceptError != nil {
+		m.opts.OnAcceptError(errors.Wrap(err, "accept a connection; check the limit of file descriptors"))
 	}
 }
 
