--- a/internal/fleet/fleetsim/places_test.go
+++ b/internal/fleet/fleetsim/places_test.go
@@ -115,12 +115,7 @@
 			x.LateStartRate, x.LateOtherRate, x.StallsRuns = 0, 0, false
 		}
 		w.Run(50 * time.Second) // callers wait for 46 s at most
-		for _, v := range w.Violations {
-			t.Errorf("seed %d: %s", seed+1, v)
-		}
-		if open := w.Tally(0).Open; open > 0 {
-			t.Errorf("seed %d: %d jobs have no answer", seed+1, open)
-		}
+		checkAnswered(t, w, seed+1)
 	}
 }
 
@@ -146,12 +141,18 @@
 		w.After(1200*time.Millisecond, func() { w.Kill("tayside-0") })
 		w.After(3200*time.Millisecond, func() { w.Start("tayside-0") })
 		w.Run(60 * time.Second) // callers wait for 46 s at most
-		for _, v := range w.Violations {
-			t.Errorf("seed %d: %s", seed+1, v)
-		}
 		t.Logf("seed %d: %+v", seed+1, w.Tally(0))
-		if open := w.Tally(0).Open; open > 0 {
-			t.Errorf("seed %d: %d jobs have no answer", seed+1, open)
-		}
+		checkAnswered(t, w, seed+1)
+	}
+}
+
+// checkAnswered checks the invariants, and that no job is without an answer.
+func checkAnswered(t *testing.T, w *World, seed uint64) {
+	t.Helper()
+	for _, v := range w.Violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if open := w.Tally(0).Open; open > 0 {
+		t.Errorf("seed %d: %d jobs have no answer", seed, open)
 	}
 }
