A cancel answered 410 keeps the job from being stored later

Cause: a cancel read the job's record and answered 410 when there was none. Its holder went on writing the record until the store answered, or the store carried out late what it had been sent. Not the cause: that the holder keeps writing after its caller has left; such a job may be stored, but a cancel has to find it, and the writer may be another instance or gone.

Change: a cancel of a job that isn't stored writes the job's cancel key under the condition that there is no record, and the first write of a record requires that this key is absent. The store orders the two, whoever writes and whenever. The keys are written in batches of 16 and kept under a lease, so that they need no scan, no removal and no surviving writer; their number is limited. A holder gives up a job that it couldn't store within the time for which such a key lasts.

--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -115,3 +115,16 @@
 		t.Errorf("%d jobs wait, want 0 once the holder has ended", n)
 	}
 }
+
+// TestSubmissionOfCancelledJobIsRefused guards against a cancelled job that is held or
+// answered as accepted because its submission was under way.
+func TestSubmissionOfCancelledJobIsRefused(t *testing.T) {
+	i, now := oneServer(t, 500)
+	spec := oneTaskJob("j1", now)
+	spec.Durable = true
+	i.Step(now, JobSubmitted{Call: 1, Job: spec})
+	r := lookFor[Answer](t, i.Step(now, JobSaved{ID: "j1", Conflict: true, Cancelled: true})).Result
+	if r.Kind != NotRun || r.Reason != ReasonCancelled || len(i.holder.jobs) > 0 {
+		t.Errorf("answered %v %q, and %d jobs are held", r.Kind, r.Reason, len(i.holder.jobs))
+	}
+}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -206,6 +206,8 @@
 	Revision uint64  // of this write
 	Conflict bool    // another instance wrote first; nothing was saved
 	Current  *Record // on conflict: the stored record, nil if it can't be read
+	// Cancelled reports that the conflict is a cancel: the job isn't stored and won't be.
+	Cancelled bool
 }
 
 // JobsScanned holds the open jobs in the store.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -161,6 +161,7 @@
 	ReasonStalled          Reason = "stalled"         // a task stalled wherever it ran
 	ReasonCrashes          Reason = "crashes"         // servers were lost under a task wherever it ran
 	ReasonStoreUnavailable Reason = "store"           // it can't be stored at present
+	ReasonCancelled        Reason = "cancelled"       // its caller has cancelled the job with this ID
 )
 
 // MaxOrphanRunTime returns how long runs can outlast the loss of the instance that
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -85,9 +85,9 @@
 }
 
 // answerWaiters answers the calls that wait until the job is stored.
-func (h *holder) answerWaiters(x *durableJob, kind ResultKind) {
+func (h *holder) answerWaiters(x *durableJob, r Result) {
 	for _, w := range x.waiters {
-		h.reply(w, Result{Kind: kind})
+		h.reply(w, r)
 	}
 	x.waiters = nil
 }
@@ -122,13 +122,13 @@
 	}
 	x.saving = false
 	if e.Conflict {
-		h.handleConflict(x, e.Current, now)
+		h.handleConflict(x, e, now)
 		return
 	}
 	x.record.Revision = e.Revision
 	h.releaseEnds(x.savingEnds)
 	x.savingEnds = nil
-	h.answerWaiters(x, Accepted)
+	h.answerWaiters(x, Result{Kind: Accepted})
 	switch {
 	case x.sent.State != StateOpen:
 		if x.origin.Instance != "" && !x.origin.sameIncarnation(h.self) {
@@ -154,10 +154,14 @@
 }
 
 // handleConflict processes a write that failed because another instance wrote first.
-func (h *holder) handleConflict(x *durableJob, current *Record, now Time) {
-	answer := Accepted // the job is stored, whoever holds it
-	if current == nil {
-		answer = Unknown
+func (h *holder) handleConflict(x *durableJob, e JobSaved, now Time) {
+	current := e.Current
+	answer := Result{Kind: Accepted} // the job is stored, whoever holds it
+	switch {
+	case e.Cancelled:
+		answer = Result{Kind: NotRun, Reason: ReasonCancelled}
+	case current == nil:
+		answer = Result{Kind: Unknown}
 	}
 	h.answerWaiters(x, answer)
 	ends := append(x.savingEnds, x.unsavedEnds...)
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -171,6 +171,11 @@
 	}
 }
 
+// cancelledRejection answers the submission of a job whose ID was cancelled before.
+var cancelledRejection = platform.Rejection{
+	Status: platform.StatusNotRun, Problem: "the job with this ID was cancelled and will not run", Remedy: "Submit it under another ID.",
+}
+
 // submitAndWait submits a job to the reducer and waits for its result; ok is
 // false if ctx ends first.
 func (c *callerHandler) submitAndWait(ctx context.Context, j *fleet.JobSpec) (call fleet.CallID, r fleet.Result, ok bool) {
@@ -271,6 +276,10 @@
 	case fleet.Failed:
 		platform.WriteState(w, platform.JobFailed)
 	case fleet.NotRun:
+		if r.Reason == fleet.ReasonCancelled {
+			platform.WriteRejection(w, cancelledRejection)
+			return
+		}
 		platform.WriteRejection(w, platform.Rejection{
 			Status: platform.StatusNotRun, RetryAfter: r.RetryAfter,
 			Problem: "the job was refused and has not run: " + string(r.Reason), Remedy: "Come back after the wait.",
--- /dev/null
+++ b/internal/node/cancels_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
+	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/platform"
+)
+
+// startedJobs records which jobs have started tasks at the servers of a site.
+func startedJobs(s *site, runs time.Duration) (started func(id string) int) {
+	var mu sync.Mutex
+	starts := map[string]int{}
+	for _, w := range s.servers {
+		w.Behavior = func(r fleet.RunID, _ string) (time.Duration, fleet.EndKind) {
+			mu.Lock()
+			defer mu.Unlock()
+			starts[r.Task.Job]++
+			return runs, fleet.EndDone
+		}
+	}
+	return func(id string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return starts[id]
+	}
+}
+
+// awaitCancelled cancels a job until that is acknowledged, and reports whether it was
+// unknown.
+func (s *site) awaitCancelled(instance int, path string) (unknown bool) {
+	s.t.Helper()
+	s.await(path+" is cancelled", func() bool {
+		status, _, _ := s.call(instance, http.MethodDelete, path, "")
+		unknown = status == http.StatusGone
+		return unknown || status == http.StatusOK
+	})
+	return unknown
+}
+
+// TestJobStoredAfterItsCancel guards against jobs that are stored and run although a cancel
+// was answered 410, when the store was silent as they were submitted.
+func TestJobStoredAfterItsCancel(t *testing.T) {
+	const jobs = 12
+	s := newSite(t, 1, 2)
+	started := startedJobs(s, 5*time.Millisecond)
+	s.store.Faults.SetFaults(standin.Faults{Hang: true})
+	unknown := make([]bool, jobs)
+	var callers sync.WaitGroup
+	for n := range jobs {
+		callers.Go(func() {
+			path := fmt.Sprintf("/q/%016x", 0xd0+n)
+			if status, body, _ := s.callWithin(n%2, http.MethodPost, path, durableJob("x", 1), 300*time.Millisecond); status == http.StatusOK {
+				t.Errorf("%s: %d %s from a silent store", path, status, body)
+			}
+			if n == jobs-1 {
+				s.store.Faults.SetFaults(standin.Faults{})
+			}
+			unknown[n] = s.awaitCancelled((n+n/2)%2, path) // half of them at the other instance
+		})
+	}
+	callers.Wait()
+	for i := range s.instances { // its write follows those of the cancelled jobs
+		path := fmt.Sprintf("/q/%016x", 0xf0+i)
+		s.await("a job is accepted", func() bool {
+			status, _, _ := s.call(i, http.MethodPost, path, durableJob("x", 1))
+			return status == http.StatusOK
+		})
+		s.awaitState(i, path, "completed")
+	}
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", 0xd0+n)
+		if !unknown[n] {
+			continue
+		}
+		if k := started(id); k > 0 {
+			t.Errorf("%d tasks of job %s started, whose cancel was answered 410", k, id)
+		}
+		if status, body, _ := s.call(n%2, http.MethodGet, "/q/"+id, ""); status != http.StatusGone {
+			t.Errorf("job %s is shown after its cancel was answered 410: %d %s", id, status, body)
+		}
+		status, body, header := s.call(n%2, http.MethodPost, "/q/"+id, durableJob("x", 1))
+		if status != http.StatusServiceUnavailable || !strings.Contains(body, "cancelled") || header.Get("Retry-After") != "" {
+			t.Errorf("job %s submitted again: %d %s, Retry-After %q", id, status, body, header.Get("Retry-After"))
+		}
+	}
+}
+
+// TestLostSubmissionOfCancelledJob carries out a write of a job after its cancel, as a store
+// may that answers late.
+func TestLostSubmissionOfCancelledJob(t *testing.T) {
+	s := newSite(t, 1, 1)
+	r := fleet.Record{ID: "00000000000000d1", State: fleet.StateOpen, Holder: "gone", Incarnation: "01", Term: 1, Version: 1}
+	w, err := platform.JobWrite(platform.JobEntry{Record: r, WrittenAt: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !s.awaitCancelled(0, "/q/"+r.ID) {
+		t.Error("a job that isn't stored is known")
+	}
+	late, err := s.instances[0].store.store.Commit(t.Context(), platform.Txn{Preconditions: platform.JobPreconditions(&r), Writes: []platform.Write{w}})
+	if err != nil || late.Committed {
+		t.Errorf("the late write is committed: %v, %v", late.Committed, err)
+	}
+}
+
+// TestManyCancelsOfUnknownJobs cancels jobs that never existed, which must not use up the
+// store's writes.
+func TestManyCancelsOfUnknownJobs(t *testing.T) {
+	const jobs = 400
+	s := newSite(t, 1, 1)
+	before := s.store.Faults.Calls().Writes
+	var callers sync.WaitGroup
+	for n := range jobs {
+		callers.Go(func() {
+			if !s.awaitCancelled(0, fmt.Sprintf("/q/%016x", 0x1000+n)) {
+				t.Error("a job that never existed is known")
+			}
+		})
+	}
+	callers.Wait()
+	// Each batch of 16 costs a write; the first ones are smaller, as they don't wait.
+	if writes := s.store.Faults.Calls().Writes - before; writes > jobs/4 {
+		t.Errorf("%d writes for %d cancels", writes, jobs)
+	}
+	if status, _, _ := s.call(0, http.MethodDelete, "/q/"+strings.Repeat("z", 300), ""); status != http.StatusGone {
+		t.Errorf("cancel of an impossible ID: %d", status)
+	}
+}
--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/wait"
 	"github.com/nutmegweir/nutmegweir/platform"
@@ -16,8 +18,12 @@
 
 // submitDurable responds once a job has been stored.
 func (c *callerHandler) submitDurable(w http.ResponseWriter, r *http.Request, j *fleet.JobSpec) {
-	if _, known := c.node.jobs.state(j.ID); known {
-		platform.WriteState(w, platform.JobQueued)
+	if known, ok := c.node.jobs.state(j.ID); ok {
+		state := platform.JobQueued
+		if final := finalStates[known]; final != "" {
+			state = final
+		}
+		platform.WriteState(w, state)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(j.Timeout, acceptTimeout))
@@ -101,7 +107,7 @@
 	case err != nil:
 		c.rejectStoreError(w, id, err)
 	case !ok:
-		c.reject(w, id, platform.Rejection{Status: platform.StatusJobNotFound, Problem: "no such job is kept"})
+		c.reject(w, id, unknownJob)
 	case e.State != fleet.StateOpen:
 		platform.WriteState(w, finalStates[e.State])
 	case len(e.Progress) > 0:
@@ -128,20 +134,32 @@
 	})
 }
 
-// cancel cancels a durable job. A finished job is left unchanged.
+// unknownJob answers requests for a job that isn't stored.
+var unknownJob = platform.Rejection{Status: platform.StatusJobNotFound, Problem: "no such job is kept"}
+
+// cancel cancels a durable job. A finished job is left unchanged. One that isn't stored may
+// be under way to the store, which won't accept it any more.
 func (c *callerHandler) cancel(w http.ResponseWriter, r *http.Request, id string) {
 	if known, ok := c.node.jobs.state(id); ok && known != fleet.StateOpen {
 		platform.WriteState(w, finalStates[known])
 		return
 	}
+	if !platform.ValidJobID(id) {
+		c.reject(w, id, unknownJob)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	known, err := c.node.jobs.cancel(ctx, id)
 	switch {
+	case errors.Is(err, errTooManyCancels):
+		c.reject(w, id, platform.Rejection{
+			Status: platform.StatusNotRun, RetryAfter: time.Second, Problem: err.Error(), Remedy: "Come back after the wait.",
+		})
 	case err != nil:
 		c.rejectStoreError(w, id, err)
 	case !known:
-		c.reject(w, id, platform.Rejection{Status: platform.StatusJobNotFound, Problem: "no such job is kept"})
+		c.reject(w, id, unknownJob)
 	default:
 		state, _ := c.node.jobs.state(id)
 		platform.WriteState(w, finalStates[state])
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,8 +15,6 @@
 
 // Limits on store writes for durable jobs.
 const (
-	// jobsPerTxn allows for one precondition and one write per job.
-	jobsPerTxn = platform.MaxTxnEntries / 2
 	// maxConcurrentTxns keeps a transaction whose reply was lost from blocking
 	// the others.
 	maxConcurrentTxns = 3
@@ -49,6 +47,8 @@
 	states   map[string]cachedState
 	removals []pendingRemoval           // roughly ordered by due time
 	waiters  map[string][]chan struct{} // by job, closed when it has finished
+
+	unstored *unstoredCancels
 }
 
 // cachedState is the last known state of a job, held here or elsewhere.
@@ -65,10 +65,12 @@
 }
 
 func newJobStore(n *Node) *jobStore {
-	return &jobStore{
+	s := &jobStore{
 		node: n, limiter: rate.NewLimiter(rate.Inf, txnBurst), wake: make(chan struct{}, maxConcurrentTxns), states: map[string]cachedState{},
 		waiters: map[string][]chan struct{}{},
 	}
+	s.unstored = newUnstoredCancels(s)
+	return s
 }
 
 // run writes and removes jobs until ctx ends.
@@ -78,6 +80,7 @@
 		all.Go(func() { s.writeLoop(ctx) })
 	}
 	all.Go(func() { s.removalLoop(ctx) })
+	all.Go(func() { s.unstored.run(ctx) })
 	all.Wait()
 }
 
@@ -101,7 +104,12 @@
 func (s *jobStore) nextBatch() []fleet.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.queue), jobsPerTxn)
+	n := 0
+	for entries := 0; n < len(s.queue); n++ {
+		if entries += len(platform.JobPreconditions(&s.queue[n])) + 1; entries > platform.MaxTxnEntries {
+			break
+		}
+	}
 	batch := s.queue[:n:n]
 	s.queue = s.queue[n:]
 	return batch
@@ -138,6 +146,11 @@
 func (s *jobStore) commit(ctx context.Context, batch []fleet.Record) {
 	retry := s.node.store.backoff()
 	for len(batch) > 0 && ctx.Err() == nil {
+		if err := s.settleOutdated(ctx, &batch); err != nil {
+			s.node.limitedLog.callFailed("read-job", "", err)
+			retry.Sleep(ctx)
+			continue
+		}
 		txn, included := s.encode(batch)
 		batch = included
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -158,6 +171,29 @@
 	}
 }
 
+// settleOutdated drops from a batch the jobs that may no longer be stored, as a cancel that
+// forbids it may have lapsed. An earlier write that wasn't answered may have stored them.
+func (s *jobStore) settleOutdated(ctx context.Context, batch *[]fleet.Record) error {
+	for i, r := range slices.Backward(*batch) {
+		if r.Revision != 0 || bootTime().Sub(r.Job.ReceivedAt) < s.storableTime() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		it, ok, err := s.node.store.store.Get(callCtx, platform.JobKey(r.ID))
+		cancel()
+		if err != nil {
+			return err
+		}
+		*batch = slices.Delete(slices.Clone(*batch), i, i+1)
+		if ok {
+			s.resolveConflict(r, it)
+		} else {
+			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
+		}
+	}
+	return nil
+}
+
 // encode returns the transaction for a batch and the records it includes.
 func (s *jobStore) encode(batch []fleet.Record) (t platform.Txn, in []fleet.Record) {
 	now, boot := time.Now(), bootTime()
@@ -167,7 +203,7 @@
 			s.node.limitedLog.recordUnwritable(r.ID, err)
 			continue
 		}
-		t.Preconditions = append(t.Preconditions, platform.JobPrecondition(&r))
+		t.Preconditions = append(t.Preconditions, platform.JobPreconditions(&r)...)
 		t.Writes = append(t.Writes, w)
 		in = append(in, r)
 	}
@@ -183,15 +219,16 @@
 	}
 	for _, r := range batch {
 		it := items[platform.JobKey(r.ID)]
-		if uint64(it.ModRevision) == r.Revision {
+		switch unchanged := uint64(it.ModRevision) == r.Revision; {
+		case unchanged && r.Revision == 0 && items[platform.CancelKey(r.ID)].ModRevision != 0:
+			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true, Cancelled: true})
+		case unchanged:
 			remaining = append(remaining, r)
-			continue
-		}
-		if it.ModRevision == 0 {
+		case it.ModRevision == 0:
 			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
-			continue
+		default:
+			s.resolveConflict(r, it)
 		}
-		s.resolveConflict(r, it)
 	}
 	return remaining
 }
@@ -366,14 +403,21 @@
 	return e, true, nil
 }
 
-// cancel marks a job as cancelled in the store. known is false if there is no
-// such job. A finished job is left unchanged.
+// cancel marks a job as cancelled in the store. known is false if no such job is stored,
+// nor will be: a submission may be under way. A finished job is left unchanged.
 func (s *jobStore) cancel(ctx context.Context, id string) (known bool, err error) {
 	for ctx.Err() == nil {
 		e, ok, err := s.read(ctx, id)
-		if err != nil || !ok || e.State != fleet.StateOpen {
+		if err != nil || ok && e.State != fleet.StateOpen {
 			return ok, err
 		}
+		if !ok {
+			cancelled, err := s.unstored.cancel(ctx, id)
+			if err != nil || cancelled {
+				return false, err
+			}
+			continue // it has been stored meanwhile
+		}
 		txn, err := platform.CancelTxn(e, time.Now())
 		if err != nil {
 			return true, err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,13 +201,19 @@
 
 // call sends a caller's request to an instance.
 func (s *site) call(instance int, method, path, body string) (int, string, http.Header) {
+	s.t.Helper()
+	return s.callWithin(instance, method, path, body, 20*time.Second)
+}
+
+// callWithin sends a request whose caller waits for a limited time.
+func (s *site) callWithin(instance int, method, path, body string, deadline time.Duration) (int, string, http.Header) {
 	s.t.Helper()
 	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.instances[instance].settings.CallerAddr+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	r.Host = "a.example"
-	r.Header.Set("Deadline-Ms", "20000")
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		s.t.Fatal(err)
