holder: a cancel counts while the first write is unanswered

A job could start, and run to its end, after its cancel had been answered 200: the store had carried out the first write, the answer to it was still under way, another instance cancelled the job, and the news of that reached the holder before the answer. The holder ignored it, as it didn't hold the job yet, and took the job up afterwards. The same held for a takeover.

Now such a job is written once more before it may start, which the store refuses.

--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// TestCancelBeforeFirstWriteIsAnswered guards against starts of a cancelled job whose first
+// write precedes the cancel, but is answered after the news of it.
+func TestCancelBeforeFirstWriteIsAnswered(t *testing.T) {
+	i, now := oneServer(t, 500)
+	spec := oneTaskJob("j1", now)
+	spec.Durable = true
+	i.Step(now, JobSubmitted{Call: 1, Job: spec})
+	i.Step(now, JobCancelled{ID: "j1"})
+	effects := i.Step(now, JobSaved{ID: "j1", Revision: 9})
+	if n := count[StartRun](effects); n > 0 || count[SaveJob](effects) != 1 {
+		t.Errorf("%d starts and %d writes, want 0 and 1", n, count[SaveJob](effects))
+	}
+	effects = i.Step(now, JobSaved{ID: "j1", Conflict: true, Current: &Record{ID: "j1", State: StateCancelled, Revision: 10}})
+	effects = append(effects, i.Step(now.Add(time.Second), Tick{})...)
+	if n := count[StartRun](effects); n > 0 || len(i.holder.jobs) > 0 {
+		t.Errorf("%d starts and %d jobs held of a cancelled job", n, len(i.holder.jobs))
+	}
+}
+
 // TestSubmissionOfCancelledJobIsRefused guards against a cancelled job that is held or
 // answered as accepted because its submission was under way.
 func TestSubmissionOfCancelledJobIsRefused(t *testing.T) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -275,14 +275,17 @@
 	h.save(x)
 }
 
-// handleCancelled drops a job that its caller has cancelled in the store.
+// handleCancelled drops a job that its caller has cancelled in the store. One whose first
+// write here isn't answered yet is written again, as that write may precede the cancel.
 func (h *holder) handleCancelled(id string, now Time) {
 	x := h.jobs[id]
-	if x == nil || x.job == nil || x.job.done {
+	if x == nil || x.job != nil && x.job.done {
 		return
 	}
 	x.verified = false // no start until the store confirms that this instance still holds it
-	h.pool.stopJob(x.job, now)
+	if x.job != nil {
+		h.pool.stopJob(x.job, now)
+	}
 	h.save(x)
 }
 
