A cancel ends a job that need not be stored, wherever it runs

A DELETE of a job with bestEffort was answered 410 while the job ran on to its end and started its later steps: cancels only looked at stored jobs.

The cancel key, which every instance follows, now also ends an open call with the ID; its caller gets the state "cancelled", and its runs are stopped. A later submission of the ID is refused while the key is kept.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -217,7 +217,7 @@
 	OK      bool     // false if the store didn't answer
 }
 
-// JobCancelled reports a durable job that is stored as cancelled.
+// JobCancelled reports a job that is stored as cancelled, durable or not.
 type JobCancelled struct{ ID string }
 
 // MembershipRenewed reports that the store has renewed this instance's entry.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,6 +140,7 @@
 	Running                         // durable job, started
 	NotHeld                         // this instance holds no such job
 	Counted                         // answer to PendingCountRequested
+	Cancelled                       // cancelled by its caller; tasks may have run
 )
 
 // Reason is the reason for a job not being completed.
@@ -199,6 +200,8 @@
 		return "not-run"
 	case Accepted:
 		return "accepted"
+	case Cancelled:
+		return "cancelled"
 	}
 	return "unknown"
 }
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -170,6 +170,7 @@
 		i.holder.handleScanned(e, now)
 	case JobCancelled:
 		i.holder.handleCancelled(e.ID, now)
+		i.router.handleCancelled(e.ID, now)
 	case MembershipRenewed:
 		i.servers.handleRenewed(e.SentAt)
 		i.members.renewedAt = e.SentAt
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -393,6 +393,15 @@
 	rt.withdraw(c, now)
 }
 
+// handleCancelled ends the call with a job that is cancelled. A durable job is left to its
+// holder, which learns from the store whether the job had been stored.
+func (rt *router) handleCancelled(job string, now Time) {
+	if c := rt.callOf(job); c != nil && !c.job.Durable {
+		rt.withdraw(c, now)
+		rt.finish(c, Result{Kind: Cancelled, Reason: ReasonCancelled})
+	}
+}
+
 // withdraw cancels the open offer of a call, if any.
 func (rt *router) withdraw(c *call, now Time) {
 	offer, owner := c.offer, c.owner
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -166,6 +166,10 @@
 		})
 		return
 	}
+	if c.node.jobs.isCancelled(id) {
+		c.reject(w, id, cancelledRejection)
+		return
+	}
 	if call, res, ok := c.submitAndWait(r.Context(), &s.Job); ok {
 		c.writeResult(w, call, &s.Job, res)
 	}
@@ -275,6 +279,8 @@
 		platform.WriteState(w, platform.JobCompleted)
 	case fleet.Failed:
 		platform.WriteState(w, platform.JobFailed)
+	case fleet.Cancelled:
+		platform.WriteState(w, platform.JobCancelled)
 	case fleet.NotRun:
 		if r.Reason == fleet.ReasonCancelled {
 			platform.WriteRejection(w, cancelledRejection)
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
@@ -15,7 +16,8 @@
 const (
 	// cancelLeaseUse is how long new cancels are written under the same lease.
 	cancelLeaseUse = time.Minute
-	// maxUnstoredCancels is about how many such cancels the fleet keeps in the store.
+	// maxUnstoredCancels is about how many such cancels the fleet keeps in the store, and
+	// each instance in memory: some 10 MB.
 	maxUnstoredCancels = 1 << 15
 	// minStorableTime is the least that storableTime may be.
 	minStorableTime = time.Minute
@@ -144,6 +146,8 @@
 			case err != nil:
 				c.done <- cancelOutcome{err: err}
 			case r.Committed:
+				u.jobs.setCancelled(c.id, true)
+				u.jobs.node.post(fleet.JobCancelled{ID: c.id}) // a job that isn't durable may run here
 				c.done <- cancelOutcome{cancelled: true}
 			case stored[platform.JobKey(c.id)]:
 				c.done <- cancelOutcome{}
--- a/internal/node/cancels_test.go
+++ b/internal/node/cancels_test.go
@@ -110,6 +110,34 @@
 	}
 }
 
+// TestCancelOfRunningBestEffortJob guards against jobs that need not be stored and run on
+// after a cancel at another instance was acknowledged.
+func TestCancelOfRunningBestEffortJob(t *testing.T) {
+	s := newSite(t, 1, 2)
+	started := startedJobs(s, time.Hour)
+	const id = "00000000000000d2"
+	long := strings.Replace(job("x", 2), `"estMs":5`, `"estMs":3600000`, 1)
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		if status, body, _ := s.call(0, http.MethodPost, "/q/"+id, long); status != http.StatusOK || !strings.Contains(body, `"cancelled"`) {
+			t.Errorf("the caller of a cancelled job got %d %s", status, body)
+		}
+	})
+	s.await("the job runs", func() bool { return started(id) == 2 })
+	s.awaitCancelled(1, "/q/"+id)
+	caller.Wait()
+	s.await("its runs have stopped", func() bool { return s.servers[0].Running() == 0 })
+	for i := range s.instances {
+		s.await("a submission of the same ID is refused", func() bool {
+			status, body, _ := s.call(i, http.MethodPost, "/q/"+id, job("x", 2))
+			return status == http.StatusServiceUnavailable && strings.Contains(body, "cancelled")
+		})
+	}
+	if k := started(id); k != 2 {
+		t.Errorf("%d tasks started, want 2", k)
+	}
+}
+
 // TestManyCancelsOfUnknownJobs cancels jobs that never existed, which must not use up the
 // store's writes.
 func TestManyCancelsOfUnknownJobs(t *testing.T) {
--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -137,8 +137,8 @@
 // unknownJob answers requests for a job that isn't stored.
 var unknownJob = platform.Rejection{Status: platform.StatusJobNotFound, Problem: "no such job is kept"}
 
-// cancel cancels a durable job. A finished job is left unchanged. One that isn't stored may
-// be under way to the store, which won't accept it any more.
+// cancel cancels a job. A finished job is left unchanged. One that isn't stored may be under
+// way to the store, or run without being stored: it ends, and no later submission runs it.
 func (c *callerHandler) cancel(w http.ResponseWriter, r *http.Request, id string) {
 	if known, ok := c.node.jobs.state(id); ok && known != fleet.StateOpen {
 		platform.WriteState(w, finalStates[known])
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,7 @@
 	queue    []fleet.Record
 	states   map[string]cachedState
 	removals []pendingRemoval           // roughly ordered by due time
+	cancels  map[string]bool            // cancelled jobs in the store, durable or not
 	waiters  map[string][]chan struct{} // by job, closed when it has finished
 
 	unstored *unstoredCancels
@@ -67,7 +69,7 @@
 func newJobStore(n *Node) *jobStore {
 	s := &jobStore{
 		node: n, limiter: rate.NewLimiter(rate.Inf, txnBurst), wake: make(chan struct{}, maxConcurrentTxns), states: map[string]cachedState{},
-		waiters: map[string][]chan struct{}{},
+		waiters: map[string][]chan struct{}{}, cancels: map[string]bool{},
 	}
 	s.unstored = newUnstoredCancels(s)
 	return s
@@ -327,6 +329,37 @@
 	return e.state, ok && (e.state != fleet.StateOpen || time.Since(e.observedAt) < openStateTTL)
 }
 
+// setCancelled records whether the store keeps a cancel of a job.
+func (s *jobStore) setCancelled(id string, cancelled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancelled {
+		s.cancels[id] = true
+	} else {
+		delete(s.cancels, id)
+	}
+}
+
+// dropCancels forgets the cancels that a complete list of fleet records doesn't hold.
+func (s *jobStore) dropCancels(items []platform.Item) {
+	listed := map[string]bool{}
+	for _, it := range items {
+		if id, ok := platform.CancelledJobFromKey(it.Key); ok {
+			listed[id] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.cancels, func(id string, _ bool) bool { return !listed[id] })
+}
+
+// isCancelled reports whether the store keeps a cancel of a job.
+func (s *jobStore) isCancelled(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancels[id]
+}
+
 // scan reads all durable jobs and reports the open ones to the reducer. It also
 // schedules removal of finished ones, whose writer may have failed.
 func (s *jobStore) scan(ctx context.Context) {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -223,6 +223,7 @@
 	s.mu.Lock()
 	clear(s.members)
 	s.mu.Unlock()
+	s.node.jobs.dropCancels(r.Items)
 	s.apply(r.Items, true)
 }
 
@@ -243,8 +244,8 @@
 			s.owners[o.Server] = o.Owner
 			owners = append(owners, o)
 		case platform.RecordCancel:
-			if id, ok := platform.CancelledJobFromKey(it.Key); ok && !it.Deleted {
-				s.node.post(fleet.JobCancelled{ID: id})
+			if id, ok := platform.CancelledJobFromKey(it.Key); ok {
+				s.applyCancel(id, it.Deleted)
 			}
 		case platform.RecordConfig:
 			if !it.Deleted {
@@ -265,6 +266,14 @@
 	}
 }
 
+// applyCancel records that a job is cancelled, or that its cancel is no longer kept.
+func (s *storeSync) applyCancel(id string, deleted bool) {
+	s.node.jobs.setCancelled(id, !deleted)
+	if !deleted {
+		s.node.post(fleet.JobCancelled{ID: id})
+	}
+}
+
 func (s *storeSync) applyMember(it platform.Item) {
 	if it.Deleted {
 		delete(s.members, platform.MemberFromKey(it.Key))
