The limit of a step per server holds for all runs there

The loss of servers in that case isn't needed: a step wider than any owner does it without a disruption.

Cause: the limit was counted over the runs of a step object, and an offloaded task is a job with a step of its own where it runs. So is a job that is submitted again, and a run that is being stopped belongs to no step.

Change: the owner of a server counts the runs there by job and step, from their IDs, until they are known to have ended. Tasks of a limited step are offered to an owner only while its servers may run them; else the owner with most room got them again and again (24 offers for 16 tasks in TestLimitedStepOfferedOnce).

Evidence: TestLimitPerServerOfStep failed in 5 of 6 ways before, and TestStepsWiderThanAnyOwner with 60 and 108 starts beyond the limit (limit 1 and 2, 30 jobs each).

--- a/internal/fleet/fleetsim/server.go
+++ b/internal/fleet/fleetsim/server.go
@@ -338,11 +338,18 @@
 
 // checkStart reports starts that violate an invariant.
 func (w *World) checkStart(s *Server, id fleet.RunID, j *JobRecord, need model.Resources) {
-	used := need
+	used, ofStep := need, 1
 	for _, r := range s.state.Running(w.now) {
-		if r.Run != id {
-			used = used.Plus(s.needs[r.Run])
+		if r.Run == id {
+			continue
 		}
+		used = used.Plus(s.needs[r.Run])
+		if r.Run.Task.Job == id.Task.Job && r.Run.Task.Step == id.Task.Step {
+			ofStep++
+		}
+	}
+	if limit := j.Spec.Steps[id.Task.Step].MaxPerServer; limit > 0 && ofStep > limit {
+		w.violated("%d tasks of the step of %v run at %s, limit %d", ofStep, id, s.Entry.ID, limit)
 	}
 	if !used.Fits(s.countedCapacity()) {
 		w.violated("server %s is over its capacity with %v", s.Entry.ID, id)
--- a/internal/fleet/fleetsim/workload.go
+++ b/internal/fleet/fleetsim/workload.go
@@ -27,6 +27,8 @@
 	Durable     bool    // jobs are durable
 	Utility     float64 // of a job on time; a late one has lateUtility of it
 	Locality    Locality
+	// MaxPerServer limits how many tasks of a job run on one server, 0 for no limit.
+	MaxPerServer int
 }
 
 // Site is a deployment.
@@ -187,7 +189,7 @@
 		Steps: []fleet.StepSpec{{
 			Count:    min(max(width, 1), c.MaxWidth),
 			Need:     model.Resources{CPUMilli: min(uint32(float64(c.CPU)*w.logNormal(0.2)), c.MaxCPU), MemoryMB: 64},
-			Estimate: time.Duration(float64(work) * w.logNormal(0.4)),
+			Estimate: time.Duration(float64(work) * w.logNormal(0.4)), MaxPerServer: c.MaxPerServer,
 		}},
 	}
 }
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // Limits of tasks offloaded to other owners.
@@ -53,7 +51,8 @@
 			if p.owners.evacuations.any() && p.owners.stepFit(j.spec.Service, st.spec) == fitsEvacuated {
 				continue // each owner would decline it, and the job couldn't be rejected meanwhile
 			}
-			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) {
+			limited := st.spec.MaxPerServer > 0 // another step may find room where this one is at its limit
+			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) && !limited {
 				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
 		}
@@ -64,7 +63,7 @@
 // found for all.
 func (p *pool) offloadStep(j *job, st *step, now Time) (all bool) {
 	for len(st.queued) > 0 {
-		target := p.offloadTarget(j.spec.Service, st.spec.Need, now)
+		target := p.offloadTarget(st, now)
 		if target == nil {
 			return false
 		}
@@ -75,15 +74,17 @@
 	return true
 }
 
-// offloadTarget returns the owner with the most room, nil if none has enough for the
-// task.
-func (p *pool) offloadTarget(service string, need model.Resources, now Time) *peer {
+// offloadTarget returns the owner with the most room, nil if none has enough for a task of
+// the step.
+func (p *pool) offloadTarget(st *step, now Time) *peer {
+	service, need := st.job.spec.Service, st.spec.Need
 	var best *peer
 	for _, x := range p.members.orderedPeers {
 		if !x.reachable(now) || x.leaving || now.Sub(x.declinedAt) < declinedBackoff {
 			continue
 		}
-		if room := p.roomWithStaging(x, service); room >= float64(need.CPUMilli) && (best == nil || room > p.roomWithStaging(best, service)) {
+		room := p.roomWithStaging(x, service)
+		if room >= float64(need.CPUMilli) && (best == nil || room > p.roomWithStaging(best, service)) && p.mayOffload(st, x.member, "") {
 			best = x
 		}
 	}
@@ -102,7 +103,7 @@
 	}
 	for _, x := range p.members.orderedPeers {
 		owns := slices.Contains(p.owners.labelsOf(x.member), rack)
-		if owns && x.reachable(now) && !x.leaving && x.freeMilli(t.job.spec.Service) >= float64(t.step.spec.Need.CPUMilli) {
+		if owns && x.reachable(now) && !x.leaving && x.freeMilli(t.job.spec.Service) >= float64(t.step.spec.Need.CPUMilli) && p.mayOffload(t.step, x.member, rack) {
 			return x
 		}
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -82,7 +82,7 @@
 		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) || p.leaseOutlasts(s, wantedAge, now) {
 			continue
 		}
-		if m := t.step.spec.MaxPerServer; m > 0 && s.runsOf(t.step) >= m {
+		if s.atStepLimit(t) {
 			continue
 		}
 		if p.barred(t, s) || onlyOnTime && now.Add(p.expect(t.step, s, now)) > t.job.due && !p.spareFor(t, s, now) {
@@ -102,17 +102,6 @@
 	return len(p.queue)-p.places.byChoice > 1 && t.job.offloaded == nil && t.job.durable == nil && p.latestStart(t.job) >= now
 }
 
-// runsOf counts the runs of a step on the server.
-func (s *server) runsOf(st *step) int {
-	n := 0
-	for _, r := range s.runs {
-		if r.task != nil && r.task.step == st {
-			n++
-		}
-	}
-	return n
-}
-
 // cost returns the cost of running a task on a server; the lowest wins.
 func (p *pool) cost(t *task, s *server, now Time) float64 {
 	switch p.policy.Place {
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -221,7 +221,7 @@
 		room, known = remote, true
 	}
 	c.nearWait = room
-	if known && c.waits() && (s != nil || p.offloadTarget(t.job.spec.Service, st.spec.Need, now) != nil) {
+	if known && c.waits() && (s != nil || p.offloadTarget(st, now) != nil) {
 		p.places.claims[rack]++
 		p.logPlace(st, placeWaits, c)
 		return nil, nil, true
@@ -343,7 +343,7 @@
 			continue
 		}
 		room := int(owned[x.member]/max(t.step.spec.Need.CPUMilli, 1)) - p.places.sent[rackOwnerKey{x.member.Instance, rack}]
-		if room > best {
+		if room > best && p.mayOffload(t.step, x.member, rack) {
 			best, to = room, x
 		}
 	}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -65,6 +65,7 @@
 	speeds         speedModels
 	holder         *holder
 	places         places
+	fitting        map[fittingKey]map[ownerKey]int // servers by owner, as of the last tick
 
 	unsettled []*task  // suspects of which it isn't known whether their servers have crashed
 	outages   []outage // servers lost of late
@@ -96,6 +97,7 @@
 		speeds:       speedModels{},
 		shortage:     shortage{},
 		places:       places{farFactor: o.FarFactor},
+		fitting:      map[fittingKey]map[ownerKey]int{},
 	}
 }
 
@@ -437,6 +439,7 @@
 	}
 	p.updateFastFactor(now)
 	p.places.owners = nil
+	clear(p.fitting)
 	p.requeueDelayed(now)
 	p.expireJobs(now)
 	p.moveEvacuated(now)
