A step that waits for its limit is no queue for capacity

Jobs were rejected while servers had room for them, with a Retry-After of many seconds, beside a wide job with maxPerServer: its queued tasks counted as work ahead of them, though they only waited for servers without a task of their own step.

Such a step no longer counts as waiting for capacity.

--- a/internal/fleet/fleetsim/perserver_test.go
+++ b/internal/fleet/fleetsim/perserver_test.go
@@ -78,6 +78,43 @@
 	}
 }
 
+// TestJobsBesideLimitedStep guards against jobs that are rejected because a step waits for
+// servers without a task of its own, while there is room for all others.
+func TestJobsBesideLimitedStep(t *testing.T) {
+	w := New(4)
+	site := threeOwners()
+	w.Build(site)
+	for _, s := range w.servers {
+		s.Speed = 1
+	}
+	w.Run(settleTime)
+	job := func(count int, milli uint32, estimate time.Duration, stretch float64, limit int) *JobRecord {
+		spec := w.Job(site.Classes[0], estimate)
+		spec.Timeout, spec.Objective.Stretch = 60*time.Second, stretch
+		spec.Steps = []fleet.StepSpec{{Count: count, Need: model.Resources{CPUMilli: milli, MemoryMB: 64}, Estimate: estimate, MaxPerServer: limit}}
+		j := w.Submit("tayside-0", spec)
+		j.work = estimate
+		return j
+	}
+	wide := job(960, 14000, time.Second, 3, 1) // 40 rounds on all servers
+	w.Run(200 * time.Millisecond)
+	beside := make([]*JobRecord, 0, 5)
+	for range 5 {
+		beside = append(beside, job(8, 2000, 3*time.Second, 2, 0))
+		w.Run(100 * time.Millisecond)
+	}
+	w.Run(60 * time.Second)
+	checkInvariants(t, w)
+	if wide.Result.Kind != fleet.Completed {
+		t.Errorf("the wide job is %v", wide.Result)
+	}
+	for _, j := range beside {
+		if took := j.AnsweredAt.Sub(j.SubmittedAt); j.Result.Kind != fleet.Completed || took > 3100*time.Millisecond {
+			t.Errorf("a job beside it is %v after %v, want completed without a wait", j.Result, took)
+		}
+	}
+}
+
 // TestLimitedStepOfferedOnce guards against tasks that go back and forth because they are
 // offered to the owner with most room, whose servers are all at the limit of the step.
 func TestLimitedStepOfferedOnce(t *testing.T) {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -38,6 +38,7 @@
 	group     string // rack that a group shares, empty if none was chosen
 	spread    bool   // a group runs on more than one rack
 	waitsNear bool   // its queued tasks wait for a place by choice
+	atLimit   bool   // its queued tasks wait for its limit per server, as of the last dispatch
 	lastPlace string // last decision that was logged
 }
 
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -329,7 +329,7 @@
 	for _, j := range p.queue {
 		if j.spec.Service == service && j.offloaded == nil {
 			for _, st := range j.steps {
-				if st.ready && !st.waitsNear {
+				if st.ready && st.waitsForCapacity() {
 					n += len(st.queued)
 				}
 			}
--- a/internal/fleet/perserver.go
+++ b/internal/fleet/perserver.go
@@ -22,6 +22,20 @@
 	return n >= limit
 }
 
+// waitsForLimit reports whether the queued tasks of a step wait only for its limit: open
+// servers have room for them.
+func (p *pool) waitsForLimit(st *step, open []*server, now Time) bool {
+	if st.spec.MaxPerServer == 0 || len(st.queued) == 0 {
+		return false
+	}
+	for _, s := range open {
+		if s.takesWork(now) && s.entry.serves(st.job.spec.Service, st.spec) && st.spec.Need.Fits(s.free()) && s.atStepLimit(st.queued[0]) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayOffload reports whether the limit of a step allows another task at an owner, on its
 // servers on a rack if one is given.
 func (p *pool) mayOffload(st *step, to Member, rack string) bool {
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -142,20 +142,24 @@
 		return 0
 	}
 	for _, st := range j.steps {
-		if st.ready && !st.waitsNear {
+		if st.ready && st.waitsForCapacity() {
 			w += float64(len(st.queued)) * float64(st.spec.Need.CPUMilli)
 		}
 	}
 	return w
 }
 
+// waitsForCapacity reports whether the queued tasks of a step wait for capacity, not for a
+// place by choice or for its limit.
+func (st *step) waitsForCapacity() bool { return !st.waitsNear && !st.atLimit }
+
 // waitsForPlace reports whether all tasks of a job that could start wait for a place by
-// choice. Such a job doesn't wait for capacity.
+// choice, or for the limits of their steps. Such a job doesn't wait for capacity.
 func (j *job) waitsForPlace() bool {
 	waits := false
 	for _, st := range j.steps {
 		if st.ready && len(st.queued) > 0 {
-			if !st.waitsNear {
+			if st.waitsForCapacity() {
 				return false
 			}
 			waits = true
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -252,6 +252,7 @@
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayStart(j) {
 				p.startStep(st, open, now)
+				st.atLimit = p.waitsForLimit(st, open, now)
 			}
 		}
 	}
