Jobs of a holder that doesn't report count as the store lists them

A paused holder showed the same.

Cause: a count added up the last reports of live members. A member that refuses connections, or is silent and not listed, dropped out of it at once, and its jobs counted again when another instance had taken them over, after its entry in the store had lapsed. Released jobs, and those of a holder that the instance never heard, counted nowhere either.

Change: reports count while they cover every member and nothing has been released lately. Else the instance that is asked reads the open jobs, at most twice a second, and counts those that have not started of holders that don't report, or without a holder. A job that moves may count twice for half a second; none is left out. For this the record says whether the job has started: with the next write, or 1 s after the start, so that short jobs cost no more writes. A start now counts when the server has confirmed it; a job whose starts were all refused had no longer counted as waiting.

TestPendingCountIncludesSilentHolder goes: its second half demanded 0 once the holder has ended, which is the fault. TestJobReleasedBeforeItsRunEnds now answers the holder's writes, as a store does; its check is the same.

--- a/internal/fleet/durable.go
+++ b/internal/fleet/durable.go
@@ -21,6 +21,9 @@
 	// progressSaveDelay batches task ends into one write: the tasks of a short job end
 	// within this time.
 	progressSaveDelay = 50 * time.Millisecond
+	// startSaveDelay is how long after its start a job is stored as started, which spares
+	// short jobs the write. It tells the next holder and others that the job doesn't wait.
+	startSaveDelay = time.Second
 )
 
 // durableJob is a durable job at its holder.
@@ -37,6 +40,7 @@
 	verified   bool // no other instance can hold the job
 	release    bool // to be released to an instance with suitable servers
 	startAfter Time // runs of the previous holder may continue until then
+	startedAt  Time // when the job was found to have started, 0 before
 
 	unsavedEnds []heldEnd // since the last save was sent
 	savingEnds  []heldEnd // included in the pending save
@@ -55,6 +59,14 @@
 	seq    int64
 }
 
+// accepted reports whether the job is stored, though perhaps by its previous holder.
+func (x *durableJob) accepted() bool { return x.record.Revision != 0 }
+
+// hasStarted reports whether some task has started, here or at an earlier holder.
+func (x *durableJob) hasStarted() bool {
+	return x.record.Started || len(x.progress) > 0 || x.job != nil && x.job.begun
+}
+
 // idle reports whether the job has no active run and no pending save.
 func (x *durableJob) idle() bool {
 	return x.job != nil && !x.job.done && x.job.activeRuns == 0 && !x.saving
@@ -62,7 +74,8 @@
 
 // saveDue reports whether unsaved changes of the job should be written now.
 func (x *durableJob) saveDue(now Time) bool {
-	return x.dirty || len(x.unsavedEnds) > 0 && now.Sub(x.dirtySince) >= progressSaveDelay
+	unsavedStart := x.startedAt != 0 && !x.record.Started && now.Sub(x.startedAt) >= startSaveDelay
+	return x.dirty || unsavedStart || len(x.unsavedEnds) > 0 && now.Sub(x.dirtySince) >= progressSaveDelay
 }
 
 func (x *durableJob) sortedProgress() []TaskProgress {
--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -78,7 +78,12 @@
 		now = now.Add(tickInterval)
 		i.Step(now, PeerMessage{From: other, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now, Busy: true}})
 		for _, e := range i.Step(now, Tick{}) {
-			if x, ok := e.(SaveJob); ok && x.Record.Holder == "" {
+			x, ok := e.(SaveJob)
+			if !ok {
+				continue
+			}
+			i.Step(now, JobSaved{ID: x.Record.ID, Revision: 9 + x.Record.Version})
+			if x.Record.Holder == "" {
 				if after := now.Sub(lost); after < i.pool.orphanRunTime {
 					t.Errorf("released %v after the server was lost, want %v", after, i.pool.orphanRunTime)
 				}
@@ -89,33 +94,6 @@
 	t.Error("the job is not released")
 }
 
-// TestPendingCountIncludesSilentHolder asks for the number of waiting jobs while their
-// holder is silent, as it is frozen. They count until another instance can take them over.
-func TestPendingCountIncludesSilentHolder(t *testing.T) {
-	i, now := oneServer(t, 500)
-	holder := Member{Instance: "n2", Incarnation: "01", Domain: "d", Addr: "b", Weight: 1}
-	i.Step(now, MembersListed{Members: []Member{holder}})
-	i.Step(now, LinkUp{Peer: holder})
-	i.Step(now, PeerMessage{From: holder, ReceivedAt: now, Message: Heartbeat{SentAt: now, Pending: []RouteCount{{"r", 8}}}})
-	pending := func() int {
-		return lookFor[Answer](t, i.Step(now, PendingCountRequested{Call: 1, Route: "r"})).Result.Count
-	}
-	wait := func(d time.Duration) {
-		for end := now.Add(d); now < end; now = now.Add(tickInterval) {
-			i.Step(now, Tick{})
-		}
-	}
-	wait(4 * time.Second)
-	if n := pending(); n != 8 {
-		t.Errorf("%d jobs wait, want 8 while the holder is silent", n)
-	}
-	i.Step(now, MembersListed{})
-	wait(time.Second)
-	if n := pending(); n != 0 {
-		t.Errorf("%d jobs wait, want 0 once the holder has ended", n)
-	}
-}
-
 // TestCancelBeforeFirstWriteIsAnswered guards against starts of a cancelled job whose first
 // write precedes the cancel, but is answered after the news of it.
 func TestCancelBeforeFirstWriteIsAnswered(t *testing.T) {
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -23,6 +23,14 @@
 	return m.Instance == o.Instance && m.Incarnation == o.Incarnation
 }
 
+// memberKey identifies an incarnation of an instance.
+type memberKey struct {
+	instance    model.Instance
+	incarnation model.Incarnation
+}
+
+func (m Member) key() memberKey { return memberKey{m.Instance, m.Incarnation} }
+
 // MembersListed holds the members listed in the store.
 type MembersListed struct{ Members []Member }
 
--- a/internal/fleet/fleetsim/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -129,6 +129,7 @@
 	readCalls      map[fleet.CallID]bool       // taken from its queue
 	lostCalls      map[fleet.CallID]fleet.Time // when callers left that it hasn't noticed yet
 	nextCall       fleet.CallID
+	countRequests  map[fleet.CallID]func(fleet.Result)
 	links          map[model.Instance]*simLink
 	deferred       []deferred    // while frozen
 	lag            time.Duration // added to messages and server calls
@@ -641,6 +642,11 @@
 }
 
 func (w *World) answered(n *simInstance, x fleet.Answer) {
+	if got := n.countRequests[x.Call]; got != nil {
+		delete(n.countRequests, x.Call)
+		got(x.Result)
+		return
+	}
 	j := n.calls[x.Call]
 	if j != nil && j.lost {
 		return
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -27,9 +27,12 @@
 	uncertain bool // another instance may take over the jobs
 	entryLost bool // the store may not list this instance
 	leaving   bool
+	pending   *pendingCounts
+	released  []releasedJob // of late
 
 	scanning              bool
-	scanningAll           bool // the scan under way takes all orphaned jobs, not only those of this instance's earlier incarnations
+	scanBegan             Time // when the last scan began
+	scanningAll           bool // it takes all orphaned jobs, not only those of this instance's earlier incarnations
 	nextScanAt            Time // 0 if none is scheduled
 	scanAll               bool // the same for the next scan
 	nextOrphanScanAt      Time // next periodic scan for orphaned jobs
@@ -37,10 +40,12 @@
 }
 
 func newHolder(self Member, m *members, o *owners, p *pool, now Time, effect func(Effect)) *holder {
-	return &holder{
+	h := &holder{
 		self: self, members: m, owners: o, pool: p, effect: effect, jobs: map[string]*durableJob{}, renewedAt: now,
 		nextScanAt: now, nextOrphanScanAt: now.Add(firstOrphanScanDelay),
 	}
+	h.pending = newPendingCounts(h, m)
+	return h
 }
 
 // offer accepts a durable job. declined reports that it should be offered elsewhere.
@@ -106,7 +111,7 @@
 	x.dirty, x.saving = false, true
 	x.savingEnds, x.unsavedEnds = x.unsavedEnds, nil
 	x.record.Version++
-	x.record.Progress = x.sortedProgress()
+	x.record.Progress, x.record.Started = x.sortedProgress(), x.hasStarted()
 	x.sent = x.record
 	h.effect(SaveJob{Record: x.sent})
 }
@@ -138,6 +143,7 @@
 		h.remove(x)
 		return
 	case x.sent.Holder == "":
+		h.noteReleased(x, now)
 		spec := x.job.spec
 		h.remove(x)
 		h.announceRelease(&spec, now)
@@ -299,6 +305,9 @@
 func (h *holder) tick(now Time) {
 	h.updateCertainty(now)
 	for _, x := range h.sortedJobs() {
+		if x.startedAt == 0 && x.hasStarted() {
+			x.startedAt = now
+		}
 		x.release = x.release || h.misplaced(x, now)
 		if x.saveDue(now) || x.release && h.idle(x) {
 			h.save(x)
@@ -312,32 +321,20 @@
 		h.firstOrphanScanPassed = true
 	}
 	if h.nextScanAt != 0 && now >= h.nextScanAt && !h.scanning && h.members.storeUp {
-		h.scanning, h.scanningAll = true, h.scanAll
+		all := h.scanAll
 		h.nextScanAt, h.scanAll = 0, false
-		h.effect(ScanJobs{})
+		h.startScan(all, now)
 	}
+	h.pending.tick(now)
 }
 
-// pendingByRoute counts the jobs that have not started.
-func (h *holder) pendingByRoute() map[string]int {
-	counts := map[string]int{}
-	for _, x := range h.jobs {
-		if x.job != nil && x.job.starts == 0 {
-			counts[x.job.spec.Route]++
-		}
+// startScan reads the open jobs from the store, unless a scan is under way.
+func (h *holder) startScan(all bool, now Time) {
+	if h.scanning {
+		return
 	}
-	return counts
-}
-
-// pendingRoutes returns the counts of pendingByRoute in order, for heartbeats.
-func (h *holder) pendingRoutes() []RouteCount {
-	counts := h.pendingByRoute()
-	out := make([]RouteCount, 0, len(counts))
-	for r, n := range counts {
-		out = append(out, RouteCount{r, n})
-	}
-	slices.SortFunc(out, func(a, b RouteCount) int { return strings.Compare(a.Route, b.Route) })
-	return out
+	h.scanning, h.scanningAll, h.scanBegan = true, all, now
+	h.effect(ScanJobs{})
 }
 
 // state returns the local state of a job.
@@ -346,7 +343,7 @@
 	switch {
 	case x == nil || x.job == nil || x.job.done:
 		return NotHeld
-	case x.job.starts == 0 && len(x.progress) == 0:
+	case !x.hasStarted():
 		return Queued
 	}
 	return Running
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -178,7 +178,7 @@
 	case JobStateRequested:
 		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: i.holder.state(e.ID)}})
 	case PendingCountRequested:
-		i.effects = append(i.effects, Answer{Call: e.Call, Result: Result{Kind: Counted, Count: i.pendingCount(e.Route, now)}})
+		i.holder.pending.handleRequest(e.Call, e.Route, now)
 	case ConfigApplied:
 		i.config.setInForce(e.Version)
 	case StopRequested:
@@ -290,18 +290,6 @@
 	}
 }
 
-// pendingCount counts the durable jobs of a route that have not started, as all instances
-// last told that haven't ended. A silent one still holds its jobs.
-func (i *Instance) pendingCount(route string, now Time) int {
-	n := i.holder.pendingByRoute()[route]
-	for _, p := range i.members.orderedPeers {
-		if !p.dead {
-			n += p.pending[route]
-		}
-	}
-	return n
-}
-
 // releaseServers releases servers that are marked for release and run nothing.
 func (i *Instance) releaseServers(now Time) {
 	if i.owners.claims > 0 || !i.members.storeUp {
@@ -420,7 +408,7 @@
 		p.handleHeartbeat(m, e.ReceivedAt, now)
 		i.members.handleReports(p, m.Reports, m.Echo, now)
 		p.updateActive(i.members.busy, now)
-		p.setPending(m.Pending)
+		i.holder.pending.handleReport(p.member, m.Pending, now)
 		i.holder.inUse = i.holder.inUse || m.DurableInUse
 		p.declinedAt = 0
 		i.learnEvacuations(p.member.Instance, m, now)
@@ -513,7 +501,7 @@
 	p.heartbeatSentAt = now
 	hb := Heartbeat{
 		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: i.members.echoFor(p, now),
-		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(),
+		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(now),
 		RenewedAt: i.members.renewedAt, Inquiries: i.members.subjectsFor(p, now), Reports: i.members.takeReports(p, now),
 	}
 	if p.everHeard {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -12,9 +12,10 @@
 	origin     Member // instance that offered the job
 	call       CallID
 	steps      []*step
-	remaining  int // tasks not completed
-	starts     int // runs started so far
-	activeRuns int // runs that occupy capacity
+	remaining  int  // tasks not completed
+	starts     int  // runs started so far
+	begun      bool // a server is known to have started a run
+	activeRuns int  // runs that occupy capacity
 	done       bool
 	stalled    bool        // one of its runs has stalled
 	lostRuns   int         // runs of it that vanished, as their server crashed or was lost
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -99,20 +99,14 @@
 	return false
 }
 
-// ownerKey names an incarnation of an owner.
-type ownerKey struct {
-	instance    model.Instance
-	incarnation model.Incarnation
-}
-
 // countFitting returns how many servers could run a task of a step, by owner; only those of
 // a rack if one is given.
-func (o *owners) countFitting(service string, st StepSpec, rack string) map[ownerKey]int {
-	out := map[ownerKey]int{}
+func (o *owners) countFitting(service string, st StepSpec, rack string) map[memberKey]int {
+	out := map[memberKey]int{}
 	for id, e := range o.entries {
 		if e.fits(service, st) && !o.evacuations.has(e.Domain) && (rack == "" || slices.Contains(e.Labels, rack)) {
 			x := o.known[id]
-			out[ownerKey{x.Owner, x.Incarnation}]++
+			out[memberKey{x.Owner, x.Incarnation}]++
 		}
 	}
 	return out
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -30,7 +30,6 @@
 	echoSent         Time          // last echo sent to it
 	remoteReceiveAge time.Duration // time since it last heard from this instance
 	loads            []Load
-	pending          map[string]int  // durable jobs not started, by route
 	declinedAt       Time            // when it last declined a task
 	rackOpensAt      map[string]Time // by rack: when it expects room there after it had none
 
@@ -159,13 +158,6 @@
 	return p.load(service).FreeMilli - max(0, p.offloadSentMilli-p.offloadAckedMilli)
 }
 
-func (p *peer) setPending(counts []RouteCount) {
-	p.pending = make(map[string]int, len(counts))
-	for _, c := range counts {
-		p.pending[c.Route] = c.Count
-	}
-}
-
 func (p *peer) setLoad(l Load) {
 	for i := range p.loads {
 		if p.loads[i].Service == l.Service {
--- a/internal/fleet/perserver.go
+++ b/internal/fleet/perserver.go
@@ -67,5 +67,5 @@
 		counts = p.owners.countFitting(k.service, st.spec, rack)
 		p.fitting[k] = counts
 	}
-	return counts[ownerKey{owner.Instance, owner.Incarnation}]
+	return counts[owner.key()]
 }
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -65,7 +65,7 @@
 	speeds         speedModels
 	holder         *holder
 	places         places
-	fitting        map[fittingKey]map[ownerKey]int // servers by owner, as of the last tick
+	fitting        map[fittingKey]map[memberKey]int // servers by owner, as of the last tick
 
 	unsettled []*task  // suspects of which it isn't known whether their servers have crashed
 	outages   []outage // servers lost of late
@@ -97,7 +97,7 @@
 		speeds:       speedModels{},
 		shortage:     shortage{},
 		places:       places{farFactor: o.FarFactor},
-		fitting:      map[fittingKey]map[ownerKey]int{},
+		fitting:      map[fittingKey]map[memberKey]int{},
 	}
 }
 
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -34,9 +34,13 @@
 	Term        uint32            // number of holders so far
 	Job         JobSpec           // set while the job is open
 	Progress    []TaskProgress    // of tasks with ended runs
+	Started     bool              // some task has started; stored somewhat later
 	Revision    uint64            // in the store, 0 if not stored yet
 }
 
+// HasStarted reports whether a task of the job is known to have started.
+func (r *Record) HasStarted() bool { return r.Started || len(r.Progress) > 0 }
+
 func (r Record) holder() Member { return Member{Instance: r.Holder, Incarnation: r.Incarnation} }
 
 // SameWrite reports whether two records stem from the same write, so that an instance
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -132,7 +132,7 @@
 	}
 	switch e.Outcome {
 	case StartAccepted:
-		r.state, r.answeredAt, r.started = runConfirmed, now, true
+		r.confirm(now)
 	case StartUnanswered:
 		r.callEnded = true
 		if r.state == runStarting {
@@ -162,6 +162,14 @@
 	p.dispatch(now)
 }
 
+// confirm records that the server has started the run.
+func (r *run) confirm(now Time) {
+	r.state, r.answeredAt, r.started = runConfirmed, now, true
+	if r.task != nil {
+		r.task.job.begun = true
+	}
+}
+
 // requeueRun frees a run that was never started or is lost, and queues its task again.
 func (p *pool) requeueRun(s *server, r *run, over RunRecord, now Time) {
 	t := r.task
@@ -530,7 +538,7 @@
 func (p *pool) resolveUncertain(s *server, r *run, present bool, now Time) {
 	switch {
 	case present:
-		r.state, r.answeredAt, r.started = runConfirmed, now, true
+		r.confirm(now)
 	case r.callEnded || r.absentBefore:
 		p.stopRun(s, r, now)
 	default:
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -206,10 +206,12 @@
 	all := h.scanningAll
 	h.scanning, h.scanningAll = false, false
 	if !e.OK {
+		h.pending.answerWaiting(now)
 		h.scheduleScan(now.Add(scanRetryInterval), all)
 		return
 	}
 	h.inUse, h.scanned = h.inUse || len(e.Records) > 0, true
+	h.pending.handleRead(e.Records, h.scanBegan, now)
 	if !h.inUse {
 		h.pool.endAllQuiesce()
 	}
--- a/internal/fleetpb/record.go
+++ b/internal/fleetpb/record.go
@@ -9,6 +9,7 @@
 func FromRecord(r *fleet.Record) *JobRecord {
 	out := &JobRecord{
 		State: int32(r.State), Holder: string(r.Holder), Incarnation: string(r.Incarnation), Version: r.Version, Term: r.Term,
+		Started: r.Started,
 	}
 	if r.State == fleet.StateOpen {
 		out.Job = FromJob(&r.Job)
@@ -28,6 +29,7 @@
 	r := fleet.Record{
 		State: fleet.JobState(b.GetState()), Holder: model.Instance(b.GetHolder()), Incarnation: model.Incarnation(b.GetIncarnation()),
 		Version: b.GetVersion(), Term: b.GetTerm(), Job: b.GetJob().Decode(),
+		Started: b.GetStarted(),
 	}
 	for _, p := range b.GetProgress() {
 		progress := fleet.TaskProgress{Step: int(p.GetStep()), Index: int(p.GetIndex()), Done: p.GetDone(), Failures: int(p.GetFailures())}
--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -48,8 +48,15 @@
 	_, res, ok := c.postAndWait(r.Context(), func(call fleet.CallID) fleet.Event {
 		return fleet.PendingCountRequested{Call: call, Route: route.Name}
 	})
-	if ok {
+	switch {
+	case !ok: // caller disconnected
+	case res.Kind == fleet.Counted:
 		platform.WritePending(w, res.Count)
+	default:
+		c.reject(w, "", platform.Rejection{
+			Status: platform.StatusNotRun, RetryAfter: res.RetryAfter,
+			Problem: "the jobs that wait are not known yet: the store does not answer", Remedy: "Come back after the wait.",
+		})
 	}
 }
 
@@ -110,7 +117,7 @@
 		c.reject(w, id, unknownJob)
 	case e.State != fleet.StateOpen:
 		platform.WriteState(w, finalStates[e.State])
-	case len(e.Progress) > 0:
+	case e.HasStarted():
 		platform.WriteState(w, platform.JobRunning)
 	default:
 		platform.WriteState(w, platform.JobQueued)
