Cancels and counts: a leaving instance, callers that left, and old submissions

An instance that is leaving itself reads the store before it counts waiting jobs, as it has released some. Cancels whose callers have left are dropped from a batch that is written again. TestOutdatedSubmissionIsNotStored checks the time after which a job is no longer stored.

--- a/internal/fleet/pending.go
+++ b/internal/fleet/pending.go
@@ -147,7 +147,7 @@
 		return false
 	case !c.holder.inUse:
 		return true
-	case c.unsettled || len(c.holder.released) > 0:
+	case c.unsettled || c.holder.leaving || len(c.holder.released) > 0:
 		return false
 	}
 	for _, p := range c.members.orderedPeers {
--- a/internal/fleet/pending_test.go
+++ b/internal/fleet/pending_test.go
@@ -123,6 +123,13 @@
 				w.stored[n].Holder, w.stored[n].Incarnation = "", ""
 			}
 		}, 0},
+		{"the asked instance leaves, too", func(w *pendingWorld) {
+			w.step(StopRequested{Deadline: w.now.Add(5 * time.Second)})
+			for n := range w.stored {
+				w.stored[n].Holder, w.stored[n].Incarnation = "", ""
+			}
+			w.wait(time.Second, w.holder, 0)
+		}, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,6 +136,10 @@
 		if !u.jobs.throttle(ctx) {
 			return
 		}
+		batch = slices.DeleteFunc(batch, func(c unstoredCancel) bool { return c.ctx.Err() != nil })
+		if len(batch) == 0 {
+			return
+		}
 		r, err := u.commitOnce(ctx, batch)
 		stored := map[string]bool{}
 		for _, it := range r.Current {
--- a/internal/node/cancels_test.go
+++ b/internal/node/cancels_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// TestOutdatedSubmissionIsNotStored guards against jobs that are stored once a cancel that
+// forbade it has lapsed: their holder couldn't reach the store all the while.
+func TestOutdatedSubmissionIsNotStored(t *testing.T) {
+	s := newSite(t, 1, 1)
+	jobs := s.instances[0].jobs
+	now := bootTime()
+	records := map[string]bool{}
+	var batch []fleet.Record
+	for n, age := range []time.Duration{jobs.storableTime() + time.Second, 0} {
+		id := fmt.Sprintf("%016x", 0xd4+n)
+		records[id] = age == 0
+		batch = append(batch, fleet.Record{
+			ID: id, State: fleet.StateOpen, Holder: "n9", Incarnation: "01", Term: 1, Version: 1,
+			Job: fleet.JobSpec{ID: id, Service: "svc", ReceivedAt: now.Add(-age), Steps: []fleet.StepSpec{{Count: 1}}},
+		})
+	}
+	jobs.commit(t.Context(), batch)
+	for id, want := range records {
+		if _, stored, err := s.instances[0].store.store.Get(t.Context(), platform.JobKey(id)); err != nil || stored != want {
+			t.Errorf("job %s is stored: %v, want %v (%v)", id, stored, want, err)
+		}
+	}
+}
+
 // TestCancelOfRunningBestEffortJob guards against jobs that need not be stored and run on
 // after a cancel at another instance was acknowledged.
 func TestCancelOfRunningBestEffortJob(t *testing.T) {
