Cancels of jobs that aren't stored need no lease and no read

The cancel keys were kept under a lease of the instance that wrote them.

The keys have no lease now. Every instance follows them and removes one that is due under the condition that it wasn't written again: its writer first, the others up to 70 s later, each at another moment.

A cancel no longer reads the record first. The batched transaction finds it, so that 400 cancels of unknown jobs cost under 100 calls (they cost 400 reads), and many of them can't use up the reads by which instances renew their entries. While no more cancels can be kept, those of stored jobs are served as before.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -166,7 +166,7 @@
 		})
 		return
 	}
-	if c.node.jobs.isCancelled(id) {
+	if c.node.jobs.cancels.has(id) {
 		c.reject(w, id, cancelledRejection)
 		return
 	}
--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -15,182 +16,247 @@
 
 // Limits of cancels of jobs that are not stored.
 const (
-	// cancelLeaseUse is how long new cancels are written under the same lease.
-	cancelLeaseUse = time.Minute
-	// maxUnstoredCancels is about how many such cancels the fleet keeps in the store, and
-	// each instance in memory: some 10 MB.
-	maxUnstoredCancels = 1 << 15
+	// maxCancels is about how many such cancels the fleet keeps in the store, and each
+	// instance in memory: some 10 MB.
+	maxCancels = 1 << 15
 	// minStorableTime is the least that storableTime may be.
 	minStorableTime = time.Minute
+	// cancelRemovalSpread is the time in which the instances remove cancels whose writer has
+	// not, each at another moment.
+	cancelRemovalSpread = time.Minute
 )
 
 // errTooManyCancels reports that no further cancel can be kept for now.
 var errTooManyCancels = errors.New("too many cancels of jobs that are not stored are kept")
 
-// unstoredCancels cancels jobs that are not stored, in batched transactions, so that
-// submissions still under way can't store them later. The cancels are kept under a lease,
-// which removes them even if this instance is gone.
-type unstoredCancels struct {
+// cancelStore keeps cancels of jobs that are not stored, so that submissions still under way
+// can't store them later. It writes and removes them in batched transactions. They have no
+// lease, as the store may drop the keys of a lease while its instance can't reach it.
+type cancelStore struct {
 	jobs *jobStore
 	rate *rate.Limiter
 	wake chan struct{}
 
 	mu    sync.Mutex
-	queue []unstoredCancel
-
-	lease      platform.LeaseID // of new cancels; used by run alone
-	leaseSince time.Time        // when it was granted
+	queue []cancelRequest
+	kept  map[string]keptCancel // of all instances, by job
 }
 
-// unstoredCancel is a cancel that waits for its transaction.
-type unstoredCancel struct {
+// cancelRequest is a cancel that waits for its transaction.
+type cancelRequest struct {
 	ctx  context.Context // of the caller
 	id   string
-	done chan cancelOutcome // buffered
+	done chan cancelResult // buffered
+}
+
+// cancelResult is the result of a cancelRequest.
+type cancelResult struct {
+	stored *platform.Item // the record of the job, which is then not cancelled; nil if there is none
+	err    error
 }
 
-// cancelOutcome is the result of an unstoredCancel. cancelled is false without an error if
-// the job is stored.
-type cancelOutcome struct {
-	cancelled bool
-	err       error
+// keptCancel is a cancel in the store.
+type keptCancel struct {
+	revision platform.Revision
+	due      time.Time // when this instance removes it
 }
 
-func newUnstoredCancels(jobs *jobStore) *unstoredCancels {
-	return &unstoredCancels{jobs: jobs, rate: rate.NewLimiter(rate.Inf, 0), wake: make(chan struct{}, 1)}
+func newCancelStore(jobs *jobStore) *cancelStore {
+	return &cancelStore{jobs: jobs, rate: rate.NewLimiter(rate.Inf, 0), wake: make(chan struct{}, 1), kept: map[string]keptCancel{}}
 }
 
 // storableTime returns how long after its submission a job may be stored.
 func (s *jobStore) storableTime() time.Duration {
-	longest := platform.MaxLeaseTTL - cancelLeaseUse - retentionMargin
-	return min(max(s.node.settings.Bounds.StateRetention, minStorableTime), longest)
+	return max(s.node.settings.Bounds.StateRetention, minStorableTime)
 }
 
-// ttl returns how long a cancel is kept at least: until no submission that was under way can
-// be stored any more.
-func (u *unstoredCancels) ttl() time.Duration { return u.jobs.storableTime() + retentionMargin }
+// ttl returns how long a cancel is kept: until no submission that was under way can be
+// stored any more.
+func (c *cancelStore) ttl() time.Duration { return c.jobs.storableTime() + retentionMargin }
 
-// cancel cancels a job. cancelled is false if the job is stored.
-func (u *unstoredCancels) cancel(ctx context.Context, id string) (cancelled bool, err error) {
-	if !u.allow() {
-		return false, errTooManyCancels
+// cancel cancels a job unless it is stored, and returns its record if it is.
+func (c *cancelStore) cancel(ctx context.Context, id string) (stored *platform.Item, err error) {
+	if !c.mayKeepMore() {
+		return nil, errTooManyCancels
 	}
-	c := unstoredCancel{ctx, id, make(chan cancelOutcome, 1)}
-	u.mu.Lock()
-	u.queue = append(u.queue, c)
-	u.mu.Unlock()
+	r := cancelRequest{ctx, id, make(chan cancelResult, 1)}
+	c.mu.Lock()
+	c.queue = append(c.queue, r)
+	c.mu.Unlock()
 	select {
-	case u.wake <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default: // a wake-up is pending
 	}
 	select {
-	case o := <-c.done:
-		return o.cancelled, o.err
+	case x := <-r.done:
+		return x.stored, x.err
 	case <-ctx.Done():
-		return false, ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
-// allow limits the cancels that are kept to this instance's share.
-func (u *unstoredCancels) allow() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	share := max(1, maxUnstoredCancels/u.jobs.node.store.ownerCount())
-	if u.rate.Burst() != share {
-		u.rate.SetBurst(share)
-		u.rate.SetLimit(rate.Limit(float64(share) / u.ttl().Seconds()))
+// mayKeepMore reports whether this instance's share of the cancels isn't used up.
+func (c *cancelStore) mayKeepMore() bool {
+	share := max(1, maxCancels/c.jobs.node.store.ownerCount())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rate.Burst() != share {
+		c.rate.SetBurst(share)
+		c.rate.SetLimit(rate.Limit(float64(share) / c.ttl().Seconds()))
 	}
-	return u.rate.Allow()
+	return c.rate.Tokens() >= 1
 }
 
 // run commits queued cancels in batches until ctx ends.
-func (u *unstoredCancels) run(ctx context.Context) {
+func (c *cancelStore) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-u.wake:
+		case <-c.wake:
 		}
-		for batch := u.nextBatch(); len(batch) > 0; batch = u.nextBatch() {
-			u.commit(ctx, batch)
+		for batch := c.nextBatch(); len(batch) > 0; batch = c.nextBatch() {
+			c.commit(ctx, batch)
 		}
 	}
 }
 
-// nextBatch dequeues the cancels of a transaction, without those that nobody waits for.
-func (u *unstoredCancels) nextBatch() (batch []unstoredCancel) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for len(u.queue) > 0 && len(batch) < platform.UnstoredCancelsPerTxn {
-		if c := u.queue[0]; c.ctx.Err() == nil {
-			batch = append(batch, c)
-		}
-		u.queue = u.queue[1:]
-	}
+// nextBatch dequeues the cancels of a transaction.
+func (c *cancelStore) nextBatch() []cancelRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(len(c.queue), platform.CancelsPerTxn)
+	batch := c.queue[:n:n]
+	c.queue = c.queue[n:]
 	return batch
 }
 
-// commit writes a batch. A caller that gets no answer repeats its cancel.
-func (u *unstoredCancels) commit(ctx context.Context, batch []unstoredCancel) {
-	for len(batch) > 0 {
-		if !u.jobs.throttle(ctx) {
-			return
-		}
-		batch = slices.DeleteFunc(batch, func(c unstoredCancel) bool { return c.ctx.Err() != nil })
-		if len(batch) == 0 {
+// commit writes a batch, without cancels whose callers have left. A caller that gets no
+// answer repeats its cancel.
+func (c *cancelStore) commit(ctx context.Context, batch []cancelRequest) {
+	for {
+		batch = slices.DeleteFunc(batch, func(r cancelRequest) bool { return r.ctx.Err() != nil })
+		if len(batch) == 0 || !c.jobs.throttle(ctx) {
 			return
 		}
-		r, err := u.commitOnce(ctx, batch)
-		stored := map[string]bool{}
-		for _, it := range r.Current {
-			stored[it.Key] = it.ModRevision != 0
+		ids := make([]string, len(batch))
+		for i, r := range batch {
+			ids[i] = r.id
 		}
-		var remaining []unstoredCancel
-		for _, c := range batch {
-			switch {
-			case err != nil:
-				c.done <- cancelOutcome{err: err}
-			case r.Committed:
-				u.jobs.setCancelled(c.id, true)
-				u.jobs.node.post(fleet.JobCancelled{ID: c.id}) // a job that isn't durable may run here
-				c.done <- cancelOutcome{cancelled: true}
-			case stored[platform.JobKey(c.id)]:
-				c.done <- cancelOutcome{}
-			default:
-				remaining = append(remaining, c)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		result, err := c.jobs.node.store.store.Commit(callCtx, platform.CancelUnstoredTxn(ids))
+		cancel()
+		if err != nil || result.Committed {
+			for _, r := range batch {
+				if err == nil {
+					c.keep(r.id, result.Revision)
+				}
+				r.done <- cancelResult{err: err}
 			}
+			return
 		}
-		batch = remaining
+		batch = answerStored(batch, result.Current)
 	}
 }
 
-func (u *unstoredCancels) commitOnce(ctx context.Context, batch []unstoredCancel) (platform.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := u.renewLease(ctx); err != nil {
-		return platform.TxnResult{}, err
+// answerStored answers the cancels of jobs that are stored, and returns the others.
+func answerStored(batch []cancelRequest, current []platform.Item) (remaining []cancelRequest) {
+	for _, r := range batch {
+		i := slices.IndexFunc(current, func(it platform.Item) bool { return it.Key == platform.JobKey(r.id) && it.ModRevision != 0 })
+		if i < 0 {
+			remaining = append(remaining, r)
+			continue
+		}
+		r.done <- cancelResult{stored: &current[i]}
+	}
+	return remaining
+}
+
+// keep records a cancel that this instance has written. The job may run here without being
+// stored.
+func (c *cancelStore) keep(id string, revision platform.Revision) {
+	c.mu.Lock()
+	c.rate.Allow()
+	c.kept[id] = keptCancel{revision, time.Now().Add(c.ttl())}
+	c.mu.Unlock()
+	c.jobs.node.post(fleet.JobCancelled{ID: id})
+}
+
+// observe records a cancel that the store reports, or that it is gone.
+func (c *cancelStore) observe(id string, it platform.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case it.Deleted:
+		delete(c.kept, id)
+	case c.kept[id].revision != it.ModRevision:
+		c.kept[id] = keptCancel{it.ModRevision, time.Now().Add(c.ttl() + c.removalDelay(id))}
 	}
-	ids := make([]string, len(batch))
-	for i, c := range batch {
-		ids[i] = c.id
+}
+
+// removalDelay returns how much later than its writer this instance removes a cancel.
+func (c *cancelStore) removalDelay(id string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(string(c.jobs.node.self.Instance) + "\x00" + id))
+	return retentionMargin + time.Duration(float64(h.Sum32())/(1<<32)*float64(cancelRemovalSpread))
+}
+
+// dropUnlisted forgets the cancels that a complete list of fleet records doesn't hold.
+func (c *cancelStore) dropUnlisted(items []platform.Item) {
+	listed := map[string]bool{}
+	for _, it := range items {
+		if id, ok := platform.CancelledJobFromKey(it.Key); ok {
+			listed[id] = true
+		}
 	}
-	r, err := u.jobs.node.store.store.Commit(ctx, platform.CancelUnstoredTxn(ids, u.lease))
-	if r.LeaseExpired {
-		u.lease = 0 // the next attempt acquires another one
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.kept {
+		if !listed[id] {
+			delete(c.kept, id)
+		}
 	}
-	return r, err
 }
 
-// renewLease acquires a lease for new cancels, if the last one has been used long enough.
-func (u *unstoredCancels) renewLease(ctx context.Context) error {
-	if u.lease != 0 && time.Since(u.leaseSince) < cancelLeaseUse {
-		return nil
+// has reports whether the store keeps a cancel of a job.
+func (c *cancelStore) has(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.kept[id]
+	return ok
+}
+
+// removeDue removes the cancels that are due, unless they were written again.
+func (c *cancelStore) removeDue(ctx context.Context, now time.Time) {
+	for batch := range slices.Chunk(c.dueKeys(now), platform.CancelsPerTxn) {
+		if !c.jobs.throttle(ctx) {
+			return
+		}
+		t := platform.Txn{Preconditions: batch}
+		for _, p := range batch {
+			t.Deletes = append(t.Deletes, p.Key)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := c.jobs.node.store.store.Commit(callCtx, t)
+		cancel()
+		if err != nil {
+			c.jobs.node.limitedLog.callFailed("remove-cancels", "", err)
+		}
 	}
-	since := time.Now()
-	lease, err := u.jobs.node.store.store.Grant(ctx, max(u.ttl()+cancelLeaseUse, u.jobs.node.settings.Store.MinLeaseTTL))
-	if err != nil {
-		return err
+}
+
+// dueKeys returns the keys that are due, and when they were last written. They are due again
+// later, in case one of a batch has changed or the store doesn't answer.
+func (c *cancelStore) dueKeys(now time.Time) (out []platform.Precondition) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, k := range c.kept {
+		if now.Before(k.due) {
+			continue
+		}
+		out = append(out, platform.Precondition{Key: platform.CancelKey(id), ModRevision: k.revision})
+		k.due = now.Add(c.removalDelay(id))
+		c.kept[id] = k
 	}
-	u.lease, u.leaseSince = lease, since
-	return nil
+	return out
 }
--- a/internal/node/cancels_test.go
+++ b/internal/node/cancels_test.go
@@ -163,11 +163,11 @@
 }
 
 // TestManyCancelsOfUnknownJobs cancels jobs that never existed, which must not use up the
-// store's writes.
+// store's calls.
 func TestManyCancelsOfUnknownJobs(t *testing.T) {
 	const jobs = 400
 	s := newSite(t, 1, 1)
-	before := s.store.Faults.Calls().Writes
+	before := s.store.Faults.Calls()
 	var callers sync.WaitGroup
 	for n := range jobs {
 		callers.Go(func() {
@@ -178,10 +178,87 @@
 	}
 	callers.Wait()
 	// Each batch of 16 costs a write; the first ones are smaller, as they don't wait.
-	if writes := s.store.Faults.Calls().Writes - before; writes > jobs/4 {
-		t.Errorf("%d writes for %d cancels", writes, jobs)
+	calls := s.store.Faults.Calls()
+	if writes, reads := calls.Writes-before.Writes, calls.Reads-before.Reads; writes > jobs/4 || reads > jobs/4 {
+		t.Errorf("%d writes and %d reads for %d cancels", writes, reads, jobs)
 	}
 	if status, _, _ := s.call(0, http.MethodDelete, "/q/"+strings.Repeat("z", 300), ""); status != http.StatusGone {
 		t.Errorf("cancel of an impossible ID: %d", status)
 	}
 }
+
+// TestCancelsAreRemoved guards against cancels that stay in the store for good, also once
+// their writer is gone, and against the removal of one that was written again.
+func TestCancelsAreRemoved(t *testing.T) {
+	const id, again = "00000000000000d6", "00000000000000d7"
+	s := newSite(t, 1, 2)
+	exists := func(id string) bool {
+		_, ok, err := s.instances[0].store.store.Get(t.Context(), platform.CancelKey(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ok
+	}
+	for _, job := range []string{id, again} {
+		s.awaitCancelled(0, "/q/"+job)
+		for _, n := range s.instances {
+			s.await("the cancel is known", func() bool { return n.jobs.cancels.has(job) })
+		}
+	}
+	writer, other := s.instances[0].jobs.cancels, s.instances[1].jobs.cancels
+	due := time.Now().Add(writer.ttl())
+	writer.removeDue(t.Context(), due.Add(-time.Minute))
+	other.removeDue(t.Context(), due) // the writer comes first
+	if !exists(id) || !exists(again) {
+		t.Error("a cancel is removed too early")
+	}
+	s.awaitCancelled(0, "/q/"+again)
+	writer.mu.Lock()
+	renewed := writer.kept[again]
+	writer.mu.Unlock()
+	s.await("the other instance knows of it", func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return other.kept[again].revision == renewed.revision
+	})
+	other.mu.Lock()
+	other.kept[again] = keptCancel{renewed.revision - 1, time.Now()} // as if it had not heard of it
+	other.kept[id] = keptCancel{other.kept[id].revision, due.Add(time.Hour)}
+	other.mu.Unlock()
+	other.removeDue(t.Context(), due)
+	if !exists(again) {
+		t.Error("a cancel is removed that was written again")
+	}
+	other.mu.Lock()
+	other.kept[id] = keptCancel{other.kept[id].revision, due}
+	other.mu.Unlock()
+	other.removeDue(t.Context(), due) // the writer hasn't removed it
+	if exists(id) {
+		t.Error("a cancel is kept although it is due")
+	}
+	for _, n := range s.instances {
+		s.await("the cancel is forgotten", func() bool { return !n.jobs.cancels.has(id) })
+	}
+}
+
+// TestCancelOfStoredJobBesideMany guards against cancels of stored jobs that are refused
+// because no further cancels of others can be kept.
+func TestCancelOfStoredJobBesideMany(t *testing.T) {
+	const path = "/q/00000000000000d8"
+	s := newSite(t, 1, 1)
+	startedJobs(s, time.Hour)
+	long := strings.Replace(durableJob("x", 1), `"estMs":5`, `"estMs":3600000`, 1)
+	if status, body, _ := s.call(0, http.MethodPost, path, long); status != http.StatusOK {
+		t.Fatalf("%d %s", status, body)
+	}
+	c := s.instances[0].jobs.cancels
+	s.awaitCancelled(0, "/q/00000000000000d9")
+	c.rate.SetLimit(0)
+	c.rate.AllowN(time.Now(), int(c.rate.Tokens()))
+	if status, body, header := s.call(0, http.MethodDelete, "/q/00000000000000da", ""); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("cancel of an unknown job beside too many others: %d %s", status, body)
+	}
+	if status, body, _ := s.call(0, http.MethodDelete, path, ""); status != http.StatusOK || !strings.Contains(body, "cancelled") {
+		t.Errorf("cancel of a stored job: %d %s", status, body)
+	}
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
@@ -47,10 +47,9 @@
 	queue    []fleet.Record
 	states   map[string]cachedState
 	removals []pendingRemoval           // roughly ordered by due time
-	cancels  map[string]bool            // cancelled jobs in the store, durable or not
 	waiters  map[string][]chan struct{} // by job, closed when it has finished
 
-	unstored *unstoredCancels
+	cancels *cancelStore
 }
 
 // cachedState is the last known state of a job, held here or elsewhere.
@@ -69,9 +68,9 @@
 func newJobStore(n *Node) *jobStore {
 	s := &jobStore{
 		node: n, limiter: rate.NewLimiter(rate.Inf, txnBurst), wake: make(chan struct{}, maxConcurrentTxns), states: map[string]cachedState{},
-		waiters: map[string][]chan struct{}{}, cancels: map[string]bool{},
+		waiters: map[string][]chan struct{}{},
 	}
-	s.unstored = newUnstoredCancels(s)
+	s.cancels = newCancelStore(s)
 	return s
 }
 
@@ -82,7 +81,7 @@
 		all.Go(func() { s.writeLoop(ctx) })
 	}
 	all.Go(func() { s.removalLoop(ctx) })
-	all.Go(func() { s.unstored.run(ctx) })
+	all.Go(func() { s.cancels.run(ctx) })
 	all.Wait()
 }
 
@@ -329,37 +328,6 @@
 	return e.state, ok && (e.state != fleet.StateOpen || time.Since(e.observedAt) < openStateTTL)
 }
 
-// setCancelled records whether the store keeps a cancel of a job.
-func (s *jobStore) setCancelled(id string, cancelled bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cancelled {
-		s.cancels[id] = true
-	} else {
-		delete(s.cancels, id)
-	}
-}
-
-// dropCancels forgets the cancels that a complete list of fleet records doesn't hold.
-func (s *jobStore) dropCancels(items []platform.Item) {
-	listed := map[string]bool{}
-	for _, it := range items {
-		if id, ok := platform.CancelledJobFromKey(it.Key); ok {
-			listed[id] = true
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	maps.DeleteFunc(s.cancels, func(id string, _ bool) bool { return !listed[id] })
-}
-
-// isCancelled reports whether the store keeps a cancel of a job.
-func (s *jobStore) isCancelled(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cancels[id]
-}
-
 // scan reads all durable jobs and reports the open ones to the reducer. It also
 // schedules removal of finished ones, whose writer may have failed.
 func (s *jobStore) scan(ctx context.Context) {
@@ -395,6 +363,7 @@
 // removalLoop removes finished jobs whose state retention has passed.
 func (s *jobStore) removalLoop(ctx context.Context) {
 	for wait.Sleep(ctx, removalInterval) {
+		s.cancels.removeDue(ctx, time.Now())
 		for keys := s.takeDueKeys(time.Now()); len(keys) > 0; keys = s.takeDueKeys(time.Now()) {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			_, err := s.node.store.store.Commit(callCtx, platform.Txn{Deletes: keys})
@@ -426,30 +395,46 @@
 	if err != nil || !ok {
 		return platform.JobEntry{}, false, err
 	}
-	e, err = platform.ParseJobEntry(it, time.Now())
+	e, err = s.parse(it)
+	return e, err == nil, err
+}
+
+// parse decodes a durable job, and caches the state of one that has finished.
+func (s *jobStore) parse(it platform.Item) (platform.JobEntry, error) {
+	e, err := platform.ParseJobEntry(it, time.Now())
 	if err != nil {
-		return platform.JobEntry{}, false, err
+		return platform.JobEntry{}, err
 	}
 	if e.State != fleet.StateOpen {
-		s.recordFinal(id, e.State, e.WrittenAt)
+		s.recordFinal(e.ID, e.State, e.WrittenAt)
 	}
-	return e, true, nil
+	return e, nil
+}
+
+// cancelUnstored cancels a job that isn't stored, or returns its record. If no further
+// cancels can be kept, jobs that are stored are still found.
+func (s *jobStore) cancelUnstored(ctx context.Context, id string) (e platform.JobEntry, stored bool, err error) {
+	it, err := s.cancels.cancel(ctx, id)
+	switch {
+	case errors.Is(err, errTooManyCancels):
+		if e, stored, readErr := s.read(ctx, id); readErr != nil || stored {
+			return e, stored, readErr
+		}
+		return e, false, err
+	case err != nil || it == nil:
+		return e, false, err
+	}
+	e, err = s.parse(*it)
+	return e, true, err
 }
 
 // cancel marks a job as cancelled in the store. known is false if no such job is stored,
 // nor will be: a submission may be under way. A finished job is left unchanged.
 func (s *jobStore) cancel(ctx context.Context, id string) (known bool, err error) {
 	for ctx.Err() == nil {
-		e, ok, err := s.read(ctx, id)
-		if err != nil || ok && e.State != fleet.StateOpen {
-			return ok, err
-		}
-		if !ok {
-			cancelled, err := s.unstored.cancel(ctx, id)
-			if err != nil || cancelled {
-				return false, err
-			}
-			continue // it has been stored meanwhile
+		e, stored, err := s.cancelUnstored(ctx, id)
+		if err != nil || !stored || e.State != fleet.StateOpen {
+			return stored, err
 		}
 		txn, err := platform.CancelTxn(e, time.Now())
 		if err != nil {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -223,7 +223,7 @@
 	s.mu.Lock()
 	clear(s.members)
 	s.mu.Unlock()
-	s.node.jobs.dropCancels(r.Items)
+	s.node.jobs.cancels.dropUnlisted(r.Items)
 	s.apply(r.Items, true)
 }
 
@@ -245,7 +245,10 @@
 			owners = append(owners, o)
 		case platform.RecordCancel:
 			if id, ok := platform.CancelledJobFromKey(it.Key); ok {
-				s.applyCancel(id, it.Deleted)
+				s.node.jobs.cancels.observe(id, it)
+				if !it.Deleted {
+					s.node.post(fleet.JobCancelled{ID: id})
+				}
 			}
 		case platform.RecordConfig:
 			if !it.Deleted {
@@ -266,14 +269,6 @@
 	}
 }
 
-// applyCancel records that a job is cancelled, or that its cancel is no longer kept.
-func (s *storeSync) applyCancel(id string, deleted bool) {
-	s.node.jobs.setCancelled(id, !deleted)
-	if !deleted {
-		s.node.post(fleet.JobCancelled{ID: id})
-	}
-}
-
 func (s *storeSync) applyMember(it platform.Item) {
 	if it.Deleted {
 		delete(s.members, platform.MemberFromKey(it.Key))
