node: cancels are passed on after the list's lock is released

An instance could hang for good: as it listed more cancels than the queue of the reducer holds, it waited for the reducer while it held the lock of the list, and the reducer waited for that lock when it switched its watches.

TestManyCancelsInStore hung before.

--- a/internal/node/cancels_test.go
+++ b/internal/node/cancels_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -262,3 +263,35 @@
 		t.Errorf("cancel of a stored job: %d %s", status, body)
 	}
 }
+
+// TestManyCancelsInStore guards against an instance that hangs as it lists more cancels than
+// the reducer has taken in, while the reducer waits for the lock of the list.
+func TestManyCancelsInStore(t *testing.T) {
+	n := &Node{events: make(chan fleet.Event, eventQueueLength), done: make(chan struct{})}
+	n.store = newStoreSync(n)
+	n.jobs = newJobStore(n)
+	var items []platform.Item
+	for k := range 3 * eventQueueLength {
+		items = append(items, platform.Item{Key: platform.CancelKey(fmt.Sprintf("%016x", k)), ModRevision: 9})
+	}
+	listed := make(chan struct{})
+	go func() {
+		n.store.apply(items, false)
+		close(listed)
+	}()
+	locked := make(chan struct{})
+	go func() {
+		for len(n.events) < eventQueueLength { // until apply waits for the reducer
+			runtime.Gosched()
+		}
+		n.store.watchShared(t.Context(), false) // an effect of the reducer
+		close(locked)
+	}()
+	select {
+	case <-locked:
+	case <-time.After(waitTimeout):
+		t.Error("the reducer waits for the lock of the list")
+	}
+	close(n.done)
+	<-listed
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -231,6 +231,7 @@
 // FleetPrefix.
 func (s *storeSync) apply(items []platform.Item, complete bool) {
 	var owners []fleet.Ownership
+	var cancelled []string
 	members := complete
 	var config []byte
 	s.mu.Lock()
@@ -247,7 +248,7 @@
 			if id, ok := platform.CancelledJobFromKey(it.Key); ok {
 				s.node.jobs.cancels.observe(id, it)
 				if !it.Deleted {
-					s.node.post(fleet.JobCancelled{ID: id})
+					cancelled = append(cancelled, id)
 				}
 			}
 		case platform.RecordConfig:
@@ -258,6 +259,9 @@
 	}
 	list := s.memberList()
 	s.mu.Unlock()
+	for _, id := range cancelled { // the reducer may wait for the lock
+		s.node.post(fleet.JobCancelled{ID: id})
+	}
 	if config != nil {
 		s.node.applyConfig(config, "store")
 	}
