A scan for a count leaves the removal of finished jobs to others

Each instance that was asked for the number of waiting jobs, while a holder didn't report, would have scheduled the removal of all finished jobs that the store listed: some 2 min later the same deletes from each of them, unthrottled and beyond the store's rate. So far one instance scanned after a loss. Found by reading the diff. TestCountingScanRemovesNothing failed before: 1 removal, 0 wanted.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -333,7 +333,9 @@
 type SaveJob struct{ Record Record }
 
 // ScanJobs reads the open jobs from the store.
-type ScanJobs struct{}
+type ScanJobs struct {
+	CountOnly bool // to count them; the removal of finished ones is left to other scans
+}
 
 // WatchStore starts or stops watching the operator's configuration and the list of
 // backend servers in the store, which yields ConfigApplied, ServersListed and
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -323,18 +323,18 @@
 	if h.nextScanAt != 0 && now >= h.nextScanAt && !h.scanning && h.members.storeUp {
 		all := h.scanAll
 		h.nextScanAt, h.scanAll = 0, false
-		h.startScan(all, now)
+		h.startScan(ScanJobs{}, all, now)
 	}
 	h.pending.tick(now)
 }
 
 // startScan reads the open jobs from the store, unless a scan is under way.
-func (h *holder) startScan(all bool, now Time) {
+func (h *holder) startScan(scan ScanJobs, all bool, now Time) {
 	if h.scanning {
 		return
 	}
 	h.scanning, h.scanningAll, h.scanBegan = true, all, now
-	h.effect(ScanJobs{})
+	h.effect(scan)
 }
 
 // state returns the local state of a job.
--- a/internal/fleet/pending.go
+++ b/internal/fleet/pending.go
@@ -72,7 +72,7 @@
 		return
 	}
 	c.requests = append(c.requests, countRequest{call, route, now})
-	c.holder.startScan(false, now)
+	c.holder.startScan(ScanJobs{CountOnly: true}, false, now)
 }
 
 // answer answers a request from what is known. An instance that can't read the store at its
--- a/internal/node/durable_test.go
+++ b/internal/node/durable_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	standin "github.com/nutmegweir/nutmegweir/internal/standin/platform"
+	"github.com/nutmegweir/nutmegweir/platform"
 )
 
 func durableJob(spec string, count int) string {
@@ -109,3 +110,27 @@
 		})
 	}
 }
+
+// TestCountingScanRemovesNothing guards against finished jobs that every instance removes
+// which was asked for a count, beyond the store's rate of writes.
+func TestCountingScanRemovesNothing(t *testing.T) {
+	s := newSite(t, 1, 1)
+	w, err := platform.JobWrite(platform.JobEntry{
+		Record: fleet.Record{ID: "00000000000000e5", State: fleet.StateCompleted, Holder: "gone", Incarnation: "01"}, WrittenAt: time.Now(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	jobs := newJobStore(s.instances[0]) // apart from that of the instance, which scans as well
+	if _, err := jobs.node.store.store.Commit(t.Context(), platform.Txn{Writes: []platform.Write{w}}); err != nil {
+		t.Fatal(err)
+	}
+	jobs.scan(t.Context(), fleet.ScanJobs{CountOnly: true})
+	if n := len(jobs.removals); n != 0 {
+		t.Errorf("%d removals after a scan that counts, want 0", n)
+	}
+	jobs.scan(t.Context(), fleet.ScanJobs{})
+	if n := len(jobs.removals); n != 1 {
+		t.Errorf("%d removals after a scan, want 1", n)
+	}
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -328,9 +328,9 @@
 	return e.state, ok && (e.state != fleet.StateOpen || time.Since(e.observedAt) < openStateTTL)
 }
 
-// scan reads all durable jobs and reports the open ones to the reducer. It also
-// schedules removal of finished ones, whose writer may have failed.
-func (s *jobStore) scan(ctx context.Context) {
+// scan reads all durable jobs and reports the open ones to the reducer. Unless they are only
+// counted, it also schedules removal of finished ones, whose writer may have failed.
+func (s *jobStore) scan(ctx context.Context, scan fleet.ScanJobs) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
 	r, err := s.node.store.store.List(ctx, platform.JobPrefix)
@@ -351,7 +351,9 @@
 			continue
 		}
 		if e.State != fleet.StateOpen {
-			s.recordFinal(e.ID, e.State, e.WrittenAt)
+			if !scan.CountOnly { // else each instance that is asked would remove them
+				s.recordFinal(e.ID, e.State, e.WrittenAt)
+			}
 			continue
 		}
 		e.Job.ReceivedAt = boot.Add(-e.Age)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -148,7 +148,7 @@
 	case fleet.JobEnded:
 		n.jobs.cacheState(x.ID, x.State)
 	case fleet.ScanJobs:
-		n.spawn(func() { n.jobs.scan(l.ctx) })
+		n.spawn(func() { n.jobs.scan(l.ctx, x) })
 	case fleet.WatchStore:
 		n.log.Event(eventlog.StoreFollowed).Bool("on", x.Enabled).Int("servers", x.Servers).Send()
 		n.store.watchShared(l.ctx, x.Enabled)
