holder: a submission of a finished job is answered with its state

A caller that submitted a cancelled job again, at an instance that hadn't heard of the job, got 200 "queued", and saw the job as running for 2 s after that: the record that the store named was taken for an open one whatever its state.

TestSubmissionOfFinishedJob failed before for each of the three final states.

--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// TestSubmissionOfFinishedJob guards against a finished job that is answered as accepted, and
+// shown as running, when its submission comes again at an instance that doesn't know it.
+func TestSubmissionOfFinishedJob(t *testing.T) {
+	for state, want := range map[JobState]ResultKind{StateOpen: Accepted, StateCompleted: Completed, StateFailed: Failed, StateCancelled: Cancelled} {
+		i, now := oneServer(t, 500)
+		spec := oneTaskJob("j1", now)
+		spec.Durable = true
+		i.Step(now, JobSubmitted{Call: 1, Job: spec})
+		stored := Record{ID: "j1", State: state, Holder: "n2", Incarnation: "01", Version: 3, Term: 1, Revision: 8}
+		if r := lookFor[Answer](t, i.Step(now, JobSaved{ID: "j1", Conflict: true, Current: &stored})).Result; r.Kind != want {
+			t.Errorf("a job in state %d is answered %v, want %v", state, r.Kind, want)
+		}
+	}
+}
+
 // TestReleaseDuringScanIsTakenOver guards against released jobs that wait for the next
 // periodic scan because the news of them came while another scan was under way.
 func TestReleaseDuringScanIsTakenOver(t *testing.T) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -160,6 +160,9 @@
 	}
 }
 
+// finalResults are the results of the final states of a job.
+var finalResults = map[JobState]ResultKind{StateCompleted: Completed, StateFailed: Failed, StateCancelled: Cancelled}
+
 // handleConflict processes a write that failed because another instance wrote first.
 func (h *holder) handleConflict(x *durableJob, e JobSaved, now Time) {
 	current := e.Current
@@ -169,6 +172,8 @@
 		answer = Result{Kind: NotRun, Reason: ReasonCancelled}
 	case current == nil:
 		answer = Result{Kind: Unknown}
+	case current.State != StateOpen:
+		answer = Result{Kind: finalResults[current.State]}
 	}
 	h.answerWaiters(x, answer)
 	ends := append(x.savingEnds, x.unsavedEnds...)
