node: conflicts and cancels share how they read a failed transaction

No change of behaviour but one: an instance removes cancels of others after a random delay in the same range, instead of one from a hash written anew. itemsByKey serves both readers of the items that a failed transaction returns, resolveConflict also reports a job that isn't there, and settleOutdated filters its batch without copies and a pointer.

--- a/internal/node/cancels.go
+++ b/internal/node/cancels.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -161,13 +161,14 @@
 
 // answerStored answers the cancels of jobs that are stored, and returns the others.
 func answerStored(batch []cancelRequest, current []platform.Item) (remaining []cancelRequest) {
+	items := itemsByKey(current)
 	for _, r := range batch {
-		i := slices.IndexFunc(current, func(it platform.Item) bool { return it.Key == platform.JobKey(r.id) && it.ModRevision != 0 })
-		if i < 0 {
+		it := items[platform.JobKey(r.id)]
+		if it.ModRevision == 0 {
 			remaining = append(remaining, r)
 			continue
 		}
-		r.done <- cancelResult{stored: &current[i]}
+		r.done <- cancelResult{stored: &it}
 	}
 	return remaining
 }
@@ -190,16 +191,12 @@
 	case it.Deleted:
 		delete(c.kept, id)
 	case c.kept[id].revision != it.ModRevision:
-		c.kept[id] = keptCancel{it.ModRevision, time.Now().Add(c.ttl() + c.removalDelay(id))}
+		c.kept[id] = keptCancel{it.ModRevision, time.Now().Add(c.ttl() + removalDelay())}
 	}
 }
 
-// removalDelay returns how much later than its writer this instance removes a cancel.
-func (c *cancelStore) removalDelay(id string) time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(string(c.jobs.node.self.Instance) + "\x00" + id))
-	return retentionMargin + time.Duration(float64(h.Sum32())/(1<<32)*float64(cancelRemovalSpread))
-}
+// removalDelay returns how much later than its writer an instance removes a cancel.
+func removalDelay() time.Duration { return retentionMargin + rand.N(cancelRemovalSpread) }
 
 // dropUnlisted forgets the cancels that a complete list of fleet records doesn't hold.
 func (c *cancelStore) dropUnlisted(items []platform.Item) {
@@ -255,7 +252,7 @@
 			continue
 		}
 		out = append(out, platform.Precondition{Key: platform.CancelKey(id), ModRevision: k.revision})
-		k.due = now.Add(c.removalDelay(id))
+		k.due = now.Add(removalDelay())
 		c.kept[id] = k
 	}
 	return out
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -147,7 +147,8 @@
 func (s *jobStore) commit(ctx context.Context, batch []fleet.Record) {
 	retry := s.node.store.backoff()
 	for len(batch) > 0 && ctx.Err() == nil {
-		if err := s.settleOutdated(ctx, &batch); err != nil {
+		var err error
+		if batch, err = s.settleOutdated(ctx, batch); err != nil {
 			s.node.limitedLog.callFailed("read-job", "", err)
 			retry.Sleep(ctx)
 			continue
@@ -174,25 +175,26 @@
 
 // settleOutdated drops from a batch the jobs that may no longer be stored, as a cancel that
 // forbids it may have lapsed. An earlier write that wasn't answered may have stored them.
-func (s *jobStore) settleOutdated(ctx context.Context, batch *[]fleet.Record) error {
-	for i, r := range slices.Backward(*batch) {
-		if r.Revision != 0 || bootTime().Sub(r.Job.ReceivedAt) < s.storableTime() {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		it, ok, err := s.node.store.store.Get(callCtx, platform.JobKey(r.ID))
-		cancel()
-		if err != nil {
-			return err
-		}
-		*batch = slices.Delete(slices.Clone(*batch), i, i+1)
-		if ok {
-			s.resolveConflict(r, it)
-		} else {
-			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
+func (s *jobStore) settleOutdated(ctx context.Context, batch []fleet.Record) (remaining []fleet.Record, err error) {
+	remaining = slices.DeleteFunc(batch, func(r fleet.Record) bool {
+		if err != nil || r.Revision != 0 || bootTime().Sub(r.Job.ReceivedAt) < s.storableTime() {
+			return false
 		}
+		err = s.settle(ctx, r)
+		return err == nil
+	})
+	return remaining, err
+}
+
+// settle reports a first write by what the store holds now, without writing.
+func (s *jobStore) settle(ctx context.Context, r fleet.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	it, _, err := s.node.store.store.Get(ctx, platform.JobKey(r.ID))
+	if err == nil {
+		s.resolveConflict(r, it)
 	}
-	return nil
+	return err
 }
 
 // encode returns the transaction for a batch and the records it includes.
@@ -211,13 +213,18 @@
 	return t, in
 }
 
+func itemsByKey(items []platform.Item) map[string]platform.Item {
+	out := make(map[string]platform.Item, len(items))
+	for _, it := range items {
+		out[it.Key] = it
+	}
+	return out
+}
+
 // removeConflicts reports the records that failed their precondition and
 // returns the others.
 func (s *jobStore) removeConflicts(batch []fleet.Record, current []platform.Item) (remaining []fleet.Record) {
-	items := make(map[string]platform.Item, len(current))
-	for _, it := range current {
-		items[it.Key] = it
-	}
+	items := itemsByKey(current)
 	for _, r := range batch {
 		it := items[platform.JobKey(r.ID)]
 		switch unchanged := uint64(it.ModRevision) == r.Revision; {
@@ -225,8 +232,6 @@
 			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true, Cancelled: true})
 		case unchanged:
 			remaining = append(remaining, r)
-		case it.ModRevision == 0:
-			s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
 		default:
 			s.resolveConflict(r, it)
 		}
@@ -237,6 +242,10 @@
 // resolveConflict handles a record that failed its precondition. It may be this
 // instance's own write whose reply was lost.
 func (s *jobStore) resolveConflict(r fleet.Record, it platform.Item) {
+	if it.ModRevision == 0 { // nobody has stored the job, or it has been removed
+		s.node.post(fleet.JobSaved{ID: r.ID, Conflict: true})
+		return
+	}
 	e, err := platform.ParseJobEntry(it, time.Now())
 	switch {
 	case err != nil:
