Pending counts: one predicate for jobs held elsewhere

No change of behaviour. The predicate stood twice. The count goes over the reports, then over what the store lists of others, instead of filling a map with zeros for both. A report older than deadRetention can't be recent, so that check goes.

--- a/internal/fleet/pending.go
+++ b/internal/fleet/pending.go
@@ -93,7 +93,7 @@
 		c.requests = c.requests[1:]
 	}
 	for k, r := range c.reports {
-		if !c.reporting(k, now) && now.Sub(r.at) > deadRetention {
+		if now.Sub(r.at) > deadRetention {
 			delete(c.reports, k)
 			c.unsettled = true
 		}
@@ -161,32 +161,37 @@
 		}
 	}
 	return !slices.ContainsFunc(c.jobs, func(x storedJob) bool {
-		return c.holder.jobs[x.id] == nil && x.holder != c.holder.self.key() && !c.reporting(x.holder, now)
+		return c.heldElsewhere(x) && !c.reporting(x.holder, now)
 	})
 }
 
+// heldElsewhere reports whether another instance holds a job that the store lists, or none.
+func (c *pendingCounts) heldElsewhere(x storedJob) bool {
+	return x.holder != c.holder.self.key() && c.holder.jobs[x.id] == nil
+}
+
 // count returns the number of jobs of a route that have not started, as far as known.
 func (c *pendingCounts) count(route string, now Time) int {
-	stored := map[memberKey]int{} // by other holders
+	listed := map[memberKey]int{}
 	for _, x := range c.jobs {
-		if x.route == route && !x.started && x.holder != c.holder.self.key() && c.holder.jobs[x.id] == nil {
-			stored[x.holder]++
+		if x.route == route && !x.started && c.heldElsewhere(x) {
+			listed[x.holder]++
 		}
 	}
-	for k := range c.reports {
-		stored[k] += 0
-	}
 	n := c.holder.pendingByRoute(now)[route]
-	for k, listed := range stored {
-		r, reported := c.reports[k]
+	for k, r := range c.reports {
 		switch {
-		case reported && c.reporting(k, now) && (c.readAt > r.at || c.members.peers[k.instance].leaving):
-			n += max(r.counts[route], listed) // it may have taken jobs over or released them between the two
-		case reported && c.readAt <= r.at:
+		case c.reporting(k, now) && (c.readAt > r.at || c.members.peers[k.instance].leaving):
+			n += max(r.counts[route], listed[k]) // it may have taken jobs over or released them between the two
+		case c.readAt <= r.at:
 			n += r.counts[route]
 		default:
-			n += listed
+			n += listed[k]
 		}
+		delete(listed, k)
+	}
+	for _, k := range listed { // released, or of holders that this instance hasn't heard
+		n += k
 	}
 	return n
 }
