Owners: the capacity of a rack is kept by incarnation

The owner of each server was searched among all peers to use its member as a key; the incarnation that the ownership names is the key now, as for the servers that fit a step. Lookups are for peers alone, as before.

--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -11,15 +11,15 @@
 
 // places is what a pool knows of racks.
 type places struct {
-	farFactor float64                      // time of a task away from its data, relative to its own
-	claims    map[string]int               // tasks that wait for room on a rack, in this dispatch
-	rooms     map[roomKey]rackRoom         // as of the last start
-	byChoice  int                          // queued jobs that wait for a place
-	waiting   float64                      // milli-cores that queued tasks wait for
-	free      float64                      // milli-cores of the open servers
-	owners    map[string]map[Member]uint32 // milli-cores by rack and owner, as of the last tick
-	sent      map[rackOwnerKey]int         // tasks at other owners, by owner and rack
-	rackWait  time.Duration                // expected for the task that is being declined
+	farFactor float64                         // time of a task away from its data, relative to its own
+	claims    map[string]int                  // tasks that wait for room on a rack, in this dispatch
+	rooms     map[roomKey]rackRoom            // as of the last start
+	byChoice  int                             // queued jobs that wait for a place
+	waiting   float64                         // milli-cores that queued tasks wait for
+	free      float64                         // milli-cores of the open servers
+	owners    map[string]map[memberKey]uint32 // milli-cores by rack and owner, as of the last tick
+	sent      map[rackOwnerKey]int            // tasks at other owners, by owner and rack
+	rackWait  time.Duration                   // expected for the task that is being declined
 }
 
 type rackOwnerKey struct {
@@ -346,7 +346,7 @@
 		if !x.reachable(now) || x.leaving || now < x.rackOpensAt[rack] {
 			continue
 		}
-		room := int(owned[x.member]/max(t.step.spec.Need.CPUMilli, 1)) - p.places.sent[rackOwnerKey{x.member.Instance, rack}]
+		room := int(owned[x.member.key()]/max(t.step.spec.Need.CPUMilli, 1)) - p.places.sent[rackOwnerKey{x.member.Instance, rack}]
 		if room > best && p.mayOffload(t.step, x.member, rack) {
 			best, to = room, x
 		}
@@ -377,31 +377,25 @@
 }
 
 // rackOwners returns the capacity of a rack by its owner.
-func (p *pool) rackOwners(rack string) map[Member]uint32 {
+func (p *pool) rackOwners(rack string) map[memberKey]uint32 {
 	if m, ok := p.places.owners[rack]; ok {
 		return m
 	}
 	if p.places.owners == nil {
-		p.places.owners = map[string]map[Member]uint32{}
+		p.places.owners = map[string]map[memberKey]uint32{}
 	}
-	m := p.owners.capacityByOwner(rack, p.members.orderedPeers)
+	m := p.owners.capacityByOwner(rack)
 	p.places.owners[rack] = m
 	return m
 }
 
-// capacityByOwner returns the milli-cores of the servers with a label, by peer.
-func (o *owners) capacityByOwner(label string, peers []*peer) map[Member]uint32 {
-	out := map[Member]uint32{}
+// capacityByOwner returns the milli-cores of the servers with a label, by owner.
+func (o *owners) capacityByOwner(label string) map[memberKey]uint32 {
+	out := map[memberKey]uint32{}
 	for id, e := range o.entries {
-		if e.State != ServerReady || o.evacuations.has(e.Domain) || !slices.Contains(e.Labels, label) {
-			continue
-		}
-		x := o.known[id]
-		i := slices.IndexFunc(peers, func(q *peer) bool {
-			return q.member.Instance == x.Owner && q.member.Incarnation == x.Incarnation
-		})
-		if i >= 0 {
-			out[peers[i].member] += e.Capacity.CPUMilli
+		if e.State == ServerReady && !o.evacuations.has(e.Domain) && slices.Contains(e.Labels, label) {
+			x := o.known[id]
+			out[memberKey{x.Owner, x.Incarnation}] += e.Capacity.CPUMilli
 		}
 	}
 	return out
