--- a/internal/fleet/fleetsim/perserver_test.go
+++ b/internal/fleet/fleetsim/perserver_test.go
@@ -21,11 +21,16 @@
 	return s
 }
 
-// threeOwners returns a site of three owners with eight servers each.
-func threeOwners() Site {
+// newThreeOwners returns a world of three owners with eight servers each, all of one speed.
+func newThreeOwners(seed uint64) (*World, Site) {
 	s := Glenbrae()
 	s.Domains, s.Instances, s.Servers = []model.Domain{"tayside", "carrick", "ardmore"}, []int{1, 1, 1}, 8
-	return s
+	w := New(seed)
+	w.Build(s)
+	for _, x := range w.servers {
+		x.Speed = 1
+	}
+	return w, s
 }
 
 // TestStepsWiderThanAnyOwner guards against tasks of a step beside each other on a server,
@@ -33,12 +38,7 @@
 // or late although all servers together have room for them.
 func TestStepsWiderThanAnyOwner(t *testing.T) {
 	for _, limit := range []int{1, 2} {
-		w := New(uint64(limit))
-		site := threeOwners()
-		w.Build(site)
-		for _, s := range w.servers {
-			s.Speed = 1
-		}
+		w, site := newThreeOwners(uint64(limit))
 		w.Run(settleTime)
 		for n := range 30 {
 			spec := w.Job(site.Classes[0], 400*time.Millisecond)
@@ -81,12 +81,7 @@
 // TestJobsBesideLimitedStep guards against jobs that are rejected because a step waits for
 // servers without a task of its own, while there is room for all others.
 func TestJobsBesideLimitedStep(t *testing.T) {
-	w := New(4)
-	site := threeOwners()
-	w.Build(site)
-	for _, s := range w.servers {
-		s.Speed = 1
-	}
+	w, site := newThreeOwners(4)
 	w.Run(settleTime)
 	job := func(count int, milli uint32, estimate time.Duration, stretch float64, limit int) *JobRecord {
 		spec := w.Job(site.Classes[0], estimate)
@@ -118,11 +113,8 @@
 // TestLimitedStepOfferedOnce guards against tasks that go back and forth because they are
 // offered to the owner with most room, whose servers are all at the limit of the step.
 func TestLimitedStepOfferedOnce(t *testing.T) {
-	w := New(5)
-	site := threeOwners()
-	w.Build(site)
+	w, site := newThreeOwners(5)
 	for _, s := range w.servers {
-		s.Speed = 1
 		if s.Entry.Domain == "ardmore" {
 			s.Entry.Capacity.CPUMilli = 9000
 		}
