Watches are sent again once the store answers

Cause: cancels of jobs that need not be stored are heard from the watch of the store alone. A watch sent during the outage is never answered, and was given up only 2.7 s later and sent again after up to 0.75 s, while the store already answered renewals.

Change: when a renewal is answered after one that had no answer, the watches under way are sent again.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -41,6 +41,10 @@
 	failedReads int  // consecutive
 	aheadTaken  bool // the first shared watches have started
 	up          bool
+	// answering is cancelled and replaced when the store answers again after a renewal had no
+	// answer: watches sent before may never get one.
+	answering  context.Context
+	endWatches context.CancelFunc
 
 	ahead             *readAhead // set before run
 	serverLister      *serverLister
@@ -80,6 +84,7 @@
 
 func newStoreSync(n *Node) *storeSync {
 	s := &storeSync{node: n, members: map[model.Instance]fleet.Member{}, owners: map[model.ServerID]model.Instance{}}
+	s.answering, s.endWatches = context.WithCancel(context.Background())
 	s.store = platform.NewStore(n.settings.Store, n.metrics.CountStoreCall)
 	s.serverLister = &serverLister{store: s}
 	return s
@@ -184,12 +189,18 @@
 	retry := s.backoff()
 	var pacer fleet.WatchPacer
 	for ctx.Err() == nil {
+		answering := s.answeringContext()
 		callCtx, cancel := context.WithTimeout(ctx, w.wait+loadTimeout)
+		stop := context.AfterFunc(answering, cancel)
 		changes, compacted, err := s.store.Watch(callCtx, w.prefix, at, w.wait)
+		stop()
 		cancel()
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
+		case err != nil && answering.Err() != nil: // sent again at once
+			retry.Reset()
+			continue
 		case err != nil:
 			s.updateReachability(false, err)
 			if !retry.Sleep(ctx) {
@@ -326,12 +337,34 @@
 	return len(seen)
 }
 
-// keepMembership maintains this instance's entry in the store.
+// answeringContext returns the context for watches sent now.
+func (s *storeSync) answeringContext() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answering
+}
+
+// repeatWatches sends the watches under way again.
+func (s *storeSync) repeatWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endWatches()
+	s.answering, s.endWatches = context.WithCancel(context.Background())
+}
+
+// keepMembership maintains this instance's entry in the store. It makes the most frequent
+// calls that are answered at once, so it also notices first that the store is back.
 func (s *storeSync) keepMembership(ctx context.Context) {
+	lost := false // a renewal since the last answered one had no answer
 	for ctx.Err() == nil {
-		if err := s.renew(ctx); err != nil {
+		err := s.renew(ctx)
+		if err != nil {
 			s.node.limitedLog.callFailed("renew", "", err)
 		}
+		if lost && err == nil {
+			s.repeatWatches()
+		}
+		lost = err != nil && (lost || platform.ErrorKind(err) != platform.CallRejected)
 		if !wait.Sleep(ctx, renewInterval) {
 			return
 		}
