mesh: a message for an ended incarnation is dropped

A caller was told 503, not run, while its job ran to its end (REFUSED): it had got the answer to another job.

Cause: a holder waits for the store before it answers an offer. If the instance that made the offer is started again meanwhile, the answer went to its new incarnation, as the mesh looked at the instance's name alone. Offers are numbered from 1 in each incarnation, so that it met another job's offer.

Change: the queue of a link knows the incarnation at the other end and drops messages for others.

TestMessageForEarlierIncarnationIsDropped: 3 of 3 messages for different incarnations were sent before, want 1. TestNothingFollowsDroppedMessage now names the incarnation that its link is connected to; its checks are as before.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -130,12 +130,12 @@
 }
 
 // startConnection drops what was queued or requested for an earlier connection.
-func (l *link) startConnection() {
+func (l *link) startConnection(to model.Incarnation) {
 	select {
 	case <-l.reconnect:
 	default:
 	}
-	l.queue.reset()
+	l.queue.reset(to)
 }
 
 func (l *link) requestReconnect() {
@@ -145,18 +145,18 @@
 	}
 }
 
-// Send queues a message for a member. It never blocks: without a link, the message is
-// dropped; if its queue is full, the message and all later ones until the next
-// connection are.
-func (m *Mesh) Send(to model.Instance, message any) {
+// Send queues a message for an incarnation of a member. It never blocks: without a link to
+// that incarnation, the message is dropped; if its queue is full, the message and all later
+// ones until the next connection are.
+func (m *Mesh) Send(to fleet.Member, message any) {
 	m.mu.Lock()
-	l := m.links[to]
+	l := m.links[to.Instance]
 	m.mu.Unlock()
 	if l == nil {
 		return
 	}
-	if l.queue.add(message) {
-		m.opts.OnError(to, errors.New("the link's send queue is full; reconnecting"))
+	if l.queue.add(to.Incarnation, message) {
+		m.opts.OnError(to.Instance, errors.New("the link's send queue is full; reconnecting"))
 		l.requestReconnect()
 	}
 }
@@ -213,7 +213,7 @@
 	*known = peer
 	l.connectedTo.Store(peer.Incarnation)
 	defer l.connectedTo.Store(model.Incarnation(""))
-	l.startConnection()
+	l.startConnection(peer.Incarnation)
 	m.opts.OnConnect(fleet.LinkUp{Peer: peer})
 	broken := make(chan struct{})
 	go watchClose(stream, broken)
--- a/internal/mesh/sendqueue_test.go
+++ b/internal/mesh/sendqueue_test.go
@@ -27,18 +27,20 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer m.Wait()
 	defer stop()
-	m.Connect(ctx, fleet.Member{Instance: "p", Incarnation: "1", Addr: "a"})
+	peer := fleet.Member{Instance: "p", Incarnation: "1", Addr: "a"}
+	m.Connect(ctx, peer)
 	select {
 	case <-dials:
 	case <-time.After(30 * time.Second):
 		t.Fatal("no dial")
 	}
 	l := m.links["p"]
+	l.queue.reset(peer.Incarnation)
 	for call := range fleet.CallID(queueLength + 1) {
-		m.Send("p", fleet.Withdraw{Call: call})
+		m.Send(peer, fleet.Withdraw{Call: call})
 	}
 	<-l.queue.messages // the connection has sent one
-	m.Send("p", fleet.Heartbeat{})
+	m.Send(peer, fleet.Heartbeat{})
 	if n := len(l.queue.messages); n != queueLength-1 {
 		t.Errorf("%d messages are queued, want %d: none follows the dropped one", n, queueLength-1)
 	}
@@ -50,9 +52,27 @@
 	default:
 		t.Error("the connection is not replaced")
 	}
-	l.queue.reset()
-	m.Send("p", fleet.Heartbeat{})
+	l.queue.reset(peer.Incarnation)
+	m.Send(peer, fleet.Heartbeat{})
 	if n := len(l.queue.messages); n != 1 {
 		t.Errorf("%d messages are queued for the next connection, want 1", n)
 	}
 }
+
+// TestMessageForEarlierIncarnationIsDropped guards against answers that reach the wrong
+// caller: each incarnation of an instance numbers its calls anew.
+func TestMessageForEarlierIncarnationIsDropped(t *testing.T) {
+	m := New(Options{Self: fleet.Member{Instance: "n", Incarnation: "1"}})
+	l := &link{queue: newSendQueue(), reconnect: make(chan struct{}, 1)}
+	m.links["p"] = l
+	answer := fleet.Outcome{Call: 20, Result: fleet.Result{Kind: fleet.Accepted}}
+	for _, connectedTo := range []model.Incarnation{"1", "2"} {
+		l.startConnection(connectedTo)
+		for _, to := range []model.Incarnation{"1", "2", "3"} {
+			m.Send(fleet.Member{Instance: "p", Incarnation: to}, answer)
+		}
+		if n := len(l.queue.messages); n != 1 {
+			t.Errorf("connected to incarnation %s: %d of 3 messages for different incarnations are queued, want 1", connectedTo, n)
+		}
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -61,7 +61,7 @@
 // sendConfig sends the configuration in force to a member that requested it.
 func (n *Node) sendConfig(to fleet.Member) {
 	if c := n.config.get(); c != nil {
-		n.mesh.Send(to.Instance, mesh.Config{Data: c.data})
+		n.mesh.Send(to, mesh.Config{Data: c.data})
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -155,7 +155,7 @@
 	case fleet.ListServers:
 		n.store.serverLister.request(l.ctx)
 	case fleet.SendPeer:
-		n.mesh.Send(x.To.Instance, x.Message)
+		n.mesh.Send(x.To, x.Message)
 	case fleet.SendConfig:
 		n.sendConfig(x.To)
 	case fleet.Connect:
