Labels of a server's earlier life no longer count

Cause: the owner opens a restarted server after its first poll, and placed tasks by the last entry that it had read from the store, up to 0.9 s old, or older while the store is away.

Change: an entry of another life says nothing of labels, as it already said nothing of the cold time. Other tasks start there as before.

TestRestartedServerOfAnotherKind fails without the change: 1 start by the label of the earlier life.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -148,7 +148,7 @@
 		}
 		room := 0
 		for _, s := range p.orderedServers {
-			if s.takesWork(now) && s.entry.serves(j.spec.Service, st.spec) {
+			if s.takesWork(now) && s.serves(j.spec.Service, st.spec) {
 				room += countFits(st.spec.Need, s.free(), st.spec.MaxPerServer)
 			}
 		}
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -12,11 +12,7 @@
 // isCold reports whether the server is still cold, by its entry and the entry's age. An
 // entry of an earlier life says nothing.
 func (s *server) isCold(now Time) bool {
-	e := &s.entry
-	if e.BootMs != 0 && s.life.bootMs != 0 && e.BootMs != s.life.bootMs {
-		return false
-	}
-	return s.reportAge(now) < time.Duration(e.ColdLeftMs)*time.Millisecond
+	return !s.entryOutdated() && s.reportAge(now) < time.Duration(s.entry.ColdLeftMs)*time.Millisecond
 }
 
 // slowdown returns the server's present slowdown relative to the estimates.
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -58,6 +58,17 @@
 	return e.Addr != s.entry.Addr || e.BootMs != s.entry.BootMs && later
 }
 
+// entryOutdated reports whether the server's entry was written in another life than the
+// known one, in which the server may have been of another kind.
+func (s *server) entryOutdated() bool {
+	return s.entry.BootMs != 0 && s.life.bootMs != 0 && s.entry.BootMs != s.life.bootMs
+}
+
+// serves reports whether tasks of a step may run on the server.
+func (s *server) serves(service string, st StepSpec) bool {
+	return s.entry.serves(service, st) && (st.Label == "" || !s.entryOutdated())
+}
+
 // reportEntry records what the server's entry says of leaving, and reports whether the
 // server begins to leave. An entry of the former life says nothing of this one.
 func (s *server) reportEntry() (began bool) {
--- a/internal/fleet/perserver.go
+++ b/internal/fleet/perserver.go
@@ -29,7 +29,7 @@
 		return false
 	}
 	for _, s := range open {
-		if s.takesWork(now) && s.entry.serves(st.job.spec.Service, st.spec) && st.spec.Need.Fits(s.free()) && s.atStepLimit(st.queued[0]) {
+		if s.takesWork(now) && s.serves(st.job.spec.Service, st.spec) && st.spec.Need.Fits(s.free()) && s.atStepLimit(st.queued[0]) {
 			return true
 		}
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -79,7 +79,7 @@
 		return nil
 	}
 	for _, s := range open {
-		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.entry.serves(t.job.spec.Service, t.step.spec) || p.leaseOutlasts(s, wantedAge, now) {
+		if !t.step.spec.Need.Fits(s.free()) || !s.takesWork(now) || !s.serves(t.job.spec.Service, t.step.spec) || p.leaseOutlasts(s, wantedAge, now) {
 			continue
 		}
 		if s.atStepLimit(t) {
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -272,7 +272,7 @@
 
 // isNear reports whether a server that takes work is near the data of a step.
 func (p *pool) isNear(st *step, s *server, now Time) bool {
-	return slices.Contains(s.entry.Labels, st.rackName()) && s.takesWork(now) && s.entry.serves(st.job.spec.Service, st.spec)
+	return slices.Contains(s.entry.Labels, st.rackName()) && s.takesWork(now) && s.serves(st.job.spec.Service, st.spec)
 }
 
 // nearWait returns the time until n more tasks of a step have room near its data, by the
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -102,3 +102,40 @@
 		t.Error("the run still occupies capacity after the new life was told to stop it")
 	}
 }
+
+// restartAsUnknownKind restarts a server that was of kind "large", and lets its owner poll the
+// new life, whose entry isn't known yet. The store is away, which leaves the owner its token.
+func restartAsUnknownKind(t *testing.T) (i *Instance, entry ServerEntry, now Time) {
+	t.Helper()
+	i, now = oneServer(t, 500)
+	entry = i.servers.entries["s1"]
+	entry.BootMs, entry.Labels = 500, []string{"large"}
+	i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 1})
+	i.Step(now, StoreStatus{Up: false})
+	now = now.Add(startupDelay)
+	i.Step(now, pollReply(now, 600))
+	return i, entry, now
+}
+
+// TestRestartedServerOfAnotherKind guards against tasks on a server that lacks their label, as
+// it has restarted as one of another kind.
+func TestRestartedServerOfAnotherKind(t *testing.T) {
+	for _, label := range []string{"large", "small"} {
+		i, entry, now := restartAsUnknownKind(t)
+		labelled, other := shortJob(now), shortJob(now)
+		labelled.Steps[0].Label, labelled.Steps[0].Need.CPUMilli = "large", 1000
+		other.ID = "j2"
+		if n := count[StartRun](i.Step(now, JobSubmitted{Call: 1, Job: labelled})); n != 0 {
+			t.Errorf("%d starts by the label of the earlier life", n)
+		}
+		if n := count[StartRun](i.Step(now, JobSubmitted{Call: 2, Job: other})); n != 1 {
+			t.Errorf("%d starts of a task that any kind may run, want 1", n)
+		}
+		entry.BootMs, entry.Labels = 600, []string{label}
+		effects := i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 2})
+		starts := count[StartRun](append(effects, i.Step(now, Tick{})...))
+		if want := map[string]int{"large": 1, "small": 0}[label]; starts != want {
+			t.Errorf("%d starts on a server of kind %s, want %d", starts, label, want)
+		}
+	}
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -127,7 +127,7 @@
 			reserved++
 			continue
 		}
-		if !s.entry.serves(t.job.spec.Service, t.step.spec) || !t.step.spec.Need.Fits(s.entry.Capacity) {
+		if !s.serves(t.job.spec.Service, t.step.spec) || !t.step.spec.Need.Fits(s.entry.Capacity) {
 			continue
 		}
 		wait, cost := s.emptyIn(now), p.cost(t, s, now)
