A restarted server takes work once its capacity is known

Change: while the store answers, and unless polls tell the capacity, a restarted server isn't opened before the entry of its present life is known. While the store is away the last known capacity counts, as before.

Evidence: TestRestartedServerOfAnotherSize without the change: 1 start before the server's entry is known.

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -35,6 +35,9 @@
 	return p.known && p.bootMs == s.life.bootMs && (former || s.entry.BootMs <= p.bootMs && p.clockMs >= s.entry.ReportedAtMs)
 }
 
+// capacityUnknown reports whether the server hasn't told its capacity in this life.
+func (s *server) capacityUnknown() bool { return s.entryOutdated() && !s.polledCapacityCounts() }
+
 // capacityUnsettled reports whether the last poll and the list differ. Polls go on until
 // they agree, as a list that says the same as before isn't noticed.
 func (s *server) capacityUnsettled() bool {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -139,3 +139,30 @@
 		}
 	}
 }
+
+// TestRestartedServerOfAnotherSize guards against more tasks on a server than it has capacity
+// for, as it has restarted as a smaller one.
+func TestRestartedServerOfAnotherSize(t *testing.T) {
+	i, entry, now := restartAsUnknownKind(t)
+	i.Step(now, StoreStatus{Up: true})
+	i.Step(now, pollReply(now, 700)) // restarted again
+	renewed := lookFor[Claim](t, i.Step(now, Tick{})).Expected[0]
+	renewed.Owner, renewed.Incarnation, renewed.Revision = "n1", "01", 8
+	poll := pollReply(now, 700)
+	poll.Poll = lookFor[Poll](t, i.Step(now, ClaimReply{Owners: []Ownership{renewed}, Known: true, Committed: true}))
+	i.Step(now, JobSubmitted{Call: 1, Job: shortJob(now)})
+	if n := count[StartRun](i.Step(now, poll)); n != 0 {
+		t.Errorf("%d starts before the server's entry is known", n)
+	}
+	entry.BootMs, entry.Capacity.CPUMilli = 700, 100
+	i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 2})
+	if n := count[StartRun](i.Step(now, poll)); n != 0 {
+		t.Errorf("%d starts on a server that is too small", n)
+	}
+	entry.Capacity.CPUMilli = 4000
+	i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 3})
+	i.Step(now, poll)
+	next := shortJob(now)
+	next.ID = "j2"
+	lookFor[StartRun](t, i.Step(now, JobSubmitted{Call: 2, Job: next}))
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -548,11 +548,11 @@
 }
 
 // finishRecovery opens a server for starts once no unknown run is left there, it is no
-// longer quiesced, and, while the store answers, it has a token that no order sent to its
-// earlier life carries: it would carry out such an order late, as it has forgotten
-// tokens and stops.
+// longer quiesced, and, while the store answers, its capacity in this life is known and it
+// has a token that no order sent to its earlier life carries: it would carry out such an
+// order late, as it has forgotten tokens and stops.
 func (p *pool) finishRecovery(s *server, now Time) {
-	if s.quiesceUntil != 0 || p.members.storeUp && p.owners.hasStaleToken(s.entry.ID) || slices.ContainsFunc(s.sortedRuns(), func(r *run) bool { return r.task == nil }) {
+	if s.quiesceUntil != 0 || p.members.storeUp && (p.owners.hasStaleToken(s.entry.ID) || s.capacityUnknown()) || slices.ContainsFunc(s.sortedRuns(), func(r *run) bool { return r.task == nil }) {
 		s.nextPollAt = now.Add(recoveryPollInterval)
 		return
 	}
