The memory of the jobs that an owner holds is bounded

Clients that nobody controls ended a process with requests of legal size: it ran out of memory. Headers and bodies being read are bounded; jobs that wait were not. A job of 80 bytes has up to 4,000 tasks, and a stored one stays when its caller has been answered, so that neither connections nor bytes bound them.

Change: the owner estimates what its jobs take and refuses further ones beyond a sixteenth of its machine's memory, at once, with Retry-After and the reason "memory". Stored jobs and others have a bound each, so that neither keeps the other out. Jobs of a lost holder beyond it stay in the store and are looked for again.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,6 +162,7 @@
 	ReasonStalled          Reason = "stalled"         // a task stalled wherever it ran
 	ReasonCrashes          Reason = "crashes"         // servers were lost under a task wherever it ran
 	ReasonStoreUnavailable Reason = "store"           // it can't be stored at present
+	ReasonMemory           Reason = "memory"          // its owner has no memory for further jobs
 	ReasonCancelled        Reason = "cancelled"       // its caller has cancelled the job with this ID
 )
 
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -64,11 +64,14 @@
 	case !h.members.storeUp || h.uncertain || h.unsavedCount() >= maxUnsavedJobs:
 		h.reply(waiter{origin, call}, Result{Kind: NotRun, Reason: ReasonStoreUnavailable, RetryAfter: minRetryAfter})
 		return false
+	case !h.pool.hasMemoryFor(&spec):
+		h.reply(waiter{origin, call}, Result{Kind: NotRun, Reason: ReasonMemory, RetryAfter: minRetryAfter})
+		return false
 	}
 	spec.Timeout = durableTimeout
 	x = &durableJob{
 		record:  Record{ID: spec.ID, State: StateOpen, Term: 1, Job: spec},
-		waiters: []waiter{{origin, call}}, origin: origin, progress: map[TaskID]TaskProgress{},
+		waiters: []waiter{{origin, call}}, origin: origin, progress: map[TaskID]TaskProgress{}, memory: spec.memory(),
 	}
 	h.jobs[spec.ID] = x
 	h.save(x)
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -18,6 +18,9 @@
 	// FarFactor is how many times its usual time a task takes on another rack than that
 	// of its data. Up to 1, placement doesn't wait for racks.
 	FarFactor float64
+	// MaxJobMemory bounds the estimated memory of the durable jobs held by this instance, and
+	// that of the other jobs at its servers, each in bytes; 0 means no bound.
+	MaxJobMemory int64
 	// Policy selects simpler scheduling decisions as baselines for comparison.
 	Policy Policy
 }
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -25,6 +25,7 @@
 	turn       turn        // by priority and floors
 	again      bool        // an earlier submission of it had runs here
 	records    []RunRecord // of its runs, for the log
+	memory     int64       // estimated, in bytes
 }
 
 // step is a step of a job.
@@ -57,7 +58,7 @@
 }
 
 func newJob(spec JobSpec, origin Member, call CallID) *job {
-	j := &job{spec: spec, due: spec.Due(), origin: origin, call: call}
+	j := &job{spec: spec, due: spec.Due(), origin: origin, call: call, memory: spec.memory()}
 	for n, s := range spec.Steps {
 		st := &step{spec: s, job: j, remaining: s.Count}
 		for i := range s.Count {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -50,6 +50,7 @@
 	// orphanRunTime is the time after which runs that nobody renews have certainly
 	// ended.
 	orphanRunTime time.Duration
+	maxJobMemory  int64 // see Options
 	policy        Policy
 	effect        func(Effect)
 
@@ -87,7 +88,7 @@
 
 func newPool(o Options, m *members, ow *owners, effect func(Effect)) *pool {
 	return &pool{
-		self: o.Self, members: m, owners: ow, lease: o.Lease, orphanRunTime: MaxOrphanRunTime(o.Lease, o.StopTimeout), policy: o.Policy, effect: effect,
+		self: o.Self, members: m, owners: ow, lease: o.Lease, orphanRunTime: MaxOrphanRunTime(o.Lease, o.StopTimeout), maxJobMemory: o.MaxJobMemory, policy: o.Policy, effect: effect,
 		offloads:     map[CallID]offload{},
 		servers:      map[model.ServerID]*server{},
 		jobs:         map[jobKey]*job{},
@@ -190,6 +191,11 @@
 	if spec.Durable {
 		return p.holder.offer(origin, call, spec)
 	}
+	if !p.hasEarlier(spec) && !p.hasMemoryFor(&spec) {
+		p.effect(LogEntry{Kind: LogJobQueued, Offer: call, Job: spec.ID, Peer: origin.Instance, Reason: RefusedPrefix + string(ReasonMemory), Age: minRetryAfter})
+		p.sendOutcome(origin, call, Result{Kind: NotRun, Reason: ReasonMemory, RetryAfter: minRetryAfter}, 0)
+		return false
+	}
 	j := newJob(spec, origin, call)
 	j.again = p.endEarlier(spec.ID, now)
 	p.updateTypicalMilli(spec)
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -276,9 +276,13 @@
 	if h.jobs[r.ID] != nil || h.leaving {
 		return
 	}
+	if !h.pool.hasMemoryFor(&r.Job) {
+		h.scheduleScan(now.Add(orphanScanInterval), true)
+		return
+	}
 	h.inUse = true
 	h.effect(LogEntry{Kind: LogJobAdopted, Job: r.ID, Peer: r.Holder, Value: r.Revision, Reason: string(evidence)})
-	x := &durableJob{record: r, progress: map[TaskID]TaskProgress{}}
+	x := &durableJob{record: r, progress: map[TaskID]TaskProgress{}, memory: r.Job.memory()}
 	for _, p := range r.Progress {
 		x.progress[TaskID{r.ID, p.Step, p.Index}] = p
 	}
--- a/internal/ingress/ingresstest/ingress_test.go
+++ b/internal/ingress/ingresstest/ingress_test.go
@@ -159,48 +159,60 @@
 // descriptors, or answers nobody, because of clients that stay within the limits.
 func TestHostileClients(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "nutmegweir")
-	// Without the race detector, which multiplies memory.
-	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/nutmegweir").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	buildProgram(t, binary)
 	for name, start := range map[string]func(*testing.T, string) *process{"fleet": startFleet, "serve": startServe} {
 		for _, l := range loads {
-			t.Run(name+"/"+l.name, func(t *testing.T) { checkLoad(t, startListening(t, binary, start), l) })
+			t.Run(name+"/"+l.name, func(t *testing.T) { checkLoad(t, l, startListening(t, binary, start)) })
 		}
 	}
 }
 
-// checkLoad starts a load and checks the process during it and afterwards.
-func checkLoad(t *testing.T, p *process, l load) {
-	if ordinaryRequest(t, p); t.Failed() {
-		t.FailNow()
+// buildProgram builds the program without the race detector, which multiplies memory.
+func buildProgram(t *testing.T, binary string) {
+	t.Helper()
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/nutmegweir").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+}
+
+// checkLoad starts a load on processes of one fleet and checks them during it and afterwards.
+func checkLoad(t *testing.T, l load, processes ...*process) {
+	for _, p := range processes {
+		if ordinaryRequest(t, p); t.Failed() {
+			t.FailNow()
+		}
 	}
-	before := p.memory(t)
 	ctx, stop := context.WithTimeout(t.Context(), maxLoad+minLoad)
 	defer stop()
 	var clients, observer sync.WaitGroup
-	clients.Go(func() { l.run(ctx, p) })
-	descriptors := 0
-	observer.Go(func() {
-		for ctx.Err() == nil && p.alive() {
-			descriptors = max(descriptors, p.descriptors(t))
-			time.Sleep(50 * time.Millisecond)
-		}
-	})
+	descriptors := make([]int, len(processes))
+	for n, p := range processes {
+		clients.Go(func() { l.run(ctx, p) })
+		observer.Go(func() {
+			for ctx.Err() == nil && p.alive() {
+				descriptors[n] = max(descriptors[n], p.descriptors(t))
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
 	time.Sleep(minLoad)
-	ordinaryRequest(t, p)
+	for _, p := range processes {
+		ordinaryRequest(t, p)
+	}
 	stop()
 	clients.Wait()
 	observer.Wait()
-	if !p.alive() {
-		t.Fatalf("the process has ended; its log is in %s", p.logFile)
-	}
-	ordinaryRequest(t, p)
-	t.Logf("memory %d MB, %d MB before; %d descriptors", p.memory(t), before, descriptors)
-	if got := p.memory(t); got >= memoryMB/2 {
-		t.Errorf("resident memory reached %d MB; less than %d are allowed", got, memoryMB/2)
-	}
-	if descriptors > maxFDs-reservedFDs {
-		t.Errorf("%d descriptors were open; at most %d are allowed", descriptors, maxFDs-reservedFDs)
+	for n, p := range processes {
+		if !p.alive() {
+			t.Fatalf("the process has ended; its log is in %s", p.logFile)
+		}
+		ordinaryRequest(t, p)
+		t.Logf("memory %d MB, %d descriptors", p.memory(t), descriptors[n])
+		if got := p.memory(t); got >= memoryMB/2 {
+			t.Errorf("resident memory reached %d MB; less than %d are allowed", got, memoryMB/2)
+		}
+		if descriptors[n] > maxFDs-reservedFDs {
+			t.Errorf("%d descriptors were open; at most %d are allowed", descriptors[n], maxFDs-reservedFDs)
+		}
 	}
 }
--- a/internal/ingress/ingresstest/process_test.go
+++ b/internal/ingress/ingresstest/process_test.go
@@ -35,6 +35,9 @@
 	headerBytes = 16_384
 )
 
+// longSpec is the spec of jobs whose tasks run longer than the test.
+const longSpec = "long"
+
 // process is a process under test with its caller port.
 type process struct {
 	cmd     *exec.Cmd
@@ -108,23 +111,39 @@
 
 // startFleet starts `nutmegweir fleet` with a stand-in of the store and one server.
 func startFleet(t *testing.T, binary string) *process {
+	return startFleetInstance(t, binary, "n1", startFleetSite(t))
+}
+
+// startFleetSite starts a stand-in of the store and one server, and returns the store.
+func startFleetSite(t *testing.T) netip.AddrPort {
 	store := standin.New(standin.Options{MinSessionTTL: time.Second})
 	store.Store.Commit(standin.Txn{Writes: []port.Entry{{Key: platform.ConfigKey, Value: fmt.Appendf(nil,
 		`{"version":1,"routes":[{"name":"jobs","host":"h.example","prefix":"/q/","timeoutMs":20000,"sloMs":60,"service":"svc","attempts":3,"stretch":1.6}],`+
 			`"services":[{"name":"svc"}],"limits":{"maxBodyBytes":%d,"maxHeaderBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, bodyBytes, headerBytes)}}})
 	w := worker.NewServer("s1", worker.Options{MaxLease: time.Second, StopDelay: 25 * time.Millisecond})
+	w.Behavior = func(_ fleet.RunID, spec string) (time.Duration, fleet.EndKind) {
+		if spec == longSpec {
+			return time.Hour, fleet.EndDone
+		}
+		return time.Millisecond, fleet.EndDone
+	}
 	store.Store.Register("svc", port.ServiceInstance{
 		ID: "s1", Addr: serveStandin(t, w), Domain: "d0", Slots: 8,
 		Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4096}, State: port.StateActive,
 	})
+	return serveStandin(t, store)
+}
+
+// startFleetInstance starts an instance at a store.
+func startFleetInstance(t *testing.T, binary, name string, store netip.AddrPort) *process {
 	peer := netip.MustParseAddrPort(freePort(t)).Port()
 	addr := freePort(t)
 	file := filepath.Join(t.TempDir(), "settings.json")
-	settings := fmt.Sprintf(`{"node":"n1","ip":"127.0.0.1","zone":"d0","zones":{"d0":"r"},"listen":{"front":%q,"ready":%q},"portRange":[%d,%d],`+
+	settings := fmt.Sprintf(`{"node":%q,"ip":"127.0.0.1","zone":"d0","zones":{"d0":"r"},"listen":{"front":%q,"ready":%q},"portRange":[%d,%d],`+
 		`"limits":{"cpuShare":1,"cores":2,"memoryMb":%d,"maxFds":%d},"discovery":"platform","entry":"vip","commands":"rpc",`+
 		`"bounds":{"graceS":6,"maxHoldMs":1000,"stopTimeoutMs":50,"resendMs":1300,"status_s":120},`+
 		`"platform":{"address":%q,"form":"kv","minTtlMs":1000,"writesPerS":400}}`,
-		addr, freePort(t), peer, peer, memoryMB, maxFDs, serveStandin(t, store))
+		name, addr, freePort(t), peer, peer, memoryMB, maxFDs, store)
 	if err := os.WriteFile(file, []byte(settings), 0o644); err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +152,6 @@
 	p.job = func() string {
 		return `{"spec":"1","bestEffort":true,"steps":[{"count":1,"cpu":100,"memMb":1,"estMs":1}]}`
 	}
-	w.Behavior = func(fleet.RunID, string) (time.Duration, fleet.EndKind) { return time.Millisecond, fleet.EndDone }
 	p.start(t, binary, []string{platform.SettingsVariable + "=" + file}, "fleet")
 	return p
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,6 +9,10 @@
 	"github.com/nutmegweir/nutmegweir/platform"
 )
 
+// jobMemoryShare is the part of the machine's memory, as a divisor, that durable jobs may
+// take, and again other jobs.
+const jobMemoryShare = 16
+
 // finalResponseMargin is reserved for final responses in the grace period.
 const finalResponseMargin = 500 * time.Millisecond
 
@@ -29,7 +33,7 @@
 	overdue.Stop()
 	return &loop{node: n, ctx: ctx, overdue: overdue, reducer: fleet.NewInstance(fleet.Options{
 		Self: n.self, Lease: n.settings.Bounds.MaxLease, StopTimeout: n.settings.Bounds.StopTimeout, SharedWatchMinServers: n.sharedWatchMinServers,
-		FarFactor: n.settings.Bounds.FarFactor,
+		FarFactor: n.settings.Bounds.FarFactor, MaxJobMemory: int64(n.settings.MemoryMB) << 20 / jobMemoryShare,
 	}, bootTime())}
 }
 
