Frames between instances are short, and waiting calls charged whole

Jobs of several instances meet at the one that owns the servers.

Cause: a frame took all messages that were ready, so that a burst of large jobs was encoded and decoded at once; a frame above 4 MB ended the connection. And a waiting call holds its decoded job, 4,000 steps of some 100 bytes, of which only the body was charged to the budget for requests.

Change: a frame ends with the message that brings it to 64 KB; large frames are decoded one after the other; a submission is charged for its decoded job before it is acted upon.

TestFrameEndsWithLargeMessage.

--- a/internal/ingress/ingresstest/waiting_test.go
+++ b/internal/ingress/ingresstest/waiting_test.go
@@ -49,3 +49,22 @@
 		t.Run(l.name, func(t *testing.T) { checkLoad(t, l, startListening(t, binary, startFleet)) })
 	}
 }
+
+// TestForwardedJobs guards against the same where jobs of several instances meet at the one
+// that owns the server.
+func TestForwardedJobs(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "nutmegweir")
+	buildProgram(t, binary)
+	for _, l := range waitingLoads {
+		t.Run(l.name, func(t *testing.T) {
+			store := startFleetSite(t)
+			var fleet []*process
+			for _, name := range []string{"n1", "n2", "n3"} {
+				fleet = append(fleet, startListening(t, binary, func(t *testing.T, binary string) *process {
+					return startFleetInstance(t, binary, name, store)
+				}))
+			}
+			checkLoad(t, l, fleet...)
+		})
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -272,6 +272,24 @@
 	return data, nil
 }
 
+// Hold reserves the memory that a request holds until it is answered, once its body is
+// decoded: n bytes with the body. It must not have been acted upon yet.
+func Hold(r *http.Request, n int64) error {
+	c := connOf(r)
+	if c == nil {
+		return nil
+	}
+	c.guard.mu.Lock()
+	victims, ok := c.guard.charge(c, max(n, c.entry.held), c.guard.now())
+	c.guard.mu.Unlock()
+	c.guard.refuseAll(victims)
+	if !ok {
+		c.guard.report(false, BodyMemory)
+		return ErrRefused
+	}
+	return nil
+}
+
 // shrink gives back bytes of a body.
 func (c *conn) shrink(n int64) {
 	if c == nil {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,8 +9,10 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +40,7 @@
 	redialMax        = 500 * time.Millisecond
 	redialJitter     = 0.3
 	maxFrameBytes    = 4 << 20
+	largeFrameBytes  = 64 << 10 // to which no further message is added
 	maxHelloBytes    = 64 << 10 // a member's names and address take less than 2 KB
 	queueLength      = 512      // messages buffered for a slow link: several seconds of peak load
 )
@@ -61,6 +64,7 @@
 
 	connections atomic.Uint64 // outgoing, so far
 	inbound     inboundLinks
+	decoding    sync.Mutex // held while a large frame is decoded
 }
 
 // New returns a mesh without links.
@@ -274,14 +278,19 @@
 	}
 }
 
+// collectFrame encodes a message and others that are ready, until the frame is large.
 func collectFrame(first any, queue chan any) (*fleetpb.Frame, error) {
 	frame := &fleetpb.Frame{}
+	size := 0
 	for next := first; ; {
 		m, err := encode(next)
 		if err != nil {
 			return nil, err
 		}
 		frame.Messages = append(frame.Messages, m)
+		if size += proto.Size(m); size >= largeFrameBytes {
+			return frame, nil
+		}
 		select {
 		case next = <-queue:
 		default:
@@ -378,22 +387,63 @@
 		return nil // a later connection is up
 	}
 	conn.guard(stream)
-	limit := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	frames := frameReader{r: r}
 	for {
-		var f fleetpb.Frame
-		if err := limit.UnmarshalFrom(r, &f); err != nil {
+		data, err := frames.read()
+		if err != nil {
 			return conn.cause(err)
 		}
-		for _, x := range f.GetMessages() {
-			message, err := decode(x)
-			if err != nil {
-				return err
-			}
-			if !in.deliver(func() { m.opts.OnMessage(from, message) }) {
-				return nil
-			}
+		if more, err := m.deliverFrame(in, from, data); !more {
+			return err
+		}
+	}
+}
+
+// frameReader reads length-prefixed frames. It reuses its buffer.
+type frameReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// read returns the bytes of a frame, which are valid until the next read.
+func (f *frameReader) read() ([]byte, error) {
+	size, err := binary.ReadUvarint(f.r)
+	switch {
+	case err != nil:
+		return nil, err
+	case size > maxFrameBytes:
+		return nil, errors.Errorf("a frame of %d bytes; at most %d are taken", size, maxFrameBytes)
+	}
+	data := slices.Grow(f.buf[:0], int(size))[:size]
+	if f.buf = data; size > maxRetainedBuffer {
+		f.buf = nil
+	}
+	_, err = io.ReadFull(f.r, data)
+	return data, err
+}
+
+// deliverFrame delivers the messages of a frame. more is false if that ends the connection.
+// Large frames take several times their bytes until they are decoded, and are decoded one
+// after the other.
+func (m *Mesh) deliverFrame(in *inboundLink, from fleet.Member, data []byte) (more bool, err error) {
+	if len(data) >= largeFrameBytes {
+		m.decoding.Lock()
+		defer m.decoding.Unlock()
+	}
+	var f fleetpb.Frame
+	if err := proto.Unmarshal(data, &f); err != nil {
+		return false, errors.Wrap(err, "decode a frame")
+	}
+	for _, x := range f.GetMessages() {
+		message, err := decode(x)
+		if err != nil {
+			return false, err
+		}
+		if !in.deliver(func() { m.opts.OnMessage(from, message) }) {
+			return false, nil
 		}
 	}
+	return true, nil
 }
 
 // sessionConfig disables the keep-alive of yamux: heartbeats detect dead peers.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +85,22 @@
 	default:
 	}
 }
+
+// TestFrameEndsWithLargeMessage guards against frames of many megabytes, which a burst of
+// large jobs made and the peer refused.
+func TestFrameEndsWithLargeMessage(t *testing.T) {
+	large := fleet.Offer{Job: fleet.JobSpec{ID: "j", Spec: strings.Repeat("x", largeFrameBytes), Steps: []fleet.StepSpec{{Count: 1}}}}
+	queue := make(chan any, 8)
+	for _, m := range []any{fleet.Withdraw{Call: 1}, large, large, fleet.Withdraw{Call: 2}} {
+		queue <- m
+	}
+	for _, want := range []int{2, 1, 1} {
+		frame, err := collectFrame(<-queue, queue)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := len(frame.Messages); n != want {
+			t.Errorf("a frame of %d messages, want %d", n, want)
+		}
+	}
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -220,7 +220,13 @@
 	if err != nil {
 		return s, &platform.Rejection{Status: platform.StatusBadRequest, Problem: err.Error(), Remedy: "Correct the job."}
 	}
-	return s, unsupported(s, route)
+	if rejection := unsupported(s, route); rejection != nil {
+		return s, rejection
+	}
+	if err := ingress.Hold(r, int64(len(body))+s.Job.Size()); err != nil {
+		return s, bodyRejection(err)
+	}
+	return s, nil
 }
 
 // defaultMaxBodyBytes applies if the configuration sets no limit.
