--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -192,7 +192,10 @@
 		return p.holder.offer(origin, call, spec)
 	}
 	if !p.hasEarlier(spec) && !p.hasMemoryFor(&spec) {
-		p.effect(LogEntry{Kind: LogJobQueued, Offer: call, Job: spec.ID, Peer: origin.Instance, Reason: RefusedPrefix + string(ReasonMemory), Age: minRetryAfter})
+		p.effect(LogEntry{
+			Kind: LogJobQueued, Job: spec.ID, Reason: RefusedPrefix + string(ReasonMemory), Age: minRetryAfter,
+			Class: &JobClass{spec.Route, spec.Priority, origin.Domain},
+		})
 		p.sendOutcome(origin, call, Result{Kind: NotRun, Reason: ReasonMemory, RetryAfter: minRetryAfter}, 0)
 		return false
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -303,17 +303,7 @@
 // TestConfigurationFromPeers isolates an instance from the store before a change.
 func TestConfigurationFromPeers(t *testing.T) {
 	s := newSite(t, 1, 2)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := link.New(s.addr)
-	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	go func() { _ = l.Serve(ctx, listener) }()
-	s.addr = listener.Addr().String()
-	s.addInstance("n2")
-	s.await("the instance is ready", s.instances[2].ready.on.Load)
+	l := s.addInstanceBehindLink("n2")
 	l.SetMode(link.Mode{Silent: true})
 	s.configure(5, strings.Replace(strings.Replace(route, "r1", "r2", 1), "/q/", "/new/", 1))
 	s.await("the new route is served", func() bool { status, _, _ := s.call(2, http.MethodGet, "/new/", ""); return status == 200 })
