Idle servers are polled before their labels count

Change: a task that requires a label starts on a server only if that has answered within the last 0.3 s; else the server is polled, and the task waits for the reply, without being offered to other owners. Tasks without a label start as before.

LIMIT by unlabelled tasks on such a server stays open, see docs/FAILURES.md. TestIdleServerIsPolledBeforeItsLabelCounts without the change: 1 start on a server that hasn't answered for 300ms.

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -37,11 +37,12 @@
 	suspects  []*task // queued tasks that start only alone
 	remaining int     // tasks not completed
 
-	group     string // rack that a group shares, empty if none was chosen
-	spread    bool   // a group runs on more than one rack
-	waitsNear bool   // its queued tasks wait for a place by choice
-	atLimit   bool   // its queued tasks wait for its limit per server, as of the last dispatch
-	lastPlace string // last decision that was logged
+	group      string // rack that a group shares, empty if none was chosen
+	spread     bool   // a group runs on more than one rack
+	waitsNear  bool   // its queued tasks wait for a place by choice
+	awaitsLife bool   // its queued tasks wait for the reply to a poll, as of the last dispatch
+	atLimit    bool   // its queued tasks wait for its limit per server, as of the last dispatch
+	lastPlace  string // last decision that was logged
 }
 
 // task is one task of a job.
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // life is one life of a backend server: from one start of its process to the next. Its
 // boot time names it. The order of boot times is no order of lives, as clocks step back.
 type life struct {
@@ -69,6 +71,22 @@
 	return s.entry.serves(service, st) && (st.Label == "" || !s.entryOutdated())
 }
 
+// lifeKnownFor is how long after a reply the life of a server counts as known: slightly longer
+// than a poll waits, so that servers with runs are polled often enough.
+const lifeKnownFor = 300 * time.Millisecond
+
+// awaitsLife reports whether a task may not start before its server has answered a poll, which
+// is sent if none is pending: one that runs nothing isn't polled, and may have restarted as one
+// of another kind.
+func (p *pool) awaitsLife(s *server, t *task, now Time) bool {
+	if t.step.spec.Label == "" || s.life.bootMs == 0 || now.Sub(s.repliedAt) <= lifeKnownFor {
+		return false
+	}
+	t.step.awaitsLife = true
+	p.pollNow(s, now)
+	return true
+}
+
 // reportEntry records what the server's entry says of leaving, and reports whether the
 // server begins to leave. An entry of the former life says nothing of this one.
 func (s *server) reportEntry() (began bool) {
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -52,7 +52,7 @@
 				continue // each owner would decline it, and the job couldn't be rejected meanwhile
 			}
 			limited := st.spec.MaxPerServer > 0 // another step may find room where this one is at its limit
-			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) && !limited {
+			if n, ok := full[j.spec.Service]; st.ready && len(st.queued) > 0 && !st.waitsNear && !st.awaitsLife && (!ok || st.spec.Need.CPUMilli < n) && !p.offloadStep(j, st, now) && !limited {
 				full[j.spec.Service] = st.spec.Need.CPUMilli
 			}
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -88,6 +88,9 @@
 		if p.barred(t, s) || onlyOnTime && now.Add(p.expect(t.step, s, now)) > t.job.due && !p.spareFor(t, s, now) {
 			continue
 		}
+		if p.awaitsLife(s, t, now) {
+			continue
+		}
 		if c := p.cost(t, s, now); best == nil || c < bestCost {
 			best, bestCost = s, c
 		}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -260,6 +260,7 @@
 	for _, j := range p.queue {
 		for _, st := range j.steps {
 			if st.ready && p.holder.mayStart(j) {
+				st.awaitsLife = false
 				p.startStep(st, open, now)
 				st.atLimit = p.waitsForLimit(st, open, now)
 			}
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -166,3 +166,35 @@
 	next.ID = "j2"
 	lookFor[StartRun](t, i.Step(now, JobSubmitted{Call: 2, Job: next}))
 }
+
+// TestIdleServerIsPolledBeforeItsLabelCounts guards against tasks on a server that lacks their
+// label, as it has restarted as one of another kind while it ran nothing and wasn't polled.
+func TestIdleServerIsPolledBeforeItsLabelCounts(t *testing.T) {
+	for name, bootMs := range map[string]int64{"same life": 500, "restarted": 600} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			entry := i.servers.entries["s1"]
+			entry.BootMs, entry.Labels = 500, []string{"large"}
+			i.Step(now, ServersListed{Servers: []ServerEntry{entry}, Revision: 1})
+			for idle := now; now.Sub(idle) <= lifeKnownFor; now = now.Add(tickInterval) {
+				i.Step(now, Tick{})
+			}
+			labelled, other := shortJob(now), shortJob(now)
+			labelled.Steps[0].Label, labelled.Steps[0].Need.CPUMilli = "large", 1000
+			other.ID = "j2"
+			effects := i.Step(now, JobSubmitted{Call: 1, Job: labelled})
+			if n := count[StartRun](effects); n != 0 {
+				t.Errorf("%d starts on a server that hasn't answered for %v", n, lifeKnownFor)
+			}
+			poll := pollReply(now.Add(2*time.Millisecond), bootMs)
+			poll.Poll, poll.ClockMs = lookFor[Poll](t, effects), i.pool.servers["s1"].clock.now(now)+3
+			if n := count[StartRun](i.Step(now, JobSubmitted{Call: 2, Job: other})); n != 1 {
+				t.Errorf("%d starts of a task that any kind may run, want 1", n)
+			}
+			starts := count[StartRun](i.Step(now.Add(2*time.Millisecond), poll))
+			if want := map[int64]int{500: 1}[bootMs]; starts != want {
+				t.Errorf("%d starts after the reply, want %d", starts, want)
+			}
+		})
+	}
+}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -80,7 +80,7 @@
 			s = p.reserveServer(t, now)
 		}
 		wantedAge := now.Sub(p.members.wantedAt(t.job, now))
-		if s == nil || len(s.runs) > 0 || p.leaseOutlasts(s, wantedAge, now) {
+		if s == nil || len(s.runs) > 0 || p.leaseOutlasts(s, wantedAge, now) || p.awaitsLife(s, t, now) {
 			continue
 		}
 		i := slices.Index(st.suspects, t)
