--- a/internal/fleet/durable.go
+++ b/internal/fleet/durable.go
@@ -36,12 +36,11 @@
 	progress   map[TaskID]TaskProgress
 	saving     bool
 	dirty      bool
-	dirtySince Time  // time of the first unsaved end
-	verified   bool  // no other instance can hold the job
-	release    bool  // to be released to an instance with suitable servers
-	startAfter Time  // runs of the previous holder may continue until then
-	startedAt  Time  // when the job was found to have started, 0 before
-	memory     int64 // estimated, in bytes, until it is a job of the pool
+	dirtySince Time // time of the first unsaved end
+	verified   bool // no other instance can hold the job
+	release    bool // to be released to an instance with suitable servers
+	startAfter Time // runs of the previous holder may continue until then
+	startedAt  Time // when the job was found to have started, 0 before
 
 	unsavedEnds []heldEnd // since the last save was sent
 	savingEnds  []heldEnd // included in the pending save
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -71,7 +71,7 @@
 	spec.Timeout = durableTimeout
 	x = &durableJob{
 		record:  Record{ID: spec.ID, State: StateOpen, Term: 1, Job: spec},
-		waiters: []waiter{{origin, call}}, origin: origin, progress: map[TaskID]TaskProgress{}, memory: spec.memory(),
+		waiters: []waiter{{origin, call}}, origin: origin, progress: map[TaskID]TaskProgress{},
 	}
 	h.jobs[spec.ID] = x
 	h.save(x)
--- a/internal/fleet/jobmemory.go
+++ b/internal/fleet/jobmemory.go
@@ -41,7 +41,7 @@
 	if spec.Durable {
 		for _, x := range p.holder.jobs {
 			if x.job == nil { // being stored
-				n += x.memory
+				n += x.record.Job.memory()
 			}
 		}
 	}
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -282,7 +282,7 @@
 	}
 	h.inUse = true
 	h.effect(LogEntry{Kind: LogJobAdopted, Job: r.ID, Peer: r.Holder, Value: r.Revision, Reason: string(evidence)})
-	x := &durableJob{record: r, progress: map[TaskID]TaskProgress{}, memory: r.Job.memory()}
+	x := &durableJob{record: r, progress: map[TaskID]TaskProgress{}}
 	for _, p := range r.Progress {
 		x.progress[TaskID{r.ID, p.Step, p.Index}] = p
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -278,22 +278,21 @@
 	}
 }
 
-// collectFrame encodes a message and others that are ready, until the frame is large.
+// collectFrame encodes a message and others that are ready, until the frame is large. Nothing
+// else receives from the queue meanwhile.
 func collectFrame(first any, queue chan any) (*fleetpb.Frame, error) {
 	frame := &fleetpb.Frame{}
 	size := 0
-	for next := first; ; {
+	for next := first; ; next = <-queue {
 		m, err := encode(next)
 		if err != nil {
 			return nil, err
 		}
 		frame.Messages = append(frame.Messages, m)
-		if size += proto.Size(m); size >= largeFrameBytes {
+		if len(queue) == 0 { // as for most frames, whose size doesn't matter then
 			return frame, nil
 		}
-		select {
-		case next = <-queue:
-		default:
+		if size += proto.Size(m); size >= largeFrameBytes {
 			return frame, nil
 		}
 	}
