Lines about runs tell conclusion and job before their text

Now conclusion, reason and job come first and the text last. An instance also logs when a task that another owner offloaded to it ends without success (8050), with its runs: until now only run-ended told that, without the offer that the run belonged to.

TestCutLineKeepsConclusion before: the first 200 bytes end in "its task starts again","job".

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -118,6 +118,7 @@
 	RequestShed       = info(8047, "request-shed", "request given up while it was read, as memory was short or its body too slow")
 	PlaceWait         = info(8048, "place-wait", "tasks wait for a place near their data, go to the owner of that rack, or start elsewhere")
 	ServiceResumed    = info(8049, "service-resumed", "times at which this start of the instance reached each phase")
+	OffloadDropped    = info(8050, "offload-dropped", "task that another owner offloaded here ended without success; its run is stopped")
 )
 
 // Catalogue returns all events in the order of their numbers.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -50,9 +50,12 @@
 }
 
 // Event starts an event. The caller adds fields and calls Send.
-func (l *Log) Event(e Event) *zerolog.Event {
+func (l *Log) Event(e Event) *zerolog.Event { return l.Begin(e).Str(zerolog.MessageFieldName, e.Text) }
+
+// Begin starts an event without its text. The caller adds fields and passes the text to Msg,
+// so that a line that is cut keeps its fields.
+func (l *Log) Begin(e Event) *zerolog.Event {
 	return l.logger.WithLevel(e.Level).
 		Int(FieldEvent, e.Number).
-		Str(FieldName, e.Name).
-		Str(zerolog.MessageFieldName, e.Text)
+		Str(FieldName, e.Name)
 }
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -464,6 +464,7 @@
 	LogDomainEvacuated
 	LogDomainRestored
 	LogPlaceWait
+	LogOffloadDropped
 )
 
 // Message is a message between members.
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -72,6 +72,17 @@
 	return j
 }
 
+// endEvent returns the event to log when the job ends, 0 for none.
+func (j *job) endEvent(r Result) LogKind {
+	switch {
+	case j.offloaded == nil:
+		return LogJobEnded
+	case r.Kind != Completed && j.starts > 0:
+		return LogOffloadDropped
+	}
+	return 0
+}
+
 // home returns the instance that holds the job's call, empty if an owner of an earlier
 // version doesn't name it.
 func (j *job) home() Member {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -379,9 +379,9 @@
 	if result.Kind == Unknown && j.starts == 0 {
 		result.Kind = NotRun
 	}
-	if j.offloaded == nil {
+	if kind := j.endEvent(result); kind != 0 {
 		p.effect(LogEntry{
-			Kind: LogJobEnded, Offer: j.call, Job: j.spec.ID, Peer: j.origin.Instance, Count: j.starts,
+			Kind: kind, Offer: j.call, Job: j.spec.ID, Peer: j.origin.Instance, Count: j.starts,
 			Age: now.Sub(j.spec.ReceivedAt), Reason: result.Kind.String() + " " + string(result.Reason),
 			At: now, Runs: j.records,
 		})
--- a/internal/node/limitedlog.go
+++ b/internal/node/limitedlog.go
@@ -41,7 +41,7 @@
 // maxLines returns how many lines may have been written in a second before one of an event.
 func maxLines(e eventlog.Event) int {
 	switch e {
-	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.JobAnswered, eventlog.RequestRefused, eventlog.PlaceWait:
+	case eventlog.JobRouted, eventlog.JobQueued, eventlog.JobEnded, eventlog.OffloadDropped, eventlog.JobAnswered, eventlog.RequestRefused, eventlog.PlaceWait:
 		return maxLinesPerSecond - reservedLines
 	}
 	return maxLinesPerSecond
@@ -104,6 +104,7 @@
 	fleet.LogDomainEvacuated:   eventlog.DomainEvacuated,
 	fleet.LogDomainRestored:    eventlog.DomainRestored,
 	fleet.LogPlaceWait:         eventlog.PlaceWait,
+	fleet.LogOffloadDropped:    eventlog.OffloadDropped,
 }
 
 // writeEntry logs a decision of the reducer.
@@ -116,7 +117,13 @@
 	if !l.allow(e) {
 		return
 	}
-	line := l.log.Event(e)
+	line := l.log.Begin(e)
+	if x.Record != nil && x.Record.Conclusion != "" {
+		line.Str("conclusion", string(x.Record.Conclusion))
+	}
+	if x.Reason != "" {
+		line.Str("reason", x.Reason)
+	}
 	addID(line, x)
 	if x.Peer != "" {
 		line.Str("peer", string(x.Peer))
@@ -139,9 +146,6 @@
 	if x.Value != 0 {
 		line.Uint64("value", x.Value)
 	}
-	if x.Reason != "" {
-		line.Str("reason", x.Reason)
-	}
 	if c := x.Class; c != nil {
 		line.Str("route", c.Route).Int("priority", c.Priority).Str("caller_domain", string(c.Domain))
 	}
@@ -151,7 +155,7 @@
 	if len(x.Runs) > 0 {
 		line.Array("runs", runRecords{x.Runs, x.At})
 	}
-	line.Send()
+	line.Msg(e.Text)
 }
 
 func addID(line *zerolog.Event, x fleet.LogEntry) {
--- a/internal/node/runlog.go
+++ b/internal/node/runlog.go
@@ -36,9 +36,6 @@
 	if r.Fence != 0 {
 		line.Uint64("fence", r.Fence)
 	}
-	if r.Conclusion != "" {
-		line.Str("conclusion", string(r.Conclusion))
-	}
 	if end := r.End.String(); end != "" {
 		line.Str("end", end)
 	}
@@ -63,6 +60,9 @@
 			row.Str("peer", string(r.Peer))
 		}
 		addRecord(row, r, l.at)
+		if r.Conclusion != "" {
+			row.Str("conclusion", string(r.Conclusion))
+		}
 		a.Dict(row)
 	}
 }
--- a/internal/node/runlog_test.go
+++ b/internal/node/runlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +54,23 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// TestCutLineKeepsConclusion checks that the start of a line tells how a run was found to be
+// over, and for which job: readers cut long lines.
+func TestCutLineKeepsConclusion(t *testing.T) {
+	var out bytes.Buffer
+	base, err := eventlog.New(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLimitedLog(base.ForInstance("edge-muttrah-1", "muttrah", "18ef0969af2b0051"), metrics.NewFleet())
+	run := fleet.RunID{Task: fleet.TaskID{Job: "c619a0b1c2d3e4f5"}, Attempt: 1}
+	l.writeEntry(fleet.LogEntry{Kind: fleet.LogRunLost, Server: "i-265e6041", Run: run, Record: &fleet.RunRecord{Run: run, Conclusion: fleet.ConcludedExpired}})
+	const cut = 200
+	head := out.String()[:min(cut, out.Len())]
+	for _, want := range []string{eventlog.RunLost.Name, string(fleet.ConcludedExpired), run.Task.Job} {
+		if !strings.Contains(head, want) {
+			t.Errorf("the first %d bytes lack %q: %s", cut, want, head)
+		}
+	}
+}
