Reproduced: a job starts beside the stopped runs of its ended submission

The caller leaves 0.15 to 0.3 s after it has submitted a job with a deadline of 1.5 s, and its instance isn't told; it submits the job again 1.3 s later, about when the deadline ends the first submission. With a task that the owner had offloaded, the second run starts at the owner or beside the first one at the other instance.

--- a/internal/fleet/fleetsim/callers.go
+++ b/internal/fleet/fleetsim/callers.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// LoseCallerUnnoticed breaks the connection of the caller of a job, which submits it again.
+// The instance isn't told, as when the path to the caller is cut at that moment.
+func (w *World) LoseCallerUnnoticed(j *JobRecord) {
+	for _, n := range w.instances {
+		if j.AnsweredAt == 0 && n.holds(j) {
+			j.AnsweredAt, j.Result, j.lost = w.now, fleet.Result{Kind: fleet.Unknown}, true
+			w.submitAgain(n, j)
+		}
+	}
+}
+
 // inputProcessed returns up to when an instance has noticed which callers left.
 func (n *simInstance) inputProcessed(now fleet.Time) fleet.Time {
 	at := now
--- /dev/null
+++ b/internal/fleet/fleetsim/resubmit_test.go
@@ -0,0 +1,81 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
+)
+
+// resubmitTimeout is the deadline of jobs that are submitted again: a little longer than the
+// time after which their callers do so, as in the users' deployments.
+const resubmitTimeout = 1500 * time.Millisecond
+
+// playEndedSubmission lets a job run at the only owner, ruwi-0, whose instance with the call,
+// muttrah-0, doesn't notice that the caller has left. The job is submitted again at seeb-0 at
+// about the time at which its deadline ends the first submission; after is the time from its
+// submission until the caller leaves.
+func playEndedSubmission(after time.Duration, tasks int, at model.Instance) *World {
+	w := New(1)
+	w.AddInstance("ruwi-0", "ruwi", defaultWeight)
+	w.AddInstance("muttrah-0", "muttrah", defaultWeight) // owns no server
+	w.AddInstance("seeb-0", "seeb", defaultWeight)       // owns no server
+	w.addServers("ruwi", "r0", "r1", "r2", "r3")
+	w.Run(settleTime)
+	spec, work := w.longJob(tasks)
+	spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
+	w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance(at) }
+	j := w.SubmitUntilAnswered("muttrah-0", spec, work)
+	w.Run(after)
+	w.LoseCallerUnnoticed(j)
+	w.Run(4 * time.Second)
+	return w
+}
+
+// TestJobStartsBesideStoppedRunsOfEndedSubmission submits a job again at the owner that is
+// stopping the runs of the first submission, which its deadline has just ended.
+func TestJobStartsBesideStoppedRunsOfEndedSubmission(t *testing.T) {
+	for _, at := range []model.Instance{"muttrah-0", "ruwi-0", "seeb-0"} {
+		for after := 150 * time.Millisecond; after < 300*time.Millisecond; after += 5 * time.Millisecond {
+			for _, v := range playEndedSubmission(after, 2, at).Violations {
+				t.Errorf("caller gone after %v, job submitted again at %s: %s", after, at, v)
+			}
+		}
+	}
+}
+
+// playWithdrawnOffload lets tayside-0 offload a task to carrick-0, and submits the job again
+// at an instance at about the time at which its deadline ends the first submission. stall is
+// how long carrick-0 stands still around that time.
+func playWithdrawnOffload(after, stall time.Duration, at model.Instance) *World {
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0", "c1", "c2")
+	w.Run(settleTime)
+	spec, work := w.longJob(3)
+	spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
+	w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance(at) }
+	j := w.SubmitUntilAnswered("tayside-0", spec, work)
+	w.Run(after)
+	w.LoseCallerUnnoticed(j)
+	w.Run(resubmitTimeout - after - stall/2)
+	w.Freeze("carrick-0", stall)
+	w.Run(4 * time.Second)
+	return w
+}
+
+// TestTaskStartsBesideItsWithdrawnOffload submits a job again whose task another instance
+// runs for the owner of the first submission, at either of the two.
+func TestTaskStartsBesideItsWithdrawnOffload(t *testing.T) {
+	for _, at := range []model.Instance{"tayside-0", "carrick-0"} {
+		for after := 150 * time.Millisecond; after < 300*time.Millisecond; after += 5 * time.Millisecond {
+			for _, stall := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+				for _, v := range playWithdrawnOffload(after, stall, at).Violations {
+					t.Errorf("caller gone after %v, stall of %v, job submitted again at %s: %s", after, stall, at, v)
+				}
+			}
+		}
+	}
+}
