An instance remembers the runs of jobs that have ended there

Cause: an owner knew of an earlier submission of a job only while that was in its table. A submission that ends there (its instance withdraws it, is lost, or its deadline passes) leaves the table at once, while its runs are being stopped and its offloaded tasks withdrawn. The next submission of the job then starts beside them: at the owner, at the instance that ran an offloaded task, or through the instance that had the call, which may offer it to an owner that knows nothing. Callers whose broken connection isn't noticed come again 1.3 s later, the deadline is 1.5 s, so the two meet.

Class: state that is dropped when a decision is made, not when its effects are over.

Change: orphans (orphans.go) keeps each job that ends without success and may have runs, with the time by which these are certainly over; an ended offloaded task by itself. A submission, offer or offloaded task that finds an entry is taken, not declined, and waits, or is rejected until then if its caller can't wait. replaceCall and the wait after endEarlier, which did this for submissions still in the table, now use the same entries; they wait only if runs may exist.

--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -123,11 +123,11 @@
 }
 
 // offerToEvacuated declines or rejects an offer that can't be served because of an
-// evacuation, and reports whether it did either. A job that is here already is neither
-// declined nor rejected: no other owner knows of its runs.
-func (p *pool) offerToEvacuated(origin Member, call CallID, spec *JobSpec) (declined, rejected bool) {
+// evacuation, and reports whether it did either. A job that may have runs known only here is
+// neither declined nor rejected.
+func (p *pool) offerToEvacuated(origin Member, call CallID, spec *JobSpec, now Time) (declined, rejected bool) {
 	switch {
-	case !p.owners.evacuations.any() || p.hasEarlier(*spec) || p.holder.jobs[spec.ID] != nil:
+	case !p.owners.evacuations.any() || p.mayHaveRuns(spec, now) || p.holder.jobs[spec.ID] != nil:
 	case p.allEvacuated(spec.Service):
 		return true, false
 	case p.owners.fit(spec) != fitsEvacuated:
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -121,7 +121,7 @@
 
 // idle reports whether a job may be released: none of its runs may exist, as the next
 // holder doesn't wait for them.
-func (h *holder) idle(x *durableJob) bool { return x.idle() && !h.pool.delays(x.job) }
+func (h *holder) idle(x *durableJob) bool { return x.idle() && h.pool.delayedUntil(x.job) == 0 }
 
 // handleSaved processes the result of a write.
 func (h *holder) handleSaved(e JobSaved, now Time) {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -461,7 +461,7 @@
 	if m.Job.Offloaded != nil {
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
-	leaving := i.leaving && !i.pool.hasEarlier(m.Job)
+	leaving := i.leaving && !i.pool.mayHaveRuns(&m.Job, now)
 	if leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
 		i.decline(p, m.Call, m.Job.Service, now)
 	}
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -157,6 +157,12 @@
 func (p *pool) offerOffloaded(origin Member, call CallID, spec JobSpec, now Time) (declined bool) {
 	j := newOffloadedJob(spec, origin, call)
 	p.noteOffered(j, now)
+	if until := p.orphansEndAt(&spec, now); until != 0 {
+		j.again = true
+		p.stage(j, until.Add(stagedTimeout))
+		p.delayAll(j, WaitsSubmitted, until, now)
+		return false
+	}
 	open := p.openServers(j.offloaded.step.spec.Need.CPUMilli, now)
 	if s := p.pickServer(j.offloaded, open, now); s != nil && !p.onTimeJobQueued(now) && now >= p.noStartsUntil {
 		p.jobs[j.key()] = j
@@ -233,6 +239,9 @@
 		t.stalls++
 		p.countStall(t, now)
 	default:
+		if o.Result.Kind == Unknown {
+			p.orphans.addTask(t.id, now.Add(p.orphanRunTime))
+		}
 		p.endJob(t.job, Result{Kind: Unknown, Reason: o.Result.Reason}, now)
 	}
 	p.dispatch(now)
@@ -276,9 +285,14 @@
 	}
 }
 
-// delays reports whether a task of a job waits for a run that may exist.
-func (p *pool) delays(j *job) bool {
-	return slices.ContainsFunc(p.delayed, func(d delayedTask) bool { return d.task.job == j })
+// delayedUntil returns until when tasks of a job wait for runs that may exist, 0 if none does.
+func (p *pool) delayedUntil(j *job) (until Time) {
+	for _, d := range p.delayed {
+		if d.task.job == j {
+			until = max(until, d.until)
+		}
+	}
+	return until
 }
 
 // requeueDelayed queues the delayed tasks whose last runs have ended.
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -58,6 +58,7 @@
 	orderedServers []*server // sorted by ID
 	jobs           map[jobKey]*job
 	byID           map[string]*job
+	orphans        *orphans
 	queue          []*job // jobs with queued tasks
 	shortage       shortage
 	recent         []recentOutcome
@@ -89,6 +90,7 @@
 func newPool(o Options, m *members, ow *owners, effect func(Effect)) *pool {
 	return &pool{
 		self: o.Self, members: m, owners: ow, lease: o.Lease, orphanRunTime: MaxOrphanRunTime(o.Lease, o.StopTimeout), maxJobMemory: o.MaxJobMemory, policy: o.Policy, effect: effect,
+		orphans:      newOrphans(),
 		offloads:     map[CallID]offload{},
 		servers:      map[model.ServerID]*server{},
 		jobs:         map[jobKey]*job{},
@@ -182,7 +184,7 @@
 		p.sendOutcome(origin, call, p.recent[i].result, p.recent[i].attempt)
 		return false
 	}
-	if declined, rejected := p.offerToEvacuated(origin, call, &spec); declined || rejected {
+	if declined, rejected := p.offerToEvacuated(origin, call, &spec, now); declined || rejected {
 		return declined
 	}
 	if spec.Offloaded != nil {
@@ -191,25 +193,28 @@
 	if spec.Durable {
 		return p.holder.offer(origin, call, spec)
 	}
-	if !p.hasEarlier(spec) && !p.hasMemoryFor(&spec) {
+	p.endEarlier(spec.ID, now)
+	orphansEnd := p.orphansEndAt(&spec, now)
+	if !p.hasMemoryFor(&spec) {
+		retryAfter := max(minRetryAfter, orphansEnd.Sub(now))
 		p.effect(LogEntry{
-			Kind: LogJobQueued, Job: spec.ID, Reason: RefusedPrefix + string(ReasonMemory), Age: minRetryAfter,
+			Kind: LogJobQueued, Job: spec.ID, Reason: RefusedPrefix + string(ReasonMemory), Age: retryAfter,
 			Class: &JobClass{spec.Route, spec.Priority, origin.Domain},
 		})
-		p.sendOutcome(origin, call, Result{Kind: NotRun, Reason: ReasonMemory, RetryAfter: minRetryAfter}, 0)
+		p.sendOutcome(origin, call, Result{Kind: NotRun, Reason: ReasonMemory, RetryAfter: retryAfter}, 0)
 		return false
 	}
 	j := newJob(spec, origin, call)
-	j.again = p.endEarlier(spec.ID, now)
+	j.again = orphansEnd != 0
 	p.updateTypicalMilli(spec)
 	p.noteOffered(j, now)
 	result, wait := p.admit(j, now)
 	switch {
 	case !allowQueue && !j.again && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
 		return true
-	case result == admitReject:
+	case result == admitReject || j.again && !spec.fitsAfter(orphansEnd):
 		if j.again {
-			wait = max(wait, p.orphanRunTime)
+			wait = max(wait, orphansEnd.Sub(now))
 		}
 		p.logQueued(j, RefusedPrefix+string(ReasonOverload), wait)
 		p.sendResult(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.retryAfter(j, wait, now)}, now)
@@ -221,25 +226,24 @@
 	p.jobs[key], p.byID[spec.ID] = j, j
 	p.queue = append(p.queue, j)
 	if j.again {
-		p.delayAll(j, WaitsSubmitted, now.Add(p.orphanRunTime), now)
+		p.delayAll(j, WaitsSubmitted, orphansEnd, now)
 	}
 	p.dispatch(now)
 	return false
 }
 
-// hasEarlier reports whether an earlier submission of a job is here.
-func (p *pool) hasEarlier(spec JobSpec) bool { return spec.Offloaded == nil && p.byID[spec.ID] != nil }
+// mayHaveRuns reports whether this instance runs an earlier submission of a job, or knows of
+// runs of it or of an offloaded task that may go on. As no other owner does, it must not
+// decline the job or task.
+func (p *pool) mayHaveRuns(spec *JobSpec, now Time) bool {
+	return spec.Offloaded == nil && p.byID[spec.ID] != nil || p.orphansEndAt(spec, now) != 0
+}
 
-// endEarlier ends an earlier submission of a job, and reports whether runs of it may go on
-// for orphanRunTime. As no other owner knows that, the job must not be declined then.
-func (p *pool) endEarlier(id string, now Time) (mayRun bool) {
-	old := p.byID[id]
-	if old == nil {
-		return false
+// endEarlier ends an earlier submission of a job.
+func (p *pool) endEarlier(id string, now Time) {
+	if old := p.byID[id]; old != nil {
+		p.endJob(old, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
 	}
-	mayRun = old.starts > 0 || p.delays(old)
-	p.endJob(old, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
-	return mayRun
 }
 
 // dispatch starts all tasks that can start now.
@@ -372,6 +376,7 @@
 		delete(p.byID, j.spec.ID)
 	}
 	if result.Kind != Completed {
+		p.recordOrphans(j, now)
 		p.stopJob(j, now)
 		p.recordOffloads(j)
 		p.withdrawOffloads(j)
@@ -448,6 +453,7 @@
 	for _, s := range p.orderedServers {
 		p.tickServer(s, now)
 	}
+	p.orphans.prune(now)
 	p.updateFastFactor(now)
 	p.places.owners = nil
 	clear(p.fitting)
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -131,3 +131,104 @@
 		t.Error("declined, to be started elsewhere beside its earlier run")
 	}
 }
+
+// TestJobStartsBesideRunsOfEndedJob ends the first submission in each way in which an owner
+// loses a job, and offers the job again, also as a task offloaded by another owner. The first
+// run is being stopped, and only this instance knows of it.
+func TestJobStartsBesideRunsOfEndedJob(t *testing.T) {
+	ends := map[string]func(w *resubmitWorld){
+		"withdrawn": func(w *resubmitWorld) {
+			w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Withdraw{Call: 1}})
+		},
+		"unwanted after a new link": func(w *resubmitWorld) {
+			w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Resync{}})
+		},
+		"its instance has ended": func(w *resubmitWorld) {
+			w.step(LinkDown{Peer: w.first, Refused: true})
+		},
+		"past its deadline": func(w *resubmitWorld) {
+			w.i.pool.jobs[jobKey{w.first.Instance, w.first.Incarnation, 1}].spec.Timeout = 0
+			w.step(Tick{})
+		},
+		"cancelled": func(w *resubmitWorld) {
+			w.i.pool.endJob(w.i.pool.byID[w.job.ID], Result{Kind: Cancelled}, w.now)
+		},
+	}
+	for name, end := range ends {
+		for _, offloaded := range []bool{false, true} {
+			w := newResubmitWorld(t)
+			w.starts, w.now = 0, w.now.Add(time.Millisecond)
+			end(w)
+			endedAt := w.now
+			w.now = w.now.Add(10 * time.Millisecond)
+			if offloaded {
+				w.job.Offloaded = &OffloadedTask{Home: w.second}
+			}
+			declined := w.declines(false)
+			for w.starts == 0 && w.now < endedAt.Add(3*time.Second) {
+				w.run(tickInterval)
+			}
+			if got := w.now.Sub(endedAt); declined || w.starts != 1 || got < w.i.pool.orphanRunTime {
+				t.Errorf("%s, offloaded %v: declined %v, %d starts %v after the end, want one %v after it",
+					name, offloaded, declined, w.starts, got, w.i.pool.orphanRunTime)
+			}
+		}
+	}
+}
+
+// TestCallStartsBesideRunsOfEndedCall ends a call whose job another owner has, and submits the
+// job again at the same instance. It waits for the runs, or is rejected if it can't.
+func TestCallStartsBesideRunsOfEndedCall(t *testing.T) {
+	ends := map[string]Event{
+		"caller gone": CallerDisconnected{Call: 1},
+		"cancelled":   JobCancelled{ID: "j1"},
+		"deadline":    Tick{},
+	}
+	for name, end := range ends {
+		for _, timeout := range []time.Duration{time.Second, time.Minute} {
+			w := newOfferWorld(t)
+			first := oneTaskJob("j1", w.now)
+			first.Timeout = 100 * time.Millisecond
+			w.step(JobSubmitted{Call: 1, Job: first})
+			w.now = w.now.Add(first.Timeout + time.Millisecond)
+			w.step(end)
+			if len(w.open) > 0 {
+				t.Fatalf("%s: the offer is still open", name)
+			}
+			endedAt, second := w.now, oneTaskJob("j1", w.now)
+			second.Timeout = timeout
+			answer := w.submit(JobSubmitted{Call: 2, Job: second})
+			if timeout < w.i.pool.orphanRunTime {
+				if answer == nil || answer.Result.Kind != NotRun || answer.Result.RetryAfter < w.i.pool.orphanRunTime {
+					t.Errorf("%s, no time to wait: got %+v, want a rejection for %v", name, answer, w.i.pool.orphanRunTime)
+				}
+				continue
+			}
+			for len(w.open) == 0 && w.now < endedAt.Add(3*time.Second) {
+				w.now = w.now.Add(tickInterval)
+				w.heartbeats()
+				w.step(Tick{})
+			}
+			if got := w.now.Sub(endedAt); answer != nil || len(w.open) != 1 || got < w.i.pool.orphanRunTime {
+				t.Errorf("%s: answer %v, %d offers %v after the end, want one %v after it", name, answer, len(w.open), got, w.i.pool.orphanRunTime)
+			}
+		}
+	}
+}
+
+// submit passes a submission to the instance, and returns the answer that it gets at once,
+// nil if there is none.
+func (w *offerWorld) submit(e JobSubmitted) (answer *Answer) {
+	w.t.Helper()
+	for _, x := range w.i.Step(w.now, e) {
+		switch x := x.(type) {
+		case Answer:
+			answer = &x
+		case SendPeer:
+			if _, ok := x.Message.(Offer); ok {
+				w.t.Errorf("offered to %s at once", x.To.Instance)
+			}
+		}
+	}
+	return answer
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -128,20 +128,27 @@
 	return n
 }
 
-// handleSubmitted accepts a job from a caller.
+// handleSubmitted accepts a job from a caller. An earlier call with the same job has lost its
+// caller without this instance having noticed; the new one waits for the runs of the earlier.
 func (rt *router) handleSubmitted(e JobSubmitted, now Time) {
 	c := &call{id: e.Call, job: e.Job}
-	earlier := rt.callOf(e.Job.ID)
-	rt.calls[c.id] = c
-	if earlier != nil && !c.job.Durable {
-		rt.replaceCall(earlier, c, now)
+	if !c.job.Durable {
+		if earlier := rt.callOf(c.job.ID); earlier != nil {
+			rt.end(earlier, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+		}
+		c.reofferAt = rt.pool.orphansEndAt(&c.job, now)
 	}
+	rt.calls[c.id] = c
 	r, unfit := rt.owners.unfitResult(&c.job)
 	switch {
 	case unfit:
 		rt.refuse(c, r.Reason, max(r.RetryAfter, c.reofferAt.Sub(now)))
 	case c.reofferAt == 0:
 		rt.route(c, now)
+	case !c.job.fitsAfter(c.reofferAt):
+		rt.refuse(c, ReasonResubmitted, c.reofferAt.Sub(now))
+	default:
+		rt.effect(LogEntry{Kind: LogTaskDelayed, Call: c.id, Job: c.job.ID, Count: c.job.TaskCount(), Reason: string(WaitsSubmitted), Age: c.reofferAt.Sub(now)})
 	}
 }
 
@@ -155,14 +162,24 @@
 	return nil
 }
 
-// replaceCall ends an earlier call with the same job, whose caller has gone without this
-// instance having noticed. The new call waits until runs of the earlier one have ended.
-func (rt *router) replaceCall(earlier, c *call, now Time) {
-	if earlier.owner.Instance != "" || earlier.mayHaveRun || earlier.reofferAt != 0 {
-		c.reofferAt = now.Add(rt.pool.orphanRunTime)
+// end answers a call before its job is over, and withdraws the job.
+func (rt *router) end(c *call, r Result, now Time) {
+	rt.recordOrphans(c, now)
+	rt.withdraw(c, now)
+	rt.finish(c, r)
+}
+
+// recordOrphans records the runs that may go on when a call ends. Those of a job at this
+// instance are recorded by its owner part.
+func (rt *router) recordOrphans(c *call, now Time) {
+	elsewhere := c.owner.Instance != "" && c.owner.Instance != rt.self.Instance
+	switch {
+	case c.job.Durable:
+	case elsewhere || c.mayHaveRun:
+		rt.pool.orphans.addJob(c.job.ID, now.Add(rt.pool.orphanRunTime))
+	case c.reofferAt != 0:
+		rt.pool.orphans.addJob(c.job.ID, c.reofferAt)
 	}
-	rt.withdraw(earlier, now)
-	rt.finish(earlier, Result{Kind: Unknown, Reason: ReasonResubmitted})
 }
 
 // route offers a job to the owner that can start it immediately, else to the queue
@@ -273,8 +290,7 @@
 	for _, c := range rt.sortedCalls() {
 		switch {
 		case now > c.job.Deadline() && !c.job.Durable:
-			rt.withdraw(c, now)
-			rt.finish(c, Result{Kind: Unknown, Reason: ReasonDeadline})
+			rt.end(c, Result{Kind: Unknown, Reason: ReasonDeadline}, now)
 		case c.reofferAt != 0 && now >= c.reofferAt:
 			rt.reoffer(c, now)
 		}
@@ -348,6 +364,9 @@
 		rt.route(c, now)
 		return
 	}
+	if o.Result.Kind != Completed && o.Result.Kind != NotRun {
+		rt.recordOrphans(c, now)
+	}
 	rt.finish(c, o.Result)
 }
 
@@ -390,6 +409,7 @@
 		return
 	}
 	delete(rt.calls, id)
+	rt.recordOrphans(c, now)
 	rt.withdraw(c, now)
 }
 
@@ -397,8 +417,7 @@
 // holder, which learns from the store whether the job had been stored.
 func (rt *router) handleCancelled(job string, now Time) {
 	if c := rt.callOf(job); c != nil && !c.job.Durable {
-		rt.withdraw(c, now)
-		rt.finish(c, Result{Kind: Cancelled, Reason: ReasonCancelled})
+		rt.end(c, Result{Kind: Cancelled, Reason: ReasonCancelled}, now)
 	}
 }
 
@@ -435,7 +454,8 @@
 		}
 		had = true
 		rt.withdraw(c, now)
-		if c.job.Durable || runsEnd.Add(c.job.CriticalPath()) > c.job.Deadline() {
+		if c.job.Durable || !c.job.fitsAfter(runsEnd) {
+			rt.pool.orphans.addJob(c.job.ID, runsEnd)
 			rt.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
 			continue
 		}
