An instance that sees two submissions of a job ends the earlier one

It also took whichever offer came last for the later submission, so that an older call, offered again, ended the job of the caller that was still there.

Change: the table of jobs by ID holds offloaded tasks, too. An offer ends the jobs, tasks and calls here that would run the same tasks for an earlier submission, tells their owners and waits for their runs; if the later submission is here, the offer is answered as unknown, not declined, as its owner would start it elsewhere. Submissions are told apart by the ages of their calls.

Evidence: TestTwoSubmissionsAtOneInstance failed in nine checks of its six cases before, TestOfferOutdatedByLaterCall in both; they pass now.

--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -168,11 +168,7 @@
 // returnJob declines a job after it was accepted. Nothing of it runs; why has the kind
 // Unknown if something of it has started.
 func (p *pool) returnJob(j *job, why Result) {
-	j.done = true
-	delete(p.jobs, j.key())
-	if p.byID[j.spec.ID] == j {
-		delete(p.byID, j.spec.ID)
-	}
+	p.removeJob(j)
 	p.effect(outcomeReady{origin: j.origin, outcome: Outcome{Call: j.call, Declined: true, Result: why, Attempt: j.lastAttempt()}})
 }
 
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -461,6 +461,10 @@
 	if m.Job.Offloaded != nil {
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
+	if !m.Job.Durable && i.router.endOtherCall(&m.Job, now) {
+		i.pool.sendOutcome(p.member, m.Call, Result{Kind: Unknown, Reason: ReasonResubmitted}, 0)
+		return
+	}
 	leaving := i.leaving && !i.pool.mayHaveRuns(&m.Job, now)
 	if leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
 		i.decline(p, m.Call, m.Job.Service, now)
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -165,7 +165,7 @@
 	}
 	open := p.openServers(j.offloaded.step.spec.Need.CPUMilli, now)
 	if s := p.pickServer(j.offloaded, open, now); s != nil && !p.onTimeJobQueued(now) && now >= p.noStartsUntil {
-		p.jobs[j.key()] = j
+		p.addJob(j)
 		j.steps[0].queued = nil
 		p.startTask(j.offloaded, s, now)
 		return false
@@ -183,7 +183,7 @@
 // stage queues a task of another owner until a time.
 func (p *pool) stage(j *job, until Time) {
 	j.returnAt = until
-	p.jobs[j.key()] = j
+	p.addJob(j)
 	p.queue = append(p.queue, j)
 }
 
--- a/internal/fleet/orphans.go
+++ b/internal/fleet/orphans.go
@@ -56,33 +56,3 @@
 		}
 	}
 }
-
-// orphansEndAt returns when all runs of an earlier submission of a job, or of a task that was
-// offloaded here, are certainly over; 0 if none is known.
-func (p *pool) orphansEndAt(spec *JobSpec, now Time) Time {
-	if o := spec.Offloaded; o != nil {
-		return p.orphans.taskEndsAt(TaskID{spec.ID, o.Step, o.Index}, now)
-	}
-	return p.orphans.jobEndsAt(spec.ID, now)
-}
-
-// recordOrphans records the runs that go on when a job ends without success.
-func (p *pool) recordOrphans(j *job, now Time) {
-	until := p.runsEndAt(j, now)
-	switch {
-	case j.durable != nil || until == 0: // the attempts of a durable job are told apart by its holders' terms
-	case j.offloaded != nil:
-		p.orphans.addTask(j.offloaded.id, until)
-	default:
-		p.orphans.addJob(j.spec.ID, until)
-	}
-}
-
-// runsEndAt returns when all runs of a job are certainly over if nobody renews them any
-// more, 0 if none may exist.
-func (p *pool) runsEndAt(j *job, now Time) Time {
-	if j.activeRuns > 0 || len(p.offloadsOf(j)) > 0 {
-		return now.Add(p.orphanRunTime)
-	}
-	return p.delayedUntil(j)
-}
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -57,7 +57,7 @@
 	servers        map[model.ServerID]*server
 	orderedServers []*server // sorted by ID
 	jobs           map[jobKey]*job
-	byID           map[string]*job
+	byID           map[string][]*job // those that aren't durable: the job itself, and tasks of it offloaded here
 	orphans        *orphans
 	queue          []*job // jobs with queued tasks
 	shortage       shortage
@@ -94,7 +94,7 @@
 		offloads:     map[CallID]offload{},
 		servers:      map[model.ServerID]*server{},
 		jobs:         map[jobKey]*job{},
-		byID:         map[string]*job{},
+		byID:         map[string][]*job{},
 		typicalMilli: initialTypicalMilli,
 		fastFactor:   1,
 		speeds:       speedModels{},
@@ -187,13 +187,16 @@
 	if declined, rejected := p.offerToEvacuated(origin, call, &spec, now); declined || rejected {
 		return declined
 	}
-	if spec.Offloaded != nil {
-		return p.offerOffloaded(origin, call, spec, now)
-	}
 	if spec.Durable {
 		return p.holder.offer(origin, call, spec)
 	}
-	p.endEarlier(spec.ID, now)
+	if p.endOtherSubmissions(&spec, now) {
+		p.sendOutcome(origin, call, Result{Kind: Unknown, Reason: ReasonResubmitted}, 0)
+		return false
+	}
+	if spec.Offloaded != nil {
+		return p.offerOffloaded(origin, call, spec, now)
+	}
 	orphansEnd := p.orphansEndAt(&spec, now)
 	if !p.hasMemoryFor(&spec) {
 		retryAfter := max(minRetryAfter, orphansEnd.Sub(now))
@@ -223,7 +226,7 @@
 	if result == admitQueue {
 		p.logQueued(j, "waits", wait)
 	}
-	p.jobs[key], p.byID[spec.ID] = j, j
+	p.addJob(j)
 	p.queue = append(p.queue, j)
 	if j.again {
 		p.delayAll(j, WaitsSubmitted, orphansEnd, now)
@@ -232,17 +235,20 @@
 	return false
 }
 
-// mayHaveRuns reports whether this instance runs an earlier submission of a job, or knows of
-// runs of it or of an offloaded task that may go on. As no other owner does, it must not
-// decline the job or task.
-func (p *pool) mayHaveRuns(spec *JobSpec, now Time) bool {
-	return spec.Offloaded == nil && p.byID[spec.ID] != nil || p.orphansEndAt(spec, now) != 0
+// addJob adds a job that isn't durable to the tables.
+func (p *pool) addJob(j *job) {
+	p.jobs[j.key()] = j
+	p.byID[j.spec.ID] = append(p.byID[j.spec.ID], j)
 }
 
-// endEarlier ends an earlier submission of a job.
-func (p *pool) endEarlier(id string, now Time) {
-	if old := p.byID[id]; old != nil {
-		p.endJob(old, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+// removeJob removes a job that is over from the tables.
+func (p *pool) removeJob(j *job) {
+	j.done = true
+	delete(p.jobs, j.key())
+	if list := slices.DeleteFunc(p.byID[j.spec.ID], func(x *job) bool { return x == j }); len(list) > 0 {
+		p.byID[j.spec.ID] = list
+	} else {
+		delete(p.byID, j.spec.ID)
 	}
 }
 
@@ -370,11 +376,7 @@
 	if j.done {
 		return
 	}
-	j.done = true
-	delete(p.jobs, j.key())
-	if p.byID[j.spec.ID] == j {
-		delete(p.byID, j.spec.ID)
-	}
+	p.removeJob(j)
 	if result.Kind != Completed {
 		p.recordOrphans(j, now)
 		p.stopJob(j, now)
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // resubmitWorld is an owner with one server, which has started the first submission of a
@@ -13,9 +15,21 @@
 	first, second Member // with the calls of the two submissions
 	job           JobSpec
 	starts        int
+	outcomes      map[model.Instance]*Outcome // the last one for each of the members
 }
 
 func newResubmitWorld(t *testing.T) *resubmitWorld {
+	t.Helper()
+	w := newIdleResubmitWorld(t)
+	w.offer(w.first, w.job)
+	if w.starts != 1 {
+		t.Fatalf("%d starts of the first submission, want 1", w.starts)
+	}
+	return w
+}
+
+// newIdleResubmitWorld returns a world without a submission.
+func newIdleResubmitWorld(t *testing.T) *resubmitWorld {
 	t.Helper()
 	i, now := oneServer(t, 500)
 	w := &resubmitWorld{
@@ -28,13 +42,14 @@
 		w.step(LinkUp{Peer: m})
 	}
 	w.heartbeats()
-	w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Offer{Call: 1, Job: w.job, Echo: w.now}})
-	if w.starts != 1 {
-		t.Fatalf("%d starts of the first submission, want 1", w.starts)
-	}
 	return w
 }
 
+// offer offers a job of a member to the owner.
+func (w *resubmitWorld) offer(from Member, job JobSpec) {
+	w.step(PeerMessage{From: from, ReceivedAt: w.now, Message: Offer{Call: 1, Job: job, Age: w.now.Sub(job.ReceivedAt), Echo: w.now}})
+}
+
 func (w *resubmitWorld) step(e Event) []Effect {
 	effects := w.i.Step(w.now, e)
 	w.starts += count[StartRun](effects)
@@ -44,6 +59,13 @@
 			w.i.Step(w.now, StartReply{Server: x.Server, Run: x.Run, Outcome: StartAccepted, ClockMs: w.serverClock(), SentAt: w.now})
 		case StopRun:
 			w.i.Step(w.now, StopReply{Server: x.Server, Run: x.Run, OK: true, SentAt: w.now})
+		case SendPeer:
+			if o, ok := x.Message.(Outcome); ok {
+				if w.outcomes == nil {
+					w.outcomes = map[model.Instance]*Outcome{}
+				}
+				w.outcomes[x.To.Instance] = &o
+			}
 		}
 	}
 	return effects
@@ -151,7 +173,7 @@
 			w.step(Tick{})
 		},
 		"cancelled": func(w *resubmitWorld) {
-			w.i.pool.endJob(w.i.pool.byID[w.job.ID], Result{Kind: Cancelled}, w.now)
+			w.i.pool.endJob(w.i.pool.byID[w.job.ID][0], Result{Kind: Cancelled}, w.now)
 		},
 	}
 	for name, end := range ends {
@@ -232,3 +254,85 @@
 	}
 	return answer
 }
+
+// TestTwoSubmissionsAtOneInstance offers an owner a job while it has an offloaded task of
+// another submission, and the other way round. It ends the earlier submission, and starts the
+// later one when the runs of the earlier are over.
+func TestTwoSubmissionsAtOneInstance(t *testing.T) {
+	offload := func(s JobSpec, home Member) JobSpec {
+		s.Offloaded = &OffloadedTask{Home: home}
+		return s
+	}
+	whole := func(s JobSpec, _ Member) JobSpec { return s }
+	for name, c := range map[string]struct{ first, second func(JobSpec, Member) JobSpec }{
+		"task, then job":  {offload, whole},
+		"job, then task":  {whole, offload},
+		"task, then task": {offload, offload},
+	} {
+		const apart = 1300 * time.Millisecond
+		for _, later := range []time.Duration{apart, -apart} {
+			w := newIdleResubmitWorld(t)
+			first, second := w.job, w.job
+			first.ReceivedAt = w.now.Add(-2 * apart)
+			second.ReceivedAt = first.ReceivedAt.Add(later)
+			w.offer(w.first, c.first(first, w.first))
+			if w.starts != 1 {
+				t.Fatalf("%s: %d starts of the first offer, want 1", name, w.starts)
+			}
+			w.starts, w.outcomes = 0, nil
+			w.offer(w.second, c.second(second, w.second))
+			endedAt, outdated := w.now, w.first
+			if later < 0 {
+				outdated = w.second
+			}
+			if got := w.outcomes[outdated.Instance]; got == nil || got.Declined || got.Result.Kind != Unknown || got.Result.Reason != ReasonResubmitted {
+				t.Errorf("%s, %v later: outcome %+v of the earlier submission, want it given up as submitted again", name, later, got)
+			}
+			if later < 0 {
+				if w.starts > 0 {
+					t.Errorf("%s: an earlier submission starts beside the later one", name)
+				}
+				continue
+			}
+			for w.starts == 0 && w.now < endedAt.Add(3*time.Second) {
+				w.run(tickInterval)
+			}
+			if got := w.now.Sub(endedAt); w.starts != 1 || got < w.i.pool.orphanRunTime {
+				t.Errorf("%s: %d starts %v after the first submission ended, want one %v after it", name, w.starts, got, w.i.pool.orphanRunTime)
+			}
+		}
+	}
+}
+
+// TestOfferOutdatedByLaterCall offers an instance the earlier submission of a job that it has a
+// call with, and the later one.
+func TestOfferOutdatedByLaterCall(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		w := newOfferWorld(t)
+		own := oneTaskJob("j1", w.now)
+		w.step(JobSubmitted{Call: 1, Job: own})
+		age := 2 * time.Second
+		if later {
+			w.now = w.now.Add(age)
+			age = 0
+		}
+		var answer *Answer
+		var outcome *Outcome
+		offered := oneTaskJob("j1", w.now)
+		for _, e := range w.i.Step(w.now, PeerMessage{From: w.owners[2], ReceivedAt: w.now, Message: Offer{Call: 9, Job: offered, Age: age, Echo: w.now}}) {
+			switch e := e.(type) {
+			case Answer:
+				answer = &e
+			case SendPeer:
+				if o, ok := e.Message.(Outcome); ok {
+					outcome = &o
+				}
+			}
+		}
+		ended := answer != nil && answer.Result.Kind == Unknown
+		outdated := outcome != nil && !outcome.Declined && outcome.Result.Kind == Unknown
+		if ended != later || outdated == later {
+			t.Errorf("offered job is later: %v; own call ended: %v, offer outdated: %v", later, ended, outdated)
+		}
+	}
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -128,13 +128,15 @@
 	return n
 }
 
-// handleSubmitted accepts a job from a caller. An earlier call with the same job has lost its
-// caller without this instance having noticed; the new one waits for the runs of the earlier.
+// handleSubmitted accepts a job from a caller. Earlier submissions have lost their caller
+// without this instance having noticed; the new one waits for their runs.
 func (rt *router) handleSubmitted(e JobSubmitted, now Time) {
 	c := &call{id: e.Call, job: e.Job}
 	if !c.job.Durable {
-		if earlier := rt.callOf(c.job.ID); earlier != nil {
-			rt.end(earlier, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+		outdated := rt.endOtherCall(&c.job, now) || rt.pool.endOtherSubmissions(&c.job, now)
+		if outdated {
+			rt.finish(c, Result{Kind: Unknown, Reason: ReasonResubmitted})
+			return
 		}
 		c.reofferAt = rt.pool.orphansEndAt(&c.job, now)
 	}
@@ -162,6 +164,20 @@
 	return nil
 }
 
+// endOtherCall ends the call of an earlier submission of a job. It reports whether a later
+// one has a call, which outdates the job.
+func (rt *router) endOtherCall(spec *JobSpec, now Time) (outdated bool) {
+	c := rt.callOf(spec.ID)
+	switch {
+	case c == nil || c.job.Durable || spec.Offloaded != nil && spec.Offloaded.Home.sameIncarnation(rt.self):
+	case rt.pool.laterSubmission(&c.job, spec):
+		return true
+	default:
+		rt.end(c, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+	}
+	return false
+}
+
 // end answers a call before its job is over, and withdraws the job.
 func (rt *router) end(c *call, r Result, now Time) {
 	rt.recordOrphans(c, now)
