A job waits for the runs of an ended submission only while they may exist

An owner that had ended a submission made the next one wait for 1.12 s, also when the server had listed the end of its last run long before. What ran only at this instance's servers now counts while one of them still has such a run. A server that is lost or passes to another owner with a run that is being stopped leaves an entry by time, as its list no longer tells.

TestJobWaitsOnlyForExistingRuns, on: a job whose earlier run was listed as over waited on. The half with the lost server held there, too.

--- a/internal/fleet/orphans.go
+++ b/internal/fleet/orphans.go
@@ -12,39 +12,19 @@
 type orphan struct {
 	task  TaskID // only this one, unless all is set
 	all   bool
+	here  bool // only at this instance's servers, which list the run until it is over
 	until Time
 }
 
 func newOrphans() *orphans { return &orphans{jobs: map[string][]orphan{}} }
 
+func (o *orphans) add(job string, x orphan) { o.jobs[job] = append(o.jobs[job], x) }
+
 // addJob records that any task of a job may run until a time.
-func (o *orphans) addJob(job string, until Time) {
-	o.jobs[job] = append(o.jobs[job], orphan{all: true, until: until})
-}
+func (o *orphans) addJob(job string, until Time) { o.add(job, orphan{all: true, until: until}) }
 
 // addTask records that a task may run until a time.
-func (o *orphans) addTask(t TaskID, until Time) {
-	o.jobs[t.Job] = append(o.jobs[t.Job], orphan{task: t, until: until})
-}
-
-// jobEndsAt returns when all runs of a job are certainly over, 0 if none is known.
-func (o *orphans) jobEndsAt(job string, now Time) (at Time) {
-	return o.endsAt(job, func(orphan) bool { return true }, now)
-}
-
-// taskEndsAt is jobEndsAt for the runs of a task.
-func (o *orphans) taskEndsAt(t TaskID, now Time) Time {
-	return o.endsAt(t.Job, func(x orphan) bool { return x.all || x.task == t }, now)
-}
-
-func (o *orphans) endsAt(job string, which func(orphan) bool, now Time) (at Time) {
-	for _, x := range o.jobs[job] {
-		if now < x.until && which(x) {
-			at = max(at, x.until)
-		}
-	}
-	return at
-}
+func (o *orphans) addTask(t TaskID, until Time) { o.add(t.Job, orphan{task: t, until: until}) }
 
 // prune forgets what is over.
 func (o *orphans) prune(now Time) {
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -336,3 +336,24 @@
 		}
 	}
 }
+
+// TestJobWaitsOnlyForExistingRuns offers a job again when the runs of its ended submission are
+// known to be over, which starts it, and after their server was lost meanwhile, which doesn't.
+func TestJobWaitsOnlyForExistingRuns(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		w := newResubmitWorld(t)
+		w.starts = 0
+		w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Withdraw{Call: 1}})
+		if lost {
+			w.i.pool.dropServer(w.i.pool.servers["s1"], w.now)
+		} else {
+			w.run(2 * tickInterval)
+		}
+		if until := w.i.pool.orphansEndAt(&w.job, w.now); (until != 0) != lost {
+			t.Errorf("server lost %v: the job waits until %v at %v", lost, until, w.now)
+		}
+		if w.declines(true); w.starts != 1 && !lost {
+			t.Errorf("%d starts when the earlier runs are over, want 1", w.starts)
+		}
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -11,11 +11,14 @@
 // with runs there wait until the leases have expired.
 func (p *pool) dropServer(s *server, now Time) {
 	for _, r := range s.sortedRuns() {
-		if t := r.task; t != nil {
-			t.job.lostRuns++
-			p.freeRun(s, r, RunRecord{Conclusion: WaitsServerLost, Wait: p.orphanRunTime}, now)
-			p.delayTask(t, now.Add(p.orphanRunTime))
+		t := r.task
+		if t == nil {
+			p.orphans.addTask(r.id.Task, now.Add(p.orphanRunTime))
+			continue
 		}
+		t.job.lostRuns++
+		p.freeRun(s, r, RunRecord{Conclusion: WaitsServerLost, Wait: p.orphanRunTime}, now)
+		p.delayTask(t, now.Add(p.orphanRunTime))
 	}
 	delete(p.servers, s.entry.ID)
 	p.orderedServers = slices.DeleteFunc(p.orderedServers, func(o *server) bool { return o == s })
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -50,30 +50,46 @@
 
 // orphansEndAt returns when all runs of an ended submission of a job, or of a task that was
 // offloaded here, are certainly over; 0 if none is known.
-func (p *pool) orphansEndAt(spec *JobSpec, now Time) Time {
-	if spec.Offloaded != nil {
-		return p.orphans.taskEndsAt(spec.taskID(), now)
+func (p *pool) orphansEndAt(spec *JobSpec, now Time) (at Time) {
+	for _, x := range p.orphans.jobs[spec.ID] {
+		concerned := x.all || spec.Offloaded == nil || x.task == spec.taskID()
+		if concerned && now < x.until && (!x.here || p.hasOrphanHere(spec)) {
+			at = max(at, x.until)
+		}
 	}
-	return p.orphans.jobEndsAt(spec.ID, now)
+	return at
 }
 
-// recordOrphans records the runs that go on when a job ends without success.
-func (p *pool) recordOrphans(j *job, now Time) {
-	until := p.runsEndAt(j, now)
-	switch {
-	case j.durable != nil || until == 0: // the attempts of a durable job are told apart by its holders' terms
-	case j.offloaded != nil:
-		p.orphans.addTask(j.offloaded.id, until)
-	default:
-		p.orphans.addJob(j.spec.ID, until)
+// hasOrphanHere reports whether a server still has a run of an ended submission of a job or
+// offloaded task.
+func (p *pool) hasOrphanHere(spec *JobSpec) bool {
+	for _, s := range p.orderedServers {
+		for id, r := range s.runs {
+			if r.task == nil && id.Task.Job == spec.ID && (spec.Offloaded == nil || id.Task == spec.taskID()) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-// runsEndAt returns when all runs of a job are certainly over if nobody renews them any
-// more, 0 if none may exist.
-func (p *pool) runsEndAt(j *job, now Time) Time {
-	if j.activeRuns > 0 || len(p.offloadsOf(j)) > 0 {
-		return now.Add(p.orphanRunTime)
+// recordOrphans records the runs that go on when a job ends without success.
+func (p *pool) recordOrphans(j *job, now Time) {
+	if j.durable != nil {
+		return // its attempts are told apart by the terms of its holders
+	}
+	x := orphan{all: j.offloaded == nil, until: now.Add(p.orphanRunTime)}
+	if !x.all {
+		x.task = j.offloaded.id
+	}
+	switch delayed := p.delayedUntil(j); {
+	case len(p.offloadsOf(j)) > 0:
+	case j.activeRuns > 0 && delayed == 0:
+		x.here = true
+	case j.activeRuns == 0 && delayed != 0:
+		x.until = delayed
+	case j.activeRuns == 0:
+		return
 	}
-	return p.delayedUntil(j)
+	p.orphans.add(j.spec.ID, x)
 }
