Members hear of open calls before their jobs can be submitted again

Callers would see a task run twice at once (TWICE): a caller's connection breaks without its instance being told, and 1.3 s later it submits the job again at another instance, which offers it to another owner. Neither instance nor owner knew of the other submission (the row "a job submitted again elsewhere" of FAILURES.md had no state and no fence).

Change: a heartbeat lists the calls that have been open for half of MaxOrphanRunTime, when the list has changed, and again on a new link. An instance that gets a job of another one's call has that one end its call (Withdraw with the job and its age: the earlier of two calls ends), and waits for MaxOrphanRunTime from when the call is no longer listed, or rejects its caller until then if that is beyond the deadline. Lists that arrive late end the earlier of two calls, too. Both are optional fields, which earlier versions ignore: an unknown message would end their links.

Weighed: one place for all submissions of a job would cost each job a message and its answer before it starts; a bound on the age at which a call may start would fail jobs with long timeouts, and spares those that run already nothing; a sign of life of the connection proves nothing behind a proxy. A list costs only calls that are over half a second old.

Not covered: instances of other cells, and ones that haven't heard the first instance since its call grew old (FAILURES.md, gaps).

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -489,8 +489,14 @@
 
 	Evacuated          []model.Domain // evacuated failure domains, sorted
 	EvacuationRevision uint64         // of the store, as of which Evacuated holds; 0 if the sender never heard of an evacuation
+
+	OpenCalls *OpenCalls // nil if unchanged since the last Heartbeat on this link
 }
 
+// OpenCalls lists the jobs of the sender's calls that have been open for a while: their
+// callers may have lost the connection and submit them again elsewhere.
+type OpenCalls struct{ Jobs []string }
+
 // RouteCount is the number of jobs of a route.
 type RouteCount struct {
 	Route string
@@ -518,10 +524,13 @@
 }
 
 // Withdraw cancels an offered job or, if Owner is set, the tasks that this owner has
-// offloaded of the sender's jobs: the sender has given the owner up.
+// offloaded of the sender's jobs: the sender has given the owner up. If Job is set, it ends
+// the receiver's call with that job, which was submitted again at the sender.
 type Withdraw struct {
 	Call  CallID
 	Owner Member
+	Job   string
+	Age   time.Duration // since the job was submitted again
 }
 
 // Outcome is the response to an Offer.
--- a/internal/fleet/fleetsim/resubmit_test.go
+++ b/internal/fleet/fleetsim/resubmit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/nutmegweir/nutmegweir/internal/fleet"
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
@@ -79,3 +80,34 @@
 		}
 	}
 }
+
+// TestJobSubmittedAgainBesideItsRunElsewhere submits a job again at an instance that uses
+// another owner than the first submission, whose instance doesn't notice that the caller has
+// left. The later submission is served; it may be told to come back first.
+func TestJobSubmittedAgainBesideItsRunElsewhere(t *testing.T) {
+	for after := 10 * time.Millisecond; after < 3*time.Second; after += 70 * time.Millisecond {
+		for _, timeout := range []time.Duration{resubmitTimeout, 10 * time.Second} {
+			w := New(1)
+			w.AddInstance("tayside-0", "tayside", defaultWeight)
+			w.AddInstance("carrick-0", "carrick", defaultWeight)
+			w.AddInstance("fife-0", "fife", defaultWeight) // owns no server
+			w.addServers("tayside", "t0")
+			w.addServers("carrick", "c0")
+			w.Run(settleTime)
+			spec, _ := w.longJob(1)
+			work := 4 * time.Second
+			spec.Timeout, spec.Steps[0].Estimate = timeout, 50*time.Millisecond
+			w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance("carrick-0") }
+			j := w.SubmitUntilAnswered("tayside-0", spec, work)
+			w.Run(after)
+			w.LoseCallerUnnoticed(j)
+			w.Run(12 * time.Second)
+			for _, v := range w.Violations {
+				t.Errorf("caller gone after %v, timeout %v: %s", after, timeout, v)
+			}
+			if last := w.submissions[len(w.submissions)-1]; timeout > work+2*time.Second && last.Result.Kind != fleet.Completed {
+				t.Errorf("caller gone after %v, timeout %v: %d submissions, the last one ended %v", after, timeout, len(w.submissions), last.Result)
+			}
+		}
+	}
+}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -275,6 +275,7 @@
 			i.members.gaveUpHere[p.member.Instance] = givenUpOwner{p.member, now}
 			i.withdrawOffloadsOf(p.member)
 		}
+		i.router.handleCallsLost(p, runsEnd)
 		i.pool.handleTargetLost(p.member, runsEnd, now)
 		i.pool.handleOriginLost(p.member, now)
 	}
@@ -361,7 +362,7 @@
 	p.linked, p.refused, p.dead = true, false, false
 	p.markHeard(now)
 	p.linkedAt, p.heardAt, p.remoteReceiveAge = now, now, 0
-	p.offloadSentMilli, p.offloadAckedMilli, p.listForwarded = 0, 0, 0
+	p.offloadSentMilli, p.offloadAckedMilli, p.listForwarded, p.openCallsSent = 0, 0, 0, 0
 	i.sendResync(p, false)
 	for _, owner := range i.members.recentlyGivenUp(now) { // the message may be lost with the previous link
 		i.effects = append(i.effects, SendPeer{To: p.member, Message: Withdraw{Owner: owner}})
@@ -415,6 +416,7 @@
 		i.holder.inUse = i.holder.inUse || m.DurableInUse
 		p.declinedAt = 0
 		i.learnEvacuations(p.member.Instance, m, now)
+		i.router.handleOpenCalls(p, m.OpenCalls, now)
 		i.pool.dispatch(now)
 		i.router.retryDeferred(now)
 	case Offer:
@@ -425,6 +427,10 @@
 			i.pool.dropOffloads(m.Owner, p.member, now)
 			return
 		}
+		if m.Job != "" {
+			i.router.endOtherCall(&JobSpec{ID: m.Job, ReceivedAt: now.Add(-m.Age)}, now)
+			return
+		}
 		i.pool.withdraw(jobKey{p.member.Instance, p.member.Incarnation, m.Call}, now)
 	case Outcome:
 		if m.Load.Service != "" {
@@ -510,6 +516,7 @@
 		Leaving: i.leaving, Busy: i.busy(), StoreUp: i.members.storeUp, ConfigVersion: i.config.version, OffloadedMilli: p.offloadReceivedMilli, SentAt: now, Echo: i.members.echoFor(p, now),
 		DurableInUse: i.holder.inUse, Pending: i.holder.pendingRoutes(now),
 		RenewedAt: i.members.renewedAt, Inquiries: i.members.subjectsFor(p, now), Reports: i.members.takeReports(p, now),
+		OpenCalls: i.router.open.newsFor(p),
 	}
 	if p.everHeard {
 		hb.LastReceivedAge = now.Sub(p.heardAt)
--- /dev/null
+++ b/internal/fleet/opencalls.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// A caller that has lost its connection submits its job again at any instance, and the
+// instance with the first call may not notice that it has gone. So members tell each other
+// of calls that have been open for a while, before their jobs can be submitted again: an
+// instance that gets a job of another one's call has that ended, and waits for its runs.
+
+// openCallsInterval is the minimum time between two changes of the list of open calls.
+const openCallsInterval = 100 * time.Millisecond
+
+// openCalls is the list of the calls that other members hear of.
+type openCalls struct {
+	jobs      []string // sorted
+	version   uint64   // of the list, 0 if it has always been empty
+	updatedAt Time
+}
+
+// updateOpenCalls lists the calls that have been open for half of the least time after which
+// their jobs may be submitted again.
+func (rt *router) updateOpenCalls(now Time) {
+	o := &rt.open
+	if now.Sub(o.updatedAt) < openCallsInterval {
+		return
+	}
+	o.updatedAt = now
+	var jobs []string
+	for _, c := range rt.calls {
+		if !c.job.Durable && now.Sub(c.job.ReceivedAt) >= rt.pool.orphanRunTime/2 {
+			jobs = append(jobs, c.job.ID)
+		}
+	}
+	slices.Sort(jobs)
+	if !slices.Equal(jobs, o.jobs) {
+		o.jobs = jobs
+		o.version++
+	}
+}
+
+// newsFor returns the list if a peer doesn't have it, else nil.
+func (o *openCalls) newsFor(p *peer) *OpenCalls {
+	if p.openCallsSent == o.version {
+		return nil
+	}
+	p.openCallsSent = o.version
+	return &OpenCalls{Jobs: o.jobs}
+}
+
+// endCallsElsewhere has other members end their calls with a job that was submitted again
+// here.
+func (rt *router) endCallsElsewhere(j *JobSpec, now Time) {
+	for _, p := range rt.members.orderedPeers {
+		if p.hasOpenCall(j.ID) {
+			rt.pool.orphans.addJob(j.ID, now.Add(rt.pool.orphanRunTime))
+			rt.endCallAt(p, j, now)
+		}
+	}
+}
+
+// endCallAt has a member end its call with a job if the job was submitted again here.
+func (rt *router) endCallAt(p *peer, j *JobSpec, now Time) {
+	rt.effect(SendPeer{To: p.member, Message: Withdraw{Job: j.ID, Age: now.Sub(j.ReceivedAt)}})
+}
+
+// earlierRunsEndAt returns when all runs of earlier submissions of a call's job are certainly
+// over, 0 if none is known. While another member still has a call with it, they go on.
+func (rt *router) earlierRunsEndAt(c *call, now Time) Time {
+	at := rt.pool.orphansEndAt(&c.job, now)
+	if slices.ContainsFunc(rt.members.orderedPeers, func(p *peer) bool { return p.hasOpenCall(c.job.ID) }) {
+		at = max(at, now.Add(rt.pool.orphanRunTime))
+	}
+	return at
+}
+
+// handleOpenCalls replaces the list of a peer's open calls. Of two calls with one job the
+// earlier ends; one that waits for a call which is no longer open there waits for its runs.
+func (rt *router) handleOpenCalls(p *peer, list *OpenCalls, now Time) {
+	if list == nil {
+		return
+	}
+	before := p.openCalls
+	p.openCalls = list.Jobs
+	for _, c := range rt.sortedCalls() {
+		_, was := slices.BinarySearch(before, c.job.ID)
+		switch is := p.hasOpenCall(c.job.ID); {
+		case c.job.Durable:
+		case is && !was:
+			rt.endCallAt(p, &c.job, now)
+		case was && !is && c.reofferAt != 0:
+			rt.pool.orphans.addJob(c.job.ID, now.Add(rt.pool.orphanRunTime))
+		}
+	}
+}
+
+// handleCallsLost records the runs of a lost member's calls.
+func (rt *router) handleCallsLost(p *peer, runsEnd Time) {
+	for _, job := range p.openCalls {
+		rt.pool.orphans.addJob(job, runsEnd)
+	}
+}
+
+// hasOpenCall reports whether the peer is known to have a call with a job.
+func (p *peer) hasOpenCall(job string) bool {
+	_, found := slices.BinarySearch(p.openCalls, job)
+	return found && !p.lossHandled
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -52,6 +52,7 @@
 
 	noOffersUntil Time // set after a pause of the process
 	anyDeferred   bool // some calls are deferred
+	open          openCalls
 }
 
 func newRouter(self Member, m *members, o *owners, p *pool, effect func(Effect)) *router {
@@ -138,7 +139,8 @@
 			rt.finish(c, Result{Kind: Unknown, Reason: ReasonResubmitted})
 			return
 		}
-		c.reofferAt = rt.pool.orphansEndAt(&c.job, now)
+		rt.endCallsElsewhere(&c.job, now)
+		c.reofferAt = rt.earlierRunsEndAt(c, now)
 	}
 	rt.calls[c.id] = c
 	r, unfit := rt.owners.unfitResult(&c.job)
@@ -303,6 +305,7 @@
 // may not answer in time.
 func (rt *router) tick(now Time) {
 	rt.retryDeferred(now)
+	rt.updateOpenCalls(now)
 	for _, c := range rt.sortedCalls() {
 		switch {
 		case now > c.job.Deadline() && !c.job.Durable:
@@ -483,8 +486,14 @@
 
 // reoffer routes a call again whose earlier runs have ended.
 func (rt *router) reoffer(c *call, now Time) {
-	c.reofferAt, c.tried, c.allowQueue, c.queueOffers = 0, nil, false, 0
 	c.mayHaveRun = true
+	if c.reofferAt = rt.earlierRunsEndAt(c, now); c.reofferAt != 0 {
+		if !c.job.fitsAfter(c.reofferAt) {
+			rt.refuse(c, ReasonResubmitted, c.reofferAt.Sub(now))
+		}
+		return
+	}
+	c.tried, c.allowQueue, c.queueOffers = nil, false, 0
 	rt.route(c, now)
 }
 
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -40,6 +40,7 @@
 	case fleet.Withdraw:
 		out.Body = &fleetpb.Message_Withdraw{Withdraw: &fleetpb.Withdraw{
 			Call: uint64(m.Call), OwnerInstance: string(m.Owner.Instance), OwnerIncarnation: string(m.Owner.Incarnation),
+			Job: m.Job, AgeNs: int64(m.Age),
 		}}
 	case fleet.Outcome:
 		out.Body = &fleetpb.Message_Outcome{Outcome: &fleetpb.Outcome{
@@ -90,6 +91,7 @@
 		return fleet.Withdraw{
 			Call:  fleet.CallID(b.Withdraw.GetCall()),
 			Owner: fleet.Member{Instance: model.Instance(b.Withdraw.GetOwnerInstance()), Incarnation: model.Incarnation(b.Withdraw.GetOwnerIncarnation())},
+			Job:   b.Withdraw.GetJob(), Age: time.Duration(b.Withdraw.GetAgeNs()),
 		}, nil
 	case *fleetpb.Message_Outcome:
 		return outcomeFromPB(b.Outcome), nil
@@ -166,6 +168,9 @@
 	for _, l := range m.Loads {
 		b.Loads = append(b.Loads, loadToPB(l))
 	}
+	if m.OpenCalls != nil {
+		b.OpenCalls = &fleetpb.OpenCalls{Jobs: m.OpenCalls.Jobs}
+	}
 	return b
 }
 
@@ -191,6 +196,9 @@
 	for _, l := range b.GetLoads() {
 		m.Loads = append(m.Loads, loadFromPB(l))
 	}
+	if b.OpenCalls != nil {
+		m.OpenCalls = &fleet.OpenCalls{Jobs: b.GetOpenCalls().GetJobs()}
+	}
 	return m
 }
 
--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -28,8 +28,12 @@
 			Leaving: true, StoreUp: true, Busy: true, Loads: []fleet.Load{{Service: "s", Servers: 1, CapacityMilli: 2, FreeMilli: 1, ExpectedWait: 3, QueuedTasks: 4, StagedTasks: 5}},
 			ConfigVersion: 6, LastReceivedAge: 7, SentAt: 8, Echo: 9, OffloadedMilli: 10, DurableInUse: true, Pending: []fleet.RouteCount{{Route: "r", Count: 11}},
 			RenewedAt: 12, Inquiries: []fleet.Member{{Instance: "n4", Incarnation: "03"}}, Reports: []fleet.MemberReport{{Subject: member, Presence: fleet.PresenceHeard}},
-			Evacuated: []model.Domain{"d", "e"}, EvacuationRevision: 13,
+			Evacuated: []model.Domain{"d", "e"}, EvacuationRevision: 13, OpenCalls: &fleet.OpenCalls{Jobs: []string{"j1", "j2"}},
 		},
+		"heartbeat, no open calls": fleet.Heartbeat{OpenCalls: &fleet.OpenCalls{}},
+		"withdrawal of a call":     fleet.Withdraw{Call: 4},
+		"withdrawal of offloads":   fleet.Withdraw{Owner: fleet.Member{Instance: "n3", Incarnation: "02"}},
+		"job submitted again":      fleet.Withdraw{Job: "j", Age: 5},
 		"servers": fleet.ServersUpdate{ServerChanges: fleet.ServerChanges{FromRevision: 1, ToRevision: 2, Servers: []fleet.ServerEntry{{ID: "s1", ReportedAtMs: 3, ColdLeftMs: 4}}}},
 	} {
 		m, err := encode(sent)
