--- a/internal/fleet/durable_test.go
+++ b/internal/fleet/durable_test.go
@@ -50,7 +50,8 @@
 	}
 	const offer CallID = 9
 	c := &call{id: 1, offer: offer, job: spec, owner: other, allowQueue: true, tried: []model.Instance{"n2"}}
-	i.router.calls[c.id], i.router.offers[offer] = c, c
+	i.router.add(c)
+	i.router.offers[offer] = c
 	i.members.storeUp = false // so this instance can't store it
 	i.router.handleOutcome(other, Outcome{Call: offer, Declined: true}, now)
 	for _, e := range i.drainEffects(now) {
--- a/internal/fleet/opencalls.go
+++ b/internal/fleet/opencalls.go
@@ -29,8 +29,8 @@
 	}
 	o.updatedAt = now
 	var jobs []string
-	for _, c := range rt.calls {
-		if !c.job.Durable && now.Sub(c.job.ReceivedAt) >= rt.pool.orphanRunTime/2 {
+	for _, c := range rt.byJob {
+		if now.Sub(c.job.ReceivedAt) >= rt.pool.orphanRunTime/2 {
 			jobs = append(jobs, c.job.ID)
 		}
 	}
@@ -84,14 +84,14 @@
 	}
 	before := p.openCalls
 	p.openCalls = list.Jobs
-	for _, c := range rt.sortedCalls() {
-		_, was := slices.BinarySearch(before, c.job.ID)
-		switch is := p.hasOpenCall(c.job.ID); {
-		case c.job.Durable:
-		case is && !was:
-			rt.endCallAt(p, &c.job, now)
-		case was && !is && c.reofferAt != 0:
-			rt.pool.orphans.addJob(c.job.ID, now.Add(rt.pool.orphanRunTime))
+	for _, job := range p.openCalls {
+		if _, was := slices.BinarySearch(before, job); !was && rt.byJob[job] != nil {
+			rt.endCallAt(p, &rt.byJob[job].job, now)
+		}
+	}
+	for _, job := range before {
+		if c := rt.byJob[job]; c != nil && c.reofferAt != 0 && !p.hasOpenCall(job) {
+			rt.pool.orphans.addJob(job, now.Add(rt.pool.orphanRunTime))
 		}
 	}
 }
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -95,7 +95,8 @@
 	}
 	const offer CallID = 9
 	c := &call{id: 1, offer: offer, job: spec, owner: other, tried: []model.Instance{"n2"}}
-	i.router.calls[c.id], i.router.offers[offer], i.router.lastOffer = c, c, offer
+	i.router.add(c)
+	i.router.offers[offer], i.router.lastOffer = c, offer
 	starts := 0
 	for range 2 {
 		for _, e := range i.Step(now, PeerMessage{From: other, ReceivedAt: now, Message: Outcome{Call: offer, Declined: true}}) {
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -45,6 +45,7 @@
 	owners  *owners
 	pool    *pool
 	calls   map[CallID]*call
+	byJob   map[string]*call // those with jobs that aren't durable, one for each job
 	// offers indexes the calls by their open offers. Each offer has its own ID, so that
 	// a late or repeated outcome of an earlier one has no effect.
 	offers    map[CallID]*call
@@ -56,7 +57,7 @@
 }
 
 func newRouter(self Member, m *members, o *owners, p *pool, effect func(Effect)) *router {
-	return &router{self: self, effect: effect, members: m, owners: o, pool: p, calls: map[CallID]*call{}, offers: map[CallID]*call{}}
+	return &router{self: self, effect: effect, members: m, owners: o, pool: p, calls: map[CallID]*call{}, byJob: map[string]*call{}, offers: map[CallID]*call{}}
 }
 
 // candidate is an owner that a job may be offered to.
@@ -142,7 +143,7 @@
 		rt.endCallsElsewhere(&c.job, now)
 		c.reofferAt = rt.earlierRunsEndAt(c, now)
 	}
-	rt.calls[c.id] = c
+	rt.add(c)
 	r, unfit := rt.owners.unfitResult(&c.job)
 	switch {
 	case unfit:
@@ -156,22 +157,28 @@
 	}
 }
 
-// callOf returns the open call with a job, nil if there is none.
-func (rt *router) callOf(job string) *call {
-	for _, c := range rt.calls {
-		if c.job.ID == job {
-			return c
-		}
+// add adds a call to the tables.
+func (rt *router) add(c *call) {
+	rt.calls[c.id] = c
+	if !c.job.Durable {
+		rt.byJob[c.job.ID] = c
+	}
+}
+
+// remove removes a call from the tables.
+func (rt *router) remove(c *call) {
+	delete(rt.calls, c.id)
+	if rt.byJob[c.job.ID] == c {
+		delete(rt.byJob, c.job.ID)
 	}
-	return nil
 }
 
 // endOtherCall ends the call of an earlier submission of a job. It reports whether a later
 // one has a call, which outdates the job.
 func (rt *router) endOtherCall(spec *JobSpec, now Time) (outdated bool) {
-	c := rt.callOf(spec.ID)
+	c := rt.byJob[spec.ID]
 	switch {
-	case c == nil || c.job.Durable || spec.Offloaded != nil && spec.Offloaded.Home.sameIncarnation(rt.self):
+	case c == nil || spec.Offloaded != nil && spec.Offloaded.Home.sameIncarnation(rt.self):
 	case rt.pool.laterSubmission(&c.job, spec):
 		return true
 	default:
@@ -410,7 +417,7 @@
 
 // finish answers the caller.
 func (rt *router) finish(c *call, r Result) {
-	delete(rt.calls, c.id)
+	rt.remove(c)
 	rt.closeOffer(c)
 	if c.mayHaveRun && r.Kind == NotRun {
 		r.Kind = Unknown
@@ -427,7 +434,7 @@
 	if c == nil {
 		return
 	}
-	delete(rt.calls, id)
+	rt.remove(c)
 	rt.recordOrphans(c, now)
 	rt.withdraw(c, now)
 }
@@ -435,7 +442,7 @@
 // handleCancelled ends the call with a job that is cancelled. A durable job is left to its
 // holder, which learns from the store whether the job had been stored.
 func (rt *router) handleCancelled(job string, now Time) {
-	if c := rt.callOf(job); c != nil && !c.job.Durable {
+	if c := rt.byJob[job]; c != nil {
 		rt.end(c, Result{Kind: Cancelled, Reason: ReasonCancelled}, now)
 	}
 }
--- a/internal/fleet/wanted_test.go
+++ b/internal/fleet/wanted_test.go
@@ -47,7 +47,8 @@
 	}})
 	spec := oneTaskJob("j1", now)
 	c := &call{id: 1, offer: 9, job: spec, owner: owner, tried: []model.Instance{"n2"}}
-	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
+	i.router.add(c)
+	i.router.offers[9], i.router.lastOffer = c, 9
 	effects := i.Step(now, JobSubmitted{Call: 2, Job: spec})
 	withdrawn := false
 	for _, e := range effects {
@@ -92,7 +93,8 @@
 	i.Step(now, LinkUp{Peer: owner})
 	i.Step(now, LinkUp{Peer: third})
 	c := &call{id: 1, offer: 9, job: oneTaskJob("j1", now), owner: owner, tried: []model.Instance{"n2"}}
-	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
+	i.router.add(c)
+	i.router.offers[9], i.router.lastOffer = c, 9
 	told := false
 	note := func(effects []Effect) {
 		for _, e := range effects {
@@ -124,7 +126,8 @@
 	i.Step(now, LinkUp{Peer: owner})
 	spec := oneTaskJob("j1", now)
 	c := &call{id: 1, offer: 9, job: spec, owner: owner, tried: []model.Instance{"n2"}}
-	i.router.calls[c.id], i.router.offers[9], i.router.lastOffer = c, c, 9
+	i.router.add(c)
+	i.router.offers[9], i.router.lastOffer = c, 9
 	for i.router.calls[1].reofferAt == 0 {
 		now = now.Add(tickInterval)
 		i.Step(now, Tick{})
