An offer answered as outdated is not declined on the next link

Found by review. The answer to an offer that a later submission has outdated wasn't kept. If it was lost with its link, the next Resync found neither job nor outcome and declined the offer as unknown; its instance then offers the earlier submission to another owner, beside the later one. The answer is now kept like the results of jobs, by one function for offers that a job and that a call outdates.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -468,7 +468,7 @@
 		p.offloadReceivedMilli += float64(m.Job.Steps[0].Need.CPUMilli)
 	}
 	if !m.Job.Durable && i.router.endOtherCall(&m.Job, now) {
-		i.pool.sendOutcome(p.member, m.Call, Result{Kind: Unknown, Reason: ReasonResubmitted}, 0)
+		i.pool.answerOutdated(p.member, m.Call, now)
 		return
 	}
 	leaving := i.leaving && !i.pool.mayHaveRuns(&m.Job, now)
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -191,7 +191,7 @@
 		return p.holder.offer(origin, call, spec)
 	}
 	if p.endOtherSubmissions(&spec, now) {
-		p.sendOutcome(origin, call, Result{Kind: Unknown, Reason: ReasonResubmitted}, 0)
+		p.answerOutdated(origin, call, now)
 		return false
 	}
 	if spec.Offloaded != nil {
@@ -430,10 +430,21 @@
 
 // sendResult sends the result of a job and retains it for reconnects.
 func (p *pool) sendResult(j *job, result Result, now Time) {
-	if j.origin.Instance != p.self.Instance {
-		p.recent = append(p.recent, recentOutcome{j.key(), result, j.lastAttempt(), now})
+	p.sendFinal(j.origin, j.call, result, j.lastAttempt(), now)
+}
+
+// answerOutdated ends an offer that a later submission of its job has outdated. It isn't
+// declined, nor may it be taken for unknown on the next link: its sender would offer it to
+// another owner.
+func (p *pool) answerOutdated(origin Member, call CallID, now Time) {
+	p.sendFinal(origin, call, outdatedResult, 0, now)
+}
+
+func (p *pool) sendFinal(origin Member, call CallID, result Result, attempt uint32, now Time) {
+	if origin.Instance != p.self.Instance {
+		p.recent = append(p.recent, recentOutcome{jobKey{origin.Instance, origin.Incarnation, call}, result, attempt, now})
 	}
-	p.sendOutcome(j.origin, j.call, result, j.lastAttempt())
+	p.sendOutcome(origin, call, result, attempt)
 }
 
 func (p *pool) sendOutcome(origin Member, call CallID, result Result, attempt uint32) {
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -357,3 +357,49 @@
 		}
 	}
 }
+
+// TestOutdatedOfferDeclinedOnNewLink answers an offer as outdated, and loses the answer with its
+// link. The offer must not be declined on the next one: its instance would offer it to another
+// owner, beside the later submission here.
+func TestOutdatedOfferDeclinedOnNewLink(t *testing.T) {
+	for _, offloaded := range []bool{false, true} {
+		w := newIdleResubmitWorld(t)
+		first, second := w.job, w.job
+		first.ReceivedAt, second.ReceivedAt = w.now.Add(-1500*time.Millisecond), w.now.Add(-200*time.Millisecond)
+		w.offer(w.second, second)
+		if offloaded {
+			first.Offloaded = &OffloadedTask{Home: w.first}
+		}
+		w.offer(w.first, first)
+		if got := w.outcomes[w.first.Instance]; got == nil || got.Declined {
+			t.Fatalf("outcome %+v", got)
+		}
+		w.outcomes = nil // lost
+		w.step(LinkDown{Peer: w.first})
+		w.step(LinkUp{Peer: w.first})
+		w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Resync{Calls: []CallID{1}}})
+		if got := w.outcomes[w.first.Instance]; got == nil || got.Declined {
+			t.Errorf("offloaded %v: outcome after the new link %+v, want it given up again, not declined", offloaded, got)
+		}
+	}
+}
+
+// TestOfferOutdatedByCallDeclinedOnNewLink is the same for an offer that a later call here
+// outdates.
+func TestOfferOutdatedByCallDeclinedOnNewLink(t *testing.T) {
+	w := newIdleResubmitWorld(t)
+	w.step(JobSubmitted{Call: 1, Job: w.job})
+	first := w.job
+	first.ReceivedAt = w.now.Add(-1500 * time.Millisecond)
+	w.offer(w.first, first)
+	if got := w.outcomes[w.first.Instance]; got == nil || got.Declined {
+		t.Fatalf("outcome %+v", got)
+	}
+	w.outcomes = nil
+	w.step(LinkDown{Peer: w.first})
+	w.step(LinkUp{Peer: w.first})
+	w.step(PeerMessage{From: w.first, ReceivedAt: w.now, Message: Resync{Calls: []CallID{1}}})
+	if got := w.outcomes[w.first.Instance]; got == nil || got.Declined {
+		t.Errorf("outcome after the new link %+v, want it given up again, not declined", got)
+	}
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -137,7 +137,7 @@
 	if !c.job.Durable {
 		outdated := rt.endOtherCall(&c.job, now) || rt.pool.endOtherSubmissions(&c.job, now)
 		if outdated {
-			rt.finish(c, Result{Kind: Unknown, Reason: ReasonResubmitted})
+			rt.finish(c, outdatedResult)
 			return
 		}
 		rt.endCallsElsewhere(&c.job, now)
@@ -182,7 +182,7 @@
 	case rt.pool.laterSubmission(&c.job, spec):
 		return true
 	default:
-		rt.end(c, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+		rt.end(c, outdatedResult, now)
 	}
 	return false
 }
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -6,6 +6,9 @@
 // submission still has runs: its caller has lost the connection, and not all instances know
 // that. An instance that sees two submissions ends the earlier one.
 
+// outdatedResult is the result of a submission of which a later one is known.
+var outdatedResult = Result{Kind: Unknown, Reason: ReasonResubmitted}
+
 // laterSubmission reports whether job a was submitted after b. Callers submit a job again
 // after more than the time that runs outlast their loss, see checkResend in package platform;
 // half of that tells two submissions apart however long instances took to read them.
@@ -37,7 +40,7 @@
 		if j.offloaded != nil { // the owner that offloaded it may have other tasks of the job
 			p.orphans.addJob(spec.ID, now.Add(p.orphanRunTime))
 		}
-		p.endJob(j, Result{Kind: Unknown, Reason: ReasonResubmitted}, now)
+		p.endJob(j, outdatedResult, now)
 	}
 	return false
 }
