A job waits for runs of an earlier owner that its instance is stopping

Found by review. An instance that takes a server over stops the runs that it finds there. A submission of their job that arrived meanwhile started at another server beside them: only jobs that had ended at this instance were remembered. Now any run at its servers that belongs to no job counts while the server has it, whether its job has ended here or under an earlier owner; that takes the place of the entries for runs at own servers. Entries by time remain for runs elsewhere and for servers that were lost. Durable jobs have no part in either: an entry kept one from being declined by an owner in an evacuated domain.

--- a/internal/fleet/orphans.go
+++ b/internal/fleet/orphans.go
@@ -3,28 +3,29 @@
 import "slices"
 
 // orphans remembers the jobs that have ended at this instance without success, until their
-// runs are certainly over: they are being stopped, or are at other owners that have been
-// told to stop them. Such a job must not start again before, and as no other instance knows
-// of the runs, it must not be declined either.
+// runs elsewhere are certainly over: other owners have been told to stop them. Such a job must
+// not start again before, and as no other instance knows of the runs, it must not be declined
+// either.
 type orphans struct{ jobs map[string][]orphan }
 
 // orphan is what of a job may still run.
 type orphan struct {
 	task  TaskID // only this one, unless all is set
 	all   bool
-	here  bool // only at this instance's servers, which list the run until it is over
 	until Time
 }
 
 func newOrphans() *orphans { return &orphans{jobs: map[string][]orphan{}} }
 
-func (o *orphans) add(job string, x orphan) { o.jobs[job] = append(o.jobs[job], x) }
-
 // addJob records that any task of a job may run until a time.
-func (o *orphans) addJob(job string, until Time) { o.add(job, orphan{all: true, until: until}) }
+func (o *orphans) addJob(job string, until Time) {
+	o.jobs[job] = append(o.jobs[job], orphan{all: true, until: until})
+}
 
 // addTask records that a task may run until a time.
-func (o *orphans) addTask(t TaskID, until Time) { o.add(t.Job, orphan{task: t, until: until}) }
+func (o *orphans) addTask(t TaskID, until Time) {
+	o.jobs[t.Job] = append(o.jobs[t.Job], orphan{task: t, until: until})
+}
 
 // prune forgets what is over.
 func (o *orphans) prune(now Time) {
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -403,3 +403,32 @@
 		t.Errorf("outcome after the new link %+v, want it given up again, not declined", got)
 	}
 }
+
+// TestJobStartsBesideForeignRun lets an instance take a server over from a lost owner, and
+// stop the run of the first submission that is listed there. The job is submitted again
+// meanwhile, with room at another server.
+func TestJobStartsBesideForeignRun(t *testing.T) {
+	for _, offloaded := range []bool{false, true} {
+		w := newIdleResubmitWorld(t)
+		entry := w.i.pool.servers["s1"].entry
+		entry.ID = "s2"
+		w.step(ServersChanged{ServerChanges{ToRevision: 1, Servers: []ServerEntry{entry}}})
+		own := Ownership{Server: "s2", Owner: "n1", Incarnation: "01", Revision: 8}
+		w.step(OwnersChanged{Owners: []Ownership{own}})
+		w.now = w.now.Add(2 * time.Millisecond)
+		run := RunID{TaskID{"j1", 0, 0}, 1}
+		r := pollReply(w.now, 600, ActiveRun{Run: run})
+		r.Server, r.Poll.Fence = "s2", own.Token()
+		if n := count[StopRun](w.step(r)); n != 1 {
+			t.Fatalf("%d stops of the foreign run", n)
+		}
+		if offloaded {
+			w.job.Offloaded = &OffloadedTask{Home: w.second}
+		}
+		w.starts = 0
+		w.offer(w.second, w.job)
+		if w.starts > 0 && w.i.pool.servers["s2"].runs[run] != nil {
+			t.Errorf("offloaded %v: task started while s2 is known to run it, being stopped", offloaded)
+		}
+	}
+}
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -48,23 +48,27 @@
 // mayHaveRuns reports whether runs of other submissions of an offered job or task may go on
 // that this instance knows of. As no other owner does, it must not decline the offer.
 func (p *pool) mayHaveRuns(spec *JobSpec, now Time) bool {
-	return len(p.otherSubmissions(spec)) > 0 || p.orphansEndAt(spec, now) != 0
+	return !spec.Durable && (len(p.otherSubmissions(spec)) > 0 || p.orphansEndAt(spec, now) != 0)
 }
 
 // orphansEndAt returns when all runs of an ended submission of a job, or of a task that was
-// offloaded here, are certainly over; 0 if none is known.
+// offloaded here, are certainly over; 0 if none is known. Runs at this instance's servers that
+// belong to no job, as they are being stopped or are an earlier owner's, count while the
+// servers have them.
 func (p *pool) orphansEndAt(spec *JobSpec, now Time) (at Time) {
 	for _, x := range p.orphans.jobs[spec.ID] {
-		concerned := x.all || spec.Offloaded == nil || x.task == spec.taskID()
-		if concerned && now < x.until && (!x.here || p.hasOrphanHere(spec)) {
+		if now < x.until && (x.all || spec.Offloaded == nil || x.task == spec.taskID()) {
 			at = max(at, x.until)
 		}
 	}
+	if p.hasOrphanHere(spec) {
+		at = max(at, now.Add(p.orphanRunTime))
+	}
 	return at
 }
 
-// hasOrphanHere reports whether a server still has a run of an ended submission of a job or
-// offloaded task.
+// hasOrphanHere reports whether a server has a run of a job or offloaded task that belongs to
+// no job.
 func (p *pool) hasOrphanHere(spec *JobSpec) bool {
 	for _, s := range p.orderedServers {
 		for id, r := range s.runs {
@@ -76,23 +80,18 @@
 	return false
 }
 
-// recordOrphans records the runs that go on when a job ends without success.
+// recordOrphans records the runs that go on when a job ends without success, but for those at
+// this instance's servers.
 func (p *pool) recordOrphans(j *job, now Time) {
-	if j.durable != nil {
-		return // its attempts are told apart by the terms of its holders
-	}
-	x := orphan{all: j.offloaded == nil, until: now.Add(p.orphanRunTime)}
-	if !x.all {
-		x.task = j.offloaded.id
+	until := p.delayedUntil(j)
+	if len(p.offloadsOf(j)) > 0 {
+		until = now.Add(p.orphanRunTime)
 	}
-	switch delayed := p.delayedUntil(j); {
-	case len(p.offloadsOf(j)) > 0:
-	case j.activeRuns > 0 && delayed == 0:
-		x.here = true
-	case j.activeRuns == 0 && delayed != 0:
-		x.until = delayed
-	case j.activeRuns == 0:
-		return
+	switch {
+	case until == 0 || j.durable != nil: // the attempts of a durable job are told apart by the terms of its holders
+	case j.offloaded != nil:
+		p.orphans.addTask(j.offloaded.id, until)
+	default:
+		p.orphans.addJob(j.spec.ID, until)
 	}
-	p.orphans.add(j.spec.ID, x)
 }
