Jobs submitted again are refused by the owner's own estimate

Found by review. Owners give a job up only if half of it doesn't fit, as estimates are rough; the same rule holds now. The owner's refusal names the cause, submitted-again, as the instance with the call does.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,8 +113,9 @@
 // Deadline returns the time at which the caller stops waiting.
 func (j *JobSpec) Deadline() Time { return j.ReceivedAt.Add(j.Timeout) }
 
-// fitsAfter reports whether the job can complete within its caller's timeout if it starts at t.
-func (j *JobSpec) fitsAfter(t Time) bool { return t.Add(j.CriticalPath()) <= j.Deadline() }
+// mayCompleteFrom reports whether the job would complete within its caller's timeout if it
+// started at t and took half the estimated time.
+func (j *JobSpec) mayCompleteFrom(t Time) bool { return t.Add(j.CriticalPath()/2) <= j.Deadline() }
 
 // Due returns the time by which the job should complete according to its objective.
 func (j *JobSpec) Due() Time {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -215,12 +215,13 @@
 	switch {
 	case !allowQueue && !j.again && (result != admitNow || p.queuedAtOwner(spec.Service, now)):
 		return true
-	case result == admitReject || j.again && !spec.fitsAfter(orphansEnd):
+	case result == admitReject || j.again && !spec.mayCompleteFrom(orphansEnd):
+		reason := ReasonOverload
 		if j.again {
-			wait = max(wait, orphansEnd.Sub(now))
+			reason, wait = ReasonResubmitted, max(wait, orphansEnd.Sub(now))
 		}
-		p.logQueued(j, RefusedPrefix+string(ReasonOverload), wait)
-		p.sendResult(j, Result{Kind: NotRun, Reason: ReasonOverload, RetryAfter: p.retryAfter(j, wait, now)}, now)
+		p.logQueued(j, RefusedPrefix+string(reason), wait)
+		p.sendResult(j, Result{Kind: NotRun, Reason: reason, RetryAfter: p.retryAfter(j, wait, now)}, now)
 		return false
 	}
 	if result == admitQueue {
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -150,7 +150,7 @@
 		rt.refuse(c, r.Reason, max(r.RetryAfter, c.reofferAt.Sub(now)))
 	case c.reofferAt == 0:
 		rt.route(c, now)
-	case !c.job.fitsAfter(c.reofferAt):
+	case !c.job.mayCompleteFrom(c.reofferAt):
 		rt.refuse(c, ReasonResubmitted, c.reofferAt.Sub(now))
 	default:
 		rt.effect(LogEntry{Kind: LogTaskDelayed, Call: c.id, Job: c.job.ID, Count: c.job.TaskCount(), Reason: string(WaitsSubmitted), Age: c.reofferAt.Sub(now)})
@@ -194,8 +194,8 @@
 	rt.finish(c, r)
 }
 
-// recordOrphans records the runs that may go on when a call ends. Those of a job at this
-// instance are recorded by its owner part.
+// recordOrphans records the runs that may go on elsewhere when a call ends, before its offer is
+// withdrawn. The pool records those of its own jobs.
 func (rt *router) recordOrphans(c *call, now Time) {
 	elsewhere := c.owner.Instance != "" && c.owner.Instance != rt.self.Instance
 	switch {
@@ -480,13 +480,12 @@
 		}
 		had = true
 		rt.withdraw(c, now)
-		if c.job.Durable || !c.job.fitsAfter(runsEnd) {
-			rt.pool.orphans.addJob(c.job.ID, runsEnd)
-			rt.finish(c, Result{Kind: Unknown, Reason: ReasonOwnerLost})
+		c.reofferAt = max(runsEnd, now)
+		if c.job.Durable || runsEnd.Add(c.job.CriticalPath()) > c.job.Deadline() {
+			rt.end(c, Result{Kind: Unknown, Reason: ReasonOwnerLost}, now)
 			continue
 		}
 		rt.effect(LogEntry{Kind: LogJobTakenBack, Call: c.id, Job: c.job.ID, Peer: owner.Instance, Age: runsEnd.Sub(now)})
-		c.reofferAt = max(runsEnd, now)
 	}
 	return had
 }
@@ -495,7 +494,7 @@
 func (rt *router) reoffer(c *call, now Time) {
 	c.mayHaveRun = true
 	if c.reofferAt = rt.earlierRunsEndAt(c, now); c.reofferAt != 0 {
-		if !c.job.fitsAfter(c.reofferAt) {
+		if !c.job.mayCompleteFrom(c.reofferAt) {
 			rt.refuse(c, ReasonResubmitted, c.reofferAt.Sub(now))
 		}
 		return
