Submissions are told apart by the instance with the call, too

Found by review: - an instance with one task of an earlier submission that was offered another task of a later one took that and let the earlier submission go on - messages that were held back could make two offers for one call look like two submissions; offers for one instance's calls come in their order - a task of an owner of an earlier version, which doesn't name the instance with the call, ended that instance's own call - only the owner of an ended submission was told, not the instance with the call, which lets the other tasks run on if the owner isn't reached

TestTaskOfLaterSubmissionLeavesEarlierOne and TestOwnCallEndedByTaskWithoutHome failed on (in the review) and pass.

--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -127,7 +127,7 @@
 // neither declined nor rejected.
 func (p *pool) offerToEvacuated(origin Member, call CallID, spec *JobSpec, now Time) (declined, rejected bool) {
 	switch {
-	case !p.owners.evacuations.any() || p.mayHaveRuns(spec, now) || p.holder.jobs[spec.ID] != nil:
+	case !p.owners.evacuations.any() || p.mayHaveRuns(spec, origin, now) || p.holder.jobs[spec.ID] != nil:
 	case p.allEvacuated(spec.Service):
 		return true, false
 	case p.owners.fit(spec) != fitsEvacuated:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -525,12 +525,12 @@
 
 // Withdraw cancels an offered job or, if Owner is set, the tasks that this owner has
 // offloaded of the sender's jobs: the sender has given the owner up. If Job is set, it ends
-// the receiver's call with that job, which was submitted again at the sender.
+// the receiver's call with that job if the sender knows of a later submission.
 type Withdraw struct {
 	Call  CallID
 	Owner Member
 	Job   string
-	Age   time.Duration // since the job was submitted again
+	Age   time.Duration // of the later submission
 }
 
 // Outcome is the response to an Offer.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -471,7 +471,7 @@
 		i.pool.answerOutdated(p.member, m.Call, now)
 		return
 	}
-	leaving := i.leaving && !i.pool.mayHaveRuns(&m.Job, now)
+	leaving := i.leaving && !i.pool.mayHaveRuns(&m.Job, p.member, now)
 	if leaving || i.members.gaveUp(m.Job.Offloaded, p.member, now) || i.pool.offer(p.member, m.Call, m.Job, m.AllowQueue, now) {
 		i.decline(p, m.Call, m.Job.Service, now)
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -85,11 +85,14 @@
 
 // home returns the instance that holds the job's call, empty if an owner of an earlier
 // version doesn't name it.
-func (j *job) home() Member {
-	if j.offloaded != nil {
-		return j.spec.Offloaded.Home
+func (j *job) home() Member { return j.spec.home(j.origin) }
+
+// home returns the instance that holds the call of a job or offloaded task of origin.
+func (j *JobSpec) home(origin Member) Member {
+	if j.Offloaded != nil {
+		return j.Offloaded.Home
 	}
-	return j.origin
+	return origin
 }
 
 // unblockSteps marks steps as ready whose dependencies have completed.
--- a/internal/fleet/opencalls.go
+++ b/internal/fleet/opencalls.go
@@ -56,16 +56,11 @@
 	for _, p := range rt.members.orderedPeers {
 		if p.hasOpenCall(j.ID) {
 			rt.pool.orphans.addJob(j.ID, now.Add(rt.pool.orphanRunTime))
-			rt.endCallAt(p, j, now)
+			rt.pool.endCall(p.member, j, now)
 		}
 	}
 }
 
-// endCallAt has a member end its call with a job if the job was submitted again here.
-func (rt *router) endCallAt(p *peer, j *JobSpec, now Time) {
-	rt.effect(SendPeer{To: p.member, Message: Withdraw{Job: j.ID, Age: now.Sub(j.ReceivedAt)}})
-}
-
 // earlierRunsEndAt returns when all runs of earlier submissions of a call's job are certainly
 // over, 0 if none is known. While another member still has a call with it, they go on.
 func (rt *router) earlierRunsEndAt(c *call, now Time) Time {
@@ -86,7 +81,7 @@
 	p.openCalls = list.Jobs
 	for _, job := range p.openCalls {
 		if _, was := slices.BinarySearch(before, job); !was && rt.byJob[job] != nil {
-			rt.endCallAt(p, &rt.byJob[job].job, now)
+			rt.pool.endCall(p.member, &rt.byJob[job].job, now)
 		}
 	}
 	for _, job := range before {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -190,7 +190,7 @@
 	if spec.Durable {
 		return p.holder.offer(origin, call, spec)
 	}
-	if p.endOtherSubmissions(&spec, now) {
+	if p.endOtherSubmissions(&spec, origin, now) {
 		p.answerOutdated(origin, call, now)
 		return false
 	}
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -46,8 +47,8 @@
 }
 
 // offer offers a job of a member to the owner.
-func (w *resubmitWorld) offer(from Member, job JobSpec) {
-	w.step(PeerMessage{From: from, ReceivedAt: w.now, Message: Offer{Call: 1, Job: job, Age: w.now.Sub(job.ReceivedAt), Echo: w.now}})
+func (w *resubmitWorld) offer(from Member, job JobSpec) []Effect {
+	return w.step(PeerMessage{From: from, ReceivedAt: w.now, Message: Offer{Call: 1, Job: job, Age: w.now.Sub(job.ReceivedAt), Echo: w.now}})
 }
 
 func (w *resubmitWorld) step(e Event) []Effect {
@@ -432,3 +433,73 @@
 		}
 	}
 }
+
+// TestTaskOfLaterSubmissionLeavesEarlierOne offers an instance a task of a later submission while
+// it runs another task of the earlier one, which it ends, at its owner and at its home.
+func TestTaskOfLaterSubmissionLeavesEarlierOne(t *testing.T) {
+	w := newIdleResubmitWorld(t)
+	w.job.Steps[0].Need.CPUMilli = 1000
+	first, second := w.job, w.job
+	first.ReceivedAt, second.ReceivedAt = w.now.Add(-1500*time.Millisecond), w.now.Add(-200*time.Millisecond)
+	home := Member{Instance: "n4", Incarnation: "01", Domain: "d", Weight: 1}
+	w.step(LinkUp{Peer: home})
+	w.step(PeerMessage{From: home, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true}})
+	first.Offloaded, second.Offloaded = &OffloadedTask{Home: home}, &OffloadedTask{Home: w.second, Index: 1}
+	w.offer(w.first, first)
+	w.outcomes = nil
+	effects := w.offer(w.second, second)
+	if got := w.outcomes[w.first.Instance]; got == nil || got.Result.Reason != ReasonResubmitted {
+		t.Errorf("outcome %+v of the earlier submission's task, want it ended", got)
+	}
+	if !slices.ContainsFunc(effects, func(e Effect) bool {
+		s, ok := e.(SendPeer)
+		return ok && s.To.Instance == home.Instance && s.Message == Withdraw{Job: w.job.ID, Age: w.now.Sub(second.ReceivedAt)}
+	}) {
+		t.Error("the instance with the earlier call isn't told")
+	}
+}
+
+// TestDurableJobOfLostOwnerIsDeclined offers a durable job, whose owner was lost before, to an
+// owner in an evacuated domain.
+func TestDurableJobOfLostOwnerIsDeclined(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		i, now := oneServer(t, 500)
+		peer := Member{Instance: "n2", Incarnation: "01", Domain: "e", Weight: 1}
+		i.Step(now, LinkUp{Peer: peer})
+		i.Step(now, PeerMessage{From: peer, ReceivedAt: now, Message: Heartbeat{SentAt: now, Echo: now, Busy: true}})
+		i.Step(now, EvacuationsChanged{Domains: []model.Domain{"d"}, Revision: 10})
+		job := oneTaskJob("j1", now)
+		job.Durable = true
+		if lost {
+			c := &call{id: 5, offer: 5, job: job, owner: Member{Instance: "n3", Incarnation: "01"}}
+			i.router.add(c)
+			i.router.offers[5] = c
+			i.router.handleOwnerLost(c.owner, now.Add(i.pool.orphanRunTime), now)
+		}
+		declined := false
+		for _, e := range i.Step(now, PeerMessage{From: peer, ReceivedAt: now, Message: Offer{Call: 1, Job: job, AllowQueue: true, Echo: now}}) {
+			if s, ok := e.(SendPeer); ok {
+				if o, ok := s.Message.(Outcome); ok && o.Declined {
+					declined = true
+				}
+			}
+		}
+		if !declined {
+			t.Errorf("owner lost before %v: durable job not declined by an owner in an evacuated domain; %d held, %d orphans", lost, len(i.holder.jobs), len(i.pool.orphans.jobs))
+		}
+	}
+}
+
+// TestOwnCallEndedByTaskWithoutHome lets an owner of an earlier version offload a task of this
+// instance's own call here, without naming the home.
+func TestOwnCallEndedByTaskWithoutHome(t *testing.T) {
+	w := newOfferWorld(t)
+	w.step(JobSubmitted{Call: 1, Job: oneTaskJob("j1", w.now)})
+	task := oneTaskJob("j1", w.now)
+	task.Offloaded = &OffloadedTask{}
+	for _, e := range w.i.Step(w.now, PeerMessage{From: w.owners[0], ReceivedAt: w.now, Message: Offer{Call: firstOffloadCall + 1, Job: task, Echo: w.now}}) {
+		if a, ok := e.(Answer); ok {
+			t.Errorf("own call answered %+v", a.Result)
+		}
+	}
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -135,7 +135,7 @@
 func (rt *router) handleSubmitted(e JobSubmitted, now Time) {
 	c := &call{id: e.Call, job: e.Job}
 	if !c.job.Durable {
-		outdated := rt.endOtherCall(&c.job, now) || rt.pool.endOtherSubmissions(&c.job, now)
+		outdated := rt.endOtherCall(&c.job, now) || rt.pool.endOtherSubmissions(&c.job, rt.self, now)
 		if outdated {
 			rt.finish(c, outdatedResult)
 			return
@@ -176,9 +176,12 @@
 // endOtherCall ends the call of an earlier submission of a job. It reports whether a later
 // one has a call, which outdates the job.
 func (rt *router) endOtherCall(spec *JobSpec, now Time) (outdated bool) {
-	c := rt.byJob[spec.ID]
+	c, ownTask := rt.byJob[spec.ID], false
+	if o := spec.Offloaded; o != nil { // owners of an earlier version don't name the home
+		ownTask = o.Home.Instance == "" || o.Home.sameIncarnation(rt.self)
+	}
 	switch {
-	case c == nil || spec.Offloaded != nil && spec.Offloaded.Home.sameIncarnation(rt.self):
+	case c == nil || ownTask:
 	case rt.pool.laterSubmission(&c.job, spec):
 		return true
 	default:
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -10,8 +10,8 @@
 var outdatedResult = Result{Kind: Unknown, Reason: ReasonResubmitted}
 
 // laterSubmission reports whether job a was submitted after b. Callers submit a job again
-// after more than the time that runs outlast their loss, see checkResend in package platform;
-// half of that tells two submissions apart however long instances took to read them.
+// after more than the time that runs outlast their loss, see checkResend in package platform.
+// Half of that tells two submissions apart, unless messages about one took about as long.
 func (p *pool) laterSubmission(a, b *JobSpec) bool {
 	return a.ReceivedAt.Sub(b.ReceivedAt) > p.orphanRunTime/2
 }
@@ -19,10 +19,12 @@
 // taskID returns the ID of an offloaded task.
 func (j *JobSpec) taskID() TaskID { return TaskID{j.ID, j.Offloaded.Step, j.Offloaded.Index} }
 
-// otherSubmissions returns the jobs here that would run tasks of an offered job or task twice.
-func (p *pool) otherSubmissions(spec *JobSpec) (out []*job) {
+// otherSubmissions returns the jobs here that belong to another submission of a job or task
+// offered by origin, or would run the same tasks.
+func (p *pool) otherSubmissions(spec *JobSpec, origin Member) (out []*job) {
 	for _, j := range p.byID[spec.ID] {
-		if j.offloaded == nil || spec.Offloaded == nil || j.offloaded.id == spec.taskID() {
+		sameTasks := j.offloaded == nil || spec.Offloaded == nil || j.offloaded.id == spec.taskID()
+		if sameTasks || !j.home().sameIncarnation(spec.home(origin)) {
 			out = append(out, j)
 		}
 	}
@@ -30,25 +32,37 @@
 }
 
 // endOtherSubmissions ends earlier submissions of an offered job or task. It reports whether
-// a later one is here, which outdates the offer.
-func (p *pool) endOtherSubmissions(spec *JobSpec, now Time) (outdated bool) {
-	others := p.otherSubmissions(spec)
-	if slices.ContainsFunc(others, func(j *job) bool { return p.laterSubmission(&j.spec, spec) }) {
+// a later one is here, which outdates the offer. Offers for one instance's calls come in
+// their order.
+func (p *pool) endOtherSubmissions(spec *JobSpec, origin Member, now Time) (outdated bool) {
+	others := p.otherSubmissions(spec, origin)
+	if slices.ContainsFunc(others, func(j *job) bool {
+		return p.laterSubmission(&j.spec, spec) && !j.home().sameIncarnation(spec.home(origin))
+	}) {
 		return true
 	}
 	for _, j := range others {
-		if j.offloaded != nil { // the owner that offloaded it may have other tasks of the job
+		if j.offloaded != nil { // its owner and other instances may have other tasks of the job
 			p.orphans.addJob(spec.ID, now.Add(p.orphanRunTime))
+			p.endCall(j.home(), spec, now)
 		}
 		p.endJob(j, outdatedResult, now)
 	}
 	return false
 }
 
+// endCall has another instance end its call with a job of which a later submission is known
+// here.
+func (p *pool) endCall(at Member, later *JobSpec, now Time) {
+	if at.Instance != "" && at.Instance != p.self.Instance {
+		p.effect(SendPeer{To: at, Message: Withdraw{Job: later.ID, Age: now.Sub(later.ReceivedAt)}})
+	}
+}
+
 // mayHaveRuns reports whether runs of other submissions of an offered job or task may go on
 // that this instance knows of. As no other owner does, it must not decline the offer.
-func (p *pool) mayHaveRuns(spec *JobSpec, now Time) bool {
-	return !spec.Durable && (len(p.otherSubmissions(spec)) > 0 || p.orphansEndAt(spec, now) != 0)
+func (p *pool) mayHaveRuns(spec *JobSpec, origin Member, now Time) bool {
+	return !spec.Durable && (len(p.otherSubmissions(spec, origin)) > 0 || p.orphansEndAt(spec, now) != 0)
 }
 
 // orphansEndAt returns when all runs of an ended submission of a job, or of a task that was
