Test: a task starts beside its offload for an earlier submission

In virtual time: the instance that runs a task for the owner of the first submission gets the second one, and starts the task again at another of its servers.

--- a/internal/fleet/fleetsim/resubmit_test.go
+++ b/internal/fleet/fleetsim/resubmit_test.go
@@ -81,6 +81,30 @@
 	}
 }
 
+// TestTaskStartsBesideItsOffloadForEarlierSubmission submits a job again at the instance that
+// runs a task of it for the owner of the first submission, and that has room for all of it.
+func TestTaskStartsBesideItsOffloadForEarlierSubmission(t *testing.T) {
+	for after := 20 * time.Millisecond; after < 200*time.Millisecond; after += 20 * time.Millisecond {
+		w := New(1)
+		w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
+		w.AddInstance("carrick-0", "carrick", defaultWeight)
+		w.addServers("tayside", "t0")
+		w.addServers("carrick", "c0")
+		w.Run(settleTime)
+		spec, work := w.longJob(2)
+		spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
+		w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance("carrick-0") }
+		j := w.SubmitUntilAnswered("tayside-0", spec, work)
+		w.Run(after)
+		w.addServers("carrick", "c1", "c2", "c3")
+		w.LoseCallerUnnoticed(j)
+		w.Run(4 * time.Second)
+		for _, v := range w.Violations {
+			t.Errorf("caller gone after %v: %s", after, v)
+		}
+	}
+}
+
 // TestJobSubmittedAgainBesideItsRunElsewhere submits a job again at an instance that uses
 // another owner than the first submission, whose instance doesn't notice that the caller has
 // left. The later submission is served; it may be told to come back first.
