A call isn't ended by its own submission

Found by reading. An instance that ends a task of an earlier submission tells the instance with its call. If the job was submitted again there, the call that this one finds under the job is the later submission, and its caller got an unknown result while it waited. Such an instance isn't told any more, as it has ended the earlier call itself; and a call ends on such a message only if it is clearly the earlier one.

TestCallEndedByItsOwnSubmission failed without the first half, TestLaterCallIsKept covers the second. The offloaded tasks of a job that ends are looked up once.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -428,7 +428,7 @@
 			return
 		}
 		if m.Job != "" {
-			i.router.endOtherCall(&JobSpec{ID: m.Job, ReceivedAt: now.Add(-m.Age)}, now)
+			i.router.endEarlierCall(m.Job, m.Age, now)
 			return
 		}
 		i.pool.withdraw(jobKey{p.member.Instance, p.member.Incarnation, m.Call}, now)
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -329,10 +329,12 @@
 	return out
 }
 
-// withdrawOffloads cancels the offloaded tasks of a job.
-func (p *pool) withdrawOffloads(j *job) {
-	for _, id := range p.offloadsOf(j) {
-		p.effect(SendPeer{To: p.offloads[id].to, Message: Withdraw{Call: id}})
+// withdrawOffloads cancels the offloaded tasks of a job, and adds them to its records.
+func (p *pool) withdrawOffloads(j *job, offloads []CallID) {
+	for _, id := range offloads {
+		off := p.offloads[id]
+		j.keepRecord(off.record())
+		p.effect(SendPeer{To: off.to, Message: Withdraw{Call: id}})
 		delete(p.offloads, id)
 	}
 }
--- a/internal/fleet/opencalls_test.go
+++ b/internal/fleet/opencalls_test.go
@@ -104,21 +104,18 @@
 	}
 }
 
-// TestLaterCallIsKept tells an instance with a call that its job was submitted elsewhere, later
-// or earlier, and lists such a call elsewhere.
+// TestLaterCallIsKept tells an instance with a call of another submission of its job, which is
+// later, earlier, or the call's own one.
 func TestLaterCallIsKept(t *testing.T) {
-	for _, elsewhereLater := range []bool{false, true} {
+	const callAge = 2 * time.Second
+	for age, kept := range map[time.Duration]bool{0: false, callAge: true, 2 * callAge: true} {
 		w := newOfferWorld(t)
 		w.step(JobSubmitted{Call: 1, Job: oneTaskJob("j1", w.now)})
-		age := 2 * time.Second
-		if elsewhereLater {
-			w.now = w.now.Add(age)
-			age = 0
-			w.heartbeats()
-		}
+		w.now = w.now.Add(callAge)
+		w.heartbeats()
 		w.step(PeerMessage{From: w.owners[0], ReceivedAt: w.now, Message: Withdraw{Job: "j1", Age: age}})
-		if kept := len(w.i.router.calls) == 1; kept == elsewhereLater {
-			t.Errorf("submitted elsewhere later: %v, call kept: %v", elsewhereLater, kept)
+		if got := len(w.i.router.calls) == 1; got != kept {
+			t.Errorf("other submission of age %v, call of age %v kept: %v", age, callAge, got)
 		}
 	}
 }
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -379,10 +379,10 @@
 	}
 	p.removeJob(j)
 	if result.Kind != Completed {
-		p.recordOrphans(j, now)
+		offloads := p.offloadsOf(j)
+		p.recordOrphans(j, len(offloads) > 0, now)
 		p.stopJob(j, now)
-		p.recordOffloads(j)
-		p.withdrawOffloads(j)
+		p.withdrawOffloads(j, offloads)
 	}
 	if result.Kind == Unknown && j.starts == 0 {
 		result.Kind = NotRun
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -441,9 +441,7 @@
 	w.job.Steps[0].Need.CPUMilli = 1000
 	first, second := w.job, w.job
 	first.ReceivedAt, second.ReceivedAt = w.now.Add(-1500*time.Millisecond), w.now.Add(-200*time.Millisecond)
-	home := Member{Instance: "n4", Incarnation: "01", Domain: "d", Weight: 1}
-	w.step(LinkUp{Peer: home})
-	w.step(PeerMessage{From: home, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true}})
+	home := w.linkHome()
 	first.Offloaded, second.Offloaded = &OffloadedTask{Home: home}, &OffloadedTask{Home: w.second, Index: 1}
 	w.offer(w.first, first)
 	w.outcomes = nil
@@ -503,3 +501,34 @@
 		}
 	}
 }
+
+// TestCallEndedByItsOwnSubmission submits a job again at the instance with the first call, while
+// an instance runs a task of the first submission. That one doesn't have the later call ended.
+func TestCallEndedByItsOwnSubmission(t *testing.T) {
+	w := newIdleResubmitWorld(t)
+	home := w.linkHome()
+	first, second := w.job, w.job
+	first.ReceivedAt, second.ReceivedAt = w.now.Add(-1500*time.Millisecond), w.now.Add(-200*time.Millisecond)
+	first.Offloaded, second.Offloaded = &OffloadedTask{Home: home}, &OffloadedTask{Home: home}
+	w.offer(w.first, first)
+	w.outcomes = nil
+	effects := w.offer(w.second, second)
+	if got := w.outcomes[w.first.Instance]; got == nil || got.Result.Reason != ReasonResubmitted {
+		t.Errorf("outcome %+v of the first submission's task, want it ended", got)
+	}
+	for _, e := range effects {
+		if s, ok := e.(SendPeer); ok && s.To.Instance == home.Instance {
+			if m, ok := s.Message.(Withdraw); ok {
+				t.Errorf("the instance with the call is told %+v", m)
+			}
+		}
+	}
+}
+
+// linkHome links another member, which holds calls.
+func (w *resubmitWorld) linkHome() Member {
+	home := Member{Instance: "n4", Incarnation: "01", Domain: "d", Weight: 1}
+	w.step(LinkUp{Peer: home})
+	w.step(PeerMessage{From: home, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true}})
+	return home
+}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -190,6 +190,15 @@
 	return false
 }
 
+// endEarlierCall ends the call with a job if another member knows of a later submission, of the
+// given age.
+func (rt *router) endEarlierCall(job string, age time.Duration, now Time) {
+	c := rt.byJob[job]
+	if c != nil && rt.pool.laterSubmission(&JobSpec{ReceivedAt: now.Add(-age)}, &c.job) {
+		rt.end(c, outdatedResult, now)
+	}
+}
+
 // end answers a call before its job is over, and withdraws the job.
 func (rt *router) end(c *call, r Result, now Time) {
 	rt.recordOrphans(c, now)
--- a/internal/fleet/runrecord.go
+++ b/internal/fleet/runrecord.go
@@ -131,14 +131,6 @@
 	o.task.job.keepRecord(rec)
 }
 
-// recordOffloads adds the tasks of a job that are still offloaded to its records.
-func (p *pool) recordOffloads(j *job) {
-	for _, id := range p.offloadsOf(j) {
-		off := p.offloads[id]
-		j.keepRecord(off.record())
-	}
-}
-
 // String implements fmt.Stringer.
 func (k EndKind) String() string {
 	names := [...]string{"", "done", "failed", "stopped", "expired", "other"}
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -36,15 +36,16 @@
 // their order.
 func (p *pool) endOtherSubmissions(spec *JobSpec, origin Member, now Time) (outdated bool) {
 	others := p.otherSubmissions(spec, origin)
-	if slices.ContainsFunc(others, func(j *job) bool {
-		return p.laterSubmission(&j.spec, spec) && !j.home().sameIncarnation(spec.home(origin))
-	}) {
+	sameHome := func(j *job) bool { return j.home().sameIncarnation(spec.home(origin)) }
+	if slices.ContainsFunc(others, func(j *job) bool { return p.laterSubmission(&j.spec, spec) && !sameHome(j) }) {
 		return true
 	}
 	for _, j := range others {
 		if j.offloaded != nil { // its owner and other instances may have other tasks of the job
 			p.orphans.addJob(spec.ID, now.Add(p.orphanRunTime))
-			p.endCall(j.home(), spec, now)
+			if !sameHome(j) {
+				p.endCall(j.home(), spec, now)
+			}
 		}
 		p.endJob(j, outdatedResult, now)
 	}
@@ -95,10 +96,10 @@
 }
 
 // recordOrphans records the runs that go on when a job ends without success, but for those at
-// this instance's servers.
-func (p *pool) recordOrphans(j *job, now Time) {
+// this instance's servers. offloaded reports whether other owners have tasks of it.
+func (p *pool) recordOrphans(j *job, offloaded bool, now Time) {
 	until := p.delayedUntil(j)
-	if len(p.offloadsOf(j)) > 0 {
+	if offloaded {
 		until = now.Add(p.orphanRunTime)
 	}
 	switch {
