Open calls are heard of by idle, unresponsive and stalled members

Causes, from the traces of four jobs: - a member without servers and jobs gets a heartbeat each 0.8 s, so a list reached it after the job had come again; a list that a member doesn't have makes a heartbeat due - a member that was lost for a moment no longer counted as having a call, though other members may hear it; now only one known to have ended doesn't, and its call lasts until its timeout at most - an instance that was told of an earlier submission didn't tell of its own, later one - a call older than MaxOrphanRunTime was offered, or offered again, while a stalled member had yet to read the list with it; it is deferred until all reachable members have processed that

--- a/internal/fleet/fleetsim/callers.go
+++ b/internal/fleet/fleetsim/callers.go
@@ -124,3 +124,14 @@
 		w.After(w.upTo(d), func() { w.LoseCaller(j, w.upTo(w.NoticeTime)) })
 	}
 }
+
+// loseCallersUnnoticed breaks the connections of a share of the callers at an instance, which
+// isn't told.
+func (w *World) loseCallersUnnoticed(at model.Instance, share float64) {
+	n := w.instance(at)
+	for _, j := range w.submissions {
+		if j.AnsweredAt == 0 && n.holds(j) && w.Rand.Float64() < share {
+			w.LoseCallerUnnoticed(j)
+		}
+	}
+}
--- a/internal/fleet/fleetsim/troubles_test.go
+++ b/internal/fleet/fleetsim/troubles_test.go
@@ -37,6 +37,10 @@
 		w.After(100*time.Millisecond+w.upTo(3*time.Second), func() { s.Unresponsive = false })
 	}},
 	{"callers lost", 200 * time.Millisecond, func(w *World) { w.LoseCallers(w.someInstance(), 0.3, 500*time.Millisecond) }},
+	{"callers lost unnoticed", 200 * time.Millisecond, func(w *World) { w.loseCallersUnnoticed(w.someInstance(), 0.3) }},
+	{"messages held", 500 * time.Millisecond, func(w *World) {
+		w.DelayLinks(w.someInstance(), 1+w.upTo(270*time.Millisecond), 300*time.Millisecond)
+	}},
 	{"instances slow", time.Second, func(w *World) {
 		w.SlowDown(w.someInstance(), 50*time.Millisecond+w.upTo(350*time.Millisecond), 500*time.Millisecond+w.upTo(3*time.Second))
 	}},
@@ -206,6 +210,18 @@
 	})
 }
 
+// TestTaskRunsOnceWhenCallersLeaveUnnoticed plays mixes in which instances aren't told that
+// callers have left, which submit their jobs again.
+func TestTaskRunsOnceWhenCallersLeaveUnnoticed(t *testing.T) {
+	playMixes(t, 6, [][]string{
+		{"callers lost unnoticed"},
+		{"callers lost unnoticed", "messages held"},
+		{"callers lost unnoticed", "instances slow"},
+		{"callers lost unnoticed", "servers unresponsive", "late orders"},
+		{"callers lost unnoticed", "instances killed"},
+	})
+}
+
 // TestTaskRunsOnceAfterFreezesAndCuts plays mixes with instances that resume after a
 // pause or whose messages don't arrive.
 func TestTaskRunsOnceAfterFreezesAndCuts(t *testing.T) {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -428,7 +428,7 @@
 			return
 		}
 		if m.Job != "" {
-			i.router.endEarlierCall(m.Job, m.Age, now)
+			i.router.endEarlierCall(p.member, m.Job, m.Age, now)
 			return
 		}
 		i.pool.withdraw(jobKey{p.member.Instance, p.member.Incarnation, m.Call}, now)
@@ -504,7 +504,11 @@
 // sendHeartbeats sends the heartbeats that are due, or to all peers.
 func (i *Instance) sendHeartbeats(now Time, all bool) {
 	for _, p := range i.members.orderedPeers {
-		if p.linked && (all || now.Sub(p.heartbeatSentAt) >= i.members.heartbeatEvery(p)) {
+		every := i.members.heartbeatEvery(p)
+		if i.router.open.isNewTo(p) {
+			every = i.members.activeHeartbeatInterval()
+		}
+		if p.linked && (all || now.Sub(p.heartbeatSentAt) >= every) {
 			i.sendHeartbeat(p, now)
 		}
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -474,6 +474,11 @@
 	if !p.active {
 		return idleHeartbeatInterval
 	}
+	return m.activeHeartbeatInterval()
+}
+
+// activeHeartbeatInterval is that for a peer that must be heard and informed quickly.
+func (m *members) activeHeartbeatInterval() time.Duration {
 	return max(heartbeatInterval, time.Duration(len(m.orderedPeers))*heartbeatIntervalPerPeer)
 }
 
--- a/internal/fleet/opencalls.go
+++ b/internal/fleet/opencalls.go
@@ -32,6 +32,9 @@
 	for _, c := range rt.byJob {
 		if now.Sub(c.job.ReceivedAt) >= rt.pool.orphanRunTime/2 {
 			jobs = append(jobs, c.job.ID)
+			if c.listedAt == 0 {
+				c.listedAt = now
+			}
 		}
 	}
 	slices.Sort(jobs)
@@ -41,9 +44,23 @@
 	}
 }
 
+// mayBeResubmitted reports whether a call's job may have been submitted again at an instance
+// that hasn't heard of the call: its caller may have left unnoticed.
+func (rt *router) mayBeResubmitted(c *call, now Time) bool {
+	if c.job.Durable || now.Sub(c.job.ReceivedAt) < rt.pool.orphanRunTime {
+		return false
+	}
+	return slices.ContainsFunc(rt.members.orderedPeers, func(p *peer) bool {
+		return p.reachable(now) && (c.listedAt == 0 || p.echoedAt < c.listedAt)
+	})
+}
+
+// isNewTo reports whether a peer doesn't have the list.
+func (o *openCalls) isNewTo(p *peer) bool { return p.openCallsSent != o.version }
+
 // newsFor returns the list if a peer doesn't have it, else nil.
 func (o *openCalls) newsFor(p *peer) *OpenCalls {
-	if p.openCallsSent == o.version {
+	if !o.isNewTo(p) {
 		return nil
 	}
 	p.openCallsSent = o.version
@@ -62,11 +79,18 @@
 }
 
 // earlierRunsEndAt returns when all runs of earlier submissions of a call's job are certainly
-// over, 0 if none is known. While another member still has a call with it, they go on.
+// over, 0 if none is known. They go on while another member has a call with it, which ends
+// with its timeout if that member can't be reached.
 func (rt *router) earlierRunsEndAt(c *call, now Time) Time {
 	at := rt.pool.orphansEndAt(&c.job, now)
-	if slices.ContainsFunc(rt.members.orderedPeers, func(p *peer) bool { return p.hasOpenCall(c.job.ID) }) {
-		at = max(at, now.Add(rt.pool.orphanRunTime))
+	for _, p := range rt.members.orderedPeers {
+		if p.hasOpenCall(c.job.ID) {
+			callEnd := min(now, p.openCalls[c.job.ID].Add(c.job.Timeout))
+			at = max(at, callEnd.Add(rt.pool.orphanRunTime))
+		}
+	}
+	if at <= now {
+		return 0
 	}
 	return at
 }
@@ -78,13 +102,18 @@
 		return
 	}
 	before := p.openCalls
-	p.openCalls = list.Jobs
-	for _, job := range p.openCalls {
-		if _, was := slices.BinarySearch(before, job); !was && rt.byJob[job] != nil {
-			rt.pool.endCall(p.member, &rt.byJob[job].job, now)
+	p.openCalls = make(map[string]Time, len(list.Jobs))
+	for _, job := range list.Jobs {
+		at, was := before[job]
+		if !was {
+			at = now
+			if c := rt.byJob[job]; c != nil {
+				rt.pool.endCall(p.member, &c.job, now)
+			}
 		}
+		p.openCalls[job] = at
 	}
-	for _, job := range before {
+	for job := range before {
 		if c := rt.byJob[job]; c != nil && c.reofferAt != 0 && !p.hasOpenCall(job) {
 			rt.pool.orphans.addJob(job, now.Add(rt.pool.orphanRunTime))
 		}
@@ -93,13 +122,14 @@
 
 // handleCallsLost records the runs of a lost member's calls.
 func (rt *router) handleCallsLost(p *peer, runsEnd Time) {
-	for _, job := range p.openCalls {
+	for job := range p.openCalls {
 		rt.pool.orphans.addJob(job, runsEnd)
 	}
 }
 
-// hasOpenCall reports whether the peer is known to have a call with a job.
+// hasOpenCall reports whether the peer is known to have a call with a job. One that is lost
+// may still have it: other members may hear it.
 func (p *peer) hasOpenCall(job string) bool {
-	_, found := slices.BinarySearch(p.openCalls, job)
-	return found && !p.lossHandled
+	_, found := p.openCalls[job]
+	return found && !p.dead
 }
--- a/internal/fleet/opencalls_test.go
+++ b/internal/fleet/opencalls_test.go
@@ -113,9 +113,95 @@
 		w.step(JobSubmitted{Call: 1, Job: oneTaskJob("j1", w.now)})
 		w.now = w.now.Add(callAge)
 		w.heartbeats()
-		w.step(PeerMessage{From: w.owners[0], ReceivedAt: w.now, Message: Withdraw{Job: "j1", Age: age}})
+		told := false
+		for _, e := range w.i.Step(w.now, PeerMessage{From: w.owners[0], ReceivedAt: w.now, Message: Withdraw{Job: "j1", Age: age}}) {
+			s, ok := e.(SendPeer)
+			told = told || ok && s.To.Instance == w.owners[0].Instance && s.Message == Withdraw{Job: "j1", Age: callAge}
+		}
 		if got := len(w.i.router.calls) == 1; got != kept {
 			t.Errorf("other submission of age %v, call of age %v kept: %v", age, callAge, got)
 		}
+		if want := age > callAge; told != want {
+			t.Errorf("other submission of age %v: its instance is told of the later call: %v", age, told)
+		}
+	}
+}
+
+// TestIdleMembersHearOfOpenCalls lets a call grow old while a member without servers and jobs
+// gets heartbeats rarely.
+func TestIdleMembersHearOfOpenCalls(t *testing.T) {
+	w := newOfferWorld(t)
+	idle := Member{Instance: "n5", Incarnation: "01", Domain: "d", Weight: 1}
+	w.step(LinkUp{Peer: idle})
+	var lists [][]string
+	run := func(d time.Duration) {
+		for end := w.now.Add(d); w.now < end && len(lists) == 0; {
+			w.now = w.now.Add(tickInterval)
+			w.heartbeats()
+			w.step(PeerMessage{From: idle, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now}})
+			lists = openCallsSent(w.i.Step(w.now, Tick{}), idle)
+		}
+	}
+	run(2 * busyLinger)
+	submittedAt := w.now
+	w.step(JobSubmitted{Call: 1, Job: oneTaskJob("j1", w.now)})
+	run(3 * time.Second)
+	if after := w.now.Sub(submittedAt); len(lists) != 1 || after > w.i.pool.orphanRunTime-openCallsInterval {
+		t.Errorf("lists %v after %v, want the call before its job may be submitted again", lists, after)
+	}
+}
+
+// TestCallWaitsForUnresponsiveMember submits a job that a member has a call with which this
+// instance doesn't hear any more, but others may. Its call ends with its timeout.
+func TestCallWaitsForUnresponsiveMember(t *testing.T) {
+	w := newOfferWorld(t)
+	other, job := w.owners[1], oneTaskJob("j1", w.now)
+	job.Timeout = 4 * time.Second
+	w.heartbeatWithCalls(other, "j1")
+	listedAt := w.now
+	hear := func() {
+		w.now = w.now.Add(tickInterval)
+		w.heartbeat(w.owners[0], 4000)
+		w.step(Tick{})
+	}
+	for w.now < listedAt.Add(2*time.Second) {
+		hear()
+	}
+	job.ReceivedAt = w.now
+	w.step(JobSubmitted{Call: 1, Job: job})
+	for len(w.open) == 0 && w.now < listedAt.Add(10*time.Second) {
+		hear()
+	}
+	if got, want := w.now.Sub(listedAt), job.Timeout+w.i.pool.orphanRunTime; len(w.open) != 1 || got < want || got > want+time.Second {
+		t.Errorf("%d offers %v after the other call was listed, want one after %v", len(w.open), got, want)
+	}
+}
+
+// TestOldCallIsOfferedOnceMembersHaveHeardOfIt lets an owner decline a call whose job may have
+// been submitted again at a member that hasn't processed the list with the call yet.
+func TestOldCallIsOfferedOnceMembersHaveHeardOfIt(t *testing.T) {
+	w := newOfferWorld(t)
+	slow := w.owners[2]
+	echo := w.now
+	w.step(JobSubmitted{Call: 1, Job: oneTaskJob("j1", w.now)})
+	submittedAt := w.now
+	hear := func() {
+		w.heartbeat(w.owners[0], 4000)
+		w.heartbeat(w.owners[1], 4000)
+		w.step(PeerMessage{From: slow, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: echo, Busy: true}})
+		w.step(Tick{})
+	}
+	for w.now.Sub(submittedAt) <= w.i.pool.orphanRunTime {
+		w.now = w.now.Add(tickInterval)
+		echo = min(w.now, submittedAt.Add(w.i.pool.orphanRunTime/2-tickInterval))
+		hear()
+	}
+	w.decline(NotRun)
+	hear()
+	if len(w.open) > 0 {
+		t.Errorf("offered to %s before %s has heard of the call", w.open[0].owner.Instance, slow.Instance)
 	}
+	echo = w.now
+	hear()
+	w.checkOneOwner()
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -48,8 +48,8 @@
 	active                                                    bool   // frequent heartbeats in both directions
 	activeSince                                               Time
 	gaveUp                                                    map[model.Instance]givenUpOwner
-	openCalls                                                 []string // jobs of its calls that have been open for a while, sorted
-	openCallsSent                                             uint64   // version of this instance's list that it was sent on the current link
+	openCalls                                                 map[string]Time // jobs of its calls that have been open for a while, and when it first listed them
+	openCallsSent                                             uint64          // version of this instance's list that it was sent on the current link
 	lossHandled                                               bool
 	expiryHandled                                             bool
 }
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -35,6 +35,7 @@
 	mayHaveRun  bool             // an earlier owner may have run it
 
 	reofferAt Time // offered again then, after the runs of a lost owner have ended
+	listedAt  Time // when it came into the list of open calls, 0 if it hasn't
 }
 
 // router holds the calls of this instance and finds an owner for each.
@@ -190,12 +191,16 @@
 	return false
 }
 
-// endEarlierCall ends the call with a job if another member knows of a later submission, of the
-// given age.
-func (rt *router) endEarlierCall(job string, age time.Duration, now Time) {
-	c := rt.byJob[job]
-	if c != nil && rt.pool.laterSubmission(&JobSpec{ReceivedAt: now.Add(-age)}, &c.job) {
+// endEarlierCall ends the call with a job of which a member knows another submission of the
+// given age, if the call is the earlier one. If it is the later one, the member is told.
+func (rt *router) endEarlierCall(from Member, job string, age time.Duration, now Time) {
+	c, other := rt.byJob[job], &JobSpec{ReceivedAt: now.Add(-age)}
+	switch {
+	case c == nil:
+	case rt.pool.laterSubmission(other, &c.job):
 		rt.end(c, outdatedResult, now)
+	case rt.pool.laterSubmission(&c.job, other):
+		rt.pool.endCall(from, &c.job, now)
 	}
 }
 
@@ -222,7 +227,7 @@
 // route offers a job to the owner that can start it immediately, else to the queue
 // owner.
 func (rt *router) route(c *call, now Time) {
-	if now < rt.noOffersUntil || rt.members.inputLags(now) {
+	if now < rt.noOffersUntil || rt.members.inputLags(now) || rt.mayBeResubmitted(c, now) {
 		rt.deferCall(c, now)
 		return
 	}
@@ -311,6 +316,8 @@
 		entry.Reason = "paused"
 	case rt.members.inputLags(now):
 		entry.Reason, entry.Age = "input lags", now.Sub(rt.members.inputAt)
+	case rt.mayBeResubmitted(c, now):
+		entry.Reason = "call not heard of"
 	case rt.awaitsOwners(c, now):
 		entry.Reason = "owners unknown"
 	}
