An instance remembers that the owner of an ended offload may have other tasks

An instance that ran a task for another owner forgot, when that was withdrawn or its deadline passed, that the same submission has tasks elsewhere; the owner may stand still, or its stops be lost. The job, submitted again at that instance, started beside them. It now waits for MaxOrphanRunTime as after endOtherSubmissions, unless the offer is for the call whose task it was: an owner that has given this one up goes on with the job.

The job of TestTaskStartsBesideItsWithdrawnOffload was not offloaded but went to the other owner as a whole; it is called TestJobStartsBesideItsRunsAtOtherOwner now, with the same check.

--- a/internal/fleet/fleetsim/resubmit_test.go
+++ b/internal/fleet/fleetsim/resubmit_test.go
@@ -45,10 +45,10 @@
 	}
 }
 
-// playWithdrawnOffload lets tayside-0 offload a task to carrick-0, and submits the job again
+// playJobAtOtherOwner lets carrick-0 run a job of a call at tayside-0, and submits the job again
 // at an instance at about the time at which its deadline ends the first submission. stall is
 // how long carrick-0 stands still around that time.
-func playWithdrawnOffload(after, stall time.Duration, at model.Instance) *World {
+func playJobAtOtherOwner(after, stall time.Duration, at model.Instance) *World {
 	w := New(1)
 	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
 	w.AddInstance("carrick-0", "carrick", defaultWeight)
@@ -67,13 +67,13 @@
 	return w
 }
 
-// TestTaskStartsBesideItsWithdrawnOffload submits a job again whose task another instance
-// runs for the owner of the first submission, at either of the two.
-func TestTaskStartsBesideItsWithdrawnOffload(t *testing.T) {
+// TestJobStartsBesideItsRunsAtOtherOwner submits a job again at the instance with the first
+// call, and at the owner that runs it.
+func TestJobStartsBesideItsRunsAtOtherOwner(t *testing.T) {
 	for _, at := range []model.Instance{"tayside-0", "carrick-0"} {
 		for after := 150 * time.Millisecond; after < 300*time.Millisecond; after += 5 * time.Millisecond {
 			for _, stall := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
-				for _, v := range playWithdrawnOffload(after, stall, at).Violations {
+				for _, v := range playJobAtOtherOwner(after, stall, at).Violations {
 					t.Errorf("caller gone after %v, stall of %v, job submitted again at %s: %s", after, stall, at, v)
 				}
 			}
@@ -135,3 +135,84 @@
 		}
 	}
 }
+
+// playSharedJob lets tayside-0 offload two of three tasks to carrick-0, and submits the job
+// again at an instance at about the time at which its deadline ends the first submission.
+// trouble is called d before that deadline.
+func playSharedJob(t *testing.T, after, d time.Duration, at model.Instance, trouble func(w *World)) *World {
+	t.Helper()
+	w := New(1)
+	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
+	w.AddInstance("carrick-0", "carrick", defaultWeight)
+	w.addServers("tayside", "t0")
+	w.addServers("carrick", "c0", "c1", "c2")
+	w.Run(settleTime)
+	short := func(tasks int) (fleet.JobSpec, time.Duration) {
+		spec, work := w.longJob(tasks)
+		spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
+		return spec, work
+	}
+	other, work := short(1) // takes a server of carrick-0 until its deadline
+	w.submitFor(&caller{submissions: maxSubmissions}, "carrick-0", other, work)
+	w.Run(100 * time.Millisecond)
+	offloads := 0
+	w.onSend = func(_ model.Instance, x fleet.SendPeer) {
+		if o, ok := x.Message.(fleet.Offer); ok && o.Job.Offloaded != nil {
+			offloads++
+		}
+	}
+	spec, work := short(3)
+	w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance(at) }
+	j := w.SubmitUntilAnswered("tayside-0", spec, work)
+	w.Run(after)
+	if offloads != 2 {
+		t.Fatalf("%d tasks offloaded, want 2", offloads)
+	}
+	w.LoseCallerUnnoticed(j)
+	w.Run(resubmitTimeout - after - d)
+	trouble(w)
+	w.Run(4 * time.Second)
+	return w
+}
+
+// TestJobStartsBesideRunsOfOwnerThatOffloadedIt submits a job again at carrick-0 when its runs
+// of tasks of the first submission have been stopped, but not that of tayside-0, which stands
+// still or is cut off from its server for a while. carrick-0 knows that the submission has ended.
+func TestJobStartsBesideRunsOfOwnerThatOffloadedIt(t *testing.T) {
+	for after := 220 * time.Millisecond; after < 500*time.Millisecond; after += 20 * time.Millisecond {
+		for name, x := range map[string]struct {
+			before  time.Duration
+			trouble func(w *World)
+		}{
+			"stall of 0.3 s": {150 * time.Millisecond, func(w *World) { w.Freeze("tayside-0", 300*time.Millisecond) }},
+			"stall of 0.1 s": {50 * time.Millisecond, func(w *World) { w.Freeze("tayside-0", 100*time.Millisecond) }},
+			"server cut off": {20 * time.Millisecond, func(w *World) { w.CutServer("tayside-0", w.server("t0"), false, 500*time.Millisecond) }},
+		} {
+			for _, v := range playSharedJob(t, after, x.before, "carrick-0", x.trouble).Violations {
+				t.Errorf("%s, caller gone after %v: %s", name, after, v)
+			}
+		}
+	}
+}
+
+// TestTaskStartsBesideItsStoppedOffload submits a job again whose tasks another instance runs
+// for the owner of the first submission, at that owner. The other instance stands still, or is
+// cut off from its servers or from the owner, around the deadline.
+func TestTaskStartsBesideItsStoppedOffload(t *testing.T) {
+	for after := 150 * time.Millisecond; after < 500*time.Millisecond; after += 25 * time.Millisecond {
+		for name, trouble := range map[string]func(w *World){
+			"stall": func(w *World) { w.Freeze("carrick-0", 300*time.Millisecond) },
+			"servers cut off": func(w *World) {
+				for _, s := range []model.ServerID{"c0", "c1", "c2"} {
+					w.CutServer("carrick-0", w.server(s), false, 600*time.Millisecond)
+				}
+			},
+			"owner unheard": func(w *World) { w.CutPeer("tayside-0", "carrick-0", 900*time.Millisecond) },
+			"unheard":       func(w *World) { w.CutPeer("carrick-0", "tayside-0", 900*time.Millisecond) },
+		} {
+			for _, v := range playSharedJob(t, after, 150*time.Millisecond, "tayside-0", trouble).Violations {
+				t.Errorf("%s, caller gone after %v: %s", name, after, v)
+			}
+		}
+	}
+}
--- a/internal/fleet/offload.go
+++ b/internal/fleet/offload.go
@@ -157,7 +157,7 @@
 func (p *pool) offerOffloaded(origin Member, call CallID, spec JobSpec, now Time) (declined bool) {
 	j := newOffloadedJob(spec, origin, call)
 	p.noteOffered(j, now)
-	if until := p.orphansEndAt(&spec, now); until != 0 {
+	if until := p.orphansEndAt(&spec, origin, now); until != 0 {
 		j.again = true
 		p.stage(j, until.Add(stagedTimeout))
 		p.delayAll(j, WaitsSubmitted, until, now)
--- a/internal/fleet/opencalls.go
+++ b/internal/fleet/opencalls.go
@@ -82,7 +82,7 @@
 // over, 0 if none is known. They go on while another member has a call with it, which ends
 // with its timeout if that member can't be reached.
 func (rt *router) earlierRunsEndAt(c *call, now Time) Time {
-	at := rt.pool.orphansEndAt(&c.job, now)
+	at := rt.pool.orphansEndAt(&c.job, rt.self, now)
 	for _, p := range rt.members.orderedPeers {
 		if p.hasOpenCall(c.job.ID) {
 			callEnd := min(now, p.openCalls[c.job.ID].Add(c.job.Timeout))
--- a/internal/fleet/orphans.go
+++ b/internal/fleet/orphans.go
@@ -12,19 +12,26 @@
 type orphan struct {
 	task  TaskID // only this one, unless all is set
 	all   bool
+	home  Member // if set, only other submissions than that of this instance's call wait
 	until Time
 }
 
 func newOrphans() *orphans { return &orphans{jobs: map[string][]orphan{}} }
 
+func (o *orphans) add(job string, x orphan) { o.jobs[job] = append(o.jobs[job], x) }
+
 // addJob records that any task of a job may run until a time.
-func (o *orphans) addJob(job string, until Time) {
-	o.jobs[job] = append(o.jobs[job], orphan{all: true, until: until})
-}
+func (o *orphans) addJob(job string, until Time) { o.add(job, orphan{all: true, until: until}) }
 
 // addTask records that a task may run until a time.
-func (o *orphans) addTask(t TaskID, until Time) {
-	o.jobs[t.Job] = append(o.jobs[t.Job], orphan{task: t, until: until})
+func (o *orphans) addTask(t TaskID, until Time) { o.add(t.Job, orphan{task: t, until: until}) }
+
+// concerns reports whether an offered job or task with a call at home waits for the orphan.
+func (x *orphan) concerns(spec *JobSpec, home Member) bool {
+	if x.home.Instance != "" && x.home.sameIncarnation(home) {
+		return false
+	}
+	return x.all || spec.Offloaded == nil || x.task == spec.taskID()
 }
 
 // prune forgets what is over.
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -197,7 +197,7 @@
 	if spec.Offloaded != nil {
 		return p.offerOffloaded(origin, call, spec, now)
 	}
-	orphansEnd := p.orphansEndAt(&spec, now)
+	orphansEnd := p.orphansEndAt(&spec, origin, now)
 	if !p.hasMemoryFor(&spec) {
 		retryAfter := max(minRetryAfter, orphansEnd.Sub(now))
 		p.effect(LogEntry{
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -350,7 +350,7 @@
 		} else {
 			w.run(2 * tickInterval)
 		}
-		if until := w.i.pool.orphansEndAt(&w.job, w.now); (until != 0) != lost {
+		if until := w.i.pool.orphansEndAt(&w.job, w.second, w.now); (until != 0) != lost {
 			t.Errorf("server lost %v: the job waits until %v at %v", lost, until, w.now)
 		}
 		if w.declines(true); w.starts != 1 && !lost {
--- a/internal/fleet/submissions.go
+++ b/internal/fleet/submissions.go
@@ -63,16 +63,16 @@
 // mayHaveRuns reports whether runs of other submissions of an offered job or task may go on
 // that this instance knows of. As no other owner does, it must not decline the offer.
 func (p *pool) mayHaveRuns(spec *JobSpec, origin Member, now Time) bool {
-	return !spec.Durable && (len(p.otherSubmissions(spec, origin)) > 0 || p.orphansEndAt(spec, now) != 0)
+	return !spec.Durable && (len(p.otherSubmissions(spec, origin)) > 0 || p.orphansEndAt(spec, origin, now) != 0)
 }
 
-// orphansEndAt returns when all runs of an ended submission of a job, or of a task that was
-// offloaded here, are certainly over; 0 if none is known. Runs at this instance's servers that
+// orphansEndAt returns when all runs of an ended submission of a job or task offered by origin
+// are certainly over; 0 if none is known. Runs at this instance's servers that
 // belong to no job, as they are being stopped or are an earlier owner's, count while the
 // servers have them.
-func (p *pool) orphansEndAt(spec *JobSpec, now Time) (at Time) {
+func (p *pool) orphansEndAt(spec *JobSpec, origin Member, now Time) (at Time) {
 	for _, x := range p.orphans.jobs[spec.ID] {
-		if now < x.until && (x.all || spec.Offloaded == nil || x.task == spec.taskID()) {
+		if now < x.until && x.concerns(spec, spec.home(origin)) {
 			at = max(at, x.until)
 		}
 	}
@@ -103,10 +103,14 @@
 		until = now.Add(p.orphanRunTime)
 	}
 	switch {
-	case until == 0 || j.durable != nil: // the attempts of a durable job are told apart by the terms of its holders
+	case j.durable != nil: // its attempts are told apart by the terms of its holders
 	case j.offloaded != nil:
-		p.orphans.addTask(j.offloaded.id, until)
-	default:
+		// Its owner has ended the job, or runs the task elsewhere: it may have other tasks of it.
+		p.orphans.add(j.spec.ID, orphan{all: true, home: j.home(), until: now.Add(p.orphanRunTime)})
+		if until != 0 {
+			p.orphans.addTask(j.offloaded.id, until)
+		}
+	case until != 0:
 		p.orphans.addJob(j.spec.ID, until)
 	}
 }
