Leases for the calls of a replaced instance end

An incarnation that was replaced counted as heard 0.9 s ago at any time, so that polls went on renewing the leases of its calls' tasks by 0.1 s each, until the owner in between ended them. Promised is the longest lease from the last echo, on which others wait before they start the tasks. The last echo of the incarnation before is kept.

TestRunOutlastsReplacedHome: a lease ended 550 ms past the promise in a play of 1.5 s, and within it now.

--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -144,3 +144,48 @@
 		}
 	}
 }
+
+// TestRunOutlastsReplacedHome runs an offloaded task whose owner stays well while the instance
+// with the call starts again, which this instance learns before the owner does. The caller has
+// lost its connection with the earlier life and counts from then: no lease may last longer than
+// the longest one from the last echo of that life.
+func TestRunOutlastsReplacedHome(t *testing.T) {
+	for name, returns := range map[string]bool{"stays away": false, "starts again": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newLeaseWorld(t)
+			home := Member{Instance: "n3", Incarnation: "01", Domain: "d", Weight: 1}
+			w.i.Step(w.now, LinkUp{Peer: home})
+			hear := func(m Member) []Effect {
+				return w.i.Step(w.now, PeerMessage{From: m, ReceivedAt: w.now, Message: Heartbeat{SentAt: w.now, Echo: w.now, Busy: true}})
+			}
+			hear(home)
+			began, limit := w.now, w.serverClock(w.now.Add(time.Second)) // home ends now
+			spec := oneTaskJob("j2", w.now)
+			spec.Offloaded = &OffloadedTask{Home: home}
+			effects := w.i.Step(w.now, PeerMessage{From: w.other, ReceivedAt: w.now, Message: Offer{Call: firstOffloadCall + 1, Job: spec, Echo: w.now}})
+			run, worst := lookFor[StartRun](t, effects).Run, int64(0)
+			effects = append(effects, w.i.Step(w.now, StartReply{Server: "s1", Run: run, Outcome: StartAccepted, ClockMs: w.serverClock(w.now), SentAt: w.now})...)
+			for w.now.Sub(began) < 1500*time.Millisecond {
+				w.now = w.now.Add(tickInterval)
+				due := effects
+				effects = hear(w.other)
+				for _, e := range due {
+					if p, ok := e.(Poll); ok {
+						worst = max(worst, p.LeaseEndMs)
+						reply := pollReply(w.now, 500, ActiveRun{Run: run, Percent: int(w.now.Sub(began).Milliseconds() / 20)})
+						reply.ClockMs, reply.Poll = w.serverClock(w.now), p
+						effects = append(effects, w.i.Step(w.now, reply)...)
+					}
+				}
+				if again := home; returns && w.now.Sub(began) >= 300*time.Millisecond {
+					again.Incarnation = "02"
+					effects = append(effects, hear(again)...)
+				}
+				effects = append(effects, w.i.Step(w.now, Tick{})...)
+			}
+			if worst > limit {
+				t.Errorf("a lease lasts until %d on the server's clock, want at most %d", worst, limit)
+			}
+		})
+	}
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -84,10 +84,15 @@
 	case x.Instance == m.self.Instance:
 		return now
 	}
-	if p := m.peers[x.Instance]; p != nil && p.member.sameIncarnation(x) {
+	p := m.peers[x.Instance]
+	if p != nil && p.member.sameIncarnation(x) {
 		return p.echoedAt
 	}
-	return now.Add(-echoTimeout) // it is gone, and its jobs will be cancelled soon
+	at := now.Add(-echoTimeout) // it is gone, and its jobs will be cancelled soon
+	if p != nil && p.earlierEchoedAt != 0 {
+		at = min(at, p.earlierEchoedAt)
+	}
+	return at
 }
 
 // maxInputAge is how far an instance may lag behind its input without a run outlasting
@@ -173,7 +178,11 @@
 		p.dead, p.replaced = true, true
 		m.replaced = append(m.replaced, p)
 	}
-	p = &peer{member: x, missingSince: now, busyAt: now, active: true}
+	var earlierEchoedAt Time
+	if p != nil {
+		earlierEchoedAt = p.echoedAt
+	}
+	p = &peer{member: x, missingSince: now, busyAt: now, active: true, earlierEchoedAt: earlierEchoedAt}
 	m.peers[x.Instance] = p
 	m.orderedPeers = slices.DeleteFunc(m.orderedPeers, func(o *peer) bool { return o.member.Instance == x.Instance })
 	m.orderedPeers = append(m.orderedPeers, p)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -25,6 +25,7 @@
 	leaving          bool
 	configVersion    uint64        // in force at the peer
 	echoedAt         Time          // send time of the last heartbeat that the peer has processed
+	earlierEchoedAt  Time          // echoedAt of the incarnation before, 0 if none was known
 	graceFrom        Time          // counts as such a time for its loss, after a pause of this instance; not for leases
 	remoteSentAt     Time          // send time of its last heartbeat, on its clock
 	echoSent         Time          // last echo sent to it
