Reproduced: a run is taken for over by the clock of an earlier life

A server that runs nothing isn't polled. If it restarts unnoticed and a start reaches the new life, whose clock is far behind, that life shortens the lease to the longest one from the arrival of each order; the owner counts the usual lease, 0.7 of it, from its estimate of the earlier life's clock. Not while the store tells of the restart in time.

--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
 // TestRestartedServerRefusesOrdersToEarlierLife restarts a server under its ID, which
@@ -198,3 +200,84 @@
 		})
 	}
 }
+
+// TestRunTakenForOverByTheClockOfAnEarlierLife starts a task at a server that ran nothing, and
+// so wasn't polled, and has restarted unnoticed. Orders arrive there, and nothing is answered
+// any more. The clock of the new life is far behind, so that it shortens each lease to the
+// longest one from its arrival: the task may not start elsewhere before that has ended.
+func TestRunTakenForOverByTheClockOfAnEarlierLife(t *testing.T) {
+	for name, idle := range map[string]time.Duration{"not restarted": 0, "restarted": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			i, now := oneServer(t, 500)
+			other := ServerEntry{ID: "s2", Service: "svc", Addr: "b", Domain: "d", State: ServerReady, Capacity: model.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+			i.Step(now, ServersListed{Servers: []ServerEntry{i.servers.entries["s1"], other}, Revision: 1})
+			i.Step(now, OwnersChanged{Owners: []Ownership{{Server: "s2", Owner: "n1", Incarnation: "01", Revision: 7}}})
+			answer := func(at Time, p Poll) []Effect {
+				reply := pollReply(at, 500)
+				reply.Server, reply.Poll, reply.SentAt = p.Server, p, at
+				reply.ClockMs = 100 + at.Sub(Time(time.Second)).Milliseconds()
+				return i.Step(at, reply)
+			}
+			answer(now, Poll{Server: "s2", Fence: Ownership{Revision: 7}.Token()})
+			for began := now; now.Sub(began) < time.Second; now = now.Add(tickInterval) { // neither server has runs
+				for _, e := range i.Step(now, Tick{}) {
+					if p, ok := e.(Poll); ok {
+						answer(now, p)
+					}
+				}
+			}
+			clock := func(at Time) int64 { return 100 + at.Add(-idle).Sub(Time(time.Second)).Milliseconds() }
+			leaseEnd := int64(0) // on the clock of the first server
+			extend := func(endMs int64, at Time) {
+				leaseEnd = max(leaseEnd, min(endMs, clock(at)+time.Second.Milliseconds()))
+			}
+			began := now
+			effects := i.Step(now, JobSubmitted{Call: 1, Job: oneTaskJob("j1", now)})
+			first := lookFor[StartRun](t, effects)
+			type lost struct {
+				at Time
+				e  Event
+			}
+			var answers []lost
+			for ; now.Sub(began) < 2*time.Second; now = now.Add(10 * time.Millisecond) {
+				for _, e := range effects {
+					switch e := e.(type) {
+					case StartRun:
+						if e.Run != first.Run && clock(now) < leaseEnd {
+							t.Fatalf("started again at %s %v after the first start; that run lasts for another %d ms", e.Server, now.Sub(began), leaseEnd-clock(now))
+						}
+						if e.Run != first.Run {
+							return
+						}
+						extend(e.LeaseEndMs, now)
+						answers = append(answers, lost{now.Add(150 * time.Millisecond), StartReply{Server: e.Server, Run: e.Run, Outcome: StartUnanswered, SentAt: now}})
+					case Poll:
+						if e.Server != first.Server {
+							answers = append(answers, lost{now, nil})
+							answer(now, e)
+							continue
+						}
+						extend(e.LeaseEndMs, now)
+						answers = append(answers, lost{now.Add(200*time.Millisecond + e.Wait), PollReply{Server: e.Server, Poll: e, Outcome: PollUnanswered, SentAt: now}})
+					}
+				}
+				effects = i.Step(now, RepliesOverdue{})
+				if now.Sub(began)%tickInterval == 0 {
+					effects = append(effects, i.Step(now, Tick{})...)
+				}
+				due := answers
+				answers = nil
+				for _, x := range due {
+					switch {
+					case x.e == nil:
+					case x.at <= now:
+						effects = append(effects, i.Step(now, x.e)...)
+					default:
+						answers = append(answers, x)
+					}
+				}
+			}
+			t.Error("never started again")
+		})
+	}
+}
