--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -281,3 +281,31 @@
 		})
 	}
 }
+
+// TestRefusalOfReplacedTokenKeepsServer replaces the token of a restarted server. An order
+// under the earlier one, sent just before, reaches the server after the first poll under the
+// new one and is refused, which says nothing of the new one.
+func TestRefusalOfReplacedTokenKeepsServer(t *testing.T) {
+	for _, refused := range []string{"poll", "start", "stop"} {
+		i, now := oneServer(t, 500)
+		now = now.Add(startupDelay)
+		start := lookFor[StartRun](t, i.Step(now, JobSubmitted{Call: 1, Job: oneTaskJob("j1", now)}))
+		before := pollReply(now, 600, ActiveRun{Run: start.Run}) // the start has reached the new life
+		renewed := lookFor[Claim](t, append(i.Step(now, before), i.Step(now, Tick{})...)).Expected[0]
+		renewed.Owner, renewed.Incarnation, renewed.Revision = "n1", "01", 8
+		poll := pollReply(now, 600, ActiveRun{Run: start.Run})
+		poll.Poll = lookFor[Poll](t, i.Step(now, ClaimReply{Owners: []Ownership{renewed}, Known: true, Committed: true}))
+		i.Step(now, poll)
+		switch refused {
+		case "poll":
+			i.Step(now, PollReply{Server: "s1", Poll: before.Poll, Outcome: PollFenced, SentAt: before.SentAt})
+		case "start":
+			i.Step(now, StartReply{Server: "s1", Run: start.Run, Outcome: StartFenced, SentAt: now})
+		case "stop":
+			i.Step(now, StopReply{Server: "s1", Run: start.Run, Fenced: true, SentAt: now})
+		}
+		if s := i.pool.servers["s1"]; s == nil || s.runs[start.Run] == nil || len(i.pool.delayed) > 0 {
+			t.Errorf("%s refused under the earlier token: the server was dropped, and %d tasks wait for runs that may exist", refused, len(i.pool.delayed))
+		}
+	}
+}
