Reproduced: an overtaken list shows an ended run as foreign

reconcile adds each listed run that it does not know, also from a list that was made before the end of that run was read.

--- a/internal/fleet/settlement_test.go
+++ b/internal/fleet/settlement_test.go
@@ -145,3 +145,23 @@
 	}
 	return n
 }
+
+// TestOvertakenListShowsNoForeignRun polls a server twice at once. The reply to the later poll
+// tells that a run has ended, and overtakes that to the earlier one, which lists it as running.
+func TestOvertakenListShowsNoForeignRun(t *testing.T) {
+	i, now := oneServer(t, 500)
+	run := startOne(t, i, now)
+	later := pollReply(now.Add(6*time.Millisecond), 500)
+	later.Ended = []EndedRun{{Seq: 1, Run: run, Kind: EndStopped}}
+	now = now.Add(10 * time.Millisecond)
+	i.Step(now, later)
+	effects := i.Step(now, pollReply(now.Add(-6*time.Millisecond), 500, ActiveRun{Run: run, Percent: 40}))
+	for _, e := range effects {
+		if l, ok := e.(LogEntry); ok && l.Kind == LogForeignRun {
+			t.Errorf("run %v of this owner is logged as foreign after its end was listed", l.Run)
+		}
+	}
+	if n := count[StopRun](effects); n > 0 {
+		t.Errorf("%d stops of a run that has ended", n)
+	}
+}
