--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,9 +15,9 @@
 
 // Behavior of the callers.
 const (
-	jobDeadline        = 3 * time.Second // caller deadline of a job
-	maxAttempts        = 3               // attempts of a job whose answer was lost
-	abandonShare       = 0.05            // share of the jobs whose callers disconnect early
+	maxAttempts        = 3    // attempts of a job whose answer was lost
+	abandonShare       = 0.05 // share of the jobs whose callers disconnect early
+	shortestTaskMs     = 10
 	configPollInterval = 200 * time.Millisecond
 )
 
@@ -33,19 +33,19 @@
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(r.ExpFloat64() / o.JobsPerSecond * float64(time.Second)))
 		seed := r.Uint64()
-		dep.background.Go(func() { dep.submit(rand.New(rand.NewPCG(seed, 3)), o.ResubmitDelay) })
+		dep.background.Go(func() { dep.submit(rand.New(rand.NewPCG(seed, 3)), o) })
 	}
 }
 
 func jobID(r *rand.Rand) string { return fmt.Sprintf("%016x", r.Uint64()) }
 
 // submit submits one job, and again after a lost answer.
-func (dep *deployment) submit(r *rand.Rand, resubmitDelay time.Duration) *request {
+func (dep *deployment) submit(r *rand.Rand, o Options) *request {
 	q := &request{id: jobID(r), tasks: 1 + r.IntN(6), need: model.Resources{CPUMilli: uint32(500 + 100*r.IntN(16)), MemoryMB: 64}}
 	dep.recorder.submitted(q)
-	runMs := 10 + r.IntN(200)
+	runMs := shortestTaskMs + r.IntN(int(o.LongestTask.Milliseconds())-shortestTaskMs)
 	for range maxAttempts {
-		ctx, cancel := context.WithTimeout(dep.ctx, jobDeadline+dep.maxLateness)
+		ctx, cancel := context.WithTimeout(dep.ctx, dep.jobDeadline+dep.maxLateness)
 		if r.Float64() < abandonShare {
 			cancel()
 			ctx, cancel = context.WithTimeout(dep.ctx, time.Duration(r.IntN(runMs))*time.Millisecond)
@@ -57,7 +57,7 @@
 		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
 			return q
 		}
-		time.Sleep(resubmitDelay)
+		time.Sleep(o.ResubmitDelay)
 	}
 	return q
 }
@@ -73,7 +73,7 @@
 	a.at, a.status = time.Now(), status
 	a.completed = status == http.StatusOK && strings.Contains(text, "completed")
 	after, undisturbedSince := p.incarnation()
-	if late := a.at.Sub(sent) - jobDeadline; late >= dep.maxLateness && q.abandonedAt.IsZero() && before == after && !undisturbedSince.IsZero() && undisturbedSince.Before(sent) {
+	if late := a.at.Sub(sent) - dep.jobDeadline; late >= dep.maxLateness && q.abandonedAt.IsZero() && before == after && !undisturbedSince.IsZero() && undisturbedSince.Before(sent) {
 		a.lateBy = late
 	}
 	return a
@@ -87,7 +87,7 @@
 		return 0, ""
 	}
 	r.Host = hostName
-	r.Header.Set("Deadline-Ms", strconv.FormatInt(jobDeadline.Milliseconds(), 10))
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(dep.jobDeadline.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, "" // the process may be down
--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -23,6 +23,8 @@
 	Instances     int           `arg:"--instances" default:"6"`
 	Servers       int           `arg:"--servers" default:"12"`
 	JobsPerSecond float64       `arg:"--rate" default:"40" help:"jobs a second"`
+	JobDeadline   time.Duration `arg:"--deadline" help:"of callers (default: 3s)"`
+	LongestTask   time.Duration `arg:"--longest-task" help:"run time of the longest task (default: 210ms)"`
 	FaultDuration time.Duration `arg:"--length" default:"12s" help:"of the troubles"`
 	ResubmitDelay time.Duration `arg:"--resend" default:"1300ms" help:"after which a lost job comes again"`
 	Faults        []string      `arg:"--fault,separate" help:"inject only this fault; may be repeated" placeholder:"NAME"`
@@ -55,7 +57,8 @@
 	}
 	r, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
-		JobsPerSecond: a.JobsPerSecond, FaultDuration: a.FaultDuration, ResubmitDelay: a.ResubmitDelay, MaxLateness: a.MaxLateness,
+		JobsPerSecond: a.JobsPerSecond, JobDeadline: a.JobDeadline, LongestTask: a.LongestTask,
+		FaultDuration: a.FaultDuration, ResubmitDelay: a.ResubmitDelay, MaxLateness: a.MaxLateness,
 		Faults: a.Faults,
 	})
 	if err != nil {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -66,6 +66,7 @@
 type deployment struct {
 	ctx         context.Context
 	dir         string
+	jobDeadline time.Duration
 	maxLateness time.Duration
 	recorder    *recorder
 	store       *standin.Handler
@@ -80,7 +81,7 @@
 
 // newDeployment starts a deployment; its ports are closed when ctx ends.
 func newDeployment(ctx context.Context, o Options) (*deployment, error) {
-	dep := &deployment{ctx: ctx, dir: o.Dir, maxLateness: o.MaxLateness, recorder: newRecorder(), store: standin.New(standin.Options{MinSessionTTL: minLeaseTTL})}
+	dep := &deployment{ctx: ctx, dir: o.Dir, jobDeadline: o.JobDeadline, maxLateness: o.MaxLateness, recorder: newRecorder(), store: standin.New(standin.Options{MinSessionTTL: minLeaseTTL})}
 	for d := range numDomains {
 		dep.domains = append(dep.domains, model.Domain(fmt.Sprintf("d%d", d)))
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,10 +7,13 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/nutmegweir/nutmegweir/internal/model"
 )
 
@@ -22,12 +25,20 @@
 	Instances     int
 	Servers       int
 	JobsPerSecond float64
+	JobDeadline   time.Duration // of callers; defaultJobDeadline if 0
+	LongestTask   time.Duration // defaultLongestTask if 0
 	FaultDuration time.Duration // how long new faults are injected
 	ResubmitDelay time.Duration // delay before a lost job is resubmitted
 	MaxLateness   time.Duration // lateness past its deadline from which an answer is a violation
 	Faults        []string      // names of the faults to inject; the usual ones if empty
 }
 
+// Defaults of options.
+const (
+	defaultJobDeadline = 3 * time.Second
+	defaultLongestTask = 210 * time.Millisecond
+)
+
 // Report is the result of a soak.
 type Report struct {
 	Requests   int
@@ -54,6 +65,11 @@
 	if err != nil {
 		return Report{}, err
 	}
+	o.JobDeadline = cmp.Or(o.JobDeadline, defaultJobDeadline)
+	o.LongestTask = cmp.Or(o.LongestTask, defaultLongestTask)
+	if o.LongestTask.Milliseconds() <= shortestTaskMs {
+		return Report{}, errors.Errorf("the longest task must take more than %d ms", shortestTaskMs)
+	}
 	dep, err := newDeployment(ctx, o)
 	if dep != nil {
 		defer dep.killAll()
@@ -114,7 +130,7 @@
 	r := rand.New(rand.NewPCG(1, 4))
 	for _, p := range dep.processes {
 		dep.await("a job of "+string(p.name)+" is completed after the faults", func() bool {
-			ctx, cancel := context.WithTimeout(dep.ctx, jobDeadline+dep.maxLateness)
+			ctx, cancel := context.WithTimeout(dep.ctx, dep.jobDeadline+dep.maxLateness)
 			defer cancel()
 			q := &request{id: jobID(r), tasks: 1, need: model.Resources{CPUMilli: 500, MemoryMB: 64}}
 			dep.recorder.submitted(q)
