--- a/internal/mesh/convert_test.go
+++ b/internal/mesh/convert_test.go
@@ -34,7 +34,7 @@
 		"withdrawal of a call":     fleet.Withdraw{Call: 4},
 		"withdrawal of offloads":   fleet.Withdraw{Owner: fleet.Member{Instance: "n3", Incarnation: "02"}},
 		"job submitted again":      fleet.Withdraw{Job: "j", Age: 5},
-		"servers": fleet.ServersUpdate{ServerChanges: fleet.ServerChanges{FromRevision: 1, ToRevision: 2, Servers: []fleet.ServerEntry{{ID: "s1", ReportedAtMs: 3, ColdLeftMs: 4}}}},
+		"servers":                  fleet.ServersUpdate{ServerChanges: fleet.ServerChanges{FromRevision: 1, ToRevision: 2, Servers: []fleet.ServerEntry{{ID: "s1", ReportedAtMs: 3, ColdLeftMs: 4}}}},
 	} {
 		m, err := encode(sent)
 		if err != nil {
