fleetsim: the events of a link are in order

An instance that wakes takes its events in any order, and could take the end of a link after the news that it was up again. It then held the link for down for seconds, though its messages arrived: no heartbeats, so no lists of open calls either. Found by tracing why tasks still ran twice beside stalls when callers leave unnoticed; in the program one goroutine reports a link's events.

--- a/internal/fleet/fleetsim/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -69,7 +69,7 @@
 		w.step(a, fleet.LinkUp{Peer: b.member})
 		return
 	}
-	w.step(a, fleet.LinkDown{Peer: b.member, Refused: a.refusesLinks || b.refusesLinks || !b.alive && !a.isolated})
+	w.reportDown(a, l, fleet.LinkDown{Peer: b.member, Refused: a.refusesLinks || b.refusesLinks || !b.alive && !a.isolated})
 	serial := l.serial
 	w.later(a, redialInterval, func() {
 		if l.serial == serial {
@@ -78,6 +78,19 @@
 	})
 }
 
+// reportDown tells an instance that a link has ended, unless the link is up again when the
+// instance takes the event: events of a link are in order.
+func (w *World) reportDown(a *simInstance, l *simLink, e fleet.LinkDown) {
+	incarnation := a.incarnation
+	w.queue(a, func() {
+		w.whenAwake(a, false, func() {
+			if a.incarnation == incarnation && !l.up {
+				w.stepNow(a, e)
+			}
+		})
+	})
+}
+
 func (w *World) send(n *simInstance, x fleet.SendPeer) {
 	to := w.instance(x.To.Instance)
 	from, l := n.member, n.linkTo(to)
--- a/internal/fleet/fleetsim/stalls.go
+++ b/internal/fleet/fleetsim/stalls.go
@@ -55,7 +55,7 @@
 	}
 	l.up = false
 	serial := l.serial
-	w.step(a, fleet.LinkDown{Peer: b.member})
+	w.reportDown(a, l, fleet.LinkDown{Peer: b.member})
 	w.later(a, w.redialDelay(), func() {
 		if l.serial == serial {
 			w.connect(a, b)
--- a/internal/fleet/fleetsim/troubles_test.go
+++ b/internal/fleet/fleetsim/troubles_test.go
@@ -41,6 +41,9 @@
 	{"messages held", 500 * time.Millisecond, func(w *World) {
 		w.DelayLinks(w.someInstance(), 1+w.upTo(270*time.Millisecond), 300*time.Millisecond)
 	}},
+	{"instances stalled", 300 * time.Millisecond, func(w *World) { // shorter than what they take for a pause
+		w.Freeze(w.someInstance(), 200*time.Millisecond+w.upTo(190*time.Millisecond))
+	}},
 	{"instances slow", time.Second, func(w *World) {
 		w.SlowDown(w.someInstance(), 50*time.Millisecond+w.upTo(350*time.Millisecond), 500*time.Millisecond+w.upTo(3*time.Second))
 	}},
@@ -216,6 +219,7 @@
 	playMixes(t, 6, [][]string{
 		{"callers lost unnoticed"},
 		{"callers lost unnoticed", "messages held"},
+		{"callers lost unnoticed", "instances stalled"},
 		{"callers lost unnoticed", "instances slow"},
 		{"callers lost unnoticed", "servers unresponsive", "late orders"},
 		{"callers lost unnoticed", "instances killed"},
