Only added calls make a list urgent for idle members

TestLargeSite failed after: of 147 instances one without servers sent 128 messages a second, bound 120, as each change of its list of open calls went to all members at once. Calls that have ended can wait for the next heartbeat; only added ones make one due.

--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -505,7 +505,7 @@
 func (i *Instance) sendHeartbeats(now Time, all bool) {
 	for _, p := range i.members.orderedPeers {
 		every := i.members.heartbeatEvery(p)
-		if i.router.open.isNewTo(p) {
+		if i.router.open.lacksCalls(p) {
 			every = i.members.activeHeartbeatInterval()
 		}
 		if p.linked && (all || now.Sub(p.heartbeatSentAt) >= every) {
--- a/internal/fleet/opencalls.go
+++ b/internal/fleet/opencalls.go
@@ -17,6 +17,7 @@
 type openCalls struct {
 	jobs      []string // sorted
 	version   uint64   // of the list, 0 if it has always been empty
+	addedIn   uint64   // version in which a call was last added
 	updatedAt Time
 }
 
@@ -29,12 +30,14 @@
 	}
 	o.updatedAt = now
 	var jobs []string
+	added := false
 	for _, c := range rt.byJob {
-		if now.Sub(c.job.ReceivedAt) >= rt.pool.orphanRunTime/2 {
-			jobs = append(jobs, c.job.ID)
-			if c.listedAt == 0 {
-				c.listedAt = now
-			}
+		if now.Sub(c.job.ReceivedAt) < rt.pool.orphanRunTime/2 {
+			continue
+		}
+		jobs = append(jobs, c.job.ID)
+		if c.listedAt == 0 {
+			c.listedAt, added = now, true
 		}
 	}
 	slices.Sort(jobs)
@@ -42,6 +45,9 @@
 		o.jobs = jobs
 		o.version++
 	}
+	if added {
+		o.addedIn = o.version
+	}
 }
 
 // mayBeResubmitted reports whether a call's job may have been submitted again at an instance
@@ -55,12 +61,13 @@
 	})
 }
 
-// isNewTo reports whether a peer doesn't have the list.
-func (o *openCalls) isNewTo(p *peer) bool { return p.openCallsSent != o.version }
+// lacksCalls reports whether a peer must hear of calls that were added to the list. Those that
+// have ended can wait for the next heartbeat.
+func (o *openCalls) lacksCalls(p *peer) bool { return p.openCallsSent < o.addedIn }
 
 // newsFor returns the list if a peer doesn't have it, else nil.
 func (o *openCalls) newsFor(p *peer) *OpenCalls {
-	if !o.isNewTo(p) {
+	if p.openCallsSent == o.version {
 		return nil
 	}
 	p.openCallsSent = o.version
