--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,6 +18,8 @@
 	maxAttempts        = 3    // attempts of a job whose answer was lost
 	abandonShare       = 0.05 // share of the jobs whose callers disconnect early
 	shortestTaskMs     = 10
+	minVanish          = 150 * time.Millisecond // before the path of a caller breaks
+	maxVanish          = 300 * time.Millisecond
 	configPollInterval = 200 * time.Millisecond
 )
 
@@ -51,8 +53,14 @@
 			ctx, cancel = context.WithTimeout(dep.ctx, time.Duration(r.IntN(runMs))*time.Millisecond)
 			dep.recorder.abandoned(q)
 		}
-		a := dep.submitOnce(ctx, dep.anyProcess(r), q, runMs)
-		cancel()
+		p := dep.anyProcess(r)
+		var a answer
+		if o.VanishShare > 0 && r.Float64() < o.VanishShare {
+			a = dep.submitVanishing(ctx, cancel, p, q, runMs, between(r, minVanish, maxVanish))
+		} else {
+			a = dep.submitOnce(ctx, p, q, runMs)
+			cancel()
+		}
 		dep.recorder.answered(q, a)
 		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
 			return q
@@ -62,6 +70,22 @@
 	return q
 }
 
+// submitVanishing is submitOnce by a caller whose path breaks after a time without the instance
+// being told: its connection stays open and nobody waits for the answer.
+func (dep *deployment) submitVanishing(ctx context.Context, cancel context.CancelFunc, p *process, q *request, runMs int, after time.Duration) answer {
+	answers := make(chan answer, 1)
+	dep.background.Go(func() {
+		defer cancel()
+		answers <- dep.submitOnce(ctx, p, q, runMs)
+	})
+	select {
+	case a := <-answers:
+		return a
+	case <-time.After(after):
+		return answer{at: time.Now(), instance: p.name}
+	}
+}
+
 // submitOnce sends a job to an instance once.
 func (dep *deployment) submitOnce(ctx context.Context, p *process, q *request, runMs int) answer {
 	a := answer{instance: p.name}
@@ -73,7 +97,7 @@
 	a.at, a.status = time.Now(), status
 	a.completed = status == http.StatusOK && strings.Contains(text, "completed")
 	after, undisturbedSince := p.incarnation()
-	if late := a.at.Sub(sent) - dep.jobDeadline; late >= dep.maxLateness && q.abandonedAt.IsZero() && before == after && !undisturbedSince.IsZero() && undisturbedSince.Before(sent) {
+	if late := a.at.Sub(sent) - dep.jobDeadline; late >= dep.maxLateness && !dep.recorder.isAbandoned(q) && before == after && !undisturbedSince.IsZero() && undisturbedSince.Before(sent) {
 		a.lateBy = late
 	}
 	return a
--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	JobsPerSecond float64       `arg:"--rate" default:"40" help:"jobs a second"`
 	JobDeadline   time.Duration `arg:"--deadline" help:"of callers (default: 3s)"`
 	LongestTask   time.Duration `arg:"--longest-task" help:"run time of the longest task (default: 210ms)"`
+	VanishShare   float64       `arg:"--vanish" help:"share of the submissions whose callers are cut off unnoticed 0.15 to 0.3 s later"`
 	FaultDuration time.Duration `arg:"--length" default:"12s" help:"of the troubles"`
 	ResubmitDelay time.Duration `arg:"--resend" default:"1300ms" help:"after which a lost job comes again"`
 	Faults        []string      `arg:"--fault,separate" help:"inject only this fault; may be repeated" placeholder:"NAME"`
@@ -57,7 +58,7 @@
 	}
 	r, err := soak.Run(ctx, soak.Options{
 		Binary: a.Binary, Dir: dir, Seed: seed, Instances: a.Instances, Servers: a.Servers,
-		JobsPerSecond: a.JobsPerSecond, JobDeadline: a.JobDeadline, LongestTask: a.LongestTask,
+		JobsPerSecond: a.JobsPerSecond, JobDeadline: a.JobDeadline, LongestTask: a.LongestTask, VanishShare: a.VanishShare,
 		FaultDuration: a.FaultDuration, ResubmitDelay: a.ResubmitDelay, MaxLateness: a.MaxLateness,
 		Faults: a.Faults,
 	})
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -77,6 +77,12 @@
 	r.abandonedAt = time.Now()
 }
 
+func (rec *recorder) isAbandoned(r *request) bool {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return !r.abandonedAt.IsZero()
+}
+
 func (rec *recorder) started(server model.ServerID, run fleet.RunID) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,7 @@
 	JobsPerSecond float64
 	JobDeadline   time.Duration // of callers; defaultJobDeadline if 0
 	LongestTask   time.Duration // defaultLongestTask if 0
+	VanishShare   float64       // share of the submissions whose callers' paths break soon, unnoticed by the instances
 	FaultDuration time.Duration // how long new faults are injected
 	ResubmitDelay time.Duration // delay before a lost job is resubmitted
 	MaxLateness   time.Duration // lateness past its deadline from which an answer is a violation
