--- a/internal/fleet/fleetsim/resubmit_test.go
+++ b/internal/fleet/fleetsim/resubmit_test.go
@@ -45,16 +45,23 @@
 	}
 }
 
-// playJobAtOtherOwner lets carrick-0 run a job of a call at tayside-0, and submits the job again
-// at an instance at about the time at which its deadline ends the first submission. stall is
-// how long carrick-0 stands still around that time.
-func playJobAtOtherOwner(after, stall time.Duration, at model.Instance) *World {
+// newSharingWorld returns two owners: tayside-0, which queues jobs and has one server, and
+// carrick-0 with the given ones.
+func newSharingWorld(servers ...model.ServerID) *World {
 	w := New(1)
 	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
 	w.AddInstance("carrick-0", "carrick", defaultWeight)
 	w.addServers("tayside", "t0")
-	w.addServers("carrick", "c0", "c1", "c2")
+	w.addServers("carrick", servers...)
 	w.Run(settleTime)
+	return w
+}
+
+// playJobAtOtherOwner lets carrick-0 run a job of a call at tayside-0, and submits the job again
+// at an instance at about the time at which its deadline ends the first submission. stall is
+// how long carrick-0 stands still around that time.
+func playJobAtOtherOwner(after, stall time.Duration, at model.Instance) *World {
+	w := newSharingWorld("c0", "c1", "c2")
 	spec, work := w.longJob(3)
 	spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
 	w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance(at) }
@@ -85,12 +92,7 @@
 // runs a task of it for the owner of the first submission, and that has room for all of it.
 func TestTaskStartsBesideItsOffloadForEarlierSubmission(t *testing.T) {
 	for after := 20 * time.Millisecond; after < 200*time.Millisecond; after += 20 * time.Millisecond {
-		w := New(1)
-		w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
-		w.AddInstance("carrick-0", "carrick", defaultWeight)
-		w.addServers("tayside", "t0")
-		w.addServers("carrick", "c0")
-		w.Run(settleTime)
+		w := newSharingWorld("c0")
 		spec, work := w.longJob(2)
 		spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
 		w.resubmitAt = func(*simInstance, *JobRecord) *simInstance { return w.instance("carrick-0") }
@@ -141,12 +143,7 @@
 // trouble is called d before that deadline.
 func playSharedJob(t *testing.T, after, d time.Duration, at model.Instance, trouble func(w *World)) *World {
 	t.Helper()
-	w := New(1)
-	w.AddInstance("tayside-0", "tayside", 2*defaultWeight) // queues jobs
-	w.AddInstance("carrick-0", "carrick", defaultWeight)
-	w.addServers("tayside", "t0")
-	w.addServers("carrick", "c0", "c1", "c2")
-	w.Run(settleTime)
+	w := newSharingWorld("c0", "c1", "c2")
 	short := func(tasks int) (fleet.JobSpec, time.Duration) {
 		spec, work := w.longJob(tasks)
 		spec.Timeout, spec.Steps[0].Estimate = resubmitTimeout, 50*time.Millisecond
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -429,7 +429,7 @@
 	}
 }
 
-// sendResult sends the result of a job and retains it for reconnects.
+// sendResult sends the result of a job.
 func (p *pool) sendResult(j *job, result Result, now Time) {
 	p.sendFinal(j.origin, j.call, result, j.lastAttempt(), now)
 }
@@ -441,6 +441,7 @@
 	p.sendFinal(origin, call, outdatedResult, 0, now)
 }
 
+// sendFinal sends the final outcome of an offer and retains it for reconnects.
 func (p *pool) sendFinal(origin Member, call CallID, result Result, attempt uint32, now Time) {
 	if origin.Instance != p.self.Instance {
 		p.recent = append(p.recent, recentOutcome{jobKey{origin.Instance, origin.Incarnation, call}, result, attempt, now})
